Add settings, sessions between processes, and telemetry

Settings are decoded strictly and checked before any port is opened. Sessions use yamux over TCP with optional mutual TLS, one session for control and one for data, and suspect a peer after three missed heartbeats.

--- /dev/null
+++ b/link/frame.go
@@ -0,0 +1,43 @@
+package link
+
+import (
+	"bufio"
+	"fmt"
+	"io"
+
+	"google.golang.org/protobuf/encoding/protodelim"
+	"google.golang.org/protobuf/encoding/protowire"
+	"google.golang.org/protobuf/proto"
+)
+
+// Largest messages in bytes. They are checked before memory is allocated.
+const (
+	MaxHelloBytes   = 64 << 10
+	MaxControlBytes = 2 << 20
+	MaxDataBytes    = 16 << 20
+)
+
+// writeMessage writes one length-delimited message with a single Write, so
+// that it becomes one yamux frame.
+func writeMessage(w io.Writer, m proto.Message) error {
+	size := proto.Size(m)
+	buffer := make([]byte, 0, size+protowire.SizeVarint(uint64(size)))
+	buffer = protowire.AppendVarint(buffer, uint64(size))
+	buffer, err := proto.MarshalOptions{UseCachedSize: true}.MarshalAppend(buffer, m)
+	if err != nil {
+		return fmt.Errorf("encode message: %w", err)
+	}
+	if _, err := w.Write(buffer); err != nil {
+		return fmt.Errorf("write message: %w", err)
+	}
+	return nil
+}
+
+// readMessage reads one length-delimited message of at most limit bytes.
+func readMessage(r *bufio.Reader, m proto.Message, limit int) error {
+	options := protodelim.UnmarshalOptions{MaxSize: int64(limit)}
+	if err := options.UnmarshalFrom(r, m); err != nil {
+		return fmt.Errorf("read message: %w", err)
+	}
+	return nil
+}
--- /dev/null
+++ b/link/node.go
@@ -0,0 +1,504 @@
+package link
+
+import (
+	"context"
+	"crypto/tls"
+	"errors"
+	"fmt"
+	"log/slog"
+	"math/rand/v2"
+	"net"
+	"sync"
+	"time"
+
+	"golang.org/x/sync/errgroup"
+
+	"camphorwick.dev/api/wire"
+)
+
+// Times of membership. Three missed heartbeats are suspicion, so a failed
+// peer gets no new work after 3 s.
+const (
+	HeartbeatInterval = time.Second
+	SuspectAfter      = 3 * HeartbeatInterval
+	// dropAfter closes a session whose peer stays silent, so that a half-open
+	// connection is replaced by a new one.
+	dropAfter      = 10 * HeartbeatInterval
+	redialMin      = 100 * time.Millisecond
+	redialMax      = 2 * time.Second
+	maxConnections = 8192
+)
+
+// Target is a process to keep sessions with.
+type Target struct {
+	VM      string
+	Role    wire.Role
+	Address string // IP:port
+}
+
+// PeerStatus describes a known peer.
+type PeerStatus struct {
+	Hello     *wire.Hello
+	Connected bool
+	Suspected bool
+	// LastHeard is the time since the last message, at the time of the call.
+	LastHeard time.Duration
+}
+
+// Handler is told about peers and supplies what is sent to them. Calls for
+// one peer are made in order; calls for different peers run concurrently.
+type Handler interface {
+	// Heartbeat returns the content of the next heartbeat; Sequence is set by
+	// the Node.
+	Heartbeat(peer *wire.Hello) *wire.Heartbeat
+	// HeartbeatReceived handles a heartbeat of a peer.
+	HeartbeatReceived(peer *wire.Hello, h *wire.Heartbeat)
+	// ConfigReceived applies configuration that a peer sent.
+	ConfigReceived(peer *wire.Hello, update *wire.ConfigUpdate)
+	// ConfigFor returns what a peer at the revision lacks; nil if nothing.
+	ConfigFor(revision uint64) *wire.ConfigUpdate
+	// PeerChanged is called when a peer becomes usable or stops being so.
+	PeerChanged(peer *wire.Hello, usable bool)
+	// Stream serves a stream that a peer opened on its data session.
+	Stream(ctx context.Context, s *Stream)
+}
+
+// Config holds the parameters of a Node.
+type Config struct {
+	// Self returns the Hello of this process; Kind is set by the Node.
+	Self    func() *wire.Hello
+	Handler Handler
+	Log     *slog.Logger
+	// ClientTLS and ServerTLS are nil for plain text.
+	ClientTLS, ServerTLS *tls.Config
+}
+
+// Node keeps the sessions of one process.
+type Node struct {
+	config Config
+
+	mu      sync.Mutex
+	peers   map[string]*peer // by VM
+	targets map[string]targetState
+	group   *errgroup.Group
+	ctx     context.Context
+}
+
+type targetState struct {
+	Target
+	stop context.CancelFunc
+}
+
+// peer is the state of one known process.
+type peer struct {
+	mu        sync.Mutex
+	hello     *wire.Hello
+	control   *Session
+	data      *Session
+	lastHeard time.Time
+	usable    bool
+	// lost is cancelled when the peer stops being usable.
+	lost   context.Context
+	cancel context.CancelFunc
+	// kick asks the control loop to send now; capacity 1.
+	kick chan struct{}
+}
+
+// NewNode returns a Node that does nothing until Run.
+func NewNode(config Config) *Node {
+	return &Node{config: config, peers: map[string]*peer{}, targets: map[string]targetState{}}
+}
+
+// Run serves connections from the listener and keeps sessions to the targets
+// until ctx ends, then closes all of them.
+func (n *Node) Run(ctx context.Context, listener net.Listener) error {
+	group, ctx := errgroup.WithContext(ctx)
+	n.mu.Lock()
+	n.group, n.ctx = group, ctx
+	for vm, t := range n.targets {
+		n.startTarget(vm, t.Target)
+	}
+	n.mu.Unlock()
+	group.Go(func() error { return n.serve(ctx, listener) })
+	group.Go(func() error { return n.watchPeers(ctx) })
+	group.Go(func() error {
+		<-ctx.Done()
+		return listener.Close()
+	})
+	err := group.Wait()
+	n.closeAll()
+	if ctx.Err() != nil {
+		return nil
+	}
+	return err
+}
+
+// SetTargets replaces the set of processes to keep sessions with.
+func (n *Node) SetTargets(targets []Target) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	wanted := make(map[string]Target, len(targets))
+	for _, t := range targets {
+		wanted[t.VM] = t
+	}
+	for vm, state := range n.targets {
+		if t, ok := wanted[vm]; !ok || t != state.Target {
+			if state.stop != nil {
+				state.stop()
+			}
+			delete(n.targets, vm)
+		}
+	}
+	for vm, t := range wanted {
+		if _, ok := n.targets[vm]; !ok {
+			n.startTarget(vm, t)
+		}
+	}
+}
+
+// startTarget starts the dialler of a target; n.mu is held.
+func (n *Node) startTarget(vm string, t Target) {
+	if n.ctx == nil {
+		n.targets[vm] = targetState{Target: t}
+		return
+	}
+	ctx, stop := context.WithCancel(n.ctx)
+	n.targets[vm] = targetState{Target: t, stop: stop}
+	n.group.Go(func() error { return n.keep(ctx, t, wire.SessionKind_SESSION_KIND_CONTROL) })
+	if t.Role == wire.Role_ROLE_AGENT {
+		n.group.Go(func() error { return n.keep(ctx, t, wire.SessionKind_SESSION_KIND_DATA) })
+	}
+}
+
+// Open starts a stream to a peer. The returned context ends when the peer is
+// lost or suspected. Errors are *Error of kind Unreachable.
+func (n *Node) Open(vm string) (*Stream, context.Context, error) {
+	p := n.find(vm)
+	if p == nil {
+		return nil, nil, &Error{Kind: Unreachable, Peer: vm, Cause: errNoSession}
+	}
+	p.mu.Lock()
+	session, lost, usable := p.data, p.lost, p.usable
+	p.mu.Unlock()
+	if session == nil || !usable {
+		return nil, nil, &Error{Kind: Unreachable, Peer: vm, Cause: errNoSession}
+	}
+	stream, err := session.Open()
+	if err != nil {
+		return nil, nil, err
+	}
+	return stream, lost, nil
+}
+
+var errNoSession = errors.New("no usable session")
+
+// Peers returns the status of all known peers.
+func (n *Node) Peers() []PeerStatus {
+	n.mu.Lock()
+	peers := make([]*peer, 0, len(n.peers))
+	for _, p := range n.peers {
+		peers = append(peers, p)
+	}
+	n.mu.Unlock()
+	now := time.Now()
+	status := make([]PeerStatus, 0, len(peers))
+	for _, p := range peers {
+		p.mu.Lock()
+		status = append(status, PeerStatus{Hello: p.hello, Connected: p.control != nil,
+			Suspected: p.control != nil && !p.usable, LastHeard: now.Sub(p.lastHeard)})
+		p.mu.Unlock()
+	}
+	return status
+}
+
+// Kick makes the Node send heartbeats and missing configuration to all peers
+// now. It is called when the configuration or the drain state changes.
+func (n *Node) Kick() {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	for _, p := range n.peers {
+		select {
+		case p.kick <- struct{}{}:
+		default:
+		}
+	}
+}
+
+func (n *Node) find(vm string) *peer {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.peers[vm]
+}
+
+// serve accepts connections, at most maxConnections at a time.
+func (n *Node) serve(ctx context.Context, listener net.Listener) error {
+	slots := make(chan struct{}, maxConnections)
+	for {
+		conn, err := listener.Accept()
+		if err != nil {
+			if ctx.Err() != nil {
+				return nil
+			}
+			return fmt.Errorf("accept: %w", err)
+		}
+		select {
+		case slots <- struct{}{}:
+		default:
+			_ = conn.Close()
+			continue
+		}
+		n.group.Go(func() error {
+			defer func() { <-slots }()
+			n.serveConn(ctx, conn)
+			return nil
+		})
+	}
+}
+
+func (n *Node) serveConn(ctx context.Context, conn net.Conn) {
+	stop := context.AfterFunc(ctx, func() { _ = conn.Close() })
+	defer stop()
+	session, err := accept(conn, n.config.ServerTLS, n.hello)
+	if err != nil {
+		n.config.Log.Warn("connection refused", "remote", conn.RemoteAddr().String(), "error", err.Error())
+		return
+	}
+	defer session.Close()
+	n.runSession(ctx, session, false)
+}
+
+// hello returns this process's Hello for a session of the kind.
+func (n *Node) hello(kind wire.SessionKind) *wire.Hello {
+	if kind != wire.SessionKind_SESSION_KIND_CONTROL && kind != wire.SessionKind_SESSION_KIND_DATA {
+		return nil
+	}
+	h := n.config.Self()
+	h.Kind = kind
+	h.ProtocolVersion = ProtocolVersion
+	return h
+}
+
+// keep dials a target again and again until ctx ends.
+func (n *Node) keep(ctx context.Context, t Target, kind wire.SessionKind) error {
+	delay := redialMin
+	for ctx.Err() == nil {
+		session, err := dial(ctx, t.Address, n.config.ClientTLS, n.hello(kind))
+		if err == nil && session.Peer.Vm != t.VM {
+			session.Close()
+			err = &Error{Kind: Refused, Peer: t.VM, Cause: fmt.Errorf("%w: %s", errOtherVM, session.Peer.Vm)}
+		}
+		if err != nil {
+			n.config.Log.Debug("dial failed", "peer", t.VM, "error", err.Error())
+			sleep(ctx, delay+rand.N(delay))
+			delay = min(2*delay, redialMax)
+			continue
+		}
+		delay = redialMin
+		n.runSession(ctx, session, true)
+		session.Close()
+		sleep(ctx, redialMin)
+	}
+	return nil
+}
+
+var errOtherVM = errors.New("the address answers as another VM")
+
+func sleep(ctx context.Context, d time.Duration) {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+	case <-ctx.Done():
+	}
+}
+
+// runSession registers a session and serves it until it ends.
+func (n *Node) runSession(ctx context.Context, session *Session, dialled bool) {
+	p, ok := n.register(session)
+	if !ok {
+		return
+	}
+	defer n.unregister(p, session)
+	stop := context.AfterFunc(ctx, session.Close)
+	defer stop()
+	if session.Peer.Kind == wire.SessionKind_SESSION_KIND_CONTROL {
+		n.runControl(p, session, dialled)
+		return
+	}
+	if dialled {
+		<-session.Done()
+		return
+	}
+	n.acceptStreams(ctx, session)
+}
+
+func (n *Node) acceptStreams(ctx context.Context, session *Session) {
+	var group sync.WaitGroup
+	defer group.Wait()
+	for {
+		stream, err := session.Accept()
+		if err != nil {
+			return
+		}
+		group.Go(func() {
+			defer stream.Close()
+			n.config.Handler.Stream(ctx, stream)
+		})
+	}
+}
+
+// register adds a session to its peer. A session of an older epoch than the
+// known one is refused; one of a newer epoch replaces the sessions of the old
+// process.
+func (n *Node) register(session *Session) (*peer, bool) {
+	n.mu.Lock()
+	p := n.peers[session.Peer.Vm]
+	if p == nil {
+		p = &peer{hello: session.Peer, kick: make(chan struct{}, 1)}
+		p.lost, p.cancel = context.WithCancel(context.Background())
+		n.peers[session.Peer.Vm] = p
+	}
+	n.mu.Unlock()
+	p.mu.Lock()
+	if session.Peer.Epoch < p.hello.Epoch {
+		p.mu.Unlock()
+		n.config.Log.Warn("session of an old process refused", "peer", session.Peer.Vm)
+		return nil, false
+	}
+	old := p.install(session)
+	p.lastHeard = time.Now()
+	p.mu.Unlock()
+	for _, s := range old {
+		s.Close()
+	}
+	n.update(p)
+	return p, true
+}
+
+// install puts a session in place and returns the ones that it replaces;
+// p.mu is held.
+func (p *peer) install(session *Session) []*Session {
+	var old []*Session
+	if session.Peer.Epoch > p.hello.Epoch {
+		if p.control != nil {
+			old = append(old, p.control)
+		}
+		if p.data != nil {
+			old = append(old, p.data)
+		}
+		p.control, p.data = nil, nil
+	}
+	slot := &p.data
+	if session.Peer.Kind == wire.SessionKind_SESSION_KIND_CONTROL {
+		slot = &p.control
+	}
+	if *slot != nil {
+		old = append(old, *slot)
+	}
+	*slot = session
+	p.hello = session.Peer
+	return old
+}
+
+func (n *Node) unregister(p *peer, session *Session) {
+	p.mu.Lock()
+	if p.control == session {
+		p.control = nil
+	}
+	if p.data == session {
+		p.data = nil
+	}
+	p.mu.Unlock()
+	n.update(p)
+}
+
+// update recomputes whether a peer is usable and tells the handler about a
+// change. An agent is usable with both sessions and recent heartbeats.
+func (n *Node) update(p *peer) {
+	p.mu.Lock()
+	usable := p.control != nil && time.Since(p.lastHeard) < SuspectAfter
+	if p.hello.Role == wire.Role_ROLE_AGENT {
+		usable = usable && p.data != nil
+	}
+	changed, hello := usable != p.usable, p.hello
+	p.usable = usable
+	if changed && !usable {
+		p.cancel()
+		p.lost, p.cancel = context.WithCancel(context.Background())
+	}
+	p.mu.Unlock()
+	if changed {
+		n.config.Handler.PeerChanged(hello, usable)
+	}
+}
+
+// watchPeers suspects silent peers, drops their sessions later and forgets
+// peers that are gone.
+func (n *Node) watchPeers(ctx context.Context) error {
+	ticker := time.NewTicker(HeartbeatInterval / 4)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-ticker.C:
+		}
+		n.mu.Lock()
+		peers := make([]*peer, 0, len(n.peers))
+		for vm, p := range n.peers {
+			if n.forgettable(vm, p) {
+				delete(n.peers, vm)
+				continue
+			}
+			peers = append(peers, p)
+		}
+		n.mu.Unlock()
+		for _, p := range peers {
+			n.update(p)
+			n.dropSilent(p)
+		}
+	}
+}
+
+// forgetAfter keeps the epoch of a lost peer long enough to refuse its old
+// process when that wakes up.
+const forgetAfter = 10 * time.Minute
+
+// forgettable says whether a peer has been gone for long; n.mu is held.
+func (n *Node) forgettable(vm string, p *peer) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	_, wanted := n.targets[vm]
+	return !wanted && p.control == nil && p.data == nil && time.Since(p.lastHeard) > forgetAfter
+}
+
+func (n *Node) dropSilent(p *peer) {
+	p.mu.Lock()
+	var silent []*Session
+	if time.Since(p.lastHeard) > dropAfter {
+		for _, s := range []*Session{p.control, p.data} {
+			if s != nil {
+				silent = append(silent, s)
+			}
+		}
+	}
+	p.mu.Unlock()
+	for _, s := range silent {
+		s.Close()
+	}
+}
+
+func (n *Node) closeAll() {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	for _, p := range n.peers {
+		p.mu.Lock()
+		for _, s := range []*Session{p.control, p.data} {
+			if s != nil {
+				s.Close()
+			}
+		}
+		p.cancel()
+		p.mu.Unlock()
+	}
+}
--- /dev/null
+++ b/link/session.go
@@ -0,0 +1,231 @@
+package link
+
+import (
+	"bufio"
+	"context"
+	"crypto/tls"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"time"
+
+	"github.com/hashicorp/yamux"
+	"google.golang.org/protobuf/proto"
+
+	"camphorwick.dev/api/wire"
+)
+
+// ProtocolVersion is sent in Hello; processes of different versions refuse
+// each other.
+const ProtocolVersion = 1
+
+// Time limits and window of a session.
+const (
+	handshakeTimeout = 5 * time.Second
+	dialTimeout      = 2 * time.Second
+	writeTimeout     = 10 * time.Second
+	closeTimeout     = 30 * time.Second
+	dataWindowBytes  = 1 << 20 // a prompt of 4 MB takes four round trips
+)
+
+var errVersion = errors.New("protocol version differs")
+var errKind = errors.New("session kind is not allowed here")
+
+// Session is one yamux session with a peer whose Hello has been checked.
+type Session struct {
+	Peer *wire.Hello
+	mux  *yamux.Session
+}
+
+// Open starts a stream. Errors are *Error of kind Unreachable: nothing was
+// sent.
+func (s *Session) Open() (*Stream, error) {
+	stream, err := s.mux.OpenStream()
+	if err != nil {
+		return nil, &Error{Kind: Unreachable, Peer: s.Peer.Vm, Cause: err}
+	}
+	return s.wrap(stream), nil
+}
+
+// Accept waits for a stream that the peer opens.
+func (s *Session) Accept() (*Stream, error) {
+	stream, err := s.mux.AcceptStream()
+	if err != nil {
+		return nil, &Error{Kind: Broken, Peer: s.Peer.Vm, Cause: err}
+	}
+	return s.wrap(stream), nil
+}
+
+// Done is closed when the session has ended.
+func (s *Session) Done() <-chan struct{} { return s.mux.CloseChan() }
+
+// Close ends the session and all its streams.
+func (s *Session) Close() { _ = s.mux.Close() }
+
+func (s *Session) wrap(stream *yamux.Stream) *Stream {
+	limit := MaxDataBytes
+	if s.Peer.Kind == wire.SessionKind_SESSION_KIND_CONTROL {
+		limit = MaxControlBytes
+	}
+	return &Stream{Peer: s.Peer, mux: stream, reader: bufio.NewReader(stream), limit: limit}
+}
+
+// Stream carries messages in both directions. One goroutine may read and one
+// may write at a time.
+type Stream struct {
+	Peer   *wire.Hello
+	mux    *yamux.Stream
+	reader *bufio.Reader
+	limit  int
+}
+
+// Write sends a message. Errors are *Error of kind Broken; a part of the
+// message may have arrived.
+func (s *Stream) Write(m proto.Message) error {
+	if err := writeMessage(s.mux, m); err != nil {
+		return &Error{Kind: Broken, Peer: s.Peer.Vm, Cause: err}
+	}
+	return nil
+}
+
+// Read receives a message. Errors are *Error of kind Broken or BadMessage;
+// io.EOF is in the chain when the peer closed the stream.
+func (s *Stream) Read(m proto.Message) error {
+	err := readMessage(s.reader, m, s.limit)
+	if err == nil {
+		return nil
+	}
+	kind := BadMessage
+	if errors.Is(err, io.EOF) || errors.Is(err, io.ErrUnexpectedEOF) || isMuxError(err) {
+		kind = Broken
+	}
+	return &Error{Kind: kind, Peer: s.Peer.Vm, Cause: err}
+}
+
+func isMuxError(err error) bool {
+	var netError net.Error
+	return errors.Is(err, yamux.ErrSessionShutdown) || errors.Is(err, yamux.ErrStreamClosed) ||
+		errors.Is(err, yamux.ErrConnectionReset) || errors.As(err, &netError)
+}
+
+// SetReadDeadline bounds Read; the zero time means no limit.
+func (s *Stream) SetReadDeadline(t time.Time) { _ = s.mux.SetReadDeadline(t) }
+
+// Close ends the stream in both directions.
+func (s *Stream) Close() {
+	_ = s.mux.Close()
+	_ = s.mux.SetReadDeadline(time.Now())
+}
+
+func muxConfig() *yamux.Config {
+	config := yamux.DefaultConfig()
+	config.EnableKeepAlive = false // heartbeats of the control session do this
+	config.ConnectionWriteTimeout = writeTimeout
+	config.StreamOpenTimeout = 0 // suspicion closes dead sessions
+	config.StreamCloseTimeout = closeTimeout
+	config.MaxStreamWindowSize = dataWindowBytes
+	config.AcceptBacklog = 4096
+	config.LogOutput = io.Discard
+	return config
+}
+
+// dial connects to address and exchanges Hello messages.
+func dial(ctx context.Context, address string, config *tls.Config, self *wire.Hello) (*Session, error) {
+	dialer := net.Dialer{Timeout: dialTimeout}
+	conn, err := dialer.DialContext(ctx, "tcp", address)
+	if err != nil {
+		return nil, &Error{Kind: Unreachable, Peer: address, Cause: err}
+	}
+	if config != nil {
+		conn = tls.Client(conn, config)
+	}
+	peer, err := handshake(conn, self, self.Kind)
+	if err != nil {
+		_ = conn.Close()
+		return nil, &Error{Kind: Refused, Peer: address, Cause: err}
+	}
+	mux, err := yamux.Client(conn, muxConfig())
+	if err != nil {
+		_ = conn.Close()
+		return nil, &Error{Kind: Refused, Peer: address, Cause: err}
+	}
+	return &Session{Peer: peer, mux: mux}, nil
+}
+
+// accept answers the Hello of a connection; hello returns this process's
+// Hello for the kind of session that the peer asks for.
+func accept(conn net.Conn, config *tls.Config, hello func(wire.SessionKind) *wire.Hello) (*Session, error) {
+	address := conn.RemoteAddr().String()
+	if config != nil {
+		conn = tls.Server(conn, config)
+	}
+	peer, err := acceptHandshake(conn, hello)
+	if err != nil {
+		_ = conn.Close()
+		return nil, &Error{Kind: Refused, Peer: address, Cause: err}
+	}
+	mux, err := yamux.Server(conn, muxConfig())
+	if err != nil {
+		_ = conn.Close()
+		return nil, &Error{Kind: Refused, Peer: address, Cause: err}
+	}
+	return &Session{Peer: peer, mux: mux}, nil
+}
+
+// handshake sends self and reads the peer's Hello. It reads byte by byte from
+// a reader without buffer beyond the message, since yamux takes over the
+// connection afterwards.
+func handshake(conn net.Conn, self *wire.Hello, kind wire.SessionKind) (*wire.Hello, error) {
+	_ = conn.SetDeadline(time.Now().Add(handshakeTimeout))
+	defer func() { _ = conn.SetDeadline(time.Time{}) }()
+	if err := writeMessage(conn, self); err != nil {
+		return nil, err
+	}
+	peer, err := readHello(conn)
+	if err != nil {
+		return nil, err
+	}
+	if peer.Kind != kind {
+		return nil, errKind
+	}
+	return peer, nil
+}
+
+func acceptHandshake(conn net.Conn, hello func(wire.SessionKind) *wire.Hello) (*wire.Hello, error) {
+	_ = conn.SetDeadline(time.Now().Add(handshakeTimeout))
+	defer func() { _ = conn.SetDeadline(time.Time{}) }()
+	peer, err := readHello(conn)
+	if err != nil {
+		return nil, err
+	}
+	self := hello(peer.Kind)
+	if self == nil {
+		return nil, errKind
+	}
+	return peer, writeMessage(conn, self)
+}
+
+// readHello reads and checks one Hello without reading beyond it.
+func readHello(conn net.Conn) (*wire.Hello, error) {
+	peer := &wire.Hello{}
+	reader := bufio.NewReaderSize(&oneByteReader{conn}, 16)
+	if err := readMessage(reader, peer, MaxHelloBytes); err != nil {
+		return nil, err
+	}
+	if peer.ProtocolVersion != ProtocolVersion {
+		return nil, fmt.Errorf("%w: peer has %d, this process %d", errVersion, peer.ProtocolVersion, ProtocolVersion)
+	}
+	return peer, nil
+}
+
+// oneByteReader returns one byte per Read, so that a buffered reader on top
+// never holds bytes that belong to yamux. Hello messages are short.
+type oneByteReader struct{ r io.Reader }
+
+func (o *oneByteReader) Read(p []byte) (int, error) {
+	if len(p) > 1 {
+		p = p[:1]
+	}
+	return o.r.Read(p)
+}
--- /dev/null
+++ b/observe/observe.go
@@ -0,0 +1,110 @@
+// Package observe sets up what an operator sees of a process: log lines in
+// JSON, OpenTelemetry metrics for a Prometheus scraper, and traces with one
+// span per hop.
+package observe
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"log/slog"
+
+	"github.com/prometheus/client_golang/prometheus"
+	"go.opentelemetry.io/otel/attribute"
+	"go.opentelemetry.io/otel/exporters/otlp/otlptrace/otlptracehttp"
+	otelprometheus "go.opentelemetry.io/otel/exporters/prometheus"
+	"go.opentelemetry.io/otel/metric"
+	sdkmetric "go.opentelemetry.io/otel/sdk/metric"
+	"go.opentelemetry.io/otel/sdk/resource"
+	sdktrace "go.opentelemetry.io/otel/sdk/trace"
+	"go.opentelemetry.io/otel/trace"
+)
+
+// Options describe the process and where its output goes.
+type Options struct {
+	VM, Role, DataCentre string
+	LogLevel             string // debug, info, warn or error
+	Log                  io.Writer
+	// OTLPURL is the endpoint of a collector; empty for none.
+	OTLPURL string
+	// LogSpans writes each span as a log line.
+	LogSpans bool
+}
+
+// Telemetry holds the logger, meter and tracer of a process.
+type Telemetry struct {
+	Log    *slog.Logger
+	Meter  metric.Meter
+	Tracer trace.Tracer
+	// Registry is what a Prometheus scraper reads.
+	Registry *prometheus.Registry
+
+	metrics *sdkmetric.MeterProvider
+	traces  *sdktrace.TracerProvider
+}
+
+const instrumentation = "camphorwick"
+
+// New returns the telemetry of a process.
+func New(ctx context.Context, o Options) (*Telemetry, error) {
+	var level slog.Level
+	if err := level.UnmarshalText([]byte(o.LogLevel)); err != nil {
+		return nil, fmt.Errorf("log level %q: %w", o.LogLevel, err)
+	}
+	t := &Telemetry{Registry: prometheus.NewRegistry()}
+	t.Log = slog.New(slog.NewJSONHandler(o.Log, &slog.HandlerOptions{Level: level})).
+		With("vm", o.VM, "role", o.Role, "data_centre", o.DataCentre)
+	identity := resource.NewSchemaless(attribute.String("service.name", instrumentation),
+		attribute.String("vm", o.VM), attribute.String("role", o.Role), attribute.String("data_centre", o.DataCentre))
+	exporter, err := otelprometheus.New(otelprometheus.WithRegisterer(t.Registry))
+	if err != nil {
+		return nil, fmt.Errorf("set up metrics: %w", err)
+	}
+	t.metrics = sdkmetric.NewMeterProvider(sdkmetric.WithReader(exporter), sdkmetric.WithResource(identity))
+	t.Meter = t.metrics.Meter(instrumentation)
+	options := []sdktrace.TracerProviderOption{sdktrace.WithResource(identity)}
+	if o.LogSpans {
+		options = append(options, sdktrace.WithSyncer(&spanLogger{t.Log}))
+	}
+	if o.OTLPURL != "" {
+		otlp, err := otlptracehttp.New(ctx, otlptracehttp.WithEndpointURL(o.OTLPURL))
+		if err != nil {
+			return nil, fmt.Errorf("set up traces: %w", err)
+		}
+		options = append(options, sdktrace.WithBatcher(otlp))
+	}
+	t.traces = sdktrace.NewTracerProvider(options...)
+	t.Tracer = t.traces.Tracer(instrumentation)
+	return t, nil
+}
+
+// Shutdown sends what has not been sent yet.
+func (t *Telemetry) Shutdown(ctx context.Context) error {
+	if err := t.traces.Shutdown(ctx); err != nil {
+		return fmt.Errorf("shut down traces: %w", err)
+	}
+	if err := t.metrics.Shutdown(ctx); err != nil {
+		return fmt.Errorf("shut down metrics: %w", err)
+	}
+	return nil
+}
+
+// spanLogger is a span exporter that writes log lines.
+type spanLogger struct{ log *slog.Logger }
+
+// ExportSpans implements sdktrace.SpanExporter.
+func (s *spanLogger) ExportSpans(ctx context.Context, spans []sdktrace.ReadOnlySpan) error {
+	for _, span := range spans {
+		attributes := []any{"span", span.Name(), "trace_id", span.SpanContext().TraceID().String(),
+			"span_id", span.SpanContext().SpanID().String(), "parent_id", span.Parent().SpanID().String(),
+			"duration_ms", span.EndTime().Sub(span.StartTime()).Milliseconds()}
+		for _, a := range span.Attributes() {
+			attributes = append(attributes, string(a.Key), a.Value.AsInterface())
+		}
+		s.log.InfoContext(ctx, "span", attributes...)
+	}
+	return nil
+}
+
+// Shutdown implements sdktrace.SpanExporter.
+func (s *spanLogger) Shutdown(context.Context) error { return nil }
--- /dev/null
+++ b/observe/ops.go
@@ -0,0 +1,63 @@
+package observe
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"net/http"
+	"time"
+
+	"github.com/prometheus/client_golang/prometheus/promhttp"
+	"github.com/valyala/fasthttp"
+	"github.com/valyala/fasthttp/fasthttpadaptor"
+	"golang.org/x/sync/errgroup"
+)
+
+const (
+	opsReadTimeout     = 10 * time.Second
+	opsShutdownTimeout = 2 * time.Second
+)
+
+// ServeOps serves /healthz, /readyz and /metrics until ctx ends. ready returns
+// nil if the process may get new work, else the reason why not.
+func (t *Telemetry) ServeOps(ctx context.Context, listener net.Listener, ready func() error) error {
+	metrics := fasthttpadaptor.NewFastHTTPHandler(promhttp.HandlerFor(t.Registry, promhttp.HandlerOpts{}))
+	server := &fasthttp.Server{
+		Handler: func(c *fasthttp.RequestCtx) {
+			switch string(c.Path()) {
+			case "/healthz":
+				c.SetBodyString("ok\n")
+			case "/readyz":
+				serveReady(c, ready())
+			case "/metrics":
+				metrics(c)
+			default:
+				c.SetStatusCode(http.StatusNotFound)
+			}
+		},
+		ReadTimeout:     opsReadTimeout,
+		CloseOnShutdown: true,
+	}
+	group, ctx := errgroup.WithContext(ctx)
+	group.Go(func() error { return server.Serve(listener) })
+	group.Go(func() error {
+		<-ctx.Done()
+		stop, cancel := context.WithTimeout(context.Background(), opsShutdownTimeout)
+		defer cancel()
+		_ = server.ShutdownWithContext(stop)
+		return nil
+	})
+	if err := group.Wait(); err != nil {
+		return fmt.Errorf("serve health and metrics: %w", err)
+	}
+	return nil
+}
+
+func serveReady(c *fasthttp.RequestCtx, reason error) {
+	if reason != nil {
+		c.SetStatusCode(http.StatusServiceUnavailable)
+		c.SetBodyString(reason.Error() + "\n")
+		return
+	}
+	c.SetBodyString("ready\n")
+}
--- /dev/null
+++ b/settings/settings.go
@@ -0,0 +1,241 @@
+// Package settings loads and checks the settings file of a daemon. A process
+// learns its addresses and data centre only from this file, so a mistake in it
+// must be found before any port is opened: unknown fields, wrong types and
+// impossible values are refused with file, field, value and what is allowed.
+package settings
+
+import (
+	"bytes"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"os"
+	"time"
+)
+
+// Role is the part that a daemon plays.
+type Role string
+
+// The roles.
+const (
+	RoleEntry Role = "entry"
+	RoleAgent Role = "agent"
+)
+
+// Settings is the content of a settings file.
+type Settings struct {
+	// VM is the platform's name of the VM that the process runs on.
+	VM         string `json:"vm"`
+	Role       Role   `json:"role"`
+	DataCentre string `json:"data_centre"`
+	// ControlAddress is the IP:port for sessions between processes.
+	ControlAddress string `json:"control_address"`
+	// AdvertiseAddress is the IP:port under which peers reach ControlAddress;
+	// empty if it is the same.
+	AdvertiseAddress string `json:"advertise_address,omitempty"`
+	// OpsAddress is the IP:port of health, readiness and metrics.
+	OpsAddress string `json:"ops_address"`
+	// TLS secures the sessions between processes.
+	TLS *TLS `json:"tls,omitempty"`
+	// InsecurePlaintext permits sessions without TLS.
+	InsecurePlaintext bool     `json:"insecure_plaintext,omitempty"`
+	Platform          Platform `json:"platform"`
+	LogLevel          string   `json:"log_level,omitempty"`
+	Trace             Trace    `json:"trace,omitempty"`
+	// DrainLimitSeconds bounds a graceful stop.
+	DrainLimitSeconds int    `json:"drain_limit_s,omitempty"`
+	Entry             *Entry `json:"entry,omitempty"`
+	Agent             *Agent `json:"agent,omitempty"`
+}
+
+// TLS names the files of the process's certificate and of the fleet's CA, all
+// in PEM.
+type TLS struct {
+	CertFile string `json:"cert_file"`
+	KeyFile  string `json:"key_file"`
+	CAFile   string `json:"ca_file"`
+}
+
+// Platform tells how to reach the platform's services.
+type Platform struct {
+	URL           string `json:"url"`
+	TimeoutMillis int    `json:"timeout_ms,omitempty"`
+	// VMPollMillis is the interval between reads of the VM list.
+	VMPollMillis int `json:"vm_poll_ms,omitempty"`
+	// Peers are addresses of processes to try when the VM list cannot be
+	// read, so that a new VM finds its fleet during an outage.
+	Peers []Peer `json:"peers,omitempty"`
+}
+
+// Peer is a process that is known before the VM list has been read.
+type Peer struct {
+	VM         string `json:"vm"`
+	Role       Role   `json:"role"`
+	DataCentre string `json:"data_centre"`
+	Address    string `json:"address"`
+}
+
+// Trace tells where spans go. Without either, spans only carry ids.
+type Trace struct {
+	// OTLPURL is the HTTP endpoint of an OpenTelemetry collector.
+	OTLPURL string `json:"otlp_url,omitempty"`
+	// Log writes each span as a log line.
+	Log bool `json:"log,omitempty"`
+}
+
+// Entry holds the settings of the entry role.
+type Entry struct {
+	// CallersAddress is the IP:port of the callers' API.
+	CallersAddress string `json:"callers_address"`
+	// AdminAddress is the IP:port of the administration API.
+	AdminAddress string `json:"admin_address"`
+	// AdminKeyHashes are SHA-256 hashes in hex of the operators' keys.
+	AdminKeyHashes []string `json:"admin_key_sha256"`
+	// DefaultTimeoutMillis applies to requests that state no time.
+	DefaultTimeoutMillis int `json:"default_timeout_ms,omitempty"`
+	// MaxTimeoutMillis is the longest time that a caller may ask for.
+	MaxTimeoutMillis int `json:"max_timeout_ms,omitempty"`
+	// MaxBodyBytes bounds the body of a request.
+	MaxBodyBytes int `json:"max_body_bytes,omitempty"`
+	// UnreadyMillis is the time between failing readiness and closing the
+	// callers' port, so that the balancer can take the entry out first.
+	UnreadyMillis int `json:"unready_ms,omitempty"`
+}
+
+// Agent holds the settings of the agent role: exactly one backend server.
+type Agent struct {
+	Engine  *Engine  `json:"engine,omitempty"`
+	Service *Service `json:"service,omitempty"`
+	// OrphanGraceMillis is how long work goes on after its entry was lost.
+	OrphanGraceMillis int `json:"orphan_grace_ms,omitempty"`
+}
+
+// Engine tells how to reach the model engine beside the agent.
+type Engine struct {
+	URL string `json:"url"`
+	// LongKVShare is the share of KV-cache memory that long prompts may hold
+	// while short ones wait.
+	LongKVShare float64 `json:"long_kv_share,omitempty"`
+	// MaxQueued bounds the requests that wait in the agent.
+	MaxQueued int `json:"max_queued,omitempty"`
+}
+
+// Service tells how to reach the plain service beside the agent.
+type Service struct {
+	Name string `json:"name"`
+	URL  string `json:"url"`
+	// CallerTokenFile holds the token that the service checks, if it does.
+	CallerTokenFile string `json:"caller_token_file,omitempty"`
+	// MaxConcurrent bounds the calls in progress.
+	MaxConcurrent int `json:"max_concurrent,omitempty"`
+}
+
+// Defaults of optional settings.
+const (
+	defaultPlatformTimeout = 2 * time.Second
+	defaultVMPoll          = 5 * time.Second
+	defaultDrainLimit      = 15 * time.Minute
+	defaultTimeout         = 10 * time.Minute
+	defaultMaxTimeout      = time.Hour
+	defaultMaxBodyBytes    = 12 << 20 // a million tokens of text are about 4 MB
+	defaultUnready         = 2 * time.Second
+	defaultOrphanGrace     = 30 * time.Second
+	defaultLongKVShare     = 0.7
+	defaultMaxQueued       = 4096
+	defaultMaxConcurrent   = 64
+)
+
+// Error is a fault in a settings file.
+type Error struct {
+	File    string
+	Field   string
+	Value   string
+	Allowed string
+	Cause   error
+}
+
+func (e *Error) Error() string {
+	if e.Cause != nil {
+		return fmt.Sprintf("%s: %v", e.File, e.Cause)
+	}
+	return fmt.Sprintf("%s: field %q has value %q; allowed: %s", e.File, e.Field, e.Value, e.Allowed)
+}
+
+// Unwrap returns the cause.
+func (e *Error) Unwrap() error { return e.Cause }
+
+// Load reads, completes and checks a settings file. Errors are *Error.
+func Load(path string) (*Settings, error) {
+	data, err := os.ReadFile(path)
+	if err != nil {
+		return nil, &Error{File: path, Cause: fmt.Errorf("read settings: %w", err)}
+	}
+	return Parse(path, data)
+}
+
+// Parse is Load for data that has been read; path is used in errors.
+func Parse(path string, data []byte) (*Settings, error) {
+	s := &Settings{}
+	decoder := json.NewDecoder(bytes.NewReader(data))
+	decoder.DisallowUnknownFields()
+	if err := decoder.Decode(s); err != nil {
+		return nil, decodeError(path, err)
+	}
+	if _, err := decoder.Token(); !errors.Is(err, io.EOF) {
+		return nil, &Error{File: path, Field: "(end of file)", Value: "more data", Allowed: "one JSON object"}
+	}
+	s.complete()
+	if err := s.check(path); err != nil {
+		return nil, err
+	}
+	return s, nil
+}
+
+// decodeError names the field of a type error.
+func decodeError(path string, err error) error {
+	var typeError *json.UnmarshalTypeError
+	if errors.As(err, &typeError) {
+		return &Error{File: path, Field: typeError.Field, Value: typeError.Value, Allowed: "a value of type " + typeError.Type.String()}
+	}
+	return &Error{File: path, Cause: fmt.Errorf("decode settings: %w", err)}
+}
+
+// complete sets the defaults of optional settings.
+func (s *Settings) complete() {
+	setDefault(&s.Platform.TimeoutMillis, millis(defaultPlatformTimeout))
+	setDefault(&s.Platform.VMPollMillis, millis(defaultVMPoll))
+	setDefault(&s.DrainLimitSeconds, int(defaultDrainLimit/time.Second))
+	setDefault(&s.LogLevel, "info")
+	setDefault(&s.AdvertiseAddress, s.ControlAddress)
+	if e := s.Entry; e != nil {
+		setDefault(&e.DefaultTimeoutMillis, millis(defaultTimeout))
+		setDefault(&e.MaxTimeoutMillis, millis(defaultMaxTimeout))
+		setDefault(&e.MaxBodyBytes, defaultMaxBodyBytes)
+		setDefault(&e.UnreadyMillis, millis(defaultUnready))
+	}
+	if a := s.Agent; a != nil {
+		setDefault(&a.OrphanGraceMillis, millis(defaultOrphanGrace))
+		if a.Engine != nil {
+			setDefault(&a.Engine.LongKVShare, defaultLongKVShare)
+			setDefault(&a.Engine.MaxQueued, defaultMaxQueued)
+		}
+		if a.Service != nil {
+			setDefault(&a.Service.MaxConcurrent, defaultMaxConcurrent)
+		}
+	}
+}
+
+func millis(d time.Duration) int { return int(d / time.Millisecond) }
+
+func setDefault[T comparable](field *T, value T) {
+	var zero T
+	if *field == zero {
+		*field = value
+	}
+}
+
+// DrainLimit returns the limit of a graceful stop.
+func (s *Settings) DrainLimit() time.Duration {
+	return time.Duration(s.DrainLimitSeconds) * time.Second
+}
--- /dev/null
+++ b/settings/settings_test.go
@@ -0,0 +1,61 @@
+package settings
+
+import (
+	"errors"
+	"strings"
+	"testing"
+
+	"github.com/matryer/is"
+)
+
+const validEntry = `{
+	"vm": "entry-1", "role": "entry", "data_centre": "muscat-1",
+	"control_address": "127.0.0.1:7000", "ops_address": "127.0.0.1:7001",
+	"insecure_plaintext": true,
+	"platform": {"url": "http://127.0.0.1:7100"},
+	"entry": {"callers_address": "127.0.0.1:8000", "admin_address": "127.0.0.1:8001",
+		"admin_key_sha256": ["e3b0c44298fc1c149afbf4c8996fb92427ae41e4649b934ca495991b7852b855"]}
+}`
+
+func TestParseCompletesDefaults(t *testing.T) {
+	is := is.New(t)
+	s, err := Parse("entry.json", []byte(validEntry))
+	is.NoErr(err)
+	is.Equal(s.Entry.MaxBodyBytes, defaultMaxBodyBytes)
+	is.Equal(s.AdvertiseAddress, "127.0.0.1:7000")
+}
+
+// Guards against a daemon that starts with a mistyped or impossible setting.
+func TestParseNamesFileFieldValueAndAllowed(t *testing.T) {
+	cases := []struct{ name, old, new, field string }{
+		{"bad name", `"entry-1"`, `"entry 1"`, "vm"},
+		{"bad address", `"127.0.0.1:7000"`, `"localhost:7000"`, "control_address"},
+		{"impossible port", `"127.0.0.1:7000"`, `"127.0.0.1:70000"`, "control_address"},
+		{"wrong role", `"entry", "data`, `"proxy", "data`, "role"},
+		{"wrong type", `"entry-1"`, `17`, "vm"},
+		{"no transport security", `"insecure_plaintext": true,`, ``, "tls"},
+		{"bad URL", `"http://127.0.0.1:7100"`, `"ftp://x"`, "platform.url"},
+		{"short hash", `b7852b855"`, `"`, "entry.admin_key_sha256[0]"},
+		{"negative limit", `"admin_address"`, `"max_body_bytes": -1, "admin_address"`, "entry.max_body_bytes"},
+	}
+	for _, tc := range cases {
+		t.Run(tc.name, func(t *testing.T) {
+			is := is.New(t)
+			_, err := Parse("entry.json", []byte(strings.Replace(validEntry, tc.old, tc.new, 1)))
+			var fault *Error
+			is.True(errors.As(err, &fault))
+			is.Equal(fault.Field, tc.field)
+			is.Equal(fault.File, "entry.json")
+			is.True(fault.Allowed != "")
+		})
+	}
+}
+
+// Guards against silently ignored settings.
+func TestParseRefusesUnknownFieldsAndTrailingData(t *testing.T) {
+	is := is.New(t)
+	_, err := Parse("f.json", []byte(strings.Replace(validEntry, `"vm"`, `"colour": 1, "vm"`, 1)))
+	is.True(strings.Contains(err.Error(), `unknown field "colour"`))
+	_, err = Parse("f.json", []byte(validEntry+"{}"))
+	is.True(err != nil)
+}
