--- /dev/null
+++ b/policy/choose/config.go
@@ -0,0 +1,68 @@
+package choose
+
+import "time"
+
+// Defaults of Config.
+const (
+	defaultHold         = 500 * time.Millisecond
+	defaultMaxHold      = time.Minute
+	defaultDistance     = time.Millisecond
+	defaultInterference = 50 * time.Millisecond
+	defaultLongBacklog  = 20 * time.Second
+	defaultMinLongShare = 0.2
+	defaultScanAll      = 32
+	defaultSamples      = 8
+)
+
+const (
+	// successFactor reduces the count of recent failures at each success.
+	successFactor = 0.8
+	// maxOwners bounds the agents kept per cached prefix.
+	maxOwners = 4
+	// blockTokens is the length of a prefix block in tokens.
+	blockTokens = 1024
+	// memoryWait is the expected wait for KV memory on a full engine.
+	memoryWait = 2 * time.Second
+)
+
+// Config sets the rules of a Table. Zero values get defaults.
+type Config struct {
+	// Seed starts the random sampling of candidates.
+	Seed uint64
+	// Hold is the hold-down after a first failure; it doubles up to MaxHold.
+	Hold, MaxHold time.Duration
+	// DefaultDistance is the round-trip time between data centres for which
+	// SetDistance was not called.
+	DefaultDistance time.Duration
+	// Interference is the delay that a long prefill on the same engine is
+	// expected to cause a short prompt: about half an engine step.
+	Interference time.Duration
+	// LongBacklog is the time in which the long set should work off the
+	// reported long tokens.
+	LongBacklog time.Duration
+	// MinLongShare is the smallest share of agents in the long set.
+	MinLongShare float64
+	// ScanAll is the number of agents up to which all are looked at.
+	ScanAll int
+	// Samples is the number of agents looked at in larger fleets, in the own
+	// data centre and again in all of them.
+	Samples int
+}
+
+func (c Config) withDefaults() Config {
+	setDefault(&c.Hold, defaultHold)
+	setDefault(&c.MaxHold, defaultMaxHold)
+	setDefault(&c.DefaultDistance, defaultDistance)
+	setDefault(&c.Interference, defaultInterference)
+	setDefault(&c.LongBacklog, defaultLongBacklog)
+	setDefault(&c.MinLongShare, defaultMinLongShare)
+	setDefault(&c.ScanAll, defaultScanAll)
+	setDefault(&c.Samples, defaultSamples)
+	return c
+}
+
+func setDefault[T int | float64 | time.Duration](field *T, value T) {
+	if *field <= 0 {
+		*field = value
+	}
+}
--- /dev/null
+++ b/policy/queue/config.go
@@ -0,0 +1,79 @@
+package queue
+
+import "time"
+
+// Defaults of Config.
+const (
+	defaultKVTokens               = 1_000_000
+	defaultStepTokens             = 2048
+	defaultPrefillTokensPerSecond = 20_000
+	defaultLongKVShare            = 0.5
+	defaultMaxQueued              = 1024
+	defaultMaxLongPrefills        = 1
+	defaultMaxPreemptions         = 1
+	defaultUrgencyFactor          = 2.0
+	defaultShortQuiet             = 2 * time.Second
+	defaultTokenTime              = 32 * time.Millisecond
+	// windowSteps is the default prefill window in engine steps: enough that
+	// the engine has work while the agent reacts to the end of a prefill.
+	windowSteps = 4
+)
+
+// Limits of the retry delay of a refusal.
+const (
+	minRetryAfter = 100 * time.Millisecond
+	maxRetryAfter = 30 * time.Second
+)
+
+// Config describes one engine and the rules of its queue. Zero values get
+// defaults.
+type Config struct {
+	// KVTokens is the KV-cache memory of the engine in tokens.
+	KVTokens int
+	// StepTokens is the number of prefill tokens of one engine step.
+	StepTokens int
+	// PrefillTokensPerSecond is the prefill speed of the engine.
+	PrefillTokensPerSecond int
+	// LongKVShare is the share of KVTokens, 0 to 1, that long jobs may hold
+	// while short work waits or has been arriving.
+	LongKVShare float64
+	// MaxQueued is the greatest number of queued jobs.
+	MaxQueued int
+	// MaxLongPrefills is the number of long jobs in prefill at a time.
+	MaxLongPrefills int
+	// MaxPreemptions is how often one job may be preempted.
+	MaxPreemptions int
+	// PrefillWindow is the number of prefill tokens handed to the engine at
+	// which no further job of the same or a longer band starts. A small window
+	// keeps the order of accounts in the hands of the queue.
+	PrefillWindow int
+	// UrgencyFactor multiplies the prefill time when the latest start of a job
+	// is computed; it covers the work that overtakes the job.
+	UrgencyFactor float64
+	// ShortQuiet is the time without short arrivals after which the share of
+	// long jobs is no longer bounded.
+	ShortQuiet time.Duration
+	// TokenTime is the time between two generated tokens.
+	TokenTime time.Duration
+}
+
+func (c Config) withDefaults() Config {
+	setDefault(&c.KVTokens, defaultKVTokens)
+	setDefault(&c.StepTokens, defaultStepTokens)
+	setDefault(&c.PrefillTokensPerSecond, defaultPrefillTokensPerSecond)
+	setDefault(&c.LongKVShare, defaultLongKVShare)
+	setDefault(&c.MaxQueued, defaultMaxQueued)
+	setDefault(&c.MaxLongPrefills, defaultMaxLongPrefills)
+	setDefault(&c.MaxPreemptions, defaultMaxPreemptions)
+	setDefault(&c.PrefillWindow, windowSteps*c.StepTokens)
+	setDefault(&c.UrgencyFactor, defaultUrgencyFactor)
+	setDefault(&c.ShortQuiet, defaultShortQuiet)
+	setDefault(&c.TokenTime, defaultTokenTime)
+	return c
+}
+
+func setDefault[T int | float64 | time.Duration](field *T, value T) {
+	if *field <= 0 {
+		*field = value
+	}
+}
--- /dev/null
+++ b/policy/queue/queue_test.go
@@ -0,0 +1,50 @@
+package queue
+
+import (
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"camphorwick.dev/api/outcome"
+)
+
+var start = time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
+
+func job(id string, tokens int, deadline time.Duration) Job {
+	return Job{ID: id, Account: "a", Band: outcome.BandOf(tokens), PrefillTokens: tokens, KVTokens: tokens + 100,
+		Arrived: start, Deadline: start.Add(deadline)}
+}
+
+// Guards against a long document that delays a short question.
+func TestShortGoesFirst(t *testing.T) {
+	is := is.New(t)
+	q := New(Config{})
+	is.NoErr(q.Push(start, job("long", 400_000, time.Hour)))
+	is.NoErr(q.Push(start, job("short", 1_000, time.Minute)))
+	g, ok := q.Next(start)
+	is.True(ok)
+	is.Equal(g.ID, "short")
+	g, ok = q.Next(start)
+	is.True(ok)
+	is.Equal(g.ID, "long")
+	is.Equal(g.Priority, PriorityLong)
+	is.Equal(q.Load(start).KVReserved, 401_200)
+	q.Finish(start, "long")
+	q.Finish(start, "long")
+	q.Finish(start, "short")
+	is.Equal(q.Load(start), Load{})
+}
+
+// Guards against refusals without the code and the delay that callers need.
+func TestPushRefusals(t *testing.T) {
+	is := is.New(t)
+	q := New(Config{MaxQueued: 1})
+	is.Equal(outcome.CodeOf(q.Push(start, job("x", 2_000_000, time.Hour))), outcome.PromptTooLong)
+	is.Equal(outcome.CodeOf(q.Push(start, job("x", 500_000, time.Second))), outcome.DeadlineUnreachable)
+	is.NoErr(q.Push(start, job("x", 1_000, time.Minute)))
+	err := q.Push(start, job("y", 1_000, time.Minute))
+	is.Equal(outcome.CodeOf(err), outcome.Overloaded)
+	is.True(outcome.From(err).RetryAfter > 0)
+	is.Equal(len(q.Expired(start.Add(time.Minute))), 1)
+}
--- /dev/null
+++ b/policy/retry/retry.go
@@ -0,0 +1,87 @@
+// Package retry bounds the number of retries, so that retries do not multiply
+// the load of a peak or of a failing fleet.
+package retry
+
+import (
+	"math"
+	"sync"
+	"time"
+)
+
+// Defaults of Config.
+const (
+	defaultRatio    = 0.1
+	defaultConstant = 3.0
+	defaultHalfLife = 10 * time.Second
+)
+
+// Config sets the bound of a Budget. Zero values get defaults.
+type Config struct {
+	// Ratio is the number of retries per recent request.
+	Ratio float64
+	// Constant is the number of retries that is allowed besides, so that an
+	// entry with few requests can retry at all.
+	Constant float64
+	// HalfLife is the time after which a request or retry counts half.
+	HalfLife time.Duration
+}
+
+// Budget counts recent requests and retries with exponential decay. It is
+// safe for concurrent use.
+type Budget struct {
+	config Config
+
+	mu       sync.Mutex
+	updated  time.Time
+	requests float64
+	retries  float64
+}
+
+// New returns a budget without any requests.
+func New(config Config) *Budget {
+	if config.Ratio <= 0 {
+		config.Ratio = defaultRatio
+	}
+	if config.Constant <= 0 {
+		config.Constant = defaultConstant
+	}
+	if config.HalfLife <= 0 {
+		config.HalfLife = defaultHalfLife
+	}
+	return &Budget{config: config}
+}
+
+// Request records a first attempt.
+func (b *Budget) Request(now time.Time) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.decay(now)
+	b.requests++
+}
+
+// Retry reports whether a retry is allowed now, and records it if so.
+func (b *Budget) Retry(now time.Time) bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.decay(now)
+	if b.retries+1 > b.config.Ratio*b.requests+b.config.Constant {
+		return false
+	}
+	b.retries++
+	return true
+}
+
+// decay ages both counts to now. A time before the last one changes nothing.
+func (b *Budget) decay(now time.Time) {
+	if b.updated.IsZero() {
+		b.updated = now
+	}
+	elapsed := now.Sub(b.updated)
+	if elapsed <= 0 {
+		return
+	}
+	factor := math.Exp2(-float64(elapsed) / float64(b.config.HalfLife))
+	b.requests *= factor
+	b.retries *= factor
+	b.updated = now
+}
