--- /dev/null
+++ b/fleetconf/document.go
@@ -0,0 +1,314 @@
+// Package fleetconf holds the configuration of the fleet: the list of client
+// accounts with their plans, the list of what each plan may use, and the VM
+// marks. Edits are committed to the platform's key-value service; every
+// process reads from a replica in memory, so that requests are served while
+// the store is down.
+//
+// Lock order: Replica.mu before nothing else; no lock is held during a call
+// of the store.
+package fleetconf
+
+import (
+	"bytes"
+	"encoding/hex"
+	"encoding/json"
+	"fmt"
+	"io"
+	"strings"
+)
+
+// Prefixes of item keys.
+const (
+	ClientPrefix = "client/"
+	PlanPrefix   = "plan/"
+	MarkPrefix   = "mark/"
+)
+
+// Limits of one item, which keep the head and a snapshot within their bounds.
+const (
+	// MaxNameBytes bounds account, plan and VM names.
+	MaxNameBytes = 128
+	// MaxItemBytes bounds the JSON document of one item.
+	MaxItemBytes = 64 << 10
+	// keyHashBytes is the length of a SHA-256 hash.
+	keyHashBytes = 32
+	// maxWeight keeps products of weights and token counts far from overflow.
+	maxWeight = 1_000_000
+)
+
+// Client is the document of a client account.
+type Client struct {
+	Plan string `json:"plan"`
+	// KeyHashes are the lower-case SHA-256 hex hashes of the API keys.
+	KeyHashes []string `json:"key_hashes"`
+	Disabled  bool     `json:"disabled,omitempty"`
+}
+
+// Plan is the document of a plan: what its accounts may use.
+type Plan struct {
+	Models   []string      `json:"models,omitempty"`
+	Services []PlanService `json:"services,omitempty"`
+	// RequestsPerSecond and TokensPerSecond are limits per account; 0 means
+	// no limit.
+	RequestsPerSecond float64 `json:"requests_per_second,omitempty"`
+	TokensPerSecond   float64 `json:"tokens_per_second,omitempty"`
+	// Concurrency is the largest number of requests in progress per account;
+	// 0 means no limit.
+	Concurrency int `json:"concurrency,omitempty"`
+	// MaxPromptTokens is the longest prompt in tokens; 0 means no limit.
+	MaxPromptTokens int `json:"max_prompt_tokens,omitempty"`
+	// Weight is the share between accounts under load; 0 means 1.
+	Weight int `json:"weight,omitempty"`
+}
+
+// PlanService is a plain service that a plan may use.
+type PlanService struct {
+	Name string `json:"name"`
+	// Idempotent lists the operations that may be repeated. Every other
+	// operation is an order and needs an order key.
+	Idempotent []Operation `json:"idempotent,omitempty"`
+}
+
+// Operation selects calls by method and path prefix.
+type Operation struct {
+	Method     string `json:"method"`
+	PathPrefix string `json:"path_prefix"`
+}
+
+// MarkState is the state that an operator gave a VM.
+type MarkState string
+
+// States of a marked VM.
+const (
+	Leaving  MarkState = "leaving"
+	Stopping MarkState = "stopping"
+)
+
+// Mark is the document of a VM mark.
+type Mark struct {
+	State MarkState `json:"state"`
+}
+
+// Service returns the plan's service of that name.
+func (p *Plan) Service(name string) (*PlanService, bool) {
+	for i := range p.Services {
+		if p.Services[i].Name == name {
+			return &p.Services[i], true
+		}
+	}
+	return nil, false
+}
+
+// AllowsModel reports whether the plan may use the model.
+func (p *Plan) AllowsModel(model string) bool {
+	for _, m := range p.Models {
+		if m == model {
+			return true
+		}
+	}
+	return false
+}
+
+// EffectiveWeight returns the weight, at least 1.
+func (p *Plan) EffectiveWeight() int { return max(p.Weight, 1) }
+
+// IsIdempotent reports whether a call may be repeated. A prefix matches whole
+// path segments only, so that "/quotes" does not cover "/quotes-and-orders";
+// a path with dot segments or encoded separators never matches, because a
+// backend server could resolve it to another operation.
+func (s *PlanService) IsIdempotent(method, path string) bool {
+	if ambiguousPath(path) {
+		return false
+	}
+	for _, o := range s.Idempotent {
+		if o.Method == method && hasPathPrefix(path, o.PathPrefix) {
+			return true
+		}
+	}
+	return false
+}
+
+func ambiguousPath(path string) bool {
+	return strings.Contains(path, "/.") || strings.Contains(path, "//") || strings.ContainsAny(path, "%\\;")
+}
+
+func hasPathPrefix(path, prefix string) bool {
+	if !strings.HasPrefix(path, prefix) {
+		return false
+	}
+	rest := path[len(prefix):]
+	return rest == "" || strings.HasSuffix(prefix, "/") || rest[0] == '/' || rest[0] == '?'
+}
+
+// ValidationError says that an item is not valid. Field is the JSON path of
+// the field, empty if the item as a whole is meant.
+type ValidationError struct {
+	Item, Field, Reason string
+}
+
+func (e *ValidationError) Error() string {
+	if e.Field == "" {
+		return fmt.Sprintf("item %q: %s", e.Item, e.Reason)
+	}
+	return fmt.Sprintf("item %q, field %q: %s", e.Item, e.Field, e.Reason)
+}
+
+func invalid(item, field, format string, args ...any) error {
+	return &ValidationError{Item: item, Field: field, Reason: fmt.Sprintf(format, args...)}
+}
+
+// ParseItem decodes and validates the document of an item without looking at
+// other items. It returns a *Client, *Plan or *Mark, or a *ValidationError.
+func ParseItem(key string, value []byte) (any, error) {
+	return parseItem(key, value, true)
+}
+
+// parseItem with strict false ignores unknown fields: replicas of an older
+// version must be able to follow edits that a newer version accepted.
+func parseItem(key string, value []byte, strict bool) (any, error) {
+	if len(value) > MaxItemBytes {
+		return nil, invalid(key, "", "the document has %d bytes, at most %d are allowed", len(value), MaxItemBytes)
+	}
+	prefix, name, _ := strings.Cut(key, "/")
+	if err := checkName(key, "", name); err != nil {
+		return nil, err
+	}
+	switch prefix + "/" {
+	case ClientPrefix:
+		return parseClient(key, value, strict)
+	case PlanPrefix:
+		return parsePlan(key, value, strict)
+	case MarkPrefix:
+		return parseMark(key, value, strict)
+	}
+	return nil, invalid(key, "", "the key must start with %q, %q or %q", ClientPrefix, PlanPrefix, MarkPrefix)
+}
+
+func decode(key string, value []byte, strict bool, into any) error {
+	d := json.NewDecoder(bytes.NewReader(value))
+	if strict {
+		d.DisallowUnknownFields()
+	}
+	if err := d.Decode(into); err != nil {
+		return invalid(key, "", "not a valid document: %v", err)
+	}
+	if _, err := d.Token(); err != io.EOF {
+		return invalid(key, "", "data after the document")
+	}
+	return nil
+}
+
+func parseClient(key string, value []byte, strict bool) (*Client, error) {
+	c := &Client{}
+	if err := decode(key, value, strict, c); err != nil {
+		return nil, err
+	}
+	if err := checkName(key, "plan", c.Plan); err != nil {
+		return nil, err
+	}
+	seen := map[string]bool{}
+	for i, h := range c.KeyHashes {
+		field := fmt.Sprintf("key_hashes[%d]", i)
+		raw, err := hex.DecodeString(h)
+		if err != nil || len(raw) != keyHashBytes || h != strings.ToLower(h) {
+			return nil, invalid(key, field, "must be a SHA-256 hash of 64 lower-case hex digits")
+		}
+		if seen[h] {
+			return nil, invalid(key, field, "is listed twice")
+		}
+		seen[h] = true
+	}
+	return c, nil
+}
+
+func parsePlan(key string, value []byte, strict bool) (*Plan, error) {
+	p := &Plan{}
+	if err := decode(key, value, strict, p); err != nil {
+		return nil, err
+	}
+	if err := checkNames(key, "models", p.Models); err != nil {
+		return nil, err
+	}
+	if err := checkServices(key, p.Services); err != nil {
+		return nil, err
+	}
+	return p, checkLimits(key, p)
+}
+
+func checkLimits(key string, p *Plan) error {
+	for _, l := range []struct {
+		field string
+		value float64
+	}{
+		{"requests_per_second", p.RequestsPerSecond},
+		{"tokens_per_second", p.TokensPerSecond},
+		{"concurrency", float64(p.Concurrency)},
+		{"max_prompt_tokens", float64(p.MaxPromptTokens)},
+		{"weight", float64(p.Weight)},
+	} {
+		if l.value < 0 {
+			return invalid(key, l.field, "must not be negative")
+		}
+	}
+	if p.Weight > maxWeight {
+		return invalid(key, "weight", "must be at most %d", maxWeight)
+	}
+	return nil
+}
+
+func checkServices(key string, services []PlanService) error {
+	names := make([]string, len(services))
+	for i, s := range services {
+		names[i] = s.Name
+		for j, o := range s.Idempotent {
+			field := fmt.Sprintf("services[%d].idempotent[%d]", i, j)
+			if o.Method == "" || o.Method != strings.ToUpper(o.Method) {
+				return invalid(key, field+".method", "must be an upper-case HTTP method")
+			}
+			if !strings.HasPrefix(o.PathPrefix, "/") || ambiguousPath(o.PathPrefix) {
+				return invalid(key, field+".path_prefix", "must start with / and be a plain path")
+			}
+		}
+	}
+	return checkNames(key, "services", names)
+}
+
+func parseMark(key string, value []byte, strict bool) (*Mark, error) {
+	m := &Mark{}
+	if err := decode(key, value, strict, m); err != nil {
+		return nil, err
+	}
+	if m.State != Leaving && m.State != Stopping {
+		return nil, invalid(key, "state", "must be %q or %q", Leaving, Stopping)
+	}
+	return m, nil
+}
+
+func checkNames(key, field string, names []string) error {
+	seen := map[string]bool{}
+	for i, n := range names {
+		f := fmt.Sprintf("%s[%d]", field, i)
+		if err := checkName(key, f, n); err != nil {
+			return err
+		}
+		if seen[n] {
+			return invalid(key, f, "%q is listed twice", n)
+		}
+		seen[n] = true
+	}
+	return nil
+}
+
+// checkName accepts printable ASCII without spaces and slashes, so that names
+// can stand in keys, URLs and log lines.
+func checkName(key, field, name string) error {
+	if name == "" || len(name) > MaxNameBytes {
+		return invalid(key, field, "a name must have 1 to %d bytes", MaxNameBytes)
+	}
+	for _, r := range name {
+		if r <= ' ' || r > '~' || r == '/' {
+			return invalid(key, field, "the name %q may have only printable ASCII without spaces and slashes", name)
+		}
+	}
+	return nil
+}
--- /dev/null
+++ b/fleetconf/editor.go
@@ -0,0 +1,520 @@
+package fleetconf
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"math/rand/v2"
+	"strings"
+	"time"
+
+	"camphorwick.dev/api/outcome"
+	"camphorwick.dev/api/wire"
+	"camphorwick.dev/platform"
+	"google.golang.org/protobuf/proto"
+)
+
+const (
+	// MaxEditBytes bounds the changes of one edit.
+	MaxEditBytes = 256 << 10
+	// compactHeadBytes is the size of a head at which a snapshot is written
+	// even if it has few edits. With one more edit the head stays below
+	// platform.MaxValueBytes.
+	compactHeadBytes = 512 << 10
+	// keptHeadBytes bounds the edits that stay in the head after a snapshot.
+	keptHeadBytes = 256 << 10
+	// commitAttempts bounds the writes of one Commit. Each attempt fails
+	// only if another edit was accepted or a fault occurred meanwhile.
+	commitAttempts = 12
+	// commitBackoff is the first delay after a collision; it doubles up to
+	// maxCommitBackoff, with jitter.
+	commitBackoff    = 5 * time.Millisecond
+	maxCommitBackoff = 500 * time.Millisecond
+	// cleanupTimeout bounds the deletion of old snapshots after a commit.
+	cleanupTimeout = 2 * time.Second
+)
+
+// ConflictError says that an item was changed by another edit.
+type ConflictError struct {
+	Item string
+	// Expected and Actual are revisions of the item; 0 means absent.
+	Expected, Actual uint64
+	// Operator and EditID name the other edit; empty if it is no longer in
+	// the head.
+	Operator, EditID string
+}
+
+func (e *ConflictError) Error() string {
+	return fmt.Sprintf("item %q has revision %d, expected %d; last edit %q by operator %q",
+		e.Item, e.Actual, e.Expected, e.EditID, e.Operator)
+}
+
+// ExpiredEditError says that a repeated edit is so old that the head no
+// longer tells whether it was accepted.
+type ExpiredEditError struct {
+	EditID string
+	// Since is the revision that the edit was based on, Oldest the oldest
+	// revision whose edit id the head still holds.
+	Since, Oldest uint64
+}
+
+func (e *ExpiredEditError) Error() string {
+	return fmt.Sprintf("edit %q is based on revision %d; edits before revision %d can no longer be told apart",
+		e.EditID, e.Since, e.Oldest)
+}
+
+// ReusedEditError says that an edit id belongs to another accepted edit.
+type ReusedEditError struct {
+	EditID   string
+	Revision uint64
+}
+
+func (e *ReusedEditError) Error() string {
+	return fmt.Sprintf("the edit id %q belongs to another edit, accepted as revision %d", e.EditID, e.Revision)
+}
+
+// InDoubtError says that the answer to the write of an edit was lost and could
+// not be resolved: the edit may be in force. Submit the same edit again, with
+// Revision set to Since, to learn its state.
+type InDoubtError struct {
+	EditID string
+	Since  uint64
+	Cause  error
+}
+
+func (e *InDoubtError) Error() string {
+	return fmt.Sprintf("edit %q, based on revision %d, may have been accepted: %v", e.EditID, e.Since, e.Cause)
+}
+
+// Unwrap returns the cause.
+func (e *InDoubtError) Unwrap() error { return e.Cause }
+
+// StaleStoreError says that the store holds an older configuration than a
+// live process: it was restored from an old copy.
+type StaleStoreError struct {
+	Head, Known uint64
+}
+
+func (e *StaleStoreError) Error() string {
+	return fmt.Sprintf("the store has revision %d, revision %d is known", e.Head, e.Known)
+}
+
+// Editor commits edits to the store. Safe for concurrent use.
+type Editor struct {
+	storage storage
+	replica *Replica
+}
+
+// NewEditor returns an editor that uses and advances the replica.
+func NewEditor(kv platform.KV, replica *Replica) *Editor {
+	return &Editor{storage: storage{kv}, replica: replica}
+}
+
+// Commit makes an edit part of the configuration and returns the revision
+// that it has, or the current revision if all its values are in force
+// already. The edit is not changed. Edit.Revision is the revision that the
+// operator saw when the edit was first submitted; it must be set when an edit
+// is submitted again, and should be 0 the first time.
+//
+// Errors contain an *outcome.Error. invalid_request with *ValidationError,
+// edit_conflict with *ConflictError or *ReusedEditError, store_unavailable: the
+// edit was not accepted. order_in_doubt with *InDoubtError: the edit may have
+// been accepted; with *ExpiredEditError in the chain, the store can no longer
+// tell.
+func (e *Editor) Commit(ctx context.Context, edit *wire.Edit) (revision uint64, err error) {
+	c, err := newCommit(e, edit)
+	if err != nil {
+		return 0, fmt.Errorf("edit %q: %w", edit.GetId(), err)
+	}
+	revision, err = c.run(ctx)
+	if err != nil {
+		return 0, fmt.Errorf("edit %q: %w", edit.Id, err)
+	}
+	return revision, nil
+}
+
+// commit is the state of one call of Commit.
+type commit struct {
+	*Editor
+	edit *wire.Edit
+	// since is the revision that the edit is based on, if repeated.
+	since uint64
+	// doubtful is the store revision that the last write with a lost answer
+	// expected, doubt its error; doubt is nil if no write is in doubt.
+	doubtful uint64
+	doubt    error
+}
+
+func newCommit(e *Editor, edit *wire.Edit) (*commit, error) {
+	canonical, err := canonicalEdit(edit)
+	if err != nil {
+		return nil, outcome.Wrap(err, outcome.InvalidRequest, "the edit is not valid")
+	}
+	return &commit{Editor: e, edit: canonical, since: edit.Revision}, nil
+}
+
+// canonicalEdit checks everything that does not depend on other items and
+// encodes the documents anew, so that equal documents have equal bytes.
+func canonicalEdit(edit *wire.Edit) (*wire.Edit, error) {
+	if err := checkName("", "id", edit.GetId()); err != nil {
+		return nil, err
+	}
+	if err := checkName("", "operator", edit.Operator); err != nil {
+		return nil, err
+	}
+	if len(edit.Changes) == 0 {
+		return nil, invalid("", "changes", "the edit changes nothing")
+	}
+	canonical := &wire.Edit{Id: edit.Id, Operator: edit.Operator, UnixMs: edit.UnixMs}
+	seen, size := map[string]bool{}, 0
+	for _, change := range edit.Changes {
+		if seen[change.GetKey()] {
+			return nil, invalid(change.Key, "", "the edit changes the item twice")
+		}
+		seen[change.GetKey()] = true
+		value, err := canonicalValue(change)
+		if err != nil {
+			return nil, err
+		}
+		canonical.Changes = append(canonical.Changes, &wire.ItemChange{
+			Key: change.Key, Value: value, ExpectedRevision: change.ExpectedRevision})
+		size += len(change.Key) + len(value) + itemOverheadBytes
+	}
+	if size > MaxEditBytes {
+		return nil, invalid("", "changes", "the edit has %d bytes, at most %d are allowed", size, MaxEditBytes)
+	}
+	return canonical, nil
+}
+
+func canonicalValue(change *wire.ItemChange) ([]byte, error) {
+	if len(change.GetValue()) == 0 {
+		prefix, name, _ := strings.Cut(change.GetKey(), "/")
+		if !knownKind(prefix + "/") {
+			return nil, invalid(change.GetKey(), "", "the kind of the item is not known")
+		}
+		return nil, checkName(change.GetKey(), "", name)
+	}
+	document, err := ParseItem(change.Key, change.Value)
+	if err != nil {
+		return nil, err
+	}
+	value, err := json.Marshal(document)
+	if err != nil {
+		return nil, invalid(change.Key, "", "cannot be encoded: %v", err)
+	}
+	if len(value) > MaxItemBytes {
+		return nil, invalid(change.Key, "", "the document has %d bytes, at most %d are allowed", len(value), MaxItemBytes)
+	}
+	return value, nil
+}
+
+func (c *commit) run(ctx context.Context) (uint64, error) {
+	var err error
+	for attempt := range commitAttempts {
+		var revision uint64
+		if revision, err = c.attempt(ctx); err == nil {
+			return revision, nil
+		}
+		if !retryable(err) {
+			return 0, c.classify(err)
+		}
+		if waitErr := sleep(ctx, retryDelay(err, attempt)); waitErr != nil {
+			return 0, c.classify(errors.Join(err, waitErr))
+		}
+	}
+	return 0, c.classify(err)
+}
+
+func retryable(err error) bool {
+	var limited *platform.RateLimitedError
+	var missing *MissingSnapshotError
+	return mayExist(err) || errors.As(err, &limited) || errors.As(err, &missing)
+}
+
+func retryDelay(err error, attempt int) time.Duration {
+	var limited *platform.RateLimitedError
+	if errors.As(err, &limited) {
+		return limited.RetryAfter
+	}
+	delay := min(commitBackoff<<attempt, maxCommitBackoff)
+	return delay/2 + rand.N(delay)
+}
+
+func sleep(ctx context.Context, d time.Duration) error {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+		return nil
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+}
+
+// classify adds the code. As long as a write is in doubt, no other statement
+// about the edit would be true.
+func (c *commit) classify(err error) error {
+	var expired *ExpiredEditError
+	if c.doubt != nil || errors.As(err, &expired) {
+		doubt := &InDoubtError{EditID: c.edit.Id, Since: c.since, Cause: errors.Join(c.doubt, err)}
+		return outcome.Wrap(doubt, outcome.OrderInDoubt, "the edit may have been accepted; submit it again with the same id")
+	}
+	var typed *outcome.Error
+	var limited *platform.RateLimitedError
+	switch {
+	case errors.As(err, &typed):
+		return err
+	case errors.As(err, &limited):
+		return outcome.Wrap(err, outcome.StoreUnavailable, "the edit was not accepted").WithRetryAfter(limited.RetryAfter)
+	}
+	return outcome.Wrap(err, outcome.StoreUnavailable, "the edit was not accepted")
+}
+
+// attempt reads the head, merges the edit and writes the head once.
+func (c *commit) attempt(ctx context.Context) (uint64, error) {
+	head, stored, err := c.storage.readHead(ctx)
+	if err != nil {
+		return 0, err
+	}
+	if known := c.replica.known(); head.Revision < known {
+		return 0, &StaleStoreError{Head: head.Revision, Known: known}
+	}
+	if revision, found, err := c.find(head); found {
+		c.advance(ctx, head)
+		return revision, err
+	}
+	if err := c.settle(head, stored); err != nil {
+		return 0, err
+	}
+	config, err := c.storage.materialise(ctx, head, c.replica.Config())
+	if err != nil {
+		return 0, err
+	}
+	c.replica.adopt(config, head.Edits)
+	merged, next, err := c.merge(head, config)
+	if err != nil || merged == nil {
+		return head.Revision, err
+	}
+	return c.write(ctx, head, stored, config, next, merged)
+}
+
+// advance brings the replica to the head if that succeeds, so that this
+// process knows every edit that it reports as accepted.
+func (c *commit) advance(ctx context.Context, head *wire.ConfigHead) {
+	if config, err := c.storage.materialise(ctx, head, c.replica.Config()); err == nil {
+		c.replica.adopt(config, head.Edits)
+	}
+}
+
+// find looks for the edit's id in the head.
+func (c *commit) find(head *wire.ConfigHead) (revision uint64, found bool, err error) {
+	for _, e := range head.Edits {
+		if e.Id != c.edit.Id {
+			continue
+		}
+		c.doubt = nil
+		if !sameEdit(c.edit, e) {
+			return 0, true, outcome.Wrap(&ReusedEditError{e.Id, e.Revision}, outcome.EditConflict, "the edit id is in use")
+		}
+		return e.Revision, true, nil
+	}
+	return 0, false, nil
+}
+
+// sameEdit reports whether accepted is the edit, less the changes that were
+// in force already.
+func sameEdit(edit, accepted *wire.Edit) bool {
+	wanted := map[string][]byte{}
+	for _, change := range edit.Changes {
+		wanted[change.Key] = change.Value
+	}
+	for _, change := range accepted.Changes {
+		if value, ok := wanted[change.Key]; !ok || !bytes.Equal(value, change.Value) {
+			return false
+		}
+	}
+	return edit.Operator == accepted.Operator
+}
+
+// settle decides what the head, which does not hold the edit, says about
+// earlier writes of it. A write in doubt can no longer take effect once the
+// head's store revision has passed the one that it expected; it has not taken
+// effect if the head still holds every edit since.
+func (c *commit) settle(head *wire.ConfigHead, stored uint64) error {
+	oldest := firstRevision(head)
+	if c.since > 0 && c.since+1 < oldest {
+		return &ExpiredEditError{EditID: c.edit.Id, Since: c.since, Oldest: oldest}
+	}
+	if c.since == 0 {
+		c.since = head.Revision
+	}
+	if c.doubt != nil && stored != c.doubtful {
+		c.doubt = nil
+	}
+	return nil
+}
+
+// merge checks the edit against the configuration. It returns the edit with
+// the changes that are not in force yet and the configuration after it, or
+// nil if all of them are.
+func (c *commit) merge(head *wire.ConfigHead, config *Config) (*wire.Edit, *Config, error) {
+	merged := &wire.Edit{Id: c.edit.Id, Operator: c.edit.Operator, UnixMs: c.edit.UnixMs, Revision: head.Revision + 1}
+	for _, change := range c.edit.Changes {
+		var actual uint64
+		var value []byte
+		if item, ok := config.Item(change.Key); ok {
+			actual, value = item.Revision, item.Value
+		}
+		if bytes.Equal(value, change.Value) {
+			continue
+		}
+		if actual != change.ExpectedRevision {
+			return nil, nil, conflict(head, change, actual)
+		}
+		merged.Changes = append(merged.Changes, change)
+	}
+	if len(merged.Changes) == 0 {
+		return nil, nil, nil
+	}
+	next, err := config.apply(merged)
+	if err == nil {
+		err = checkReferences(config, next, merged)
+	}
+	if err != nil {
+		return nil, nil, outcome.Wrap(err, outcome.InvalidRequest, "the edit is not valid")
+	}
+	return merged, next, nil
+}
+
+func conflict(head *wire.ConfigHead, change *wire.ItemChange, actual uint64) error {
+	cause := &ConflictError{Item: change.Key, Expected: change.ExpectedRevision, Actual: actual}
+	for _, e := range head.Edits {
+		for _, other := range e.Changes {
+			if other.Key == change.Key {
+				cause.Operator, cause.EditID = e.Operator, e.Id
+			}
+		}
+	}
+	return outcome.Wrap(cause, outcome.EditConflict, "another edit changed the item")
+}
+
+// checkReferences checks the rules between items for the items of an edit.
+func checkReferences(before, after *Config, edit *wire.Edit) error {
+	if after.bytes > MaxSnapshotBytes {
+		return invalid(edit.Changes[0].Key, "", "the configuration would have %d bytes, at most %d are allowed", after.bytes, MaxSnapshotBytes)
+	}
+	for _, change := range edit.Changes {
+		if name, ok := strings.CutPrefix(change.Key, PlanPrefix); ok && len(change.Value) == 0 {
+			if n := after.usersOf(name); n > 0 {
+				return invalid(change.Key, "", "the plan is used by %d accounts", n)
+			}
+		}
+		if account, ok := strings.CutPrefix(change.Key, ClientPrefix); ok && len(change.Value) > 0 {
+			if err := checkClient(before, after, account); err != nil {
+				return err
+			}
+		}
+	}
+	return nil
+}
+
+func checkClient(before, after *Config, account string) error {
+	key := ClientPrefix + account
+	client, _ := after.Client(account)
+	if _, ok := after.Plan(client.Plan); !ok {
+		return invalid(key, "plan", "the plan %q does not exist", client.Plan)
+	}
+	for i, h := range client.KeyHashes {
+		field := fmt.Sprintf("key_hashes[%d]", i)
+		if owner, _ := after.accounts.get(rawHash(h)); owner != account {
+			return invalid(key, field, "the key belongs to the account %q too", owner)
+		}
+		owner, ok := before.accounts.get(rawHash(h))
+		if ok && owner != account && holdsKey(after, owner, h) {
+			return invalid(key, field, "the key belongs to the account %q", owner)
+		}
+	}
+	return nil
+}
+
+func holdsKey(c *Config, account, hash string) bool {
+	client, ok := c.Client(account)
+	if !ok {
+		return false
+	}
+	for _, h := range client.KeyHashes {
+		if h == hash {
+			return true
+		}
+	}
+	return false
+}
+
+// write appends the merged edit to the head by compare-and-swap.
+func (c *commit) write(ctx context.Context, head *wire.ConfigHead, stored uint64, config, next *Config, merged *wire.Edit) (uint64, error) {
+	compacted := len(head.Edits) >= MaxHeadEdits || proto.Size(head) > compactHeadBytes
+	previousBase := head.BaseRevision
+	if compacted {
+		if err := c.compact(ctx, head, config); err != nil {
+			return 0, err
+		}
+	}
+	head.Revision = merged.Revision
+	head.Edits = append(head.Edits, merged)
+	value, err := proto.Marshal(head)
+	if err != nil {
+		return 0, fmt.Errorf("encode the configuration head: %w", err)
+	}
+	if _, err := c.storage.kv.Put(ctx, HeadKey, value, stored, 0); err != nil {
+		c.noteDoubt(err, stored)
+		return 0, fmt.Errorf("write the configuration head: %w", err)
+	}
+	c.doubt = nil
+	c.replica.adopt(next, head.Edits)
+	if compacted {
+		c.cleanUp(ctx, previousBase)
+	}
+	return merged.Revision, nil
+}
+
+// noteDoubt remembers a lost answer. A write that the store refused settles an
+// earlier one only through the next reading of the head.
+func (c *commit) noteDoubt(err error, stored uint64) {
+	var uncertain *platform.UncertainError
+	if errors.As(err, &uncertain) {
+		c.doubt, c.doubtful = err, stored
+	}
+}
+
+// compact writes a snapshot of the head's configuration, moves the head's
+// base to it and drops the oldest edits.
+func (c *commit) compact(ctx context.Context, head *wire.ConfigHead, config *Config) error {
+	chunks, err := c.storage.writeSnapshot(ctx, config)
+	if err != nil {
+		return err
+	}
+	head.BaseRevision, head.BaseChunks = config.revision, chunks
+	head.Edits = recentEdits(head.Edits)
+	return nil
+}
+
+// recentEdits returns the newest edits, bounded in number and bytes.
+func recentEdits(edits []*wire.Edit) []*wire.Edit {
+	edits = edits[max(0, len(edits)-keptHeadEdits):]
+	size := 0
+	for i := len(edits) - 1; i >= 0; i-- {
+		if size += proto.Size(edits[i]) + editOverheadBytes; size > keptHeadBytes {
+			return edits[i+1:]
+		}
+	}
+	return edits
+}
+
+// cleanUp keeps the previous base for processes that are still reading it.
+func (c *commit) cleanUp(ctx context.Context, previousBase uint64) {
+	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), cleanupTimeout)
+	defer cancel()
+	c.storage.deleteSnapshots(ctx, previousBase)
+}
--- /dev/null
+++ b/fleetconf/rendezvous.go
@@ -0,0 +1,36 @@
+package fleetconf
+
+import "github.com/cespare/xxhash/v2"
+
+// LiveEntry is an entry that the caller believes to be live.
+type LiveEntry struct {
+	VM, DataCentre string
+}
+
+// WatcherFor reports whether vm is one of the perDataCentre entries of its
+// data centre with the highest rendezvous weight. live must contain vm itself.
+// Entries that see different live sets may choose more or fewer watchers for
+// a while; that costs store calls or delay, never correctness.
+func WatcherFor(vm string, live []LiveEntry, perDataCentre int) bool {
+	dataCentre, found := "", false
+	for _, e := range live {
+		if e.VM == vm {
+			dataCentre, found = e.DataCentre, true
+		}
+	}
+	if !found {
+		return false
+	}
+	ahead := map[string]bool{}
+	for _, e := range live {
+		if e.DataCentre == dataCentre && outranks(e.VM, vm) {
+			ahead[e.VM] = true
+		}
+	}
+	return len(ahead) < perDataCentre
+}
+
+func outranks(a, b string) bool {
+	weightA, weightB := xxhash.Sum64String(a), xxhash.Sum64String(b)
+	return weightA > weightB || weightA == weightB && a > b
+}
