--- /dev/null
+++ b/daemon/agent/order.go
@@ -0,0 +1,200 @@
+package agent
+
+import (
+	"context"
+	"crypto/sha256"
+	"encoding/binary"
+	"errors"
+	"time"
+
+	"go.opentelemetry.io/otel/attribute"
+	"go.opentelemetry.io/otel/trace"
+
+	"camphorwick.dev/api/outcome"
+	"camphorwick.dev/api/wire"
+	"camphorwick.dev/backend"
+	"camphorwick.dev/ledger"
+	"camphorwick.dev/link"
+	"camphorwick.dev/observe"
+)
+
+// serveCall runs one call of the plain service and answers it.
+func (a *Agent) serveCall(ctx context.Context, s *link.Stream, call *wire.ServiceRequest) {
+	deadline := time.Now().Add(time.Duration(call.RemainingMs) * time.Millisecond)
+	ctx, cancel := context.WithDeadline(context.WithoutCancel(ctx), deadline)
+	defer cancel()
+	ctx, span := a.telemetry.Tracer.Start(observe.WithTraceparent(ctx, call.Traceparent), "service",
+		trace.WithAttributes(attribute.String("request_id", call.RequestId), attribute.Bool("idempotent", call.Idempotent)))
+	defer span.End()
+	if err := a.enterCall(ctx, call); err != nil {
+		_ = s.Write(answer(refusal(err)))
+		return
+	}
+	defer a.leaveCall()
+	waiting, gone := context.WithCancel(ctx)
+	defer gone()
+	go cancelOnRequest(s, gone)
+	response := a.runCall(ctx, waiting, call)
+	span.SetAttributes(attribute.String("outcome", response.Outcome.String()))
+	_ = s.Write(answer(response))
+}
+
+// cancelOnRequest calls cancel when the entry sends Cancel. A lost stream does
+// not cancel: the caller can ask for the recorded outcome.
+func cancelOnRequest(s *link.Stream, cancel context.CancelFunc) {
+	for {
+		message := &wire.EntryMessage{}
+		if s.Read(message) != nil {
+			return
+		}
+		if message.GetCancel() != nil {
+			cancel()
+			return
+		}
+	}
+}
+
+// enterCall admits a call and waits for its turn.
+func (a *Agent) enterCall(ctx context.Context, call *wire.ServiceRequest) error {
+	if a.service == nil || call.Service != a.settings.Agent.Service.Name {
+		return outcome.New(outcome.UnknownService, "VM %s does not serve %q", a.settings.VM, call.Service)
+	}
+	// Counted before the drain state is read, so that a drain that finds no
+	// active call cannot miss this one.
+	a.active.Add(1)
+	if a.draining.Load() {
+		a.active.Add(-1)
+		return outcome.New(outcome.Draining, "VM %s is being drained", a.settings.VM)
+	}
+	select {
+	case a.calls <- struct{}{}:
+		return nil
+	case <-ctx.Done():
+		a.active.Add(-1)
+		return outcome.New(outcome.Overloaded, "%d calls are in progress on VM %s", cap(a.calls), a.settings.VM)
+	}
+}
+
+func (a *Agent) leaveCall() {
+	<-a.calls
+	a.active.Add(-1)
+}
+
+// runCall runs an idempotent call at once and an order after its claim.
+// waiting ends when the caller is gone; it stops only what has not been sent.
+func (a *Agent) runCall(ctx, waiting context.Context, call *wire.ServiceRequest) *wire.ServiceResponse {
+	request := backend.Call{Method: call.Method, Path: call.Path, ContentType: call.ContentType, Body: call.Body}
+	if call.Idempotent {
+		return a.runIdempotent(waiting, request)
+	}
+	key, err := ledger.ParseKey(call.ClientAccount, call.Service, call.OrderKey, time.Now())
+	if err != nil {
+		return refusal(err)
+	}
+	claim, record, err := a.ledger.Claim(waiting, key, digest(call), call.AttemptId)
+	switch {
+	case err != nil && outcome.CodeOf(err) == outcome.OrderInProgress:
+		return &wire.ServiceResponse{Outcome: wire.Outcome_OUTCOME_UNKNOWN, Error: toWire(err)}
+	case err != nil:
+		return refusal(err)
+	case claim == nil:
+		return recorded(record)
+	}
+	request.OrderKey = call.OrderKey
+	return a.sendOrder(ctx, waiting, claim, request)
+}
+
+// sendOrder sends an order once. The claim is used up by every return.
+func (a *Agent) sendOrder(ctx, waiting context.Context, claim *ledger.Claim, request backend.Call) *wire.ServiceResponse {
+	// A process that was paused after the claim must not send an order whose
+	// caller has given up.
+	if waiting.Err() != nil {
+		claim.Abandon()
+		return refusal(outcome.From(waiting.Err()))
+	}
+	reply, err := a.service.Call(ctx, request)
+	var failure *backend.ServiceError
+	switch {
+	case err == nil:
+		claim.Done(reply.Status, reply.ContentType, reply.Body)
+		return completed(reply)
+	case errors.As(err, &failure) && failure.NotSent:
+		claim.Abandon()
+		return refusal(outcome.Wrap(err, outcome.NoServer, "the service beside VM %s cannot be reached", a.settings.VM))
+	}
+	claim.InDoubt()
+	return &wire.ServiceResponse{Outcome: wire.Outcome_OUTCOME_UNKNOWN,
+		Error: toWire(outcome.Wrap(err, outcome.OrderInDoubt, "the order was sent and its answer was lost"))}
+}
+
+func (a *Agent) runIdempotent(ctx context.Context, request backend.Call) *wire.ServiceResponse {
+	reply, err := a.service.Call(ctx, request)
+	var failure *backend.ServiceError
+	switch {
+	case err == nil:
+		return completed(reply)
+	case errors.As(err, &failure) && failure.NotSent:
+		return refusal(outcome.Wrap(err, outcome.NoServer, "the service beside VM %s cannot be reached", a.settings.VM))
+	}
+	return &wire.ServiceResponse{Outcome: wire.Outcome_OUTCOME_FAILED,
+		Error: toWire(outcome.Wrap(err, outcome.BackendFailed, "the call failed"))}
+}
+
+// serveOrderQuery answers the recorded state of an order.
+func (a *Agent) serveOrderQuery(ctx context.Context, s *link.Stream, query *wire.OrderQuery) {
+	ctx, cancel := context.WithTimeout(ctx, time.Duration(query.RemainingMs)*time.Millisecond)
+	defer cancel()
+	state := &wire.OrderState{}
+	record, err := a.lookup(ctx, query)
+	if err != nil {
+		state.Error = toWire(err)
+	}
+	state.Found, state.Record = record != nil, record
+	_ = s.Write(&wire.AgentMessage{Body: &wire.AgentMessage_Order{Order: state}})
+}
+
+func (a *Agent) lookup(ctx context.Context, query *wire.OrderQuery) (*wire.OrderRecord, error) {
+	if a.ledger == nil {
+		return nil, outcome.New(outcome.UnknownService, "VM %s serves no orders", a.settings.VM)
+	}
+	key, err := ledger.ParseKey(query.ClientAccount, query.Service, query.OrderKey, time.Now())
+	if err != nil {
+		return nil, err
+	}
+	return a.ledger.Lookup(ctx, key)
+}
+
+// digest identifies method, path, content type and body of an order.
+func digest(call *wire.ServiceRequest) []byte {
+	hash := sha256.New()
+	for _, part := range [][]byte{[]byte(call.Method), []byte(call.Path), []byte(call.ContentType), call.Body} {
+		var size [8]byte
+		binary.BigEndian.PutUint64(size[:], uint64(len(part)))
+		hash.Write(size[:])
+		hash.Write(part)
+	}
+	return hash.Sum(nil)
+}
+
+func answer(r *wire.ServiceResponse) *wire.AgentMessage {
+	return &wire.AgentMessage{Body: &wire.AgentMessage_Service{Service: r}}
+}
+
+func refusal(err error) *wire.ServiceResponse {
+	return &wire.ServiceResponse{Outcome: wire.Outcome_OUTCOME_NOT_RUN, Error: toWire(err)}
+}
+
+func completed(reply backend.Reply) *wire.ServiceResponse {
+	return &wire.ServiceResponse{Outcome: wire.Outcome_OUTCOME_COMPLETED, Status: uint32(reply.Status),
+		ContentType: reply.ContentType, Body: reply.Body}
+}
+
+// recorded answers a call from the journal.
+func recorded(r *wire.OrderRecord) *wire.ServiceResponse {
+	if r.Status != wire.OrderStatus_ORDER_STATUS_DONE {
+		return &wire.ServiceResponse{Outcome: wire.Outcome_OUTCOME_UNKNOWN, Recorded: true,
+			Error: toWire(outcome.New(outcome.OrderInDoubt, "the order was claimed by %s and its outcome is not recorded", r.Claimant))}
+	}
+	return &wire.ServiceResponse{Outcome: wire.Outcome_OUTCOME_COMPLETED, Status: r.HttpStatus,
+		ContentType: r.ContentType, Body: r.Body, Recorded: true}
+}
--- /dev/null
+++ b/daemon/agent/runner.go
@@ -0,0 +1,361 @@
+package agent
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"strings"
+	"time"
+
+	"go.opentelemetry.io/otel/attribute"
+	"go.opentelemetry.io/otel/codes"
+
+	"camphorwick.dev/api/outcome"
+	"camphorwick.dev/api/wire"
+	"camphorwick.dev/backend"
+	"camphorwick.dev/policy/queue"
+)
+
+// Times of the dispatcher.
+const (
+	sweepInterval   = time.Second
+	engineRetryMin  = 50 * time.Millisecond
+	engineRetryMax  = 2 * time.Second
+	engineCallLimit = 5 * time.Second
+	// exportLimit bounds the export of a long prompt's KV cache.
+	exportLimit = 60 * time.Second
+)
+
+// prepareEngine waits for the engine's description and cancels the streams
+// that an earlier process of this VM has left in it.
+func (a *Agent) prepareEngine(ctx context.Context) error {
+	for delay := engineRetryMin; ; delay = min(2*delay, engineRetryMax) {
+		info, err := a.describeEngine(ctx)
+		if err == nil {
+			a.mu.Lock()
+			a.queue = queue.New(queue.Config{KVTokens: info.KVTokens, StepTokens: info.StepTokens,
+				PrefillTokensPerSecond: info.PrefillTokensPerSecond, LongKVShare: a.settings.Agent.Engine.LongKVShare,
+				MaxQueued: a.settings.Agent.Engine.MaxQueued})
+			a.mu.Unlock()
+			a.info.Store(&info)
+			return nil
+		}
+		a.log.Warn("engine is not ready", "error", err.Error())
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case <-a.stop:
+			return outcome.New(outcome.Draining, "stopped before the engine was ready")
+		case <-time.After(delay):
+		}
+	}
+}
+
+func (a *Agent) describeEngine(ctx context.Context) (backend.EngineInfo, error) {
+	ctx, cancel := context.WithTimeout(ctx, engineCallLimit)
+	defer cancel()
+	info, err := a.engine.Info(ctx)
+	if err != nil {
+		return info, fmt.Errorf("read the engine's description: %w", err)
+	}
+	streams, err := a.engine.Streams(ctx)
+	if err != nil {
+		return info, fmt.Errorf("list the engine's streams: %w", err)
+	}
+	for _, s := range streams {
+		a.log.Info("stream of an earlier process cancelled", "stream", s.StreamID, "kv_tokens", s.KVTokens)
+		if err := a.engine.Cancel(ctx, s.StreamID); err != nil {
+			return info, fmt.Errorf("cancel stream %q: %w", s.StreamID, err)
+		}
+	}
+	return info, nil
+}
+
+// dispatch starts queued jobs whenever the queue allows one, until ctx ends.
+// Each running job has one goroutine; the queue's KV capacity bounds them.
+func (a *Agent) dispatch(ctx context.Context) error {
+	sweep := time.NewTicker(sweepInterval)
+	defer sweep.Stop()
+	for {
+		wait := a.startJobs(ctx)
+		timer := time.NewTimer(wait)
+		select {
+		case <-ctx.Done():
+			timer.Stop()
+			a.cancelAll(outcome.New(outcome.Draining, "VM %s stops", a.settings.VM))
+			return nil
+		case <-a.wake:
+		case <-timer.C:
+		case now := <-sweep.C:
+			a.sweepAnswers(now)
+		}
+		timer.Stop()
+	}
+}
+
+// startJobs ends expired jobs, pauses preempted ones, starts what may start,
+// and returns the time until the queue wants to be asked again.
+func (a *Agent) startJobs(ctx context.Context) time.Duration {
+	now := time.Now()
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	for _, job := range a.queue.Expired(now) {
+		a.endQueued(job.ID, outcome.New(outcome.DeadlineExceeded, "the deadline passed in the queue"))
+	}
+	for id, r := range a.jobs {
+		if r.ctx.Err() != nil {
+			a.dropQueued(now, id, r)
+		}
+	}
+	for _, id := range a.queue.Preempt(now) {
+		if r := a.jobs[id]; r != nil {
+			r.pausing = true
+			select {
+			case r.pause <- struct{}{}:
+			default:
+			}
+		}
+	}
+	for {
+		grant, ok := a.queue.Next(now)
+		if !ok {
+			break
+		}
+		r := a.jobs[grant.ID]
+		r.job = grant.Job
+		r.running = true
+		go a.run(r, grant)
+	}
+	if at, ok := a.queue.NextWake(now); ok {
+		return max(at.Sub(now), time.Millisecond)
+	}
+	return sweepInterval
+}
+
+// dropQueued ends a job that was cancelled before it ran; a.mu is held.
+func (a *Agent) dropQueued(now time.Time, id string, r *request) {
+	if r.running {
+		return
+	}
+	a.queue.Finish(now, id)
+	a.endQueued(id, context.Cause(r.ctx))
+}
+
+// endQueued ends a job that does not run; a.mu is held.
+func (a *Agent) endQueued(id string, cause error) {
+	r := a.jobs[id]
+	if r == nil {
+		return
+	}
+	delete(a.jobs, id)
+	result := wire.Outcome_OUTCOME_NOT_RUN
+	if r.starts > 0 || r.submit.Offset > 0 {
+		result = wire.Outcome_OUTCOME_FAILED
+	}
+	a.metrics.ended(r, result)
+	r.end(&wire.End{Outcome: result, Error: toWire(cause)})
+	a.active.Add(-1)
+}
+
+// run drives one grant of a job on the engine.
+func (a *Agent) run(r *request, grant queue.Grant) {
+	ctx, span := a.span(r, "engine")
+	defer span.End()
+	a.metrics.queued(r, time.Since(r.job.Arrived))
+	// A process that was paused may hold a grant whose deadline has passed.
+	if r.ctx.Err() != nil {
+		a.finish(r, "", a.endOf(r, backend.Chunk{}, context.Cause(r.ctx)))
+		return
+	}
+	r.starts++
+	streamID := fmt.Sprintf("%s.%d", r.submit.AttemptId, r.starts)
+	chunk, paused, err := a.stream(ctx, r, streamID, grant.Priority)
+	if paused {
+		a.requeue(r)
+		return
+	}
+	if err != nil {
+		span.SetStatus(codes.Error, err.Error())
+	}
+	span.SetAttributes(attribute.Int("tokens", len(r.emitted())), attribute.Int("cached_tokens", chunk.CachedTokens))
+	a.finish(r, streamID, a.endOf(r, chunk, err))
+}
+
+// stream runs one engine stream to its end, or until it has been paused.
+func (a *Agent) stream(ctx context.Context, r *request, id string, priority int) (last backend.Chunk, paused bool, err error) {
+	stream, err := a.engine.Start(ctx, a.completion(r, id, priority))
+	if err != nil {
+		return backend.Chunk{}, false, fmt.Errorf("start engine stream: %w", err)
+	}
+	exported := make(chan exportResult, 1)
+	done := make(chan struct{})
+	defer close(done)
+	go a.exportOnPause(r, id, exported, done)
+	first := true
+	for {
+		chunk, err := stream.Next(ctx)
+		if err != nil {
+			if r.ctx.Err() == nil {
+				paused = a.takeExport(r, exported)
+			}
+			_ = stream.Close()
+			return chunk, paused, fmt.Errorf("read engine stream: %w", err)
+		}
+		r.add(chunk.Texts)
+		if first && len(chunk.Texts) > 0 {
+			first = false
+			a.firstToken(r)
+		}
+		if chunk.Final {
+			_ = stream.Close()
+			return chunk, false, nil
+		}
+	}
+}
+
+// completion returns the engine request for the rest of the answer.
+func (a *Agent) completion(r *request, id string, priority int) backend.Completion {
+	c := backend.Completion{StreamID: id, Model: r.submit.Model, Priority: priority}
+	if r.state != nil {
+		c.State = r.state
+		r.state = nil
+		return c
+	}
+	texts := r.emitted()
+	c.MaxTokens = int(r.submit.MaxTokens) - len(texts)
+	c.Prompt = r.submit.Prompt
+	if len(texts) > 0 {
+		c.Prompt = append(append([]byte(nil), r.submit.Prompt...), strings.Join(texts, "")...)
+	}
+	return c
+}
+
+type exportResult struct {
+	state []byte
+	err   error
+}
+
+// exportOnPause exports the stream when the dispatcher asks for a pause. The
+// export ends the stream, which the reader sees as an error after the last
+// token.
+func (a *Agent) exportOnPause(r *request, id string, result chan<- exportResult, done <-chan struct{}) {
+	select {
+	case <-done:
+		return
+	case <-r.pause:
+	}
+	ctx, cancel := context.WithTimeout(r.ctx, exportLimit)
+	defer cancel()
+	state, err := a.engine.Export(ctx, id)
+	result <- exportResult{state, err}
+}
+
+// takeExport waits for the result of an export in progress, if there is one,
+// and reports whether the stream was paused. A failed export pauses too: the
+// rest is then computed again from prompt and emitted tokens.
+func (a *Agent) takeExport(r *request, exported <-chan exportResult) bool {
+	var result exportResult
+	select {
+	case result = <-exported:
+	default:
+		if !a.isPausing(r) {
+			return false
+		}
+		select {
+		case result = <-exported:
+		case <-r.ctx.Done():
+			return false
+		}
+	}
+	if result.err != nil {
+		a.log.Warn("export failed, the prompt will be computed again", "request_id", r.submit.RequestId, "error", result.err.Error())
+	}
+	r.state = result.state
+	return true
+}
+
+func (a *Agent) isPausing(r *request) bool {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return r.pausing
+}
+
+// firstToken tells the queue that the prefill has ended.
+func (a *Agent) firstToken(r *request) {
+	now := time.Now()
+	a.mu.Lock()
+	a.queue.FirstToken(now, r.job.ID)
+	a.mu.Unlock()
+	a.metrics.firstToken(r, now.Sub(r.job.Arrived))
+	a.signal()
+}
+
+// requeue puts a paused job back into the queue.
+func (a *Agent) requeue(r *request) {
+	now := time.Now()
+	a.mu.Lock()
+	r.running, r.pausing = false, false
+	job := r.job
+	if r.state != nil {
+		job.PrefillTokens = 1
+	}
+	a.queue.Requeue(now, job)
+	a.mu.Unlock()
+	a.metrics.preempted(r)
+	a.signal()
+}
+
+// endOf returns the result of a stream.
+func (a *Agent) endOf(r *request, last backend.Chunk, err error) *wire.End {
+	if err == nil {
+		return &wire.End{Outcome: wire.Outcome_OUTCOME_COMPLETED, FinishReason: last.FinishReason,
+			PromptTokens: uint32(last.PromptTokens), CachedTokens: uint32(last.CachedTokens)}
+	}
+	if r.ctx.Err() != nil {
+		return &wire.End{Outcome: wire.Outcome_OUTCOME_FAILED, Error: toWire(context.Cause(r.ctx))}
+	}
+	var failure *backend.EngineError
+	code := outcome.BackendFailed
+	if errors.As(err, &failure) && failure.Kind == backend.EngineRefused {
+		code = outcome.Overloaded
+	}
+	return &wire.End{Outcome: wire.Outcome_OUTCOME_FAILED, Error: toWire(outcome.Wrap(err, code, "the engine of VM %s failed", a.settings.VM))}
+}
+
+// finish ends a job. The caller sees the result at once; the KV reservation
+// is kept until the engine has confirmed that the stream is gone, because the
+// queue must not promise memory that the engine still holds.
+func (a *Agent) finish(r *request, streamID string, end *wire.End) {
+	a.metrics.ended(r, end.Outcome)
+	completed := end.Outcome == wire.Outcome_OUTCOME_COMPLETED
+	r.end(end)
+	if !completed && streamID != "" {
+		a.cancelStream(streamID)
+	}
+	a.mu.Lock()
+	a.queue.Finish(time.Now(), r.job.ID)
+	delete(a.jobs, r.job.ID)
+	a.mu.Unlock()
+	a.active.Add(-1)
+	a.signal()
+}
+
+// cancelStream repeats a cancel until the engine confirms it. An engine that
+// was restarted does not know the stream, which counts as confirmed.
+func (a *Agent) cancelStream(id string) {
+	for delay := engineRetryMin; ; delay = min(2*delay, engineRetryMax) {
+		ctx, cancel := context.WithTimeout(context.Background(), engineCallLimit)
+		err := a.engine.Cancel(ctx, id)
+		cancel()
+		if err == nil {
+			return
+		}
+		a.log.Warn("engine stream could not be cancelled", "stream", id, "error", err.Error())
+		select {
+		case <-a.stop:
+			// The next process of this VM cancels what is left.
+			return
+		case <-time.After(delay):
+		}
+	}
+}
--- /dev/null
+++ b/daemon/member/member.go
@@ -0,0 +1,267 @@
+// Package member makes a process part of its fleet: it holds the sessions with
+// other processes, the replica of the configuration, and the knowledge of
+// which revision is in force where. Entry and agent build on it.
+package member
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"log/slog"
+	"net"
+	"sync/atomic"
+	"time"
+
+	"golang.org/x/sync/errgroup"
+
+	"camphorwick.dev/api/wire"
+	"camphorwick.dev/fleetconf"
+	"camphorwick.dev/link"
+	"camphorwick.dev/platform"
+	"camphorwick.dev/settings"
+)
+
+// isolatedAfter is the time without contact to the store or any peer after
+// which a process reports that it is not ready.
+const isolatedAfter = 5 * time.Second
+
+// watchersPerDataCentre is the number of entries of a data centre that watch
+// the configuration in the store; two, so that one may fail.
+const watchersPerDataCentre = 2
+
+// Hooks connect a role to its Member. All may be called concurrently.
+type Hooks interface {
+	// Load returns the load to report; nil for entries.
+	Load() *wire.Load
+	// Backend describes the backend server; nil for entries.
+	Backend() *wire.BackendInfo
+	// PeerLoad handles the load that an agent reported.
+	PeerLoad(peer *wire.Hello, load *wire.Load)
+	// PeerChanged is called when a peer becomes usable or stops being so.
+	PeerChanged(peer *wire.Hello, usable bool)
+	// Stream serves a stream that an entry opened.
+	Stream(ctx context.Context, s *link.Stream)
+	// ConfigChanged is called after a new revision is in force.
+	ConfigChanged(config *fleetconf.Config)
+}
+
+// Member is one process of the fleet.
+type Member struct {
+	Settings *settings.Settings
+	Log      *slog.Logger
+	Replica  *fleetconf.Replica
+	Tracker  *fleetconf.Tracker
+	Node     *link.Node
+	KV       platform.KV
+	VMs      platform.VMList
+	Epoch    uint64
+
+	hooks Hooks
+	// lastStore is the Unix time in ns of the last successful store call.
+	lastStore atomic.Int64
+	vms       atomic.Pointer[[]platform.VM]
+	started   time.Time
+}
+
+// New returns a member that does nothing until Run.
+func New(s *settings.Settings, log *slog.Logger, kv platform.KV, vms platform.VMList, hooks Hooks) (*Member, error) {
+	m := &Member{Settings: s, Log: log, Replica: fleetconf.NewReplica(), Tracker: fleetconf.NewTracker(),
+		KV: kv, VMs: vms, hooks: hooks, started: time.Now(), Epoch: uint64(time.Now().UnixNano())}
+	config := link.Config{Self: m.hello, Handler: (*handler)(m), Log: log}
+	if s.TLS != nil {
+		client, server, err := link.LoadTLS(s.TLS.CertFile, s.TLS.KeyFile, s.TLS.CAFile)
+		if err != nil {
+			return nil, fmt.Errorf("set up transport security: %w", err)
+		}
+		config.ClientTLS, config.ServerTLS = client, server
+	} else {
+		log.Warn("sessions between processes are not encrypted or authenticated, because insecure_plaintext is set")
+	}
+	m.Node = link.NewNode(config)
+	return m, nil
+}
+
+// Claimant returns the name of this process in the order journal.
+func (m *Member) Claimant() string { return fmt.Sprintf("%s/%d", m.Settings.VM, m.Epoch) }
+
+// Role returns the role in its wire form.
+func (m *Member) Role() wire.Role {
+	if m.Settings.Role == settings.RoleEntry {
+		return wire.Role_ROLE_ENTRY
+	}
+	return wire.Role_ROLE_AGENT
+}
+
+func (m *Member) hello() *wire.Hello {
+	return &wire.Hello{Vm: m.Settings.VM, Role: m.Role(), DataCentre: m.Settings.DataCentre, Epoch: m.Epoch,
+		ConfigRevision: m.Replica.Revision(), Backend: m.hooks.Backend()}
+}
+
+// Run serves sessions, follows the configuration and the VM list until ctx
+// ends.
+func (m *Member) Run(ctx context.Context, listener net.Listener) error {
+	group, ctx := errgroup.WithContext(ctx)
+	group.Go(func() error { return m.Node.Run(ctx, listener) })
+	group.Go(func() error { return m.spreadChanges(ctx) })
+	if m.Role() == wire.Role_ROLE_ENTRY {
+		group.Go(func() error { return m.followVMs(ctx) })
+		group.Go(func() error { return m.watchWhileChosen(ctx) })
+	}
+	if err := group.Wait(); err != nil && !errors.Is(err, context.Canceled) {
+		return fmt.Errorf("run member: %w", err)
+	}
+	return nil
+}
+
+// spreadChanges sends each new revision to the peers at once.
+func (m *Member) spreadChanges(ctx context.Context) error {
+	for {
+		changed := m.Replica.Changed()
+		config := m.Replica.Config()
+		m.hooks.ConfigChanged(config)
+		m.confirmSelf()
+		m.Node.Kick()
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-changed:
+		}
+	}
+}
+
+func (m *Member) confirmSelf() {
+	m.Tracker.Merge(time.Now(), &wire.Confirmation{Vm: m.Settings.VM, Role: m.Role(),
+		DataCentre: m.Settings.DataCentre, Epoch: m.Epoch, ConfigRevision: m.Replica.Revision()})
+}
+
+// followVMs reads the VM list and keeps sessions to the VMs on it. While the
+// list cannot be read, the last one, or the peers of the settings, stay in
+// use.
+func (m *Member) followVMs(ctx context.Context) error {
+	interval := time.Duration(m.Settings.Platform.VMPollMillis) * time.Millisecond
+	timeout := time.Duration(m.Settings.Platform.TimeoutMillis) * time.Millisecond
+	m.setVMs(m.settingsPeers())
+	for {
+		call, cancel := context.WithTimeout(ctx, timeout)
+		vms, err := m.VMs.VMs(call)
+		cancel()
+		if err == nil {
+			m.StoreReached()
+			m.setVMs(append(vms, m.settingsPeers()...))
+		} else if ctx.Err() == nil {
+			m.Log.Warn("VM list cannot be read", "error", err.Error())
+		}
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-time.After(interval):
+		}
+	}
+}
+
+func (m *Member) settingsPeers() []platform.VM {
+	peers := make([]platform.VM, 0, len(m.Settings.Platform.Peers))
+	for _, p := range m.Settings.Platform.Peers {
+		peers = append(peers, platform.VM{ID: p.VM, Role: string(p.Role), DataCentre: p.DataCentre,
+			Address: p.Address, State: platform.VMLive})
+	}
+	return peers
+}
+
+// setVMs stores the list and sets the targets. Of two entries, the one with
+// the smaller VM id dials.
+func (m *Member) setVMs(vms []platform.VM) {
+	m.vms.Store(&vms)
+	seen := map[string]bool{m.Settings.VM: true}
+	var targets []link.Target
+	for _, vm := range vms {
+		if seen[vm.ID] {
+			continue
+		}
+		seen[vm.ID] = true
+		role := wire.Role_ROLE_AGENT
+		if vm.Role == string(settings.RoleEntry) {
+			role = wire.Role_ROLE_ENTRY
+			if vm.ID < m.Settings.VM {
+				continue
+			}
+		}
+		targets = append(targets, link.Target{VM: vm.ID, Role: role, Address: vm.Address})
+	}
+	m.Node.SetTargets(targets)
+}
+
+// ListedVMs returns the VMs of the last list that was read.
+func (m *Member) ListedVMs() []platform.VM {
+	if vms := m.vms.Load(); vms != nil {
+		return *vms
+	}
+	return nil
+}
+
+// LiveEntries returns this entry and the entries with a usable session.
+func (m *Member) LiveEntries() []fleetconf.LiveEntry {
+	live := []fleetconf.LiveEntry{{VM: m.Settings.VM, DataCentre: m.Settings.DataCentre}}
+	for _, p := range m.Node.Peers() {
+		if p.Hello.Role == wire.Role_ROLE_ENTRY && p.Connected && !p.Suspected {
+			live = append(live, fleetconf.LiveEntry{VM: p.Hello.Vm, DataCentre: p.Hello.DataCentre})
+		}
+	}
+	return live
+}
+
+// watcherCheckInterval is how often an entry looks whether it is a watcher.
+const watcherCheckInterval = time.Second
+
+// watchWhileChosen runs the watcher of the configuration whenever this entry
+// is one of the watchers of its data centre.
+func (m *Member) watchWhileChosen(ctx context.Context) error {
+	var stop context.CancelFunc
+	var running errgroup.Group
+	ticker := time.NewTicker(watcherCheckInterval)
+	defer ticker.Stop()
+	for {
+		chosen := fleetconf.WatcherFor(m.Settings.VM, m.LiveEntries(), watchersPerDataCentre)
+		switch {
+		case chosen && stop == nil:
+			var watch context.Context
+			watch, stop = context.WithCancel(ctx)
+			running.Go(func() error { return fleetconf.NewWatcher(m.KV, m.Replica, m.Log).Run(watch) })
+		case !chosen && stop != nil:
+			stop()
+			stop = nil
+		}
+		select {
+		case <-ctx.Done():
+			if stop != nil {
+				stop()
+			}
+			_ = running.Wait() // ends with the context's error
+			return nil
+		case <-ticker.C:
+		}
+	}
+}
+
+// StoreReached records that the store has just answered.
+func (m *Member) StoreReached() { m.lastStore.Store(time.Now().UnixNano()) }
+
+// Isolated reports whether neither the store nor any peer has been heard from
+// for isolatedAfter, so that configuration changes may be missed.
+func (m *Member) Isolated() bool {
+	if time.Since(m.started) < isolatedAfter || time.Since(time.Unix(0, m.lastStore.Load())) < isolatedAfter {
+		return false
+	}
+	for _, p := range m.Node.Peers() {
+		if p.Connected && !p.Suspected {
+			return false
+		}
+	}
+	return true
+}
+
+// Marked returns the mark of this VM, or "".
+func (m *Member) Marked() fleetconf.MarkState {
+	state, _ := m.Replica.Config().Mark(m.Settings.VM)
+	return state
+}
