--- /dev/null
+++ b/standin/process/process.go
@@ -0,0 +1,137 @@
+// Package process holds what the commands of the HTTP stand-ins share: flags,
+// listening on two addresses, the ready line and the stop on a signal.
+package process
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"os"
+	"os/signal"
+	"strings"
+	"syscall"
+	"time"
+
+	"github.com/jessevdk/go-flags"
+	"github.com/valyala/fasthttp"
+)
+
+// stopTimeout bounds the wait for running calls when a stand-in stops.
+const stopTimeout = time.Second
+
+// Addresses are the flags that every stand-in has.
+type Addresses struct {
+	Address       string `long:"address" default:"127.0.0.1:0" description:"address of the service; port 0 picks a free port"`
+	FaultsAddress string `long:"faults-address" default:"127.0.0.1:0" description:"address of the fault injection"`
+}
+
+// Service is what a stand-in serves.
+type Service struct {
+	Handle, HandleFaults fasthttp.RequestHandler
+	MaxRequestBytes      int
+}
+
+// ParseFlags fills options, a pointer to a go-flags struct, from the command
+// line. Long names may have one dash or two. It ends the process after --help
+// (exit code 0) and on an error (exit code 2).
+func ParseFlags(options any) {
+	parser := flags.NewParser(options, flags.HelpFlag)
+	rest, err := parser.ParseArgs(twoDashes(os.Args[1:]))
+	if err == nil && len(rest) > 0 {
+		err = fmt.Errorf("unexpected arguments %q", rest)
+	}
+	if err == nil {
+		return
+	}
+	if flagsError := new(flags.Error); errors.As(err, &flagsError) && flagsError.Type == flags.ErrHelp {
+		fmt.Println(err)
+		os.Exit(0)
+	}
+	fmt.Fprintln(os.Stderr, err)
+	os.Exit(2)
+}
+
+// twoDashes turns -name into --name, which is the form that go-flags knows.
+func twoDashes(arguments []string) []string {
+	out := make([]string, len(arguments))
+	for i, a := range arguments {
+		if len(a) > 2 && a[0] == '-' && !strings.HasPrefix(a, "--") {
+			a = "-" + a
+		}
+		out[i] = a
+	}
+	return out
+}
+
+// Main serves until SIGTERM or SIGINT and returns the exit code.
+func Main(a Addresses, s Service) int {
+	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
+	defer stop()
+	if err := Run(ctx, a, s, os.Stdout); err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		return 1
+	}
+	return 0
+}
+
+// Run serves until ctx ends. When both addresses are bound, it writes one
+// JSON line with them to out.
+func Run(ctx context.Context, a Addresses, s Service, out io.Writer) error {
+	service, err := net.Listen("tcp", a.Address)
+	if err != nil {
+		return fmt.Errorf("listening: %w", err)
+	}
+	control, err := net.Listen("tcp", a.FaultsAddress)
+	if err != nil {
+		return errors.Join(fmt.Errorf("listening: %w", err), service.Close())
+	}
+	failed := make(chan error, 2)
+	servers := []*fasthttp.Server{newServer(s.Handle, s), newServer(s.HandleFaults, s)}
+	for i, listener := range []net.Listener{service, control} {
+		go func() { failed <- servers[i].Serve(listener) }()
+	}
+	if err := ready(out, service.Addr(), control.Addr()); err != nil {
+		return err
+	}
+	select {
+	case err := <-failed:
+		return fmt.Errorf("serving: %w", err)
+	case <-ctx.Done():
+		return shutdown(servers)
+	}
+}
+
+func newServer(handler fasthttp.RequestHandler, s Service) *fasthttp.Server {
+	return &fasthttp.Server{
+		Handler: handler, MaxRequestBodySize: s.MaxRequestBytes,
+		NoDefaultServerHeader: true, CloseOnShutdown: true,
+	}
+}
+
+func ready(out io.Writer, address, faultsAddress net.Addr) error {
+	err := json.NewEncoder(out).Encode(struct {
+		Message       string `json:"msg"`
+		Address       string `json:"address"`
+		FaultsAddress string `json:"faults_address"`
+	}{"ready", address.String(), faultsAddress.String()})
+	if err != nil {
+		return fmt.Errorf("writing the ready line: %w", err)
+	}
+	return nil
+}
+
+// shutdown stops the servers. Calls that still run after stopTimeout are cut
+// off; a stand-in has no state to save.
+func shutdown(servers []*fasthttp.Server) error {
+	ctx, cancel := context.WithTimeout(context.Background(), stopTimeout)
+	defer cancel()
+	for _, server := range servers {
+		if err := server.ShutdownWithContext(ctx); err != nil && !errors.Is(err, context.DeadlineExceeded) {
+			return fmt.Errorf("stopping: %w", err)
+		}
+	}
+	return nil
+}
