Add the plain service's HTTP adapter and the order stand-in

Cause: an order may run at most once, so the agent must know whether a failed call can have run. servicehttp reports NotSent only if no byte was written; this includes a pooled connection that the server closed before the call.

Ruled out: methods and paths as the caller gave them. fasthttp writes them into the request line unchecked, so a line break in a path would be a second request; such calls are refused as not sent.

--- /dev/null
+++ b/backend/servicehttp/servicehttp_test.go
@@ -0,0 +1,201 @@
+package servicehttp
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"io"
+	"net"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"github.com/valyala/fasthttp"
+
+	"camphorwick.dev/backend"
+	"camphorwick.dev/standin/faults"
+	"camphorwick.dev/standin/ordersim"
+	"camphorwick.dev/standin/process"
+)
+
+// start runs the stand-in in this process. runs asks it how often each key
+// ran.
+func start(t *testing.T, settings ordersim.Settings) (address string, runs func() ordersim.Runs) {
+	t.Helper()
+	sim, err := ordersim.New(settings)
+	if err != nil {
+		t.Fatal(err)
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	r, w := io.Pipe()
+	done := make(chan error, 1)
+	local := process.Addresses{Address: "127.0.0.1:0", FaultsAddress: "127.0.0.1:0"}
+	go func() {
+		done <- process.Run(ctx, local, process.Service{Handle: sim.Handle, HandleFaults: sim.HandleFaults, MaxRequestBytes: ordersim.MaxRequestBytes}, w)
+	}()
+	var ready struct {
+		Address       string `json:"address"`
+		FaultsAddress string `json:"faults_address"`
+	}
+	if err := json.NewDecoder(r).Decode(&ready); err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() {
+		cancel()
+		if err := <-done; err != nil {
+			t.Error(err)
+		}
+	})
+	return ready.Address, func() (n ordersim.Runs) {
+		t.Helper()
+		_, body, err := fasthttp.Get(nil, "http://"+ready.FaultsAddress+"/runs")
+		if err == nil {
+			err = json.Unmarshal(body, &n)
+		}
+		if err != nil {
+			t.Fatal(err)
+		}
+		return n
+	}
+}
+
+func plan(rules ...faults.Rule) ordersim.Settings {
+	return ordersim.Settings{Plan: faults.Plan{Rules: rules}}
+}
+
+func notSent(t *testing.T, err error) bool {
+	t.Helper()
+	var failed *backend.ServiceError
+	if !errors.As(err, &failed) {
+		t.Fatalf("not a ServiceError: %v", err)
+	}
+	return failed.NotSent
+}
+
+var order = backend.Call{
+	Method: "POST", Path: "/a//b/../c%2F?x=%20&y", ContentType: "text/plain", Body: []byte("3 buckles"), OrderKey: "k1",
+}
+
+// Guards against calls that arrive changed, and against a second run that a
+// checking service would not notice.
+func TestCall(t *testing.T) {
+	is, ctx := is.New(t), context.Background()
+	check, token := true, "secret"
+	address, runs := start(t, ordersim.Settings{CheckKeys: &check, Token: &token})
+	s := New(Options{Address: address, Token: token})
+	defer s.Close()
+	reply, err := s.Call(ctx, order)
+	is.NoErr(err)
+	is.Equal(reply.Status, 200)
+	is.Equal(reply.ContentType, "application/json")
+	var result ordersim.Result
+	is.NoErr(json.Unmarshal(reply.Body, &result))
+	is.Equal(result.Path, order.Path)
+	is.Equal(result.Method, order.Method)
+	reply, err = s.Call(ctx, order)
+	is.NoErr(err)
+	is.Equal(reply.Status, 409)
+	stranger := New(Options{Address: address})
+	defer stranger.Close()
+	reply, err = stranger.Call(ctx, backend.Call{Method: "GET", Path: "/", OrderKey: "k2"})
+	is.NoErr(err)
+	is.Equal(reply.Status, 401)
+	is.Equal(runs(), ordersim.Runs{
+		Total: 1, Keys: map[string]int{"k1": 1}, Orders: map[string]int{result.Order: 1}, Refused: 1, Unauthorized: 1,
+	})
+}
+
+// Guards against an order that is sent twice and against NotSent for an order
+// that may have run. GET and PUT are what fasthttp's client would retry.
+func TestBrokenConnections(t *testing.T) {
+	for _, method := range []string{"GET", "PUT", "POST"} {
+		for fault, ran := range map[faults.Kind]int{faults.LoseRequest: 0, faults.LoseAnswer: 1} {
+			is, ctx := is.New(t), context.Background()
+			address, runs := start(t, plan(faults.Rule{Fault: fault, Skip: 1, Count: 1}))
+			s := New(Options{Address: address})
+			call := backend.Call{Method: method, Path: "/", OrderKey: "first"}
+			_, err := s.Call(ctx, call) // leaves a pooled connection
+			is.NoErr(err)
+			call.OrderKey = "second"
+			_, err = s.Call(ctx, call)
+			is.True(!notSent(t, err))
+			is.Equal(runs().Keys["second"], ran)
+			s.Close()
+		}
+	}
+}
+
+// Guards against calls that outlive their context and against NotSent for an
+// order that runs after its caller gave up.
+func TestContextEnds(t *testing.T) {
+	is := is.New(t)
+	address, runs := start(t, plan(faults.Rule{Skip: 1, LatencyMS: 300}))
+	s := New(Options{Address: address})
+	defer s.Close()
+	_, err := s.Call(context.Background(), order)
+	is.NoErr(err)
+	ctx, cancel := context.WithTimeout(context.Background(), 30*time.Millisecond)
+	defer cancel()
+	began := time.Now()
+	late := order
+	late.OrderKey = "late"
+	_, err = s.Call(ctx, late)
+	is.True(!notSent(t, err) && errors.Is(err, context.DeadlineExceeded))
+	is.True(time.Since(began) < 250*time.Millisecond)
+	_, err = s.Call(ctx, order)
+	is.True(notSent(t, err) && errors.Is(err, context.DeadlineExceeded))
+	for runs().Keys["late"] == 0 {
+		time.Sleep(5 * time.Millisecond)
+	}
+	is.Equal(runs().Keys, map[string]int{"k1": 1, "late": 1})
+}
+
+// Guards against orders that stay in doubt although nothing was written:
+// nothing listens, the server closed the idle connection, or the call would
+// break the request line.
+func TestNotSent(t *testing.T) {
+	is, ctx := is.New(t), context.Background()
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	is.NoErr(err)
+	s := New(Options{Address: listener.Addr().String()})
+	go func() { // answers one call, then closes its connection
+		conn, err := listener.Accept()
+		if err != nil {
+			return
+		}
+		_, _ = conn.Read(make([]byte, 4096))
+		_, _ = io.WriteString(conn, "HTTP/1.1 204 No Content\r\n\r\n")
+		_ = listener.Close()
+		_ = conn.Close()
+	}()
+	_, err = s.Call(ctx, order)
+	is.NoErr(err)
+	time.Sleep(20 * time.Millisecond) // until the close arrives
+	for range 2 {
+		_, err = s.Call(ctx, order)
+		is.True(notSent(t, err))
+	}
+	for _, c := range []backend.Call{{Method: "GET", Path: "/ HTTP/1.1\r\nX: y"}, {Method: "G T", Path: "/"}, {Method: "GET", Path: "x"}} {
+		_, err = s.Call(ctx, c)
+		is.True(notSent(t, err) && errors.Is(err, ErrInvalidCall))
+	}
+	s.Close()
+	_, err = s.Call(ctx, order)
+	is.True(notSent(t, err))
+}
+
+// Guards against NotSent for a large order of which a part was written.
+func TestPartlyWritten(t *testing.T) {
+	is := is.New(t)
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	is.NoErr(err)
+	defer listener.Close()
+	s := New(Options{Address: listener.Addr().String()})
+	defer s.Close()
+	ctx, cancel := context.WithTimeout(context.Background(), 100*time.Millisecond)
+	defer cancel()
+	large := order
+	large.Body = make([]byte, 32<<20) // more than the socket buffers take
+	_, err = s.Call(ctx, large)
+	is.True(!notSent(t, err) && errors.Is(err, context.DeadlineExceeded))
+}
--- /dev/null
+++ b/standin/ordersim/ordersim.go
@@ -0,0 +1,231 @@
+// Package ordersim stands in for a plain order service. It accepts any method
+// and path and counts how often each order ran, so that a test can prove that
+// no order ran twice. A second handler, meant for a separate address, injects
+// faults and lists the runs.
+package ordersim
+
+import (
+	"crypto/sha256"
+	"encoding/hex"
+	"encoding/json"
+	"net"
+	"sync"
+	"time"
+
+	"github.com/valyala/fasthttp"
+
+	"camphorwick.dev/standin/faults"
+)
+
+const (
+	// MaxRequestBytes is the largest request that the servers read.
+	MaxRequestBytes = 16 << 20
+
+	headerKey   = "Idempotency-Key"
+	headerOrder = "X-Order"
+)
+
+// supportedFaults: Refuse answers 503 without a run, LoseRequest breaks the
+// connection before the run, LoseAnswer breaks it after the run.
+var supportedFaults = []faults.Kind{faults.Refuse, faults.LoseRequest, faults.LoseAnswer}
+
+// Settings is the body of PUT /faults. The plan is replaced as a whole; the
+// other fields stay as they are if absent. In rules, the operation is the
+// HTTP method and the key is the Idempotency-Key.
+type Settings struct {
+	faults.Plan
+	// CheckKeys refuses a second run of a key.
+	CheckKeys *bool `json:"check_keys,omitempty"`
+	// Token is demanded as "Authorization: Bearer <token>"; empty: none.
+	Token *string `json:"token,omitempty"`
+}
+
+// Runs is the answer of GET /runs.
+type Runs struct {
+	// Total is the number of runs.
+	Total int `json:"total"`
+	// Keys counts the runs by Idempotency-Key. Runs without a key are in
+	// Orders only.
+	Keys map[string]int `json:"keys"`
+	// Orders counts the runs by the SHA-256 of the body in hexadecimal, which
+	// each answer shows in X-Order.
+	Orders map[string]int `json:"orders"`
+	// Refused is the number of calls with a key that had run, and
+	// Unauthorized of those with a wrong token. Neither ran.
+	Refused      int `json:"refused"`
+	Unauthorized int `json:"unauthorized"`
+}
+
+// Result is the body of the answer to an order that ran.
+type Result struct {
+	Method string `json:"method"`
+	Path   string `json:"path"`
+	// Order is the hash of the body.
+	Order string `json:"order"`
+	// Run is the number of runs so far of the key, or of the hash if the call
+	// has no key.
+	Run int `json:"run"`
+}
+
+// refusal is the body of an answer without a run.
+type refusal struct {
+	Code    string `json:"code"`
+	Message string `json:"message"`
+}
+
+// Service is the stand-in. Safe for concurrent use.
+type Service struct {
+	faults *faults.Injector
+
+	mu        sync.Mutex
+	checkKeys bool
+	token     string
+	runs      Runs
+}
+
+// New returns a service with the settings; a fault plan that is not valid
+// returns faults.ErrInvalidPlan.
+func New(settings Settings) (*Service, error) {
+	s := &Service{faults: faults.New(), runs: Runs{Keys: map[string]int{}, Orders: map[string]int{}}}
+	return s, s.apply(settings)
+}
+
+func (s *Service) apply(settings Settings) error {
+	if err := s.faults.Set(settings.Plan, supportedFaults...); err != nil {
+		return err
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if settings.CheckKeys != nil {
+		s.checkKeys = *settings.CheckKeys
+	}
+	if settings.Token != nil {
+		s.token = *settings.Token
+	}
+	return nil
+}
+
+// settings returns what is in force.
+func (s *Service) settings() Settings {
+	plan := s.faults.Plan()
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	checkKeys, token := s.checkKeys, s.token
+	return Settings{Plan: plan, CheckKeys: &checkKeys, Token: &token}
+}
+
+// Handle serves orders.
+func (s *Service) Handle(ctx *fasthttp.RequestCtx) {
+	key := string(ctx.Request.Header.Peek(headerKey))
+	decision := s.faults.Choose(string(ctx.Method()), key)
+	time.Sleep(decision.Latency)
+	switch decision.Fault {
+	case faults.Refuse:
+		refuse(ctx, fasthttp.StatusServiceUnavailable, refusal{"unavailable", "injected outage"})
+		return
+	case faults.LoseRequest:
+		dropConnection(ctx)
+		return
+	}
+	s.order(ctx, key)
+	if decision.Fault == faults.LoseAnswer {
+		dropConnection(ctx)
+	}
+}
+
+func (s *Service) order(ctx *fasthttp.RequestCtx, key string) {
+	if !s.authorized(string(ctx.Request.Header.Peek(fasthttp.HeaderAuthorization))) {
+		refuse(ctx, fasthttp.StatusUnauthorized, refusal{"unauthorized", "wrong or missing token"})
+		return
+	}
+	sum := sha256.Sum256(ctx.PostBody())
+	hash := hex.EncodeToString(sum[:])
+	run, ok := s.run(key, hash)
+	if !ok {
+		refuse(ctx, fasthttp.StatusConflict, refusal{"duplicate_key", "an order with this key has run"})
+		return
+	}
+	ctx.Response.Header.Set(headerOrder, hash)
+	writeJSON(ctx, Result{Method: string(ctx.Method()), Path: string(ctx.RequestURI()), Order: hash, Run: run})
+}
+
+func (s *Service) authorized(header string) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.token == "" || header == "Bearer "+s.token {
+		return true
+	}
+	s.runs.Unauthorized++
+	return false
+}
+
+// run counts a run, or refuses it if keys are checked and the key has run.
+func (s *Service) run(key, hash string) (run int, ok bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.checkKeys && s.runs.Keys[key] > 0 {
+		s.runs.Refused++
+		return 0, false
+	}
+	s.runs.Total++
+	s.runs.Orders[hash]++
+	if key == "" {
+		return s.runs.Orders[hash], true
+	}
+	s.runs.Keys[key]++
+	return s.runs.Keys[key], true
+}
+
+// HandleFaults serves the faults address.
+func (s *Service) HandleFaults(ctx *fasthttp.RequestCtx) {
+	switch string(ctx.Method()) + " " + string(ctx.Path()) {
+	case "GET /runs":
+		s.writeRuns(ctx)
+	case "GET /faults":
+		writeJSON(ctx, s.settings())
+	case "PUT /faults":
+		s.put(ctx)
+	case "DELETE /faults":
+		_ = s.apply(Settings{}) // the zero plan is valid
+		ctx.SetStatusCode(fasthttp.StatusNoContent)
+	default:
+		refuse(ctx, fasthttp.StatusNotFound, refusal{"invalid_request", "unknown method or path"})
+	}
+}
+
+func (s *Service) put(ctx *fasthttp.RequestCtx) {
+	var settings Settings
+	err := json.Unmarshal(ctx.PostBody(), &settings)
+	if err == nil {
+		err = s.apply(settings)
+	}
+	if err != nil {
+		refuse(ctx, fasthttp.StatusBadRequest, refusal{"invalid_request", err.Error()})
+		return
+	}
+	ctx.SetStatusCode(fasthttp.StatusNoContent)
+}
+
+func (s *Service) writeRuns(ctx *fasthttp.RequestCtx) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	writeJSON(ctx, s.runs)
+}
+
+func refuse(ctx *fasthttp.RequestCtx, status int, r refusal) {
+	ctx.SetStatusCode(status)
+	writeJSON(ctx, r)
+}
+
+func writeJSON(ctx *fasthttp.RequestCtx, body any) {
+	ctx.SetContentType("application/json")
+	if err := json.NewEncoder(ctx).Encode(body); err != nil {
+		ctx.Error(err.Error(), fasthttp.StatusInternalServerError)
+	}
+}
+
+// dropConnection closes the connection without an answer.
+func dropConnection(ctx *fasthttp.RequestCtx) {
+	ctx.HijackSetNoResponse(true)
+	ctx.Hijack(func(c net.Conn) { _ = c.Close() })
+}
