Add a simulated model engine and its process

Tests need an engine whose timing, faults and whole answers are known in advance. Package enginesim simulates continuous batching, KV-cache memory, the prefix cache, resume, export and import; standin-engine serves it over HTTP. Token text depends only on the text so far, so a continuation on another engine gives exactly the rest of an answer.

--- /dev/null
+++ b/standin/enginesim/cache.go
@@ -0,0 +1,127 @@
+package enginesim
+
+import (
+	"container/list"
+	"math/rand/v2"
+	"time"
+)
+
+// maxEvents bounds the cache events kept; older ones become gaps.
+const maxEvents = 1 << 16
+
+// block is one block of KV memory in the prefix cache. While refs is positive
+// its memory is counted with the streams that use it.
+type block struct {
+	prefix  uint64
+	tokens  int // length of the prefix that ends with this block
+	refs    int
+	element *list.Element // position in the LRU list; nil while refs > 0
+}
+
+// timedEvent is a cache event with the time at which it happened.
+type timedEvent struct {
+	CacheEvent
+	at time.Time
+}
+
+// prefixCache holds blocks by prefix hash. Blocks that no stream uses are in
+// lru, the least recently used first. Engine.mu guards it.
+type prefixCache struct {
+	blocks   map[uint64]*block
+	lru      *list.List
+	events   []timedEvent
+	sequence uint64
+	gap      float64
+	random   *rand.Rand
+}
+
+func newPrefixCache(gap float64, seed uint64) *prefixCache {
+	return &prefixCache{
+		blocks: map[uint64]*block{},
+		lru:    list.New(),
+		gap:    gap,
+		random: rand.New(rand.NewPCG(seed, 0)),
+	}
+}
+
+// cachedTokens returns the memory that only the cache holds.
+func (c *prefixCache) cachedTokens() int { return c.lru.Len() * BlockTokens }
+
+// acquire takes the longest cached run of prefixes for a stream.
+func (c *prefixCache) acquire(prefixes []uint64) []*block {
+	var taken []*block
+	for _, p := range prefixes {
+		b, ok := c.blocks[p]
+		if !ok {
+			break
+		}
+		c.ref(b)
+		taken = append(taken, b)
+	}
+	return taken
+}
+
+func (c *prefixCache) ref(b *block) {
+	b.refs++
+	if b.element != nil {
+		c.lru.Remove(b.element)
+		b.element = nil
+	}
+}
+
+// store adds the block with number index of a prompt and takes it for the
+// stream that computed it.
+func (c *prefixCache) store(prefix uint64, index int, now time.Time) *block {
+	b, ok := c.blocks[prefix]
+	if !ok {
+		b = &block{prefix: prefix, tokens: (index + 1) * BlockTokens}
+		c.blocks[prefix] = b
+		c.record(b, true, now)
+	}
+	c.ref(b)
+	return b
+}
+
+// release gives blocks back. The deepest goes first, so that it is evicted
+// before the shorter prefixes that it needs.
+func (c *prefixCache) release(blocks []*block) {
+	for i := len(blocks) - 1; i >= 0; i-- {
+		b := blocks[i]
+		if b.refs--; b.refs == 0 {
+			b.element = c.lru.PushBack(b)
+		}
+	}
+}
+
+// shrink evicts unused blocks until they take at most free tokens.
+func (c *prefixCache) shrink(free int, now time.Time) {
+	for c.cachedTokens() > free && c.lru.Len() > 0 {
+		b := c.lru.Remove(c.lru.Front()).(*block)
+		delete(c.blocks, b.prefix)
+		c.record(b, false, now)
+	}
+}
+
+// record appends an event, or loses it and leaves a gap in the sequence.
+func (c *prefixCache) record(b *block, stored bool, now time.Time) {
+	c.sequence++
+	if c.gap > 0 && c.random.Float64() < c.gap {
+		return
+	}
+	if len(c.events) >= maxEvents {
+		c.events = append([]timedEvent(nil), c.events[maxEvents/2:]...)
+	}
+	c.events = append(c.events, timedEvent{CacheEvent{c.sequence, stored, b.prefix, b.tokens}, now})
+}
+
+// after returns the events later than a sequence number that happened up to
+// the time visible.
+func (c *prefixCache) after(sequence uint64, visible time.Time) []CacheEvent {
+	events := []CacheEvent{}
+	for _, e := range c.events {
+		if e.Sequence > sequence && !e.at.After(visible) {
+			events = append(events, e.CacheEvent)
+		}
+	}
+	return events
+}
--- /dev/null
+++ b/standin/enginesim/server.go
@@ -0,0 +1,320 @@
+package enginesim
+
+import (
+	"bufio"
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"net"
+	"strconv"
+	"time"
+
+	"github.com/valyala/fasthttp"
+)
+
+// StateBytesHeader is the request header with the length of the exported
+// state that precedes the prompt in the body of a start.
+const StateBytesHeader = "Engine-State-Bytes"
+
+const (
+	maxBodyBytes = 256 << 20 // a prompt and an exported state
+	// commentInterval is the time between comments on a silent stream; they
+	// show a lost connection as a write error.
+	commentInterval = time.Second
+	// drainTime bounds the wait for open connections in Shutdown.
+	drainTime = 2 * time.Second
+)
+
+// Server offers an Engine over HTTP, and its faults and figures over a second
+// listener. docs/protocols/engine.md describes the protocol.
+type Server struct {
+	engine *Engine
+	calls  fasthttp.Server
+	admin  fasthttp.Server
+	ctx    context.Context
+	cancel context.CancelFunc
+}
+
+// NewServer returns a server for an engine.
+func NewServer(e *Engine) *Server {
+	ctx, cancel := context.WithCancel(context.Background())
+	s := &Server{engine: e, ctx: ctx, cancel: cancel}
+	s.calls = fasthttp.Server{
+		Handler: s.handle, Name: "standin-engine", MaxRequestBodySize: maxBodyBytes, NoDefaultDate: true,
+	}
+	s.admin = fasthttp.Server{Handler: s.handleAdmin, Name: "standin-engine"}
+	return s
+}
+
+// Serve answers engine calls until Shutdown. Errors are those of the listener.
+func (s *Server) Serve(l net.Listener) error {
+	if err := s.calls.Serve(l); err != nil {
+		return fmt.Errorf("serving engine calls: %w", err)
+	}
+	return nil
+}
+
+// ServeFaults answers /faults and /stats until Shutdown. Errors are those of
+// the listener.
+func (s *Server) ServeFaults(l net.Listener) error {
+	if err := s.admin.Serve(l); err != nil {
+		return fmt.Errorf("serving faults: %w", err)
+	}
+	return nil
+}
+
+// Shutdown breaks the streams and stops both listeners. It does not close the
+// engine. Errors are those of the connections that did not close in time.
+func (s *Server) Shutdown() error {
+	s.cancel()
+	ctx, cancel := context.WithTimeout(context.Background(), drainTime)
+	defer cancel()
+	if err := errors.Join(s.calls.ShutdownWithContext(ctx), s.admin.ShutdownWithContext(ctx)); err != nil {
+		return fmt.Errorf("stopping the server: %w", err)
+	}
+	return nil
+}
+
+// handle routes one engine call.
+func (s *Server) handle(ctx *fasthttp.RequestCtx) {
+	if s.engine.WaitResumed(s.ctx) != nil {
+		ctx.SetConnectionClose()
+		return
+	}
+	switch route := string(ctx.Method()) + " " + string(ctx.Path()); route {
+	case "GET /v1/info":
+		reply(ctx, s.engine.Info(), nil)
+	case "POST /v1/streams":
+		s.start(ctx)
+	case "GET /v1/streams":
+		reply(ctx, s.engine.Streams(), nil)
+	case "GET /v1/stream":
+		s.resume(ctx)
+	case "DELETE /v1/stream":
+		s.engine.Cancel(query(ctx, "id"))
+		ctx.SetStatusCode(fasthttp.StatusNoContent)
+	case "POST /v1/export":
+		s.export(ctx)
+	case "GET /v1/load":
+		reply(ctx, s.engine.Load(), nil)
+	case "GET /v1/events":
+		s.events(ctx)
+	case "POST /v1/orders":
+		s.order(ctx)
+	default:
+		reply(ctx, nil, notFoundf("no such call: %s", route))
+	}
+}
+
+func (s *Server) start(ctx *fasthttp.RequestCtx) {
+	r, err := parseStart(ctx)
+	if err != nil {
+		reply(ctx, nil, err)
+		return
+	}
+	attached, err := s.engine.Start(r)
+	if err != nil {
+		reply(ctx, nil, err)
+		return
+	}
+	s.send(ctx, attached)
+}
+
+// parseStart reads a start. Prompt and State alias the body of the request.
+func parseStart(ctx *fasthttp.RequestCtx) (Request, error) {
+	r := Request{StreamID: query(ctx, "id"), Model: query(ctx, "model")}
+	var err error
+	if r.MaxTokens, err = queryInt(ctx, "max_tokens"); err != nil {
+		return r, err
+	}
+	if r.Priority, err = queryInt(ctx, "priority"); err != nil {
+		return r, err
+	}
+	r.PrefillOnly = query(ctx, "prefill_only") == "true"
+	body := ctx.PostBody()
+	stateBytes := 0
+	if h := string(ctx.Request.Header.Peek(StateBytesHeader)); h != "" {
+		stateBytes, err = strconv.Atoi(h)
+		if err != nil || stateBytes < 0 || stateBytes > len(body) {
+			return r, refusedf("header %s is %q, the body has %d bytes", StateBytesHeader, h, len(body))
+		}
+	}
+	r.State, r.Prompt = body[:stateBytes], body[stateBytes:]
+	return r, nil
+}
+
+func (s *Server) resume(ctx *fasthttp.RequestCtx) {
+	offset, err := queryInt(ctx, "offset")
+	if err != nil {
+		reply(ctx, nil, err)
+		return
+	}
+	attached, err := s.engine.Attach(query(ctx, "id"), offset)
+	if err != nil {
+		reply(ctx, nil, err)
+		return
+	}
+	s.send(ctx, attached)
+}
+
+// send writes a stream as server-sent events.
+func (s *Server) send(ctx *fasthttp.RequestCtx, attached *Stream) {
+	conn := ctx.Conn()
+	ctx.SetContentType("text/event-stream")
+	ctx.Response.ImmediateHeaderFlush = true
+	ctx.SetBodyStreamWriter(func(w *bufio.Writer) {
+		if err := s.writeEvents(w, attached); err != nil {
+			attached.Detach()
+			_ = conn.Close() // the caller must not see a whole body
+		}
+	})
+}
+
+// writeEvents returns an error if the stream did not reach its caller whole.
+func (s *Server) writeEvents(w *bufio.Writer, attached *Stream) error {
+	for {
+		chunk, err := s.next(attached, w)
+		if err != nil {
+			return err
+		}
+		if err := s.engine.WaitResumed(s.ctx); err != nil {
+			return err
+		}
+		if err := writeEvent(w, attached.Offset(), chunk); err != nil {
+			return err
+		}
+		if chunk.Final {
+			attached.Delivered()
+			return nil
+		}
+	}
+}
+
+// next waits for a chunk and writes comments meanwhile.
+func (s *Server) next(attached *Stream, w *bufio.Writer) (Chunk, error) {
+	for {
+		ctx, cancel := context.WithTimeout(s.ctx, commentInterval)
+		chunk, err := attached.Next(ctx)
+		cancel()
+		if s.ctx.Err() != nil || !errors.Is(err, context.DeadlineExceeded) {
+			return chunk, err
+		}
+		if err := s.engine.WaitResumed(s.ctx); err != nil {
+			return Chunk{}, err
+		}
+		_, _ = w.WriteString(": waiting\n\n") // Flush returns the error
+		if err := w.Flush(); err != nil {
+			return Chunk{}, fmt.Errorf("writing a comment: %w", err)
+		}
+	}
+}
+
+// writeEvent writes a chunk; the event id is the number of tokens sent.
+func writeEvent(w *bufio.Writer, offset int, chunk Chunk) error {
+	data, err := json.Marshal(chunk)
+	if err != nil {
+		return fmt.Errorf("encoding a chunk: %w", err)
+	}
+	fmt.Fprintf(w, "id: %d\ndata: %s\n\n", offset, data)
+	if err := w.Flush(); err != nil {
+		return fmt.Errorf("writing a chunk: %w", err)
+	}
+	return nil
+}
+
+func (s *Server) export(ctx *fasthttp.RequestCtx) {
+	state, err := s.engine.Export(query(ctx, "id"))
+	if err != nil {
+		reply(ctx, nil, err)
+		return
+	}
+	ctx.SetContentType("application/octet-stream")
+	ctx.Response.SetBodyRaw(state)
+}
+
+func (s *Server) events(ctx *fasthttp.RequestCtx) {
+	after, err := strconv.ParseUint(query(ctx, "after"), 10, 64)
+	if err != nil {
+		reply(ctx, nil, refusedf("parameter after: %v", err))
+		return
+	}
+	reply(ctx, s.engine.Events(after), nil)
+}
+
+func (s *Server) order(ctx *fasthttp.RequestCtx) {
+	var o Order
+	if err := json.Unmarshal(ctx.PostBody(), &o); err != nil {
+		reply(ctx, nil, refusedf("order: %v", err))
+		return
+	}
+	reply(ctx, struct{}{}, s.engine.Order(o))
+}
+
+// handleAdmin routes one call of the tests.
+func (s *Server) handleAdmin(ctx *fasthttp.RequestCtx) {
+	switch route := string(ctx.Method()) + " " + string(ctx.Path()); route {
+	case "GET /stats":
+		reply(ctx, s.engine.Stats(), nil)
+	case "GET /faults":
+		faults, err := s.engine.Inject(FaultChange{})
+		reply(ctx, faults, err)
+	case "POST /faults":
+		var change FaultChange
+		if err := json.Unmarshal(ctx.PostBody(), &change); err != nil {
+			reply(ctx, nil, refusedf("faults: %v", err))
+			return
+		}
+		faults, err := s.engine.Inject(change)
+		reply(ctx, faults, err)
+	default:
+		reply(ctx, nil, notFoundf("no such call: %s", route))
+	}
+}
+
+// reply writes value, or err as {"error":{"kind","message"}}.
+func reply(ctx *fasthttp.RequestCtx, value any, err error) {
+	if err != nil {
+		var failure *Error
+		if !errors.As(err, &failure) {
+			failure = refusedf("%v", err)
+		}
+		ctx.SetStatusCode(status(failure.Kind))
+		value = map[string]*Error{"error": failure}
+	}
+	body, err := json.Marshal(value)
+	if err != nil {
+		ctx.Error(err.Error(), fasthttp.StatusInternalServerError)
+		return
+	}
+	ctx.SetContentType("application/json")
+	ctx.SetBody(body)
+}
+
+func status(k Kind) int {
+	switch k {
+	case KindFenced:
+		return fasthttp.StatusConflict
+	case KindNotFound:
+		return fasthttp.StatusNotFound
+	default:
+		return fasthttp.StatusServiceUnavailable
+	}
+}
+
+func query(ctx *fasthttp.RequestCtx, name string) string {
+	return string(ctx.QueryArgs().Peek(name))
+}
+
+// queryInt returns 0 for a missing parameter.
+func queryInt(ctx *fasthttp.RequestCtx, name string) (int, error) {
+	text := query(ctx, name)
+	if text == "" {
+		return 0, nil
+	}
+	n, err := strconv.Atoi(text)
+	if err != nil {
+		return 0, refusedf("parameter %s: %v", name, err)
+	}
+	return n, nil
+}
