--- a/fleetconf/editor_test.go
+++ b/fleetconf/editor_test.go
@@ -2,13 +2,20 @@
 
 import (
 	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"strings"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"camphorwick.dev/api/outcome"
 	"camphorwick.dev/api/wire"
+	"camphorwick.dev/platform"
 	"camphorwick.dev/platform/memkv"
 	"github.com/matryer/is"
+	"google.golang.org/protobuf/proto"
 )
 
 func change(key, value string, expected uint64) *wire.ItemChange {
@@ -45,3 +52,267 @@
 	_, err = editor.Commit(ctx, edit("b", change("plan/gold", `{"models":["n"]}`, 0)))
 	is.Equal(outcome.CodeOf(err), outcome.EditConflict)
 }
+
+func gold() *wire.ItemChange { return change("plan/gold", `{"models":["m"]}`, 0) }
+
+func account(name string, expected uint64, keys ...string) *wire.ItemChange {
+	hashes := make([]string, len(keys))
+	for i, k := range keys {
+		hashes[i] = hash(k)
+	}
+	value, _ := json.Marshal(Client{Plan: "gold", KeyHashes: hashes})
+	return change("client/"+name, string(value), expected)
+}
+
+// Guards against edits that leave accounts without a plan, delete a plan in
+// use or give one key to two accounts.
+func TestReferencesAreChecked(t *testing.T) {
+	for name, c := range map[string]struct {
+		changes []*wire.ItemChange
+		item    string // "" if the edit is valid
+	}{
+		"unknown plan":          {[]*wire.ItemChange{change("client/b", `{"plan":"none"}`, 0)}, "client/b"},
+		"plan in use":           {[]*wire.ItemChange{change("plan/gold", "", 1)}, "plan/gold"},
+		"plan and its account":  {[]*wire.ItemChange{change("plan/gold", "", 1), change("client/a", "", 1)}, ""},
+		"key of another":        {[]*wire.ItemChange{account("b", 0, "k")}, "client/b"},
+		"key twice in one edit": {[]*wire.ItemChange{account("b", 0, "n"), account("c", 0, "n")}, "client/b"},
+		"key moves":             {[]*wire.ItemChange{account("b", 0, "k"), account("a", 1)}, ""},
+		"key moves, reversed":   {[]*wire.ItemChange{account("a", 1), account("b", 0, "k")}, ""},
+		"item twice":            {[]*wire.ItemChange{account("b", 0), account("b", 0, "n")}, "client/b"},
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			replica := NewReplica()
+			editor := NewEditor(memkv.New(), replica)
+			_, err := editor.Commit(t.Context(), edit("a", gold(), account("a", 0, "k")))
+			is.NoErr(err)
+			_, err = editor.Commit(t.Context(), edit("b", c.changes...))
+			if c.item == "" {
+				is.NoErr(err)
+				if owner, _, ok := replica.Config().ClientByKey("k"); ok {
+					is.Equal(owner, "b") // the key has moved
+				}
+				return
+			}
+			var invalid *ValidationError
+			is.True(errors.As(err, &invalid))
+			is.Equal(invalid.Item, c.item)
+			is.Equal(outcome.CodeOf(err), outcome.InvalidRequest)
+			is.Equal(replica.Revision(), uint64(1))
+		})
+	}
+}
+
+// Guards against conflicts that do not name the other edit, and against a
+// refusal of two edits that set the same value.
+func TestConflictNamesTheOtherEdit(t *testing.T) {
+	is := is.New(t)
+	store := memkv.New()
+	editor := NewEditor(store, NewReplica())
+	_, err := editor.Commit(t.Context(), edit("a", gold()))
+	is.NoErr(err)
+	_, err = editor.Commit(t.Context(), edit("b", change("plan/gold", `{"models":["n"]}`, 1)))
+	is.NoErr(err)
+	_, err = editor.Commit(t.Context(), edit("c", change("plan/gold", `{"models":["o"]}`, 1)))
+	var conflict *ConflictError
+	is.True(errors.As(err, &conflict))
+	is.Equal(*conflict, ConflictError{Item: "plan/gold", Expected: 1, Actual: 2, Operator: "op-b", EditID: "b"})
+	is.Equal(outcome.CodeOf(err), outcome.EditConflict)
+	revision, err := editor.Commit(t.Context(), edit("d", change("plan/gold", ` {"models": ["n"]}`, 1)))
+	is.NoErr(err) // the same value
+	is.Equal(revision, uint64(2))
+	_, err = editor.Commit(t.Context(), edit("b", change("plan/gold", `{"models":["x"]}`, 2)))
+	var reused *ReusedEditError
+	is.True(errors.As(err, &reused))
+}
+
+// Guards against untrue answers when the store is down or answers are lost.
+func TestLostAnswersAndOutages(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		store := memkv.New()
+		editor := NewEditor(store, NewReplica())
+		store.SetDown(true)
+		_, err := editor.Commit(t.Context(), edit("a", gold()))
+		is.Equal(outcome.CodeOf(err), outcome.StoreUnavailable)
+		store.SetDown(false)
+
+		faults := []memkv.Fault{memkv.LoseAnswer, memkv.LoseRequest}
+		store.SetFault(func(string) memkv.Fault {
+			if len(faults) == 0 {
+				return memkv.None
+			}
+			next := faults[0]
+			faults = faults[1:]
+			return next
+		})
+		revision, err := editor.Commit(t.Context(), edit("a", gold()))
+		is.NoErr(err)
+		is.Equal(revision, uint64(1))
+
+		kv := &downAfterWrite{Store: store}
+		editor = NewEditor(kv, NewReplica())
+		store.SetFault(func(string) memkv.Fault { return memkv.LoseAnswer })
+		second := edit("b", change("mark/vm", `{"state":"leaving"}`, 0))
+		_, err = editor.Commit(t.Context(), second)
+		var doubt *InDoubtError
+		is.True(errors.As(err, &doubt)) // the write may have taken effect
+		is.Equal(outcome.CodeOf(err), outcome.OrderInDoubt)
+		is.Equal(doubt.EditID, "b")
+
+		store.SetDown(false)
+		store.SetFault(nil)
+		second.Revision = doubt.Since
+		revision, err = editor.Commit(t.Context(), second)
+		is.NoErr(err)
+		is.Equal(revision, uint64(2))
+	})
+}
+
+// downAfterWrite is a store that becomes unavailable after each write.
+type downAfterWrite struct{ *memkv.Store }
+
+func (s *downAfterWrite) Put(ctx context.Context, key string, value []byte, expected uint64, lease platform.LeaseID) (uint64, error) {
+	defer s.SetDown(true)
+	return s.Store.Put(ctx, key, value, expected, lease)
+}
+
+// Guards against an edit that takes effect twice when it is submitted again
+// after its id has left the head.
+func TestExpiredEditIsNotRepeated(t *testing.T) {
+	is := is.New(t)
+	editor := NewEditor(memkv.New(), NewReplica())
+	first := edit("first", change("mark/vm", `{"state":"leaving"}`, 0))
+	_, err := editor.Commit(t.Context(), edit("zero", gold()))
+	is.NoErr(err)
+	revision, err := editor.Commit(t.Context(), first)
+	is.NoErr(err)
+	_, err = editor.Commit(t.Context(), edit("undo", change("mark/vm", "", revision)))
+	is.NoErr(err)
+	flip(is, t.Context(), editor, MaxHeadEdits+1)
+	first.Revision = revision - 1
+	_, err = editor.Commit(t.Context(), first)
+	var expired *ExpiredEditError
+	is.True(errors.As(err, &expired))
+	is.Equal(outcome.CodeOf(err), outcome.OrderInDoubt)
+	_, marked := editor.replica.Config().Mark("vm")
+	is.True(!marked)
+}
+
+// flip commits n edits of one mark.
+func flip(is *is.I, ctx context.Context, editor *Editor, n int) {
+	for i := range n {
+		var expected uint64
+		if item, ok := editor.replica.Config().Item("mark/flip"); ok {
+			expected = item.Revision
+		}
+		state := []MarkState{Leaving, Stopping}[i%2]
+		_, err := editor.Commit(ctx, edit(fmt.Sprintf("flip-%d-%d", expected, i),
+			change("mark/flip", fmt.Sprintf(`{"state":%q}`, state), expected)))
+		is.NoErr(err)
+	}
+}
+
+// Guards against a head that outgrows the store's value limit, snapshots that
+// are not deleted, and newly started processes that cannot load a snapshot.
+func TestSnapshots(t *testing.T) {
+	is := is.New(t)
+	store := memkv.New()
+	editor := NewEditor(store, NewReplica())
+	for i := range 8 {
+		services := fmt.Sprintf(`{"models":["m%s"]}`, strings.Repeat("x", 100))
+		_, err := editor.Commit(t.Context(), edit(fmt.Sprintf("p%d", i), change(fmt.Sprintf("plan/p%d", i), services, 0)))
+		is.NoErr(err)
+	}
+	flip(is, t.Context(), editor, 4*MaxHeadEdits)
+	head, _, err := storage{store}.readHead(t.Context())
+	is.NoErr(err)
+	is.True(len(head.Edits) <= MaxHeadEdits)
+	is.True(head.BaseRevision > 3*MaxHeadEdits)
+	keys, err := store.List(t.Context(), SnapshotPrefix)
+	is.NoErr(err)
+	is.True(len(keys) <= 2) // the base and the one before
+
+	fresh := NewReplica()
+	w := NewWatcher(store, fresh, nil)
+	is.NoErr(w.load(t.Context(), head))
+	is.True(proto.Equal(fresh.Config().Snapshot(), editor.replica.Config().Snapshot()))
+}
+
+// Guards against large edits that make the head exceed the value limit, and
+// against a configuration that no longer fits in a control message.
+func TestSizeLimits(t *testing.T) {
+	is := is.New(t)
+	store := memkv.New()
+	editor := NewEditor(store, NewReplica())
+	var last error
+	for i := 0; last == nil && i < 1000; i++ {
+		models := make([]string, 500)
+		for j := range models {
+			models[j] = fmt.Sprintf("%d-%s", j, strings.Repeat("m", 100))
+		}
+		value, _ := json.Marshal(Plan{Models: models})
+		var changes []*wire.ItemChange
+		for j := range 4 {
+			changes = append(changes, change(fmt.Sprintf("plan/p%d-%d", i, j), string(value), 0))
+		}
+		_, last = editor.Commit(t.Context(), edit(fmt.Sprintf("e%d", i), changes...))
+	}
+	is.Equal(outcome.CodeOf(last), outcome.InvalidRequest)
+	config := editor.replica.Config()
+	is.True(proto.Size(config.Snapshot()) <= MaxSnapshotBytes)
+	is.True(proto.Size(config.Snapshot()) <= config.SnapshotBytes())
+	update := editor.replica.UpdateSince(0, 2<<20)
+	is.True(update != nil && proto.Size(update) <= 2<<20)
+	fresh := NewReplica()
+	head, _, err := storage{store}.readHead(t.Context())
+	is.NoErr(err)
+	is.NoErr(NewWatcher(store, fresh, nil).load(t.Context(), head))
+	is.Equal(fresh.Revision(), config.Revision())
+}
+
+// Guards against reused revision numbers after the store went back.
+func TestStaleStoreRefusesEdits(t *testing.T) {
+	is := is.New(t)
+	store := memkv.New()
+	replica := NewReplica()
+	editor := NewEditor(store, replica)
+	_, err := editor.Commit(t.Context(), edit("a", gold()))
+	is.NoErr(err)
+	store.Restore(nil)
+	other := NewReplica()
+	other.Observe(1)
+	for _, e := range []*Editor{editor, NewEditor(store, other)} {
+		_, err = e.Commit(t.Context(), edit("b", change("mark/vm", `{"state":"leaving"}`, 0)))
+		var stale *StaleStoreError
+		is.True(errors.As(err, &stale))
+		is.Equal(outcome.CodeOf(err), outcome.StoreUnavailable)
+	}
+}
+
+// Guards against the loss of edits that a lagging process committed on an
+// older copy of the store before anybody could tell it.
+func TestRestoreKeepsForeignEdits(t *testing.T) {
+	is := is.New(t)
+	store := memkv.New()
+	ahead, behind := NewReplica(), NewReplica()
+	commit := func(r *Replica, e *wire.Edit) {
+		_, err := NewEditor(store, r).Commit(t.Context(), e)
+		is.NoErr(err)
+	}
+	commit(ahead, edit("a", gold()))
+	copied := map[string][]byte{}
+	entry, _ := store.Get(t.Context(), HeadKey)
+	copied[HeadKey] = entry.Value
+	commit(ahead, edit("b", change("mark/b", `{"state":"leaving"}`, 0)))
+	commit(ahead, edit("c", change("mark/c", `{"state":"leaving"}`, 0)))
+	store.Restore(copied)
+	commit(behind, edit("d", change("mark/d", `{"state":"leaving"}`, 0)))
+	is.Equal(behind.Revision(), uint64(2)) // reuses the number of edit b
+	is.NoErr(NewWatcher(store, ahead, nil).repair(t.Context()))
+	is.Equal(ahead.Revision(), uint64(4))
+	for _, vm := range []string{"b", "c", "d"} {
+		_, ok := ahead.Config().Mark(vm)
+		is.True(ok)
+	}
+}
--- /dev/null
+++ b/fleetconf/property_test.go
@@ -0,0 +1,479 @@
+package fleetconf
+
+import (
+	"context"
+	"crypto/sha256"
+	"encoding/hex"
+	"errors"
+	"fmt"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"camphorwick.dev/api/outcome"
+	"camphorwick.dev/api/wire"
+	"camphorwick.dev/platform"
+	"camphorwick.dev/platform/memkv"
+	"github.com/anishathalye/porcupine"
+	"google.golang.org/protobuf/proto"
+	"pgregory.net/rapid"
+)
+
+// journal records every edit that any process ever read from the store. A
+// revision that is seen with two ids is a violation.
+type journal struct {
+	*memkv.Store
+	mu    sync.Mutex
+	edits map[uint64]*wire.Edit
+	ids   map[string]uint64
+	fault []string
+}
+
+func (j *journal) record(key string, e platform.Entry) {
+	head := &wire.ConfigHead{}
+	if key != HeadKey || proto.Unmarshal(e.Value, head) != nil {
+		return
+	}
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	for _, e := range head.Edits {
+		if old, ok := j.edits[e.Revision]; ok && !proto.Equal(old, e) {
+			j.fault = append(j.fault, fmt.Sprintf("revision %d is edit %s and edit %s", e.Revision, old.Id, e.Id))
+		}
+		if old, ok := j.ids[e.Id]; ok && old != e.Revision {
+			j.fault = append(j.fault, fmt.Sprintf("edit %s has revisions %d and %d", e.Id, old, e.Revision))
+		}
+		j.edits[e.Revision], j.ids[e.Id] = e, e.Revision
+	}
+}
+
+func (j *journal) Get(ctx context.Context, key string) (platform.Entry, error) {
+	e, err := j.Store.Get(ctx, key)
+	j.record(key, e)
+	return e, err
+}
+
+func (j *journal) Watch(ctx context.Context, key string, after uint64) (platform.Entry, error) {
+	e, err := j.Store.Watch(ctx, key, after)
+	j.record(key, e)
+	return e, err
+}
+
+func (j *journal) dump(ctx context.Context) map[string][]byte {
+	values := map[string][]byte{}
+	keys, _ := j.List(ctx, "config/")
+	for _, key := range keys {
+		e, _ := j.Get(ctx, key)
+		values[key] = e.Value
+	}
+	return values
+}
+
+type process struct {
+	replica *Replica
+	editor  *Editor
+	stop    context.CancelFunc
+}
+
+// action is one step of a random schedule.
+type action struct {
+	Kind    string
+	Process int
+	Item    int
+	Stale   bool
+	Delete  bool
+	Delay   time.Duration
+}
+
+func drawActions(t *rapid.T) []action {
+	return rapid.SliceOfN(rapid.Custom(func(t *rapid.T) action {
+		return action{
+			Kind: rapid.SampledFrom([]string{"edit", "edit", "edit", "edit", "edit", "edit", "sleep", "sleep",
+				"lose-answer", "lose-request", "hold", "release", "down", "up", "backup", "restore", "restart"}).Draw(t, "kind"),
+			Process: rapid.IntRange(0, processes-1).Draw(t, "process"),
+			Item:    rapid.IntRange(0, 2).Draw(t, "item"),
+			Stale:   rapid.IntRange(0, 5).Draw(t, "stale") == 0,
+			Delete:  rapid.IntRange(0, 5).Draw(t, "delete") == 0,
+			Delay:   time.Duration(rapid.IntRange(0, 800).Draw(t, "delay")) * time.Millisecond,
+		}
+	}), 20, 90).Draw(t, "actions")
+}
+
+const processes = 4
+
+// fleet runs a schedule on virtual time.
+type fleet struct {
+	ctx       context.Context
+	store     *journal
+	mu        sync.Mutex // protects the fields below
+	processes []*process
+	backup    map[string][]byte
+	faults    []memkv.Fault
+	results   []*result
+	clock     int64
+	pending   sync.WaitGroup
+}
+
+type result struct {
+	edit           *wire.Edit
+	revision       uint64
+	err            error
+	called, ending int64
+}
+
+func (f *fleet) tick() int64 {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.clock++
+	return f.clock
+}
+
+func newFleet(ctx context.Context) *fleet {
+	f := &fleet{ctx: ctx, store: &journal{Store: memkv.New(), edits: map[uint64]*wire.Edit{}, ids: map[string]uint64{}}}
+	f.processes = make([]*process, processes)
+	for i := range f.processes {
+		f.start(i)
+	}
+	f.store.SetFault(func(key string) memkv.Fault {
+		f.mu.Lock()
+		defer f.mu.Unlock()
+		if len(f.faults) == 0 {
+			return memkv.None
+		}
+		next := f.faults[0]
+		f.faults = f.faults[1:]
+		return next
+	})
+	go f.gossip()
+	return f
+}
+
+func (f *fleet) start(i int) {
+	ctx, stop := context.WithCancel(f.ctx)
+	r := NewReplica()
+	p := &process{replica: r, editor: NewEditor(f.store, r), stop: stop}
+	f.mu.Lock()
+	f.processes[i] = p
+	f.mu.Unlock()
+	f.observe()
+	go func() { _ = NewWatcher(f.store, r, nil).Run(ctx) }()
+}
+
+func (f *fleet) live() []*process {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	var live []*process
+	for _, p := range f.processes {
+		if p != nil {
+			live = append(live, p)
+		}
+	}
+	return live
+}
+
+// highest returns the highest revision of a replica and how many hold it.
+func (f *fleet) highest() (revision uint64, holders int) {
+	for _, p := range f.live() {
+		switch r := p.replica.Revision(); {
+		case r > revision:
+			revision, holders = r, 1
+		case r == revision:
+			holders++
+		}
+	}
+	return revision, holders
+}
+
+func (f *fleet) observe() {
+	revision, _ := f.highest()
+	for _, p := range f.live() {
+		p.replica.Observe(revision)
+	}
+}
+
+func (f *fleet) gossip() {
+	for sleep(f.ctx, 500*time.Millisecond) == nil {
+		f.observe()
+		for _, p := range f.live() {
+			for _, q := range f.live() {
+				_, _ = p.replica.Apply(q.replica.UpdateSince(p.replica.Revision(), 1<<20))
+			}
+		}
+	}
+}
+
+func (f *fleet) addFault(fault memkv.Fault) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.faults = append(f.faults, fault)
+}
+
+func (f *fleet) do(n int, a action) {
+	switch a.Kind {
+	case "edit":
+		f.edit(n, a)
+	case "lose-answer":
+		f.addFault(memkv.LoseAnswer)
+	case "lose-request":
+		f.addFault(memkv.LoseRequest)
+	case "hold":
+		f.addFault(memkv.Hold)
+	case "release":
+		f.store.ReleaseHeld()
+	case "down":
+		f.store.SetDown(true)
+	case "up":
+		f.store.SetDown(false)
+	case "backup":
+		f.backup = f.store.dump(f.ctx)
+	case "restore":
+		f.restore()
+	case "restart":
+		f.restart(a.Process)
+	}
+	if a.Kind == "sleep" || a.Item == 0 {
+		time.Sleep(a.Delay)
+	}
+}
+
+func (f *fleet) headRevision() (uint64, bool) {
+	head, _, err := storage{f.store}.readHead(f.ctx)
+	return head.GetRevision(), err == nil
+}
+
+// restore puts back an older copy, provided that a live process has the newest
+// configuration and that its heartbeats have reached the others. Without such
+// a process nobody could know of the newer edits.
+func (f *fleet) restore() {
+	head, ok := f.headRevision()
+	if highest, _ := f.highest(); ok && f.backup != nil && highest == head {
+		f.observe()
+		f.store.Restore(f.backup)
+	}
+}
+
+// restart replaces a process by one with an empty replica, unless it is the
+// only one that knows the newest configuration.
+func (f *fleet) restart(i int) {
+	highest, holders := f.highest()
+	head, ok := f.headRevision()
+	p := f.processes[i]
+	if p.replica.Revision() == highest && holders == 1 && (!ok || head < highest) {
+		return
+	}
+	p.stop()
+	f.start(i)
+}
+
+func (f *fleet) edit(n int, a action) {
+	p := f.processes[a.Process]
+	key := fmt.Sprintf("client/c%d", a.Item)
+	expected := uint64(0)
+	if item, ok := p.replica.Config().Item(key); ok && !a.Stale {
+		expected = item.Revision
+	}
+	id := fmt.Sprintf("e%d", n)
+	value := fmt.Sprintf(`{"plan":"gold","key_hashes":[%q]}`, hash(id))
+	if a.Delete {
+		value = ""
+	}
+	r := &result{edit: edit(id, change(key, value, expected)), called: f.tick()}
+	f.results = append(f.results, r)
+	f.pending.Go(func() { f.commit(p, r) })
+}
+
+func (f *fleet) commit(p *process, r *result) {
+	ctx, cancel := context.WithTimeout(f.ctx, 3*time.Second)
+	defer cancel()
+	r.revision, r.err = p.editor.Commit(ctx, r.edit)
+	r.ending = f.tick()
+}
+
+func hash(key string) string {
+	sum := sha256.Sum256([]byte(key))
+	return hex.EncodeToString(sum[:])
+}
+
+// heal ends all faults and submits edits in doubt again.
+func (f *fleet) heal() {
+	f.pending.Wait()
+	f.mu.Lock()
+	f.faults = nil
+	f.mu.Unlock()
+	f.store.SetDown(false)
+	f.store.ReleaseHeld()
+	time.Sleep(time.Minute)
+	for _, r := range f.results {
+		var doubt *InDoubtError
+		if errors.As(r.err, &doubt) {
+			r.edit.Revision = doubt.Since
+			f.commit(f.processes[0], r)
+		}
+	}
+	time.Sleep(10 * time.Second)
+	f.headRevision()
+}
+
+func (f *fleet) check() error {
+	if len(f.store.fault) > 0 {
+		return fmt.Errorf("history: %v", f.store.fault)
+	}
+	if err := f.checkResults(); err != nil {
+		return err
+	}
+	if err := f.checkReplicas(); err != nil {
+		return err
+	}
+	return f.checkHistory()
+}
+
+func (f *fleet) checkResults() error {
+	for _, r := range f.results {
+		seen, ok := f.store.ids[r.edit.Id]
+		deleted := len(r.edit.Changes[0].Value) == 0
+		switch {
+		case r.err == nil && !ok && !deleted:
+			return fmt.Errorf("accepted edit %s of revision %d is lost", r.edit.Id, r.revision)
+		case r.err == nil && ok && seen != r.revision:
+			return fmt.Errorf("edit %s accepted as %d has revision %d", r.edit.Id, r.revision, seen)
+		case r.err != nil && outcome.CodeOf(r.err) != outcome.OrderInDoubt && ok:
+			return fmt.Errorf("refused edit %s appears as revision %d: %w", r.edit.Id, seen, r.err)
+		}
+	}
+	return nil
+}
+
+// checkReplicas replays the journal and compares every replica with it.
+func (f *fleet) checkReplicas() error {
+	head, _ := f.headRevision()
+	config := &Config{}
+	for revision := uint64(1); revision <= head; revision++ {
+		next, err := config.apply(f.store.edits[revision])
+		if err != nil {
+			return fmt.Errorf("replay of revision %d: %w", revision, err)
+		}
+		config = next
+	}
+	for i, p := range f.live() {
+		if got := p.replica.Config(); !proto.Equal(got.Snapshot(), config.Snapshot()) {
+			return fmt.Errorf("replica %d at revision %d differs from the history at %d", i, got.Revision(), head)
+		}
+	}
+	return nil
+}
+
+// itemState is the state of one item in the linearizability model.
+type itemState struct {
+	revision uint64
+	present  bool
+}
+
+type itemCall struct {
+	item     string
+	expected uint64
+	deletes  bool
+}
+
+type itemAnswer struct {
+	accepted bool
+	written  bool
+	revision uint64 // revision of the edit, or actual revision of a conflict
+}
+
+var itemModel = porcupine.Model{
+	Partition: func(history []porcupine.Operation) [][]porcupine.Operation {
+		byItem := map[string][]porcupine.Operation{}
+		for _, op := range history {
+			item := op.Input.(itemCall).item
+			byItem[item] = append(byItem[item], op)
+		}
+		var parts [][]porcupine.Operation
+		for _, part := range byItem {
+			parts = append(parts, part)
+		}
+		return parts
+	},
+	Init: func() any { return itemState{} },
+	Step: func(state, input, output any) (bool, any) {
+		s, in, out := state.(itemState), input.(itemCall), output.(itemAnswer)
+		if !out.accepted {
+			return s.revision == out.revision && s.revision != in.expected, s
+		}
+		if !out.written {
+			return in.deletes && !s.present, s
+		}
+		if s.revision != in.expected {
+			return false, s
+		}
+		if in.deletes {
+			return true, itemState{}
+		}
+		return true, itemState{out.revision, true}
+	},
+}
+
+// checkHistory checks that all answers fit one order of the edits.
+func (f *fleet) checkHistory() error {
+	var history []porcupine.Operation
+	for i, r := range f.results {
+		c := r.edit.Changes[0]
+		op := porcupine.Operation{ClientId: i, Call: r.called, Return: r.ending,
+			Input: itemCall{c.Key, c.ExpectedRevision, len(c.Value) == 0}}
+		_, written := f.store.ids[r.edit.Id]
+		var conflict *ConflictError
+		switch {
+		case r.err == nil:
+			op.Output = itemAnswer{true, written, r.revision}
+		case errors.As(r.err, &conflict):
+			op.Output = itemAnswer{false, false, conflict.Actual}
+		case written:
+			op.Output, op.Return = itemAnswer{true, true, f.store.ids[r.edit.Id]}, f.clock+1
+		default:
+			continue
+		}
+		history = append(history, op)
+	}
+	if !porcupine.CheckOperations(itemModel, history) {
+		return errors.New("the answers of the edits are not linearizable")
+	}
+	return nil
+}
+
+// Guards against accepted edits that are lost or reverted, refused edits that
+// appear, and replicas that differ, under lost answers, late writes, outages,
+// restarts of processes and restores of the store from older copies.
+func TestEditsUnderFaults(t *testing.T) {
+	accepted, doubted, refused := 0, 0, 0
+	rapid.Check(t, func(rt *rapid.T) {
+		actions := drawActions(rt)
+		var err error
+		synctest.Test(t, func(t *testing.T) {
+			ctx, cancel := context.WithCancel(t.Context())
+			defer cancel()
+			f := newFleet(ctx)
+			if _, err = f.processes[0].editor.Commit(ctx, edit("plan", change("plan/gold", `{}`, 0))); err != nil {
+				return
+			}
+			for n, a := range actions {
+				f.do(n, a)
+			}
+			f.heal()
+			err = f.check()
+			for _, r := range f.results {
+				switch outcome.CodeOf(r.err) {
+				case "":
+					accepted++
+				case outcome.OrderInDoubt:
+					doubted++
+				default:
+					refused++
+				}
+			}
+		})
+		if err != nil {
+			rt.Fatal(err)
+		}
+	})
+	t.Logf("edits: %d accepted, %d refused, %d in doubt at the end", accepted, refused, doubted)
+}
--- /dev/null
+++ b/fleetconf/replica_test.go
@@ -0,0 +1,157 @@
+package fleetconf
+
+import (
+	"errors"
+	"fmt"
+	"testing"
+	"time"
+
+	"camphorwick.dev/api/wire"
+	"github.com/matryer/is"
+	"google.golang.org/protobuf/proto"
+	"pgregory.net/rapid"
+)
+
+func marked(revision uint64) *wire.Edit {
+	e := edit(fmt.Sprint(revision), change(fmt.Sprintf("mark/vm%d", revision%7), `{"state":"leaving"}`, 0))
+	e.Revision = revision
+	return e
+}
+
+func replicaAt(revision uint64) *Replica {
+	r := NewReplica()
+	for i := uint64(1); i <= revision; i++ {
+		_, _ = r.Apply(&wire.ConfigUpdate{Edits: []*wire.Edit{marked(i)}})
+	}
+	return r
+}
+
+// Guards against replicas that go back, skip edits or change on a refusal.
+func TestReplicaOnlyAdvances(t *testing.T) {
+	is := is.New(t)
+	r := replicaAt(5)
+	changed := r.Changed()
+	for _, u := range []*wire.ConfigUpdate{nil, {}, {Edits: []*wire.Edit{marked(5)}},
+		{Snapshot: &wire.ConfigSnapshot{Revision: 4}}, {Snapshot: &wire.ConfigSnapshot{Revision: 5}}} {
+		got, err := r.Apply(u)
+		is.NoErr(err)
+		is.True(!got)
+	}
+	before := r.Config()
+	_, err := r.Apply(&wire.ConfigUpdate{Edits: []*wire.Edit{marked(6), marked(8)}})
+	var gap *GapError
+	is.True(errors.As(err, &gap))
+	is.Equal(*gap, GapError{Have: 6, Got: 8})
+	is.True(r.Config() == before)
+	select {
+	case <-changed:
+		t.Fatal("a change was announced without one")
+	default:
+	}
+	got, err := r.Apply(&wire.ConfigUpdate{Edits: []*wire.Edit{marked(5), marked(6), marked(7)}})
+	is.NoErr(err)
+	is.True(got)
+	is.Equal(r.Revision(), uint64(7))
+	<-changed
+	is.Equal(before.Revision(), uint64(5)) // a held Config does not change
+}
+
+// Guards against updates that exceed the size of a control message or leave a
+// replica behind.
+func TestUpdateSinceCatchesUp(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		source := replicaAt(uint64(rapid.IntRange(0, 400).Draw(t, "source")))
+		target := replicaAt(uint64(rapid.IntRange(0, 400).Draw(t, "target")))
+		maxBytes := rapid.IntRange(1000, 4000).Draw(t, "maxBytes")
+		for {
+			u := source.UpdateSince(target.Revision(), maxBytes)
+			if u == nil {
+				break
+			}
+			if proto.Size(u) > maxBytes {
+				t.Fatalf("update of %d bytes, at most %d are allowed", proto.Size(u), maxBytes)
+			}
+			if changed, err := target.Apply(u); err != nil || !changed {
+				t.Fatalf("changed %v, error %v", changed, err)
+			}
+		}
+		if target.Revision() < source.Revision() {
+			t.Fatalf("stuck at revision %d of %d", target.Revision(), source.Revision())
+		}
+		if target.Revision() == source.Revision() && !proto.Equal(target.Config().Snapshot(), source.Config().Snapshot()) {
+			t.Fatal("replicas of one revision differ")
+		}
+	})
+}
+
+// Guards against an older process that stops following edits because a newer
+// one uses a field or kind of item that it does not know.
+func TestReplicaFollowsNewerVersions(t *testing.T) {
+	is := is.New(t)
+	r := NewReplica()
+	e := edit("a", change("plan/gold", `{"models":["m"],"later":1}`, 0), change("quota/x", `{}`, 0))
+	e.Revision = 1
+	_, err := r.Apply(&wire.ConfigUpdate{Edits: []*wire.Edit{e}})
+	is.NoErr(err)
+	plan, ok := r.Config().Plan("gold")
+	is.True(ok && plan.AllowsModel("m"))
+}
+
+// Guards against confirmations of an ended process, revisions that fall, and
+// silent processes that vanish from the list of the unconfirmed.
+func TestTracker(t *testing.T) {
+	is := is.New(t)
+	now := time.Unix(1000, 0)
+	tr := NewTracker()
+	c := func(vm string, epoch, revision uint64, age uint32) *wire.Confirmation {
+		return &wire.Confirmation{Vm: vm, Epoch: epoch, ConfigRevision: revision, AgeMs: age}
+	}
+	tr.Merge(now, c("a", 2, 7, 0), c("a", 1, 9, 0), c("b", 1, 7, 0), c("b", 1, 6, 0), c("c", 1, 6, 900))
+	s := tr.InForce(now, 7, "a", "d")
+	is.Equal(s.Confirmed, 2)
+	is.Equal(s.Total, 4)
+	is.Equal(s.Missing[0].Vm, "c")
+	is.Equal(s.Missing[0].AgeMs, uint32(900))
+	is.Equal(s.Missing[1].Vm, "d")
+	is.Equal(tr.InForce(now, 8).Confirmed, 0) // the revision 9 was of an ended process
+	tr.Merge(now, c("a", 3, 1, 0))
+	is.Equal(tr.InForce(now, 7).Confirmed, 1)
+	is.Equal(tr.InForce(now.Add(time.Minute), 7).Total, 3)
+	is.Equal(tr.InForce(now.Add(TrackerLifetime+time.Second), 7).Total, 0)
+}
+
+// Guards against data centres with too many or no watchers, and against a
+// choice that changes when another entry leaves.
+func TestWatcherFor(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		n := rapid.IntRange(1, 30).Draw(t, "entries")
+		var live []LiveEntry
+		for i := range n {
+			live = append(live, LiveEntry{fmt.Sprintf("vm-%d", i), fmt.Sprintf("dc-%d", i%3)})
+		}
+		perCentre := map[string]int{}
+		var idle int
+		for i, e := range live {
+			if WatcherFor(e.VM, live, 2) {
+				perCentre[e.DataCentre]++
+			} else {
+				idle = i
+			}
+		}
+		for i := range min(n, 3) {
+			centre, size := fmt.Sprintf("dc-%d", i), (n-i+2)/3
+			if perCentre[centre] != min(2, size) {
+				t.Fatalf("%s has %d watchers of %d entries", centre, perCentre[centre], size)
+			}
+		}
+		if WatcherFor(live[idle].VM, live, 2) {
+			return
+		}
+		rest := append(append([]LiveEntry{}, live[:idle]...), live[idle+1:]...)
+		for _, e := range rest {
+			if WatcherFor(e.VM, live, 2) != WatcherFor(e.VM, rest, 2) {
+				t.Fatalf("the role of %s changed when an idle entry left", e.VM)
+			}
+		}
+	})
+}
