Add a benchmark of the decision modules in virtual time

One engine model with chunked prefill by priority, a seeded open-loop load with fivefold swings and failing servers, two baselines, and an ablation table.

--- /dev/null
+++ b/policy/cmd/policybench/main.go
@@ -0,0 +1,142 @@
+// Command policybench measures the decision modules in virtual time against
+// two baselines and prints Markdown tables. Equal flags give equal figures.
+package main
+
+import (
+	"flag"
+	"fmt"
+	"math"
+	"time"
+
+	"camphorwick.dev/api/outcome"
+	"camphorwick.dev/policy/choose"
+	"camphorwick.dev/policy/internal/sim"
+	"camphorwick.dev/policy/queue"
+)
+
+const percent = 100
+
+func main() {
+	seed := flag.Uint64("seed", 1, "first seed")
+	seeds := flag.Int("seeds", 3, "number of seeds in the ablation table")
+	length := flag.Duration("length", 120*time.Second, "length of the arrivals in virtual time")
+	base := flag.Float64("base", 0.22, "load outside peaks as a share of the prefill capacity")
+	swing := flag.Float64("swing", 5, "load at peaks in multiples of the base load")
+	ablation := flag.Bool("ablation", true, "print the ablation table")
+	flag.Parse()
+	for _, servers := range []int{25, 15} {
+		scenario := sim.Scenario{Seed: *seed, Servers: servers, Length: *length, Base: *base, Swing: *swing, Failures: true}
+		compare(scenario)
+	}
+	if *ablation {
+		ablate(sim.Scenario{Seed: *seed, Servers: 25, Length: *length, Base: *base, Swing: *swing, Failures: true,
+			Strategy: sim.Policy}, *seeds)
+	}
+}
+
+func compare(s sim.Scenario) {
+	fmt.Printf("\n%d servers, seed %d, load %.2f with peaks of %.2f, failing servers\n\n", s.Servers, s.Seed, s.Base, s.Base*s.Swing)
+	fmt.Println("| Strategy | Band | Arrived | Refused | Failed | Finished | p50 ms | p95 ms | p99 ms |")
+	fmt.Println("|---|---|---|---|---|---|---|---|---|")
+	var results []*sim.Result
+	strategies := []sim.Strategy{sim.Naive, sim.LeastOutstanding, sim.Policy}
+	for _, s.Strategy = range strategies {
+		r := sim.Run(s)
+		results = append(results, r)
+		for b := range outcome.BandCount {
+			h := r.FirstToken[b]
+			fmt.Printf("| %s | %s | %d | %d | %d | %d | %.0f | %.0f | %.0f |\n", s.Strategy, outcome.Band(b), r.Arrived[b],
+				r.Refused[b], r.Failed[b], r.Finished[b], ms(h.ValueAtQuantile(50)), ms(h.ValueAtQuantile(95)), ms(h.ValueAtQuantile(99)))
+		}
+	}
+	fmt.Println("\n| Strategy | Short p95 to the same load without long | Peak short in 0.52 s | Bound | Peak short refused | Long finished | Retries | Preempted | Wasted in failures | Wasted in preemption |")
+	fmt.Println("|---|---|---|---|---|---|---|---|---|---|")
+	for i, r := range results {
+		s.Strategy, s.NoLong = strategies[i], true
+		alone := sim.Run(s)
+		fmt.Printf("| %s | %.2f | %.2f%% | %.2f%% | %d | %.1f%% | %d | %d | %.2f%% | %.2f%% |\n", s.Strategy, slowdown(r, alone),
+			inTime(r), percent*r.Bound, r.PeakRefused, longFinished(r), r.Retries, r.Preempted, wasted(r, r.Wasted), wasted(r, r.WastedPreempt))
+	}
+}
+
+// variant is the policy with one rule changed.
+type variant struct {
+	name   string
+	change func(*sim.Rules)
+}
+
+const (
+	unlimited  = math.MaxInt32
+	never      = time.Nanosecond
+	almostZero = 1e-9
+)
+
+var variants = []variant{
+	{"all rules", func(*sim.Rules) {}},
+	{"no fairness between accounts", func(r *sim.Rules) { r.NoFairness = true }},
+	{"no prefill window", func(r *sim.Rules) { r.Queue.PrefillWindow = unlimited }},
+	{"no bound on long prefills", func(r *sim.Rules) { r.Queue.MaxLongPrefills = unlimited }},
+	{"no bound on long memory", func(r *sim.Rules) { r.Queue.LongKVShare = 1 }},
+	{"no quiet time", func(r *sim.Rules) { r.Queue.ShortQuiet = never }},
+	{"no ageing", func(r *sim.Rules) { r.Queue.UrgencyFactor, r.Queue.TokenTime = almostZero, never }},
+	{"no preemption", func(r *sim.Rules) { r.NoPreemption = true }},
+	{"no account of sent work", func(r *sim.Rules) { r.NoSent = true }},
+	{"no hold-down", func(r *sim.Rules) { r.NoHoldDown = true }},
+	{"no prefix hints", func(r *sim.Rules) { r.NoPrefixes = true }},
+	{"no long set", func(r *sim.Rules) { r.Choose.MinLongShare = 1 }},
+	{"no interference term", func(r *sim.Rules) { r.Choose.Interference = never }},
+	{"sampling of 8 only", func(r *sim.Rules) { r.Choose = choose.Config{ScanAll: 1} }},
+	{"no shedder", func(r *sim.Rules) { r.NoShedder = true }},
+	{"no retry budget", func(r *sim.Rules) { r.NoBudget = true }},
+}
+
+func ablate(s sim.Scenario, seeds int) {
+	fmt.Printf("\nAblation: %d servers, sums and means over %d seeds from %d\n\n", s.Servers, seeds, s.Seed)
+	fmt.Println("| Variant | Short p50 ms | Short p95 ms | Short p99 ms | Slowdown | Peak short in 0.52 s | Small accounts medium p95 ms | Medium p95 ms | Medium finished | Long p50 ms | Long finished | Failed | Retries | Wasted |")
+	fmt.Println("|---|---|---|---|---|---|---|---|---|---|---|---|---|---|")
+	for _, v := range variants {
+		s.Rules = sim.Rules{Queue: queue.Config{}}
+		v.change(&s.Rules)
+		row(v.name, s, seeds)
+	}
+}
+
+func row(name string, s sim.Scenario, seeds int) {
+	var sum [13]float64
+	first := s.Seed
+	for i := range seeds {
+		s.Seed, s.NoLong = first+uint64(i), false
+		r := sim.Run(s)
+		s.NoLong = true
+		alone := sim.Run(s)
+		short := r.FirstToken[outcome.Short]
+		for k, v := range []float64{ms(short.ValueAtQuantile(50)), ms(short.ValueAtQuantile(95)), ms(short.ValueAtQuantile(99)), slowdown(r, alone), inTime(r),
+			ms(r.SmallAccounts[outcome.Medium].ValueAtQuantile(95)), ms(r.FirstToken[outcome.Medium].ValueAtQuantile(95)),
+			finished(r, outcome.Medium), ms(r.FirstToken[outcome.Long].ValueAtQuantile(50)), longFinished(r),
+			float64(r.Failed[0] + r.Failed[1] + r.Failed[2]), float64(r.Retries), wasted(r, r.Wasted+r.WastedPreempt)} {
+			sum[k] += v / float64(seeds)
+		}
+	}
+	fmt.Printf("| %s | %.0f | %.0f | %.0f | %.3f | %.2f%% | %.0f | %.0f | %.1f%% | %.0f | %.1f%% | %.1f | %.0f | %.2f%% |\n", name,
+		sum[0], sum[1], sum[2], sum[3], sum[4], sum[5], sum[6], sum[7], sum[8], sum[9], sum[10], sum[11], sum[12])
+}
+
+func ms(microseconds int64) float64 { return float64(microseconds) / 1000 }
+
+func slowdown(r, alone *sim.Result) float64 {
+	return float64(r.FirstToken[outcome.Short].ValueAtQuantile(95)) / float64(alone.FirstToken[outcome.Short].ValueAtQuantile(95))
+}
+
+func inTime(r *sim.Result) float64 {
+	return percent * float64(r.PeakInTime) / float64(max(r.PeakShort, 1))
+}
+
+func finished(r *sim.Result, b outcome.Band) float64 {
+	return percent * float64(r.Finished[b]) / float64(max(r.Arrived[b], 1))
+}
+
+func longFinished(r *sim.Result) float64 { return finished(r, outcome.Long) }
+
+func wasted(r *sim.Result, tokens int) float64 {
+	return percent * float64(tokens) / float64(max(r.Useful, 1))
+}
--- /dev/null
+++ b/policy/internal/sim/engine.go
@@ -0,0 +1,126 @@
+package sim
+
+import (
+	"slices"
+	"time"
+)
+
+// The model of an engine: each step prefills up to engineStep tokens of the
+// streams with the lowest priority numbers and generates one token for each
+// stream past its prefill.
+const (
+	enginePrefill    = 40_000  // tokens/s
+	engineStep       = 2_048   // prefill tokens per step
+	engineKV         = 450_000 // tokens; the longest prompts need more than twice as much
+	engineStepBase   = 8 * time.Millisecond
+	engineDecodeCost = 100 * time.Microsecond // per stream and step
+	enginePrefixes   = 40                     // shared prefixes kept in the cache
+)
+
+// stream is an attempt that runs on the engine.
+type stream struct {
+	attempt  *attempt
+	priority int
+	order    int
+	left     int // prefill tokens
+	planned  int // prefill tokens in this step
+	decoding bool
+}
+
+// engine calls first and finished at the end of steps.
+type engine struct {
+	loop     *loop
+	streams  []*stream // by priority, then order of arrival
+	arrivals int
+	stepping bool
+	run      int // number of restarts; a step of an older run is ignored
+	cached   []int
+	first    func(*attempt)
+	finished func(*attempt)
+}
+
+func (e *engine) add(a *attempt, priority int) {
+	e.arrivals++
+	s := &stream{attempt: a, priority: priority, order: e.arrivals, left: a.prefill}
+	if a.request.group >= 0 && slices.Contains(e.cached, a.request.group) {
+		s.left -= a.request.prefix()
+	}
+	s.left = max(s.left, 1)
+	i, _ := slices.BinarySearchFunc(e.streams, s, compareStreams)
+	e.streams = slices.Insert(e.streams, i, s)
+	e.step()
+}
+
+func compareStreams(a, b *stream) int {
+	if a.priority != b.priority {
+		return a.priority - b.priority
+	}
+	return a.order - b.order
+}
+
+func (e *engine) cancel(a *attempt) {
+	e.streams = slices.DeleteFunc(e.streams, func(s *stream) bool { return s.attempt == a })
+}
+
+func (e *engine) restart() {
+	e.run++
+	e.streams, e.cached, e.stepping = nil, nil, false
+}
+
+func (e *engine) step() {
+	if e.stepping || len(e.streams) == 0 {
+		return
+	}
+	e.stepping = true
+	budget, decodes := engineStep, 0
+	for _, s := range e.streams {
+		s.decoding = s.left == 0
+		if s.decoding {
+			decodes++
+		}
+		s.planned = min(s.left, budget)
+		budget -= s.planned
+	}
+	prefill := time.Duration(engineStep-budget) * time.Second / enginePrefill
+	run := e.run
+	e.loop.after(engineStepBase+prefill+time.Duration(decodes)*engineDecodeCost, func() {
+		if run == e.run {
+			e.endStep()
+		}
+	})
+}
+
+func (e *engine) endStep() {
+	e.stepping = false
+	for _, s := range slices.Clone(e.streams) {
+		s.left -= s.planned
+		s.attempt.worked += s.planned
+		started := s.planned > 0 && s.left == 0
+		if started || s.decoding {
+			s.attempt.emitted++
+			s.attempt.worked++
+		}
+		s.planned, s.decoding = 0, false
+		if started {
+			e.remember(s.attempt.request.group)
+			e.first(s.attempt)
+		}
+		if s.left == 0 && s.attempt.emitted >= s.attempt.answer {
+			e.cancel(s.attempt)
+			e.finished(s.attempt)
+		}
+	}
+	e.step()
+}
+
+// remember keeps the most recently used shared prefixes.
+func (e *engine) remember(group int) {
+	if group < 0 {
+		return
+	}
+	e.cached = slices.DeleteFunc(e.cached, func(g int) bool { return g == group })
+	e.cached = append(e.cached, group)
+	if len(e.cached) > enginePrefixes {
+		e.cached = e.cached[1:]
+	}
+}
--- /dev/null
+++ b/policy/internal/sim/entry.go
@@ -0,0 +1,191 @@
+package sim
+
+import (
+	"errors"
+	"strconv"
+	"time"
+
+	"camphorwick.dev/api/outcome"
+	"camphorwick.dev/policy/admit"
+	"camphorwick.dev/policy/choose"
+	"camphorwick.dev/policy/queue"
+	"camphorwick.dev/policy/retry"
+)
+
+const (
+	networkDelay   = 500 * time.Microsecond // one way
+	reportInterval = time.Second
+	maxAttempts    = 3
+	entries        = 3
+	modelName      = "m"
+)
+
+// router is the part of an entry that differs between policy and baselines.
+type router interface {
+	// pick returns the server for a request, or an error that refuses it.
+	pick(r *request) (int, error)
+	sent(a *attempt)
+	ended(a *attempt, err error)
+	mayRetry() bool
+}
+
+type entry struct {
+	sim    *simulation
+	router router
+}
+
+func (e *entry) arrive(r *request) {
+	if err := e.try(r); err != nil {
+		r.refused = true
+	}
+}
+
+func (e *entry) try(r *request) error {
+	id, err := e.router.pick(r)
+	if err != nil {
+		return err
+	}
+	r.attempts++
+	s := e.sim.servers[id]
+	a := &attempt{request: r, key: strconv.Itoa(r.id) + "/" + strconv.Itoa(r.attempts), entry: e, server: s,
+		prefill: r.tokens + r.emitted, answer: r.answer - r.emitted}
+	e.router.sent(a)
+	e.sim.loop.after(networkDelay, func() { s.submit(a) })
+	return nil
+}
+
+func (e *entry) ended(a *attempt, err error) {
+	r := a.request
+	e.router.ended(a, err)
+	if err == nil {
+		r.finished = true
+		return
+	}
+	e.sim.result.Wasted += a.worked
+	r.emitted += a.emitted
+	r.excluded[a.server.id] = true
+	if e.sim.loop.now >= r.deadline || r.attempts >= maxAttempts || final(err) || !e.router.mayRetry() {
+		r.refused, r.failed = notRun(r, err), !notRun(r, err)
+		return
+	}
+	e.sim.result.Retries++
+	if err := e.try(r); err != nil {
+		r.refused, r.failed = r.emitted == 0, r.emitted > 0
+	}
+}
+
+// final reports errors that another server would return as well.
+func final(err error) bool {
+	return outcome.CodeOf(err) == outcome.PromptTooLong || outcome.CodeOf(err) == outcome.DeadlineExceeded
+}
+
+// notRun reports whether the caller was told at once that nothing ran.
+func notRun(r *request, err error) bool {
+	switch outcome.CodeOf(err) {
+	case outcome.Overloaded, outcome.DeadlineUnreachable, outcome.PromptTooLong:
+		return r.emitted == 0
+	}
+	return false
+}
+
+// policyRouter uses the decision modules.
+type policyRouter struct {
+	sim    *simulation
+	table  *choose.Table
+	shed   *admit.Shedder
+	budget *retry.Budget
+	rules  Rules
+}
+
+var errNoServer = errors.New("no server")
+
+func (p *policyRouter) pick(r *request) (int, error) {
+	now := p.sim.loop.time()
+	if r.attempts == 0 {
+		p.budget.Request(now)
+	}
+	request := choose.Request{Model: modelName, Band: r.band, Tokens: r.tokens, DataCentre: "dc0",
+		Exclude: func(vm string) bool { id, _ := strconv.Atoi(vm); return r.excluded[id] }}
+	if r.group >= 0 {
+		request.Prefixes = prefixHashes(r.group)
+	}
+	vm, expected, ok := p.table.Pick(now, request)
+	if !ok {
+		return 0, errNoServer
+	}
+	if !p.rules.NoShedder && r.attempts == 0 {
+		_, short, _ := p.table.Pick(now, choose.Request{Model: modelName, Tokens: minPrompt, DataCentre: "dc0"})
+		work := admit.Work{Band: r.band, Deadline: epoch.Add(r.deadline), Expected: expected, ShortExpected: short,
+			Repeatable: true}
+		if err := p.shed.Check(now, work); err != nil {
+			return 0, err
+		}
+	}
+	id, _ := strconv.Atoi(vm)
+	return id, nil
+}
+
+func prefixHashes(group int) []uint64 {
+	hashes := make([]uint64, prefixBlocks)
+	for i := range hashes {
+		hashes[i] = uint64(group*prefixBlocks + i + 1)
+	}
+	return hashes
+}
+
+func (p *policyRouter) sent(a *attempt) {
+	now, vm := p.sim.loop.time(), strconv.Itoa(a.server.id)
+	p.table.Started(now, vm)
+	if !p.rules.NoSent {
+		p.table.Sent(now, vm, a.request.band, a.prefill)
+	}
+}
+
+func (p *policyRouter) ended(a *attempt, err error) {
+	now, vm := p.sim.loop.time(), strconv.Itoa(a.server.id)
+	p.table.Ended(now, vm, err == nil)
+	if errors.Is(err, errBackend) && !p.rules.NoHoldDown {
+		p.table.Failed(now, vm)
+	}
+}
+
+func (p *policyRouter) mayRetry() bool { return p.rules.NoBudget || p.budget.Retry(p.sim.loop.time()) }
+
+func (p *policyRouter) report(s *server, load queue.Load) {
+	vm := strconv.Itoa(s.id)
+	p.table.Report(p.sim.loop.time(), vm, choose.Load(load))
+	if p.rules.NoPrefixes {
+		return
+	}
+	var hashes []uint64
+	for _, g := range s.engine.cached {
+		hashes = append(hashes, prefixHashes(g)...)
+	}
+	p.table.CachedPrefixes(vm, hashes)
+}
+
+// baseline is round robin or least outstanding requests, with blind retry.
+type baseline struct {
+	sim              *simulation
+	leastOutstanding bool
+	turn             int
+	outstanding      []int
+}
+
+func (b *baseline) pick(r *request) (int, error) {
+	b.turn++
+	n := len(b.sim.servers)
+	best := b.turn % n
+	if b.leastOutstanding {
+		for i := range n {
+			if id := (b.turn + i) % n; b.outstanding[id] < b.outstanding[best] {
+				best = id
+			}
+		}
+	}
+	return best, nil
+}
+
+func (b *baseline) sent(a *attempt)             { b.outstanding[a.server.id]++ }
+func (b *baseline) ended(a *attempt, err error) { b.outstanding[a.server.id]-- }
+func (b *baseline) mayRetry() bool              { return true }
--- /dev/null
+++ b/policy/internal/sim/loop.go
@@ -0,0 +1,60 @@
+// Package sim measures the decision modules in virtual time. It holds one
+// small model of an engine with chunked prefill, a seeded load and two simple
+// baselines. All state is in one goroutine and events of equal time run in
+// the order in which they were scheduled, so a seed always gives the same
+// figures.
+package sim
+
+import (
+	"container/heap"
+	"time"
+)
+
+// epoch is the wall-clock time of virtual time 0.
+var epoch = time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
+
+type event struct {
+	at  time.Duration
+	seq int
+	run func()
+}
+
+type eventHeap []event
+
+func (h eventHeap) Len() int { return len(h) }
+func (h eventHeap) Less(i, j int) bool {
+	return h[i].at < h[j].at || (h[i].at == h[j].at && h[i].seq < h[j].seq)
+}
+func (h eventHeap) Swap(i, j int) { h[i], h[j] = h[j], h[i] }
+
+// Push implements heap.Interface.
+func (h *eventHeap) Push(x any) { *h = append(*h, x.(event)) }
+
+// Pop implements heap.Interface.
+func (h *eventHeap) Pop() any {
+	last := (*h)[len(*h)-1]
+	*h = (*h)[:len(*h)-1]
+	return last
+}
+
+// loop runs events in the order of virtual time.
+type loop struct {
+	now    time.Duration
+	seq    int
+	events eventHeap
+}
+
+func (l *loop) after(d time.Duration, run func()) {
+	l.seq++
+	heap.Push(&l.events, event{at: l.now + max(d, 0), seq: l.seq, run: run})
+}
+
+func (l *loop) time() time.Time { return epoch.Add(l.now) }
+
+func (l *loop) run() {
+	for len(l.events) > 0 {
+		e := heap.Pop(&l.events).(event)
+		l.now = e.at
+		e.run()
+	}
+}
--- /dev/null
+++ b/policy/internal/sim/server.go
@@ -0,0 +1,249 @@
+package sim
+
+import (
+	"errors"
+	"slices"
+	"strconv"
+	"time"
+
+	"camphorwick.dev/api/outcome"
+	"camphorwick.dev/policy/queue"
+)
+
+// errBackend is the failure of a server that is down.
+var errBackend = errors.New("the backend server failed")
+
+// attempt is one try to run a request on one server.
+type attempt struct {
+	request *request
+	key     string
+	entry   *entry
+	server  *server
+	prefill int
+	answer  int
+	emitted int
+	worked  int // prefill and generated tokens computed for it
+	ended   bool
+}
+
+// scheduler is the queue of a server: the policy or a baseline.
+type scheduler interface {
+	push(now time.Time, a *attempt) error
+	next(now time.Time) (*attempt, int, bool)
+	first(now time.Time, a *attempt)
+	finish(now time.Time, a *attempt)
+	expired(now time.Time) []*attempt
+	preempt(now time.Time) []*attempt
+	load(now time.Time) queue.Load
+	wake(now time.Time) (time.Time, bool)
+}
+
+// server is an agent with its engine.
+type server struct {
+	id       int
+	loop     *loop
+	engine   engine
+	newQueue func() scheduler
+	queue    scheduler
+	attempts []*attempt // queued or running
+	down     bool
+	wakeAt   time.Time
+	stats    *Result
+}
+
+func newServer(id int, l *loop, newQueue func() scheduler, stats *Result) *server {
+	s := &server{id: id, loop: l, newQueue: newQueue, queue: newQueue(), stats: stats}
+	s.engine = engine{loop: l, first: s.first, finished: s.finished}
+	return s
+}
+
+func (s *server) submit(a *attempt) {
+	if s.down {
+		s.end(a, errBackend)
+		return
+	}
+	if err := s.queue.push(s.loop.time(), a); err != nil {
+		s.end(a, err)
+		return
+	}
+	s.attempts = append(s.attempts, a)
+	s.loop.after(a.request.deadline-s.loop.now, func() {
+		if !a.ended {
+			s.drop(a, outcome.New(outcome.DeadlineExceeded, "the deadline passed"))
+			s.pump()
+		}
+	})
+	s.pump()
+}
+
+// pump starts what may start now.
+func (s *server) pump() {
+	now := s.loop.time()
+	for _, a := range s.queue.expired(now) {
+		s.drop(a, outcome.New(outcome.DeadlineExceeded, "the deadline passed in the queue"))
+	}
+	s.start(now)
+	for _, a := range s.queue.preempt(now) {
+		s.engine.cancel(a)
+		s.stats.Preempted++
+		s.stats.WastedPreempt += a.worked
+		a.prefill, a.answer = a.prefill+a.emitted, a.answer-a.emitted
+		a.worked, a.emitted = 0, 0
+	}
+	s.start(now)
+	if wake, ok := s.queue.wake(now); ok && (s.wakeAt.IsZero() || !s.wakeAt.After(now) || wake.Before(s.wakeAt)) {
+		s.wakeAt = wake
+		s.loop.after(wake.Sub(now), s.pump)
+	}
+}
+
+func (s *server) start(now time.Time) {
+	for {
+		a, priority, ok := s.queue.next(now)
+		if !ok {
+			return
+		}
+		s.engine.add(a, priority)
+	}
+}
+
+func (s *server) first(a *attempt) {
+	if a.request.first == 0 {
+		a.request.first = s.loop.now + networkDelay
+	}
+	s.queue.first(s.loop.time(), a)
+	s.pump()
+}
+
+func (s *server) finished(a *attempt) {
+	s.drop(a, nil)
+	s.pump()
+}
+
+// drop removes an attempt from queue and engine and reports its end.
+func (s *server) drop(a *attempt, err error) {
+	s.engine.cancel(a)
+	s.queue.finish(s.loop.time(), a)
+	s.attempts = slices.DeleteFunc(s.attempts, func(x *attempt) bool { return x == a })
+	s.end(a, err)
+}
+
+func (s *server) end(a *attempt, err error) {
+	a.ended = true
+	s.loop.after(networkDelay, func() { a.entry.ended(a, err) })
+}
+
+// crash fails all attempts; the server fails new ones quickly until recover.
+func (s *server) crash() {
+	s.down = true
+	s.engine.restart()
+	attempts := s.attempts
+	s.attempts, s.queue = nil, s.newQueue()
+	for _, a := range attempts {
+		s.end(a, errBackend)
+	}
+}
+
+// policyQueue adapts queue.Queue.
+type policyQueue struct {
+	queue    *queue.Queue
+	attempts map[string]*attempt
+	rules    Rules
+}
+
+func (p *policyQueue) push(now time.Time, a *attempt) error {
+	r := a.request
+	account := strconv.Itoa(r.account)
+	if p.rules.NoFairness {
+		account = ""
+	}
+	err := p.queue.Push(now, queue.Job{ID: a.key, Account: account, Weight: 1, Band: r.band, PrefillTokens: a.prefill,
+		KVTokens: a.prefill + a.answer, Arrived: now, Deadline: epoch.Add(r.deadline)})
+	if err == nil {
+		p.attempts[a.key] = a
+	}
+	return err
+}
+
+func (p *policyQueue) next(now time.Time) (*attempt, int, bool) {
+	g, ok := p.queue.Next(now)
+	if !ok {
+		return nil, 0, false
+	}
+	return p.attempts[g.ID], g.Priority, true
+}
+
+func (p *policyQueue) first(now time.Time, a *attempt) { p.queue.FirstToken(now, a.key) }
+
+func (p *policyQueue) finish(now time.Time, a *attempt) {
+	p.queue.Finish(now, a.key)
+	delete(p.attempts, a.key)
+}
+
+func (p *policyQueue) expired(now time.Time) []*attempt {
+	var list []*attempt
+	for _, j := range p.queue.Expired(now) {
+		list = append(list, p.attempts[j.ID])
+	}
+	return list
+}
+
+func (p *policyQueue) preempt(now time.Time) []*attempt {
+	if p.rules.NoPreemption {
+		return nil
+	}
+	var list []*attempt
+	for _, id := range p.queue.Preempt(now) {
+		a := p.attempts[id]
+		r := a.request
+		p.queue.Requeue(now, queue.Job{ID: id, Account: strconv.Itoa(r.account), Weight: 1, Band: r.band,
+			PrefillTokens: a.prefill + a.emitted, KVTokens: a.prefill + a.answer, Arrived: now, Deadline: epoch.Add(r.deadline)})
+		list = append(list, a)
+	}
+	return list
+}
+
+func (p *policyQueue) load(now time.Time) queue.Load        { return p.queue.Load(now) }
+func (p *policyQueue) wake(now time.Time) (time.Time, bool) { return p.queue.NextWake(now) }
+
+// fifo is the queue of the baselines: order of arrival, bounded by memory.
+type fifo struct {
+	waiting  []*attempt
+	running  map[*attempt]int
+	reserved int
+}
+
+func (f *fifo) push(now time.Time, a *attempt) error {
+	if a.prefill+a.answer > engineKV {
+		return outcome.New(outcome.PromptTooLong, "the prompt does not fit")
+	}
+	f.waiting = append(f.waiting, a)
+	return nil
+}
+
+func (f *fifo) next(now time.Time) (*attempt, int, bool) {
+	if len(f.waiting) == 0 {
+		return nil, 0, false
+	}
+	a := f.waiting[0]
+	need := a.prefill + a.answer
+	if f.reserved+need > engineKV {
+		return nil, 0, false
+	}
+	f.waiting = f.waiting[1:]
+	f.running[a] = need
+	f.reserved += need
+	return a, 0, true
+}
+
+func (f *fifo) finish(now time.Time, a *attempt) {
+	f.reserved -= f.running[a]
+	delete(f.running, a)
+	f.waiting = slices.DeleteFunc(f.waiting, func(x *attempt) bool { return x == a })
+}
+
+func (f *fifo) first(time.Time, *attempt)        {}
+func (f *fifo) expired(time.Time) []*attempt     { return nil }
+func (f *fifo) preempt(time.Time) []*attempt     { return nil }
+func (f *fifo) load(time.Time) queue.Load        { return queue.Load{} }
+func (f *fifo) wake(time.Time) (time.Time, bool) { return time.Time{}, false }
--- /dev/null
+++ b/policy/internal/sim/sim.go
@@ -0,0 +1,246 @@
+package sim
+
+import (
+	"strconv"
+	"time"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+
+	"camphorwick.dev/api/outcome"
+	"camphorwick.dev/policy/admit"
+	"camphorwick.dev/policy/choose"
+	"camphorwick.dev/policy/queue"
+	"camphorwick.dev/policy/retry"
+)
+
+// FirstTokenTarget is the time to first token that the design demands.
+const FirstTokenTarget = 520 * time.Millisecond
+
+// Strategy is the way requests are routed and queued.
+type Strategy string
+
+// The strategies.
+const (
+	Naive            Strategy = "naive"
+	LeastOutstanding Strategy = "least outstanding"
+	Policy           Strategy = "policy"
+)
+
+// Rules switches rules of the policy off, for the ablation table.
+type Rules struct {
+	NoFairness, NoPreemption, NoShedder, NoSent, NoHoldDown, NoPrefixes, NoBudget bool
+
+	Queue  queue.Config
+	Choose choose.Config
+	Shed   admit.ShedConfig
+}
+
+// Scenario describes one run.
+type Scenario struct {
+	Seed     uint64
+	Servers  int
+	Length   time.Duration
+	Base     float64 // load outside peaks as a share of the prefill capacity
+	Swing    float64 // load at the peak in multiples of Base
+	Failures bool
+	NoLong   bool // the same load without its long prompts
+	Strategy Strategy
+	Rules    Rules
+}
+
+// Result holds the figures of one run.
+type Result struct {
+	// FirstToken are the times to first token by band in microseconds.
+	FirstToken [outcome.BandCount]*hdrhistogram.Histogram
+	// SmallAccounts are those of short and medium prompts of all accounts but
+	// the large one.
+	SmallAccounts [outcome.BandCount]*hdrhistogram.Histogram
+	// Arrived, Refused, Failed and Finished count requests by band. Requests
+	// too long for any engine count only in TooLong.
+	Arrived, Refused, Failed, Finished [outcome.BandCount]int
+	TooLong                            int
+	// PeakShort counts admitted short requests at peaks; PeakInTime those with
+	// the first token inside FirstTokenTarget.
+	PeakShort, PeakInTime, PeakRefused int
+	Retries, Preempted                 int
+	// Wasted and WastedPreempt are computed tokens that no caller received
+	// because of failures and preemption; Useful those of finished requests.
+	Wasted, WastedPreempt, Useful int
+	// Bound is the share of short requests at peaks that a fleet without any
+	// other load could serve inside FirstTokenTarget.
+	Bound float64
+}
+
+type simulation struct {
+	scenario Scenario
+	loop     loop
+	servers  []*server
+	entries  []*entry
+	policies []*policyRouter
+	result   *Result
+}
+
+// Run runs a scenario.
+func Run(s Scenario) *Result {
+	m := &simulation{scenario: s, result: &Result{}}
+	for b := range outcome.BandCount {
+		m.result.FirstToken[b] = hdrhistogram.New(1, 600_000_000, 3)
+		m.result.SmallAccounts[b] = hdrhistogram.New(1, 600_000_000, 3)
+	}
+	m.build()
+	requests := trace(s)
+	for i, r := range requests {
+		if r.id >= 0 {
+			m.loop.after(r.at, func() { m.entries[i%entries].arrive(r) })
+		}
+	}
+	if s.Failures {
+		m.scheduleFailures()
+	}
+	m.loop.run()
+	m.result.collect(requests)
+	m.result.Bound = bound(s, requests)
+	return m.result
+}
+
+func (m *simulation) build() {
+	newQueue := func() scheduler { return &fifo{running: map[*attempt]int{}} }
+	if m.scenario.Strategy == Policy {
+		newQueue = m.newPolicyQueue
+	}
+	for i := range m.scenario.Servers {
+		m.servers = append(m.servers, newServer(i, &m.loop, newQueue, m.result))
+	}
+	for i := range entries {
+		e := &entry{sim: m}
+		if m.scenario.Strategy == Policy {
+			p := m.newPolicyRouter(uint64(i))
+			m.policies = append(m.policies, p)
+			e.router = p
+		} else {
+			e.router = &baseline{sim: m, leastOutstanding: m.scenario.Strategy == LeastOutstanding,
+				outstanding: make([]int, m.scenario.Servers), turn: i * m.scenario.Servers / entries}
+		}
+		m.entries = append(m.entries, e)
+	}
+	if m.scenario.Strategy == Policy {
+		for i, s := range m.servers {
+			// Heartbeats of different agents arrive at different times.
+			m.loop.after(reportInterval*time.Duration(i)/time.Duration(len(m.servers)), func() { m.report(s) })
+		}
+	}
+}
+
+func (m *simulation) newPolicyQueue() scheduler {
+	c := m.scenario.Rules.Queue
+	c.KVTokens, c.StepTokens, c.PrefillTokensPerSecond = engineKV, engineStep, enginePrefill
+	return &policyQueue{queue: queue.New(c), attempts: map[string]*attempt{}, rules: m.scenario.Rules}
+}
+
+func (m *simulation) newPolicyRouter(i uint64) *policyRouter {
+	c := m.scenario.Rules.Choose
+	c.Seed = m.scenario.Seed*entries + i
+	p := &policyRouter{sim: m, table: choose.New(c), shed: admit.NewShedder(m.scenario.Rules.Shed),
+		budget: retry.New(retry.Config{}), rules: m.scenario.Rules}
+	for id := range m.scenario.Servers {
+		p.table.Upsert(choose.Agent{VM: strconv.Itoa(id), DataCentre: "dc" + strconv.Itoa(id%3), Models: []string{modelName},
+			KVTokens: engineKV, PrefillTokensPerSecond: enginePrefill})
+	}
+	return p
+}
+
+func (m *simulation) report(s *server) {
+	load := s.queue.load(m.loop.time())
+	m.loop.after(networkDelay, func() {
+		for _, p := range m.policies {
+			p.report(s, load)
+		}
+	})
+	if m.loop.now < m.scenario.Length+timeouts[outcome.Long] {
+		m.loop.after(reportInterval, func() { m.report(s) })
+	}
+}
+
+// scheduleFailures takes one server in eight down for 8 s at the start of a
+// peak, when it hurts most; while down they fail quickly.
+func (m *simulation) scheduleFailures() {
+	const down = 8 * time.Second
+	for i := range m.scenario.Servers / 8 {
+		s := m.servers[i*8]
+		for at := swingStart + time.Duration(i+1)*time.Second; at < m.scenario.Length; at += swingPeriod {
+			m.loop.after(at, s.crash)
+			m.loop.after(at+down, func() { s.down = false })
+		}
+	}
+}
+
+func (r *Result) collect(requests []*request) {
+	for _, q := range requests {
+		switch {
+		case q.id < 0:
+			continue
+		case q.tokens+q.answer > engineKV:
+			r.TooLong++
+			continue
+		}
+		r.Arrived[q.band]++
+		r.count(q)
+		if q.first > 0 {
+			_ = r.FirstToken[q.band].RecordValue((q.first - q.at).Microseconds()) // within the range
+			if q.account != 0 {
+				_ = r.SmallAccounts[q.band].RecordValue((q.first - q.at).Microseconds())
+			}
+		}
+	}
+}
+
+func (r *Result) count(q *request) {
+	switch {
+	case q.refused:
+		r.Refused[q.band]++
+	case q.finished:
+		r.Finished[q.band]++
+		r.Useful += q.tokens + q.answer
+	default:
+		r.Failed[q.band]++
+	}
+	if q.band != outcome.Short || !q.peak {
+		return
+	}
+	if q.refused {
+		r.PeakRefused++
+		return
+	}
+	r.PeakShort++
+	if q.first > 0 && q.first-q.at <= FirstTokenTarget {
+		r.PeakInTime++
+	}
+}
+
+// bound serves only the short requests with the pooled speed of the fleet and
+// without any loss between steps. No policy can exceed the share of requests
+// at peaks that this serves in time.
+func bound(s Scenario, requests []*request) float64 {
+	speed := float64(s.Servers * enginePrefill)
+	backlog, inTime, all := 0.0, 0, 0
+	last := time.Duration(0)
+	for _, q := range requests {
+		if q.band != outcome.Short {
+			continue
+		}
+		backlog = max(0, backlog-speed*(q.at-last).Seconds())
+		last = q.at
+		own := float64(q.tokens) / enginePrefill
+		steps := float64((q.tokens+engineStep-1)/engineStep) * engineStepBase.Seconds()
+		wait := backlog / speed
+		backlog += float64(q.tokens)
+		if !q.peak {
+			continue
+		}
+		all++
+		if wait+own+steps+2*networkDelay.Seconds() <= FirstTokenTarget.Seconds() {
+			inTime++
+		}
+	}
+	return float64(inTime) / float64(max(all, 1))
+}
