--- /dev/null
+++ b/ledger/key.go
@@ -0,0 +1,118 @@
+package ledger
+
+import (
+	"crypto/sha256"
+	"encoding/binary"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/google/uuid"
+
+	"camphorwick.dev/api/outcome"
+)
+
+// Limits of an order key's age, compared with the wall clock.
+const (
+	// KeyLifetime is the age from which a key is refused.
+	KeyLifetime = 24 * time.Hour
+	// MaxKeyLead is how far a key's time may lie in the future.
+	MaxKeyLead = 5 * time.Minute
+	// DeletionMargin separates the end of the keys' life from the deletion of
+	// their records. The sum of the clock errors of a claimant and a sweeping
+	// process must stay below it.
+	DeletionMargin = time.Hour
+)
+
+const (
+	storePrefix = "orders/"
+	// shardCount is a constant because processes that disagree on it would
+	// look for the same order in different values and could both send it.
+	shardCount = 64
+	// hashBytes keeps a record small; an accidental collision of 128 bits is
+	// out of reach and would show as key_conflict.
+	hashBytes    = 16
+	uuidTextSize = 36
+	uuidVersion  = 7
+)
+
+type keyHash [hashBytes]byte
+
+// Key is a checked order key in the scope of a client account and a service.
+// Keys are made by ParseKey and can be compared.
+type Key struct {
+	hash    keyHash
+	created int64 // Unix milliseconds
+}
+
+// ParseKey checks an order key, which must be a UUIDv7 in its text form of 36
+// characters. It returns an *outcome.Error with invalid_request for any other
+// text and with key_expired if the key is older than KeyLifetime or more than
+// MaxKeyLead ahead of now.
+func ParseKey(account, service, orderKey string, now time.Time) (Key, error) {
+	if account == "" || service == "" {
+		return Key{}, outcome.New(outcome.InvalidRequest, "an order needs a client account and a service")
+	}
+	id, err := uuid.Parse(orderKey)
+	if err != nil {
+		return Key{}, outcome.Wrap(err, outcome.InvalidRequest, "the order key is not a UUID")
+	}
+	if len(orderKey) != uuidTextSize || id.Version() != uuidVersion || id.Variant() != uuid.RFC4122 {
+		return Key{}, outcome.New(outcome.InvalidRequest, "the order key is not a UUIDv7 of %d characters", uuidTextSize)
+	}
+	var milliseconds [8]byte
+	copy(milliseconds[2:], id[:6])
+	key := Key{hash: hashOf(account, service, id), created: int64(binary.BigEndian.Uint64(milliseconds[:]))}
+	if err := key.checkAge(now); err != nil {
+		return Key{}, err
+	}
+	return key, nil
+}
+
+// hashOf prefixes each part with its length, so that no two scopes collide.
+func hashOf(account, service string, id uuid.UUID) keyHash {
+	h := sha256.New()
+	var size [8]byte
+	for _, part := range []string{account, service} {
+		binary.BigEndian.PutUint64(size[:], uint64(len(part)))
+		h.Write(size[:])
+		h.Write([]byte(part))
+	}
+	h.Write(id[:])
+	return keyHash(h.Sum(nil)[:hashBytes])
+}
+
+func (k Key) checkAge(now time.Time) error {
+	age := now.Sub(time.UnixMilli(k.created))
+	switch {
+	case age >= KeyLifetime:
+		return outcome.New(outcome.KeyExpired, "the order key is older than %v", KeyLifetime)
+	case age < -MaxKeyLead:
+		return outcome.New(outcome.KeyExpired, "the order key lies more than %v in the future", MaxKeyLead)
+	}
+	return nil
+}
+
+func (k Key) hour() int64 { return k.created / time.Hour.Milliseconds() }
+
+// storeKey returns orders/<hour>/<shard>; the hour counts from the Unix epoch.
+func (k Key) storeKey() string {
+	shard := binary.BigEndian.Uint64(k.hash[:8]) % shardCount
+	return storePrefix + strconv.FormatInt(k.hour(), 10) + "/" + strconv.FormatUint(shard, 10)
+}
+
+// deletable reports whether the values of an hour may be deleted.
+func deletable(hour int64, now time.Time) bool {
+	end := time.UnixMilli((hour + 1) * time.Hour.Milliseconds())
+	return now.Sub(end) >= KeyLifetime+DeletionMargin
+}
+
+// hourOf returns the hour of a store key; false for a foreign key.
+func hourOf(storeKey string) (int64, bool) {
+	hour, _, ok := strings.Cut(strings.TrimPrefix(storeKey, storePrefix), "/")
+	if !ok {
+		return 0, false
+	}
+	n, err := strconv.ParseInt(hour, 10, 64)
+	return n, err == nil
+}
--- /dev/null
+++ b/ledger/sweep.go
@@ -0,0 +1,83 @@
+package ledger
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"math/rand/v2"
+	"time"
+
+	"camphorwick.dev/platform"
+)
+
+// Run deletes old values until ctx ends or Close is called. Several ledgers may
+// run it on one store. A failed sweep is logged and repeated at the next
+// interval.
+func (l *Ledger) Run(ctx context.Context) error {
+	for {
+		interval := l.cfg.SweepInterval/2 + rand.N(l.cfg.SweepInterval) // mean: SweepInterval
+		select {
+		case <-time.After(interval):
+		case <-ctx.Done():
+			return nil
+		case <-l.ctx.Done():
+			return nil
+		}
+		if err := l.sweep(ctx); err != nil {
+			l.cfg.Logger.Info("sweep of the order journal", "error", err)
+		}
+	}
+}
+
+// sweep deletes up to SweepLimit values whose hour is deletable. A value that
+// changes between reading its revision and deleting it is left for later.
+func (l *Ledger) sweep(ctx context.Context) error {
+	keys, err := l.list(ctx)
+	if err != nil {
+		return fmt.Errorf("list order journal: %w", err)
+	}
+	now := l.cfg.Now()
+	deleted := 0
+	for _, storeKey := range keys {
+		hour, ok := hourOf(storeKey)
+		if !ok || !deletable(hour, now) {
+			continue
+		}
+		if deleted++; deleted > l.cfg.SweepLimit {
+			return nil
+		}
+		if err := l.deleteValue(ctx, storeKey); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func (l *Ledger) list(ctx context.Context) ([]string, error) {
+	ctx, cancel := context.WithTimeout(ctx, l.cfg.CallTimeout)
+	defer cancel()
+	return l.kv.List(ctx, storePrefix)
+}
+
+func (l *Ledger) deleteValue(ctx context.Context, storeKey string) error {
+	ctx, cancel := context.WithTimeout(ctx, l.cfg.CallTimeout)
+	defer cancel()
+	entry, err := l.kv.Get(ctx, storeKey)
+	if err != nil {
+		return fmt.Errorf("read revision of %s: %w", storeKey, err)
+	}
+	if entry.Revision == 0 {
+		return nil
+	}
+	var conflict *platform.ConflictError
+	if err := l.kv.Delete(ctx, storeKey, entry.Revision); err != nil && !errors.As(err, &conflict) {
+		return fmt.Errorf("delete %s: %w", storeKey, err)
+	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if s := l.shards[storeKey]; s != nil && !s.running {
+		l.cached -= s.cached
+		delete(l.shards, storeKey)
+	}
+	return nil
+}
