--- a/daemon/agent/request.go
+++ b/daemon/agent/request.go
@@ -50,7 +50,7 @@
 
 func newRequest(ctx context.Context, s *wire.SubmitRequest, now time.Time) *request {
 	r := &request{key: requestKey{s.ClientAccount, s.RequestId}, submit: s, changed: make(chan struct{}),
-		pause: make(chan struct{}, 1),
+		pause:    make(chan struct{}, 1),
 		deadline: now.Add(time.Duration(s.RemainingMs) * time.Millisecond)}
 	timed, stopTimer := context.WithDeadline(ctx, r.deadline)
 	inner, cancel := context.WithCancelCause(timed)
--- /dev/null
+++ b/daemon/cmd/camphorwick/main.go
@@ -0,0 +1,237 @@
+// Command camphorwick is the daemon of an entry or an agent. Its role,
+// addresses and data centre come from a settings file.
+package main
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net"
+	"net/url"
+	"os"
+	"os/signal"
+	"strings"
+	"syscall"
+	"time"
+
+	"github.com/jessevdk/go-flags"
+	"golang.org/x/sync/errgroup"
+
+	"camphorwick.dev/backend"
+	"camphorwick.dev/backend/enginehttp"
+	"camphorwick.dev/backend/servicehttp"
+	"camphorwick.dev/daemon/agent"
+	"camphorwick.dev/daemon/entry"
+	"camphorwick.dev/observe"
+	"camphorwick.dev/platform/httpkv"
+	"camphorwick.dev/settings"
+)
+
+// Exit codes.
+const (
+	exitFailed   = 1
+	exitUsage    = 2
+	exitSettings = 3
+)
+
+// shutdownLimit bounds the sending of the last spans and metrics.
+const shutdownLimit = 5 * time.Second
+
+type runCommand struct {
+	Settings string `short:"s" long:"settings" required:"true" description:"settings file in JSON"`
+}
+
+type checkCommand struct {
+	Settings string `short:"s" long:"settings" required:"true" description:"settings file in JSON"`
+}
+
+func main() {
+	parser := flags.NewParser(nil, flags.HelpFlag|flags.PassDoubleDash)
+	parser.Name = "camphorwick"
+	run, check := &runCommand{}, &checkCommand{}
+	must(parser.AddCommand("run", "run the daemon", "Runs the role that the settings file names until SIGTERM, which stops it gracefully.", run))
+	must(parser.AddCommand("check-config", "check a settings file", "Checks a settings file and opens no port.", check))
+	_, err := parser.Parse()
+	if err == nil {
+		return
+	}
+	fmt.Fprintln(os.Stderr, err)
+	os.Exit(exitCode(err))
+}
+
+func must(_ *flags.Command, err error) {
+	if err != nil {
+		panic(err) // the command structs are wrong
+	}
+}
+
+func exitCode(err error) int {
+	var usage *flags.Error
+	var fault *settings.Error
+	switch {
+	case errors.As(err, &usage):
+		if usage.Type == flags.ErrHelp {
+			return 0
+		}
+		return exitUsage
+	case errors.As(err, &fault):
+		return exitSettings
+	}
+	return exitFailed
+}
+
+// Execute implements flags.Commander.
+func (c *checkCommand) Execute([]string) error {
+	s, err := settings.Load(c.Settings)
+	if err != nil {
+		return err
+	}
+	fmt.Printf("%s: settings of %s %s are valid\n", c.Settings, s.Role, s.VM)
+	return nil
+}
+
+// Execute implements flags.Commander.
+func (c *runCommand) Execute([]string) error {
+	s, err := settings.Load(c.Settings)
+	if err != nil {
+		return err
+	}
+	ctx := context.Background()
+	telemetry, err := observe.New(ctx, observe.Options{VM: s.VM, Role: string(s.Role), DataCentre: s.DataCentre,
+		LogLevel: s.LogLevel, Log: os.Stderr, OTLPURL: s.Trace.OTLPURL, LogSpans: s.Trace.Log})
+	if err != nil {
+		return fmt.Errorf("set up telemetry: %w", err)
+	}
+	err = serve(ctx, s, telemetry)
+	if err != nil {
+		telemetry.Log.Error("daemon failed", "error", err.Error())
+	}
+	limit, cancel := context.WithTimeout(ctx, shutdownLimit)
+	defer cancel()
+	return errors.Join(err, telemetry.Shutdown(limit))
+}
+
+// role is what both roles offer.
+type role interface {
+	Stop()
+	Ready() error
+}
+
+// serve opens the ports and runs the role until it has stopped.
+func serve(ctx context.Context, s *settings.Settings, t *observe.Telemetry) error {
+	store := httpkv.New(httpkv.Options{Address: hostOf(s.Platform.URL),
+		CallTimeout: time.Duration(s.Platform.TimeoutMillis) * time.Millisecond})
+	defer store.Close()
+	ports := &ports{}
+	defer ports.close()
+	ops := ports.open(s.OpsAddress)
+	control := ports.open(s.ControlAddress)
+	var r role
+	var run func(context.Context) error
+	switch s.Role {
+	case settings.RoleEntry:
+		listeners := entry.Listeners{Control: control, Callers: ports.open(s.Entry.CallersAddress), Admin: ports.open(s.Entry.AdminAddress)}
+		e, err := entry.New(s, entry.Deps{KV: store, VMs: store, Telemetry: t})
+		if err != nil {
+			return err
+		}
+		r, run = e, func(ctx context.Context) error { return e.Run(ctx, listeners) }
+	default:
+		deps, err := agentDeps(s, store, t)
+		if err != nil {
+			return err
+		}
+		a, err := agent.New(s, deps)
+		if err != nil {
+			return err
+		}
+		r, run = a, func(ctx context.Context) error { return a.Run(ctx, control) }
+	}
+	if ports.err != nil {
+		return ports.err
+	}
+	return runRole(ctx, t, r, run, ops)
+}
+
+// runRole runs a role beside its health port and stops it on a signal. A
+// second signal cuts off what is still running.
+func runRole(ctx context.Context, t *observe.Telemetry, r role, run func(context.Context) error, ops net.Listener) error {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	signals := make(chan os.Signal, 2)
+	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT)
+	go func() {
+		<-signals
+		r.Stop()
+		<-signals
+		t.Log.Warn("second signal, work in progress is cut off")
+		cancel()
+	}()
+	group, groupCtx := errgroup.WithContext(ctx)
+	group.Go(func() error { return t.ServeOps(groupCtx, ops, r.Ready) })
+	group.Go(func() error {
+		defer cancel()
+		t.Log.Info("daemon started")
+		return run(groupCtx)
+	})
+	err := group.Wait()
+	t.Log.Info("daemon stopped")
+	return err
+}
+
+func agentDeps(s *settings.Settings, store *httpkv.Client, t *observe.Telemetry) (agent.Deps, error) {
+	deps := agent.Deps{KV: store, VMs: store, Telemetry: t}
+	if s.Agent.Engine != nil {
+		deps.Engine = enginehttp.New(hostOf(s.Agent.Engine.URL))
+		return deps, nil
+	}
+	service, err := newService(s.Agent.Service)
+	deps.Service = service
+	return deps, err
+}
+
+func newService(s *settings.Service) (backend.Service, error) {
+	options := servicehttp.Options{Address: hostOf(s.URL), MaxConnections: s.MaxConcurrent}
+	if s.CallerTokenFile != "" {
+		token, err := os.ReadFile(s.CallerTokenFile)
+		if err != nil {
+			return nil, &settings.Error{File: s.CallerTokenFile, Cause: fmt.Errorf("read the caller token: %w", err)}
+		}
+		options.Token = strings.TrimSpace(string(token))
+	}
+	return servicehttp.New(options), nil
+}
+
+// hostOf returns host:port of a URL that the settings have checked.
+func hostOf(address string) string {
+	u, err := url.Parse(address)
+	if err != nil {
+		return address
+	}
+	return u.Host
+}
+
+// ports opens listeners and keeps the first error.
+type ports struct {
+	listeners []net.Listener
+	err       error
+}
+
+func (p *ports) open(address string) net.Listener {
+	if p.err != nil {
+		return nil
+	}
+	l, err := net.Listen("tcp", address)
+	if err != nil {
+		p.err = fmt.Errorf("open port: %w", err)
+		return nil
+	}
+	p.listeners = append(p.listeners, l)
+	return l
+}
+
+func (p *ports) close() {
+	for _, l := range p.listeners {
+		_ = l.Close()
+	}
+}
--- /dev/null
+++ b/daemon/entry/completion.go
@@ -0,0 +1,205 @@
+package entry
+
+import (
+	"context"
+	"encoding/json"
+	"math"
+	"sync"
+	"time"
+
+	"camphorwick.dev/api/outcome"
+	"camphorwick.dev/backend"
+	"camphorwick.dev/policy/admit"
+	"camphorwick.dev/policy/choose"
+)
+
+// Limits of a completion.
+const (
+	defaultMaxTokens = 256
+	maxMaxTokens     = 131_072
+	// maxPromptTokens is the longest prompt that callers may send.
+	maxPromptTokens = 1_050_000
+)
+
+// completionBody is the JSON body of POST /v1/completions. Other fields of the
+// usual protocol are ignored.
+type completionBody struct {
+	Model     string  `json:"model"`
+	Prompt    string  `json:"prompt"`
+	MaxTokens *int    `json:"max_tokens"`
+	Stream    bool    `json:"stream"`
+	TimeoutMS *int64  `json:"timeout_ms"`
+	N         float64 `json:"n"`
+}
+
+// completion is a checked completion request.
+type completion struct {
+	exchange *exchange
+	model    string
+	prompt   []byte
+	tokens   int // estimated prompt tokens
+	band     outcome.Band
+	max      int
+	stream   bool
+	deadline time.Time
+	prefixes []uint64
+}
+
+// serveCompletion answers POST /v1/completions.
+func (e *Entry) serveCompletion(x *exchange) {
+	c, err := e.parseCompletion(x)
+	if err != nil {
+		e.metrics.refused(err)
+		x.refuse(err)
+		return
+	}
+	release, err := e.admit(c)
+	if err != nil {
+		e.metrics.refused(err)
+		x.refuse(err)
+		return
+	}
+	e.budget.Request(time.Now())
+	ctx, cancel := context.WithCancelCause(x.ctx)
+	ctx, stopTimer := context.WithDeadline(ctx, c.deadline)
+	stopWatch := e.watchCaller(x.http.Conn(), cancel)
+	a := newAnswer()
+	go func() {
+		defer release()
+		e.complete(ctx, c, a)
+	}()
+	finish := func() {
+		stopWatch()
+		stopTimer()
+		cancel(nil)
+	}
+	if c.stream {
+		e.streamAnswer(c, a, cancel, finish)
+		return
+	}
+	defer finish()
+	e.wholeAnswer(c, a)
+}
+
+// parseCompletion checks a completion request. Errors are *outcome.Error.
+func (e *Entry) parseCompletion(x *exchange) (*completion, error) {
+	body := completionBody{}
+	if err := json.Unmarshal(x.http.PostBody(), &body); err != nil {
+		return nil, outcome.Wrap(err, outcome.InvalidRequest, "the body is not a valid completion request")
+	}
+	c := &completion{exchange: x, model: body.Model, prompt: []byte(body.Prompt), max: defaultMaxTokens, stream: body.Stream}
+	c.tokens = outcome.EstimateTokens(len(c.prompt))
+	c.band = outcome.BandOf(c.tokens)
+	if body.MaxTokens != nil {
+		c.max = *body.MaxTokens
+	}
+	timeout := int64(e.settings.Entry.DefaultTimeoutMillis)
+	if body.TimeoutMS != nil {
+		timeout = *body.TimeoutMS
+	}
+	switch {
+	case c.model == "":
+		return nil, outcome.New(outcome.InvalidRequest, "\"model\" is missing")
+	case len(c.prompt) == 0:
+		return nil, outcome.New(outcome.InvalidRequest, "\"prompt\" is missing or empty")
+	case c.max < 1 || c.max > maxMaxTokens:
+		return nil, outcome.New(outcome.InvalidRequest, "\"max_tokens\" is %d; allowed: 1 to %d", c.max, maxMaxTokens)
+	case body.N != 0 && body.N != 1:
+		return nil, outcome.New(outcome.InvalidRequest, "\"n\" is %v; allowed: 1", body.N)
+	case timeout < 1 || timeout > int64(e.settings.Entry.MaxTimeoutMillis):
+		return nil, outcome.New(outcome.InvalidRequest, "\"timeout_ms\" is %d; allowed: 1 to %d", timeout, e.settings.Entry.MaxTimeoutMillis)
+	case c.tokens > maxPromptTokens:
+		return nil, outcome.New(outcome.PromptTooLong, "the prompt has about %d tokens; allowed: %d", c.tokens, maxPromptTokens)
+	}
+	c.deadline = x.started.Add(time.Duration(timeout) * time.Millisecond)
+	c.prefixes = backend.PrefixHashes(c.prompt)
+	return c, e.checkPlan(c)
+}
+
+// checkPlan checks what the account's plan allows.
+func (e *Entry) checkPlan(c *completion) error {
+	plan := c.exchange.plan
+	if !plan.AllowsModel(c.model) {
+		if e.modelExists(c.model) {
+			return outcome.New(outcome.Forbidden, "the plan does not include model %q", c.model)
+		}
+		return outcome.New(outcome.UnknownModel, "model %q does not exist", c.model)
+	}
+	if plan.MaxPromptTokens > 0 && c.tokens > plan.MaxPromptTokens {
+		return outcome.New(outcome.PromptTooLong, "the prompt has about %d tokens; the plan allows %d", c.tokens, plan.MaxPromptTokens)
+	}
+	if largest := e.largestPrompt(c.model); largest > 0 && c.tokens+c.max > largest {
+		return outcome.New(outcome.PromptTooLong, "prompt and answer need about %d tokens; the largest engine holds %d", c.tokens+c.max, largest)
+	}
+	return nil
+}
+
+// modelExists reports whether any known agent serves a model.
+func (e *Entry) modelExists(model string) bool { return e.largestPrompt(model) > 0 }
+
+// largestPrompt returns the largest KV-cache memory in tokens of the known
+// agents with a model; 0 if there is none.
+func (e *Entry) largestPrompt(model string) int {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	largest := 0
+	for _, a := range e.agents {
+		for _, m := range a.hello.GetBackend().GetModels() {
+			if m == model {
+				largest = max(largest, int(a.hello.Backend.KvTokens))
+			}
+		}
+	}
+	return largest
+}
+
+// admit applies the plan's limits and refuses what the fleet cannot finish in
+// time. The returned function gives the limits back.
+func (e *Entry) admit(c *completion) (release func(), err error) {
+	now := time.Now()
+	plan := c.exchange.plan
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if _, expected, ok := e.table.Pick(now, c.request(e.settings.DataCentre, nil)); ok {
+		work := admit.Work{Band: c.band, Deadline: c.deadline, Expected: expected, ShortExpected: expected}
+		if c.band != outcome.Short {
+			work.ShortExpected = e.shortExpected(now, c.model)
+		}
+		if err := e.shedder.Check(now, work); err != nil {
+			return nil, err
+		}
+	}
+	limits := admit.Limits{RequestsPerSecond: plan.RequestsPerSecond, TokensPerSecond: plan.TokensPerSecond, Concurrency: plan.Concurrency}
+	give, err := e.limiter.Admit(now, c.exchange.account, limits, c.tokens, int(e.entries.Load()))
+	if err != nil {
+		return nil, err
+	}
+	return sync.OnceFunc(func() {
+		e.mu.Lock()
+		defer e.mu.Unlock()
+		give()
+	}), nil
+}
+
+// shortExpected returns the expected time to first token of a short request;
+// e.mu is held.
+func (e *Entry) shortExpected(now time.Time, model string) time.Duration {
+	_, expected, ok := e.table.Pick(now, choose.Request{Model: model, Band: outcome.Short,
+		Tokens: outcome.MaxShortTokens / 2, DataCentre: e.settings.DataCentre})
+	if !ok {
+		return 0
+	}
+	return expected
+}
+
+// request returns what the choice of an agent depends on.
+func (c *completion) request(dataCentre string, exclude func(string) bool) choose.Request {
+	return choose.Request{Model: c.model, Band: c.band, Tokens: c.tokens, Prefixes: c.prefixes,
+		DataCentre: dataCentre, Exclude: exclude}
+}
+
+// remaining returns the time until a deadline in milliseconds, at least 1.
+func remaining(deadline time.Time) uint32 {
+	ms := time.Until(deadline).Milliseconds()
+	return uint32(min(max(ms, 1), math.MaxUint32))
+}
--- /dev/null
+++ b/daemon/entry/entry.go
@@ -0,0 +1,250 @@
+// Package entry is the daemon's role in front of callers: it authenticates
+// and admits requests, chooses a backend server for each, repeats what may be
+// repeated, and tells the caller what became of its request. An entry holds
+// nothing that cannot be lost or rebuilt.
+//
+// Lock order: Entry.mu is taken last and never held during input or output.
+package entry
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"log/slog"
+	"net"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"golang.org/x/sync/errgroup"
+
+	"camphorwick.dev/api/outcome"
+	"camphorwick.dev/api/wire"
+	"camphorwick.dev/daemon/member"
+	"camphorwick.dev/fleetconf"
+	"camphorwick.dev/link"
+	"camphorwick.dev/observe"
+	"camphorwick.dev/platform"
+	"camphorwick.dev/policy/admit"
+	"camphorwick.dev/policy/choose"
+	"camphorwick.dev/policy/retry"
+	"camphorwick.dev/settings"
+)
+
+// Deps are the outside parts that an Entry uses.
+type Deps struct {
+	KV        platform.KV
+	VMs       platform.VMList
+	Telemetry *observe.Telemetry
+}
+
+// Listeners are the ports of an Entry. They are opened by the caller, so that
+// an address in use is reported before anything starts.
+type Listeners struct {
+	Control, Callers, Admin net.Listener
+}
+
+// Entry serves callers and operators.
+type Entry struct {
+	settings  *settings.Settings
+	log       *slog.Logger
+	telemetry *observe.Telemetry
+	metrics   *metrics
+	member    *member.Member
+	editor    *fleetconf.Editor
+	budget    *retry.Budget
+
+	draining atomic.Bool
+	stop     chan struct{}
+	stopOnce sync.Once
+	// entries is the number of live entries, this one included; limits are
+	// shared between them.
+	entries atomic.Int64
+
+	mu      sync.Mutex
+	table   *choose.Table
+	limiter *admit.Limiter
+	shedder *admit.Shedder
+	// agents holds the usable agents and their last reported load.
+	agents map[string]*agentState
+}
+
+// agentState is what an entry knows of an agent; guarded by Entry.mu.
+type agentState struct {
+	hello  *wire.Hello
+	load   *wire.Load
+	usable bool
+}
+
+// New returns an entry that does nothing until Run.
+func New(s *settings.Settings, d Deps) (*Entry, error) {
+	e := &Entry{settings: s, log: d.Telemetry.Log, telemetry: d.Telemetry, stop: make(chan struct{}),
+		budget: retry.New(retry.Config{}), table: choose.New(choose.Config{Seed: uint64(time.Now().UnixNano())}),
+		limiter: admit.NewLimiter(), shedder: admit.NewShedder(admit.ShedConfig{}), agents: map[string]*agentState{}}
+	e.entries.Store(1)
+	m, err := member.New(s, d.Telemetry.Log, d.KV, d.VMs, (*hooks)(e))
+	if err != nil {
+		return nil, err
+	}
+	e.member = m
+	e.editor = fleetconf.NewEditor(d.KV, m.Replica)
+	if e.metrics, err = newMetrics(d.Telemetry.Meter); err != nil {
+		return nil, fmt.Errorf("set up metrics: %w", err)
+	}
+	return e, nil
+}
+
+// Stop starts a graceful stop: readiness fails, then the callers' port closes,
+// requests in progress end, and Run returns.
+func (e *Entry) Stop() { e.stopOnce.Do(func() { close(e.stop) }) }
+
+// Ready returns nil if the platform's balancer may send callers here.
+func (e *Entry) Ready() error {
+	switch {
+	case e.draining.Load():
+		return outcome.New(outcome.Draining, "VM %s is being drained", e.settings.VM)
+	case e.member.Replica.Revision() == 0:
+		return outcome.New(outcome.NoServer, "no configuration has been received")
+	case e.member.Isolated():
+		return outcome.New(outcome.NoServer, "neither the store nor any peer can be reached")
+	}
+	return nil
+}
+
+// Run serves until Stop or the end of ctx. A cancelled ctx cuts requests off.
+func (e *Entry) Run(ctx context.Context, l Listeners) error {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	group, groupCtx := errgroup.WithContext(ctx)
+	callers, admin := e.callersServer(groupCtx), e.adminServer(groupCtx)
+	group.Go(func() error { return e.member.Run(groupCtx, l.Control) })
+	group.Go(func() error { return serve(callers, l.Callers, "callers' API") })
+	group.Go(func() error { return serve(admin, l.Admin, "administration API") })
+	group.Go(func() error {
+		defer cancel()
+		e.awaitStop(groupCtx)
+		limit, done := context.WithTimeout(ctx, e.settings.DrainLimit())
+		defer done()
+		err := callers.ShutdownWithContext(limit)
+		_ = admin.ShutdownWithContext(limit)
+		e.log.Info("drain finished")
+		if err != nil && ctx.Err() == nil {
+			return fmt.Errorf("stop the callers' API: %w", err)
+		}
+		return nil
+	})
+	if err := group.Wait(); err != nil && !errors.Is(err, context.Canceled) {
+		return fmt.Errorf("run entry: %w", err)
+	}
+	return nil
+}
+
+// awaitStop waits for Stop and then gives the balancer time to notice that
+// the entry is not ready.
+func (e *Entry) awaitStop(ctx context.Context) {
+	select {
+	case <-ctx.Done():
+		return
+	case <-e.stop:
+	}
+	e.draining.Store(true)
+	e.log.Info("drain started")
+	select {
+	case <-ctx.Done():
+	case <-time.After(time.Duration(e.settings.Entry.UnreadyMillis) * time.Millisecond):
+	}
+}
+
+// hooks implements member.Hooks for an Entry.
+type hooks Entry
+
+func (h *hooks) Load() *wire.Load { return nil }
+
+func (h *hooks) Backend() *wire.BackendInfo { return nil }
+
+func (h *hooks) Stream(ctx context.Context, s *link.Stream) { s.Close() }
+
+// ConfigChanged starts a stop when this VM is marked, and stops sending to
+// marked agents.
+func (h *hooks) ConfigChanged(config *fleetconf.Config) {
+	e := (*Entry)(h)
+	switch state, _ := config.Mark(e.settings.VM); state {
+	case fleetconf.Leaving:
+		e.draining.Store(true)
+	case fleetconf.Stopping:
+		e.Stop()
+	default:
+		select {
+		case <-e.stop:
+		default:
+			e.draining.Store(false)
+		}
+	}
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	for vm := range e.agents {
+		e.refresh(vm, config)
+	}
+}
+
+// PeerChanged adds or removes an agent, or counts the entries again.
+func (h *hooks) PeerChanged(peer *wire.Hello, usable bool) {
+	e := (*Entry)(h)
+	if peer.Role != wire.Role_ROLE_AGENT {
+		e.entries.Store(int64(len(e.member.LiveEntries())))
+		return
+	}
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	state := e.agents[peer.Vm]
+	if state == nil || state.hello.Epoch != peer.Epoch {
+		state = &agentState{}
+		e.agents[peer.Vm] = state
+	}
+	state.hello, state.usable = peer, usable
+	e.upsert(state)
+	e.refresh(peer.Vm, e.member.Replica.Config())
+}
+
+// PeerLoad takes over the load that an agent reported.
+func (h *hooks) PeerLoad(peer *wire.Hello, load *wire.Load) {
+	e := (*Entry)(h)
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	state := e.agents[peer.Vm]
+	if state == nil {
+		return
+	}
+	state.load = load
+	e.report(peer.Vm, load)
+	e.refresh(peer.Vm, e.member.Replica.Config())
+}
+
+// upsert describes an agent to the table; e.mu is held.
+func (e *Entry) upsert(state *agentState) {
+	info := state.hello.Backend
+	if info == nil {
+		return
+	}
+	e.table.Upsert(choose.Agent{VM: state.hello.Vm, DataCentre: state.hello.DataCentre, Models: info.Models,
+		KVTokens: int(info.KvTokens), PrefillTokensPerSecond: int(info.PrefillTokensPerSecond), Service: info.Service})
+}
+
+// report passes a load on to the table; e.mu is held.
+func (e *Entry) report(vm string, load *wire.Load) {
+	l := choose.Load{KVReserved: int(load.KvReservedTokens), Running: int(load.Running), Queued: int(load.Queued)}
+	for band, tokens := range load.PrefillTokens {
+		if band < outcome.BandCount {
+			l.PrefillTokens[band] = int(tokens)
+		}
+	}
+	e.table.Report(time.Now(), vm, l)
+	e.table.CachedPrefixes(vm, load.CachedPrefixes)
+}
+
+// refresh decides whether an agent may get work; e.mu is held.
+func (e *Entry) refresh(vm string, config *fleetconf.Config) {
+	state := e.agents[vm]
+	_, marked := config.Mark(vm)
+	e.table.SetUsable(vm, state.usable && !marked && !state.load.GetDraining())
+}
--- /dev/null
+++ b/daemon/entry/http.go
@@ -0,0 +1,268 @@
+package entry
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"net"
+	"net/http"
+	"regexp"
+	"strings"
+	"time"
+
+	"github.com/google/uuid"
+	"github.com/valyala/fasthttp"
+	"go.opentelemetry.io/otel/attribute"
+	"go.opentelemetry.io/otel/trace"
+
+	"camphorwick.dev/api/outcome"
+	"camphorwick.dev/fleetconf"
+	"camphorwick.dev/observe"
+)
+
+// Limits of the callers' and the administration server.
+const (
+	readTimeout      = 30 * time.Second
+	idleTimeout      = 75 * time.Second
+	maxConnsPerIP    = 16384 // the platform's balancer is one address
+	maxConcurrency   = 65536
+	maxAdminBody     = 4 << 20
+	headerBufferSize = 16 << 10
+)
+
+// Names of headers.
+const (
+	headerRequestID = "X-Request-Id"
+	headerOutcome   = "Camphorwick-Outcome"
+	headerTraceID   = "Camphorwick-Trace-Id"
+	headerRecorded  = "Camphorwick-Recorded"
+)
+
+var requestIDPattern = regexp.MustCompile(`^[A-Za-z0-9._-]{1,64}$`)
+
+// httpStatus maps error codes to HTTP status codes.
+var httpStatus = map[outcome.Code]int{
+	outcome.InvalidRequest:      http.StatusBadRequest,
+	outcome.PromptTooLong:       http.StatusBadRequest,
+	outcome.KeyExpired:          http.StatusBadRequest,
+	outcome.Unauthenticated:     http.StatusUnauthorized,
+	outcome.Forbidden:           http.StatusForbidden,
+	outcome.NotFound:            http.StatusNotFound,
+	outcome.UnknownModel:        http.StatusNotFound,
+	outcome.UnknownService:      http.StatusNotFound,
+	outcome.KeyConflict:         http.StatusConflict,
+	outcome.EditConflict:        http.StatusConflict,
+	outcome.OrderInProgress:     http.StatusConflict,
+	outcome.RateLimited:         http.StatusTooManyRequests,
+	outcome.Overloaded:          http.StatusServiceUnavailable,
+	outcome.Draining:            http.StatusServiceUnavailable,
+	outcome.NoServer:            http.StatusServiceUnavailable,
+	outcome.StoreUnavailable:    http.StatusServiceUnavailable,
+	outcome.DeadlineUnreachable: http.StatusServiceUnavailable,
+	outcome.BackendFailed:       http.StatusBadGateway,
+	outcome.OrderInDoubt:        http.StatusBadGateway,
+	outcome.DeadlineExceeded:    http.StatusGatewayTimeout,
+	outcome.Cancelled:           499,
+}
+
+// errorBody is the body of every answer that is not completed.
+type errorBody struct {
+	RequestID string          `json:"request_id"`
+	Outcome   outcome.Outcome `json:"outcome"`
+	Error     errorDetail     `json:"error"`
+}
+
+type errorDetail struct {
+	Code         outcome.Code `json:"code"`
+	Message      string       `json:"message"`
+	RetryAfterMS int64        `json:"retry_after_ms,omitempty"`
+}
+
+func detailOf(err error) errorDetail {
+	e := outcome.From(err)
+	message := e.Message
+	if e.Cause != nil {
+		message = fmt.Sprintf("%s: %v", message, e.Cause)
+	}
+	return errorDetail{Code: e.Code, Message: message, RetryAfterMS: e.RetryAfter.Milliseconds()}
+}
+
+// exchange is one request of a caller. Its strings are copies, because
+// fasthttp reuses the memory of a request.
+type exchange struct {
+	http      *fasthttp.RequestCtx
+	requestID string
+	account   string
+	plan      *fleetconf.Plan
+	span      trace.Span
+	// ctx carries the span; it has no deadline.
+	ctx     context.Context
+	started time.Time
+}
+
+// server returns an HTTP server with the limits that both APIs share.
+func (e *Entry) server(name string, maxBody int, handler fasthttp.RequestHandler) *fasthttp.Server {
+	return &fasthttp.Server{
+		Name: name, Handler: handler, MaxRequestBodySize: maxBody, ReadBufferSize: headerBufferSize,
+		ReadTimeout: readTimeout, IdleTimeout: idleTimeout, MaxConnsPerIP: maxConnsPerIP,
+		Concurrency: maxConcurrency, CloseOnShutdown: true, NoDefaultServerHeader: true,
+		ErrorHandler: func(c *fasthttp.RequestCtx, err error) {
+			code := outcome.InvalidRequest
+			status := http.StatusBadRequest
+			if err == fasthttp.ErrBodyTooLarge {
+				status = http.StatusRequestEntityTooLarge
+			}
+			writeError(c, uuid.NewString(), outcome.NotRun, outcome.Wrap(err, code, "the request cannot be read"))
+			c.SetStatusCode(status)
+		},
+	}
+}
+
+// serve runs a server until it is shut down.
+func serve(s *fasthttp.Server, l net.Listener, name string) error {
+	if err := s.Serve(l); err != nil {
+		return fmt.Errorf("serve the %s: %w", name, err)
+	}
+	return nil
+}
+
+// callersServer returns the server of the callers' API.
+func (e *Entry) callersServer(ctx context.Context) *fasthttp.Server {
+	return e.server("callers", e.settings.Entry.MaxBodyBytes, func(c *fasthttp.RequestCtx) { e.handleCaller(ctx, c) })
+}
+
+// handleCaller routes one request of a caller.
+func (e *Entry) handleCaller(ctx context.Context, c *fasthttp.RequestCtx) {
+	path := string(c.Path())
+	switch path {
+	case "/healthz":
+		c.SetBodyString("ok\n")
+		return
+	case "/readyz":
+		e.serveReady(c)
+		return
+	}
+	x := e.begin(ctx, c)
+	if err := e.authenticate(x); err != nil {
+		x.refuse(err)
+		return
+	}
+	method := string(c.Method())
+	switch {
+	case path == "/v1/completions" && method == http.MethodPost:
+		e.serveCompletion(x)
+	case path == "/v1/models" && method == http.MethodGet:
+		e.serveModels(x)
+	case strings.HasPrefix(path, "/v1/requests/") && method == http.MethodGet:
+		e.serveResume(x, strings.TrimPrefix(path, "/v1/requests/"))
+	case strings.HasPrefix(path, "/v1/orders/") && method == http.MethodGet:
+		e.serveOrderQuery(x, strings.TrimPrefix(path, "/v1/orders/"))
+	case strings.HasPrefix(path, "/v1/services/"):
+		e.serveService(x, method, strings.TrimPrefix(path, "/v1/services/"))
+	default:
+		x.refuse(outcome.New(outcome.NotFound, "%s %s does not exist", method, path))
+	}
+}
+
+func (e *Entry) serveReady(c *fasthttp.RequestCtx) {
+	if err := e.Ready(); err != nil {
+		c.SetStatusCode(http.StatusServiceUnavailable)
+		c.SetBodyString(err.Error() + "\n")
+		return
+	}
+	c.SetBodyString("ready\n")
+}
+
+// begin starts the span of a request and sets the headers of every answer.
+func (e *Entry) begin(ctx context.Context, c *fasthttp.RequestCtx) *exchange {
+	x := &exchange{http: c, requestID: string(c.Request.Header.Peek(headerRequestID)), started: time.Now()}
+	if !requestIDPattern.MatchString(x.requestID) {
+		x.requestID = uuid.NewString()
+	}
+	parent := observe.WithTraceparent(ctx, string(c.Request.Header.Peek("traceparent")))
+	x.ctx, x.span = e.telemetry.Tracer.Start(parent, "entry", trace.WithAttributes(
+		attribute.String("request_id", x.requestID), attribute.String("path", string(c.Path()))))
+	c.Response.Header.Set(headerRequestID, x.requestID)
+	c.Response.Header.Set(headerTraceID, observe.TraceID(x.ctx))
+	return x
+}
+
+// authenticate finds the client account of a request's API key.
+func (e *Entry) authenticate(x *exchange) error {
+	header := string(x.http.Request.Header.Peek("Authorization"))
+	key, ok := strings.CutPrefix(header, "Bearer ")
+	if !ok || key == "" {
+		return outcome.New(outcome.Unauthenticated, "the header Authorization must be \"Bearer\" and an API key")
+	}
+	config := e.member.Replica.Config()
+	account, client, ok := config.ClientByKey(key)
+	if !ok {
+		return outcome.New(outcome.Unauthenticated, "the API key is unknown or revoked")
+	}
+	if client.Disabled {
+		return outcome.New(outcome.Forbidden, "client account %q is disabled", account)
+	}
+	plan, ok := config.PlanOf(account)
+	if !ok {
+		return outcome.New(outcome.Forbidden, "client account %q has no plan", account)
+	}
+	x.account, x.plan = strings.Clone(account), plan
+	x.span.SetAttributes(attribute.String("client_account", account))
+	return nil
+}
+
+// refuse answers a request that did not run.
+func (x *exchange) refuse(err error) { x.fail(outcome.NotRun, err) }
+
+// fail answers a request that has not completed and ends its span.
+func (x *exchange) fail(o outcome.Outcome, err error) {
+	writeError(x.http, x.requestID, o, err)
+	x.end(o)
+}
+
+// end ends the span of a request.
+func (x *exchange) end(o outcome.Outcome) {
+	x.span.SetAttributes(attribute.String("outcome", string(o)))
+	x.span.End()
+}
+
+func writeError(c *fasthttp.RequestCtx, requestID string, o outcome.Outcome, err error) {
+	detail := detailOf(err)
+	status, ok := httpStatus[detail.Code]
+	if !ok {
+		status = http.StatusInternalServerError
+	}
+	c.Response.Header.Set(headerRequestID, requestID)
+	c.Response.Header.Set(headerOutcome, string(o))
+	if detail.RetryAfterMS > 0 {
+		seconds := (detail.RetryAfterMS + 999) / 1000
+		c.Response.Header.Set("Retry-After", fmt.Sprint(seconds))
+	}
+	writeJSON(c, status, errorBody{RequestID: requestID, Outcome: o, Error: detail})
+}
+
+func writeJSON(c *fasthttp.RequestCtx, status int, body any) {
+	data, err := json.Marshal(body)
+	if err != nil {
+		c.SetStatusCode(http.StatusInternalServerError)
+		return
+	}
+	c.SetStatusCode(status)
+	c.SetContentType("application/json")
+	c.SetBody(append(data, '\n'))
+}
+
+// serveModels lists the models that the account's plan may use.
+func (e *Entry) serveModels(x *exchange) {
+	type model struct {
+		ID     string `json:"id"`
+		Object string `json:"object"`
+	}
+	list := make([]model, 0, len(x.plan.Models))
+	for _, m := range x.plan.Models {
+		list = append(list, model{m, "model"})
+	}
+	x.http.Response.Header.Set(headerOutcome, string(outcome.Completed))
+	writeJSON(x.http, http.StatusOK, map[string]any{"object": "list", "data": list})
+	x.end(outcome.Completed)
+}
--- /dev/null
+++ b/daemon/entry/resume.go
@@ -0,0 +1,127 @@
+package entry
+
+import (
+	"context"
+	"strconv"
+	"strings"
+	"time"
+
+	"camphorwick.dev/api/outcome"
+	"camphorwick.dev/api/wire"
+	"camphorwick.dev/observe"
+)
+
+// findTimeout bounds the search for the agent that holds an answer.
+const findTimeout = 5 * time.Second
+
+// serveResume answers GET /v1/requests/{id}: the rest of a streamed answer
+// whose entry or connection was lost. Last-Event-ID names agent and offset;
+// without it, all agents are asked and the answer starts at token 0.
+func (e *Entry) serveResume(x *exchange, id string) {
+	if !requestIDPattern.MatchString(id) {
+		x.refuse(outcome.New(outcome.InvalidRequest, "%q is not a request id", id))
+		return
+	}
+	vm, offset, err := parseEventID(string(x.http.Request.Header.Peek("Last-Event-ID")))
+	if err != nil {
+		x.refuse(err)
+		return
+	}
+	x.requestID = id
+	x.http.Response.Header.Set(headerRequestID, id)
+	deadline := time.Now().Add(time.Duration(e.settings.Entry.MaxTimeoutMillis) * time.Millisecond)
+	ctx, cancel := context.WithCancelCause(x.ctx)
+	stopWatch := e.watchCaller(x.http.Conn(), cancel)
+	c := &completion{exchange: x, deadline: deadline, stream: true}
+	a := newAnswer()
+	go e.resume(ctx, c, a, vm, offset)
+	e.streamAnswer(c, a, cancel, func() {
+		stopWatch()
+		cancel(nil)
+	})
+}
+
+// parseEventID splits "<agent VM>/<offset>"; an empty id means any agent and
+// offset 0.
+func parseEventID(id string) (vm string, offset uint32, err error) {
+	if id == "" {
+		return "", 0, nil
+	}
+	vm, text, ok := strings.Cut(id, "/")
+	n, parseErr := strconv.ParseUint(text, 10, 32)
+	if !ok || parseErr != nil {
+		return "", 0, outcome.New(outcome.InvalidRequest, "Last-Event-ID %q is not an agent and an offset", id)
+	}
+	return vm, uint32(n), nil
+}
+
+// resume reads the rest of an answer from the agent that holds it. The prompt
+// is not known here, so a second failure cannot be continued elsewhere.
+func (e *Entry) resume(ctx context.Context, c *completion, a *answer, vm string, offset uint32) {
+	r := &run{completion: c, answer: a, emitted: make([]string, offset), mayRun: true}
+	got := attemptResult{err: outcome.New(outcome.NotFound, "no agent holds request %q from token %d on", c.exchange.requestID, offset)}
+	for _, candidate := range e.holders(vm) {
+		got = e.readRest(ctx, r, candidate)
+		if got.verdict != attemptNotRun {
+			break
+		}
+	}
+	if got.verdict == attemptEnded && got.end != nil {
+		a.result = result{outcome: outcome.Completed, end: got.end}
+	} else {
+		a.result = result{outcome: outcome.Failed, err: got.err}
+	}
+	close(a.done)
+	if got.stream != nil {
+		r.acknowledge(got.stream)
+	}
+	c.exchange.end(a.result.outcome)
+}
+
+// holders returns the agents to ask for an answer.
+func (e *Entry) holders(vm string) []string {
+	if vm != "" {
+		return []string{vm}
+	}
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	var all []string
+	for name, state := range e.agents {
+		if state.usable && state.hello.GetBackend().GetService() == "" {
+			all = append(all, name)
+		}
+	}
+	return all
+}
+
+// readRest asks one agent for the rest of an answer and passes it on.
+func (e *Entry) readRest(ctx context.Context, r *run, vm string) attemptResult {
+	stream, lost, err := e.member.Node.Open(vm)
+	if err != nil {
+		return attemptResult{verdict: attemptNotRun, err: outcome.Wrap(err, outcome.NoServer, "VM %s cannot be reached", vm)}
+	}
+	request := &wire.ResumeRequest{RequestId: r.exchange.requestID, ClientAccount: r.exchange.account,
+		Offset: uint32(len(r.emitted)), RemainingMs: remaining(r.deadline), Traceparent: observe.Traceparent(ctx)}
+	if err := stream.Write(&wire.StreamHeader{Body: &wire.StreamHeader_Resume{Resume: request}}); err != nil {
+		stream.Close()
+		return attemptResult{verdict: attemptNotRun, err: outcome.Wrap(err, outcome.NoServer, "VM %s cannot be reached", vm)}
+	}
+	stream.SetReadDeadline(time.Now().Add(findTimeout))
+	first := &wire.AgentMessage{}
+	if err := stream.Read(first); err != nil {
+		stream.Close()
+		return attemptResult{verdict: attemptNotRun, err: outcome.Wrap(err, outcome.NoServer, "VM %s did not answer", vm)}
+	}
+	stream.SetReadDeadline(time.Time{})
+	if first.GetAccepted() == nil {
+		stream.Close()
+		return attemptResult{verdict: attemptNotRun, err: fromWire(first.GetNotRun().GetError())}
+	}
+	close(r.answer.accepted)
+	r.accepted = true
+	got := e.follow(ctx, lost, r, vm, stream, first.GetAccepted().AttemptId, true)
+	if got.stream == nil {
+		stream.Close()
+	}
+	return got
+}
