Add the HTTP adapter for model engines

An agent needs a model engine behind backend.Engine. Each call opens its own connection: with pooled connections a connection that the engine closed could not be told from one that broke after the request was taken, so EngineUnreachable would not be certain. fasthttp's own retries are switched off; a test counts the requests that arrive. Prompt and exported state travel as the raw body without escaping or copies.

The tests run the adapter against the stand-in in one process, so module backend requires module standin for its tests.

The first version of the stand-in dropped tokens that were emitted but not yet read when a stream was exported. They are now delivered before the error that ends the stream, so the texts read and the continuation are whole.

--- /dev/null
+++ b/backend/enginehttp/client_test.go
@@ -0,0 +1,375 @@
+package enginehttp_test
+
+import (
+	"bytes"
+	"context"
+	"errors"
+	"net"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"camphorwick.dev/backend"
+	"camphorwick.dev/backend/enginehttp"
+	"camphorwick.dev/standin/enginesim"
+)
+
+// waitLimit bounds each wait in the tests.
+const waitLimit = 10 * time.Second
+
+func testConfig() enginesim.Config {
+	return enginesim.Config{
+		Models: []string{"m"}, KVTokens: 400_000, StepTokens: 100_000,
+		StepFixed: 2 * time.Millisecond, StepPerDecode: 10 * time.Microsecond,
+		Retention: 300 * time.Millisecond, StateBytesPerToken: 8, Seed: 3,
+	}
+}
+
+// serve starts a stand-in and returns it with an adapter.
+func serve(t *testing.T, c enginesim.Config) (*enginesim.Engine, *enginehttp.Client) {
+	t.Helper()
+	is := is.New(t)
+	e, err := enginesim.New(c)
+	is.NoErr(err)
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	is.NoErr(err)
+	server := enginesim.NewServer(e)
+	served := make(chan error, 1)
+	go func() { served <- server.Serve(l) }()
+	t.Cleanup(func() {
+		is.NoErr(server.Shutdown())
+		is.NoErr(<-served)
+		e.Close()
+	})
+	return e, enginehttp.New(l.Addr().String())
+}
+
+func limited(t *testing.T) context.Context {
+	ctx, cancel := context.WithTimeout(t.Context(), waitLimit)
+	t.Cleanup(cancel)
+	return ctx
+}
+
+func completion(id string, prompt []byte, maxTokens int) backend.Completion {
+	return backend.Completion{StreamID: id, Model: "m", Prompt: prompt, MaxTokens: maxTokens}
+}
+
+// collect reads a stream to its end and closes it.
+func collect(ctx context.Context, is *is.I, s backend.Stream) (string, backend.Chunk) {
+	is.Helper()
+	var text strings.Builder
+	for {
+		chunk, err := s.Next(ctx)
+		is.NoErr(err)
+		text.WriteString(strings.Join(chunk.Texts, ""))
+		if chunk.Final {
+			is.NoErr(s.Close())
+			return text.String(), chunk
+		}
+	}
+}
+
+func expected(prompt []byte, maxTokens int) string {
+	texts, _ := enginesim.Answer(prompt, maxTokens, 0)
+	return strings.Join(texts, "")
+}
+
+func kindOf(err error) backend.EngineErrorKind {
+	var failure *backend.EngineError
+	if errors.As(err, &failure) {
+		return failure.Kind
+	}
+	return ""
+}
+
+// eventually waits until the engine reaches a state.
+func eventually(t *testing.T, what string, reached func() bool) {
+	t.Helper()
+	for end := time.Now().Add(waitLimit); !reached(); time.Sleep(time.Millisecond) {
+		if time.Now().After(end) {
+			t.Fatalf("not reached: %s", what)
+		}
+	}
+}
+
+// Guards the whole path of an answer, with ids and text that need escaping,
+// and the continuation of a broken answer on another engine.
+func TestStreamAndContinuation(t *testing.T) {
+	is := is.New(t)
+	ctx := limited(t)
+	_, first := serve(t, testConfig())
+	_, second := serve(t, testConfig())
+	prompt := []byte("a \"prompt\"\n\x00 with any bytes \xff")
+	s, err := first.Start(ctx, completion("vm-1/attempt &+%2F=ü", prompt, 40))
+	is.NoErr(err)
+	text, last := collect(ctx, is, s)
+	is.Equal(text, expected(prompt, 40))
+	is.Equal(last.FinishReason, "length")
+	is.Equal(last.PromptTokens, enginesim.PromptTokens(len(prompt)))
+	cut := 7 * enginesim.BytesPerToken
+	s, err = second.Start(ctx, completion("b", append(bytes.Clone(prompt), text[:cut]...), 33))
+	is.NoErr(err)
+	rest, _ := collect(ctx, is, s)
+	is.Equal(text[:cut]+rest, expected(prompt, 40))
+}
+
+// Guards prompts of a million tokens, and the algorithm of the prefix hashes:
+// the engine's cache events must name the hashes that the product computes.
+func TestMillionTokensAndPrefixHashes(t *testing.T) {
+	is := is.New(t)
+	ctx := limited(t)
+	c := testConfig()
+	c.KVTokens = 1_200_000
+	e, client := serve(t, c)
+	prompt := make([]byte, 4_000_000)
+	for i := range prompt {
+		prompt[i] = byte(i * 7 >> 3)
+	}
+	begin := time.Now()
+	s, err := client.Start(ctx, completion("a", prompt, 3))
+	is.NoErr(err)
+	t.Logf("start of a prompt of 4 MB: %v", time.Since(begin))
+	text, last := collect(ctx, is, s)
+	is.Equal(text, expected(prompt, 3))
+	is.Equal(last.PromptTokens, 1_000_000)
+	events, err := client.Events(ctx, 0)
+	is.NoErr(err)
+	var hashes []uint64
+	for _, event := range events {
+		hashes = append(hashes, event.Prefix)
+	}
+	is.Equal(hashes, backend.PrefixHashes(prompt))
+	is.Equal(e.Stats().KVUsedTokens, 0)
+}
+
+// Guards against a leak of KV memory by Cancel, Close or a start that its
+// caller gave up.
+func TestCancelFreesMemory(t *testing.T) {
+	is := is.New(t)
+	ctx := limited(t)
+	c := testConfig()
+	c.KeepForever = true // only an explicit cancellation frees memory
+	e, client := serve(t, c)
+	s, err := client.Start(ctx, completion("a", []byte("prompt"), 100_000))
+	is.NoErr(err)
+	_, err = s.Next(ctx)
+	is.NoErr(err)
+	short, cancel := context.WithCancel(ctx)
+	cancel()
+	for err == nil { // Next may return a chunk that is ready
+		_, err = s.Next(short)
+	}
+	is.True(errors.Is(err, context.Canceled))
+	_, err = s.Next(ctx) // the stream survives the end of a Next
+	is.NoErr(err)
+	is.NoErr(s.Close())
+	is.NoErr(s.Close())
+	is.Equal(e.Stats().KVUsedTokens, 0)
+	_, err = s.Next(ctx)
+	is.True(err != nil)
+
+	s, err = client.Start(ctx, completion("b", []byte("prompt"), 100_000))
+	is.NoErr(err)
+	is.NoErr(client.Cancel(ctx, "b"))
+	is.NoErr(client.Cancel(ctx, "b"))
+	is.Equal(e.Stats().KVUsedTokens, 0)
+	for err == nil {
+		_, err = s.Next(ctx)
+	}
+	is.Equal(kindOf(err), backend.EngineNotFound)
+
+	on, off := true, false
+	_, err = e.Inject(enginesim.FaultChange{Hang: &on})
+	is.NoErr(err)
+	given, stop := context.WithTimeout(ctx, 50*time.Millisecond)
+	defer stop()
+	_, err = client.Start(given, completion("c", []byte("prompt"), 100_000))
+	is.True(errors.Is(err, context.DeadlineExceeded))
+	_, err = e.Inject(enginesim.FaultChange{Hang: &off})
+	is.NoErr(err)
+	eventually(t, "no stream of the abandoned start", func() bool {
+		stats := e.Stats()
+		return stats.Starts["c"] == 1 && len(stats.Streams) == 0
+	})
+}
+
+// Guards export and import of a paused stream, held segments and their chain.
+func TestExportImportAndSegments(t *testing.T) {
+	is := is.New(t)
+	ctx := limited(t)
+	e, client := serve(t, testConfig())
+	other, second := serve(t, testConfig())
+	prompt := bytes.Repeat([]byte("text"), 3000)
+	s, err := client.Start(ctx, completion("a", prompt, 200))
+	is.NoErr(err)
+	chunk, err := s.Next(ctx)
+	is.NoErr(err)
+	state, err := client.Export(ctx, "a")
+	is.NoErr(err)
+	is.Equal(e.Stats().KVUsedTokens, 0)
+	text := strings.Join(chunk.Texts, "")
+	for err == nil { // tokens emitted before the export
+		chunk, err = s.Next(ctx)
+		text += strings.Join(chunk.Texts, "")
+	}
+	is.Equal(kindOf(err), backend.EngineNotFound)
+	is.NoErr(s.Close())
+	s, err = second.Start(ctx, backend.Completion{StreamID: "a", Model: "m", State: state})
+	is.NoErr(err)
+	rest, _ := collect(ctx, is, s)
+	is.Equal(text+rest, expected(prompt, 200))
+
+	segment := completion("s1", bytes.Repeat([]byte("head"), 300_000), 0)
+	segment.PrefillOnly = true
+	s, err = client.Start(ctx, segment)
+	is.NoErr(err)
+	_, last := collect(ctx, is, s)
+	is.Equal(last.FinishReason, "prefilled")
+	streams, err := client.Streams(ctx)
+	is.NoErr(err)
+	is.Equal(streams, []backend.StreamInfo{{StreamID: "s1", KVTokens: 300_000, State: "held"}})
+	state, err = client.Export(ctx, "s1")
+	is.NoErr(err)
+	is.Equal(len(state), 8*300_000)
+	tail := completion("s2", bytes.Repeat([]byte("tail"), 350_000), 5)
+	tail.State = state
+	s, err = second.Start(ctx, tail)
+	is.NoErr(err)
+	text, last = collect(ctx, is, s)
+	is.Equal(text, expected(append(segment.Prompt, tail.Prompt...), 5))
+	is.Equal(last.PromptTokens, 650_000)
+	is.Equal(other.Stats().KVUsedTokens, 0)
+	_, err = client.Export(ctx, "s1")
+	is.Equal(kindOf(err), backend.EngineNotFound)
+}
+
+// Guards the listing of leaked streams and the re-attachment to a broken one.
+func TestBrokenStreams(t *testing.T) {
+	is := is.New(t)
+	ctx := limited(t)
+	c := testConfig()
+	c.KeepForever = true
+	e, client := serve(t, c)
+	s, err := client.Start(ctx, completion("a", []byte("prompt"), 300))
+	is.NoErr(err)
+	chunk, err := s.Next(ctx)
+	is.NoErr(err)
+	_, err = e.Inject(enginesim.FaultChange{BreakStreams: true})
+	is.NoErr(err)
+	texts := chunk.Texts
+	for err == nil {
+		chunk, err = s.Next(ctx)
+		texts = append(texts, chunk.Texts...)
+	}
+	is.Equal(kindOf(err), backend.EngineBroken)
+	eventually(t, "the stream is held", func() bool {
+		streams, err := client.Streams(ctx)
+		return err == nil && len(streams) == 1 && streams[0].State == "held"
+	})
+	s, err = client.Attach(ctx, "a", len(texts))
+	is.NoErr(err)
+	rest, _ := collect(ctx, is, s)
+	is.Equal(strings.Join(texts, "")+rest, expected([]byte("prompt"), 300))
+	eventually(t, "memory is free", func() bool { return e.Stats().KVUsedTokens == 0 })
+	_, err = client.Attach(ctx, "missing", 0)
+	is.Equal(kindOf(err), backend.EngineNotFound)
+}
+
+// Guards the sequence numbers of cache events across gaps, the load report
+// and the description of the engine.
+func TestReports(t *testing.T) {
+	is := is.New(t)
+	ctx := limited(t)
+	c := testConfig()
+	c.EventGap = 0.5
+	_, client := serve(t, c)
+	info, err := client.Info(ctx)
+	is.NoErr(err)
+	is.Equal(info, backend.EngineInfo{
+		Models: []string{"m"}, KVTokens: 400_000, PrefillTokensPerSecond: 50_000_000, StepTokens: 100_000,
+	})
+	s, err := client.Start(ctx, completion("a", bytes.Repeat([]byte("text"), 64*1024), 1))
+	is.NoErr(err)
+	collect(ctx, is, s)
+	events, err := client.Events(ctx, 0)
+	is.NoErr(err)
+	is.True(len(events) > 10 && len(events) < 54) // of 64
+	for i, event := range events[1:] {
+		is.True(event.Sequence > events[i].Sequence)
+	}
+	later, err := client.Events(ctx, events[9].Sequence)
+	is.NoErr(err)
+	is.Equal(later, events[10:])
+	load, err := client.Load(ctx)
+	is.NoErr(err)
+	is.Equal(load, backend.LoadReport{KVCachedTokens: 64 * 1024})
+}
+
+// Guards fencing with an engine that checks tokens and one that does not.
+func TestFencing(t *testing.T) {
+	for _, checked := range []bool{false, true} {
+		is := is.New(t)
+		ctx := limited(t)
+		c := testConfig()
+		c.FencingChecked = checked
+		e, client := serve(t, c)
+		order := backend.Order{Kind: "load", Model: "n", Version: "2", Fencing: 5}
+		is.NoErr(client.Order(ctx, order))
+		is.NoErr(client.Order(ctx, order))
+		order.Fencing, order.Version = 4, "1"
+		err := client.Order(ctx, order)
+		is.Equal(kindOf(err) == backend.EngineFenced, checked)
+		is.Equal(e.Stats().Versions["n"] == "2", checked)
+	}
+}
+
+// Guards the error kinds: a caller may repeat a request elsewhere only if the
+// engine certainly did not take it.
+func TestErrorKinds(t *testing.T) {
+	is := is.New(t)
+	ctx := limited(t)
+	e, client := serve(t, testConfig())
+	_, err := client.Start(ctx, completion("a", []byte("prompt"), 500_000))
+	is.Equal(kindOf(err), backend.EngineRefused)
+	other := completion("a", []byte("prompt"), 5)
+	other.Model = "other"
+	_, err = client.Start(ctx, other)
+	is.Equal(kindOf(err), backend.EngineNotFound)
+	on := true
+	_, err = e.Inject(enginesim.FaultChange{FailStarts: &on})
+	is.NoErr(err)
+	begin := time.Now()
+	_, err = client.Start(ctx, completion("a", []byte("prompt"), 5))
+	is.Equal(kindOf(err), backend.EngineRefused)
+	is.True(time.Since(begin) < time.Second)
+	is.Equal(e.Stats().Starts["a"], 0)
+
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	is.NoErr(err)
+	accepted := make(chan int, 10) // requests that arrived
+	go func() {
+		for {
+			conn, err := l.Accept()
+			if err != nil {
+				close(accepted)
+				return
+			}
+			n, _ := conn.Read(make([]byte, 4096))
+			accepted <- n
+			_ = conn.Close() // after the request, before an answer
+		}
+	}()
+	broken := enginehttp.New(l.Addr().String())
+	_, err = broken.Load(ctx) // a GET, which fasthttp would repeat by default
+	is.Equal(kindOf(err), backend.EngineBroken)
+	is.NoErr(l.Close())
+	arrived := 0
+	for range accepted {
+		arrived++
+	}
+	is.Equal(arrived, 1)
+	_, err = broken.Start(ctx, completion("a", []byte("prompt"), 5))
+	is.Equal(kindOf(err), backend.EngineUnreachable)
+}
--- /dev/null
+++ b/backend/enginehttp/stream.go
@@ -0,0 +1,158 @@
+package enginehttp
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"sync"
+
+	"camphorwick.dev/backend"
+)
+
+// maxEventBytes bounds one line of a stream.
+const maxEventBytes = 4 << 20
+
+// stream reads server-sent events in its own goroutine, so that Next can
+// return when its context ends without losing a part of an event.
+type stream struct {
+	client   *Client
+	id       string
+	exchange *exchange
+	items    chan item     // unbuffered; closed when the reader ends
+	closed   chan struct{} // closed by Close
+	once     sync.Once
+	closeErr error
+
+	mu    sync.Mutex // guards ended and err
+	ended bool       // the final chunk was returned
+	err   error      // returned by Next after the reader ended
+}
+
+// item is a chunk, or the error that ends a stream.
+type item struct {
+	chunk backend.Chunk
+	err   error
+}
+
+// chunkEvent is the data of an event. Error is set on the last event of a
+// stream that was cancelled or exported.
+type chunkEvent struct {
+	Error        *failure `json:"error"`
+	Texts        []string `json:"texts"`
+	Final        bool     `json:"final"`
+	FinishReason string   `json:"finish_reason"`
+	PromptTokens int      `json:"prompt_tokens"`
+	CachedTokens int      `json:"cached_tokens"`
+}
+
+func newStream(c *Client, id string, x *exchange) *stream {
+	s := &stream{client: c, id: id, exchange: x, items: make(chan item), closed: make(chan struct{})}
+	go s.read()
+	return s
+}
+
+// read passes events on until the final chunk, an error or Close.
+func (s *stream) read() {
+	defer close(s.items)
+	defer s.exchange.close()
+	lines := bufio.NewScanner(s.exchange.body())
+	lines.Buffer(make([]byte, 0, readBufferBytes), maxEventBytes)
+	for lines.Scan() {
+		data, ok := bytes.CutPrefix(lines.Bytes(), []byte("data: "))
+		if !ok {
+			continue // comment, event id or empty line
+		}
+		next := parseChunk(data)
+		if !s.pass(next) || next.err != nil || next.chunk.Final {
+			return
+		}
+	}
+	err := lines.Err()
+	if err == nil {
+		err = io.ErrUnexpectedEOF
+	}
+	s.pass(item{err: broken("the stream broke", err)})
+}
+
+// pass returns false after Close.
+func (s *stream) pass(next item) bool {
+	select {
+	case s.items <- next:
+		return true
+	case <-s.closed:
+		return false
+	}
+}
+
+func parseChunk(data []byte) item {
+	var event chunkEvent
+	if err := json.Unmarshal(data, &event); err != nil {
+		return item{err: broken("malformed event", err)}
+	}
+	if event.Error != nil {
+		return item{err: event.Error.convert()}
+	}
+	return item{chunk: backend.Chunk{
+		Texts: event.Texts, Final: event.Final, FinishReason: event.FinishReason,
+		PromptTokens: event.PromptTokens, CachedTokens: event.CachedTokens,
+	}}
+}
+
+// Next implements backend.Stream. After ctx ends, a later Next goes on with
+// the stream. After the final chunk it returns io.EOF.
+func (s *stream) Next(ctx context.Context) (backend.Chunk, error) {
+	select {
+	case next, ok := <-s.items:
+		if !ok {
+			return backend.Chunk{}, s.lastError()
+		}
+		s.note(next)
+		return next.chunk, next.err
+	case <-s.closed:
+		return backend.Chunk{}, broken("the stream was closed", io.ErrClosedPipe)
+	case <-ctx.Done():
+		return backend.Chunk{}, fmt.Errorf("waiting for tokens: %w", ctx.Err())
+	}
+}
+
+func (s *stream) note(next item) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.ended = s.ended || next.chunk.Final
+	if next.err != nil {
+		s.err = next.err
+	}
+}
+
+func (s *stream) lastError() error {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.err == nil {
+		return io.EOF
+	}
+	return s.err
+}
+
+// Close implements backend.Stream. It cancels a stream whose final chunk Next
+// has not returned, within CancelTimeout. Its errors are those of Cancel.
+func (s *stream) Close() error {
+	s.once.Do(func() {
+		close(s.closed)
+		s.exchange.abort()
+		for range s.items { // wait for the reader
+		}
+		s.mu.Lock()
+		ended := s.ended
+		s.mu.Unlock()
+		if ended {
+			return
+		}
+		ctx, cancel := context.WithTimeout(context.Background(), CancelTimeout)
+		defer cancel()
+		s.closeErr = s.client.Cancel(ctx, s.id)
+	})
+	return s.closeErr
+}
--- a/standin/enginesim/config.go
+++ b/standin/enginesim/config.go
@@ -154,6 +154,8 @@
 	Steps          int64          `json:"steps"`
 	Starts         map[string]int `json:"starts"` // accepted starts per stream id
 	Role           string         `json:"role"`
+	// Versions holds the version of each loaded model and adapter.
+	Versions map[string]string `json:"versions"`
 }
 
 // Kind classifies an error of the engine.
--- a/standin/enginesim/engine.go
+++ b/standin/enginesim/engine.go
@@ -316,6 +316,7 @@
 	stats.KVCachedTokens = e.cache.cachedTokens()
 	stats.Streams = e.list()
 	stats.Role = e.models.role
+	stats.Versions = e.models.versions()
 	stats.Starts = make(map[string]int, len(e.totals.Starts))
 	for id, n := range e.totals.Starts {
 		stats.Starts[id] = n
--- a/standin/enginesim/orders.go
+++ b/standin/enginesim/orders.go
@@ -53,6 +53,16 @@
 	return names
 }
 
+func (t *modelTable) versions() map[string]string {
+	versions := map[string]string{}
+	for name, m := range t.models {
+		if m.loaded {
+			versions[name] = m.version
+		}
+	}
+	return versions
+}
+
 // Order sets what the engine is to serve. It returns at once; a load takes
 // effect after Config.LoadTime. Errors are *Error of kind KindFenced or
 // KindRefused.
--- a/standin/enginesim/server.go
+++ b/standin/enginesim/server.go
@@ -6,6 +6,8 @@
 	"encoding/json"
 	"errors"
 	"fmt"
+	"io"
+	"log"
 	"net"
 	"strconv"
 	"time"
@@ -40,10 +42,12 @@
 func NewServer(e *Engine) *Server {
 	ctx, cancel := context.WithCancel(context.Background())
 	s := &Server{engine: e, ctx: ctx, cancel: cancel}
+	// Broken connections are part of the tests, so they are not logged.
+	silent := log.New(io.Discard, "", 0)
 	s.calls = fasthttp.Server{
-		Handler: s.handle, Name: "standin-engine", MaxRequestBodySize: maxBodyBytes, NoDefaultDate: true,
+		Handler: s.handle, Name: "standin-engine", MaxRequestBodySize: maxBodyBytes, Logger: silent,
 	}
-	s.admin = fasthttp.Server{Handler: s.handleAdmin, Name: "standin-engine"}
+	s.admin = fasthttp.Server{Handler: s.handleAdmin, Name: "standin-engine", Logger: silent}
 	return s
 }
 
@@ -79,7 +83,7 @@
 // handle routes one engine call.
 func (s *Server) handle(ctx *fasthttp.RequestCtx) {
 	if s.engine.WaitResumed(s.ctx) != nil {
-		ctx.SetConnectionClose()
+		_ = ctx.Conn().Close() // an answer would say that the call was done
 		return
 	}
 	switch route := string(ctx.Method()) + " " + string(ctx.Path()); route {
@@ -164,7 +168,11 @@
 	ctx.SetContentType("text/event-stream")
 	ctx.Response.ImmediateHeaderFlush = true
 	ctx.SetBodyStreamWriter(func(w *bufio.Writer) {
-		if err := s.writeEvents(w, attached); err != nil {
+		err := s.writeEvents(w, attached)
+		if failure := (*Error)(nil); errors.As(err, &failure) && failure.Kind == KindNotFound {
+			err = writeFailure(w, failure)
+		}
+		if err != nil {
 			attached.Detach()
 			_ = conn.Close() // the caller must not see a whole body
 		}
@@ -223,6 +231,19 @@
 	return nil
 }
 
+// writeFailure ends a stream that was cancelled or exported.
+func writeFailure(w *bufio.Writer, failure *Error) error {
+	data, err := json.Marshal(map[string]*Error{"error": failure})
+	if err != nil {
+		return fmt.Errorf("encoding a failure: %w", err)
+	}
+	fmt.Fprintf(w, "event: error\ndata: %s\n\n", data)
+	if err := w.Flush(); err != nil {
+		return fmt.Errorf("writing a failure: %w", err)
+	}
+	return nil
+}
+
 func (s *Server) export(ctx *fasthttp.RequestCtx) {
 	state, err := s.engine.Export(query(ctx, "id"))
 	if err != nil {
--- a/standin/enginesim/stream.go
+++ b/standin/enginesim/stream.go
@@ -38,7 +38,8 @@
 // Offset returns the number of tokens returned so far.
 func (a *Stream) Offset() int { return a.offset }
 
-// Next returns the tokens that are ready, and waits if none are. Errors are
+// Next returns the tokens that are ready, and waits if none are. The tokens
+// emitted before a cancellation or an export come before its error. Errors are
 // those of ctx, or *Error of kind KindBroken (displaced, broken by a fault)
 // or KindNotFound (cancelled, exported).
 func (a *Stream) Next(ctx context.Context) (Chunk, error) {
@@ -62,10 +63,10 @@
 	if s.attached != a.number {
 		return Chunk{}, false, nil, &Error{Kind: KindBroken, Message: "the attachment was broken"}
 	}
-	if s.failure != nil && s.finish == "" {
-		return Chunk{}, false, nil, s.failure
-	}
 	if s.finish == "" && a.offset == len(s.texts) {
+		if s.failure != nil {
+			return Chunk{}, false, nil, s.failure
+		}
 		return Chunk{}, false, s.changed, nil
 	}
 	chunk := Chunk{Texts: s.texts[a.offset:len(s.texts):len(s.texts)]}
