fleetconf: join histories that differ after a restore of the store

Equal or higher revisions of another history were taken for a continuation. Ruled out: late writes; they are refused by the store revision.

--- a/fleetconf/editor.go
+++ b/fleetconf/editor.go
@@ -288,7 +288,7 @@
 	if err := c.settle(head, stored); err != nil {
 		return 0, err
 	}
-	config, err := c.storage.materialise(ctx, head, c.replica.Config())
+	config, err := c.storage.materialise(ctx, head, c.replica.state.Load())
 	if err != nil {
 		return 0, err
 	}
@@ -303,7 +303,7 @@
 // advance brings the replica to the head if that succeeds, so that this
 // process knows every edit that it reports as accepted.
 func (c *commit) advance(ctx context.Context, head *wire.ConfigHead) {
-	if config, err := c.storage.materialise(ctx, head, c.replica.Config()); err == nil {
+	if config, err := c.storage.materialise(ctx, head, c.replica.state.Load()); err == nil {
 		c.replica.adopt(config, head.Edits)
 	}
 }
--- a/fleetconf/property_test.go
+++ b/fleetconf/property_test.go
@@ -24,10 +24,13 @@
 // revision that is seen with two ids is a violation.
 type journal struct {
 	*memkv.Store
-	mu    sync.Mutex
-	edits map[uint64]*wire.Edit
-	ids   map[string]uint64
-	fault []string
+	// writing is held for reading during a write, so that a restore sees no
+	// write between its effect and its answer.
+	writing sync.RWMutex
+	mu      sync.Mutex
+	edits   map[uint64]*wire.Edit
+	ids     map[string]uint64
+	fault   []string
 }
 
 func (j *journal) record(key string, e platform.Entry) {
@@ -60,6 +63,12 @@
 	return e, err
 }
 
+func (j *journal) Put(ctx context.Context, key string, value []byte, expected uint64, lease platform.LeaseID) (uint64, error) {
+	j.writing.RLock()
+	defer j.writing.RUnlock()
+	return j.Store.Put(ctx, key, value, expected, lease)
+}
+
 func (j *journal) dump(ctx context.Context) map[string][]byte {
 	values := map[string][]byte{}
 	keys, _ := j.List(ctx, "config/")
@@ -246,6 +255,8 @@
 // configuration and that its heartbeats have reached the others. Without such
 // a process nobody could know of the newer edits.
 func (f *fleet) restore() {
+	f.store.writing.Lock()
+	defer f.store.writing.Unlock()
 	head, ok := f.headRevision()
 	if highest, _ := f.highest(); ok && f.backup != nil && highest == head {
 		f.observe()
--- a/fleetconf/storage.go
+++ b/fleetconf/storage.go
@@ -46,6 +46,16 @@
 // Unwrap returns the cause.
 func (e *CorruptValueError) Unwrap() error { return e.Cause }
 
+// DivergedError says that one revision stands for different edits in the head
+// and in the replica. A watcher joins the two histories.
+type DivergedError struct {
+	Head, Replica uint64
+}
+
+func (e *DivergedError) Error() string {
+	return fmt.Sprintf("the head of revision %d and the replica of revision %d hold different histories", e.Head, e.Replica)
+}
+
 // storage reads and writes the configuration's values.
 type storage struct {
 	kv platform.KV
@@ -74,12 +84,16 @@
 }
 
 // materialise returns the configuration of the head. It starts from local
-// where the head's edits continue it, else from the base snapshot.
-func (s storage) materialise(ctx context.Context, head *wire.ConfigHead, local *Config) (*Config, error) {
-	config := local
-	if local.revision < firstRevision(head)-1 {
+// where the head's edits continue it, else from the base snapshot. It fails
+// with *DivergedError if the two belong to different histories.
+func (s storage) materialise(ctx context.Context, head *wire.ConfigHead, local *replicaState) (*Config, error) {
+	if diverged(local, head) {
+		return nil, &DivergedError{Head: head.Revision, Replica: local.config.revision}
+	}
+	config := local.config
+	if config.revision < firstRevision(head)-1 {
 		var err error
-		if config, err = s.loadBase(ctx, head, local); err != nil {
+		if config, err = s.loadBase(ctx, head, config); err != nil {
 			return nil, err
 		}
 	}
--- a/fleetconf/watcher.go
+++ b/fleetconf/watcher.go
@@ -97,14 +97,15 @@
 	if err != nil {
 		return err
 	}
-	if head.Revision < w.replica.Revision() {
+	local := w.replica.state.Load()
+	if head.Revision < local.config.revision || diverged(local, head) {
 		return w.repair(ctx)
 	}
 	return w.load(ctx, head)
 }
 
 func (w *Watcher) load(ctx context.Context, head *wire.ConfigHead) error {
-	config, err := w.storage.materialise(ctx, head, w.replica.Config())
+	config, err := w.storage.materialise(ctx, head, w.replica.state.Load())
 	if err != nil {
 		return err
 	}
@@ -120,27 +121,59 @@
 	if err != nil {
 		return err
 	}
+	if known := w.replica.known(); known > max(head.Revision, local.config.revision) {
+		return &StaleStoreError{Head: head.Revision, Known: known}
+	}
+	if diverged(local, head) {
+		return w.reconcile(ctx, local, head, stored)
+	}
 	if head.Revision >= local.config.revision {
 		return w.load(ctx, head)
 	}
-	if known := w.replica.known(); known > local.config.revision {
-		return &StaleStoreError{Head: head.Revision, Known: known}
-	}
 	return w.restore(ctx, local, head, stored)
 }
 
+// restore writes the replica back over an older copy of the same history.
 func (w *Watcher) restore(ctx context.Context, local *replicaState, old *wire.ConfigHead, stored uint64) error {
-	config := local.config
-	chunks, err := w.storage.writeSnapshot(ctx, config)
+	w.log.Warn("the store holds an older configuration; the replica is written back",
+		"store_revision", old.Revision, "revision", local.config.revision)
+	return w.replaceHead(ctx, local.config, recentEdits(local.log), stored)
+}
+
+// reconcile joins two histories: an editor that lagged has committed to an
+// older copy of the store, so that revisions above a common one stand for
+// different edits. The edits of the shorter history are appended to the
+// longer one. One revision is left out, so that no replica of either history
+// can continue with edits and every one loads a snapshot.
+func (w *Watcher) reconcile(ctx context.Context, local *replicaState, head *wire.ConfigHead, stored uint64) error {
+	config, foreign := local.config, lacking(local, head.Edits)
+	if head.Revision >= local.config.revision {
+		var err error
+		if config, err = w.storage.materialise(ctx, head, &replicaState{config: &Config{}}); err != nil {
+			return err
+		}
+		foreign = lacking(&replicaState{config: config, log: head.Edits}, local.log)
+	}
+	w.log.Error("the store and the replica hold different histories; they are joined",
+		"store_revision", head.Revision, "revision", local.config.revision, "edits", len(foreign))
+	joined := *config
+	joined.revision = max(head.Revision, local.config.revision) + 2
+	next, edits := w.rebase(&joined, foreign)
+	return w.replaceHeadWith(ctx, &joined, next, edits, stored)
+}
+
+func (w *Watcher) replaceHead(ctx context.Context, config *Config, edits []*wire.Edit, stored uint64) error {
+	return w.replaceHeadWith(ctx, config, config, edits, stored)
+}
+
+// replaceHeadWith writes base as a snapshot and a head that leads from it to
+// config by edits.
+func (w *Watcher) replaceHeadWith(ctx context.Context, base, config *Config, edits []*wire.Edit, stored uint64) error {
+	chunks, err := w.storage.writeSnapshot(ctx, base)
 	if err != nil {
 		return err
 	}
-	head := &wire.ConfigHead{Revision: config.revision, BaseRevision: config.revision, BaseChunks: chunks,
-		Edits: recentEdits(local.log)}
-	if foreign := foreignEdits(local, old); len(foreign) > 0 {
-		config, head.Edits = w.rebase(config, foreign)
-		head.Revision = config.revision
-	}
+	head := &wire.ConfigHead{Revision: config.revision, BaseRevision: base.revision, BaseChunks: chunks, Edits: edits}
 	value, err := proto.Marshal(head)
 	if err != nil {
 		return fmt.Errorf("encode the configuration head: %w", err)
@@ -148,25 +181,52 @@
 	if _, err := w.storage.kv.Put(ctx, HeadKey, value, stored, 0); err != nil {
 		return fmt.Errorf("write back the configuration: %w", err)
 	}
-	w.log.Warn("the store held an older configuration; the replica was written back",
-		"store_revision", old.Revision, "revision", head.Revision)
 	w.replica.adopt(config, head.Edits)
 	return nil
 }
 
-// foreignEdits returns the edits that were accepted on the older copy, as far
-// as the replica's log reaches: those whose id differs at the same revision.
-func foreignEdits(local *replicaState, old *wire.ConfigHead) []*wire.Edit {
-	known := map[uint64]string{}
+// diverged reports whether the head holds an edit that the replica, which has
+// that edit's revision, does not contain.
+func diverged(local *replicaState, head *wire.ConfigHead) bool {
+	return len(lacking(local, head.Edits)) > 0
+}
+
+// lacking returns the edits, from the first one that local does not contain,
+// whose id is not in local's log. It returns nil if all edits up to local's
+// revision are contained.
+func lacking(local *replicaState, edits []*wire.Edit) []*wire.Edit {
+	byRevision, ids := map[uint64]string{}, map[string]bool{}
 	for _, e := range local.log {
-		known[e.Revision] = e.Id
+		byRevision[e.Revision], ids[e.Id] = e.Id, true
 	}
-	for i, e := range old.Edits {
-		if id, ok := known[e.Revision]; ok && id != e.Id {
-			return old.Edits[i:]
+	first := len(edits)
+	for i, e := range edits {
+		if e.Revision > local.config.revision {
+			break
+		}
+		if id, ok := byRevision[e.Revision]; ok && id != e.Id || !ok && contradicts(local.config, e) {
+			first = i
+			break
 		}
 	}
-	return nil
+	var missing []*wire.Edit
+	for _, e := range edits[first:] {
+		if !ids[e.Id] {
+			missing = append(missing, e)
+		}
+	}
+	return missing
+}
+
+// contradicts reports whether a configuration of a higher revision cannot
+// contain the edit, because an item that the edit set has an older revision.
+func contradicts(config *Config, e *wire.Edit) bool {
+	for _, change := range e.Changes {
+		if item, ok := config.Item(change.Key); ok && item.Revision < e.Revision {
+			return true
+		}
+	}
+	return false
 }
 
 // rebase appends foreign edits to a configuration. An edit whose items were
