--- a/policy/choose/pick.go
+++ b/policy/choose/pick.go
@@ -104,8 +104,14 @@
 }
 
 func (t *Table) considerAll(now time.Time, list []*agent, request *Request, site int, best *choice) {
-	for _, a := range list {
-		t.consider(now, a, request, site, 0, best)
+	if len(list) == 0 {
+		return
+	}
+	// Starts at a random agent, so that entries with the same view do not all
+	// break ties in favour of the same agent.
+	first := t.random.IntN(len(list))
+	for i := range list {
+		t.consider(now, list[(first+i)%len(list)], request, site, 0, best)
 	}
 }
 
@@ -138,8 +144,11 @@
 		expected += time.Duration(min(1, float64(missing)/float64(request.Tokens)) * float64(memoryWait))
 	}
 	cost := expected
-	if request.Band != outcome.Long && a.ahead[outcome.Long] > 0 {
-		cost += t.config.Interference
+	for b := request.Band + 1; b < outcome.BandCount; b++ {
+		if a.ahead[b] > 0 {
+			cost += t.config.Interference
+			break
+		}
 	}
 	return choice{agent: a, expected: expected, cost: cost}
 }
