Add a test fleet of real processes, a small client and the demo

make demo starts the stand-ins, three agents and two entries, sends a short prompt beside one of 300,000 tokens and one order twice, and checks every answer.

--- /dev/null
+++ b/testbed/client/client.go
@@ -0,0 +1,211 @@
+// Package client is a small caller for tests, the demo and the load tool. It
+// reads streamed completions and makes service calls.
+package client
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"strings"
+	"time"
+)
+
+// Client calls one entry.
+type Client struct {
+	// Base is the URL of the callers' API.
+	Base string
+	Key  string
+	HTTP *http.Client
+}
+
+// New returns a client of the entry at an address.
+func New(address, key string) *Client {
+	return &Client{Base: "http://" + address, Key: key, HTTP: &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 256}}}
+}
+
+// Request is a completion request.
+type Request struct {
+	Model     string `json:"model"`
+	Prompt    string `json:"prompt"`
+	MaxTokens int    `json:"max_tokens"`
+	Stream    bool   `json:"stream"`
+	TimeoutMS int64  `json:"timeout_ms,omitempty"`
+	// ID is sent as X-Request-Id if it is not empty.
+	ID string `json:"-"`
+}
+
+// Answer is what a caller has received.
+type Answer struct {
+	Status      int
+	RequestID   string
+	TraceID     string
+	Outcome     string
+	Code        string // error code, if any
+	Message     string
+	Text        string
+	Tokens      int // number of events with text, not of tokens, when streamed
+	FirstToken  time.Duration
+	Duration    time.Duration
+	LastEventID string
+	Recorded    bool
+	RetryAfter  string
+}
+
+// problem is the part of an error body that callers need.
+type problem struct {
+	Outcome string `json:"outcome"`
+	Error   struct {
+		Code    string `json:"code"`
+		Message string `json:"message"`
+	} `json:"error"`
+}
+
+// Complete sends a completion and reads the whole answer. A broken connection
+// is an error; everything that the entry said so far is in the answer.
+func (c *Client) Complete(ctx context.Context, r Request) (Answer, error) {
+	body, err := json.Marshal(r)
+	if err != nil {
+		return Answer{}, fmt.Errorf("encode request: %w", err)
+	}
+	return c.do(ctx, http.MethodPost, "/v1/completions", body, map[string]string{"X-Request-Id": r.ID, "Content-Type": "application/json"}, nil)
+}
+
+// Watch is Complete with a function that is called after each event.
+func (c *Client) Watch(ctx context.Context, r Request, onEvent func(Answer)) (Answer, error) {
+	body, err := json.Marshal(r)
+	if err != nil {
+		return Answer{}, fmt.Errorf("encode request: %w", err)
+	}
+	return c.do(ctx, http.MethodPost, "/v1/completions", body, map[string]string{"X-Request-Id": r.ID}, onEvent)
+}
+
+// Resume reads the rest of an answer.
+func (c *Client) Resume(ctx context.Context, id, lastEventID string) (Answer, error) {
+	return c.do(ctx, http.MethodGet, "/v1/requests/"+id, nil, map[string]string{"Last-Event-ID": lastEventID}, nil)
+}
+
+// Order calls a service with an order key.
+func (c *Client) Order(ctx context.Context, path, key string, body []byte) (Answer, error) {
+	return c.do(ctx, http.MethodPost, path, body, map[string]string{"Idempotency-Key": key, "Content-Type": "application/json"}, nil)
+}
+
+// Call makes any call.
+func (c *Client) Call(ctx context.Context, method, path string, body []byte, headers map[string]string) (Answer, error) {
+	return c.do(ctx, method, path, body, headers, nil)
+}
+
+func (c *Client) do(ctx context.Context, method, path string, body []byte, headers map[string]string, onEvent func(Answer)) (Answer, error) {
+	started := time.Now()
+	request, err := http.NewRequestWithContext(ctx, method, c.Base+path, bytes.NewReader(body))
+	if err != nil {
+		return Answer{}, fmt.Errorf("call %s: %w", path, err)
+	}
+	request.Header.Set("Authorization", "Bearer "+c.Key)
+	for name, value := range headers {
+		if value != "" {
+			request.Header.Set(name, value)
+		}
+	}
+	response, err := c.HTTP.Do(request)
+	if err != nil {
+		return Answer{}, fmt.Errorf("call %s: %w", path, err)
+	}
+	defer func() { _ = response.Body.Close() }()
+	a := Answer{Status: response.StatusCode, RequestID: response.Header.Get("X-Request-Id"),
+		TraceID: response.Header.Get("Camphorwick-Trace-Id"), Outcome: response.Header.Get("Camphorwick-Outcome"),
+		Recorded: response.Header.Get("Camphorwick-Recorded") == "true", RetryAfter: response.Header.Get("Retry-After")}
+	if strings.HasPrefix(response.Header.Get("Content-Type"), "text/event-stream") {
+		err = a.readEvents(response.Body, started, onEvent)
+	} else {
+		err = a.readWhole(response.Body)
+	}
+	a.Duration = time.Since(started)
+	return a, err
+}
+
+// readWhole reads a JSON answer, or the plain body of a service.
+func (a *Answer) readWhole(body io.Reader) error {
+	data, err := io.ReadAll(body)
+	if err != nil {
+		return fmt.Errorf("read answer: %w", err)
+	}
+	a.Text = string(data)
+	if a.Status >= http.StatusBadRequest {
+		a.readProblem(data)
+		return nil
+	}
+	var completion struct {
+		Choices []struct {
+			Text string `json:"text"`
+		} `json:"choices"`
+	}
+	if json.Unmarshal(data, &completion) == nil && len(completion.Choices) == 1 {
+		a.Text = completion.Choices[0].Text
+	}
+	return nil
+}
+
+func (a *Answer) readProblem(data []byte) {
+	var p problem
+	if json.Unmarshal(data, &p) == nil {
+		a.Outcome, a.Code, a.Message = p.Outcome, p.Error.Code, p.Error.Message
+	}
+}
+
+// maxEventBytes bounds one line of a stream.
+const maxEventBytes = 4 << 20
+
+// readEvents reads server-sent events up to [DONE].
+func (a *Answer) readEvents(body io.Reader, started time.Time, onEvent func(Answer)) error {
+	lines := bufio.NewScanner(body)
+	lines.Buffer(nil, maxEventBytes)
+	event := ""
+	var text strings.Builder
+	defer func() { a.Text = text.String() }()
+	for lines.Scan() {
+		line := lines.Text()
+		switch {
+		case line == "":
+			event = ""
+		case strings.HasPrefix(line, "id: "):
+			a.LastEventID = line[len("id: "):]
+		case strings.HasPrefix(line, "event: "):
+			event = line[len("event: "):]
+		case line == "data: [DONE]":
+			return nil
+		case strings.HasPrefix(line, "data: "):
+			a.readEvent(event, []byte(line[len("data: "):]), &text, started)
+			if onEvent != nil {
+				onEvent(*a)
+			}
+		}
+	}
+	if err := lines.Err(); err != nil {
+		return fmt.Errorf("read events: %w", err)
+	}
+	return fmt.Errorf("read events: %w", io.ErrUnexpectedEOF)
+}
+
+func (a *Answer) readEvent(event string, data []byte, text *strings.Builder, started time.Time) {
+	if event == "end" {
+		a.readProblem(data)
+		return
+	}
+	var chunk struct {
+		Choices []struct {
+			Text string `json:"text"`
+		} `json:"choices"`
+	}
+	if json.Unmarshal(data, &chunk) != nil || len(chunk.Choices) == 0 || chunk.Choices[0].Text == "" {
+		return
+	}
+	if a.Tokens == 0 {
+		a.FirstToken = time.Since(started)
+	}
+	a.Tokens++
+	text.WriteString(chunk.Choices[0].Text)
+}
--- /dev/null
+++ b/testbed/cmd/demo/main.go
@@ -0,0 +1,134 @@
+// Command demo starts a small fleet of separate processes, sends a short
+// prompt beside a long one and an order twice, and checks every answer.
+package main
+
+import (
+	"context"
+	"errors"
+	"flag"
+	"fmt"
+	"os"
+	"strings"
+	"time"
+
+	"github.com/google/uuid"
+	"golang.org/x/sync/errgroup"
+
+	"camphorwick.dev/standin/enginesim"
+	"camphorwick.dev/testbed/client"
+	"camphorwick.dev/testbed/fleet"
+)
+
+const (
+	shortTokens   = 1_000
+	longTokens    = 300_000
+	bytesPerToken = 4
+	answerTokens  = 64
+	demoLimit     = 2 * time.Minute
+)
+
+// errWrong marks a result that differs from the expected one.
+var errWrong = errors.New("wrong result")
+
+func main() {
+	bin := flag.String("bin", "bin", "folder with the binaries")
+	flag.Parse()
+	if err := run(*bin); err != nil {
+		fmt.Fprintln(os.Stderr, "demo:", err)
+		os.Exit(1)
+	}
+	fmt.Println("demo: all results are right")
+}
+
+func run(bin string) error {
+	ctx, cancel := context.WithTimeout(context.Background(), demoLimit)
+	defer cancel()
+	dir, err := os.MkdirTemp("", "camphorwick-demo-")
+	if err != nil {
+		return fmt.Errorf("make a folder: %w", err)
+	}
+	defer func() { _ = os.RemoveAll(dir) }()
+	f, err := fleet.Start(ctx, fleet.Options{Bin: bin, Dir: dir, Entries: 2, Engines: 2, Orders: 1,
+		DataCentres: []string{"dc-1", "dc-2"}})
+	if err != nil {
+		return err
+	}
+	defer f.Kill()
+	fmt.Printf("started: platform, %d engines, %d order service, %d agents, %d entries\n",
+		len(f.Engines), len(f.Orders), len(f.Agents), len(f.Entries))
+	if err := prompts(ctx, f); err != nil {
+		return err
+	}
+	if err := orders(ctx, f); err != nil {
+		return err
+	}
+	if err := f.Stop(); err != nil {
+		return fmt.Errorf("stop the fleet: %w", err)
+	}
+	fmt.Println("stopped: all daemons ended gracefully")
+	return nil
+}
+
+// prompts sends the long prompt through one entry and the short one through
+// the other while the long one runs.
+func prompts(ctx context.Context, f *fleet.Fleet) error {
+	var group errgroup.Group
+	group.Go(func() error { return complete(ctx, f, 0, "long prompt", longTokens) })
+	group.Go(func() error {
+		time.Sleep(300 * time.Millisecond)
+		return complete(ctx, f, 1, "short prompt", shortTokens)
+	})
+	return group.Wait()
+}
+
+func complete(ctx context.Context, f *fleet.Fleet, entry int, name string, tokens int) error {
+	prompt := promptText(name, tokens)
+	c := client.New(f.Entries[entry].Settings.Entry.CallersAddress, fleet.CallerKey)
+	a, err := c.Complete(ctx, client.Request{Model: "standin", Prompt: prompt, MaxTokens: answerTokens, Stream: true})
+	if err != nil {
+		return fmt.Errorf("%s: %w", name, err)
+	}
+	fmt.Printf("%-13s %7d tokens  outcome %-10s first token %6.0f ms  whole answer %6.0f ms  trace %s\n", name, tokens,
+		a.Outcome, a.FirstToken.Seconds()*1000, a.Duration.Seconds()*1000, a.TraceID)
+	texts, _ := enginesim.Answer([]byte(prompt), answerTokens, 0)
+	if a.Outcome != "completed" || a.Text != strings.Join(texts, "") {
+		return fmt.Errorf("%s: %w: outcome %q, %s", name, errWrong, a.Outcome, a.Message)
+	}
+	return nil
+}
+
+// promptText returns a text of the given length that starts with its name.
+func promptText(name string, tokens int) string {
+	text := name + " " + strings.Repeat("coating ", tokens*bytesPerToken/8+1)
+	return text[:tokens*bytesPerToken]
+}
+
+// orders sends one order twice with the same key; it must run once.
+func orders(ctx context.Context, f *fleet.Fleet) error {
+	key, err := uuid.NewV7()
+	if err != nil {
+		return fmt.Errorf("make an order key: %w", err)
+	}
+	var bodies []string
+	for i := range 2 {
+		c := client.New(f.Entries[i].Settings.Entry.CallersAddress, fleet.CallerKey)
+		a, err := c.Order(ctx, "/v1/services/orders/coils", key.String(), []byte(`{"coils":1}`))
+		if err != nil {
+			return fmt.Errorf("order: %w", err)
+		}
+		fmt.Printf("order, call %d  outcome %-10s status %d  recorded %-5v  trace %s\n", i+1, a.Outcome, a.Status, a.Recorded, a.TraceID)
+		if a.Outcome != "completed" || a.Recorded != (i == 1) {
+			return fmt.Errorf("order: %w: outcome %q, %s %s", errWrong, a.Outcome, a.Code, a.Message)
+		}
+		bodies = append(bodies, a.Text)
+	}
+	if bodies[0] != bodies[1] {
+		return fmt.Errorf("order: %w: the second call got another answer", errWrong)
+	}
+	var runs map[string]any
+	if err := f.Stats(f.Orders[0], "/runs", &runs); err != nil {
+		return fmt.Errorf("read the runs: %w", err)
+	}
+	fmt.Printf("order service: %v\n", runs)
+	return nil
+}
--- /dev/null
+++ b/testbed/fleet/fleet.go
@@ -0,0 +1,585 @@
+// Package fleet starts the stand-ins and the product's daemons as separate
+// processes on loopback, for the demo, the load tool and the integration
+// tests. The daemons start no process themselves.
+package fleet
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"crypto/sha256"
+	"encoding/hex"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"runtime"
+	"sync"
+	"syscall"
+	"time"
+
+	"camphorwick.dev/platform"
+	"camphorwick.dev/settings"
+)
+
+// Time limits of starting and stopping processes.
+const (
+	startTimeout = 20 * time.Second
+	stopTimeout  = 60 * time.Second
+	pollInterval = 50 * time.Millisecond
+)
+
+// Keys used by every test fleet.
+const (
+	AdminKey  = "test-admin-key"
+	CallerKey = "test-caller-key"
+)
+
+// Options describe a fleet.
+type Options struct {
+	// Bin is the folder with the binaries.
+	Bin string
+	// Dir holds settings and logs; it must exist.
+	Dir string
+	// Entries, Engines and Orders are numbers of processes.
+	Entries, Engines, Orders int
+	// DataCentres are assigned in turn; default is one, "dc-1".
+	DataCentres []string
+	// EngineFlags, OrderFlags and PlatformFlags are passed to the stand-ins.
+	EngineFlags, OrderFlags, PlatformFlags []string
+	// Adjust may change the settings of a daemon before it starts.
+	Adjust func(*settings.Settings)
+}
+
+// Process is one started process.
+type Process struct {
+	Name string
+	// Address and FaultsAddress are set for stand-ins.
+	Address, FaultsAddress string
+	cmd                    *exec.Cmd
+	done                   chan struct{}
+	err                    error
+}
+
+// Daemon is a process of the product with its settings.
+type Daemon struct {
+	*Process
+	Settings *settings.Settings
+	file     string
+}
+
+// Fleet is a set of running processes.
+type Fleet struct {
+	Options  Options
+	Platform *Process
+	Engines  []*Process
+	Orders   []*Process
+	Agents   []*Daemon
+	Entries  []*Daemon
+
+	mu    sync.Mutex
+	all   []*Process
+	ports []net.Listener
+}
+
+// StartError says which process did not start.
+type StartError struct {
+	Name  string
+	Cause error
+}
+
+func (e *StartError) Error() string { return fmt.Sprintf("start %s: %v", e.Name, e.Cause) }
+
+// Unwrap returns the cause.
+func (e *StartError) Unwrap() error { return e.Cause }
+
+// StatusError is an unexpected HTTP status.
+type StatusError struct {
+	URL    string
+	Status int
+	Body   string
+}
+
+func (e *StatusError) Error() string {
+	return fmt.Sprintf("%s: status %d: %s", e.URL, e.Status, e.Body)
+}
+
+var errNotReady = errors.New("not ready in time")
+
+// Start starts a fleet and waits until every daemon is ready, after the
+// initial configuration has been committed.
+func Start(ctx context.Context, o Options) (*Fleet, error) {
+	if len(o.DataCentres) == 0 {
+		o.DataCentres = []string{"dc-1"}
+	}
+	f := &Fleet{Options: o}
+	if err := f.start(ctx); err != nil {
+		f.Kill()
+		return nil, err
+	}
+	return f, nil
+}
+
+func (f *Fleet) start(ctx context.Context) error {
+	o := f.Options
+	var err error
+	if f.Platform, err = f.StartStandin("standin-platform", "platform", o.PlatformFlags); err != nil {
+		return err
+	}
+	for i := range o.Engines {
+		engine, err := f.StartStandin("standin-engine", fmt.Sprintf("engine-%d", i+1), o.EngineFlags)
+		if err != nil {
+			return err
+		}
+		f.Engines = append(f.Engines, engine)
+		f.Agents = append(f.Agents, f.agent(fmt.Sprintf("server-%d", i+1), i, &settings.Agent{Engine: &settings.Engine{URL: "http://" + engine.Address}}))
+	}
+	for i := range o.Orders {
+		service, err := f.StartStandin("standin-orders", fmt.Sprintf("orders-%d", i+1), o.OrderFlags)
+		if err != nil {
+			return err
+		}
+		f.Orders = append(f.Orders, service)
+		f.Agents = append(f.Agents, f.agent(fmt.Sprintf("order-server-%d", i+1), i, &settings.Agent{Service: &settings.Service{Name: "orders", URL: "http://" + service.Address}}))
+	}
+	for i := range o.Entries {
+		f.Entries = append(f.Entries, f.entry(fmt.Sprintf("entry-%d", i+1), i))
+	}
+	if err := f.PublishVMs(true); err != nil {
+		return err
+	}
+	for _, d := range append(append([]*Daemon{}, f.Agents...), f.Entries...) {
+		if err := f.StartDaemon(d); err != nil {
+			return err
+		}
+	}
+	return f.configure(ctx)
+}
+
+// StartStandin starts a stand-in and waits for its addresses.
+func (f *Fleet) StartStandin(binary, name string, args []string) (*Process, error) {
+	cmd := exec.Command(filepath.Join(f.Options.Bin, binary), args...)
+	stdout, err := cmd.StdoutPipe()
+	if err != nil {
+		return nil, &StartError{name, err}
+	}
+	p, err := f.launch(name, cmd)
+	if err != nil {
+		return nil, err
+	}
+	var ready struct {
+		Address       string `json:"address"`
+		FaultsAddress string `json:"faults_address"`
+	}
+	lines := bufio.NewScanner(stdout)
+	for ready.Address == "" && lines.Scan() {
+		_ = json.Unmarshal(lines.Bytes(), &ready) // other lines have no address
+	}
+	go func() { _, _ = io.Copy(io.Discard, stdout) }()
+	if ready.Address == "" {
+		return nil, &StartError{name, errNotReady}
+	}
+	p.Address, p.FaultsAddress = ready.Address, ready.FaultsAddress
+	return p, nil
+}
+
+// launch starts a command with its standard error in a log file.
+func (f *Fleet) launch(name string, cmd *exec.Cmd) (*Process, error) {
+	log, err := os.OpenFile(f.LogFile(name), os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o644)
+	if err != nil {
+		return nil, &StartError{name, err}
+	}
+	cmd.Stderr = log
+	cmd.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
+	if err := startOnOneThread(cmd); err != nil {
+		_ = log.Close()
+		return nil, &StartError{name, err}
+	}
+	p := &Process{Name: name, cmd: cmd, done: make(chan struct{})}
+	go func() {
+		p.err = cmd.Wait()
+		_ = log.Close()
+		close(p.done)
+	}()
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.all = append(f.all, p)
+	return p, nil
+}
+
+// starts passes commands to the thread that starts them.
+var starts = sync.OnceValue(func() chan<- func() {
+	requests := make(chan func())
+	go func() {
+		runtime.LockOSThread()
+		for start := range requests {
+			start()
+		}
+	}()
+	return requests
+})
+
+// startOnOneThread starts a command from a thread that never ends. The kernel
+// sends Pdeathsig when the starting thread ends, not when the process does.
+func startOnOneThread(cmd *exec.Cmd) error {
+	result := make(chan error, 1)
+	starts() <- func() { result <- cmd.Start() }
+	return <-result
+}
+
+// LogFile returns the log file of a process.
+func (f *Fleet) LogFile(name string) string { return filepath.Join(f.Options.Dir, name+".log") }
+
+// FreeAddress returns a loopback address with a port that is free now.
+func (f *Fleet) FreeAddress() string {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return "127.0.0.1:1" // opening it fails with a clear error
+	}
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.ports = append(f.ports, l) // held until its process starts, so that no port is given twice
+	return l.Addr().String()
+}
+
+// releasePorts closes the listeners that hold reserved ports.
+func (f *Fleet) releasePorts() {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for _, l := range f.ports {
+		_ = l.Close()
+	}
+	f.ports = nil
+}
+
+func (f *Fleet) base(vm string, role settings.Role, i int) *settings.Settings {
+	return &settings.Settings{VM: vm, Role: role, DataCentre: f.Options.DataCentres[i%len(f.Options.DataCentres)],
+		ControlAddress: f.FreeAddress(), OpsAddress: f.FreeAddress(), InsecurePlaintext: true, LogLevel: "info",
+		Platform: settings.Platform{URL: "http://" + f.Platform.Address, VMPollMillis: 500}, Trace: settings.Trace{Log: true}}
+}
+
+func (f *Fleet) agent(vm string, i int, a *settings.Agent) *Daemon {
+	s := f.base(vm, settings.RoleAgent, i)
+	s.Agent = a
+	return &Daemon{Settings: s}
+}
+
+func (f *Fleet) entry(vm string, i int) *Daemon {
+	s := f.base(vm, settings.RoleEntry, i)
+	s.Entry = &settings.Entry{CallersAddress: f.FreeAddress(), AdminAddress: f.FreeAddress(),
+		AdminKeyHashes: []string{HashKey(AdminKey)}, UnreadyMillis: 200}
+	return &Daemon{Settings: s}
+}
+
+// AddEntry and AddAgent describe a further daemon; StartDaemon starts it.
+func (f *Fleet) AddEntry(vm string) *Daemon {
+	d := f.entry(vm, len(f.Entries))
+	f.Entries = append(f.Entries, d)
+	return d
+}
+
+// AddAgent describes a further agent.
+func (f *Fleet) AddAgent(vm string, a *settings.Agent) *Daemon {
+	d := f.agent(vm, len(f.Agents), a)
+	f.Agents = append(f.Agents, d)
+	return d
+}
+
+// HashKey returns the SHA-256 hash of a key in hex.
+func HashKey(key string) string {
+	sum := sha256.Sum256([]byte(key))
+	return hex.EncodeToString(sum[:])
+}
+
+// StartDaemon writes the settings of a daemon and starts it, also again after
+// it has ended. It does not wait for readiness.
+func (f *Fleet) StartDaemon(d *Daemon) error {
+	if f.Options.Adjust != nil && d.file == "" {
+		f.Options.Adjust(d.Settings)
+	}
+	data, err := json.MarshalIndent(d.Settings, "", "  ")
+	if err != nil {
+		return &StartError{d.Settings.VM, err}
+	}
+	d.file = filepath.Join(f.Options.Dir, d.Settings.VM+".json")
+	if err := os.WriteFile(d.file, data, 0o644); err != nil {
+		return &StartError{d.Settings.VM, err}
+	}
+	f.releasePorts()
+	p, err := f.launch(d.Settings.VM, exec.Command(filepath.Join(f.Options.Bin, "camphorwick"), "run", "-s", d.file))
+	if err != nil {
+		return err
+	}
+	d.Process = p
+	return nil
+}
+
+// VMs returns the VM list of the daemons.
+func (f *Fleet) VMs() []platform.VM {
+	var vms []platform.VM
+	for _, d := range append(append([]*Daemon{}, f.Agents...), f.Entries...) {
+		vms = append(vms, platform.VM{ID: d.Settings.VM, Role: string(d.Settings.Role), DataCentre: d.Settings.DataCentre,
+			Address: d.Settings.ControlAddress, State: platform.VMLive})
+	}
+	return vms
+}
+
+// PublishVMs gives the stand-in platform the VM list; with its usual lag
+// unless immediate is set.
+func (f *Fleet) PublishVMs(immediate bool) error {
+	return f.Faults(f.Platform, http.MethodPut, "/vms", map[string]any{"vms": f.VMs(), "immediate": immediate})
+}
+
+// Faults calls the faults address of a stand-in.
+func (f *Fleet) Faults(p *Process, method, path string, body any) error {
+	_, err := call(method, "http://"+p.FaultsAddress+path, "", body)
+	return err
+}
+
+// Stats decodes /stats or another JSON page of a stand-in's faults address.
+func (f *Fleet) Stats(p *Process, path string, into any) error {
+	data, err := call(http.MethodGet, "http://"+p.FaultsAddress+path, "", nil)
+	if err != nil {
+		return err
+	}
+	return json.Unmarshal(data, into)
+}
+
+// Admin calls the administration API of an entry.
+func (f *Fleet) Admin(d *Daemon, method, path string, body any) ([]byte, error) {
+	return call(method, "http://"+d.Settings.Entry.AdminAddress+path, AdminKey, body)
+}
+
+// Change is one item of an edit.
+type Change struct {
+	Key              string `json:"key"`
+	Value            any    `json:"value"`
+	ExpectedRevision uint64 `json:"expected_revision"`
+}
+
+// Edit commits an edit through an entry and returns its revision.
+func (f *Fleet) Edit(d *Daemon, changes ...Change) (uint64, error) {
+	data, err := f.Admin(d, http.MethodPost, "/admin/v1/edits", map[string]any{"operator": "test", "changes": changes})
+	if err != nil {
+		return 0, err
+	}
+	var answer struct {
+		Revision uint64 `json:"revision"`
+	}
+	return answer.Revision, json.Unmarshal(data, &answer)
+}
+
+// Item returns the revision of a configuration item as an entry sees it.
+func (f *Fleet) Item(d *Daemon, key string) (uint64, error) {
+	data, err := f.Admin(d, http.MethodGet, "/admin/v1/config?prefix="+key, nil)
+	if err != nil {
+		return 0, err
+	}
+	var answer struct {
+		Items []struct {
+			Key      string `json:"key"`
+			Revision uint64 `json:"revision"`
+		} `json:"items"`
+	}
+	if err := json.Unmarshal(data, &answer); err != nil {
+		return 0, err
+	}
+	for _, item := range answer.Items {
+		if item.Key == key {
+			return item.Revision, nil
+		}
+	}
+	return 0, nil
+}
+
+// call makes an HTTP call with a JSON body.
+func call(method, url, key string, body any) ([]byte, error) {
+	var reader io.Reader
+	if body != nil {
+		data, err := json.Marshal(body)
+		if err != nil {
+			return nil, fmt.Errorf("encode: %w", err)
+		}
+		reader = bytes.NewReader(data)
+	}
+	request, err := http.NewRequest(method, url, reader)
+	if err != nil {
+		return nil, fmt.Errorf("call %s: %w", url, err)
+	}
+	if key != "" {
+		request.Header.Set("Authorization", "Bearer "+key)
+	}
+	client := http.Client{Timeout: startTimeout}
+	response, err := client.Do(request)
+	if err != nil {
+		return nil, fmt.Errorf("call %s: %w", url, err)
+	}
+	defer func() { _ = response.Body.Close() }()
+	data, err := io.ReadAll(response.Body)
+	if err != nil {
+		return nil, fmt.Errorf("read %s: %w", url, err)
+	}
+	if response.StatusCode >= http.StatusMultipleChoices {
+		return data, &StatusError{URL: url, Status: response.StatusCode, Body: string(data)}
+	}
+	return data, nil
+}
+
+// configure commits the lists of the tests and waits for readiness.
+func (f *Fleet) configure(ctx context.Context) error {
+	if len(f.Entries) == 0 {
+		return nil
+	}
+	if err := f.await(ctx, "http://"+f.Entries[0].Settings.OpsAddress+"/healthz"); err != nil {
+		return err
+	}
+	plan := map[string]any{"models": []string{"standin"}, "weight": 1, "services": []map[string]any{{"name": "orders",
+		"idempotent": []map[string]string{{"method": "GET", "path_prefix": "/"}}}}}
+	client := map[string]any{"plan": "standard", "key_hashes": []string{HashKey(CallerKey)}}
+	if _, err := f.Edit(f.Entries[0], Change{Key: "plan/standard", Value: plan}, Change{Key: "client/tester", Value: client}); err != nil {
+		return err
+	}
+	for _, d := range append(append([]*Daemon{}, f.Agents...), f.Entries...) {
+		if err := f.AwaitReady(ctx, d); err != nil {
+			return err
+		}
+	}
+	return f.awaitMesh(ctx)
+}
+
+// AwaitReady waits until a daemon reports that it is ready.
+func (f *Fleet) AwaitReady(ctx context.Context, d *Daemon) error {
+	return f.await(ctx, "http://"+d.Settings.OpsAddress+"/readyz")
+}
+
+func (f *Fleet) await(ctx context.Context, url string) error {
+	ctx, cancel := context.WithTimeout(ctx, startTimeout)
+	defer cancel()
+	for {
+		_, err := call(http.MethodGet, url, "", nil)
+		if err == nil {
+			return nil
+		}
+		select {
+		case <-ctx.Done():
+			return fmt.Errorf("wait for %s: %w: %w", url, errNotReady, err)
+		case <-time.After(pollInterval):
+		}
+	}
+}
+
+// awaitMesh waits until every entry has a session with every other daemon.
+func (f *Fleet) awaitMesh(ctx context.Context) error {
+	ctx, cancel := context.WithTimeout(ctx, startTimeout)
+	defer cancel()
+	for _, d := range f.Entries {
+		for {
+			live, err := f.liveVMs(d)
+			if err == nil && live >= len(f.Agents)+len(f.Entries) {
+				break
+			}
+			select {
+			case <-ctx.Done():
+				return fmt.Errorf("wait for the sessions of %s: %w", d.Settings.VM, errNotReady)
+			case <-time.After(pollInterval):
+			}
+		}
+	}
+	return nil
+}
+
+func (f *Fleet) liveVMs(d *Daemon) (int, error) {
+	data, err := f.Admin(d, http.MethodGet, "/admin/v1/fleet", nil)
+	if err != nil {
+		return 0, err
+	}
+	var answer struct {
+		VMs []struct {
+			State string `json:"state"`
+		} `json:"vms"`
+	}
+	if err := json.Unmarshal(data, &answer); err != nil {
+		return 0, err
+	}
+	live := 0
+	for _, vm := range answer.VMs {
+		if vm.State == "live" {
+			live++
+		}
+	}
+	return live, nil
+}
+
+// Signal sends a signal to a process.
+func (p *Process) Signal(s syscall.Signal) error { return p.cmd.Process.Signal(s) }
+
+// Pid returns the process id.
+func (p *Process) Pid() int { return p.cmd.Process.Pid }
+
+// Done is closed when the process has ended.
+func (p *Process) Done() <-chan struct{} { return p.done }
+
+// Terminate sends SIGTERM and waits for the end. The error is that of the
+// process, or says that it did not end in time.
+func (p *Process) Terminate() error {
+	_ = p.Signal(syscall.SIGTERM)
+	select {
+	case <-p.done:
+		if p.err != nil {
+			return fmt.Errorf("stop %s: %w", p.Name, p.err)
+		}
+		return nil
+	case <-time.After(stopTimeout):
+		return fmt.Errorf("stop %s: %w", p.Name, errNotReady)
+	}
+}
+
+// KillNow sends SIGKILL and waits for the end.
+func (p *Process) KillNow() {
+	_ = p.Signal(syscall.SIGKILL)
+	<-p.done
+}
+
+// Stop stops entries, agents and stand-ins gracefully, in this order.
+func (f *Fleet) Stop() error {
+	var failures []error
+	for _, list := range [][]*Daemon{f.Entries, f.Agents} {
+		failures = append(failures, terminateAll(list)...)
+	}
+	f.Kill()
+	return errors.Join(failures...)
+}
+
+func terminateAll(list []*Daemon) []error {
+	errs := make([]error, len(list))
+	var group sync.WaitGroup
+	for i, d := range list {
+		if d.Process == nil {
+			continue
+		}
+		group.Go(func() { errs[i] = d.Terminate() })
+	}
+	group.Wait()
+	return errs
+}
+
+// Kill ends every process that still runs.
+func (f *Fleet) Kill() {
+	f.releasePorts()
+	f.mu.Lock()
+	all := f.all
+	f.mu.Unlock()
+	for _, p := range all {
+		select {
+		case <-p.done:
+		default:
+			_ = p.Signal(syscall.SIGCONT)
+			p.KillNow()
+		}
+	}
+}
