Add tests with real processes and fix two faults that they found

Oversized bodies: the server closed the connection with unread bytes, so the caller saw a reset and not the refusal. Bodies are now read as a stream, and up to eight times the limit is dropped after the refusal. A larger limit of the server alone was ruled out, because it would hold the whole body in memory.

Callers that are gone before a whole answer: fasthttp wraps connections when a limit per address is set, and the wrapper cannot be peeked at, so the watch never started (the engine held 6,000 tokens until the answer was complete). The limit is removed: behind the balancer all callers share one address.

Both tests failed before (TestBadRequests/oversized_body, TestCallerGone) and pass now.

--- a/daemon/entry/disconnect.go
+++ b/daemon/entry/disconnect.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"net"
 	"syscall"
 	"time"
@@ -22,6 +23,7 @@
 func (e *Entry) watchCaller(conn net.Conn, cancel context.CancelCauseFunc) (stop func()) {
 	holder, ok := conn.(syscall.Conn)
 	if !ok {
+		e.log.Error("connections of this type cannot be watched for disconnects", "type", fmt.Sprintf("%T", conn))
 		return func() {}
 	}
 	raw, err := holder.SyscallConn()
--- a/daemon/entry/http.go
+++ b/daemon/entry/http.go
@@ -1,9 +1,11 @@
 package entry
 
 import (
+	"bytes"
 	"context"
 	"encoding/json"
 	"fmt"
+	"io"
 	"net"
 	"net/http"
 	"regexp"
@@ -22,9 +24,12 @@
 
 // Limits of the callers' and the administration server.
 const (
-	readTimeout      = 30 * time.Second
-	idleTimeout      = 75 * time.Second
-	maxConnsPerIP    = 16384 // the platform's balancer is one address
+	readTimeout = 30 * time.Second
+	idleTimeout = 75 * time.Second
+	// discardFactor times the body limit is read and dropped of an oversized
+	// body, so that its caller can read the refusal before the connection is
+	// reset.
+	discardFactor    = 8
 	maxConcurrency   = 65536
 	maxAdminBody     = 4 << 20
 	headerBufferSize = 16 << 10
@@ -100,24 +105,52 @@
 	started time.Time
 }
 
-// server returns an HTTP server with the limits that both APIs share.
+// server returns an HTTP server with the limits that both APIs share. There is
+// no limit of connections per address, since all callers come through the
+// platform's balancer.
 func (e *Entry) server(name string, maxBody int, handler fasthttp.RequestHandler) *fasthttp.Server {
 	return &fasthttp.Server{
-		Name: name, Handler: handler, MaxRequestBodySize: maxBody, ReadBufferSize: headerBufferSize,
-		ReadTimeout: readTimeout, IdleTimeout: idleTimeout, MaxConnsPerIP: maxConnsPerIP,
+		Name: name, StreamRequestBody: true, MaxRequestBodySize: maxBody, ReadBufferSize: headerBufferSize,
+		ReadTimeout: readTimeout, IdleTimeout: idleTimeout,
+		Handler: func(c *fasthttp.RequestCtx) {
+			if err := readBody(c, maxBody); err != nil {
+				writeError(c, uuid.NewString(), outcome.NotRun, err)
+				c.SetStatusCode(http.StatusRequestEntityTooLarge)
+				c.SetConnectionClose()
+				return
+			}
+			handler(c)
+		},
 		Concurrency: maxConcurrency, CloseOnShutdown: true, NoDefaultServerHeader: true,
 		ErrorHandler: func(c *fasthttp.RequestCtx, err error) {
-			code := outcome.InvalidRequest
-			status := http.StatusBadRequest
-			if err == fasthttp.ErrBodyTooLarge {
-				status = http.StatusRequestEntityTooLarge
-			}
-			writeError(c, uuid.NewString(), outcome.NotRun, outcome.Wrap(err, code, "the request cannot be read"))
-			c.SetStatusCode(status)
+			writeError(c, uuid.NewString(), outcome.NotRun, outcome.Wrap(err, outcome.InvalidRequest, "the request cannot be read"))
 		},
 	}
 }
 
+// readBody reads the body of a request of at most limit bytes. Errors are
+// *outcome.Error.
+func readBody(c *fasthttp.RequestCtx, limit int) error {
+	stream := c.RequestBodyStream()
+	if stream == nil {
+		return nil
+	}
+	var body bytes.Buffer
+	if n := c.Request.Header.ContentLength(); n > 0 && n <= limit {
+		body.Grow(n + bytes.MinRead)
+	}
+	if _, err := body.ReadFrom(io.LimitReader(stream, int64(limit)+1)); err != nil {
+		return outcome.Wrap(err, outcome.InvalidRequest, "the body cannot be read")
+	}
+	if body.Len() > limit {
+		_, _ = io.CopyN(io.Discard, stream, int64(limit)*discardFactor)
+		return outcome.New(outcome.InvalidRequest, "the body exceeds %d bytes", limit)
+	}
+	_ = c.Request.CloseBodyStream()
+	c.Request.SetBodyRaw(body.Bytes())
+	return nil
+}
+
 // serve runs a server until it is shut down.
 func serve(s *fasthttp.Server, l net.Listener, name string) error {
 	if err := s.Serve(l); err != nil {
--- /dev/null
+++ b/testbed/e2e/e2e_test.go
@@ -0,0 +1,223 @@
+// Package e2e tests the product as separate processes against the stand-ins.
+package e2e
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/google/uuid"
+	"github.com/matryer/is"
+
+	"camphorwick.dev/settings"
+	"camphorwick.dev/standin/enginesim"
+	"camphorwick.dev/testbed/client"
+	"camphorwick.dev/testbed/fleet"
+)
+
+// testLimit bounds one test.
+const testLimit = 90 * time.Second
+
+// binaries is the folder with the race-enabled binaries of all processes.
+var binaries string
+
+// TestMain builds the processes unless CAMPHORWICK_BIN names a folder with
+// binaries.
+func TestMain(m *testing.M) {
+	binaries = os.Getenv("CAMPHORWICK_BIN")
+	if binaries != "" {
+		os.Exit(m.Run())
+	}
+	dir, err := os.MkdirTemp("", "camphorwick-bin-")
+	if err != nil {
+		panic(err)
+	}
+	build := exec.Command("go", "build", "-race", "-o", dir+string(filepath.Separator), "work")
+	if out, err := build.CombinedOutput(); err != nil {
+		panic(fmt.Sprintf("build: %v\n%s", err, out))
+	}
+	binaries = dir
+	code := m.Run()
+	_ = os.RemoveAll(dir)
+	os.Exit(code)
+}
+
+// start starts a fleet that is stopped at the end of the test; the test fails
+// if a daemon ends with an error, for example after a data race.
+func start(t *testing.T, o fleet.Options) (context.Context, *fleet.Fleet) {
+	t.Helper()
+	ctx, cancel := context.WithTimeout(context.Background(), testLimit)
+	o.Bin, o.Dir = binaries, t.TempDir()
+	f, err := fleet.Start(ctx, o)
+	if err != nil {
+		cancel()
+		t.Fatalf("start the fleet: %v", err)
+	}
+	t.Cleanup(func() {
+		cancel()
+		f.Kill()
+		if t.Failed() {
+			printLogs(t, o.Dir)
+		}
+	})
+	return ctx, f
+}
+
+func printLogs(t *testing.T, dir string) {
+	files, _ := filepath.Glob(filepath.Join(dir, "*.log"))
+	for _, file := range files {
+		data, _ := os.ReadFile(file)
+		lines := strings.Split(string(data), "\n")
+		t.Logf("%s:\n%s", filepath.Base(file), strings.Join(lines[max(0, len(lines)-25):], "\n"))
+	}
+}
+
+func caller(f *fleet.Fleet, entry int) *client.Client {
+	return client.New(f.Entries[entry].Settings.Entry.CallersAddress, fleet.CallerKey)
+}
+
+// prompt returns a text of about the given number of tokens.
+func prompt(name string, tokens int) string {
+	return (name + " " + strings.Repeat("coating ", tokens/2+1))[:tokens*4]
+}
+
+// expected returns the whole answer of the stand-in engine.
+func expected(prompt string, tokens int) string {
+	texts, _ := enginesim.Answer([]byte(prompt), tokens, 0)
+	return strings.Join(texts, "")
+}
+
+// engineStats is the part of the engine's statistics that the tests read.
+type engineStats struct {
+	KVUsedTokens int            `json:"kv_used_tokens"`
+	Starts       map[string]int `json:"starts"`
+	Streams      []any          `json:"streams"`
+}
+
+// awaitNoMemory waits until no engine holds memory for a stream.
+func awaitNoMemory(t *testing.T, f *fleet.Fleet, limit time.Duration) {
+	t.Helper()
+	deadline := time.Now().Add(limit)
+	for {
+		held := 0
+		for _, engine := range f.Engines {
+			var stats engineStats
+			if err := f.Stats(engine, "/stats", &stats); err != nil {
+				continue // the engine was killed by the test
+			}
+			held += stats.KVUsedTokens + len(stats.Streams)
+		}
+		if held == 0 {
+			return
+		}
+		if time.Now().After(deadline) {
+			t.Fatalf("engines still hold %d tokens and streams", held)
+		}
+		time.Sleep(20 * time.Millisecond)
+	}
+}
+
+func orderKey(t *testing.T) string {
+	t.Helper()
+	key, err := uuid.NewV7()
+	if err != nil {
+		t.Fatal(err)
+	}
+	return key.String()
+}
+
+// Guards the whole path: streamed and whole answers, idempotent calls, orders.
+func TestPath(t *testing.T) {
+	is := is.New(t)
+	ctx, f := start(t, fleet.Options{Entries: 2, Engines: 2, Orders: 1})
+	text := prompt("primer", 1000)
+	for _, stream := range []bool{true, false} {
+		a, err := caller(f, 0).Complete(ctx, client.Request{Model: "standin", Prompt: text, MaxTokens: 40, Stream: stream, ID: "req-1"})
+		is.NoErr(err)
+		is.Equal(a.Outcome, "completed")
+		is.Equal(a.Text, expected(text, 40))
+		is.Equal(a.RequestID, "req-1")
+		is.True(a.TraceID != "")
+	}
+	get, err := caller(f, 1).Call(ctx, http.MethodGet, "/v1/services/orders/stock", nil, nil)
+	is.NoErr(err)
+	is.Equal(get.Outcome, "completed")
+	key := orderKey(t)
+	first, err := caller(f, 0).Order(ctx, "/v1/services/orders/coils", key, []byte("1"))
+	is.NoErr(err)
+	is.Equal(first.Outcome, "completed")
+	second, err := caller(f, 1).Order(ctx, "/v1/services/orders/coils", key, []byte("1"))
+	is.NoErr(err)
+	is.True(second.Recorded)
+	is.Equal(second.Text, first.Text)
+	other, err := caller(f, 1).Order(ctx, "/v1/services/orders/coils", key, []byte("2"))
+	is.NoErr(err)
+	is.Equal(other.Code, "key_conflict")
+	query, err := caller(f, 1).Call(ctx, http.MethodGet, "/v1/orders/"+key, nil, nil)
+	is.NoErr(err)
+	is.True(strings.Contains(query.Text, `"outcome":"completed"`))
+	awaitNoMemory(t, f, 5*time.Second)
+	is.NoErr(f.Stop())
+}
+
+// Guards against unclear refusals and against processes that keep something
+// of a refused request.
+func TestBadRequests(t *testing.T) {
+	ctx, f := start(t, fleet.Options{Entries: 1, Engines: 1, Orders: 1})
+	c := caller(f, 0)
+	json := func(s string) []byte { return []byte(s) }
+	cases := []struct {
+		name, method, path string
+		body               []byte
+		headers            map[string]string
+		status             int
+		code               string
+	}{
+		{"malformed JSON", "POST", "/v1/completions", json(`{"model"`), nil, 400, "invalid_request"},
+		{"wrong type", "POST", "/v1/completions", json(`{"model":3}`), nil, 400, "invalid_request"},
+		{"no prompt", "POST", "/v1/completions", json(`{"model":"standin"}`), nil, 400, "invalid_request"},
+		{"unknown model", "POST", "/v1/completions", json(`{"model":"x","prompt":"a"}`), nil, 404, "unknown_model"},
+		{"negative deadline", "POST", "/v1/completions", json(`{"model":"standin","prompt":"a","timeout_ms":-5}`), nil, 400, "invalid_request"},
+		{"absurd deadline", "POST", "/v1/completions", json(`{"model":"standin","prompt":"a","timeout_ms":99999999999}`), nil, 400, "invalid_request"},
+		{"too many tokens", "POST", "/v1/completions", json(`{"model":"standin","prompt":"a","max_tokens":9999999}`), nil, 400, "invalid_request"},
+		{"unknown key", "POST", "/v1/completions", json(`{}`), map[string]string{"Authorization": "Bearer x"}, 401, "unauthenticated"},
+		{"no key", "POST", "/v1/completions", json(`{}`), map[string]string{"Authorization": "none"}, 401, "unauthenticated"},
+		{"oversized body", "POST", "/v1/completions", []byte(strings.Repeat("x", 13<<20)), nil, 413, "invalid_request"},
+		{"unknown path", "GET", "/v1/none", nil, nil, 404, "not_found"},
+		{"unknown service", "POST", "/v1/services/none/x", nil, nil, 404, "unknown_service"},
+		{"order without key", "POST", "/v1/services/orders/x", nil, nil, 400, "invalid_request"},
+		{"order with a random key", "POST", "/v1/services/orders/x", nil, map[string]string{"Idempotency-Key": uuid.NewString()}, 400, "invalid_request"},
+		{"order with an old key", "POST", "/v1/services/orders/x", nil, map[string]string{"Idempotency-Key": "018f0000-0000-7000-8000-000000000000"}, 400, "key_expired"},
+		{"bad event id", "GET", "/v1/requests/r1", nil, map[string]string{"Last-Event-ID": "x"}, 400, "invalid_request"},
+	}
+	for _, tc := range cases {
+		t.Run(tc.name, func(t *testing.T) {
+			is := is.New(t)
+			a, err := c.Call(ctx, tc.method, tc.path, tc.body, tc.headers)
+			is.NoErr(err)
+			is.Equal(a.Status, tc.status)
+			is.Equal(a.Code, tc.code)
+			is.Equal(a.Outcome, "not_run")
+			is.True(a.RequestID != "")
+		})
+	}
+	awaitNoMemory(t, f, time.Second)
+	is.New(t).NoErr(f.Stop())
+}
+
+func jsonNumber(n uint64) string { return fmt.Sprint(n) }
+
+// peersOf lists the daemons of a fleet as peers for the settings of another.
+func peersOf(f *fleet.Fleet) []settings.Peer {
+	var peers []settings.Peer
+	for _, vm := range f.VMs() {
+		peers = append(peers, settings.Peer{VM: vm.ID, Role: settings.Role(vm.Role), DataCentre: vm.DataCentre, Address: vm.Address})
+	}
+	return peers
+}
--- /dev/null
+++ b/testbed/e2e/failure_test.go
@@ -0,0 +1,271 @@
+package e2e
+
+import (
+	"context"
+	"encoding/json"
+	"net/http"
+	"sync"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"golang.org/x/sync/errgroup"
+
+	"camphorwick.dev/testbed/client"
+	"camphorwick.dev/testbed/fleet"
+)
+
+// slowEngine makes a token take about 20 ms, so that a test can act in the
+// middle of an answer.
+var slowEngine = []string{"--step-fixed=20ms"}
+
+// duringAnswer streams a completion and calls act once, after some events.
+func duringAnswer(ctx context.Context, f *fleet.Fleet, entry int, r client.Request, events int, act func(client.Answer)) (client.Answer, error) {
+	var once sync.Once
+	return caller(f, entry).Watch(ctx, r, func(a client.Answer) {
+		if a.Tokens >= events {
+			once.Do(func() { act(a) })
+		}
+	})
+}
+
+// agentOf returns the daemon of the VM that an event id names.
+func agentOf(f *fleet.Fleet, eventID string) (*fleet.Daemon, int) {
+	for i, d := range f.Agents {
+		if vm := d.Settings.VM; len(eventID) > len(vm) && eventID[:len(vm)+1] == vm+"/" {
+			return d, i
+		}
+	}
+	return nil, -1
+}
+
+// Guards against lost, doubled or mixed tokens when a process dies or pauses
+// in the middle of an answer.
+func TestContinuation(t *testing.T) {
+	cases := []struct {
+		name string
+		act  func(f *fleet.Fleet, agent *fleet.Daemon, i int)
+	}{
+		{"agent killed", func(f *fleet.Fleet, d *fleet.Daemon, i int) { d.KillNow() }},
+		{"engine killed", func(f *fleet.Fleet, d *fleet.Daemon, i int) { f.Engines[i].KillNow() }},
+		{"agent paused", func(f *fleet.Fleet, d *fleet.Daemon, i int) { _ = d.Signal(syscall.SIGSTOP) }},
+	}
+	for _, tc := range cases {
+		t.Run(tc.name, func(t *testing.T) {
+			is := is.New(t)
+			ctx, f := start(t, fleet.Options{Entries: 1, Engines: 3, EngineFlags: slowEngine})
+			text := prompt("review", 2000)
+			var hit *fleet.Daemon
+			a, err := duringAnswer(ctx, f, 0, client.Request{Model: "standin", Prompt: text, MaxTokens: 100, Stream: true}, 5, func(a client.Answer) {
+				d, i := agentOf(f, a.LastEventID)
+				hit = d
+				tc.act(f, d, i)
+			})
+			is.NoErr(err)
+			is.Equal(a.Outcome, "completed")
+			is.Equal(a.Text, expected(text, 100))
+			is.True(hit != nil)
+			_ = hit.Signal(syscall.SIGCONT)
+			if tc.name == "agent killed" {
+				is.NoErr(f.StartDaemon(hit)) // the new process must free what the old one left
+			}
+			awaitNoMemory(t, f, 10*time.Second)
+		})
+	}
+}
+
+// Guards against an answer that is lost with its entry: another entry hands
+// out the rest.
+func TestEntryKilled(t *testing.T) {
+	is := is.New(t)
+	ctx, f := start(t, fleet.Options{Entries: 2, Engines: 2, EngineFlags: slowEngine})
+	text := prompt("tender", 2000)
+	got, err := duringAnswer(ctx, f, 0, client.Request{Model: "standin", Prompt: text, MaxTokens: 100, Stream: true, ID: "tender-1"}, 5,
+		func(client.Answer) { f.Entries[0].KillNow() })
+	is.True(err != nil) // the connection broke
+	rest, err := caller(f, 1).Resume(ctx, "tender-1", got.LastEventID)
+	is.NoErr(err)
+	is.Equal(rest.Outcome, "completed")
+	is.Equal(got.Text+rest.Text, expected(text, 100))
+	awaitNoMemory(t, f, 5*time.Second)
+}
+
+// Guards against engine work for callers that are gone, streamed or not.
+func TestCallerGone(t *testing.T) {
+	for _, stream := range []bool{true, false} {
+		is := is.New(t)
+		_, f := start(t, fleet.Options{Entries: 1, Engines: 1, EngineFlags: slowEngine})
+		ctx, cancel := context.WithTimeout(context.Background(), time.Second)
+		_, err := caller(f, 0).Complete(ctx, client.Request{Model: "standin", Prompt: prompt("gone", 2000), MaxTokens: 4000, Stream: stream})
+		cancel()
+		is.True(err != nil)
+		awaitNoMemory(t, f, 3*time.Second)
+	}
+}
+
+// Guards against a leaving backend server that gets new work, and against a
+// drain that cuts off a stream. The platform's list lags by a minute.
+func TestLeaving(t *testing.T) {
+	is := is.New(t)
+	ctx, f := start(t, fleet.Options{Entries: 2, Engines: 2, EngineFlags: slowEngine, PlatformFlags: []string{"--vm-lag=60s"}})
+	text := prompt("leaving", 1000)
+	var marked time.Time
+	var vm string
+	a, err := duringAnswer(ctx, f, 0, client.Request{Model: "standin", Prompt: text, MaxTokens: 300, Stream: true}, 3, func(a client.Answer) {
+		d, _ := agentOf(f, a.LastEventID)
+		vm = d.Settings.VM
+		if _, err := f.Edit(f.Entries[1], fleet.Change{Key: "mark/" + vm, Value: map[string]string{"state": "leaving"}}); err != nil {
+			t.Error(err)
+		}
+		marked = time.Now()
+		sendUntil(ctx, t, f, marked.Add(3*time.Second))
+	})
+	is.NoErr(err)
+	is.Equal(a.Outcome, "completed")
+	is.Equal(a.Text, expected(text, 300))
+	for range 10 {
+		b, err := caller(f, 1).Complete(ctx, client.Request{Model: "standin", Prompt: text, MaxTokens: 2, Stream: true})
+		is.NoErr(err)
+		is.Equal(b.Outcome, "completed")
+		d, _ := agentOf(f, b.LastEventID)
+		is.True(d.Settings.VM != vm) // 3 s after the mark
+	}
+	is.NoErr(f.Stop())
+}
+
+// sendUntil keeps the fleet busy until a time; every request must complete.
+func sendUntil(ctx context.Context, t *testing.T, f *fleet.Fleet, end time.Time) {
+	for i := 0; time.Now().Before(end); i++ {
+		a, err := caller(f, i%2).Complete(ctx, client.Request{Model: "standin", Prompt: prompt("busy", 500), MaxTokens: 2})
+		if err != nil || a.Outcome != "completed" {
+			t.Errorf("request while draining: outcome %q, code %q, error %v", a.Outcome, a.Code, err)
+			return
+		}
+	}
+}
+
+// Guards against planned stops that cut off requests: all entries and agents
+// are replaced one after the other under load.
+func TestRollingReplacement(t *testing.T) {
+	is := is.New(t)
+	ctx, f := start(t, fleet.Options{Entries: 2, Engines: 3})
+	load, stop := context.WithCancel(ctx)
+	var group errgroup.Group
+	var mu sync.Mutex
+	outcomes := map[string]int{}
+	for worker := range 6 {
+		group.Go(func() error {
+			for i := worker; load.Err() == nil; i++ {
+				o := completeSomewhere(ctx, f, i)
+				mu.Lock()
+				outcomes[o]++
+				mu.Unlock()
+			}
+			return nil
+		})
+	}
+	for _, d := range append(append([]*fleet.Daemon{}, f.Agents...), f.Entries...) {
+		time.Sleep(500 * time.Millisecond)
+		is.NoErr(d.Terminate())
+		is.NoErr(f.StartDaemon(d))
+		is.NoErr(f.AwaitReady(ctx, d))
+		time.Sleep(2 * time.Second) // the other entry's next dial
+	}
+	stop()
+	is.NoErr(group.Wait())
+	t.Logf("outcomes: %v", outcomes)
+	is.True(outcomes["completed"] > 50)
+	is.Equal(len(outcomes), 1)
+	awaitNoMemory(t, f, 5*time.Second)
+	is.NoErr(f.Stop())
+}
+
+// completeSomewhere sends a completion to a ready entry, as the platform's
+// balancer does, and returns its outcome.
+func completeSomewhere(ctx context.Context, f *fleet.Fleet, i int) string {
+	for try := range 200 {
+		d := f.Entries[(i+try)%len(f.Entries)]
+		response, err := http.Get("http://" + d.Settings.OpsAddress + "/readyz")
+		if err != nil || response.StatusCode != http.StatusOK {
+			time.Sleep(5 * time.Millisecond)
+			continue
+		}
+		_ = response.Body.Close()
+		c := client.New(d.Settings.Entry.CallersAddress, fleet.CallerKey)
+		defer c.HTTP.CloseIdleConnections()
+		text := prompt("rolling", 400)
+		a, err := c.Complete(ctx, client.Request{Model: "standin", Prompt: text, MaxTokens: 30, Stream: true, TimeoutMS: 20_000})
+		switch {
+		case err != nil:
+			return "connection: " + err.Error()
+		case a.Outcome == "completed" && a.Text != expected(text, 30):
+			return "wrong text"
+		case a.Outcome != "completed":
+			return a.Outcome + " " + a.Code + " " + a.Message
+		}
+		return a.Outcome
+	}
+	return "no entry is ready"
+}
+
+// Guards against an outage of the store that stops serving, runs orders
+// without a claim, or accepts edits that are lost.
+func TestStoreOutage(t *testing.T) {
+	is := is.New(t)
+	ctx, f := start(t, fleet.Options{Entries: 2, Engines: 1, Orders: 1})
+	is.NoErr(f.Faults(f.Platform, http.MethodPut, "/faults", map[string]any{"outage": "refuse"}))
+	text := prompt("outage", 500)
+	a, err := caller(f, 0).Complete(ctx, client.Request{Model: "standin", Prompt: text, MaxTokens: 10})
+	is.NoErr(err)
+	is.Equal(a.Outcome, "completed")
+	key := orderKey(t)
+	order, err := caller(f, 0).Call(ctx, http.MethodPost, "/v1/services/orders/coils", []byte("1"),
+		map[string]string{"Idempotency-Key": key, "Camphorwick-Timeout-Ms": "3000"})
+	is.NoErr(err)
+	is.Equal(order.Outcome, "not_run")
+	get, err := caller(f, 0).Call(ctx, http.MethodGet, "/v1/services/orders/stock", nil, nil)
+	is.NoErr(err)
+	is.Equal(get.Outcome, "completed") // idempotent calls need no store
+	_, err = f.Edit(f.Entries[0], fleet.Change{Key: "mark/x", Value: map[string]string{"state": "leaving"}})
+	is.True(err != nil)
+	fresh := f.AddEntry("entry-fresh")
+	fresh.Settings.Platform.Peers = peersOf(f)
+	is.NoErr(f.StartDaemon(fresh))
+	is.NoErr(f.AwaitReady(ctx, fresh)) // its configuration comes from peers
+	b, err := client.New(fresh.Settings.Entry.CallersAddress, fleet.CallerKey).Complete(ctx, client.Request{Model: "standin", Prompt: text, MaxTokens: 10})
+	is.NoErr(err)
+	is.Equal(b.Outcome, "completed")
+	is.NoErr(f.Faults(f.Platform, http.MethodDelete, "/faults", nil))
+	var runs struct {
+		Keys map[string]int `json:"keys"`
+	}
+	is.NoErr(f.Stats(f.Orders[0], "/runs", &runs))
+	is.Equal(runs.Keys[key], 0)
+	again, err := caller(f, 1).Order(ctx, "/v1/services/orders/coils", key, []byte("1"))
+	is.NoErr(err)
+	is.Equal(again.Outcome, "completed")
+}
+
+// Guards against an edit that is accepted and not in force everywhere in 5 s.
+func TestEditInForce(t *testing.T) {
+	is := is.New(t)
+	_, f := start(t, fleet.Options{Entries: 2, Engines: 2, Orders: 1})
+	revision, err := f.Edit(f.Entries[0], fleet.Change{Key: "client/second", Value: map[string]any{"plan": "standard", "key_hashes": []string{fleet.HashKey("second")}}})
+	is.NoErr(err)
+	started := time.Now()
+	for {
+		data, err := f.Admin(f.Entries[1], http.MethodGet, "/admin/v1/confirmations?revision="+jsonNumber(revision), nil)
+		is.NoErr(err)
+		var status struct{ Confirmed, Total int }
+		is.NoErr(json.Unmarshal(data, &status))
+		if status.Total == 5 && status.Confirmed == 5 {
+			break
+		}
+		is.True(time.Since(started) < 5*time.Second)
+		time.Sleep(20 * time.Millisecond)
+	}
+	t.Logf("in force on 5 of 5 after %v", time.Since(started))
+	_, err = f.Edit(f.Entries[1], fleet.Change{Key: "client/second", Value: map[string]any{"plan": "standard", "key_hashes": []string{}}, ExpectedRevision: 0})
+	is.True(err != nil) // the item has changed since revision 0
+}
