Describe the engine protocol and test its edges

Request bodies are freed once the engine has hashed the prompt; before, each stream kept up to 4 MB. Next after the final chunk returns an EngineError, as the interface requires, instead of io.EOF.

The stand-in waits 500 ms instead of 2 s for open connections when it stops: a test with an idle connection took the whole time.

--- a/backend/enginehttp/client.go
+++ b/backend/enginehttp/client.go
@@ -103,7 +103,9 @@
 
 // Start implements backend.Engine. Prompt and State must not change until it
 // returns. When ctx ends while the answer to the start is awaited, the engine
-// may hold the stream; Start then sends a cancellation.
+// may hold the stream; Start then sends a cancellation. The engine can process
+// the cancellation before the start, so the caller must also compare Streams
+// with its own requests.
 func (c *Client) Start(ctx context.Context, comp backend.Completion) (backend.Stream, error) {
 	query := url.Values{
 		"id":         {comp.StreamID},
@@ -129,6 +131,7 @@
 		}
 		return nil, err
 	}
+	x.request.ResetBody() // lets the prompt be freed while the stream runs
 	return newStream(c, comp.StreamID, x), nil
 }
 
--- a/backend/enginehttp/client_test.go
+++ b/backend/enginehttp/client_test.go
@@ -1,6 +1,7 @@
 package enginehttp_test
 
 import (
+	"bufio"
 	"bytes"
 	"context"
 	"errors"
@@ -144,8 +145,7 @@
 	is.Equal(e.Stats().KVUsedTokens, 0)
 }
 
-// Guards against a leak of KV memory by Cancel, Close or a start that its
-// caller gave up.
+// Guards against a leak of KV memory by Cancel or Close.
 func TestCancelFreesMemory(t *testing.T) {
 	is := is.New(t)
 	ctx := limited(t)
@@ -179,22 +179,70 @@
 		_, err = s.Next(ctx)
 	}
 	is.Equal(kindOf(err), backend.EngineNotFound)
+}
+
+// Guards against a start that hangs with its engine, or waits for the first
+// token: a queued request must be cancellable by its caller.
+func TestStartReturnsInTime(t *testing.T) {
+	is := is.New(t)
+	ctx := limited(t)
+	c := testConfig()
+	c.StepFixed = time.Hour
+	e, client := serve(t, c)
+	begin := time.Now()
+	s, err := client.Start(ctx, completion("a", []byte("prompt"), 100))
+	is.NoErr(err)
+	is.True(time.Since(begin) < 900*time.Millisecond) // the first comment comes after 1 s
+	is.Equal(e.Stats().DecodedTokens, int64(0))
+	is.NoErr(s.Close())
+	is.Equal(len(e.Stats().Streams), 0)
 
 	on, off := true, false
 	_, err = e.Inject(enginesim.FaultChange{Hang: &on})
 	is.NoErr(err)
 	given, stop := context.WithTimeout(ctx, 50*time.Millisecond)
 	defer stop()
-	_, err = client.Start(given, completion("c", []byte("prompt"), 100_000))
+	_, err = client.Start(given, completion("b", []byte("prompt"), 100))
 	is.True(errors.Is(err, context.DeadlineExceeded))
 	_, err = e.Inject(enginesim.FaultChange{Hang: &off})
 	is.NoErr(err)
-	eventually(t, "no stream of the abandoned start", func() bool {
+	eventually(t, "the abandoned start is cancelled or has expired", func() bool {
 		stats := e.Stats()
-		return stats.Starts["c"] == 1 && len(stats.Streams) == 0
+		return stats.Starts["b"] == 1 && len(stats.Streams) == 0
 	})
 }
 
+// Guards against an engine that keeps the stream of a start whose caller gave
+// up: the adapter must send the cancellation by itself.
+func TestAbandonedStartIsCancelled(t *testing.T) {
+	is := is.New(t)
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	is.NoErr(err)
+	defer l.Close()
+	requests := make(chan string, 10)
+	go func() {
+		for {
+			conn, err := l.Accept()
+			if err != nil {
+				return
+			}
+			defer conn.Close() // never answers
+			line, _ := bufio.NewReader(conn).ReadString('?')
+			requests <- line
+		}
+	}()
+	ctx, cancel := context.WithCancel(limited(t))
+	failed := make(chan error, 1)
+	go func() {
+		_, err := enginehttp.New(l.Addr().String()).Start(ctx, completion("a", []byte("prompt"), 1))
+		failed <- err
+	}()
+	is.Equal(<-requests, "POST /v1/streams?")
+	cancel()
+	is.True(errors.Is(<-failed, context.Canceled))
+	is.Equal(<-requests, "DELETE /v1/stream?")
+}
+
 // Guards export and import of a paused stream, held segments and their chain.
 func TestExportImportAndSegments(t *testing.T) {
 	is := is.New(t)
--- a/backend/enginehttp/stream.go
+++ b/backend/enginehttp/stream.go
@@ -102,7 +102,7 @@
 }
 
 // Next implements backend.Stream. After ctx ends, a later Next goes on with
-// the stream. After the final chunk it returns io.EOF.
+// the stream. After the final chunk it returns an error that wraps io.EOF.
 func (s *stream) Next(ctx context.Context) (backend.Chunk, error) {
 	select {
 	case next, ok := <-s.items:
@@ -131,7 +131,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if s.err == nil {
-		return io.EOF
+		return &backend.EngineError{Kind: backend.EngineNotFound, Message: "the stream has ended", Cause: io.EOF}
 	}
 	return s.err
 }
--- a/standin/enginesim/server.go
+++ b/standin/enginesim/server.go
@@ -25,7 +25,7 @@
 	// show a lost connection as a write error.
 	commentInterval = time.Second
 	// drainTime bounds the wait for open connections in Shutdown.
-	drainTime = 2 * time.Second
+	drainTime = 500 * time.Millisecond
 )
 
 // Server offers an Engine over HTTP, and its faults and figures over a second
@@ -118,6 +118,7 @@
 		return
 	}
 	attached, err := s.engine.Start(r)
+	ctx.Request.ResetBody() // frees up to 4 MB while the stream runs
 	if err != nil {
 		reply(ctx, nil, err)
 		return
