Test the memory accounting under random operations

Only fixed sequences covered cancel, export and broken streams.

It still requires that exactly one request arrives for a failed call.

--- a/backend/enginehttp/client_test.go
+++ b/backend/enginehttp/client_test.go
@@ -6,6 +6,7 @@
 	"context"
 	"errors"
 	"net"
+	"net/http"
 	"strings"
 	"testing"
 	"time"
@@ -95,6 +96,32 @@
 	}
 }
 
+// listen accepts connections and reports method and path of their requests. It
+// never answers, and closes each connection after the request unless keep is
+// set. The channel is closed after the listener.
+func listen(t *testing.T, keep bool) (net.Listener, <-chan string) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	is.New(t).NoErr(err)
+	requests := make(chan string, 10)
+	go func() {
+		defer close(requests)
+		for {
+			conn, err := l.Accept()
+			if err != nil {
+				return
+			}
+			defer conn.Close()
+			if r, err := http.ReadRequest(bufio.NewReader(conn)); err == nil {
+				requests <- r.Method + " " + r.URL.Path
+			}
+			if !keep {
+				_ = conn.Close()
+			}
+		}
+	}()
+	return l, requests
+}
+
 // Guards the whole path of an answer, with ids and text that need escaping,
 // and the continuation of a broken answer on another engine.
 func TestStreamAndContinuation(t *testing.T) {
@@ -216,31 +243,18 @@
 // up: the adapter must send the cancellation by itself.
 func TestAbandonedStartIsCancelled(t *testing.T) {
 	is := is.New(t)
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	is.NoErr(err)
+	l, requests := listen(t, true)
 	defer l.Close()
-	requests := make(chan string, 10)
-	go func() {
-		for {
-			conn, err := l.Accept()
-			if err != nil {
-				return
-			}
-			defer conn.Close() // never answers
-			line, _ := bufio.NewReader(conn).ReadString('?')
-			requests <- line
-		}
-	}()
 	ctx, cancel := context.WithCancel(limited(t))
 	failed := make(chan error, 1)
 	go func() {
 		_, err := enginehttp.New(l.Addr().String()).Start(ctx, completion("a", []byte("prompt"), 1))
 		failed <- err
 	}()
-	is.Equal(<-requests, "POST /v1/streams?")
+	is.Equal(<-requests, "POST /v1/streams")
 	cancel()
 	is.True(errors.Is(<-failed, context.Canceled))
-	is.Equal(<-requests, "DELETE /v1/stream?")
+	is.Equal(<-requests, "DELETE /v1/stream")
 }
 
 // Guards export and import of a paused stream, held segments and their chain.
@@ -394,30 +408,13 @@
 	is.True(time.Since(begin) < time.Second)
 	is.Equal(e.Stats().Starts["a"], 0)
 
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	is.NoErr(err)
-	accepted := make(chan int, 10) // requests that arrived
-	go func() {
-		for {
-			conn, err := l.Accept()
-			if err != nil {
-				close(accepted)
-				return
-			}
-			n, _ := conn.Read(make([]byte, 4096))
-			accepted <- n
-			_ = conn.Close() // after the request, before an answer
-		}
-	}()
+	l, requests := listen(t, false)
 	broken := enginehttp.New(l.Addr().String())
 	_, err = broken.Load(ctx) // a GET, which fasthttp would repeat by default
 	is.Equal(kindOf(err), backend.EngineBroken)
 	is.NoErr(l.Close())
-	arrived := 0
-	for range accepted {
-		arrived++
-	}
-	is.Equal(arrived, 1)
+	is.Equal(<-requests, "GET /v1/load")
+	is.Equal(<-requests, "") // closed: no second request
 	_, err = broken.Start(ctx, completion("a", []byte("prompt"), 5))
 	is.Equal(kindOf(err), backend.EngineUnreachable)
 }
--- a/standin/enginesim/enginesim_test.go
+++ b/standin/enginesim/enginesim_test.go
@@ -4,6 +4,8 @@
 	"bytes"
 	"context"
 	"errors"
+	"math/rand/v2"
+	"strconv"
 	"strings"
 	"testing"
 	"testing/synctest"
@@ -131,6 +133,38 @@
 	})
 }
 
+// Guards the accounting of memory: whatever is started, cancelled, exported or
+// broken, streams and cache together fit, and at the end no stream holds any.
+func TestMemoryAccounting(t *testing.T) {
+	simulate(t, testConfig(), func(is *is.I, e *Engine) {
+		random := rand.New(rand.NewPCG(1, 0))
+		for range 2000 {
+			id := strconv.Itoa(random.IntN(9))
+			switch random.IntN(4) {
+			case 0:
+				_, _ = e.Start(request(id, 1+random.IntN(40_000), 1+random.IntN(200)))
+			case 1:
+				e.Cancel(id)
+			case 2:
+				_, _ = e.Export(id)
+			case 3:
+				if s, err := e.Attach(id, 0); err == nil {
+					s.Detach()
+				}
+			}
+			time.Sleep(time.Duration(random.IntN(200)) * time.Millisecond)
+			stats, held := e.Stats(), 0
+			for _, s := range stats.Streams {
+				held += s.KVTokens
+			}
+			is.Equal(stats.KVUsedTokens, held)
+			is.True(held+stats.KVCachedTokens <= e.config.KVTokens)
+		}
+		time.Sleep(time.Hour) // every answer ends
+		is.Equal(e.Stats().KVUsedTokens, 0)
+	})
+}
+
 // Guards the prefix cache: hits skip prefill, the cache takes only free
 // memory, and late events with gaps keep their sequence numbers.
 func TestPrefixCache(t *testing.T) {
