--- a/fleetconf/replica.go
+++ b/fleetconf/replica.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -12,8 +13,13 @@
 
 const (
 	// MaxHeadEdits is the number of edits in the head at which a snapshot
-	// is written, and the number that a replica keeps for its peers.
+	// is written.
 	MaxHeadEdits = 256
+	// LogEdits is the least number of edits that a replica keeps for peers
+	// that lag, once it has seen that many. It covers three hours of 15,000
+	// edits a day, so that regions that were cut from each other for an hour
+	// exchange edits and not snapshots.
+	LogEdits = 2048
 	// keptHeadEdits is the number of edits that stay in the head after a
 	// snapshot. They resolve lost answers and serve replicas that lag.
 	keptHeadEdits = 128
@@ -121,11 +127,21 @@
 	return next, nil
 }
 
+// appendLog may write behind the end of a log that older states share. They
+// never read there, and only the newest state is extended, with mu held.
 func appendLog(log []*wire.Edit, e *wire.Edit) []*wire.Edit {
-	if len(log) >= MaxHeadEdits {
-		log = log[len(log)-MaxHeadEdits+1:]
+	if len(log) >= 2*LogEdits {
+		log = append(make([]*wire.Edit, 0, 2*LogEdits), log[len(log)-LogEdits+1:]...)
 	}
-	return append(append(make([]*wire.Edit, 0, len(log)+1), log...), e)
+	return append(log, e)
+}
+
+// editAt returns the edit that created a revision, or nil if it is not kept.
+func (s *replicaState) editAt(revision uint64) *wire.Edit {
+	if len(s.log) == 0 || revision < s.log[0].Revision || revision > s.config.revision {
+		return nil
+	}
+	return s.log[revision-s.log[0].Revision]
 }
 
 // UpdateSince returns what a replica of the given revision lacks: the missing
@@ -187,10 +203,25 @@
 func (r *Replica) adopt(config *Config, edits []*wire.Edit) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if config.revision <= r.Revision() {
+	before := r.state.Load()
+	if config.revision <= before.config.revision {
 		return
 	}
-	r.state.Store(&replicaState{config: config, log: edits[max(0, len(edits)-MaxHeadEdits):]})
+	r.state.Store(&replicaState{config: config, log: before.extendLog(edits)})
 	close(r.changed)
 	r.changed = make(chan struct{})
 }
+
+// extendLog appends edits that continue the log, or else replaces it.
+func (s *replicaState) extendLog(edits []*wire.Edit) []*wire.Edit {
+	if len(edits) == 0 || edits[0].Revision > s.config.revision+1 {
+		return slices.Clone(edits)
+	}
+	log := s.log
+	for _, e := range edits {
+		if e.Revision > s.config.revision {
+			log = appendLog(log, e)
+		}
+	}
+	return log
+}
--- a/fleetconf/replica_test.go
+++ b/fleetconf/replica_test.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"camphorwick.dev/api/wire"
+	"camphorwick.dev/platform/memkv"
 	"github.com/matryer/is"
 	"google.golang.org/protobuf/proto"
 	"pgregory.net/rapid"
@@ -155,3 +156,27 @@
 		}
 	})
 }
+
+// Guards against a log that loses or repeats edits when it is shortened, and
+// against a watcher that drops the edits that peers may lack.
+func TestLogIsKept(t *testing.T) {
+	is := is.New(t)
+	store := memkv.New()
+	editor, follower := NewEditor(store, NewReplica()), NewReplica()
+	w := NewWatcher(store, follower, nil)
+	const edits = 2*LogEdits + 200
+	for range edits / 100 {
+		flip(is, t.Context(), editor, 100)
+		head, _, err := storage{store}.readHead(t.Context())
+		is.NoErr(err)
+		is.NoErr(w.load(t.Context(), head))
+	}
+	for _, r := range []*Replica{editor.replica, follower} {
+		s := r.state.Load()
+		is.True(len(s.log) >= LogEdits && len(s.log) <= 2*LogEdits)
+		for i, e := range s.log {
+			is.Equal(e.Revision, s.config.revision-uint64(len(s.log)-1-i))
+			is.True(s.editAt(e.Revision) == e)
+		}
+	}
+}
--- a/fleetconf/watcher.go
+++ b/fleetconf/watcher.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"log/slog"
 	"math/rand/v2"
+	"slices"
 	"time"
 
 	"camphorwick.dev/api/wire"
@@ -143,8 +144,9 @@
 // reconcile joins two histories: an editor that lagged has committed to an
 // older copy of the store, so that revisions above a common one stand for
 // different edits. The edits of the shorter history are appended to the
-// longer one. One revision is left out, so that no replica of either history
-// can continue with edits and every one loads a snapshot.
+// longer one. The snapshot takes the next revision, which no edit creates, so
+// that no replica of either history can continue with edits and every one
+// loads a snapshot.
 func (w *Watcher) reconcile(ctx context.Context, local *replicaState, head *wire.ConfigHead, stored uint64) error {
 	config, foreign := local.config, lacking(local, head.Edits)
 	if head.Revision >= local.config.revision {
@@ -157,7 +159,7 @@
 	w.log.Error("the store and the replica hold different histories; they are joined",
 		"store_revision", head.Revision, "revision", local.config.revision, "edits", len(foreign))
 	joined := *config
-	joined.revision = max(head.Revision, local.config.revision) + 2
+	joined.revision = max(head.Revision, local.config.revision) + 1
 	next, edits := w.rebase(&joined, foreign)
 	return w.replaceHeadWith(ctx, &joined, next, edits, stored)
 }
@@ -195,27 +197,23 @@
 // whose id is not in local's log. It returns nil if all edits up to local's
 // revision are contained.
 func lacking(local *replicaState, edits []*wire.Edit) []*wire.Edit {
-	byRevision, ids := map[uint64]string{}, map[string]bool{}
-	for _, e := range local.log {
-		byRevision[e.Revision], ids[e.Id] = e.Id, true
-	}
-	first := len(edits)
-	for i, e := range edits {
+	first := slices.IndexFunc(edits, func(e *wire.Edit) bool {
 		if e.Revision > local.config.revision {
-			break
+			return false
 		}
-		if id, ok := byRevision[e.Revision]; ok && id != e.Id || !ok && contradicts(local.config, e) {
-			first = i
-			break
+		if known := local.editAt(e.Revision); known != nil {
+			return known.Id != e.Id
 		}
+		return contradicts(local.config, e)
+	})
+	if first < 0 {
+		return nil
 	}
-	var missing []*wire.Edit
-	for _, e := range edits[first:] {
-		if !ids[e.Id] {
-			missing = append(missing, e)
-		}
+	ids := map[string]bool{}
+	for _, e := range local.log {
+		ids[e.Id] = true
 	}
-	return missing
+	return slices.DeleteFunc(slices.Clone(edits[first:]), func(e *wire.Edit) bool { return ids[e.Id] })
 }
 
 // contradicts reports whether a configuration of a higher revision cannot
