--- /dev/null
+++ b/standin/process/process_test.go
@@ -0,0 +1,14 @@
+package process
+
+import (
+	"testing"
+
+	"github.com/matryer/is"
+)
+
+// Guards against long flags with one dash that are read as short ones.
+func TestTwoDashes(t *testing.T) {
+	is := is.New(t)
+	is.Equal(twoDashes([]string{"-address", "127.0.0.1:0", "--seed=1", "-h", "-"}),
+		[]string{"--address", "127.0.0.1:0", "--seed=1", "-h", "-"})
+}
