Start stand-ins inside tests through one function

Ruled out: a test package per stand-in; process.Start serves them all.

Conclusion: no check was changed.

--- a/backend/servicehttp/servicehttp_test.go
+++ b/backend/servicehttp/servicehttp_test.go
@@ -26,23 +26,12 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	ctx, cancel := context.WithCancel(context.Background())
-	r, w := io.Pipe()
-	done := make(chan error, 1)
-	local := process.Addresses{Address: "127.0.0.1:0", FaultsAddress: "127.0.0.1:0"}
-	go func() {
-		done <- process.Run(ctx, local, process.Service{Handle: sim.Handle, HandleFaults: sim.HandleFaults, MaxRequestBytes: ordersim.MaxRequestBytes}, w)
-	}()
-	var ready struct {
-		Address       string `json:"address"`
-		FaultsAddress string `json:"faults_address"`
-	}
-	if err := json.NewDecoder(r).Decode(&ready); err != nil {
+	ready, stop, err := process.Start(process.Service{Handle: sim.Handle, HandleFaults: sim.HandleFaults, MaxRequestBytes: ordersim.MaxRequestBytes})
+	if err != nil {
 		t.Fatal(err)
 	}
 	t.Cleanup(func() {
-		cancel()
-		if err := <-done; err != nil {
+		if err := stop(); err != nil {
 			t.Error(err)
 		}
 	})
--- a/standin/process/process.go
+++ b/standin/process/process.go
@@ -28,6 +28,13 @@
 	FaultsAddress string `long:"faults-address" default:"127.0.0.1:0" description:"address of the fault injection"`
 }
 
+// Ready is the line that a stand-in prints when it serves.
+type Ready struct {
+	Message       string `json:"msg"` // "ready"
+	Address       string `json:"address"`
+	FaultsAddress string `json:"faults_address"`
+}
+
 // Service is what a stand-in serves.
 type Service struct {
 	Handle, HandleFaults fasthttp.RequestHandler
@@ -104,6 +111,24 @@
 	}
 }
 
+// Start serves on free loopback ports in the calling process, for tests of
+// clients. stop ends the servers and returns their error.
+func Start(s Service) (ready Ready, stop func() error, err error) {
+	ctx, cancel := context.WithCancel(context.Background())
+	r, w := io.Pipe()
+	done := make(chan error, 1)
+	go func() {
+		err := Run(ctx, Addresses{Address: "127.0.0.1:0", FaultsAddress: "127.0.0.1:0"}, s, w)
+		_ = w.CloseWithError(err)
+		done <- err
+	}()
+	if err := json.NewDecoder(r).Decode(&ready); err != nil {
+		cancel()
+		return Ready{}, nil, fmt.Errorf("starting: %w", err)
+	}
+	return ready, func() error { cancel(); return <-done }, nil
+}
+
 func newServer(handler fasthttp.RequestHandler, s Service) *fasthttp.Server {
 	return &fasthttp.Server{
 		Handler: handler, MaxRequestBodySize: s.MaxRequestBytes,
@@ -112,11 +137,7 @@
 }
 
 func ready(out io.Writer, address, faultsAddress net.Addr) error {
-	err := json.NewEncoder(out).Encode(struct {
-		Message       string `json:"msg"`
-		Address       string `json:"address"`
-		FaultsAddress string `json:"faults_address"`
-	}{"ready", address.String(), faultsAddress.String()})
+	err := json.NewEncoder(out).Encode(Ready{"ready", address.String(), faultsAddress.String()})
 	if err != nil {
 		return fmt.Errorf("writing the ready line: %w", err)
 	}
