--- /dev/null
+++ b/ledger/bench_test.go
@@ -0,0 +1,84 @@
+package ledger
+
+import (
+	"context"
+	"fmt"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"camphorwick.dev/platform/memkv"
+)
+
+// BenchmarkOrders measures whole orders (claim, send at once, outcome) against
+// a store with 2 ms per write. The one-shard variant is the best case of
+// batching; by default keys spread over all shards of an hour.
+func BenchmarkOrders(b *testing.B) {
+	for _, oneShard := range []bool{false, true} {
+		for _, concurrent := range []int{1, 16, 256} {
+			b.Run(fmt.Sprintf("one_shard=%v/concurrent=%d", oneShard, concurrent), func(b *testing.B) {
+				benchmarkOrders(b, concurrent, oneShard)
+			})
+		}
+	}
+}
+
+func benchmarkOrders(b *testing.B, concurrent int, oneShard bool) {
+	store := memkv.New()
+	l := New(&slowKV{Store: store, latency: 2 * time.Millisecond}, "vm-1@1", Config{})
+	var next atomic.Int64
+	var group sync.WaitGroup
+	first := mustKey(b, time.Now(), 0)
+	b.ReportAllocs()
+	b.ResetTimer()
+	for range concurrent {
+		group.Go(func() {
+			for n := next.Add(1); n <= int64(b.N); n = next.Add(1) {
+				key := benchmarkKey(b, first, n, oneShard)
+				claim, _, err := l.Claim(b.Context(), key, digest, "01890a5d-ac96-774b-bcce-b302099a8057")
+				if err != nil {
+					b.Error(err)
+					return
+				}
+				claim.Done(200, "", nil)
+			}
+		})
+	}
+	group.Wait()
+	b.ReportMetric(float64(b.N)/b.Elapsed().Seconds(), "orders/s")
+	if err := l.Close(context.Background()); err != nil {
+		b.Error(err)
+	}
+	b.ReportMetric(float64(b.N)/float64(store.Calls().Writes), "orders/write")
+}
+
+// benchmarkKey returns the n-th key. One value holds about 6,000 orders, so the
+// one-shard variant moves to the next hour after 4,000; the age check allows 23.
+func benchmarkKey(b *testing.B, first Key, n int64, oneShard bool) Key {
+	if !oneShard {
+		return mustKey(b, time.UnixMilli(first.created), int(n))
+	}
+	first.created -= n / 4000 % 23 * time.Hour.Milliseconds()
+	first.hash[hashBytes-1], first.hash[hashBytes-2], first.hash[hashBytes-3] = byte(n), byte(n>>8), byte(n>>16)
+	return first
+}
+
+// BenchmarkClaim measures the cost of one claim without store latency.
+func BenchmarkClaim(b *testing.B) {
+	l := New(memkv.New(), "vm-1@1", Config{})
+	now := time.Now()
+	b.ReportAllocs()
+	for n := 0; b.Loop(); n++ {
+		// 20,000 orders per hour of key time keep the values small.
+		key := mustKey(b, now.Add(-time.Duration(n/20000%23)*time.Hour), n)
+		claim, _, err := l.Claim(b.Context(), key, digest, "01890a5d-ac96-774b-bcce-b302099a8057")
+		if err != nil {
+			b.Fatal(err)
+		}
+		claim.InDoubt()
+	}
+	if err := l.Close(context.Background()); err != nil {
+		b.Error(err)
+	}
+}
--- a/ledger/ledger_test.go
+++ b/ledger/ledger_test.go
@@ -161,6 +161,8 @@
 		_, record, err = a.Claim(t.Context(), key, digest, "attempt-2")
 		is.Equal(outcome.CodeOf(err), outcome.OrderInProgress)
 		is.Equal(record.GetStatus(), claimed)
+		_, _, err = a.Claim(t.Context(), key, []byte("other"), "attempt-2")
+		is.Equal(outcome.CodeOf(err), outcome.KeyConflict)
 		other, record, err := b.Claim(t.Context(), key, digest, "attempt-3")
 		is.NoErr(err)
 		is.True(other == nil)
@@ -280,6 +282,146 @@
 	}
 }
 
+// Guards against a claim that fails although its lost answer can be settled
+// within its time.
+func TestUncertainClaimOutlivesAnOutage(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		store := memkv.New()
+		kv := &slowKV{Store: store, latency: 500 * time.Millisecond}
+		l := New(kv, "vm-1@1", Config{})
+		defer closeLedger(t, l)
+		faultOnce(store, memkv.LoseAnswer)
+		time.AfterFunc(1500*time.Millisecond, func() { store.SetDown(false) })
+		kv.after = func() { store.SetDown(true) }
+		claim, _, err := claimWithin(t, l, mustKey(t, time.Now(), 1), 10*time.Second)
+		is.NoErr(err)
+		is.True(claim != nil)
+		claim.InDoubt()
+	})
+}
+
+// Guards against a given-up attempt that is confused with a later one of the
+// same attempt id: the mark of the first would release the key of the second.
+func TestRepeatedAttemptID(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		store := memkv.New()
+		l := New(store, "vm-1@1", Config{})
+		defer closeLedger(t, l)
+		key := mustKey(t, time.Now(), 1)
+		store.SetFault(func(string) memkv.Fault { return memkv.Hold })
+		_, _, err := claimWithin(t, l, key, time.Millisecond)
+		is.Equal(outcome.CodeOf(err), outcome.StoreUnavailable)
+		store.SetDown(true)
+		time.Sleep(time.Second)
+		store.ReleaseHeld()
+		store.SetFault(nil)
+		store.SetDown(false)
+		claim, _, err := claimWithin(t, l, key, time.Second)
+		is.NoErr(err)
+		time.Sleep(time.Minute)
+		is.Equal(stored(t, store, key).GetAttemptId(), claim.op.record.AttemptId)
+		is.Equal(stored(t, store, key).GetStatus(), claimed)
+		claim.InDoubt()
+	})
+}
+
+// Guards against a process that calls its own abandoned order unknown while the
+// mark is not written yet.
+func TestAbandonedHereIsKnownHere(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		store := memkv.New()
+		l := New(store, "vm-1@1", Config{})
+		defer closeLedger(t, l)
+		key := mustKey(t, time.Now(), 1)
+		claim, _, err := l.Claim(t.Context(), key, digest, "1")
+		is.NoErr(err)
+		store.SetDown(true)
+		claim.Abandon()
+		synctest.Wait()
+		store.SetDown(false)
+		record, err := l.Lookup(t.Context(), key)
+		is.NoErr(err)
+		is.Equal(record.GetStatus(), abandoned)
+	})
+}
+
+// Guards against a send after the deadline of a claim that was confirmed just
+// before, and against its key staying blocked.
+func TestClaimAfterItsDeadlineIsAbandoned(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		store := memkv.New()
+		ctx, cancel := context.WithCancel(t.Context())
+		// The clock is read again after the claim is confirmed.
+		l := New(store, "vm-1@1", Config{Now: func() time.Time {
+			if store.Calls().Writes > 0 {
+				cancel()
+			}
+			return time.Now()
+		}})
+		defer closeLedger(t, l)
+		key := mustKey(t, time.Now(), 1)
+		claim, _, err := l.Claim(ctx, key, digest, "1")
+		is.True(claim == nil)
+		is.Equal(outcome.CodeOf(err), outcome.Cancelled)
+		synctest.Wait()
+		is.Equal(stored(t, store, key).GetStatus(), abandoned)
+	})
+}
+
+// Guards against records that come back into an hour that was deleted: the
+// outcome of a sent order and the mark of a given-up one.
+func TestDeletedHourIsNotRecreated(t *testing.T) {
+	for _, fault := range []memkv.Fault{memkv.None, memkv.Hold} {
+		t.Run(fmt.Sprint(fault), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				is := is.New(t)
+				store := memkv.New()
+				l := New(store, "vm-1@1", Config{MaxBackoff: time.Minute, Logger: slog.New(slog.DiscardHandler)})
+				defer closeLedger(t, l)
+				store.SetFault(func(string) memkv.Fault { return fault })
+				claim, _, _ := claimWithin(t, l, mustKey(t, time.Now(), 1), time.Second)
+				store.SetDown(true)
+				is.Equal(claim != nil, fault == memkv.None)
+				if claim != nil {
+					claim.Done(200, "", nil)
+				}
+				time.Sleep(KeyLifetime + 2*DeletionMargin)
+				store.Restore(nil) // the values were deleted
+				store.SetFault(nil)
+				store.SetDown(false)
+				time.Sleep(2 * time.Minute)
+				keys, err := store.List(t.Context(), storePrefix)
+				is.NoErr(err)
+				is.Equal(len(keys), 0)
+			})
+		})
+	}
+}
+
+// Guards against a Close that hides claims whose records may still appear.
+func TestCloseReportsUncertainClaims(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		store := memkv.New()
+		l := New(store, "vm-1@1", Config{Logger: slog.New(slog.DiscardHandler)})
+		store.SetFault(func(string) memkv.Fault { return memkv.Hold })
+		ended := make(chan error)
+		go func() {
+			_, _, err := claimWithin(t, l, mustKey(t, time.Now(), 1), time.Hour)
+			ended <- err
+		}()
+		synctest.Wait()
+		ctx, cancel := context.WithTimeout(t.Context(), time.Second)
+		defer cancel()
+		is.Equal(outcome.CodeOf(l.Close(ctx)), outcome.StoreUnavailable)
+		is.Equal(outcome.CodeOf(<-ended), outcome.StoreUnavailable)
+	})
+}
+
 // Guards against claims that hang or run during an outage, and against outcomes
 // that are lost by it.
 func TestStoreOutage(t *testing.T) {
@@ -292,8 +434,10 @@
 		is.NoErr(err)
 		store.SetDown(true)
 		claim.Done(200, "", nil)
-		_, _, err = l.Claim(t.Context(), mustKey(t, time.Now(), 2), digest, "2")
+		begin := time.Now()
+		_, _, err = claimWithin(t, l, mustKey(t, time.Now(), 2), time.Minute)
 		is.Equal(outcome.CodeOf(err), outcome.StoreUnavailable)
+		is.True(time.Since(begin) < time.Second)
 		record, err := l.Lookup(t.Context(), key)
 		is.NoErr(err)
 		is.Equal(record.GetStatus(), done) // from memory
@@ -582,10 +726,14 @@
 type slowKV struct {
 	*memkv.Store
 	latency time.Duration
+	after   func() // called after each write if not nil
 }
 
 func (kv *slowKV) Put(ctx context.Context, key string, value []byte, expected uint64, lease platform.LeaseID) (uint64, error) {
 	time.Sleep(kv.latency)
+	if kv.after != nil {
+		defer kv.after()
+	}
 	return kv.Store.Put(ctx, key, value, expected, lease)
 }
 
@@ -594,7 +742,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
 		store := memkv.New()
-		l := New(&slowKV{store, 2 * time.Millisecond}, "vm-1@1", Config{})
+		l := New(&slowKV{Store: store, latency: 2 * time.Millisecond}, "vm-1@1", Config{})
 		defer closeLedger(t, l)
 		key := mustKey(t, time.Now(), 1)
 		for n := range 100 {
