Back off from a rate limit that names no delay

Cause: a refusal without RetryAfter only paused the shard, and each new claim ended the pause, so a limited store got one call per claim.

The ledger's own delay is now added to RetryAfter and holds for all shards. TestRateLimitWithoutDelay hangs under the mutation that removes the delay (limited.RetryAfter alone), TestRateLimit under the one that removes the wait.

Also: BenchmarkClaim by size of the value; messages of ended waits no longer speak of claims to callers of Lookup.

--- a/ledger/bench_test.go
+++ b/ledger/bench_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"encoding/binary"
 	"fmt"
 	"sync"
 	"sync/atomic"
@@ -64,20 +65,31 @@
 	return first
 }
 
-// BenchmarkClaim measures the cost of one claim without store latency.
+// BenchmarkClaim measures the cost of one claim without store latency, by the
+// size of the value that each claim rewrites. The copy made by the store is
+// part of the figures.
 func BenchmarkClaim(b *testing.B) {
-	l := New(memkv.New(), "vm-1@1", Config{})
-	now := time.Now()
+	for _, size := range []int{0, 100_000, 900_000} {
+		b.Run(fmt.Sprintf("value_bytes=%d", size), func(b *testing.B) { benchmarkClaim(b, size) })
+	}
+}
+
+func benchmarkClaim(b *testing.B, size int) {
+	store := memkv.New()
+	l := New(store, "vm-1@1", Config{})
+	key := mustKey(b, time.Now(), 0)
+	fillShard(b, store, key, size)
 	b.ReportAllocs()
 	for n := 0; b.Loop(); n++ {
-		// 20,000 orders per hour of key time keep the values small.
-		key := mustKey(b, now.Add(-time.Duration(n/20000%23)*time.Hour), n)
+		// 200 keys are claimed and released in turn, so the size stays.
+		binary.BigEndian.PutUint64(key.hash[8:], uint64(1<<32+n%200))
 		claim, _, err := l.Claim(b.Context(), key, digest, "01890a5d-ac96-774b-bcce-b302099a8057")
 		if err != nil {
 			b.Fatal(err)
 		}
-		claim.InDoubt()
+		claim.Abandon()
 	}
+	b.ReportMetric(float64(store.Calls().Writes)/float64(b.N), "writes/claim")
 	if err := l.Close(context.Background()); err != nil {
 		b.Error(err)
 	}
--- a/ledger/ledger.go
+++ b/ledger/ledger.go
@@ -62,7 +62,7 @@
 	// default 2 s.
 	MaxBackoff time.Duration
 	// CacheBytes bounds the values that are cached for idle shards; default
-	// 64 MiB.
+	// 64 MiB. The index adds about half of that.
 	CacheBytes int
 	// SweepInterval is the mean time between sweeps; default 30 min.
 	SweepInterval time.Duration
@@ -201,9 +201,9 @@
 func waitError(ctx context.Context) error {
 	cause := context.Cause(ctx)
 	if errors.Is(ctx.Err(), context.Canceled) {
-		return outcome.Wrap(cause, outcome.Cancelled, "the request was cancelled before the order was sent")
+		return outcome.Wrap(cause, outcome.Cancelled, "cancelled while waiting for the order journal")
 	}
-	return outcome.Wrap(cause, outcome.StoreUnavailable, "the claim was not confirmed in time and is given up")
+	return outcome.Wrap(cause, outcome.StoreUnavailable, "the order journal did not answer in time")
 }
 
 func (l *Ledger) startClaim(key Key, digest []byte, attemptID string) (*operation, *wire.OrderRecord, error) {
@@ -369,7 +369,7 @@
 	defer l.mu.Unlock()
 	if l.unwritten > 0 {
 		return fmt.Errorf("close order journal: %w",
-			outcome.New(outcome.StoreUnavailable, "%d order outcomes were not written", l.unwritten))
+			outcome.New(outcome.StoreUnavailable, "%d records were not written", l.unwritten))
 	}
 	return nil
 }
--- a/ledger/ledger_test.go
+++ b/ledger/ledger_test.go
@@ -485,6 +485,7 @@
 	*memkv.Store
 	mu    sync.Mutex
 	until time.Time
+	vague bool // refusals name no delay
 	early int
 }
 
@@ -499,6 +500,9 @@
 	defer kv.mu.Unlock()
 	if wait := time.Until(kv.until); wait > 0 {
 		kv.early++
+		if kv.vague {
+			wait = 0
+		}
 		return 0, &platform.RateLimitedError{RetryAfter: wait}
 	}
 	return kv.Store.Put(ctx, key, value, expected, lease)
@@ -523,6 +527,31 @@
 	})
 }
 
+// Guards against a rate limit without a delay that is met with one call per new
+// claim.
+func TestRateLimitWithoutDelay(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		kv := &limitedKV{Store: memkv.New(), vague: true}
+		kv.limitFor(time.Second)
+		l := New(kv, "vm-1@1", Config{MaxCalls: 1})
+		defer closeLedger(t, l)
+		key := mustKey(t, time.Now(), 1)
+		for n := range 200 {
+			key := key
+			key.hash[hashBytes-1] = byte(n) // another key of the same shard
+			go func() {
+				claim, _, err := claimWithin(t, l, key, time.Minute)
+				is.NoErr(err)
+				claim.InDoubt()
+			}()
+			time.Sleep(5 * time.Millisecond)
+		}
+		time.Sleep(time.Minute)
+		is.True(kv.early <= 10) // delays of 5 ms to 640 ms, half of each random
+	})
+}
+
 // Guards against unbounded queues of claims and of unwritten outcomes.
 func TestOverload(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
--- a/ledger/worker.go
+++ b/ledger/worker.go
@@ -250,19 +250,22 @@
 func (l *Ledger) failed(s *shard, err error) time.Duration {
 	l.mu.Lock()
 	defer l.mu.Unlock()
+	delay := l.backoff(s)
 	var limited *platform.RateLimitedError
 	if errors.As(err, &limited) {
-		if until := time.Now().Add(limited.RetryAfter); until.After(l.notBefore) {
+		// All shards wait: the limit is the platform's, and new claims do not
+		// shorten this delay as they do after an outage.
+		if until := time.Now().Add(limited.RetryAfter + delay); until.After(l.notBefore) {
 			l.notBefore = until
 		}
-		return l.backoff(s)
+		return 0
 	}
 	var typed *outcome.Error
 	if !errors.As(err, &typed) {
 		typed = outcome.Wrap(err, outcome.StoreUnavailable, "the order was not claimed")
 	}
 	l.failWaiting(s, false, typed)
-	return l.backoff(s)
+	return delay
 }
 
 // failWaiting refuses the waiting callers; mu is held. A claim whose write may
