--- a/fleetconf/document.go
+++ b/fleetconf/document.go
@@ -4,8 +4,8 @@
 // process reads from a replica in memory, so that requests are served while
 // the store is down.
 //
-// Lock order: Replica.mu before nothing else; no lock is held during a call
-// of the store.
+// Lock order: Replica.mu and Tracker.mu are leaves. While one is held, no
+// other lock is taken and the store is not called.
 package fleetconf
 
 import (
--- a/fleetconf/editor.go
+++ b/fleetconf/editor.go
@@ -479,15 +479,24 @@
 	return merged.Revision, nil
 }
 
-// noteDoubt remembers a lost answer. A write that the store refused settles an
-// earlier one only through the next reading of the head.
+// noteDoubt remembers a write that may take effect: any failure that does not
+// exclude it. A later refusal does not settle an earlier doubt; only the next
+// reading of the head does.
 func (c *commit) noteDoubt(err error, stored uint64) {
-	var uncertain *platform.UncertainError
-	if errors.As(err, &uncertain) {
+	if !refused(err) {
 		c.doubt, c.doubtful = err, stored
 	}
 }
 
+// refused reports whether a failed write certainly had no effect.
+func refused(err error) bool {
+	var conflict *platform.ConflictError
+	var unavailable *platform.UnavailableError
+	var limited *platform.RateLimitedError
+	var large *platform.TooLargeError
+	return errors.As(err, &conflict) || errors.As(err, &unavailable) || errors.As(err, &limited) || errors.As(err, &large)
+}
+
 // compact writes a snapshot of the head's configuration, moves the head's
 // base to it and drops the oldest edits.
 func (c *commit) compact(ctx context.Context, head *wire.ConfigHead, config *Config) error {
--- a/fleetconf/editor_test.go
+++ b/fleetconf/editor_test.go
@@ -354,3 +354,20 @@
 		}
 	}
 }
+
+// untypedStore carries writes out and fails with an error that is no type of
+// package platform.
+type untypedStore struct{ *memkv.Store }
+
+func (s *untypedStore) Put(ctx context.Context, key string, value []byte, expected uint64, lease platform.LeaseID) (uint64, error) {
+	_, _ = s.Store.Put(ctx, key, value, expected, lease)
+	return 0, context.DeadlineExceeded
+}
+
+// Guards against a refusal that is reported although the adapter did not say
+// that the write had no effect.
+func TestUntypedWriteErrorIsInDoubt(t *testing.T) {
+	is := is.New(t)
+	_, err := NewEditor(&untypedStore{memkv.New()}, NewReplica()).Commit(t.Context(), edit("a", gold()))
+	is.Equal(outcome.CodeOf(err), outcome.OrderInDoubt)
+}
