--- a/fleetconf/editor.go
+++ b/fleetconf/editor.go
@@ -105,11 +105,13 @@
 type Editor struct {
 	storage storage
 	replica *Replica
+	// headEdits and keptEdits are MaxHeadEdits and keptHeadEdits.
+	headEdits, keptEdits int
 }
 
 // NewEditor returns an editor that uses and advances the replica.
 func NewEditor(kv platform.KV, replica *Replica) *Editor {
-	return &Editor{storage: storage{kv}, replica: replica}
+	return &Editor{storage: storage{kv}, replica: replica, headEdits: MaxHeadEdits, keptEdits: keptHeadEdits}
 }
 
 // Commit makes an edit part of the configuration and returns the revision
@@ -454,7 +456,7 @@
 
 // write appends the merged edit to the head by compare-and-swap.
 func (c *commit) write(ctx context.Context, head *wire.ConfigHead, stored uint64, config, next *Config, merged *wire.Edit) (uint64, error) {
-	compacted := len(head.Edits) >= MaxHeadEdits || proto.Size(head) > compactHeadBytes
+	compacted := len(head.Edits) >= c.headEdits || proto.Size(head) > compactHeadBytes
 	previousBase := head.BaseRevision
 	if compacted {
 		if err := c.compact(ctx, head, config); err != nil {
@@ -505,13 +507,13 @@
 		return err
 	}
 	head.BaseRevision, head.BaseChunks = config.revision, chunks
-	head.Edits = recentEdits(head.Edits)
+	head.Edits = recentEdits(head.Edits, c.keptEdits)
 	return nil
 }
 
-// recentEdits returns the newest edits, bounded in number and bytes.
-func recentEdits(edits []*wire.Edit) []*wire.Edit {
-	edits = edits[max(0, len(edits)-keptHeadEdits):]
+// recentEdits returns the newest edits, at most so many and keptHeadBytes.
+func recentEdits(edits []*wire.Edit, most int) []*wire.Edit {
+	edits = edits[max(0, len(edits)-most):]
 	size := 0
 	for i := len(edits) - 1; i >= 0; i-- {
 		if size += proto.Size(edits[i]) + editOverheadBytes; size > keptHeadBytes {
--- a/fleetconf/editor_test.go
+++ b/fleetconf/editor_test.go
@@ -318,8 +318,14 @@
 }
 
 // Guards against two processes that keep different edits under one revision:
-// one committed on the older copy of the store as many edits as the other had.
+// one committed on the older copy of the store as many edits as the other had,
+// or more.
 func TestDivergedReplicaIsJoined(t *testing.T) {
+	t.Run("equal", func(t *testing.T) { testJoin(t, "c") })
+	t.Run("longer", func(t *testing.T) { testJoin(t, "c", "d") })
+}
+
+func testJoin(t *testing.T, foreign ...string) {
 	is := is.New(t)
 	store := memkv.New()
 	ours, theirs := NewReplica(), NewReplica()
@@ -334,8 +340,9 @@
 	_, err := peer.Apply(ours.UpdateSince(0, 1<<20))
 	is.NoErr(err)
 	store.Restore(map[string][]byte{HeadKey: entry.Value})
-	commit(theirs, edit("c", change("mark/c", `{"state":"leaving"}`, 0)))
-	commit(theirs, edit("d", change("mark/d", `{"state":"leaving"}`, 0)))
+	for _, vm := range foreign {
+		commit(theirs, edit(vm, change("mark/"+vm, `{"state":"leaving"}`, 0)))
+	}
 
 	_, err = NewEditor(store, ours).Commit(t.Context(), edit("e", change("mark/e", `{"state":"leaving"}`, 0)))
 	var split *DivergedError
@@ -348,7 +355,7 @@
 	is.NoErr(err)
 	for _, r := range []*Replica{ours, theirs, peer} {
 		is.True(proto.Equal(r.Config().Snapshot(), ours.Config().Snapshot()))
-		for _, vm := range []string{"b", "c", "d"} {
+		for _, vm := range append(foreign, "b") {
 			_, ok := r.Config().Mark(vm)
 			is.True(ok)
 		}
--- a/fleetconf/property_test.go
+++ b/fleetconf/property_test.go
@@ -122,6 +122,7 @@
 	results   []*result
 	clock     int64
 	pending   sync.WaitGroup
+	headEdits int
 }
 
 type result struct {
@@ -138,8 +139,8 @@
 	return f.clock
 }
 
-func newFleet(ctx context.Context) *fleet {
-	f := &fleet{ctx: ctx, store: &journal{Store: memkv.New(), edits: map[uint64]*wire.Edit{}, ids: map[string]uint64{}}}
+func newFleet(ctx context.Context, headEdits int) *fleet {
+	f := &fleet{ctx: ctx, headEdits: headEdits, store: &journal{Store: memkv.New(), edits: map[uint64]*wire.Edit{}, ids: map[string]uint64{}}}
 	f.processes = make([]*process, processes)
 	for i := range f.processes {
 		f.start(i)
@@ -162,6 +163,7 @@
 	ctx, stop := context.WithCancel(f.ctx)
 	r := NewReplica()
 	p := &process{replica: r, editor: NewEditor(f.store, r), stop: stop}
+	p.editor.headEdits, p.editor.keptEdits = f.headEdits, f.headEdits/2 // frequent snapshots
 	f.mu.Lock()
 	f.processes[i] = p
 	f.mu.Unlock()
@@ -458,11 +460,12 @@
 	accepted, doubted, refused := 0, 0, 0
 	rapid.Check(t, func(rt *rapid.T) {
 		actions := drawActions(rt)
+		headEdits := rapid.SampledFrom([]int{4, 8, MaxHeadEdits}).Draw(rt, "headEdits")
 		var err error
 		synctest.Test(t, func(t *testing.T) {
 			ctx, cancel := context.WithCancel(t.Context())
 			defer cancel()
-			f := newFleet(ctx)
+			f := newFleet(ctx, headEdits)
 			if _, err = f.processes[0].editor.Commit(ctx, edit("plan", change("plan/gold", `{}`, 0))); err != nil {
 				return
 			}
--- a/fleetconf/watcher.go
+++ b/fleetconf/watcher.go
@@ -138,7 +138,7 @@
 func (w *Watcher) restore(ctx context.Context, local *replicaState, old *wire.ConfigHead, stored uint64) error {
 	w.log.Warn("the store holds an older configuration; the replica is written back",
 		"store_revision", old.Revision, "revision", local.config.revision)
-	return w.replaceHead(ctx, local.config, recentEdits(local.log), stored)
+	return w.replaceHead(ctx, local.config, recentEdits(local.log, keptHeadEdits), stored)
 }
 
 // reconcile joins two histories: an editor that lagged has committed to an
