--- a/fleetconf/editor_test.go
+++ b/fleetconf/editor_test.go
@@ -318,8 +318,14 @@
 }
 
 // Guards against two processes that keep different edits under one revision:
-// one committed on the older copy of the store as many edits as the other had.
+// one committed on the older copy of the store as many edits as the other had,
+// or more.
 func TestDivergedReplicaIsJoined(t *testing.T) {
+	t.Run("equal", func(t *testing.T) { testJoin(t, "c") })
+	t.Run("longer", func(t *testing.T) { testJoin(t, "c", "d") })
+}
+
+func testJoin(t *testing.T, foreign ...string) {
 	is := is.New(t)
 	store := memkv.New()
 	ours, theirs := NewReplica(), NewReplica()
@@ -334,8 +340,9 @@
 	_, err := peer.Apply(ours.UpdateSince(0, 1<<20))
 	is.NoErr(err)
 	store.Restore(map[string][]byte{HeadKey: entry.Value})
-	commit(theirs, edit("c", change("mark/c", `{"state":"leaving"}`, 0)))
-	commit(theirs, edit("d", change("mark/d", `{"state":"leaving"}`, 0)))
+	for _, vm := range foreign {
+		commit(theirs, edit(vm, change("mark/"+vm, `{"state":"leaving"}`, 0)))
+	}
 
 	_, err = NewEditor(store, ours).Commit(t.Context(), edit("e", change("mark/e", `{"state":"leaving"}`, 0)))
 	var split *DivergedError
@@ -348,9 +355,26 @@
 	is.NoErr(err)
 	for _, r := range []*Replica{ours, theirs, peer} {
 		is.True(proto.Equal(r.Config().Snapshot(), ours.Config().Snapshot()))
-		for _, vm := range []string{"b", "c", "d"} {
+		for _, vm := range append(foreign, "b") {
 			_, ok := r.Config().Mark(vm)
 			is.True(ok)
 		}
 	}
 }
+
+// untypedStore carries writes out and fails with an error that is no type of
+// package platform.
+type untypedStore struct{ *memkv.Store }
+
+func (s *untypedStore) Put(ctx context.Context, key string, value []byte, expected uint64, lease platform.LeaseID) (uint64, error) {
+	_, _ = s.Store.Put(ctx, key, value, expected, lease)
+	return 0, context.DeadlineExceeded
+}
+
+// Guards against a refusal that is reported although the adapter did not say
+// that the write had no effect.
+func TestUntypedWriteErrorIsInDoubt(t *testing.T) {
+	is := is.New(t)
+	_, err := NewEditor(&untypedStore{memkv.New()}, NewReplica()).Commit(t.Context(), edit("a", gold()))
+	is.Equal(outcome.CodeOf(err), outcome.OrderInDoubt)
+}
