Remove the interference term and sample six agents per choice

The term sent short prompts to agents without longer prefill.

Work.ShortExpected and Level are gone.

--- a/policy/admit/shed.go
+++ b/policy/admit/shed.go
@@ -8,20 +8,29 @@
 
 // Defaults of ShedConfig.
 const (
-	defaultTarget  = 300 * time.Millisecond
-	defaultRelease = 0.5
-	defaultHold    = time.Second
+	defaultMargin = 1.2
+	defaultLeave  = 0.7
+	defaultHold   = time.Second
 )
 
+// repeatableFactor lowers the limit of work that the caller can cheaply
+// repeat, so that it is refused before other work of its band.
+const repeatableFactor = 0.8
+
+// shedLimit is the expected time to first token, as a share of the remaining
+// time, above which a band is refused. Long work is refused first, because it
+// takes the most capacity and misses its deadline after the longest wait.
+var shedLimit = [outcome.BandCount]float64{1, 0.9, 0.8}
+
 // ShedConfig sets when a Shedder refuses. Zero values get defaults.
 type ShedConfig struct {
-	// Target is the expected time to first token of short requests above which
-	// longer work is refused.
-	Target time.Duration
-	// Release is the fraction of a level's threshold, 0 to 1, below which the
-	// level is left.
-	Release float64
-	// Hold is the shortest time between two steps down.
+	// Margin multiplies the expected time of medium and long work, which
+	// shorter work that is yet to arrive will overtake.
+	Margin float64
+	// Leave is the share of its limit, 0 to 1, below which a band that is being
+	// refused must fall to be admitted again.
+	Leave float64
+	// Hold is the shortest time for which Leave stays in force.
 	Hold time.Duration
 }
 
@@ -29,45 +38,28 @@
 type Work struct {
 	Band     outcome.Band
 	Deadline time.Time
-	// Expected is the expected time to first token of this request.
+	// Expected is the expected time to first token.
 	Expected time.Duration
-	// ShortExpected is the expected time to first token of a short request on
-	// the same fleet.
-	ShortExpected time.Duration
 	// Repeatable says that the caller can cheaply repeat the request later.
 	Repeatable bool
 }
 
-// Levels of refusal, in the order in which a growing peak reaches them.
-const (
-	shedNothing = iota
-	shedRepeatableLong
-	shedLong
-	shedMedium
-	shedLevels
-)
-
-// levelThreshold is the expected time of short requests, in multiples of
-// Target, at which a level is entered.
-var levelThreshold = [shedLevels]float64{0, 1, 2, 4}
-
-// Shedder refuses at a peak the work that cannot meet its deadline and then,
-// by levels, long and cheaply repeated work. It enters a level at once and
-// leaves it only after the expected time has stayed well below its threshold,
-// so that it does not alternate between refusing and admitting.
+// Shedder refuses at a peak the work that is unlikely to meet its deadline,
+// which otherwise waits, takes capacity and fails anyway. A band that is
+// refused is admitted again only well below its limit, so that the fleet
+// recovers without alternating between refusing and admitting.
 type Shedder struct {
-	config ShedConfig
-	level  int
-	calm   time.Time // since when the level could be left; zero if it could not
+	config  ShedConfig
+	refused [outcome.BandCount]time.Time // last refusal
 }
 
 // NewShedder returns a shedder that refuses nothing yet.
 func NewShedder(config ShedConfig) *Shedder {
-	if config.Target <= 0 {
-		config.Target = defaultTarget
+	if config.Margin <= 0 {
+		config.Margin = defaultMargin
 	}
-	if config.Release <= 0 {
-		config.Release = defaultRelease
+	if config.Leave <= 0 {
+		config.Leave = defaultLeave
 	}
 	if config.Hold <= 0 {
 		config.Hold = defaultHold
@@ -76,55 +68,45 @@
 }
 
 // Check returns nil for admitted work, else an *outcome.Error with
-// DeadlineUnreachable or Overloaded and a retry delay.
+// DeadlineUnreachable, if there is no chance to meet the deadline, or
+// Overloaded, both with a retry delay.
 func (s *Shedder) Check(now time.Time, work Work) error {
-	s.update(now, work.ShortExpected)
-	if now.Add(work.Expected).After(work.Deadline) {
+	left := work.Deadline.Sub(now)
+	if work.Expected > left {
 		return outcome.New(outcome.DeadlineUnreachable, "the first token is expected in %v, the request has %v",
-			work.Expected, work.Deadline.Sub(now)).WithRetryAfter(s.retryAfter(work))
+			work.Expected, left).WithRetryAfter(s.retryAfter(work))
 	}
-	if s.refuses(work) {
-		return outcome.New(outcome.Overloaded, "%s requests are refused at this load", work.Band).
-			WithRetryAfter(s.retryAfter(work))
+	if s.expected(work) <= s.limit(now, work)*float64(left) {
+		return nil
 	}
-	return nil
+	s.refused[work.Band] = now
+	return outcome.New(outcome.Overloaded, "%s requests are refused at this load: the first token is expected in %v",
+		work.Band, work.Expected).WithRetryAfter(s.retryAfter(work))
 }
 
-// Level returns the level of refusal, 0 to 3, for metrics.
-func (s *Shedder) Level() int { return s.level }
-
-func (s *Shedder) refuses(work Work) bool {
-	switch work.Band {
-	case outcome.Long:
-		return s.level >= shedLong || (s.level >= shedRepeatableLong && work.Repeatable)
-	case outcome.Medium:
-		return s.level >= shedMedium
-	}
-	return false
+// Refusing reports whether the band was refused within the hold time.
+func (s *Shedder) Refusing(now time.Time, b outcome.Band) bool {
+	return !s.refused[b].IsZero() && now.Sub(s.refused[b]) < s.config.Hold
 }
 
-func (s *Shedder) retryAfter(work Work) time.Duration {
-	return min(max(work.Expected, s.config.Hold), maxRetryAfter)
+func (s *Shedder) expected(work Work) float64 {
+	if work.Band == outcome.Short {
+		return float64(work.Expected)
+	}
+	return float64(work.Expected) * s.config.Margin
 }
 
-func (s *Shedder) update(now time.Time, expected time.Duration) {
-	ratio := float64(expected) / float64(s.config.Target)
-	for s.level+1 < shedLevels && ratio >= levelThreshold[s.level+1] {
-		s.level++
-		s.calm = time.Time{}
-	}
-	if s.level == shedNothing {
-		return
-	}
-	if ratio > levelThreshold[s.level]*s.config.Release {
-		s.calm = time.Time{}
-		return
-	}
-	if s.calm.IsZero() {
-		s.calm = now
+func (s *Shedder) limit(now time.Time, work Work) float64 {
+	limit := shedLimit[work.Band]
+	if work.Repeatable {
+		limit *= repeatableFactor
 	}
-	if now.Sub(s.calm) >= s.config.Hold {
-		s.level--
-		s.calm = now
+	if s.Refusing(now, work.Band) {
+		limit *= s.config.Leave
 	}
+	return limit
+}
+
+func (s *Shedder) retryAfter(work Work) time.Duration {
+	return min(max(work.Expected, s.config.Hold), maxRetryAfter)
 }
--- a/policy/choose/config.go
+++ b/policy/choose/config.go
@@ -7,11 +7,10 @@
 	defaultHold         = 500 * time.Millisecond
 	defaultMaxHold      = time.Minute
 	defaultDistance     = time.Millisecond
-	defaultInterference = 50 * time.Millisecond
 	defaultLongBacklog  = 20 * time.Second
 	defaultMinLongShare = 0.2
-	defaultScanAll      = 32
-	defaultSamples      = 8
+	defaultScanAll      = 8
+	defaultSamples      = 6
 )
 
 const (
@@ -34,15 +33,14 @@
 	// DefaultDistance is the round-trip time between data centres for which
 	// SetDistance was not called.
 	DefaultDistance time.Duration
-	// Interference is the delay that a long prefill on the same engine is
-	// expected to cause a short prompt: about half an engine step.
-	Interference time.Duration
 	// LongBacklog is the time in which the long set should work off the
 	// reported long tokens.
 	LongBacklog time.Duration
 	// MinLongShare is the smallest share of agents in the long set.
 	MinLongShare float64
-	// ScanAll is the number of agents up to which all are looked at.
+	// ScanAll is the number of agents up to which all are looked at. With more,
+	// entries that look at all of them crowd the few that look best in the
+	// common but old reports.
 	ScanAll int
 	// Samples is the number of agents looked at in larger fleets, in the own
 	// data centre and again in all of them.
@@ -53,7 +51,6 @@
 	setDefault(&c.Hold, defaultHold)
 	setDefault(&c.MaxHold, defaultMaxHold)
 	setDefault(&c.DefaultDistance, defaultDistance)
-	setDefault(&c.Interference, defaultInterference)
 	setDefault(&c.LongBacklog, defaultLongBacklog)
 	setDefault(&c.MinLongShare, defaultMinLongShare)
 	setDefault(&c.ScanAll, defaultScanAll)
--- a/policy/choose/pick.go
+++ b/policy/choose/pick.go
@@ -26,7 +26,6 @@
 type choice struct {
 	agent    *agent
 	expected time.Duration
-	cost     time.Duration // expected, and the interference with other work
 }
 
 // Pick returns the agent with the smallest expected time to first token, and
@@ -123,7 +122,7 @@
 		return
 	}
 	c := t.estimate(now, a, request, site, hit)
-	if best.agent == nil || c.cost < best.cost || (c.cost == best.cost && c.agent.outstanding < best.agent.outstanding) {
+	if best.agent == nil || c.expected < best.expected || (c.expected == best.expected && c.agent.outstanding < best.agent.outstanding) {
 		*best = c
 	}
 }
@@ -143,14 +142,7 @@
 	if missing := a.reported.KVReserved + a.kvSent + request.Tokens - a.KVTokens; missing > 0 {
 		expected += time.Duration(min(1, float64(missing)/float64(request.Tokens)) * float64(memoryWait))
 	}
-	cost := expected
-	for b := request.Band + 1; b < outcome.BandCount; b++ {
-		if a.ahead[b] > 0 {
-			cost += t.config.Interference
-			break
-		}
-	}
-	return choice{agent: a, expected: expected, cost: cost}
+	return choice{agent: a, expected: expected}
 }
 
 // leastHeld returns the usable agent whose hold-down ends first. Without it a
--- a/policy/cmd/policybench/main.go
+++ b/policy/cmd/policybench/main.go
@@ -11,7 +11,6 @@
 	"time"
 
 	"camphorwick.dev/api/outcome"
-	"camphorwick.dev/policy/choose"
 	"camphorwick.dev/policy/internal/sim"
 )
 
@@ -24,9 +23,10 @@
 	base := flag.Float64("base", 0.22, "load outside peaks as a share of the prefill capacity")
 	swing := flag.Float64("swing", 5, "load at peaks in multiples of the base load")
 	failing := flag.Float64("failing", 0.125, "share of servers that fail during each peak")
+	longTimeout := flag.Duration("long-timeout", 0, "time limit of long requests; 0 is the usual one")
 	ablation := flag.Bool("ablation", true, "print the ablation table")
 	flag.Parse()
-	scenario := sim.Scenario{Seed: *seed, Length: *length, Base: *base, Swing: *swing, Failing: *failing}
+	scenario := sim.Scenario{Seed: *seed, Length: *length, Base: *base, Swing: *swing, Failing: *failing, LongTimeout: *longTimeout}
 	for _, scenario.Servers = range []int{25, 15} {
 		compare(scenario)
 	}
@@ -87,16 +87,23 @@
 	{"no hold-down", func(r *sim.Rules) { r.NoHoldDown = true }},
 	{"no prefix hints", func(r *sim.Rules) { r.NoPrefixes = true }},
 	{"no long set", func(r *sim.Rules) { r.Choose.MinLongShare = 1 }},
-	{"no interference term", func(r *sim.Rules) { r.Choose.Interference = never }},
-	{"sampling of 8 only", func(r *sim.Rules) { r.Choose = choose.Config{ScanAll: 1} }},
-	{"samples 2", func(r *sim.Rules) { r.Choose = choose.Config{ScanAll: 1, Samples: 2} }},
-	{"samples 3", func(r *sim.Rules) { r.Choose = choose.Config{ScanAll: 1, Samples: 3} }},
-	{"samples 4", func(r *sim.Rules) { r.Choose = choose.Config{ScanAll: 1, Samples: 4} }},
-	{"samples 6", func(r *sim.Rules) { r.Choose = choose.Config{ScanAll: 1, Samples: 6} }},
-	{"samples 12", func(r *sim.Rules) { r.Choose = choose.Config{ScanAll: 1, Samples: 12} }},
-	{"window 16k", func(r *sim.Rules) { r.Queue.PrefillWindow = 16384 }},
-	{"window 32k", func(r *sim.Rules) { r.Queue.PrefillWindow = 32768 }},
+	{"all agents scanned", func(r *sim.Rules) { r.Choose.ScanAll = unlimited }},
+	{"backlog 2s", func(r *sim.Rules) { r.Choose.LongBacklog = 2 * time.Second }},
+	{"backlog 5s", func(r *sim.Rules) { r.Choose.LongBacklog = 5 * time.Second }},
+	{"backlog 10s", func(r *sim.Rules) { r.Choose.LongBacklog = 10 * time.Second }},
+	{"backlog 5s min 0.3", func(r *sim.Rules) { r.Choose.LongBacklog = 5 * time.Second; r.Choose.MinLongShare = 0.3 }},
 	{"window 8k", func(r *sim.Rules) { r.Queue.PrefillWindow = 8192 }},
+	{"window 16k", func(r *sim.Rules) { r.Queue.PrefillWindow = 16384 }},
+	{"half-life 30s", func(r *sim.Rules) { r.Retry.HalfLife = 30 * time.Second }},
+	{"long kv 0.3", func(r *sim.Rules) { r.Queue.LongKVShare = 0.3 }},
+	{"long kv 0.4", func(r *sim.Rules) { r.Queue.LongKVShare = 0.4 }},
+	{"long kv 0.7", func(r *sim.Rules) { r.Queue.LongKVShare = 0.7 }},
+	{"quiet 10s", func(r *sim.Rules) { r.Queue.ShortQuiet = 10 * time.Second }},
+	{"urgency 1.5", func(r *sim.Rules) { r.Queue.UrgencyFactor = 1.5 }},
+	{"urgency 3", func(r *sim.Rules) { r.Queue.UrgencyFactor = 3 }},
+	{"shed margin 1.2", func(r *sim.Rules) { r.Shed.Margin = 1.2 }},
+	{"shed margin 1.5", func(r *sim.Rules) { r.Shed.Margin = 1.5 }},
+	{"shed margin 2", func(r *sim.Rules) { r.Shed.Margin = 2 }},
 	{"no shedder", func(r *sim.Rules) { r.NoShedder = true }},
 	{"no retry budget", func(r *sim.Rules) { r.NoBudget = true }},
 }
@@ -104,8 +111,8 @@
 func ablate(s sim.Scenario, seeds int) {
 	fmt.Printf("\nAblation: %d servers, load %.2f with peaks of %.2f, means over %d seeds from %d\n\n",
 		s.Servers, s.Base, s.Base*s.Swing, seeds, s.Seed)
-	fmt.Println("| Variant | Short p50 ms | Short p95 ms | Short p99 ms | Small accounts short p95 ms | Slowdown | Peak short in 0.52 s | Small accounts medium p95 ms | Medium p95 ms | Medium finished | Long p50 ms | Long finished | Failed | Retries | Wasted |")
-	fmt.Println("|---|---|---|---|---|---|---|---|---|---|---|---|---|---|---|")
+	fmt.Println("| Variant | Short p50 ms | Short p95 ms | Short p99 ms | Small accounts short p95 ms | Slowdown | Peak short in 0.52 s | Small accounts medium p95 ms | Medium p95 ms | Medium finished | Long p50 ms | Long finished | Refused | Failed | Retries | Wasted |")
+	fmt.Println("|---|---|---|---|---|---|---|---|---|---|---|---|---|---|---|---|")
 	rows := make([]string, len(variants))
 	var group sync.WaitGroup
 	slots := make(chan struct{}, parallel)
@@ -127,7 +134,7 @@
 const parallel = 4
 
 func row(name string, s sim.Scenario, seeds int) string {
-	var sum [14]float64
+	var sum [15]float64
 	first := s.Seed
 	for i := range seeds {
 		s.Seed, s.NoLong = first+uint64(i), false
@@ -139,12 +146,13 @@
 			ms(r.SmallAccounts[outcome.Short].ValueAtQuantile(95)), slowdown(r, alone), inTime(r),
 			ms(r.SmallAccounts[outcome.Medium].ValueAtQuantile(95)), ms(r.FirstToken[outcome.Medium].ValueAtQuantile(95)),
 			finished(r, outcome.Medium), ms(r.FirstToken[outcome.Long].ValueAtQuantile(50)), longFinished(r),
+			float64(r.Refused[0] + r.Refused[1] + r.Refused[2]),
 			float64(r.Failed[0] + r.Failed[1] + r.Failed[2]), float64(r.Retries), wasted(r, r.Wasted+r.WastedPreempt)} {
 			sum[k] += v / float64(seeds)
 		}
 	}
-	return fmt.Sprintf("| %s | %.0f | %.0f | %.0f | %.0f | %.3f | %.2f%% | %.0f | %.0f | %.1f%% | %.0f | %.1f%% | %.1f | %.0f | %.2f%% |", name,
-		sum[0], sum[1], sum[2], sum[3], sum[4], sum[5], sum[6], sum[7], sum[8], sum[9], sum[10], sum[11], sum[12], sum[13])
+	return fmt.Sprintf("| %s | %.0f | %.0f | %.0f | %.0f | %.3f | %.2f%% | %.0f | %.0f | %.1f%% | %.0f | %.1f%% | %.1f | %.1f | %.0f | %.2f%% |", name,
+		sum[0], sum[1], sum[2], sum[3], sum[4], sum[5], sum[6], sum[7], sum[8], sum[9], sum[10], sum[11], sum[12], sum[13], sum[14])
 }
 
 func ms(microseconds int64) float64 { return float64(microseconds) / 1000 }
--- a/policy/internal/sim/entry.go
+++ b/policy/internal/sim/entry.go
@@ -115,9 +115,7 @@
 		return 0, errNoServer
 	}
 	if !p.rules.NoShedder && r.attempts == 0 {
-		_, short, _ := p.table.Pick(now, choose.Request{Model: modelName, Tokens: minPrompt, DataCentre: p.site})
-		work := admit.Work{Band: r.band, Deadline: epoch.Add(r.deadline), Expected: expected, ShortExpected: short,
-			Repeatable: true}
+		work := admit.Work{Band: r.band, Deadline: epoch.Add(r.deadline), Expected: expected, Repeatable: r.repeatable}
 		if err := p.shed.Check(now, work); err != nil {
 			return 0, err
 		}
--- a/policy/internal/sim/load.go
+++ b/policy/internal/sim/load.go
@@ -23,6 +23,7 @@
 	prefixGroups  = 200 // shared prompt prefixes, such as system prompts
 	prefixBlocks  = 2
 	prefixedShare = 0.4
+	repeatShare   = 0.5 // of the callers can cheaply repeat a request later
 	accounts      = 10
 	largeShare    = 0.5 // of the requests come from account 0
 )
@@ -32,14 +33,15 @@
 
 // request is one request of the trace and what became of it.
 type request struct {
-	id       int
-	at       time.Duration
-	tokens   int
-	answer   int
-	band     outcome.Band
-	account  int
-	group    int // of the shared prefix, or -1
-	deadline time.Duration
+	id         int
+	at         time.Duration
+	tokens     int
+	answer     int
+	band       outcome.Band
+	account    int
+	group      int // of the shared prefix, or -1
+	repeatable bool
+	deadline   time.Duration
 
 	peak     bool
 	attempts int
@@ -70,6 +72,7 @@
 		at += time.Duration(random.ExpFloat64() / (utilization * capacity) * float64(time.Second))
 		r := draw(random, at)
 		r.id, r.peak = len(requests), peak
+		r.deadline = at + s.timeout(r.band)
 		if s.NoLong && r.band == outcome.Long {
 			r.id = -1
 		}
@@ -78,12 +81,18 @@
 	return requests
 }
 
+func (s Scenario) timeout(b outcome.Band) time.Duration {
+	if b == outcome.Long && s.LongTimeout > 0 {
+		return s.LongTimeout
+	}
+	return timeouts[b]
+}
+
 func draw(random *rand.Rand, at time.Duration) *request {
 	r := &request{at: at, group: -1, excluded: map[int]bool{}}
 	r.tokens = logNormal(random, medianPrompt, sigmaPrompt, minPrompt, maxPrompt)
 	r.answer = logNormal(random, medianAnswer, sigmaAnswer, 8, maxAnswer)
 	r.band = outcome.BandOf(r.tokens)
-	r.deadline = at + timeouts[r.band]
 	if random.Float64() >= largeShare {
 		r.account = 1 + random.IntN(accounts-1)
 	} else {
@@ -93,6 +102,7 @@
 	if prefixed {
 		r.group = group
 	}
+	r.repeatable = random.Float64() < repeatShare
 	return r
 }
 
--- a/policy/internal/sim/sim.go
+++ b/policy/internal/sim/sim.go
@@ -33,6 +33,7 @@
 	Queue  queue.Config
 	Choose choose.Config
 	Shed   admit.ShedConfig
+	Retry  retry.Config
 }
 
 // Scenario describes one run.
@@ -43,10 +44,12 @@
 	Base    float64 // load outside peaks as a share of the prefill capacity
 	Swing   float64 // load at the peak in multiples of Base
 	// Failing is the share of servers that go down during each peak.
-	Failing  float64
-	NoLong   bool // the same load without its long prompts
-	Strategy Strategy
-	Rules    Rules
+	Failing float64
+	// LongTimeout replaces the time limit of long requests if it is not 0.
+	LongTimeout time.Duration
+	NoLong      bool // the same load without its long prompts
+	Strategy    Strategy
+	Rules       Rules
 }
 
 // Result holds the figures of one run.
@@ -140,7 +143,7 @@
 	c := m.scenario.Rules.Choose
 	c.Seed = m.scenario.Seed*entries + i
 	p := &policyRouter{sim: m, site: siteName(int(i)), table: choose.New(c), shed: admit.NewShedder(m.scenario.Rules.Shed),
-		budget: retry.New(retry.Config{}), rules: m.scenario.Rules}
+		budget: retry.New(m.scenario.Rules.Retry), rules: m.scenario.Rules}
 	for id := range m.scenario.Servers {
 		p.table.Upsert(choose.Agent{VM: strconv.Itoa(id), DataCentre: siteName(id), Models: []string{modelName},
 			KVTokens: engineKV, PrefillTokensPerSecond: enginePrefill})
