Keep memory free for short work and size the prefill window and the retry budget

Short prompts waited for memory that medium prompts held in their decode phase. Default: 10% for now.

Now 16 steps.

Benchmark only: an engine whose prefill slows with the context (-attention).

--- a/policy/choose/config.go
+++ b/policy/choose/config.go
@@ -7,7 +7,7 @@
 	defaultHold         = 500 * time.Millisecond
 	defaultMaxHold      = time.Minute
 	defaultDistance     = time.Millisecond
-	defaultLongBacklog  = 20 * time.Second
+	defaultLongBacklog  = 5 * time.Second
 	defaultMinLongShare = 0.2
 	defaultScanAll      = 8
 	defaultSamples      = 6
--- a/policy/cmd/policybench/main.go
+++ b/policy/cmd/policybench/main.go
@@ -24,9 +24,10 @@
 	swing := flag.Float64("swing", 5, "load at peaks in multiples of the base load")
 	failing := flag.Float64("failing", 0.125, "share of servers that fail during each peak")
 	longTimeout := flag.Duration("long-timeout", 0, "time limit of long requests; 0 is the usual one")
+	attention := flag.Int("attention", 0, "context length in tokens that doubles the cost of a prefill token; 0 is never")
 	ablation := flag.Bool("ablation", true, "print the ablation table")
 	flag.Parse()
-	scenario := sim.Scenario{Seed: *seed, Length: *length, Base: *base, Swing: *swing, Failing: *failing, LongTimeout: *longTimeout}
+	scenario := sim.Scenario{Seed: *seed, Length: *length, Base: *base, Swing: *swing, Failing: *failing, LongTimeout: *longTimeout, Attention: *attention}
 	for _, scenario.Servers = range []int{25, 15} {
 		compare(scenario)
 	}
@@ -88,22 +89,13 @@
 	{"no prefix hints", func(r *sim.Rules) { r.NoPrefixes = true }},
 	{"no long set", func(r *sim.Rules) { r.Choose.MinLongShare = 1 }},
 	{"all agents scanned", func(r *sim.Rules) { r.Choose.ScanAll = unlimited }},
-	{"backlog 2s", func(r *sim.Rules) { r.Choose.LongBacklog = 2 * time.Second }},
-	{"backlog 5s", func(r *sim.Rules) { r.Choose.LongBacklog = 5 * time.Second }},
-	{"backlog 10s", func(r *sim.Rules) { r.Choose.LongBacklog = 10 * time.Second }},
-	{"backlog 5s min 0.3", func(r *sim.Rules) { r.Choose.LongBacklog = 5 * time.Second; r.Choose.MinLongShare = 0.3 }},
+	{"no reserve for short", func(r *sim.Rules) { r.Queue.ShortKVShare = almostZero }},
+	{"reserve 0.05", func(r *sim.Rules) { r.Queue.ShortKVShare = 0.05 }},
+	{"reserve 0.2", func(r *sim.Rules) { r.Queue.ShortKVShare = 0.2 }},
+	{"reserve, no preemption", func(r *sim.Rules) { r.NoPreemption = true; r.Queue.ShortKVShare = 0.2 }},
 	{"window 8k", func(r *sim.Rules) { r.Queue.PrefillWindow = 8192 }},
-	{"window 16k", func(r *sim.Rules) { r.Queue.PrefillWindow = 16384 }},
-	{"half-life 30s", func(r *sim.Rules) { r.Retry.HalfLife = 30 * time.Second }},
-	{"long kv 0.3", func(r *sim.Rules) { r.Queue.LongKVShare = 0.3 }},
-	{"long kv 0.4", func(r *sim.Rules) { r.Queue.LongKVShare = 0.4 }},
-	{"long kv 0.7", func(r *sim.Rules) { r.Queue.LongKVShare = 0.7 }},
-	{"quiet 10s", func(r *sim.Rules) { r.Queue.ShortQuiet = 10 * time.Second }},
-	{"urgency 1.5", func(r *sim.Rules) { r.Queue.UrgencyFactor = 1.5 }},
-	{"urgency 3", func(r *sim.Rules) { r.Queue.UrgencyFactor = 3 }},
-	{"shed margin 1.2", func(r *sim.Rules) { r.Shed.Margin = 1.2 }},
+	{"window 32k", func(r *sim.Rules) { r.Queue.PrefillWindow = 32768 }},
 	{"shed margin 1.5", func(r *sim.Rules) { r.Shed.Margin = 1.5 }},
-	{"shed margin 2", func(r *sim.Rules) { r.Shed.Margin = 2 }},
 	{"no shedder", func(r *sim.Rules) { r.NoShedder = true }},
 	{"no retry budget", func(r *sim.Rules) { r.NoBudget = true }},
 }
--- a/policy/internal/sim/engine.go
+++ b/policy/internal/sim/engine.go
@@ -24,6 +24,7 @@
 	priority int
 	order    int
 	left     int // prefill tokens
+	done     int // prefill tokens, cached ones included
 	planned  int // prefill tokens in this step
 	decoding bool
 }
@@ -34,10 +35,13 @@
 	streams  []*stream // by priority, then order of arrival
 	arrivals int
 	stepping bool
-	run      int // number of restarts; a step of an older run is ignored
-	cached   []int
-	first    func(*attempt)
-	finished func(*attempt)
+	// attention is the context length in tokens at which a prefill token costs
+	// twice as much as at the start of a prompt; 0 is never.
+	attention int
+	run       int // number of restarts; a step of an older run is ignored
+	cached    []int
+	first     func(*attempt)
+	finished  func(*attempt)
 }
 
 func (e *engine) add(a *attempt, priority int) {
@@ -45,6 +49,7 @@
 	s := &stream{attempt: a, priority: priority, order: e.arrivals, left: a.prefill}
 	if a.request.group >= 0 && slices.Contains(e.cached, a.request.group) {
 		s.left -= a.request.prefix()
+		s.done = a.request.prefix()
 	}
 	s.left = max(s.left, 1)
 	i, _ := slices.BinarySearchFunc(e.streams, s, compareStreams)
@@ -73,7 +78,7 @@
 		return
 	}
 	e.stepping = true
-	budget, decodes := engineStep, 0
+	budget, decodes, attention := engineStep, 0, 0.0
 	for _, s := range e.streams {
 		s.decoding = s.left == 0
 		if s.decoding {
@@ -81,8 +86,11 @@
 		}
 		s.planned = min(s.left, budget)
 		budget -= s.planned
+		if e.attention > 0 {
+			attention += float64(s.planned) * float64(s.done) / float64(e.attention)
+		}
 	}
-	prefill := time.Duration(engineStep-budget) * time.Second / engineRaw
+	prefill := time.Duration((float64(engineStep-budget) + attention) / engineRaw * float64(time.Second))
 	run := e.run
 	e.loop.after(engineStepBase+prefill+time.Duration(decodes)*engineDecodeCost, func() {
 		if run == e.run {
@@ -95,6 +103,7 @@
 	e.stepping = false
 	for _, s := range slices.Clone(e.streams) {
 		s.left -= s.planned
+		s.done += s.planned
 		s.attempt.worked += s.planned
 		started := s.planned > 0 && s.left == 0
 		if started || s.decoding {
--- a/policy/internal/sim/sim.go
+++ b/policy/internal/sim/sim.go
@@ -49,7 +49,10 @@
 	LongTimeout time.Duration
 	NoLong      bool // the same load without its long prompts
 	Strategy    Strategy
-	Rules       Rules
+	// Attention is the context length in tokens at which a prefill token costs
+	// twice as much as at the start of a prompt; 0 is never.
+	Attention int
+	Rules     Rules
 }
 
 // Result holds the figures of one run.
@@ -111,7 +114,9 @@
 		newQueue = m.newPolicyQueue
 	}
 	for i := range m.scenario.Servers {
-		m.servers = append(m.servers, newServer(i, &m.loop, newQueue, m.result))
+		s := newServer(i, &m.loop, newQueue, m.result)
+		s.engine.attention = m.scenario.Attention
+		m.servers = append(m.servers, s)
 	}
 	for i := range entries {
 		e := &entry{sim: m}
--- a/policy/queue/config.go
+++ b/policy/queue/config.go
@@ -8,6 +8,7 @@
 	defaultStepTokens             = 2048
 	defaultPrefillTokensPerSecond = 20_000
 	defaultLongKVShare            = 0.5
+	defaultShortKVShare           = 0.1
 	defaultMaxQueued              = 1024
 	defaultMaxLongPrefills        = 1
 	defaultMaxPreemptions         = 1
@@ -16,7 +17,7 @@
 	defaultTokenTime              = 32 * time.Millisecond
 	// windowSteps is the default prefill window in engine steps: enough that
 	// the engine has work while the agent reacts to the end of a prefill.
-	windowSteps = 4
+	windowSteps = 16
 )
 
 // Limits of the retry delay of a refusal.
@@ -37,6 +38,9 @@
 	// LongKVShare is the share of KVTokens, 0 to 1, that long jobs may hold
 	// while short work waits or has been arriving.
 	LongKVShare float64
+	// ShortKVShare is the share of KVTokens, 0 to 1, that medium and long jobs
+	// leave free while short work waits or has been arriving.
+	ShortKVShare float64
 	// MaxQueued is the greatest number of queued jobs.
 	MaxQueued int
 	// MaxLongPrefills is the number of long jobs in prefill at a time.
@@ -62,6 +66,7 @@
 	setDefault(&c.StepTokens, defaultStepTokens)
 	setDefault(&c.PrefillTokensPerSecond, defaultPrefillTokensPerSecond)
 	setDefault(&c.LongKVShare, defaultLongKVShare)
+	setDefault(&c.ShortKVShare, defaultShortKVShare)
 	setDefault(&c.MaxQueued, defaultMaxQueued)
 	setDefault(&c.MaxLongPrefills, defaultMaxLongPrefills)
 	setDefault(&c.MaxPreemptions, defaultMaxPreemptions)
--- a/policy/queue/queue.go
+++ b/policy/queue/queue.go
@@ -176,10 +176,10 @@
 		return Grant{}, false // leaves the memory that drains to the short job
 	}
 	if e := q.bands[outcome.Medium].head(); e != nil {
-		if q.mayStartMedium(e) {
+		if q.mayStartMedium(now, e) {
 			return q.start(e, PriorityMedium), true
 		}
-		if !q.fits(e) {
+		if !q.fits(e) || !q.leavesReserve(now, e) {
 			return Grant{}, false
 		}
 	}
@@ -221,8 +221,17 @@
 	return q.fits(e)
 }
 
-func (q *Queue) mayStartMedium(e *entry) bool {
-	return q.fits(e) && q.prefill[outcome.Short]+q.prefill[outcome.Medium] < q.config.PrefillWindow
+// leavesReserve reports whether enough memory stays free for short work.
+func (q *Queue) leavesReserve(now time.Time, e *entry) bool {
+	if len(q.running) == 0 || !q.shortAbout(now) {
+		return true
+	}
+	reserve := int(q.config.ShortKVShare * float64(q.config.KVTokens))
+	return q.reserved+e.job.KVTokens+reserve <= q.config.KVTokens
+}
+
+func (q *Queue) mayStartMedium(now time.Time, e *entry) bool {
+	return q.fits(e) && q.leavesReserve(now, e) && q.prefill[outcome.Short]+q.prefill[outcome.Medium] < q.config.PrefillWindow
 }
 
 // mayStartLong bounds long work to its share of memory while short work is
@@ -234,7 +243,7 @@
 	if len(q.running) == 0 || !q.shortAbout(now) {
 		return true
 	}
-	return q.reservedBand[outcome.Long]+e.job.KVTokens <= q.longLimit()
+	return q.reservedBand[outcome.Long]+e.job.KVTokens <= q.longLimit() && q.leavesReserve(now, e)
 }
 
 func (q *Queue) longLimit() int {
@@ -392,7 +401,7 @@
 	if e := q.urgency.top(); e != nil {
 		consider(e.latest)
 	}
-	if q.hadShort && q.bands[outcome.Long].size > 0 {
+	if q.hadShort && len(q.queued) > 0 {
 		consider(q.lastShort.Add(q.config.ShortQuiet))
 	}
 	return wake, !wake.IsZero()
--- a/policy/retry/retry.go
+++ b/policy/retry/retry.go
@@ -12,7 +12,7 @@
 const (
 	defaultRatio    = 0.1
 	defaultConstant = 3.0
-	defaultHalfLife = 10 * time.Second
+	defaultHalfLife = 30 * time.Second
 )
 
 // Config sets the bound of a Budget. Zero values get defaults.
