--- a/daemon/entry/completion.go
+++ b/daemon/entry/completion.go
@@ -158,10 +158,7 @@
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	if _, expected, ok := e.table.Pick(now, c.request(e.settings.DataCentre, nil)); ok {
-		work := admit.Work{Band: c.band, Deadline: c.deadline, Expected: expected, ShortExpected: expected}
-		if c.band != outcome.Short {
-			work.ShortExpected = e.shortExpected(now, c.model)
-		}
+		work := admit.Work{Band: c.band, Deadline: c.deadline, Expected: expected}
 		if err := e.shedder.Check(now, work); err != nil {
 			return nil, err
 		}
@@ -178,17 +175,6 @@
 	}), nil
 }
 
-// shortExpected returns the expected time to first token of a short request;
-// e.mu is held.
-func (e *Entry) shortExpected(now time.Time, model string) time.Duration {
-	_, expected, ok := e.table.Pick(now, choose.Request{Model: model, Band: outcome.Short,
-		Tokens: outcome.MaxShortTokens / 2, DataCentre: e.settings.DataCentre})
-	if !ok {
-		return 0
-	}
-	return expected
-}
-
 // request returns what the choice of an agent depends on.
 func (c *completion) request(dataCentre string, exclude func(string) bool) choose.Request {
 	return choose.Request{Model: c.model, Band: c.band, Tokens: c.tokens, Prefixes: c.prefixes,
