--- a/daemon/agent/agent.go
+++ b/daemon/agent/agent.go
@@ -71,6 +71,8 @@
 	active atomic.Int64
 	// info is the engine's description.
 	info atomic.Pointer[backend.EngineInfo]
+	// report is the engine's last load report.
+	report atomic.Pointer[backend.LoadReport]
 
 	mu       sync.Mutex
 	queue    *queue.Queue
--- a/daemon/agent/cache.go
+++ b/daemon/agent/cache.go
@@ -74,7 +74,7 @@
 
 func (p *prefixSet) list() []uint64 { return append([]uint64(nil), p.order...) }
 
-// followCache reads cache events and the engine's description until ctx ends.
+// followCache reads cache events and the engine's load until ctx ends.
 func (a *Agent) followCache(ctx context.Context) error {
 	ticker := time.NewTicker(cachePoll)
 	defer ticker.Stop()
@@ -84,18 +84,34 @@
 			return nil
 		case <-ticker.C:
 		}
-		a.mu.Lock()
-		after := a.cache.sequence
-		a.mu.Unlock()
 		call, cancel := context.WithTimeout(ctx, engineCallLimit)
-		events, err := a.engine.Events(call, after)
+		a.readEvents(call)
+		a.readLoad(call)
 		cancel()
-		if err != nil {
-			a.log.Debug("cache events cannot be read", "error", err.Error())
-			continue
-		}
-		a.mu.Lock()
-		a.cache.apply(events)
-		a.mu.Unlock()
 	}
 }
+
+func (a *Agent) readEvents(ctx context.Context) {
+	a.mu.Lock()
+	after := a.cache.sequence
+	a.mu.Unlock()
+	events, err := a.engine.Events(ctx, after)
+	if err != nil {
+		a.log.Debug("cache events cannot be read", "error", err.Error())
+		return
+	}
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.cache.apply(events)
+}
+
+// readLoad keeps the engine's report for metrics; decisions rest on the
+// agent's own count, because the report lags.
+func (a *Agent) readLoad(ctx context.Context) {
+	report, err := a.engine.Load(ctx)
+	if err != nil {
+		a.log.Debug("engine load cannot be read", "error", err.Error())
+		return
+	}
+	a.report.Store(&report)
+}
--- a/daemon/agent/completion.go
+++ b/daemon/agent/completion.go
@@ -47,8 +47,10 @@
 		Band: outcome.BandOf(tokens), PrefillTokens: a.uncachedTokens(submit), KVTokens: tokens + int(submit.MaxTokens),
 		Arrived: now, Deadline: r.deadline}
 	r.attach()
+	_, r.queueSpan = a.span(r, "queue")
 	old, err := a.enqueue(r, now)
 	if err != nil {
+		r.queueSpan.End()
 		r.cancel(nil)
 		return nil, err
 	}
--- a/daemon/agent/metrics.go
+++ b/daemon/agent/metrics.go
@@ -9,6 +9,7 @@
 	"go.opentelemetry.io/otel/metric"
 
 	"camphorwick.dev/api/wire"
+	"camphorwick.dev/backend"
 )
 
 // latencyBounds are histogram bounds in seconds around the targets of 32 ms
@@ -41,17 +42,34 @@
 	if m.preemptions, err = meter.Int64Counter("camphorwick.agent.preemptions"); err != nil {
 		return nil, fmt.Errorf("create counter: %w", err)
 	}
-	_, err = meter.Int64ObservableGauge("camphorwick.agent.kv_reserved", metric.WithUnit("{token}"),
-		metric.WithInt64Callback(func(_ context.Context, o metric.Int64Observer) error {
-			o.Observe(int64(a.load().KvReservedTokens))
+	gauges := map[string]func() int64{
+		"camphorwick.agent.kv_reserved":    func() int64 { return int64(a.load().KvReservedTokens) },
+		"camphorwick.agent.queued":         func() int64 { return int64(a.load().Queued) },
+		"camphorwick.agent.running":        func() int64 { return int64(a.load().Running) },
+		"camphorwick.agent.engine_kv_used": func() int64 { return int64(a.lastReport().KVUsedTokens) },
+		"camphorwick.agent.engine_kv_cached": func() int64 {
+			return int64(a.lastReport().KVCachedTokens)
+		},
+	}
+	for name, read := range gauges {
+		_, err = meter.Int64ObservableGauge(name, metric.WithInt64Callback(func(_ context.Context, o metric.Int64Observer) error {
+			o.Observe(read())
 			return nil
 		}))
-	if err != nil {
-		return nil, fmt.Errorf("create gauge: %w", err)
+		if err != nil {
+			return nil, fmt.Errorf("create gauge: %w", err)
+		}
 	}
 	return m, nil
 }
 
+func (a *Agent) lastReport() backend.LoadReport {
+	if report := a.report.Load(); report != nil {
+		return *report
+	}
+	return backend.LoadReport{}
+}
+
 func band(r *request) metric.MeasurementOption {
 	return metric.WithAttributes(attribute.String("band", r.job.Band.String()))
 }
--- a/daemon/agent/request.go
+++ b/daemon/agent/request.go
@@ -5,6 +5,8 @@
 	"sync"
 	"time"
 
+	"go.opentelemetry.io/otel/trace"
+
 	"camphorwick.dev/api/wire"
 	"camphorwick.dev/policy/queue"
 )
@@ -37,6 +39,8 @@
 	// state continues a paused stream; nil to start from the prompt. Only the
 	// goroutine that runs the request uses it, between grants.
 	state []byte
+	// queueSpan covers the wait in the queue.
+	queueSpan trace.Span
 	// granted is called instead of running the request when its memory has
 	// been reserved; nil for usual completions.
 	granted func(queue.Grant)
--- a/daemon/agent/runner.go
+++ b/daemon/agent/runner.go
@@ -152,6 +152,9 @@
 		return
 	}
 	delete(a.jobs, id)
+	if r.queueSpan != nil {
+		r.queueSpan.End()
+	}
 	result := wire.Outcome_OUTCOME_NOT_RUN
 	if r.starts > 0 || r.submit.Offset > 0 {
 		result = wire.Outcome_OUTCOME_FAILED
@@ -163,6 +166,7 @@
 
 // run drives one grant of a job on the engine.
 func (a *Agent) run(r *request, grant queue.Grant) {
+	r.queueSpan.End()
 	ctx, span := a.span(r, "engine")
 	defer span.End()
 	a.metrics.queued(r, time.Since(r.job.Arrived))
--- a/daemon/cmd/camphorwick/main.go
+++ b/daemon/cmd/camphorwick/main.go
@@ -22,7 +22,9 @@
 	"camphorwick.dev/backend/servicehttp"
 	"camphorwick.dev/daemon/agent"
 	"camphorwick.dev/daemon/entry"
+	"camphorwick.dev/daemon/member"
 	"camphorwick.dev/observe"
+	"camphorwick.dev/platform"
 	"camphorwick.dev/platform/httpkv"
 	"camphorwick.dev/settings"
 )
@@ -122,6 +124,10 @@
 	store := httpkv.New(httpkv.Options{Address: hostOf(s.Platform.URL),
 		CallTimeout: time.Duration(s.Platform.TimeoutMillis) * time.Millisecond})
 	defer store.Close()
+	kv, err := member.MeterKV(store, t.Meter)
+	if err != nil {
+		return fmt.Errorf("set up store metrics: %w", err)
+	}
 	ports := &ports{}
 	defer ports.close()
 	ops := ports.open(s.OpsAddress)
@@ -131,13 +137,13 @@
 	switch s.Role {
 	case settings.RoleEntry:
 		listeners := entry.Listeners{Control: control, Callers: ports.open(s.Entry.CallersAddress), Admin: ports.open(s.Entry.AdminAddress)}
-		e, err := entry.New(s, entry.Deps{KV: store, VMs: store, Telemetry: t})
+		e, err := entry.New(s, entry.Deps{KV: kv, VMs: store, Telemetry: t})
 		if err != nil {
 			return err
 		}
 		r, run = e, func(ctx context.Context) error { return e.Run(ctx, listeners) }
 	default:
-		deps, err := agentDeps(s, store, t)
+		deps, err := agentDeps(s, kv, store, t)
 		if err != nil {
 			return err
 		}
@@ -179,8 +185,8 @@
 	return err
 }
 
-func agentDeps(s *settings.Settings, store *httpkv.Client, t *observe.Telemetry) (agent.Deps, error) {
-	deps := agent.Deps{KV: store, VMs: store, Telemetry: t}
+func agentDeps(s *settings.Settings, kv platform.KV, vms platform.VMList, t *observe.Telemetry) (agent.Deps, error) {
+	deps := agent.Deps{KV: kv, VMs: vms, Telemetry: t}
 	if s.Agent.Engine != nil {
 		deps.Engine = enginehttp.New(hostOf(s.Agent.Engine.URL))
 		return deps, nil
--- a/daemon/entry/metrics.go
+++ b/daemon/entry/metrics.go
@@ -15,9 +15,13 @@
 // 0.52 s.
 var firstTokenBounds = []float64{0.05, 0.1, 0.2, 0.35, 0.52, 0.8, 1.5, 3, 6, 15, 30, 60, 300, 900}
 
+// interTokenBounds are histogram bounds in seconds around the target of 32 ms.
+var interTokenBounds = []float64{0.002, 0.005, 0.01, 0.016, 0.024, 0.032, 0.048, 0.064, 0.1, 0.25, 0.5, 1, 5}
+
 // metrics holds the instruments of an entry.
 type metrics struct {
 	first    metric.Float64Histogram
+	between  metric.Float64Histogram
 	outcomes metric.Int64Counter
 	retries  metric.Int64Counter
 }
@@ -29,6 +33,10 @@
 		metric.WithExplicitBucketBoundaries(firstTokenBounds...)); err != nil {
 		return nil, fmt.Errorf("create histogram: %w", err)
 	}
+	if m.between, err = meter.Float64Histogram("camphorwick.inter_token", metric.WithUnit("s"),
+		metric.WithExplicitBucketBoundaries(interTokenBounds...)); err != nil {
+		return nil, fmt.Errorf("create histogram: %w", err)
+	}
 	if m.outcomes, err = meter.Int64Counter("camphorwick.requests"); err != nil {
 		return nil, fmt.Errorf("create counter: %w", err)
 	}
@@ -46,6 +54,11 @@
 	m.first.Record(context.Background(), time.Since(c.exchange.started).Seconds(), bandOf(c))
 }
 
+// nextTokens records the time per token since the tokens before.
+func (m *metrics) nextTokens(c *completion, since time.Duration, tokens int) {
+	m.between.Record(context.Background(), since.Seconds()/float64(tokens), bandOf(c))
+}
+
 func (m *metrics) ended(c *completion, o outcome.Outcome) {
 	m.outcomes.Add(context.Background(), 1, bandOf(c), metric.WithAttributes(attribute.String("outcome", string(o))))
 }
--- a/daemon/entry/run.go
+++ b/daemon/entry/run.go
@@ -61,13 +61,17 @@
 	*completion
 	answer *answer
 	// emitted are the tokens that the caller was sent.
-	emitted  []string
-	accepted bool
+	emitted []string
+	// lastToken is when the latest tokens arrived.
+	lastToken time.Time
+	accepted  bool
 	// mayRun is set while some attempt was sent to an agent that has not said
 	// that it did not run.
 	mayRun   bool
 	attempts int
 	excluded map[string]bool
+	// refusal is the latest reason why an agent did not take the request.
+	refusal error
 }
 
 // verdict says how an attempt ended.
@@ -147,6 +151,7 @@
 			return r.failure(got.err), nil
 		case attemptNotRun:
 			r.excluded[vm] = true
+			r.refusal = got.err
 		case attemptBroken:
 			e.agentFailed(vm)
 			r.excluded = map[string]bool{vm: true}
@@ -199,6 +204,8 @@
 			return "", context.Cause(ctx)
 		case ok:
 			return vm, nil
+		case len(r.emitted) == 0 && !r.mayRun && r.refusal != nil:
+			return "", r.refusal
 		case len(r.emitted) == 0 && !r.mayRun:
 			return "", outcome.New(outcome.NoServer, "no backend server can take the request now").WithRetryAfter(time.Second)
 		}
@@ -360,9 +367,13 @@
 	if len(texts) == 0 {
 		return attemptResult{}, false
 	}
+	now := time.Now()
 	if have == 0 {
 		e.metrics.firstToken(r.completion)
+	} else {
+		e.metrics.nextTokens(r.completion, now.Sub(r.lastToken), len(texts))
 	}
+	r.lastToken = now
 	select {
 	case r.answer.tokens <- tokenEvent{vm: vm, offset: have, texts: texts}:
 		r.emitted = append(r.emitted, texts...)
