--- a/fleetconf/editor_test.go
+++ b/fleetconf/editor_test.go
@@ -378,3 +378,35 @@
 	_, err := NewEditor(&untypedStore{memkv.New()}, NewReplica()).Commit(t.Context(), edit("a", gold()))
 	is.Equal(outcome.CodeOf(err), outcome.OrderInDoubt)
 }
+
+// secondWriteFails is a store that holds the first write back and becomes
+// unavailable before the second.
+type secondWriteFails struct {
+	*memkv.Store
+	writes int
+}
+
+func (s *secondWriteFails) Put(ctx context.Context, key string, value []byte, expected uint64, lease platform.LeaseID) (uint64, error) {
+	s.writes++
+	s.SetDown(s.writes == 2)
+	return s.Store.Put(ctx, key, value, expected, lease)
+}
+
+// Guards against "not accepted" for an edit whose first write is still on its
+// way, after a reading that does not show it and a second write that is refused.
+func TestHeldWriteStaysInDoubt(t *testing.T) {
+	is := is.New(t)
+	store := memkv.New()
+	store.SetFault(func(string) memkv.Fault { return memkv.Hold })
+	e := edit("a", gold())
+	_, err := NewEditor(&secondWriteFails{Store: store}, NewReplica()).Commit(t.Context(), e)
+	var doubt *InDoubtError
+	is.True(errors.As(err, &doubt))
+	store.SetDown(false)
+	store.SetFault(nil)
+	store.ReleaseHeld()
+	e.Revision = doubt.Since
+	revision, err := NewEditor(store, NewReplica()).Commit(t.Context(), e)
+	is.NoErr(err)
+	is.Equal(revision, uint64(1))
+}
