Remove the long set and raise the memory kept free for short work to 20%

The long set confined long prompts to a part of the fleet, sized by reported demand. Engine priorities and the memory rules of the queue bound the interference already, so the set only made long work wait.

--- a/policy/choose/config.go
+++ b/policy/choose/config.go
@@ -4,13 +4,11 @@
 
 // Defaults of Config.
 const (
-	defaultHold         = 500 * time.Millisecond
-	defaultMaxHold      = time.Minute
-	defaultDistance     = time.Millisecond
-	defaultLongBacklog  = 5 * time.Second
-	defaultMinLongShare = 0.2
-	defaultScanAll      = 8
-	defaultSamples      = 6
+	defaultHold     = 500 * time.Millisecond
+	defaultMaxHold  = time.Minute
+	defaultDistance = time.Millisecond
+	defaultScanAll  = 8
+	defaultSamples  = 6
 )
 
 const (
@@ -33,11 +31,6 @@
 	// DefaultDistance is the round-trip time between data centres for which
 	// SetDistance was not called.
 	DefaultDistance time.Duration
-	// LongBacklog is the time in which the long set should work off the
-	// reported long tokens.
-	LongBacklog time.Duration
-	// MinLongShare is the smallest share of agents in the long set.
-	MinLongShare float64
 	// ScanAll is the number of agents up to which all are looked at. With more,
 	// entries that look at all of them crowd the few that look best in the
 	// common but old reports.
@@ -51,14 +44,12 @@
 	setDefault(&c.Hold, defaultHold)
 	setDefault(&c.MaxHold, defaultMaxHold)
 	setDefault(&c.DefaultDistance, defaultDistance)
-	setDefault(&c.LongBacklog, defaultLongBacklog)
-	setDefault(&c.MinLongShare, defaultMinLongShare)
 	setDefault(&c.ScanAll, defaultScanAll)
 	setDefault(&c.Samples, defaultSamples)
 	return c
 }
 
-func setDefault[T int | float64 | time.Duration](field *T, value T) {
+func setDefault[T int | time.Duration](field *T, value T) {
 	if *field <= 0 {
 		*field = value
 	}
--- a/policy/choose/pick.go
+++ b/policy/choose/pick.go
@@ -80,12 +80,8 @@
 }
 
 // considerSamples looks at all agents of a small fleet and at random ones of
-// a large fleet. Long prompts keep to the long set.
+// a large fleet, in the own data centre and in all of them.
 func (t *Table) considerSamples(now time.Time, m *model, request *Request, site int, best *choice) {
-	if request.Band == outcome.Long {
-		t.sample(now, m.all[:m.longSet], request, site, best)
-		return
-	}
 	if len(m.all) > t.config.ScanAll && site >= 0 && site < len(m.sites) {
 		t.sample(now, m.sites[site], request, site, best)
 	}
--- a/policy/choose/table.go
+++ b/policy/choose/table.go
@@ -61,11 +61,8 @@
 
 // model lists the agents that serve one model.
 type model struct {
-	all        []*agent // by hash, which is the order of the long set
-	sites      [][]*agent
-	longTokens int // reported prefill tokens of long prompts
-	speed      int // sum of the prefill speeds, tokens/s
-	longSet    int // number of agents at the start of all that take long prompts
+	all   []*agent   // by hash
+	sites [][]*agent // by data centre
 }
 
 // Table holds the agents that an entry is connected to.
@@ -164,9 +161,6 @@
 			m.sites = append(m.sites, nil)
 		}
 		m.sites[a.site] = insertByHash(m.sites[a.site], a)
-		m.longTokens += a.reported.PrefillTokens[outcome.Long]
-		m.speed += a.PrefillTokensPerSecond
-		t.sizeLongSet(m)
 	}
 	if a.Service != "" {
 		t.services[a.Service] = insertByHash(t.services[a.Service], a)
@@ -178,9 +172,6 @@
 		m := t.models[name]
 		m.all = remove(m.all, a)
 		m.sites[a.site] = remove(m.sites[a.site], a)
-		m.longTokens -= a.reported.PrefillTokens[outcome.Long]
-		m.speed -= a.PrefillTokensPerSecond
-		t.sizeLongSet(m)
 		if len(m.all) == 0 {
 			delete(t.models, name)
 		}
@@ -226,18 +217,12 @@
 	if a == nil {
 		return
 	}
-	change := load.PrefillTokens[outcome.Long] - a.reported.PrefillTokens[outcome.Long]
 	a.reported = load
 	a.kvSent = 0
 	a.drained = now
 	for b, tokens := range load.PrefillTokens {
 		a.ahead[b] = float64(tokens)
 	}
-	for _, name := range a.Models {
-		m := t.models[name]
-		m.longTokens += change
-		t.sizeLongSet(m)
-	}
 }
 
 // Sent adds work that this entry sent to an agent to the agent's load.
@@ -329,18 +314,3 @@
 	}
 	a.prefixes = a.prefixes[:0]
 }
-
-// sizeLongSet computes the long set from reports alone, so that every entry
-// arrives at the same set: long prompts go to the first agents by hash of the
-// VM, as many as work off the reported long tokens within LongBacklog.
-func (t *Table) sizeLongSet(m *model) {
-	n := len(m.all)
-	if n == 0 {
-		m.longSet = 0
-		return
-	}
-	perAgent := float64(m.speed) / float64(n) * t.config.LongBacklog.Seconds()
-	wanted := int(float64(m.longTokens)/perAgent) + 1
-	least := int(t.config.MinLongShare*float64(n)) + 1
-	m.longSet = min(max(wanted, least), n)
-}
--- a/policy/cmd/policybench/main.go
+++ b/policy/cmd/policybench/main.go
@@ -82,20 +82,15 @@
 	{"no bound on long prefills", func(r *sim.Rules) { r.Queue.MaxLongPrefills = unlimited }},
 	{"no bound on long memory", func(r *sim.Rules) { r.Queue.LongKVShare = 1 }},
 	{"no quiet time", func(r *sim.Rules) { r.Queue.ShortQuiet = never }},
-	{"no ageing", func(r *sim.Rules) { r.Queue.UrgencyFactor, r.Queue.TokenTime = almostZero, never }},
+	{"no ageing", func(r *sim.Rules) {
+		r.Queue.UrgencyFactor, r.Queue.TokenTime, r.Queue.DrainTime = almostZero, never, never
+	}},
 	{"no preemption", func(r *sim.Rules) { r.NoPreemption = true }},
 	{"no account of sent work", func(r *sim.Rules) { r.NoSent = true }},
 	{"no hold-down", func(r *sim.Rules) { r.NoHoldDown = true }},
 	{"no prefix hints", func(r *sim.Rules) { r.NoPrefixes = true }},
-	{"no long set", func(r *sim.Rules) { r.Choose.MinLongShare = 1 }},
 	{"all agents scanned", func(r *sim.Rules) { r.Choose.ScanAll = unlimited }},
 	{"no reserve for short", func(r *sim.Rules) { r.Queue.ShortKVShare = almostZero }},
-	{"reserve 0.05", func(r *sim.Rules) { r.Queue.ShortKVShare = 0.05 }},
-	{"reserve 0.2", func(r *sim.Rules) { r.Queue.ShortKVShare = 0.2 }},
-	{"reserve, no preemption", func(r *sim.Rules) { r.NoPreemption = true; r.Queue.ShortKVShare = 0.2 }},
-	{"window 8k", func(r *sim.Rules) { r.Queue.PrefillWindow = 8192 }},
-	{"window 32k", func(r *sim.Rules) { r.Queue.PrefillWindow = 32768 }},
-	{"shed margin 1.5", func(r *sim.Rules) { r.Shed.Margin = 1.5 }},
 	{"no shedder", func(r *sim.Rules) { r.NoShedder = true }},
 	{"no retry budget", func(r *sim.Rules) { r.NoBudget = true }},
 }
--- a/policy/internal/sim/sim.go
+++ b/policy/internal/sim/sim.go
@@ -228,11 +228,11 @@
 	}
 }
 
-// bound serves only the short requests with the pooled speed of the fleet and
-// without any loss between steps. No policy can exceed the share of requests
-// at peaks that this serves in time.
+// bound serves only the short requests with the pooled speed of the servers
+// that are never down, without answers to generate and without loss between
+// steps. It is an estimate of what the engine model allows at peaks.
 func bound(s Scenario, requests []*request) float64 {
-	speed := float64(s.Servers * engineRaw)
+	speed := float64(s.Servers) * (1 - s.Failing) * engineRaw
 	backlog, inTime, all := 0.0, 0, 0
 	last := time.Duration(0)
 	for _, q := range requests {
--- a/policy/queue/config.go
+++ b/policy/queue/config.go
@@ -8,13 +8,14 @@
 	defaultStepTokens             = 2048
 	defaultPrefillTokensPerSecond = 20_000
 	defaultLongKVShare            = 0.5
-	defaultShortKVShare           = 0.1
+	defaultShortKVShare           = 0.2
 	defaultMaxQueued              = 1024
 	defaultMaxLongPrefills        = 1
 	defaultMaxPreemptions         = 1
 	defaultUrgencyFactor          = 2.0
 	defaultShortQuiet             = 2 * time.Second
 	defaultTokenTime              = 32 * time.Millisecond
+	defaultDrainTime              = 20 * time.Second
 	// windowSteps is the default prefill window in engine steps: enough that
 	// the engine has work while the agent reacts to the end of a prefill.
 	windowSteps = 16
@@ -59,6 +60,9 @@
 	ShortQuiet time.Duration
 	// TokenTime is the time between two generated tokens.
 	TokenTime time.Duration
+	// DrainTime is the time in which running jobs give back the memory that a
+	// long job needs; long jobs become urgent earlier by it.
+	DrainTime time.Duration
 }
 
 func (c Config) withDefaults() Config {
@@ -74,6 +78,7 @@
 	setDefault(&c.UrgencyFactor, defaultUrgencyFactor)
 	setDefault(&c.ShortQuiet, defaultShortQuiet)
 	setDefault(&c.TokenTime, defaultTokenTime)
+	setDefault(&c.DrainTime, defaultDrainTime)
 	return c
 }
 
