Start urgent long jobs before short work takes the memory they wait for

A property test found a long job that was never granted: when memory for the urgent job became free, a short job started first and took it. Short jobs now leave the memory of an urgent job alone unless another long prefill must end first.

Property tests for the memory account, the order, starvation and fairness.

--- /dev/null
+++ b/policy/queue/property_test.go
@@ -0,0 +1,213 @@
+package queue
+
+import (
+	"fmt"
+	"slices"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"camphorwick.dev/api/outcome"
+)
+
+// model is a simple account of what a queue may hold.
+type model struct {
+	queued, running map[string]Job
+}
+
+func (m *model) reserved() int {
+	sum := 0
+	for _, j := range m.running {
+		sum += j.KVTokens
+	}
+	return sum
+}
+
+func drawJob(t *rapid.T, id int, now time.Time) Job {
+	tokens := rapid.SampledFrom([]int{1_000, 5_000, 8_000, 30_000, 90_000, 150_000, 400_000, 900_000}).Draw(t, "tokens")
+	return Job{ID: fmt.Sprint(id), Account: rapid.SampledFrom([]string{"a", "b", "c"}).Draw(t, "account"),
+		Weight: rapid.IntRange(0, 3).Draw(t, "weight"), Band: outcome.BandOf(tokens), PrefillTokens: tokens,
+		KVTokens: tokens + rapid.IntRange(1, 4_000).Draw(t, "answer"), Arrived: now,
+		Deadline: now.Add(time.Duration(rapid.IntRange(1, 300).Draw(t, "seconds")) * time.Second)}
+}
+
+// Guards against memory that is reserved twice, lost or granted beyond the
+// capacity, against an idle engine, and against counts that differ from a
+// simple account of the same calls.
+func TestQueueInvariants(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		q, now, next := New(Config{KVTokens: 450_000, MaxQueued: 40}), start, 0
+		m := model{queued: map[string]Job{}, running: map[string]Job{}}
+		pick := func(jobs map[string]Job) string {
+			ids := []string{"unknown"}
+			for id := range jobs {
+				ids = append(ids, id)
+			}
+			slices.Sort(ids)
+			return rapid.SampledFrom(ids).Draw(t, "id")
+		}
+		t.Repeat(map[string]func(*rapid.T){
+			"push": func(t *rapid.T) {
+				next++
+				if j := drawJob(t, next, now); q.Push(now, j) == nil {
+					m.queued[j.ID] = j
+				}
+			},
+			"next": func(t *rapid.T) {
+				g, ok := q.Next(now)
+				if !ok && len(m.running) == 0 && len(m.queued) > 0 {
+					t.Fatal("the engine is idle although everything queued fits")
+				}
+				if ok {
+					if _, queued := m.queued[g.ID]; !queued {
+						t.Fatalf("%s was not queued", g.ID)
+					}
+					delete(m.queued, g.ID)
+					m.running[g.ID] = g.Job
+				}
+			},
+			"first":  func(t *rapid.T) { q.FirstToken(now, pick(m.running)) },
+			"finish": func(t *rapid.T) { finish(q, &m, now, pick(m.running)) },
+			"cancel": func(t *rapid.T) { finish(q, &m, now, pick(m.queued)) },
+			"preempt": func(t *rapid.T) {
+				for _, id := range q.Preempt(now) {
+					j := m.running[id]
+					if j.Band != outcome.Long || j.Preemptions > 0 {
+						t.Fatalf("preempts %+v", j)
+					}
+					q.Requeue(now, j)
+					delete(m.running, id)
+					m.queued[id] = j
+				}
+			},
+			"time": func(t *rapid.T) {
+				now = now.Add(time.Duration(rapid.IntRange(1, 20_000).Draw(t, "ms")) * time.Millisecond)
+				for _, j := range q.Expired(now) {
+					if now.Before(j.Deadline) {
+						t.Fatalf("%s expired early", j.ID)
+					}
+					delete(m.queued, j.ID)
+				}
+			},
+			"": func(t *rapid.T) { check(t, q, &m, now) },
+		})
+		for id := range m.running {
+			q.Finish(now, id)
+		}
+		for id := range m.queued {
+			q.Finish(now, id)
+		}
+		if q.Load(now) != (Load{}) || q.longPrefills != 0 || q.reservedBand != [outcome.BandCount]int{} ||
+			len(q.expiry.entries)+len(q.urgency.entries) != 0 {
+			t.Fatalf("something is left: %+v", q.Load(now))
+		}
+	})
+}
+
+func finish(q *Queue, m *model, now time.Time, id string) {
+	q.Finish(now, id)
+	q.Finish(now, id)
+	delete(m.running, id)
+	delete(m.queued, id)
+}
+
+func check(t *rapid.T, q *Queue, m *model, now time.Time) {
+	load := q.Load(now)
+	if load.KVReserved != m.reserved() || load.KVReserved > 450_000 {
+		t.Fatalf("reserved %d, expected %d", load.KVReserved, m.reserved())
+	}
+	if load.Running != len(m.running) || load.Queued != len(m.queued) {
+		t.Fatalf("load %+v, expected %d running and %d queued", load, len(m.running), len(m.queued))
+	}
+	if q.longPrefills > q.config.MaxLongPrefills {
+		t.Fatalf("%d long prefills", q.longPrefills)
+	}
+	if wake, ok := q.NextWake(now); ok && !wake.After(now) {
+		t.Fatal("NextWake is not in the future")
+	}
+}
+
+// Guards against starvation: under a steady flow of short or medium work that
+// gives memory back within DrainTime, a long job is granted before its deadline.
+func TestLongWorkIsNotStarved(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		const stepTime = 50 * time.Millisecond
+		q, now := New(Config{KVTokens: 450_000, PrefillTokensPerSecond: 40_000}), start
+		long := job("long", rapid.IntRange(100_001, 440_000).Draw(t, "tokens"), 120*time.Second)
+		if err := q.Push(now, long); err != nil {
+			t.Fatal(err)
+		}
+		size := rapid.SampledFrom([]int{2_000, 8_000, 40_000, 90_000}).Draw(t, "size")
+		hold := time.Duration(rapid.IntRange(1, 20).Draw(t, "hold")) * time.Second
+		ends := map[time.Time][]string{}
+		for i := 0; now.Before(long.Deadline); i++ {
+			_ = q.Push(now, Job{ID: fmt.Sprint(i), Band: outcome.BandOf(size), PrefillTokens: size, KVTokens: size + 500,
+				Arrived: now, Deadline: now.Add(time.Hour)}) // a refusal is part of the load
+			for g, ok := q.Next(now); ok; g, ok = q.Next(now) {
+				if g.ID == "long" {
+					return
+				}
+				q.FirstToken(now, g.ID)
+				ends[now.Add(hold)] = append(ends[now.Add(hold)], g.ID)
+			}
+			now = now.Add(stepTime)
+			for _, id := range ends[now] {
+				q.Finish(now, id)
+			}
+		}
+		t.Fatal("the long job was never granted")
+	})
+}
+
+// Guards against errors in the order: with one account, no pressure on memory
+// and no deadline near, grants follow a stable sort by length band.
+func TestOrderMatchesStableSort(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		q := New(Config{KVTokens: 1 << 40, PrefillWindow: 1 << 40, MaxLongPrefills: 1 << 30, LongKVShare: 1})
+		sizes := rapid.SliceOfN(rapid.SampledFrom([]int{1_000, 50_000, 200_000}), 0, 30).Draw(t, "sizes")
+		var want []Job
+		for i, size := range sizes {
+			j := job(fmt.Sprint(i), size, 100*time.Hour)
+			if err := q.Push(start, j); err != nil {
+				t.Fatal(err)
+			}
+			want = append(want, j)
+		}
+		slices.SortStableFunc(want, func(a, b Job) int { return int(a.Band) - int(b.Band) })
+		for _, w := range want {
+			if g, ok := q.Next(start); !ok || g.ID != w.ID {
+				t.Fatalf("granted %s, expected %s", g.ID, w.ID)
+			}
+		}
+	})
+}
+
+// Guards against an account that takes more than its weighted share of tokens.
+func TestFairnessByWeight(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		q := New(Config{KVTokens: 1 << 40, PrefillWindow: 1})
+		weights := map[string]int{"a": rapid.IntRange(1, 5).Draw(t, "a"), "b": rapid.IntRange(1, 5).Draw(t, "b")}
+		for i := range 400 {
+			account := []string{"a", "b"}[i%2]
+			j := job(fmt.Sprint(i), rapid.IntRange(1_000, 8_000).Draw(t, "tokens"), 100*time.Hour)
+			j.Account, j.Weight = account, weights[account]
+			if err := q.Push(start, j); err != nil {
+				t.Fatal(err)
+			}
+		}
+		served := map[string]float64{}
+		for range 60 {
+			g, ok := q.Next(start)
+			if !ok {
+				t.Fatal("nothing to start")
+			}
+			served[g.Account] += float64(g.PrefillTokens) / float64(g.Weight)
+			q.Finish(start, g.ID)
+		}
+		const largest = 8_000 // tokens of one job, the granularity of the order
+		if diff := served["a"] - served["b"]; diff > 2*largest || diff < -2*largest {
+			t.Fatalf("served tokens per weight: %v", served)
+		}
+	})
+}
--- a/policy/queue/queue.go
+++ b/policy/queue/queue.go
@@ -60,7 +60,7 @@
 // entry is a queued or running job.
 type entry struct {
 	job        Job
-	latest     time.Time // latest start that still meets the deadline
+	latest     time.Time // start of urgency: a later start endangers the deadline
 	urgentPos  int       // index in Queue.urgency, or -1
 	expiryPos  int       // index in Queue.expiry, or -1
 	prefilling bool
@@ -148,6 +148,9 @@
 	job.KVTokens, job.PrefillTokens = max(job.KVTokens, 0), max(job.PrefillTokens, 0)
 	e := &entry{job: job, urgentPos: -1, expiryPos: -1}
 	e.latest = job.Deadline.Add(-q.serviceTime(job))
+	if job.Band == outcome.Long {
+		e.latest = e.latest.Add(-q.config.DrainTime)
+	}
 	q.queued[job.ID] = e
 	q.waiting[job.Band] += job.PrefillTokens
 	q.bands[job.Band].push(e)
@@ -208,17 +211,20 @@
 	if !q.fits(e) || q.prefill[outcome.Short] >= q.config.PrefillWindow {
 		return false
 	}
-	if urgent == nil || q.fits(urgent) {
+	if urgent == nil || q.longPrefillsFull(urgent) {
 		return true
 	}
 	return q.reservedBand[outcome.Short]+e.job.KVTokens+urgent.job.KVTokens <= q.config.KVTokens
 }
 
 func (q *Queue) mayStartUrgent(e *entry) bool {
-	if e.job.Band == outcome.Long {
-		return q.fits(e) && q.longPrefills < q.config.MaxLongPrefills
-	}
-	return q.fits(e)
+	return q.fits(e) && !q.longPrefillsFull(e)
+}
+
+// longPrefillsFull reports whether the job is long and must wait for the end
+// of another long prefill.
+func (q *Queue) longPrefillsFull(e *entry) bool {
+	return e.job.Band == outcome.Long && q.longPrefills >= q.config.MaxLongPrefills
 }
 
 // leavesReserve reports whether enough memory stays free for short work.
@@ -237,7 +243,7 @@
 // mayStartLong bounds long work to its share of memory while short work is
 // about, except on an engine that would otherwise be idle.
 func (q *Queue) mayStartLong(now time.Time, e *entry) bool {
-	if !q.fits(e) || q.longPrefills >= q.config.MaxLongPrefills {
+	if !q.fits(e) || q.longPrefillsFull(e) {
 		return false
 	}
 	if len(q.running) == 0 || !q.shortAbout(now) {
