--- a/policy/admit/admit_test.go
+++ b/policy/admit/admit_test.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/matryer/is"
+	"pgregory.net/rapid"
 
 	"camphorwick.dev/api/outcome"
 )
@@ -37,3 +38,63 @@
 	}
 	is.Equal(admitted, 17) // the burst of 20, less 3
 }
+
+// Guards against limits that are not divided between entries, a share below
+// one request that admits nothing, and a refusal without a usable delay.
+func TestShareOfLimit(t *testing.T) {
+	is := is.New(t)
+	l := NewLimiter()
+	limits := Limits{RequestsPerSecond: 1, TokensPerSecond: 1_000}
+	_, err := l.Admit(start, "a", limits, 100, 10)
+	is.NoErr(err)
+	_, err = l.Admit(start, "a", limits, 100, 10)
+	is.Equal(outcome.CodeOf(err), outcome.RateLimited)
+	delay := outcome.From(err).RetryAfter
+	is.Equal(delay, 10*time.Second)
+	_, err = l.Admit(start.Add(delay), "a", limits, 100, 10)
+	is.NoErr(err)
+	_, err = l.Admit(start.Add(delay), "b", limits, 100, 10) // another account is not affected
+	is.NoErr(err)
+}
+
+// Guards against an account that exceeds its token rate by prompts larger
+// than the bucket.
+func TestTokenRateHoldsForLargePrompts(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		l, now, admitted := NewLimiter(), start, 0
+		size := rapid.IntRange(1_000, 1_000_000).Draw(t, "size")
+		limits := Limits{TokensPerSecond: 10_000}
+		for range 2_000 {
+			if release, err := l.Admit(now, "a", limits, size, 1); err == nil {
+				release()
+				admitted += size
+			}
+			now = now.Add(100 * time.Millisecond)
+		}
+		if bound := 10_000*(200+burstSeconds) + size; admitted > bound {
+			t.Fatalf("%d tokens admitted, bound %d", admitted, bound)
+		}
+	})
+}
+
+// Guards against a shedder that alternates between refusing and admitting
+// near its limit, or that never recovers; and against refusing short first.
+func TestShedderHysteresis(t *testing.T) {
+	is := is.New(t)
+	s := NewShedder(ShedConfig{})
+	work := func(now time.Time, expected time.Duration) Work {
+		return Work{Band: outcome.Long, Deadline: now.Add(100 * time.Second), Expected: expected}
+	}
+	is.NoErr(s.Check(start, work(start, 60*time.Second)))
+	err := s.Check(start, work(start, 70*time.Second))
+	is.Equal(outcome.CodeOf(err), outcome.Overloaded)
+	is.True(outcome.From(err).RetryAfter > 0)
+	is.True(s.Check(start, work(start, 60*time.Second)) != nil) // still near the limit
+	is.NoErr(s.Check(start, work(start, 40*time.Second)))       // well below
+	later := start.Add(2 * defaultHold)
+	is.NoErr(s.Check(later, work(later, 60*time.Second)))
+	short := work(later, 90*time.Second)
+	short.Band = outcome.Short
+	is.NoErr(s.Check(later, short))
+	is.Equal(outcome.CodeOf(s.Check(later, work(later, 101*time.Second))), outcome.DeadlineUnreachable)
+}
--- a/policy/choose/choose_test.go
+++ b/policy/choose/choose_test.go
@@ -1,10 +1,12 @@
 package choose
 
 import (
+	"strconv"
 	"testing"
 	"time"
 
 	"github.com/matryer/is"
+	"pgregory.net/rapid"
 
 	"camphorwick.dev/api/outcome"
 )
@@ -40,3 +42,137 @@
 	is.True(ok)
 	is.Equal(vm, "a")
 }
+
+// Guards against errors of the indexes: with all agents looked at, Pick must
+// agree with a direct search over a simple account of the same calls.
+func TestPickMatchesDirectSearch(t *testing.T) {
+	type shadow struct {
+		usable bool
+		held   time.Time
+		tokens int
+		hold   time.Duration
+	}
+	rapid.Check(t, func(t *rapid.T) {
+		table, now, agents := New(Config{ScanAll: 100}), start, map[string]*shadow{}
+		vms := []string{"a", "b", "c", "d", "e"}
+		draw := func() string { return rapid.SampledFrom(vms).Draw(t, "vm") }
+		t.Repeat(map[string]func(*rapid.T){
+			"upsert": func(t *rapid.T) {
+				vm := draw()
+				table.Upsert(Agent{VM: vm, DataCentre: "dc", Models: []string{"m"}, KVTokens: 450_000, PrefillTokensPerSecond: 1_000})
+				if agents[vm] == nil {
+					agents[vm] = &shadow{usable: true, hold: defaultHold}
+				}
+			},
+			"remove": func(t *rapid.T) { vm := draw(); table.Remove(vm); delete(agents, vm) },
+			"usable": func(t *rapid.T) {
+				vm, usable := draw(), rapid.Bool().Draw(t, "usable")
+				table.SetUsable(vm, usable)
+				if a := agents[vm]; a != nil {
+					a.usable = usable
+				}
+			},
+			"report": func(t *rapid.T) {
+				vm, tokens := draw(), rapid.IntRange(0, 9_000).Draw(t, "tokens")
+				table.Report(now, vm, Load{PrefillTokens: [outcome.BandCount]int{tokens, 50_000, 0}})
+				if a := agents[vm]; a != nil {
+					a.tokens = tokens
+				}
+			},
+			"sent": func(t *rapid.T) {
+				vm, tokens := draw(), rapid.IntRange(0, 9_000).Draw(t, "tokens")
+				table.Sent(now, vm, outcome.Short, tokens)
+				if a := agents[vm]; a != nil {
+					a.tokens += tokens
+				}
+			},
+			"time": func(t *rapid.T) {
+				seconds := rapid.IntRange(1, 4).Draw(t, "seconds")
+				now = now.Add(time.Duration(seconds) * time.Second)
+				for _, a := range agents {
+					a.tokens = max(0, a.tokens-1_000*seconds)
+				}
+			},
+			"failed": func(t *rapid.T) {
+				vm := draw()
+				table.Failed(now, vm)
+				if a := agents[vm]; a != nil && !now.Before(a.held) {
+					a.held = now.Add(a.hold)
+					a.hold = min(2*a.hold, defaultMaxHold)
+				}
+			},
+			"": func(t *rapid.T) {
+				vm, expected, ok := table.Pick(now, Request{Model: "m", Tokens: 1_000, DataCentre: "dc"})
+				best, usable := time.Duration(-1), 0
+				for _, a := range agents {
+					wait := time.Duration(a.tokens+1_000) * time.Millisecond
+					if a.usable {
+						usable++
+						if !now.Before(a.held) && (best < 0 || wait < best) {
+							best = wait
+						}
+					}
+				}
+				switch {
+				case ok != (usable > 0):
+					t.Fatalf("ok is %v with %d usable agents", ok, usable)
+				case ok && !agents[vm].usable:
+					t.Fatalf("picked %s, which is not usable", vm)
+				case best >= 0 && (expected-best).Abs() > time.Millisecond:
+					t.Fatalf("expected time %v, direct search %v", expected, best)
+				}
+			},
+		})
+	})
+}
+
+// Guards against entries that send one key to different agents, and against a
+// removed agent that moves keys of others.
+func TestPickServiceIsStable(t *testing.T) {
+	is := is.New(t)
+	tables := []*Table{New(Config{Seed: 1}), New(Config{Seed: 2})}
+	order := [][]string{{"a", "b", "c"}, {"c", "a", "b"}}
+	for i, table := range tables {
+		for _, vm := range order[i] {
+			table.Upsert(Agent{VM: vm, Service: "orders"})
+		}
+	}
+	count, before := map[string]int{}, map[string]string{}
+	for i := range 3_000 {
+		key := strconv.Itoa(i)
+		vm, ok := tables[0].PickService(start, "orders", key)
+		other, _ := tables[1].PickService(start, "orders", key)
+		is.True(ok)
+		is.Equal(vm, other)
+		count[vm]++
+		before[key] = vm
+	}
+	for _, n := range count {
+		is.True(n > 900 && n < 1_100)
+	}
+	tables[0].Remove("b")
+	for key, vm := range before {
+		if now, _ := tables[0].PickService(start, "orders", key); vm != "b" {
+			is.Equal(now, vm)
+		}
+	}
+}
+
+// Guards against prefix hints that outweigh a long queue, and against the
+// pull of a cached prefix being ignored.
+func TestPrefixOwnerWithinBoundedLoad(t *testing.T) {
+	is := is.New(t)
+	table := twoAgents()
+	table.CachedPrefixes("b", []uint64{7, 8})
+	request := Request{Model: "m", Tokens: 4_000, DataCentre: "dc1", Prefixes: []uint64{7, 8, 9}}
+	for range 10 {
+		vm, expected, _ := table.Pick(start, request)
+		is.Equal(vm, "b")
+		is.Equal(expected, time.Duration(4_000-2*blockTokens)*100*time.Microsecond)
+	}
+	table.Sent(start, "b", outcome.Short, 3_000) // more than the hit saves
+	vm, _, _ := table.Pick(start, request)
+	is.Equal(vm, "a")
+	table.CachedPrefixes("b", nil)
+	is.Equal(len(table.owners), 0)
+}
--- a/policy/retry/retry_test.go
+++ b/policy/retry/retry_test.go
@@ -1,10 +1,13 @@
 package retry
 
 import (
+	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
 	"github.com/matryer/is"
+	"pgregory.net/rapid"
 )
 
 // Guards against retries that multiply the load of a peak.
@@ -21,3 +24,49 @@
 	}
 	is.Equal(retries, 103)
 }
+
+// Guards against a budget that old requests keep open: in every pattern of
+// calls the retries of a window stay within the share of the requests and the
+// constant, as decayed counts say.
+func TestBudgetBoundUnderAnyPattern(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		now := time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
+		b := New(Config{})
+		requests, retries := 0, 0
+		for range rapid.IntRange(1, 300).Draw(t, "calls") {
+			now = now.Add(time.Duration(rapid.IntRange(0, 100).Draw(t, "ms")) * time.Millisecond)
+			if rapid.Bool().Draw(t, "request") {
+				b.Request(now)
+				requests++
+			} else if b.Retry(now) {
+				retries++
+			}
+		}
+		// The span is at most one half-life, in which the constant can be used
+		// at most twice.
+		if bound := defaultRatio*2*float64(requests) + 2*defaultConstant; float64(retries) > bound {
+			t.Fatalf("%d retries for %d requests", retries, requests)
+		}
+	})
+}
+
+// Guards against data races; the test is meaningful with -race.
+func TestBudgetIsSafeForConcurrentUse(t *testing.T) {
+	is := is.New(t)
+	b := New(Config{})
+	now := time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
+	var group sync.WaitGroup
+	var retries atomic.Int64
+	for range 8 {
+		group.Go(func() {
+			for range 100 {
+				b.Request(now)
+				if b.Retry(now) {
+					retries.Add(1)
+				}
+			}
+		})
+	}
+	group.Wait()
+	is.True(retries.Load() <= 83)
+}
