entry: report the other edit of a conflict and find accepted edits by id

An operator needs the other operator's name as a field, not inside a message, and a repeated edit of a whole list has to be recognised before its changes are computed anew: the second time they differ, so the editor would call the id reused.

Ruled out: a look-up in the store for each query. The replica's log is enough, because a miss leads to the usual commit, which reads the head.

--- a/daemon/entry/admin.go
+++ b/daemon/entry/admin.go
@@ -7,6 +7,8 @@
 	"crypto/subtle"
 	"encoding/hex"
 	"encoding/json"
+	"errors"
+	"math"
 	"net/http"
 	"sort"
 	"strconv"
@@ -63,11 +65,48 @@
 			if outcome.CodeOf(err) == outcome.OrderInDoubt {
 				result = outcome.Unknown
 			}
-			writeError(c, id, result, err)
+			writeAdminError(c, id, result, err)
 		}
 	})
 }
 
+// adminErrorBody is the body of a refused edit: errorBody with what an
+// operator needs to know about the other edit or about a doubtful one.
+type adminErrorBody struct {
+	RequestID string           `json:"request_id"`
+	Outcome   outcome.Outcome  `json:"outcome"`
+	Error     adminErrorDetail `json:"error"`
+}
+
+type adminErrorDetail struct {
+	errorDetail
+	Conflict *adminConflict `json:"conflict,omitempty"`
+	// Expired says that a repeat of the edit can never resolve it.
+	Expired bool `json:"expired,omitempty"`
+}
+
+// adminConflict tells what another operator did to an item.
+type adminConflict struct {
+	Key              string `json:"key"`
+	ExpectedRevision uint64 `json:"expected_revision"`
+	ActualRevision   uint64 `json:"actual_revision"`
+	Operator         string `json:"operator,omitempty"`
+	EditID           string `json:"edit_id,omitempty"`
+}
+
+// writeAdminError is writeError with the details of a conflict.
+func writeAdminError(c *fasthttp.RequestCtx, id string, result outcome.Outcome, err error) {
+	writeError(c, id, result, err)
+	detail := adminErrorDetail{errorDetail: detailOf(err)}
+	var conflict *fleetconf.ConflictError
+	if errors.As(err, &conflict) {
+		detail.Conflict = &adminConflict{conflict.Item, conflict.Expected, conflict.Actual, conflict.Operator, conflict.EditID}
+	}
+	var expired *fleetconf.ExpiredEditError
+	detail.Expired = errors.As(err, &expired)
+	writeJSON(c, c.Response.StatusCode(), adminErrorBody{id, result, detail})
+}
+
 // authenticateOperator compares the hash of the key in constant time.
 func (e *Entry) authenticateOperator(c *fasthttp.RequestCtx) error {
 	key, _ := strings.CutPrefix(string(c.Request.Header.Peek("Authorization")), "Bearer ")
@@ -86,6 +125,8 @@
 	switch route := string(c.Method()) + " " + string(c.Path()); route {
 	case "GET /admin/v1/config":
 		return e.adminConfig(c)
+	case "GET /admin/v1/edits":
+		return e.adminAcceptedEdit(c)
 	case "POST /admin/v1/edits":
 		return e.adminCommit(ctx, c)
 	case "POST /admin/v1/validate":
@@ -154,6 +195,37 @@
 	return nil
 }
 
+// adminAcceptedEdit looks for an accepted edit by its id among the edits that
+// this entry remembers. not_found says nothing: the edit may be newer or older.
+func (e *Entry) adminAcceptedEdit(c *fasthttp.RequestCtx) error {
+	args := c.QueryArgs()
+	since, err := strconv.ParseUint(string(args.Peek("since")), 10, 64)
+	if err != nil {
+		return outcome.Wrap(err, outcome.InvalidRequest, "\"since\" is not a number")
+	}
+	id := string(args.Peek("id"))
+	for _, edit := range e.member.Replica.UpdateSince(since, math.MaxInt).GetEdits() {
+		if edit.Id == id {
+			writeJSON(c, http.StatusOK, acceptedEdit(edit))
+			return nil
+		}
+	}
+	return outcome.New(outcome.NotFound, "edit %q is not among the edits since revision %d", id, since)
+}
+
+// acceptedEdit returns an edit in the form of the administration API.
+func acceptedEdit(edit *wire.Edit) map[string]any {
+	changes := []adminItem{}
+	for _, change := range edit.Changes {
+		value := json.RawMessage(change.Value)
+		if len(value) == 0 {
+			value = json.RawMessage("null")
+		}
+		changes = append(changes, adminItem{change.Key, value, edit.Revision})
+	}
+	return map[string]any{"id": edit.Id, "operator": edit.Operator, "revision": edit.Revision, "changes": changes}
+}
+
 // adminValidate checks the items of an edit one by one without committing it.
 func (e *Entry) adminValidate(c *fasthttp.RequestCtx) error {
 	edit, err := parseEdit(c)
