ctl: add the client of the administration API and camphorwickctl

A lost answer to an edit is resolved by sending the same edit id again with the revision before the first try. While an edit is in doubt, only a conflict on an item counts as a refusal, and only after entries that have not answered have given up (10 s): store_unavailable says nothing about an earlier try, invalid_request may come from an entry of an older version, and a reused id may be that of the edit itself.

Ruled out: connections that are kept open, since one that breaks under an edit leaves it in doubt; an option for the administration key, since other users of the VM can read command lines.

--- /dev/null
+++ b/ctl/client.go
@@ -0,0 +1,267 @@
+// Package ctl is a client of the administration API and the formats of the
+// command-line tool. It exists so that a lost answer to an edit is resolved in
+// one place, and never reported as a refusal.
+package ctl
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"net/http"
+	"net/http/httptrace"
+	"net/url"
+	"strconv"
+	"strings"
+	"sync/atomic"
+	"time"
+
+	"camphorwick.dev/api/outcome"
+)
+
+const (
+	// readTimeout bounds a read from one entry; then the next is tried.
+	readTimeout = 3 * time.Second
+	// entryEditLimit is the time that an entry works on one edit, also after
+	// its caller has gone.
+	entryEditLimit = 10 * time.Second
+	// editTimeout bounds the wait for the answer to an edit.
+	editTimeout = entryEditLimit + 2*time.Second
+	// resolveLimit bounds the repeats of an edit whose answer was lost. It is
+	// above editTimeout plus entryEditLimit, so that refusals become final.
+	resolveLimit = 30 * time.Second
+	// repeatInterval is the time between repeats of an edit in doubt.
+	repeatInterval = time.Second
+	// pollInterval is the time between polls of the confirmations.
+	pollInterval = 200 * time.Millisecond
+	// maxAnswerBytes bounds an answer; a configuration has at most 2 MiB.
+	maxAnswerBytes = 16 << 20
+)
+
+// Options tell how to reach the administration API.
+type Options struct {
+	// Addresses are IP:port or http(s) URLs of entries, tried in turn.
+	Addresses []string
+	// Key is the administration key.
+	Key string
+}
+
+// Client calls the administration API. Safe for concurrent use.
+type Client struct {
+	options Options
+	http    *http.Client
+}
+
+// New returns a client. It opens no connection. Connections are not reused: a
+// reused one may break under an edit and leave it in doubt.
+func New(o Options) *Client {
+	return &Client{options: o, http: &http.Client{Transport: &http.Transport{DisableKeepAlives: true}}}
+}
+
+// Item is one item of the configuration.
+type Item struct {
+	Key      string          `json:"key"`
+	Value    json.RawMessage `json:"value"`
+	Revision uint64          `json:"revision"`
+}
+
+// Config is the part of the configuration that was asked for.
+type Config struct {
+	Revision uint64 `json:"revision"`
+	Items    []Item `json:"items"`
+}
+
+// Item returns the item of a key; its revision is 0 if it does not exist.
+func (c *Config) Item(key string) (Item, bool) {
+	for _, item := range c.Items {
+		if item.Key == key {
+			return item, true
+		}
+	}
+	return Item{Key: key}, false
+}
+
+// Confirmations tell where a revision is in force.
+type Confirmations struct {
+	Revision  uint64        `json:"revision"`
+	Confirmed int           `json:"confirmed"`
+	Total     int           `json:"total"`
+	Missing   []Unconfirmed `json:"missing"`
+}
+
+// Unconfirmed is a process at which a revision is not known to be in force.
+type Unconfirmed struct {
+	VM         string `json:"vm"`
+	DataCentre string `json:"data_centre"`
+	Revision   uint64 `json:"revision"`
+	// AgeMS is the time since the process was last heard from.
+	AgeMS uint32 `json:"age_ms"`
+}
+
+// Fleet is the fleet as one entry sees it, ordered by VM.
+type Fleet struct {
+	Revision uint64 `json:"revision"`
+	VMs      []VM   `json:"vms"`
+}
+
+// VM is one line of the fleet table.
+type VM struct {
+	VM             string   `json:"vm"`
+	Role           string   `json:"role"`
+	DataCentre     string   `json:"data_centre"`
+	State          string   `json:"state"`
+	Mark           string   `json:"mark,omitempty"`
+	ConfigRevision uint64   `json:"config_revision"`
+	Models         []string `json:"models,omitempty"`
+	Service        string   `json:"service,omitempty"`
+	Running        uint32   `json:"running"`
+	Queued         uint32   `json:"queued"`
+	PrefillTokens  []uint64 `json:"prefill_tokens,omitempty"`
+	KVReserved     uint64   `json:"kv_reserved_tokens"`
+	KVTokens       uint64   `json:"kv_tokens,omitempty"`
+}
+
+// Config returns the items whose key starts with prefix, ordered by key.
+func (c *Client) Config(ctx context.Context, prefix string) (*Config, error) {
+	config := &Config{}
+	return config, c.read(ctx, http.MethodGet, "/admin/v1/config?prefix="+url.QueryEscape(prefix), nil, config)
+}
+
+// Confirmations returns where a revision is in force.
+func (c *Client) Confirmations(ctx context.Context, revision uint64) (*Confirmations, error) {
+	status := &Confirmations{}
+	return status, c.read(ctx, http.MethodGet, "/admin/v1/confirmations?revision="+strconv.FormatUint(revision, 10), nil, status)
+}
+
+// Fleet returns the fleet table.
+func (c *Client) Fleet(ctx context.Context) (*Fleet, error) {
+	fleet := &Fleet{}
+	return fleet, c.read(ctx, http.MethodGet, "/admin/v1/fleet", nil, fleet)
+}
+
+// Validate has an entry check the items of an edit one by one.
+func (c *Client) Validate(ctx context.Context, edit Edit) error {
+	return c.read(ctx, http.MethodPost, "/admin/v1/validate", edit, &struct{}{})
+}
+
+// Wait polls until a revision is in force on all processes or the limit is
+// over; then the error is a *NotInForceError, or that of the last poll if no
+// poll succeeded.
+func (c *Client) Wait(ctx context.Context, revision uint64, limit time.Duration) (*Confirmations, error) {
+	ctx, cancel := context.WithTimeout(ctx, limit)
+	defer cancel()
+	var last *Confirmations
+	for {
+		status, err := c.Confirmations(ctx, revision)
+		if err == nil {
+			last = status
+			if status.Confirmed == status.Total {
+				return status, nil
+			}
+		}
+		var refused *APIError
+		if errors.As(err, &refused) {
+			return nil, err
+		}
+		if sleep(ctx, pollInterval) == nil {
+			continue
+		}
+		if last == nil {
+			return nil, err
+		}
+		return last, &NotInForceError{*last}
+	}
+}
+
+func sleep(ctx context.Context, d time.Duration) error {
+	select {
+	case <-time.After(d):
+		return nil
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+}
+
+// read makes a call that changes nothing; the first entry that answers counts.
+func (c *Client) read(ctx context.Context, method, path string, body, into any) error {
+	var last error
+	for _, address := range c.options.Addresses {
+		err := c.once(ctx, readTimeout, address, method, path, body, into)
+		var refused *APIError
+		if err == nil || errors.As(err, &refused) {
+			return err
+		}
+		last = err
+	}
+	return &ConnectionError{Addresses: c.options.Addresses, Cause: last}
+}
+
+// once calls one entry. The error is an *APIError for a refusal, a *lostError
+// if the entry may have got the call, or another error if it has not.
+func (c *Client) once(ctx context.Context, limit time.Duration, address, method, path string, body, into any) error {
+	ctx, cancel := context.WithTimeout(ctx, limit)
+	defer cancel()
+	var connected atomic.Bool
+	ctx = httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{GotConn: func(httptrace.GotConnInfo) { connected.Store(true) }})
+	request, err := c.request(ctx, address, method, path, body)
+	if err != nil {
+		return err
+	}
+	response, err := c.http.Do(request)
+	if err != nil && !connected.Load() {
+		return fmt.Errorf("connect to %s: %w", address, err)
+	}
+	if err != nil {
+		return &lostError{address, err}
+	}
+	defer func() { _ = response.Body.Close() }()
+	return decodeAnswer(address, response, into)
+}
+
+func (c *Client) request(ctx context.Context, address, method, path string, body any) (*http.Request, error) {
+	data, err := json.Marshal(body)
+	if err != nil {
+		return nil, fmt.Errorf("encode the request: %w", err)
+	}
+	base := address
+	if !strings.Contains(base, "://") {
+		base = "http://" + base
+	}
+	request, err := http.NewRequestWithContext(ctx, method, strings.TrimRight(base, "/")+path, bytes.NewReader(data))
+	if err != nil {
+		return nil, fmt.Errorf("call %s: %w", address, err)
+	}
+	request.Header.Set("Authorization", "Bearer "+c.options.Key)
+	request.Header.Set("Content-Type", "application/json")
+	return request, nil
+}
+
+// decodeAnswer accepts only answers of the administration API. Any other may
+// come from a balancer that has passed the call on.
+func decodeAnswer(address string, response *http.Response, into any) error {
+	data, err := io.ReadAll(io.LimitReader(response.Body, maxAnswerBytes))
+	if err != nil {
+		return &lostError{address, err}
+	}
+	if response.StatusCode == http.StatusOK {
+		if err := json.Unmarshal(data, into); err != nil {
+			return &lostError{address, err}
+		}
+		return nil
+	}
+	var refusal struct {
+		Error struct {
+			Code     outcome.Code `json:"code"`
+			Message  string       `json:"message"`
+			Conflict *Conflict    `json:"conflict"`
+			Expired  bool         `json:"expired"`
+		} `json:"error"`
+	}
+	if err := json.Unmarshal(data, &refusal); err != nil || refusal.Error.Code == "" {
+		return &lostError{address, fmt.Errorf("status %d without an error code", response.StatusCode)}
+	}
+	e := refusal.Error
+	return &APIError{Address: address, Status: response.StatusCode, Code: e.Code, Message: e.Message, Conflict: e.Conflict, Expired: e.Expired}
+}
--- /dev/null
+++ b/ctl/ctl_test.go
@@ -0,0 +1,139 @@
+package ctl
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"errors"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+)
+
+func config(revision uint64, items ...Item) *Config { return &Config{Revision: revision, Items: items} }
+
+func item(key, value string, revision uint64) Item {
+	return Item{Key: key, Value: []byte(value), Revision: revision}
+}
+
+// Guards the strict reading of list files.
+func TestParseList(t *testing.T) {
+	is := is.New(t)
+	list, err := ParseList("f", []byte(`{"list":"plans","items":{"a":{"weight":2,"concurrency":0}}}`))
+	is.NoErr(err)
+	is.Equal(string(list.Items["a"]), `{"weight":2}`) // the form in which entries store it
+	for _, text := range []string{``, `{`, `{"list":"marks","items":{}}`, `{"list":"plans"}`, `{"list":"plans","items":{}} x`,
+		`{"list":"plans","items":{"a":{"wieght":2}}}`, `{"list":"plans","items":{"a/b":{}}}`, `{"list":"plans","more":1,"items":{}}`} {
+		_, err := ParseList("f", []byte(text))
+		var input *InputError
+		is.True(errors.As(err, &input))
+	}
+}
+
+// Guards against an apply that overwrites or deletes what another operator set
+// after the export.
+func TestDiffExpectedRevisions(t *testing.T) {
+	is := is.New(t)
+	before := config(7, item("plan/a", `{"weight":1}`, 3), item("plan/b", `{"weight":1}`, 4))
+	list := Export("plans", before)
+	is.Equal(len(list.Diff(before)), 0)
+	delete(list.Items, "b")
+	list.Items["a"] = []byte(`{"weight":2}`)
+	after := config(9, item("plan/a", `{"weight":5}`, 8), item("plan/b", `{"weight":1}`, 4), item("plan/c", `{"weight":1}`, 9))
+	diff := list.Diff(after)
+	is.Equal(len(diff), 3)
+	is.Equal([]uint64{diff[0].ExpectedRevision, diff[1].ExpectedRevision, diff[2].ExpectedRevision}, []uint64{3, 4, 0})
+	is.True(diff[1].Value == nil)
+	list.Revision = 0 // written by hand: replaces whatever is in force
+	is.Equal(list.Diff(after)[0].ExpectedRevision, uint64(8))
+}
+
+// Guards the recognition of an edit that was accepted earlier.
+func TestListMatches(t *testing.T) {
+	is := is.New(t)
+	list := &List{List: "plans", Items: map[string]json.RawMessage{"a": []byte(`{"weight":2}`)}}
+	is.True(list.Matches(&AcceptedEdit{Changes: []Item{item("plan/a", `{"weight":2}`, 1), item("plan/b", `null`, 1)}}))
+	is.True(!list.Matches(&AcceptedEdit{Changes: []Item{item("plan/a", `{"weight":3}`, 1)}}))
+	is.True(!list.Matches(&AcceptedEdit{Changes: []Item{item("plan/a", `null`, 1)}}))
+	is.True(!list.Matches(&AcceptedEdit{Changes: []Item{item("client/a", `null`, 1)}}))
+}
+
+// Guards the parsing of single fields.
+func TestSetFields(t *testing.T) {
+	is := is.New(t)
+	got, err := SetFields([]byte(`{"plan":"a","disabled":true}`), []string{"plan=b", "disabled=", "key_hashes=[]"})
+	is.NoErr(err)
+	is.Equal(string(got), `{"key_hashes":[],"plan":"b"}`)
+	_, err = SetFields(nil, []string{"plan"})
+	is.True(err != nil)
+}
+
+// Guards the order of the fleet table and the marks for absent values.
+func TestWriteFleet(t *testing.T) {
+	is := is.New(t)
+	var out bytes.Buffer
+	is.NoErr(WriteFleet(&out, &Fleet{Revision: 4, VMs: []VM{
+		{VM: "s-2", Role: "agent", DataCentre: "b", State: "draining", Mark: "leaving", ConfigRevision: 4, Models: []string{"m"}, Running: 2, KVReserved: 5, KVTokens: 10},
+		{VM: "e-1", Role: "entry", DataCentre: "a", State: "live", ConfigRevision: 4},
+		{VM: "s-1", Role: "agent", DataCentre: "a", State: "unreachable"}}}))
+	rows := strings.Split(out.String(), "\n")
+	is.Equal(strings.Fields(rows[1]), []string{"a", "agent", "s-1", "unreachable", "-", "0", "-", "0", "0", "-"})
+	is.Equal(strings.Fields(rows[2]), []string{"a", "entry", "e-1", "live", "-", "4", "-", "-", "-", "-"})
+	is.Equal(strings.Fields(rows[3]), []string{"b", "agent", "s-2", "draining", "leaving", "4", "m", "2", "0", "5/10"})
+	for _, state := range []string{"live", "suspected", "draining", "unreachable"} {
+		is.True(strings.Contains(FleetLegend, state+":"))
+	}
+}
+
+// Guards the readable form of a difference.
+func TestWriteDiff(t *testing.T) {
+	is := is.New(t)
+	var out bytes.Buffer
+	WriteDiff(&out, []Difference{{Change{Key: "plan/a", Value: []byte(`{"weight":2}`)}, item("plan/a", `{"weight":1,"concurrency":3}`, 3)}})
+	is.Equal(out.String(), "change plan/a (revision 3 in force)\n  -   \"weight\": 1\n  -   \"concurrency\": 3\n  +   \"weight\": 2\n")
+}
+
+// Guards against a refusal that is taken as final while another entry may
+// still accept the edit.
+func TestRefusalAfterLostAnswer(t *testing.T) {
+	answers := map[string]string{
+		"conflict":      `{"error":{"code":"edit_conflict","conflict":{"key":"plan/a"}}}`,
+		"reused id":     `{"error":{"code":"edit_conflict"}}`,
+		"store down":    `{"error":{"code":"store_unavailable"}}`,
+		"invalid":       `{"error":{"code":"invalid_request"}}`,
+		"not our entry": `Bad Gateway`,
+	}
+	for name, answer := range answers {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			lost := httptest.NewServer(http.HandlerFunc(func(http.ResponseWriter, *http.Request) { panic(http.ErrAbortHandler) }))
+			defer lost.Close()
+			refuses := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+				w.WriteHeader(http.StatusConflict)
+				_, _ = w.Write([]byte(answer))
+			}))
+			defer refuses.Close()
+			client := New(Options{Addresses: []string{lost.URL, refuses.URL}})
+			_, err := client.Commit(context.Background(), Edit{ID: "e", Since: 3}, CommitOptions{Limit: time.Millisecond})
+			var doubt *DoubtError
+			is.True(errors.As(err, &doubt))
+		})
+	}
+}
+
+// Guards the age at which a conflict settles an edit in doubt.
+func TestFinal(t *testing.T) {
+	is := is.New(t)
+	r := &resolution{doubt: true, unanswered: time.Now()}
+	conflict := &APIError{Code: "edit_conflict", Conflict: &Conflict{}}
+	is.True(!r.final(conflict))
+	r.unanswered = time.Now().Add(-entryEditLimit - time.Second)
+	is.True(r.final(conflict))
+	is.True(!r.final(&APIError{Code: "edit_conflict"}))
+	is.True(!r.final(&APIError{Code: "store_unavailable"}))
+	is.True((&resolution{}).final(&APIError{Code: "store_unavailable"}))
+}
