--- /dev/null
+++ b/ctl/cmd/camphorwickctl/main_test.go
@@ -0,0 +1,64 @@
+package main
+
+import (
+	"bytes"
+	"context"
+	"errors"
+	"strings"
+	"testing"
+
+	"github.com/jessevdk/go-flags"
+	"github.com/matryer/is"
+
+	"camphorwick.dev/ctl"
+)
+
+// execute runs a command line without access to a fleet.
+func execute(args ...string) (code int, out, errs string) {
+	var stdout, stderr bytes.Buffer
+	code = run(context.Background(), args, strings.NewReader(""), &stdout, &stderr)
+	return code, stdout.String(), stderr.String()
+}
+
+// Guards the help of each command: it must show an example that names it.
+func TestHelp(t *testing.T) {
+	is := is.New(t)
+	a := &app{}
+	parser := flags.NewParser(&a.globalOptions, flags.None)
+	a.addCommands(parser)
+	is.Equal(len(parser.Commands()), 12)
+	for _, command := range parser.Commands() {
+		code, out, _ := execute(command.Name, "--help")
+		is.Equal(code, 0)
+		is.True(strings.Contains(out, "Examples:\ncamphorwickctl "+command.Name))
+	}
+}
+
+// Guards against wrong command lines that reach an entry.
+func TestUsage(t *testing.T) {
+	is := is.New(t)
+	t.Setenv("CAMPHORWICK_ENTRIES", "")
+	t.Setenv("CAMPHORWICK_ADMIN_KEY", "")
+	t.Setenv("CAMPHORWICK_ADMIN_KEY_FILE", "")
+	for _, args := range [][]string{{}, {"none"}, {"get"}, {"mark", "vm"}, {"list", "other"}, {"export", "marks"},
+		{"fleet", "-o", "xml"}, {"wait", "--revision", "x"}, {"edit", "plan/a"}, {"list"}, {"list", "-e", "127.0.0.1:1"}} {
+		code, _, errs := execute(args...)
+		is.Equal(code, exitUsage)
+		is.True(errs != "")
+	}
+}
+
+// Guards the exit codes of failures that contain each other.
+func TestExitCode(t *testing.T) {
+	is := is.New(t)
+	conflict := &ctl.APIError{Code: "edit_conflict"}
+	is.Equal(exitCode(conflict), exitConflict)
+	is.Equal(exitCode(&ctl.DoubtError{Cause: conflict}), exitInDoubt) // a refused repeat leaves the edit in doubt
+	is.Equal(exitCode(&ctl.DoubtError{Cause: &ctl.ConnectionError{}}), exitInDoubt)
+	is.Equal(exitCode(&ctl.ConnectionError{}), exitConnection)
+	is.Equal(exitCode(&ctl.NotInForceError{}), exitNotInForce)
+	is.Equal(exitCode(&ctl.APIError{Code: "store_unavailable"}), exitUnavailable)
+	is.Equal(exitCode(&ctl.APIError{Code: "unauthenticated"}), exitUnauthenticated)
+	is.Equal(exitCode(&ctl.InputError{Cause: errNoItem}), exitInvalid)
+	is.Equal(exitCode(errors.New("other")), exitFailed)
+}
--- /dev/null
+++ b/ctl/examples_test.go
@@ -0,0 +1,63 @@
+package ctl
+
+import (
+	"context"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+
+	"github.com/matryer/is"
+
+	"camphorwick.dev/api/wire"
+	"camphorwick.dev/fleetconf"
+	"camphorwick.dev/platform/memkv"
+	"camphorwick.dev/settings"
+)
+
+// exampleAccounts is the number of client accounts of each user.
+const exampleAccounts = 10
+
+// Guards against example settings that a daemon refuses.
+func TestExampleSettings(t *testing.T) {
+	is := is.New(t)
+	files, err := filepath.Glob("../examples/*/*.json")
+	is.NoErr(err)
+	loaded := 0
+	for _, file := range files {
+		if name := filepath.Base(file); name == "clients.json" || name == "plans.json" {
+			continue
+		}
+		s, err := settings.Load(file)
+		is.NoErr(err)
+		is.Equal(s.Role == settings.RoleEntry, strings.HasSuffix(file, "entry.json"))
+		loaded++
+	}
+	is.Equal(loaded, 6) // entry, engine agent and order agent of two users
+}
+
+// Guards against example lists that an entry refuses: they are committed as
+// apply does it, plans first.
+func TestExampleLists(t *testing.T) {
+	for _, user := range []string{"al-wusta", "hanbit"} {
+		t.Run(user, func(t *testing.T) {
+			is := is.New(t)
+			replica := fleetconf.NewReplica()
+			editor := fleetconf.NewEditor(memkv.New(), replica)
+			for _, name := range []string{"plans", "clients"} {
+				file := filepath.Join("../examples", user, name+".json")
+				data, err := os.ReadFile(file)
+				is.NoErr(err)
+				list, err := ParseList(file, data)
+				is.NoErr(err)
+				edit := &wire.Edit{Id: name, Operator: "test"}
+				for _, d := range list.Diff(&Config{}) {
+					edit.Changes = append(edit.Changes, &wire.ItemChange{Key: d.Key, Value: d.Value})
+				}
+				_, err = editor.Commit(context.Background(), edit)
+				is.NoErr(err)
+			}
+			is.Equal(len(replica.Config().Items(fleetconf.ClientPrefix)), exampleAccounts)
+		})
+	}
+}
