--- a/daemon/agent/agent.go
+++ b/daemon/agent/agent.go
@@ -79,13 +79,19 @@
 	requests map[requestKey]*request // the current attempt of each request
 	jobs     map[string]*request     // by job id, while queued or running
 	cache    *prefixSet
+	// prefixesSent is what each entry was sent last. A heartbeat that is lost
+	// with its session leaves old hints until the next change.
+	prefixesSent map[string]sentPrefixes
 }
 
+// sentPrefixes names a version of the cached prefixes sent to one process.
+type sentPrefixes struct{ epoch, version uint64 }
+
 // New returns an agent that does nothing until Run.
 func New(s *settings.Settings, d Deps) (*Agent, error) {
 	a := &Agent{settings: s, log: d.Telemetry.Log, telemetry: d.Telemetry, engine: d.Engine, service: d.Service,
 		stop: make(chan struct{}), wake: make(chan struct{}, 1),
-		requests: map[requestKey]*request{}, jobs: map[string]*request{}, cache: newPrefixSet()}
+		requests: map[requestKey]*request{}, jobs: map[string]*request{}, cache: newPrefixSet(), prefixesSent: map[string]sentPrefixes{}}
 	m, err := member.New(s, d.Telemetry.Log, d.KV, d.VMs, (*hooks)(a))
 	if err != nil {
 		return nil, err
@@ -204,7 +210,17 @@
 // hooks implements member.Hooks for an Agent.
 type hooks Agent
 
-func (h *hooks) Load() *wire.Load { return (*Agent)(h).load() }
+func (h *hooks) Load(peer *wire.Hello) *wire.Load {
+	a := (*Agent)(h)
+	load := a.load()
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if known := a.prefixesSent[peer.Vm]; known != (sentPrefixes{peer.Epoch, a.cache.version}) {
+		a.prefixesSent[peer.Vm] = sentPrefixes{peer.Epoch, a.cache.version}
+		load.CachedPrefixes, load.PrefixesValid = a.cache.list(), true
+	}
+	return load
+}
 
 func (h *hooks) Backend() *wire.BackendInfo {
 	if h.service != nil {
@@ -294,7 +310,6 @@
 	}
 	load.KvReservedTokens = uint64(l.KVReserved)
 	load.Running, load.Queued = uint32(l.Running), uint32(l.Queued)
-	load.CachedPrefixes = a.cache.list()
 	if info := a.info.Load(); info != nil {
 		load.Models = info.Models
 	}
--- a/daemon/agent/cache.go
+++ b/daemon/agent/cache.go
@@ -21,14 +21,19 @@
 // most recent ones last. It is a hint: events are late and have gaps.
 type prefixSet struct {
 	sequence uint64
-	order    []uint64
-	known    map[uint64]bool
+	// version rises with each change.
+	version uint64
+	order   []uint64
+	known   map[uint64]bool
 }
 
 func newPrefixSet() *prefixSet { return &prefixSet{known: map[uint64]bool{}} }
 
 // apply takes over events. A gap may hide evictions, so it empties the set.
 func (p *prefixSet) apply(events []backend.CacheEvent) {
+	if len(events) > 0 {
+		p.version++
+	}
 	for _, e := range events {
 		if p.sequence != 0 && e.Sequence != p.sequence+1 {
 			p.order, p.known = nil, map[uint64]bool{}
--- a/daemon/agent/completion.go
+++ b/daemon/agent/completion.go
@@ -24,7 +24,7 @@
 			AttemptId: submit.AttemptId, Error: toWire(err), Load: a.load()}}})
 		return
 	}
-	accepted := &wire.AgentMessage{Body: &wire.AgentMessage_Accepted{Accepted: &wire.Accepted{AttemptId: submit.AttemptId}}}
+	accepted := &wire.AgentMessage{Body: &wire.AgentMessage_Accepted{Accepted: &wire.Accepted{AttemptId: submit.AttemptId, Load: a.load()}}}
 	if s.Write(accepted) != nil {
 		r.detach(time.Now())
 		return
--- a/daemon/entry/entry.go
+++ b/daemon/entry/entry.go
@@ -158,7 +158,7 @@
 // hooks implements member.Hooks for an Entry.
 type hooks Entry
 
-func (h *hooks) Load() *wire.Load { return nil }
+func (h *hooks) Load(*wire.Hello) *wire.Load { return nil }
 
 func (h *hooks) Backend() *wire.BackendInfo { return nil }
 
@@ -239,7 +239,9 @@
 		}
 	}
 	e.table.Report(time.Now(), vm, l)
-	e.table.CachedPrefixes(vm, load.CachedPrefixes)
+	if load.PrefixesValid {
+		e.table.CachedPrefixes(vm, load.CachedPrefixes)
+	}
 }
 
 // refresh decides whether an agent may get work; e.mu is held.
--- a/daemon/entry/run.go
+++ b/daemon/entry/run.go
@@ -341,6 +341,11 @@
 		r.mayRun = hadRun
 		return attemptResult{verdict: attemptNotRun, err: fromWire(body.NotRun.Error)}, true
 	case *wire.AgentMessage_Accepted:
+		if load := body.Accepted.Load; load != nil {
+			e.mu.Lock()
+			e.report(vm, load)
+			e.mu.Unlock()
+		}
 		if !r.accepted {
 			r.accepted = true
 			close(r.answer.accepted)
--- a/daemon/member/handler.go
+++ b/daemon/member/handler.go
@@ -18,7 +18,7 @@
 type handler Member
 
 func (h *handler) Heartbeat(peer *wire.Hello) *wire.Heartbeat {
-	return &wire.Heartbeat{ConfigRevision: h.Replica.Revision(), Load: h.hooks.Load()}
+	return &wire.Heartbeat{ConfigRevision: h.Replica.Revision(), Load: h.hooks.Load(peer)}
 }
 
 func (h *handler) HeartbeatReceived(peer *wire.Hello, heartbeat *wire.Heartbeat) {
--- a/daemon/member/member.go
+++ b/daemon/member/member.go
@@ -9,6 +9,7 @@
 	"fmt"
 	"log/slog"
 	"net"
+	"slices"
 	"sync/atomic"
 	"time"
 
@@ -18,6 +19,7 @@
 	"camphorwick.dev/fleetconf"
 	"camphorwick.dev/link"
 	"camphorwick.dev/platform"
+	"camphorwick.dev/policy/subset"
 	"camphorwick.dev/settings"
 )
 
@@ -31,8 +33,8 @@
 
 // Hooks connect a role to its Member. All may be called concurrently.
 type Hooks interface {
-	// Load returns the load to report; nil for entries.
-	Load() *wire.Load
+	// Load returns the load to report to a peer; nil for entries.
+	Load(peer *wire.Hello) *wire.Load
 	// Backend describes the backend server; nil for entries.
 	Backend() *wire.BackendInfo
 	// PeerLoad handles the load that an agent reported.
@@ -168,14 +170,18 @@
 	return peers
 }
 
-// setVMs stores the list and sets the targets. Of two entries, the one with
-// the smaller VM id dials.
+// setVMs stores the list and sets the targets, if the list has changed. Of
+// two entries, the one with the smaller VM id dials.
 func (m *Member) setVMs(vms []platform.VM) {
+	if old := m.vms.Load(); old != nil && slices.Equal(*old, vms) {
+		return
+	}
 	m.vms.Store(&vms)
+	chosen := m.choosePeers(vms)
 	seen := map[string]bool{m.Settings.VM: true}
 	var targets []link.Target
 	for _, vm := range vms {
-		if seen[vm.ID] {
+		if seen[vm.ID] || !chosen[vm.ID] {
 			continue
 		}
 		seen[vm.ID] = true
@@ -191,6 +197,44 @@
 	m.Node.SetTargets(targets)
 }
 
+// Numbers of entries of the own and of each other data centre that an entry
+// chooses for control sessions in a large fleet; about as many choose it.
+const (
+	nearEntries = 4
+	farEntries  = 1
+	// meshedEntries is the number of entries up to which all are connected.
+	meshedEntries = 16
+)
+
+// choosePeers returns the VMs that this entry holds sessions with: all in a
+// small fleet, else a subset that all entries compute alike.
+func (m *Member) choosePeers(vms []platform.VM) map[string]bool {
+	self := subset.Node{VM: m.Settings.VM, DataCentre: m.Settings.DataCentre}
+	entries := []subset.Node{self}
+	var agents []subset.Node
+	for _, vm := range vms {
+		node := subset.Node{VM: vm.ID, DataCentre: vm.DataCentre}
+		switch {
+		case vm.Role != string(settings.RoleEntry):
+			agents = append(agents, node)
+		case vm.ID != self.VM:
+			entries = append(entries, node)
+		}
+	}
+	chosen := map[string]bool{}
+	near, far := nearEntries, farEntries
+	if len(entries) <= meshedEntries {
+		near, far = meshedEntries, meshedEntries
+	}
+	for _, vm := range subset.Entries(self, entries, near, far) {
+		chosen[vm] = true
+	}
+	for _, vm := range subset.Agents(subset.Config{}, self, entries, agents) {
+		chosen[vm] = true
+	}
+	return chosen
+}
+
 // ListedVMs returns the VMs of the last list that was read.
 func (m *Member) ListedVMs() []platform.VM {
 	if vms := m.vms.Load(); vms != nil {
--- a/link/control.go
+++ b/link/control.go
@@ -41,23 +41,25 @@
 
 // send writes heartbeats and the configuration that the peer lacks.
 func (n *Node) send(p *peer, session *Session, stream *Stream, known *atomic.Uint64) {
-	ticker := time.NewTicker(HeartbeatInterval)
-	defer ticker.Stop()
 	for sequence := uint64(1); ; sequence++ {
 		heartbeat := n.config.Handler.Heartbeat(session.Peer)
-		heartbeat.Sequence = sequence
+		interval := n.interval()
+		heartbeat.Sequence, heartbeat.IntervalMs = sequence, uint32(interval.Milliseconds())
 		if stream.Write(&wire.ControlMessage{Body: &wire.ControlMessage_Heartbeat{Heartbeat: heartbeat}}) != nil {
 			return
 		}
 		if n.sendConfig(stream, known) != nil {
 			return
 		}
+		timer := time.NewTimer(interval)
 		select {
-		case <-ticker.C:
+		case <-timer.C:
 		case <-p.kick:
 		case <-session.Done():
+			timer.Stop()
 			return
 		}
+		timer.Stop()
 	}
 }
 
@@ -88,6 +90,14 @@
 	return last
 }
 
+// announced records the time between heartbeats that the peer keeps.
+func (p *peer) announced(ms uint32) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	interval := time.Duration(ms) * time.Millisecond
+	p.interval = min(max(interval, HeartbeatInterval), maxHeartbeatInterval)
+}
+
 // receive handles the messages of the peer until the stream ends.
 func (n *Node) receive(p *peer, stream *Stream, known *atomic.Uint64) {
 	for {
@@ -100,6 +110,7 @@
 		p.mu.Unlock()
 		switch body := message.Body.(type) {
 		case *wire.ControlMessage_Heartbeat:
+			p.announced(body.Heartbeat.IntervalMs)
 			known.Store(body.Heartbeat.ConfigRevision)
 			n.config.Handler.HeartbeatReceived(stream.Peer, body.Heartbeat)
 			n.update(p)
--- a/link/node.go
+++ b/link/node.go
@@ -17,16 +17,24 @@
 )
 
 // Times of membership. Three missed heartbeats are suspicion, so a failed
-// peer gets no new work after 3 s.
+// peer gets no new work after 3 s in a fleet of today's size.
 const (
 	HeartbeatInterval = time.Second
-	SuspectAfter      = 3 * HeartbeatInterval
-	// dropAfter closes a session whose peer stays silent, so that a half-open
-	// connection is replaced by a new one.
-	dropAfter      = 10 * HeartbeatInterval
-	redialMin      = 100 * time.Millisecond
-	redialMax      = 2 * time.Second
-	maxConnections = 8192
+	missedHeartbeats  = 3
+	SuspectAfter      = missedHeartbeats * HeartbeatInterval
+	// dropFactor times the time of suspicion closes a session whose peer stays
+	// silent, so that a half-open connection is replaced by a new one.
+	dropFactor = 3
+	// peersPerInterval is the number of peers up to which heartbeats go out
+	// every HeartbeatInterval; with more, the interval grows in proportion.
+	// A heartbeat and its answer take about 250 bytes with all headers, and a
+	// node may spend 7 KB/s on control.
+	peersPerInterval = 28
+	// maxHeartbeatInterval bounds the interval that a peer may announce.
+	maxHeartbeatInterval = 30 * time.Second
+	redialMin            = 100 * time.Millisecond
+	redialMax            = 2 * time.Second
+	maxConnections       = 8192
 )
 
 // Target is a process to keep sessions with.
@@ -96,7 +104,9 @@
 	control   *Session
 	data      *Session
 	lastHeard time.Time
-	usable    bool
+	// interval is the time between heartbeats that the peer has announced.
+	interval time.Duration
+	usable   bool
 	// lost is cancelled when the peer stops being usable.
 	lost   context.Context
 	cancel context.CancelFunc
@@ -224,6 +234,15 @@
 	}
 }
 
+// interval returns the time between heartbeats, which grows with the number
+// of peers so that the control traffic of a node stays bounded.
+func (n *Node) interval() time.Duration {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	rounds := (len(n.peers) + peersPerInterval - 1) / peersPerInterval
+	return min(time.Duration(max(rounds, 1))*HeartbeatInterval, maxHeartbeatInterval)
+}
+
 func (n *Node) find(vm string) *peer {
 	n.mu.Lock()
 	defer n.mu.Unlock()
@@ -354,7 +373,7 @@
 	n.mu.Lock()
 	p := n.peers[session.Peer.Vm]
 	if p == nil {
-		p = &peer{hello: session.Peer, kick: make(chan struct{}, 1)}
+		p = &peer{hello: session.Peer, interval: HeartbeatInterval, kick: make(chan struct{}, 1)}
 		p.lost, p.cancel = context.WithCancel(context.Background())
 		n.peers[session.Peer.Vm] = p
 	}
@@ -416,7 +435,7 @@
 // change. An agent is usable with both sessions and recent heartbeats.
 func (n *Node) update(p *peer) {
 	p.mu.Lock()
-	usable := p.control != nil && time.Since(p.lastHeard) < SuspectAfter
+	usable := p.control != nil && time.Since(p.lastHeard) < missedHeartbeats*p.interval
 	if p.hello.Role == wire.Role_ROLE_AGENT {
 		usable = usable && p.data != nil
 	}
@@ -475,7 +494,7 @@
 func (n *Node) dropSilent(p *peer) {
 	p.mu.Lock()
 	var silent []*Session
-	if time.Since(p.lastHeard) > dropAfter {
+	if time.Since(p.lastHeard) > dropFactor*missedHeartbeats*p.interval {
 		for _, s := range []*Session{p.control, p.data} {
 			if s != nil {
 				silent = append(silent, s)
--- a/observe/ops.go
+++ b/observe/ops.go
@@ -5,11 +5,13 @@
 	"fmt"
 	"net"
 	"net/http"
+	"strings"
 	"time"
 
 	"github.com/prometheus/client_golang/prometheus/promhttp"
 	"github.com/valyala/fasthttp"
 	"github.com/valyala/fasthttp/fasthttpadaptor"
+	"github.com/valyala/fasthttp/pprofhandler"
 	"golang.org/x/sync/errgroup"
 )
 
@@ -18,13 +20,18 @@
 	opsShutdownTimeout = 2 * time.Second
 )
 
-// ServeOps serves /healthz, /readyz and /metrics until ctx ends. ready returns
+// ServeOps serves /healthz, /readyz, /metrics and /debug/pprof/ until ctx ends. ready returns
 // nil if the process may get new work, else the reason why not.
 func (t *Telemetry) ServeOps(ctx context.Context, listener net.Listener, ready func() error) error {
 	metrics := fasthttpadaptor.NewFastHTTPHandler(promhttp.HandlerFor(t.Registry, promhttp.HandlerOpts{}))
 	server := &fasthttp.Server{
 		Handler: func(c *fasthttp.RequestCtx) {
-			switch string(c.Path()) {
+			path := string(c.Path())
+			if strings.HasPrefix(path, "/debug/pprof/") {
+				pprofhandler.PprofHandler(c)
+				return
+			}
+			switch path {
 			case "/healthz":
 				c.SetBodyString("ok\n")
 			case "/readyz":
