ctl: do not fail a wait because an agent stopped as marked

Such an agent is now listed separately once no entry has heard from it for 3 s. Entries still count, since callers may reach an entry that is cut off from its peers. A better way, a last heartbeat before the agent ends, belongs to the agent.

The fleet table showed an ended agent as draining from its last load; it is unreachable now. fleet -o json has the order of the table.

--- a/ctl/client.go
+++ b/ctl/client.go
@@ -89,6 +89,8 @@
 	Confirmed int           `json:"confirmed"`
 	Total     int           `json:"total"`
 	Missing   []Unconfirmed `json:"missing"`
+	// Stopped are agents that ended as marked. They are not in Total.
+	Stopped []Unconfirmed `json:"stopped"`
 }
 
 // Unconfirmed is a process at which a revision is not known to be in force.
@@ -100,7 +102,7 @@
 	AgeMS uint32 `json:"age_ms"`
 }
 
-// Fleet is the fleet as one entry sees it, ordered by VM.
+// Fleet is the fleet as one entry sees it.
 type Fleet struct {
 	Revision uint64 `json:"revision"`
 	VMs      []VM   `json:"vms"`
@@ -135,10 +137,12 @@
 	return status, c.read(ctx, http.MethodGet, "/admin/v1/confirmations?revision="+strconv.FormatUint(revision, 10), nil, status)
 }
 
-// Fleet returns the fleet table.
+// Fleet returns the fleet table, ordered by data centre, role and VM.
 func (c *Client) Fleet(ctx context.Context) (*Fleet, error) {
 	fleet := &Fleet{}
-	return fleet, c.read(ctx, http.MethodGet, "/admin/v1/fleet", nil, fleet)
+	err := c.read(ctx, http.MethodGet, "/admin/v1/fleet", nil, fleet)
+	sortVMs(fleet.VMs)
+	return fleet, err
 }
 
 // Validate has an entry check the items of an edit one by one.
--- a/ctl/cmd/camphorwickctl/commands.go
+++ b/ctl/cmd/camphorwickctl/commands.go
@@ -237,6 +237,9 @@
 		return err
 	}
 	fmt.Fprintf(a.out, "revision %d is in force on %d of %d\n", revision, status.Confirmed, status.Total)
+	for _, vm := range status.Stopped {
+		fmt.Fprintf(a.out, "not counted: %s, marked as stopping and silent for %d ms\n", vm.VM, vm.AgeMS)
+	}
 	return nil
 }
 
--- a/ctl/error.go
+++ b/ctl/error.go
@@ -29,7 +29,7 @@
 }
 
 func (e *APIError) Error() string {
-	return fmt.Sprintf("%s answered %s: %s", e.Address, e.Code, e.Message)
+	return fmt.Sprintf("%s answered %s: %s", e.Address, e.Code, strings.ReplaceAll(e.Message, "\n", "; "))
 }
 
 // ConnectionError says that no entry answered and that nothing was changed.
--- a/daemon/entry/admin.go
+++ b/daemon/entry/admin.go
@@ -27,6 +27,10 @@
 // editLimit bounds the time of one edit.
 const editLimit = 10 * time.Second
 
+// stoppedAfter is the silence after which a process that is marked as stopping
+// counts as ended: 3 heartbeats.
+const stoppedAfter = 3 * time.Second
+
 // adminItem is one item of the configuration in the administration API.
 type adminItem struct {
 	Key      string          `json:"key"`
@@ -259,15 +263,40 @@
 		return outcome.Wrap(err, outcome.InvalidRequest, "\"revision\" is not a number")
 	}
 	status := e.member.Tracker.InForce(time.Now(), revision, e.expectedVMs()...)
-	missing := []unconfirmed{}
+	missing, stopped := []unconfirmed{}, []unconfirmed{}
+	connected := e.connectedVMs()
 	for _, m := range status.Missing {
-		missing = append(missing, unconfirmed{m.Vm, m.DataCentre, m.ConfigRevision, m.AgeMs})
+		line := unconfirmed{m.Vm, m.DataCentre, m.ConfigRevision, m.AgeMs}
+		if !connected[m.Vm] && e.stoppedAsMarked(m) {
+			stopped = append(stopped, line)
+			continue
+		}
+		missing = append(missing, line)
 	}
 	writeJSON(c, http.StatusOK, map[string]any{"revision": status.Revision, "confirmed": status.Confirmed,
-		"total": status.Total, "missing": missing})
+		"total": status.Total - len(stopped), "missing": missing, "stopped": stopped})
 	return nil
 }
 
+// stoppedAsMarked reports whether an agent is marked as stopping and no entry
+// has heard from it for stoppedAfter. An idle agent ends before it can confirm
+// the mark. It does not count as unconfirmed: an agent that is cut off from
+// every entry gets no work. An entry counts, since callers may still reach it.
+func (e *Entry) stoppedAsMarked(m *wire.Confirmation) bool {
+	mark, _ := e.member.Replica.Config().Mark(m.Vm)
+	silent := time.Duration(m.AgeMs) * time.Millisecond
+	return mark == fleetconf.Stopping && m.Role == wire.Role_ROLE_AGENT && silent > stoppedAfter
+}
+
+// connectedVMs returns the VMs that this entry has a session with.
+func (e *Entry) connectedVMs() map[string]bool {
+	connected := map[string]bool{}
+	for _, p := range e.member.Node.Peers() {
+		connected[p.Hello.Vm] = p.Connected
+	}
+	return connected
+}
+
 // expectedVMs returns the VMs that the platform lists as live.
 func (e *Entry) expectedVMs() []string {
 	var names []string
@@ -352,7 +381,8 @@
 		}
 		if load := state.load; load != nil {
 			row.Running, row.Queued, row.KVReserved, row.PrefillTokens = load.Running, load.Queued, load.KvReservedTokens, load.PrefillTokens
-			if load.Draining {
+			// The last load of a process that has ended says nothing about its state.
+			if load.Draining && row.State == "live" {
 				row.State = "draining"
 			}
 		}
--- a/testbed/e2e/ctl_test.go
+++ b/testbed/e2e/ctl_test.go
@@ -13,6 +13,7 @@
 	"strings"
 	"syscall"
 	"testing"
+	"time"
 
 	"github.com/matryer/is"
 
@@ -134,10 +135,33 @@
 	contains(t, o.must(t, "", "fleet"), "STATE", "server-1", "leaving", "entry-2")
 	contains(t, o.must(t, "", "fleet", "-o", "json"), `"vm": "server-1"`)
 	contains(t, o.must(t, "", "unmark", "server-1"), accepted)
+	// An idle agent ends before it confirms the mark; it must not fail the wait.
+	contains(t, o.must(t, "", "mark", "order-server-1", "stopping", "--wait", "20s"), accepted)
+	<-f.Agents[1].Done()
+	awaitState(t, o, "order-server-1", "unreachable")                // not draining: the process has ended
+	contains(t, o.must(t, "", "unmark", "order-server-1"), accepted) // first: a marked process would stop again
+	is.New(t).NoErr(f.StartDaemon(f.Agents[1]))
+	awaitState(t, o, "order-server-1", "live")
 	contains(t, o.must(t, "", "wait", "--limit", "20s"), "in force on 4 of 4")
 	is.New(t).NoErr(f.Stop())
 }
 
+// awaitState polls the fleet table until a VM has the state.
+func awaitState(t *testing.T, o operator, vm, state string) {
+	t.Helper()
+	for deadline := time.Now().Add(10 * time.Second); ; {
+		table := o.must(t, "", "fleet")
+		for _, line := range strings.Split(table, "\n") {
+			if strings.Contains(line, vm+" ") && strings.Contains(line, state) {
+				return
+			}
+		}
+		if time.Now().After(deadline) {
+			t.Fatalf("VM %s is not %s:\n%s", vm, state, table)
+		}
+	}
+}
+
 func replaceInFile(t *testing.T, file, old, text string) {
 	t.Helper()
 	data, err := os.ReadFile(file)
@@ -307,5 +331,10 @@
 	is.True(!strings.Contains(output, "server-1"))
 	is.NoErr(f.Agents[1].Signal(syscall.SIGCONT))
 	contains(t, o.must(t, "", "wait", "--limit", "20s"), "in force on 4 of 4")
+	// An entry counts even if it is marked, since callers may still reach it.
+	is.NoErr(f.Entries[1].Signal(syscall.SIGSTOP))
+	output = o.fails(t, ctlNotInForce, "mark", "entry-2", "stopping", "--wait", "5s")
+	contains(t, output, accepted, "in force on 3 of 4", "entry-2")
+	is.NoErr(f.Entries[1].Signal(syscall.SIGCONT))
 	is.NoErr(f.Stop())
 }
