Remove the wait for memory from the estimate of the choice

The term guessed 2 s for an engine whose reported memory is full. Reports lag, and the agent keeps memory free for short work, so the guess drove short prompts away from engines that could take them.

--- a/policy/choose/config.go
+++ b/policy/choose/config.go
@@ -18,8 +18,6 @@
 	maxOwners = 4
 	// blockTokens is the length of a prefix block in tokens.
 	blockTokens = 1024
-	// memoryWait is the expected wait for KV memory on a full engine.
-	memoryWait = 2 * time.Second
 )
 
 // Config sets the rules of a Table. Zero values get defaults.
--- a/policy/choose/pick.go
+++ b/policy/choose/pick.go
@@ -135,9 +135,6 @@
 	if site >= 0 {
 		expected += t.distance[site][a.site]
 	}
-	if missing := a.reported.KVReserved + a.kvSent + request.Tokens - a.KVTokens; missing > 0 {
-		expected += time.Duration(min(1, float64(missing)/float64(request.Tokens)) * float64(memoryWait))
-	}
 	return choice{agent: a, expected: expected}
 }
 
--- a/policy/choose/table.go
+++ b/policy/choose/table.go
@@ -50,8 +50,6 @@
 	// was sent since, drained up to drained.
 	ahead       [outcome.BandCount]float64
 	drained     time.Time
-	reported    Load
-	kvSent      int // KV tokens sent since the last report
 	outstanding int // requests of this entry that run there
 
 	failures  float64 // recent failures, reduced by successes
@@ -217,8 +215,6 @@
 	if a == nil {
 		return
 	}
-	a.reported = load
-	a.kvSent = 0
 	a.drained = now
 	for b, tokens := range load.PrefillTokens {
 		a.ahead[b] = float64(tokens)
@@ -230,7 +226,6 @@
 	if a := t.agents[vm]; a != nil {
 		a.drain(now)
 		a.ahead[band] += float64(tokens)
-		a.kvSent += tokens
 	}
 }
 
