--- a/daemon/member/member.go
+++ b/daemon/member/member.go
@@ -197,11 +197,12 @@
 	m.Node.SetTargets(targets)
 }
 
-// Numbers of entries of the own and of each other data centre that an entry
-// chooses for control sessions in a large fleet; about as many choose it.
+// Control sessions between entries in a large fleet: the number of entries of
+// its own data centre that an entry chooses, and the number of entries of each
+// data centre that hold sessions with other data centres.
 const (
 	nearEntries = 4
-	farEntries  = 1
+	gateways    = 2
 	// meshedEntries is the number of entries up to which all are connected.
 	meshedEntries = 16
 )
@@ -222,7 +223,7 @@
 		}
 	}
 	chosen := map[string]bool{}
-	near, far := nearEntries, farEntries
+	near, far := nearEntries, gateways
 	if len(entries) <= meshedEntries {
 		near, far = meshedEntries, meshedEntries
 	}
--- a/link/control.go
+++ b/link/control.go
@@ -43,7 +43,7 @@
 func (n *Node) send(p *peer, session *Session, stream *Stream, known *atomic.Uint64) {
 	for sequence := uint64(1); ; sequence++ {
 		heartbeat := n.config.Handler.Heartbeat(session.Peer)
-		interval := n.interval()
+		interval := max(n.interval(), p.announcedInterval())
 		heartbeat.Sequence, heartbeat.IntervalMs = sequence, uint32(interval.Milliseconds())
 		if stream.Write(&wire.ControlMessage{Body: &wire.ControlMessage_Heartbeat{Heartbeat: heartbeat}}) != nil {
 			return
@@ -98,6 +98,15 @@
 	p.interval = min(max(interval, HeartbeatInterval), maxHeartbeatInterval)
 }
 
+// announcedInterval returns the time between heartbeats that the peer keeps.
+// Both ends keep the longer one, so that an agent with few peers does not
+// exceed the traffic that its entry may spend.
+func (p *peer) announcedInterval() time.Duration {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.interval
+}
+
 // receive handles the messages of the peer until the stream ends.
 func (n *Node) receive(p *peer, stream *Stream, known *atomic.Uint64) {
 	for {
--- a/link/node.go
+++ b/link/node.go
@@ -27,9 +27,9 @@
 	dropFactor = 3
 	// peersPerInterval is the number of peers up to which heartbeats go out
 	// every HeartbeatInterval; with more, the interval grows in proportion.
-	// A heartbeat and its answer take about 250 bytes with all headers, and a
-	// node may spend 7 KB/s on control.
-	peersPerInterval = 28
+	// One heartbeat in each direction takes about 340 bytes with yamux, TLS and
+	// TCP/IP, and a node may spend 7 KB/s on control.
+	peersPerInterval = 20
 	// maxHeartbeatInterval bounds the interval that a peer may announce.
 	maxHeartbeatInterval = 30 * time.Second
 	redialMin            = 100 * time.Millisecond
--- a/policy/subset/subset.go
+++ b/policy/subset/subset.go
@@ -33,11 +33,12 @@
 	Spare float64
 }
 
-// Defaults. Eight entries for each agent leave an entry without any agent of
-// one in ten models with a probability of 1 in 100,000.
+// Defaults. With six entries for each agent and ten models, an entry is left
+// without any agent of a given model with a probability of about 1 in 7,000;
+// more entries would cost more heartbeats.
 const (
 	defaultFullMesh        = 64
-	defaultEntriesPerAgent = 8
+	defaultEntriesPerAgent = 6
 	defaultSpare           = 1.25
 )
 
@@ -151,25 +152,32 @@
 	return list
 }
 
-// Entries returns the entries that self holds control sessions with: all of
-// its own data centre up to near, and far in each other data centre. The
-// choice is symmetric: if a chooses b, b chooses a. Configuration spreads over
-// these sessions.
-func Entries(self Node, entries []Node, near, far int) []string {
+// Entries returns the entries that self holds control sessions with: some of
+// its own data centre, near of its choice and about as many that choose it,
+// and, if self is one of the gateways of its data centre, the gateways of the
+// others. The choice is symmetric: if a chooses b, b chooses a. Configuration
+// spreads over these sessions.
+func Entries(self Node, entries []Node, near, gateways int) []string {
 	byDataCentre := map[string][]Node{}
 	for _, e := range entries {
 		byDataCentre[e.DataCentre] = append(byDataCentre[e.DataCentre], e)
 	}
+	gateway := map[string]bool{}
+	for dataCentre, list := range byDataCentre {
+		for _, e := range list {
+			gateway[e.VM] = chooses(Node{VM: dataCentre}, e, list, gateways)
+		}
+	}
 	var chosen []string
 	for _, other := range entries {
-		if other.VM == self.VM {
-			continue
-		}
-		limit := far
-		if other.DataCentre == self.DataCentre {
-			limit = near
-		}
-		if chooses(self, other, byDataCentre[other.DataCentre], limit) || chooses(other, self, byDataCentre[self.DataCentre], limit) {
+		local := byDataCentre[self.DataCentre]
+		switch {
+		case other.VM == self.VM:
+		case other.DataCentre != self.DataCentre:
+			if gateway[self.VM] && gateway[other.VM] {
+				chosen = append(chosen, other.VM)
+			}
+		case chooses(self, other, local, near) || chooses(other, self, local, near):
 			chosen = append(chosen, other.VM)
 		}
 	}
--- a/policy/subset/subset_test.go
+++ b/policy/subset/subset_test.go
@@ -98,7 +98,7 @@
 	neighbours := map[string][]string{}
 	most := 0
 	for _, e := range entries {
-		neighbours[e.VM] = Entries(e, entries, 4, 1)
+		neighbours[e.VM] = Entries(e, entries, 4, 2)
 		most = max(most, len(neighbours[e.VM]))
 	}
 	for vm, list := range neighbours {
--- /dev/null
+++ b/testbed/cmd/slopes/main.go
@@ -0,0 +1,176 @@
+// Command slopes measures what docs/CAPACITY.md is worked out from: the cost
+// of one session in memory, bytes and processor time, and the cost of one
+// client account in an entry.
+package main
+
+import (
+	"context"
+	"flag"
+	"fmt"
+	"log/slog"
+	"net"
+	"os"
+	"runtime"
+	"sync/atomic"
+	"syscall"
+	"time"
+
+	"golang.org/x/sync/errgroup"
+
+	"camphorwick.dev/api/wire"
+	"camphorwick.dev/fleetconf"
+	"camphorwick.dev/link"
+	"camphorwick.dev/policy/admit"
+	"camphorwick.dev/policy/choose"
+)
+
+const (
+	settleTime  = 5 * time.Second
+	measureTime = 20 * time.Second
+)
+
+func main() {
+	peers := flag.Int("peers", 120, "agents of one entry")
+	accounts := flag.Int("accounts", 7100, "client accounts")
+	flag.Parse()
+	if err := sessions(*peers); err != nil {
+		fmt.Fprintln(os.Stderr, "slopes:", err)
+		os.Exit(1)
+	}
+	limits(*accounts)
+}
+
+// handler answers heartbeats with a load of usual size.
+type handler struct{ agent bool }
+
+func (h handler) Heartbeat(*wire.Hello) *wire.Heartbeat {
+	heartbeat := &wire.Heartbeat{ConfigRevision: 1_000_000}
+	if h.agent {
+		heartbeat.Load = &wire.Load{PrefillTokens: []uint64{8000, 40_000, 300_000}, KvReservedTokens: 350_000,
+			Running: 20, Queued: 5, Models: []string{"model-a"}}
+	}
+	return heartbeat
+}
+func (handler) HeartbeatReceived(*wire.Hello, *wire.Heartbeat) {}
+func (handler) ConfigReceived(*wire.Hello, *wire.ConfigUpdate) {}
+func (handler) ConfigFor(uint64) *wire.ConfigUpdate            { return nil }
+func (handler) PeerChanged(*wire.Hello, bool)                  {}
+func (handler) Stream(context.Context, *link.Stream)           {}
+
+// countingListener counts the bytes of all connections it accepts.
+type countingListener struct {
+	net.Listener
+	bytes *atomic.Int64
+}
+
+func (l countingListener) Accept() (net.Conn, error) {
+	conn, err := l.Listener.Accept()
+	return countingConn{conn, l.bytes}, err
+}
+
+type countingConn struct {
+	net.Conn
+	bytes *atomic.Int64
+}
+
+func (c countingConn) Read(p []byte) (int, error) {
+	n, err := c.Conn.Read(p)
+	c.bytes.Add(int64(n))
+	return n, err
+}
+
+func (c countingConn) Write(p []byte) (int, error) {
+	n, err := c.Conn.Write(p)
+	c.bytes.Add(int64(n))
+	return n, err
+}
+
+// sessions connects one entry with a number of agents in this process.
+func sessions(peers int) error {
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	var group errgroup.Group
+	var bytes atomic.Int64
+	before, goroutines := memory(), runtime.NumGoroutine()
+	var targets []link.Target
+	for i := range peers {
+		vm := fmt.Sprintf("agent-%d", i)
+		address, err := startNode(ctx, &group, vm, wire.Role_ROLE_AGENT, &bytes, nil)
+		if err != nil {
+			return err
+		}
+		targets = append(targets, link.Target{VM: vm, Role: wire.Role_ROLE_AGENT, Address: address})
+	}
+	nodes := memory()
+	if _, err := startNode(ctx, &group, "entry", wire.Role_ROLE_ENTRY, &bytes, targets); err != nil {
+		return err
+	}
+	time.Sleep(settleTime)
+	after, spent, sent := memory(), processorTime(), bytes.Load()
+	time.Sleep(measureTime)
+	spent, sent = processorTime()-spent, bytes.Load()-sent
+	fmt.Printf("%d agents, both ends in one process, plain text:\n", peers)
+	fmt.Printf("  memory per pair of sessions, both ends: %d bytes (a node without sessions: %d)\n", (after-nodes)/peers, (nodes-before)/peers)
+	fmt.Printf("  goroutines per pair of sessions, both ends: %.1f\n", float64(runtime.NumGoroutine()-goroutines)/float64(peers))
+	fmt.Printf("  control bytes per agent and second, both directions, without TCP/IP headers: %.1f\n", float64(sent)/measureTime.Seconds()/float64(peers))
+	fmt.Printf("  control bytes per second of the entry: %.0f\n", float64(sent)/measureTime.Seconds())
+	fmt.Printf("  processor time per agent and second, both ends: %.1f us\n", float64(spent.Microseconds())/measureTime.Seconds()/float64(peers))
+	cancel()
+	return group.Wait()
+}
+
+func startNode(ctx context.Context, group *errgroup.Group, vm string, role wire.Role, bytes *atomic.Int64, targets []link.Target) (string, error) {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return "", fmt.Errorf("listen: %w", err)
+	}
+	node := link.NewNode(link.Config{Handler: handler{role == wire.Role_ROLE_AGENT}, Log: slog.New(slog.DiscardHandler),
+		Self: func() *wire.Hello { return &wire.Hello{Vm: vm, Role: role, DataCentre: "dc-1", Epoch: 1} }})
+	node.SetTargets(targets)
+	group.Go(func() error { return node.Run(ctx, countingListener{listener, bytes}) })
+	return listener.Addr().String(), nil
+}
+
+// limits measures what client accounts cost in an entry.
+func limits(accounts int) {
+	before := memory()
+	limiter := admit.NewLimiter()
+	plan := admit.Limits{RequestsPerSecond: 20, TokensPerSecond: 200_000, Concurrency: 100}
+	now := time.Now()
+	started := time.Now()
+	for i := range accounts {
+		if release, err := limiter.Admit(now, fmt.Sprintf("account-%d", i), plan, 1000, 1); err == nil {
+			release()
+		}
+	}
+	spent := time.Since(started)
+	fmt.Printf("%d accounts: %d bytes of limits each, %v for a first request\n", accounts, (memory()-before)/accounts, spent/time.Duration(accounts))
+	runtime.KeepAlive(limiter)
+	before = memory()
+	replica := fleetconf.NewReplica()
+	table := choose.New(choose.Config{Seed: 1})
+	const agents = 1200
+	for i := range agents {
+		table.Upsert(choose.Agent{VM: fmt.Sprintf("agent-%d", i), DataCentre: "dc-1", Models: []string{"m"}, KVTokens: 400_000, PrefillTokensPerSecond: 30_000})
+	}
+	fmt.Printf("table of agents: %d bytes per agent\n", (memory()-before)/agents)
+	runtime.KeepAlive(table)
+	runtime.KeepAlive(replica)
+}
+
+// memory returns the bytes of heap and stacks in use after a collection.
+func memory() int {
+	runtime.GC()
+	var stats runtime.MemStats
+	runtime.ReadMemStats(&stats)
+	return int(stats.HeapAlloc + stats.StackInuse)
+}
+
+// processorTime returns the user and system time of this process.
+func processorTime() time.Duration {
+	var usage syscall.Rusage
+	if syscall.Getrusage(syscall.RUSAGE_SELF, &usage) != nil {
+		return 0
+	}
+	return time.Duration(usage.Utime.Nano() + usage.Stime.Nano())
+}
