Name the cause of a doubtful edit, and do not log it as refused

The entry logged 'edit refused' for an edit that may be in force. The tool printed the failure of the last entry, for example a refused connection, instead of the one that left the edit in doubt; seen in a test fleet with a killed entry and a held write.

--- a/ctl/edit.go
+++ b/ctl/edit.go
@@ -107,17 +107,20 @@
 		if err == nil {
 			return revision, true, nil
 		}
-		r.last = err
 		var refused *APIError
 		var lost *lostError
+		isRefused, isLost := errors.As(err, &refused), errors.As(err, &lost)
+		if !r.doubt || r.last == nil || isRefused || isLost {
+			r.last = err // an entry without a connection does not explain a doubt
+		}
 		switch {
-		case errors.As(err, &lost):
+		case isLost:
 			r.doubt, r.unanswered = true, time.Now()
-		case errors.As(err, &refused) && refused.Expired:
+		case isRefused && refused.Expired:
 			return 0, true, &DoubtError{Edit: r.edit, Expired: true, Cause: err}
-		case errors.As(err, &refused) && refused.Code == outcome.OrderInDoubt:
+		case isRefused && refused.Code == outcome.OrderInDoubt:
 			r.doubt = true
-		case errors.As(err, &refused) && r.final(refused):
+		case isRefused && r.final(refused):
 			return 0, true, err
 		}
 	}
--- a/daemon/entry/admin.go
+++ b/daemon/entry/admin.go
@@ -190,7 +190,11 @@
 	defer cancel()
 	revision, err := e.editor.Commit(ctx, edit)
 	if err != nil {
-		e.log.Warn("edit refused", "edit_id", edit.Id, "operator", edit.Operator, "error", err.Error())
+		message := "edit refused"
+		if outcome.CodeOf(err) == outcome.OrderInDoubt {
+			message = "edit in doubt, it may be in force"
+		}
+		e.log.Warn(message, "edit_id", edit.Id, "operator", edit.Operator, "error", err.Error())
 		return err
 	}
 	e.member.StoreReached()
