Show and avoid dead engines; confirm the mark that ends an agent; fix a race in the platform stand-in

- An agent whose engine had died stayed "live" in the fleet table and was offered work until its hold-down grew.
Agents now report it after three unanswered load reports (1.5 s), entries send nothing there and the table shows "backend down" (TestDeadEngineIsShown).
- An idle agent marked as stopping ended 2 ms after it applied the mark, before it had confirmed it.
It now stays connected for 200 ms after its drain.
- Service calls were missing in camphorwick_requests_total.
- The platform stand-in made a context from fasthttp's request; its timer could fire while the request was reset (race in TestContextEnds, 1 of 45 repeats).
Ruled out: the adapter, which only reads the answer.

--- a/daemon/agent/agent.go
+++ b/daemon/agent/agent.go
@@ -73,6 +73,8 @@
 	info atomic.Pointer[backend.EngineInfo]
 	// report is the engine's last load report.
 	report atomic.Pointer[backend.LoadReport]
+	// failedPolls counts the load reports in a row that the engine did not give.
+	failedPolls atomic.Int64
 
 	mu       sync.Mutex
 	queue    *queue.Queue
@@ -166,6 +168,7 @@
 	case <-a.stop:
 		a.startDrain("stop requested")
 		a.awaitIdle(ctx)
+		a.sayFarewell(ctx)
 	}
 	if a.ledger == nil {
 		return nil
@@ -187,6 +190,18 @@
 	a.member.Node.Kick()
 }
 
+// farewellTime is how long an agent without work stays connected at the end of
+// a drain, so that its last heartbeat confirms the mark that ended it.
+const farewellTime = 200 * time.Millisecond
+
+func (a *Agent) sayFarewell(ctx context.Context) {
+	a.member.Node.Kick()
+	select {
+	case <-ctx.Done():
+	case <-time.After(farewellTime):
+	}
+}
+
 // awaitIdle waits until all work has ended. At the drain limit, completions
 // are ended with Draining, so that their entries continue them elsewhere.
 func (a *Agent) awaitIdle(ctx context.Context) {
@@ -313,6 +328,7 @@
 	if info := a.info.Load(); info != nil {
 		load.Models = info.Models
 	}
+	load.BackendDown = a.engineDown()
 	return load
 }
 
--- a/daemon/agent/cache.go
+++ b/daemon/agent/cache.go
@@ -110,13 +110,26 @@
 	a.cache.apply(events)
 }
 
+// downAfterPolls is the number of unanswered load reports in a row after which
+// entries are told to send nothing here.
+const downAfterPolls = 3
+
+func (a *Agent) engineDown() bool { return a.failedPolls.Load() >= downAfterPolls }
+
 // readLoad keeps the engine's report for metrics; decisions rest on the
 // agent's own count, because the report lags.
 func (a *Agent) readLoad(ctx context.Context) {
 	report, err := a.engine.Load(ctx)
 	if err != nil {
-		a.log.Debug("engine load cannot be read", "error", err.Error())
+		if a.failedPolls.Add(1) == downAfterPolls && ctx.Err() == nil {
+			a.log.Error("engine does not answer", "error", err.Error())
+			a.member.Node.Kick()
+		}
 		return
 	}
+	if a.failedPolls.Swap(0) >= downAfterPolls {
+		a.log.Info("engine answers again")
+		a.member.Node.Kick()
+	}
 	a.report.Store(&report)
 }
--- a/daemon/entry/admin.go
+++ b/daemon/entry/admin.go
@@ -386,7 +386,11 @@
 		if load := state.load; load != nil {
 			row.Running, row.Queued, row.KVReserved, row.PrefillTokens = load.Running, load.Queued, load.KvReservedTokens, load.PrefillTokens
 			// The last load of a process that has ended says nothing about its state.
-			if load.Draining && row.State == "live" {
+			switch {
+			case row.State != "live":
+			case load.BackendDown:
+				row.State = "backend down"
+			case load.Draining:
 				row.State = "draining"
 			}
 		}
--- a/daemon/entry/entry.go
+++ b/daemon/entry/entry.go
@@ -248,5 +248,5 @@
 func (e *Entry) refresh(vm string, config *fleetconf.Config) {
 	state := e.agents[vm]
 	_, marked := config.Mark(vm)
-	e.table.SetUsable(vm, state.usable && !marked && !state.load.GetDraining())
+	e.table.SetUsable(vm, state.usable && !marked && !state.load.GetDraining() && !state.load.GetBackendDown())
 }
--- a/daemon/entry/group.go
+++ b/daemon/entry/group.go
@@ -89,7 +89,7 @@
 	var list []candidate
 	for vm, state := range e.agents {
 		_, marked := config.Mark(vm)
-		if !state.usable || marked || state.load.GetDraining() || !serves(state.hello.GetBackend(), model) {
+		if !state.usable || marked || state.load.GetDraining() || state.load.GetBackendDown() || !serves(state.hello.GetBackend(), model) {
 			continue
 		}
 		list = append(list, candidate{vm, int(state.hello.Backend.KvTokens), state.load.GetKvReservedTokens()})
--- a/daemon/entry/metrics.go
+++ b/daemon/entry/metrics.go
@@ -63,6 +63,12 @@
 	m.outcomes.Add(context.Background(), 1, bandOf(c), metric.WithAttributes(attribute.String("outcome", string(o))))
 }
 
+// callEnded counts a service call.
+func (m *metrics) callEnded(c *call, o outcome.Outcome) {
+	m.outcomes.Add(context.Background(), 1, metric.WithAttributes(attribute.String("service", c.request.Service),
+		attribute.Bool("idempotent", c.request.Idempotent), attribute.String("outcome", string(o))))
+}
+
 // refused counts a request that was refused before it was sent anywhere.
 func (m *metrics) refused(err error) {
 	m.outcomes.Add(context.Background(), 1, metric.WithAttributes(
--- a/daemon/entry/service.go
+++ b/daemon/entry/service.go
@@ -50,6 +50,7 @@
 	e.log.Info("call ended", "request_id", x.requestID, "client_account", x.account, "service", c.request.Service,
 		"idempotent", c.request.Idempotent, "outcome", response.Outcome.String(), "error", response.Error.GetMessage(),
 		"duration_ms", time.Since(x.started).Milliseconds(), "trace_id", observe.TraceID(x.ctx))
+	e.metrics.callEnded(c, outcomes[response.Outcome])
 	x.writeResponse(response)
 }
 
--- a/standin/platformsim/http.go
+++ b/standin/platformsim/http.go
@@ -158,8 +158,17 @@
 	if wait <= 0 {
 		wait = defaultWatchWait
 	}
-	waitCtx, cancel := context.WithTimeout(ctx, min(wait, maxWatchWait))
+	// A context made from ctx could read it after the request was reset: its
+	// timer may fire at the same moment. Only the server's stop is taken over.
+	waitCtx, cancel := context.WithTimeout(context.Background(), min(wait, maxWatchWait))
 	defer cancel()
+	go func(stopped <-chan struct{}) {
+		select {
+		case <-stopped:
+			cancel()
+		case <-waitCtx.Done():
+		}
+	}(ctx.Done())
 	p.waiting.Add(1)
 	defer p.waiting.Add(-1)
 	outage := func() bool { return p.faults.Plan().Outage != faults.None }
--- a/testbed/e2e/failure_test.go
+++ b/testbed/e2e/failure_test.go
@@ -75,6 +75,47 @@
 	}
 }
 
+// Guards against an engine that has died and is still offered work, and
+// against a fleet table that shows it as well.
+func TestDeadEngineIsShown(t *testing.T) {
+	is := is.New(t)
+	ctx, f := start(t, fleet.Options{Entries: 1, Engines: 2})
+	f.Engines[0].KillNow()
+	var states map[string]string
+	for deadline := time.Now().Add(5 * time.Second); states["server-1"] != "backend down"; time.Sleep(50 * time.Millisecond) {
+		is.True(time.Now().Before(deadline))
+		states = fleetStates(t, f)
+	}
+	for range 5 {
+		a, err := caller(f, 0).Complete(ctx, client.Request{Model: "standin", Prompt: prompt("dead", 500), MaxTokens: 2, Stream: true})
+		is.NoErr(err)
+		is.Equal(a.Outcome, "completed")
+	}
+	var stats engineStats
+	is.NoErr(f.Stats(f.Engines[1], "/stats", &stats))
+	is.Equal(len(stats.Starts), 5)
+}
+
+// fleetStates returns the state of each VM in the fleet table.
+func fleetStates(t *testing.T, f *fleet.Fleet) map[string]string {
+	t.Helper()
+	data, err := f.Admin(f.Entries[0], http.MethodGet, "/admin/v1/fleet", nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	var table struct {
+		VMs []struct{ VM, State string }
+	}
+	if err := json.Unmarshal(data, &table); err != nil {
+		t.Fatal(err)
+	}
+	states := map[string]string{}
+	for _, vm := range table.VMs {
+		states[vm.VM] = vm.State
+	}
+	return states
+}
+
 // Guards against an answer that is lost with its entry: another entry hands
 // out the rest.
 func TestEntryKilled(t *testing.T) {
