--- a/link/control.go
+++ b/link/control.go
@@ -1,6 +1,7 @@
 package link
 
 import (
+	"math/rand/v2"
 	"sync/atomic"
 	"time"
 
@@ -55,6 +56,7 @@
 		select {
 		case <-timer.C:
 		case <-p.kick:
+			n.delayConfig(session)
 		case <-session.Done():
 			timer.Stop()
 			return
@@ -63,6 +65,21 @@
 	}
 }
 
+// delayConfig waits a random time before a change is sent to an agent, if this
+// node has many peers. Entries are never kept waiting, because changes reach
+// other data centres through them.
+func (n *Node) delayConfig(session *Session) {
+	if session.Peer.Role != wire.Role_ROLE_AGENT || !n.crowded() {
+		return
+	}
+	timer := time.NewTimer(rand.N(maxConfigDelay))
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+	case <-session.Done():
+	}
+}
+
 // sendConfig sends the edits or the snapshot that the peer lacks. A lost or
 // refused update is repaired after the peer's next heartbeat, which resets
 // known to the revision in force there.
--- a/link/node.go
+++ b/link/node.go
@@ -25,11 +25,19 @@
 	// dropFactor times the time of suspicion closes a session whose peer stays
 	// silent, so that a half-open connection is replaced by a new one.
 	dropFactor = 3
-	// peersPerInterval is the number of peers up to which heartbeats go out
-	// every HeartbeatInterval; with more, the interval grows in proportion.
+	// fewPeers is the number of peers up to which heartbeats go out every
+	// HeartbeatInterval. It covers today's fleets, where quick detection counts
+	// for more than 10 KB/s of traffic.
+	fewPeers = 40
+	// peersPerInterval sets the interval of a node with more peers: it grows in
+	// proportion, one HeartbeatInterval for each so many peers.
 	// One heartbeat in each direction takes about 340 bytes with yamux, TLS and
-	// TCP/IP, and a node may spend 7 KB/s on control.
-	peersPerInterval = 20
+	// TCP/IP. A node may spend 7 KB/s on control, of which heartbeats get 4.
+	peersPerInterval = 12
+	// maxConfigDelay spreads the updates that a node with many peers sends to
+	// its agents. An agent that has the change from another entry by then has
+	// said so and is not sent it again.
+	maxConfigDelay = time.Second
 	// maxHeartbeatInterval bounds the interval that a peer may announce.
 	maxHeartbeatInterval = 30 * time.Second
 	redialMin            = 100 * time.Millisecond
@@ -234,13 +242,23 @@
 	}
 }
 
+// crowded reports whether the node has more than a few peers.
+func (n *Node) crowded() bool {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return len(n.peers) > fewPeers
+}
+
 // interval returns the time between heartbeats, which grows with the number
 // of peers so that the control traffic of a node stays bounded.
 func (n *Node) interval() time.Duration {
 	n.mu.Lock()
 	defer n.mu.Unlock()
+	if len(n.peers) <= fewPeers {
+		return HeartbeatInterval
+	}
 	rounds := (len(n.peers) + peersPerInterval - 1) / peersPerInterval
-	return min(time.Duration(max(rounds, 1))*HeartbeatInterval, maxHeartbeatInterval)
+	return min(time.Duration(rounds)*HeartbeatInterval, maxHeartbeatInterval)
 }
 
 func (n *Node) find(vm string) *peer {
--- a/policy/subset/subset.go
+++ b/policy/subset/subset.go
@@ -33,12 +33,12 @@
 	Spare float64
 }
 
-// Defaults. With six entries for each agent and ten models, an entry is left
-// without any agent of a given model with a probability of about 1 in 7,000;
-// more entries would cost more heartbeats.
+// Defaults. With four entries for each agent and ten models, an entry is left
+// without any agent of a given model with a probability of about 1 in 350;
+// more entries would cost more heartbeats, see docs/CAPACITY.md.
 const (
 	defaultFullMesh        = 64
-	defaultEntriesPerAgent = 6
+	defaultEntriesPerAgent = 4
 	defaultSpare           = 1.25
 )
 
