Test completions under network faults and fix two faults found

The test fleet can put fault proxies (toxiproxy as a library) between entries and agents, agents and backend servers, and daemons and the platform: cuts, drops in one direction, latency, slow links, resets.

Fault 1: a request with a prompt larger than a stream's window (256 KB at first) outlived its deadline while its agent was cut off in one direction or slow. The entry's write, and yamux's opening and closing of a stream, waited up to 10 s for the peer.

Fault 2: started answers waited for the retry budget. An attempt that brought tokens no longer counts towards the budget; each such retry needs progress, so a peak is not amplified. Ruled out: a late detection, since the first answers continued at once.

--- a/daemon/entry/group.go
+++ b/daemon/entry/group.go
@@ -117,6 +117,7 @@
 func (e *Entry) groupAttempts(ctx context.Context, r *run) (result, *link.Stream) {
 	for {
 		r.attempts++
+		emitted := len(r.emitted)
 		got := e.groupAttempt(ctx, r)
 		switch got.verdict {
 		case attemptEnded:
@@ -131,7 +132,7 @@
 				return r.failure(context.Cause(ctx)), nil
 			}
 		}
-		if err := e.mayRetry(ctx, r, got); err != nil {
+		if err := e.mayRetry(ctx, r, got, emitted); err != nil {
 			return r.failure(err), nil
 		}
 	}
@@ -177,7 +178,7 @@
 
 // reserve asks one agent for the memory of its segment and waits for it.
 func (e *Entry) reserve(ctx context.Context, r *run, m *groupMember, last bool, done <-chan struct{}) error {
-	stream, lost, err := e.member.Node.Open(m.vm)
+	stream, lost, err := e.member.Node.Open(ctx, m.vm)
 	if err != nil {
 		return outcome.Wrap(err, outcome.NoServer, "VM %s cannot be reached", m.vm)
 	}
@@ -188,7 +189,7 @@
 	if last {
 		request.MaxTokens = uint32(r.max - len(r.emitted))
 	}
-	if err := stream.Write(&wire.StreamHeader{Body: &wire.StreamHeader_Segment{Segment: request}}); err != nil {
+	if err := send(ctx, lost, stream, &wire.StreamHeader{Body: &wire.StreamHeader_Segment{Segment: request}}); err != nil {
 		return outcome.Wrap(err, outcome.NoServer, "VM %s cannot be reached", m.vm)
 	}
 	m.messages = make(chan *wire.AgentMessage, 16)
@@ -223,8 +224,8 @@
 	var state []byte
 	for i, m := range members {
 		run := &wire.SegmentRun{State: state, Prompt: m.text}
-		if err := m.stream.Write(&wire.EntryMessage{Body: &wire.EntryMessage_Segment{Segment: run}}); err != nil {
-			return broken(m.vm, err)
+		if err := send(ctx, anyLost, m.stream, &wire.EntryMessage{Body: &wire.EntryMessage_Segment{Segment: run}}); err != nil {
+			return brokenOrStopped(ctx, m.vm, err)
 		}
 		if i == len(members)-1 {
 			return e.followMessages(ctx, anyLost, r, m, hadRun)
--- a/daemon/entry/query.go
+++ b/daemon/entry/query.go
@@ -1,16 +1,22 @@
 package entry
 
 import (
+	"context"
 	"time"
 
 	"camphorwick.dev/api/wire"
-	"camphorwick.dev/link"
 )
 
-// queryAgent asks one agent for the state of an order and closes the stream.
-func queryAgent(stream *link.Stream, query *wire.OrderQuery) (*wire.OrderState, error) {
+// queryAgent asks one agent for the state of an order.
+func (e *Entry) queryAgent(ctx context.Context, vm string, query *wire.OrderQuery) (*wire.OrderState, error) {
+	ctx, cancel := context.WithTimeout(ctx, findTimeout)
+	defer cancel()
+	stream, lost, err := e.member.Node.Open(ctx, vm)
+	if err != nil {
+		return nil, err
+	}
 	defer stream.Close()
-	if err := stream.Write(&wire.StreamHeader{Body: &wire.StreamHeader_OrderQuery{OrderQuery: query}}); err != nil {
+	if err := send(ctx, lost, stream, &wire.StreamHeader{Body: &wire.StreamHeader_OrderQuery{OrderQuery: query}}); err != nil {
 		return nil, err
 	}
 	stream.SetReadDeadline(time.Now().Add(findTimeout))
--- a/daemon/entry/resume.go
+++ b/daemon/entry/resume.go
@@ -96,13 +96,15 @@
 
 // readRest asks one agent for the rest of an answer and passes it on.
 func (e *Entry) readRest(ctx context.Context, r *run, vm string) attemptResult {
-	stream, lost, err := e.member.Node.Open(vm)
+	find, cancel := context.WithTimeout(ctx, findTimeout)
+	defer cancel()
+	stream, lost, err := e.member.Node.Open(find, vm)
 	if err != nil {
 		return attemptResult{verdict: attemptNotRun, err: outcome.Wrap(err, outcome.NoServer, "VM %s cannot be reached", vm)}
 	}
 	request := &wire.ResumeRequest{RequestId: r.exchange.requestID, ClientAccount: r.exchange.account,
 		Offset: uint32(len(r.emitted)), RemainingMs: remaining(r.deadline), Traceparent: observe.Traceparent(ctx)}
-	if err := stream.Write(&wire.StreamHeader{Body: &wire.StreamHeader_Resume{Resume: request}}); err != nil {
+	if err := send(find, lost, stream, &wire.StreamHeader{Body: &wire.StreamHeader_Resume{Resume: request}}); err != nil {
 		stream.Close()
 		return attemptResult{verdict: attemptNotRun, err: outcome.Wrap(err, outcome.NoServer, "VM %s cannot be reached", vm)}
 	}
--- a/daemon/entry/run.go
+++ b/daemon/entry/run.go
@@ -8,6 +8,7 @@
 
 	"github.com/google/uuid"
 	"go.opentelemetry.io/otel/attribute"
+	"google.golang.org/protobuf/proto"
 
 	"camphorwick.dev/api/outcome"
 	"camphorwick.dev/api/wire"
@@ -139,6 +140,7 @@
 			return r.failure(err), nil
 		}
 		r.attempts++
+		emitted := len(r.emitted)
 		got := e.attempt(ctx, r, vm)
 		switch got.verdict {
 		case attemptEnded:
@@ -151,18 +153,26 @@
 			e.agentFailed(vm)
 			r.excluded = map[string]bool{vm: true}
 		}
-		if err := e.mayRetry(ctx, r, got); err != nil {
+		if err := e.mayRetry(ctx, r, got, emitted); err != nil {
 			return r.failure(err), nil
 		}
 	}
 }
 
-// mayRetry returns nil if another attempt is allowed now. A completion whose
-// first tokens the caller has waits for the retry budget instead of failing.
-func (e *Entry) mayRetry(ctx context.Context, r *run, got attemptResult) error {
+// mayRetry returns nil if another attempt is allowed now; emitted is the
+// number of tokens before the last attempt. An attempt that brought tokens
+// does not count towards the retry budget, because a server that dies may
+// leave many started answers at once, and few requests then feed the budget.
+// Each such retry needs progress, so a peak is not amplified. A completion
+// whose first tokens the caller has waits for the budget instead of failing.
+func (e *Entry) mayRetry(ctx context.Context, r *run, got attemptResult, emitted int) error {
 	if r.attempts >= maxAttempts {
 		return got.err
 	}
+	if len(r.emitted) > emitted {
+		e.metrics.retried(r.completion)
+		return nil
+	}
 	for !e.budget.Retry(time.Now()) {
 		if len(r.emitted) == 0 {
 			return got.err
@@ -237,7 +247,7 @@
 		e.table.Ended(time.Now(), vm, got.verdict == attemptEnded)
 		e.mu.Unlock()
 	}()
-	stream, lost, err := e.member.Node.Open(vm)
+	stream, lost, err := e.member.Node.Open(ctx, vm)
 	if err != nil {
 		return attemptResult{verdict: attemptNotRun, err: outcome.Wrap(err, outcome.NoServer, "VM %s cannot be reached", vm)}
 	}
@@ -253,8 +263,8 @@
 	submit := r.submit(ctx)
 	hadRun := r.mayRun
 	r.mayRun = true
-	if err := stream.Write(&wire.StreamHeader{Body: &wire.StreamHeader_Submit{Submit: submit}}); err != nil {
-		return broken(vm, err)
+	if err := send(ctx, lost, stream, &wire.StreamHeader{Body: &wire.StreamHeader_Submit{Submit: submit}}); err != nil {
+		return brokenOrStopped(ctx, vm, err)
 	}
 	return e.follow(ctx, lost, r, vm, stream, submit.AttemptId, hadRun)
 }
@@ -268,7 +278,7 @@
 	for {
 		select {
 		case <-ctx.Done():
-			_ = stream.Write(&wire.EntryMessage{Body: &wire.EntryMessage_Cancel{Cancel: &wire.Cancel{AttemptId: attempt}}})
+			stream.CloseWith(&wire.EntryMessage{Body: &wire.EntryMessage_Cancel{Cancel: &wire.Cancel{AttemptId: attempt}}})
 			return attemptResult{verdict: attemptStopped, err: context.Cause(ctx)}
 		case <-lost.Done():
 			return broken(vm, errSuspected)
@@ -295,6 +305,22 @@
 	return attemptResult{verdict: attemptBroken, err: outcome.Wrap(err, outcome.BackendFailed, "the attempt on VM %s broke", vm)}
 }
 
+// send writes a message until ctx ends or the agent is lost. The wait for the
+// agent's window or connection must not outlast the deadline of the request.
+func send(ctx, lost context.Context, stream *link.Stream, m proto.Message) error {
+	ctx, cancel := link.Until(ctx, lost)
+	defer cancel()
+	return stream.WriteContext(ctx, m)
+}
+
+// brokenOrStopped is the result of an attempt whose message was not sent.
+func brokenOrStopped(ctx context.Context, vm string, err error) attemptResult {
+	if ctx.Err() != nil {
+		return attemptResult{verdict: attemptStopped, err: context.Cause(ctx)}
+	}
+	return broken(vm, err)
+}
+
 // receive passes the messages of a stream on until it ends or done is closed.
 func receive(stream *link.Stream, messages chan<- *wire.AgentMessage, done <-chan struct{}) {
 	defer close(messages)
--- a/daemon/entry/service.go
+++ b/daemon/entry/service.go
@@ -153,7 +153,7 @@
 	ctx, span := e.telemetry.Tracer.Start(ctx, "attempt")
 	defer span.End()
 	span.SetAttributes(attribute.String("agent", vm))
-	stream, lost, err := e.member.Node.Open(vm)
+	stream, lost, err := e.member.Node.Open(ctx, vm)
 	if err != nil {
 		return nil, outcome.Wrap(err, outcome.NoServer, "VM %s cannot be reached", vm)
 	}
@@ -163,7 +163,7 @@
 	c.request.Traceparent = observe.Traceparent(ctx)
 	hadRun := c.mayRun
 	c.mayRun = true
-	if err := stream.Write(&wire.StreamHeader{Body: &wire.StreamHeader_Service{Service: c.request}}); err != nil {
+	if err := send(ctx, lost, stream, &wire.StreamHeader{Body: &wire.StreamHeader_Service{Service: c.request}}); err != nil {
 		return nil, outcome.Wrap(err, outcome.BackendFailed, "the connection to VM %s broke", vm)
 	}
 	messages := make(chan *wire.AgentMessage, 1)
@@ -172,7 +172,7 @@
 	go receive(stream, messages, done)
 	select {
 	case <-ctx.Done():
-		_ = stream.Write(&wire.EntryMessage{Body: &wire.EntryMessage_Cancel{Cancel: &wire.Cancel{AttemptId: c.request.AttemptId}}})
+		stream.CloseWith(&wire.EntryMessage{Body: &wire.EntryMessage_Cancel{Cancel: &wire.Cancel{AttemptId: c.request.AttemptId}}})
 		return nil, context.Cause(ctx)
 	case <-lost.Done():
 		return nil, outcome.Wrap(errSuspected, outcome.BackendFailed, "VM %s did not answer", vm)
@@ -270,11 +270,7 @@
 			break
 		}
 		asked[vm] = true
-		stream, _, err := e.member.Node.Open(vm)
-		if err != nil {
-			continue
-		}
-		state, err := queryAgent(stream, &wire.OrderQuery{ClientAccount: x.account, Service: service, OrderKey: key,
+		state, err := e.queryAgent(x.ctx, vm, &wire.OrderQuery{ClientAccount: x.account, Service: service, OrderKey: key,
 			RemainingMs: uint32(findTimeout.Milliseconds())})
 		switch {
 		case err != nil:
--- a/link/frame.go
+++ b/link/frame.go
@@ -20,12 +20,9 @@
 // writeMessage writes one length-delimited message with a single Write, so
 // that it becomes one yamux frame.
 func writeMessage(w io.Writer, m proto.Message) error {
-	size := proto.Size(m)
-	buffer := make([]byte, 0, size+protowire.SizeVarint(uint64(size)))
-	buffer = protowire.AppendVarint(buffer, uint64(size))
-	buffer, err := proto.MarshalOptions{UseCachedSize: true}.MarshalAppend(buffer, m)
+	buffer, err := encodeMessage(m)
 	if err != nil {
-		return fmt.Errorf("encode message: %w", err)
+		return err
 	}
 	if _, err := w.Write(buffer); err != nil {
 		return fmt.Errorf("write message: %w", err)
@@ -33,6 +30,18 @@
 	return nil
 }
 
+// encodeMessage returns a message with its length in front.
+func encodeMessage(m proto.Message) ([]byte, error) {
+	size := proto.Size(m)
+	buffer := make([]byte, 0, size+protowire.SizeVarint(uint64(size)))
+	buffer = protowire.AppendVarint(buffer, uint64(size))
+	buffer, err := proto.MarshalOptions{UseCachedSize: true}.MarshalAppend(buffer, m)
+	if err != nil {
+		return nil, fmt.Errorf("encode message: %w", err)
+	}
+	return buffer, nil
+}
+
 // readMessage reads one length-delimited message of at most limit bytes.
 func readMessage(r *bufio.Reader, m proto.Message, limit int) error {
 	options := protodelim.UnmarshalOptions{MaxSize: int64(limit)}
--- a/link/node.go
+++ b/link/node.go
@@ -170,9 +170,10 @@
 	}
 }
 
-// Open starts a stream to a peer. The returned context ends when the peer is
-// lost or suspected. Errors are *Error of kind Unreachable.
-func (n *Node) Open(vm string) (*Stream, context.Context, error) {
+// Open starts a stream to a peer, at the latest until ctx ends or the peer is
+// suspected. The returned context ends when the peer is lost or suspected.
+// Errors are *Error of kind Unreachable.
+func (n *Node) Open(ctx context.Context, vm string) (*Stream, context.Context, error) {
 	p := n.find(vm)
 	if p == nil {
 		return nil, nil, &Error{Kind: Unreachable, Peer: vm, Cause: errNoSession}
@@ -183,13 +184,28 @@
 	if session == nil || !usable {
 		return nil, nil, &Error{Kind: Unreachable, Peer: vm, Cause: errNoSession}
 	}
-	stream, err := session.Open()
+	ctx, cancel := Until(ctx, lost)
+	defer cancel()
+	stream, err := session.open(ctx)
 	if err != nil {
 		return nil, nil, err
 	}
 	return stream, lost, nil
 }
 
+var errLost = errors.New("the peer is lost or suspected")
+
+// Until returns a context that also ends when lost, as returned by Open, does.
+// Its cause is then an error of this package.
+func Until(ctx, lost context.Context) (context.Context, context.CancelFunc) {
+	ctx, cancel := context.WithCancelCause(ctx)
+	stop := context.AfterFunc(lost, func() { cancel(errLost) })
+	return ctx, func() {
+		stop()
+		cancel(nil)
+	}
+}
+
 var errNoSession = errors.New("no usable session")
 
 // Peers returns the status of all known peers.
--- a/link/session.go
+++ b/link/session.go
@@ -8,6 +8,7 @@
 	"fmt"
 	"io"
 	"net"
+	"sync/atomic"
 	"time"
 
 	"github.com/hashicorp/yamux"
@@ -48,6 +49,36 @@
 	return s.wrap(stream), nil
 }
 
+// open is Open bounded by ctx; opening waits while the connection takes no
+// bytes. A stream that is opened after the end of ctx is closed again.
+func (s *Session) open(ctx context.Context) (*Stream, error) {
+	opened := make(chan *Stream, 1)
+	failed := make(chan error, 1)
+	go func() {
+		stream, err := s.Open()
+		if err != nil {
+			failed <- err
+			return
+		}
+		opened <- stream
+	}()
+	select {
+	case stream := <-opened:
+		return stream, nil
+	case err := <-failed:
+		return nil, err
+	case <-ctx.Done():
+	}
+	go func() {
+		select {
+		case stream := <-opened:
+			stream.Close()
+		case <-failed:
+		}
+	}()
+	return nil, &Error{Kind: Unreachable, Peer: s.Peer.Vm, Cause: context.Cause(ctx)}
+}
+
 // Accept waits for a stream that the peer opens.
 func (s *Session) Accept() (*Stream, error) {
 	stream, err := s.mux.AcceptStream()
@@ -78,6 +109,7 @@
 	mux    *yamux.Stream
 	reader *bufio.Reader
 	limit  int
+	closed atomic.Bool
 }
 
 // Write sends a message. Errors are *Error of kind Broken; a part of the
@@ -89,6 +121,32 @@
 	return nil
 }
 
+// WriteContext is Write bounded by ctx. A write waits while the peer's window
+// is used up or the connection takes no bytes. If ctx ends first, the stream
+// can only be closed: the write may still be in progress, and the peer sees a
+// broken message.
+func (s *Stream) WriteContext(ctx context.Context, m proto.Message) error {
+	buffer, err := encodeMessage(m)
+	if err != nil {
+		return &Error{Kind: Broken, Peer: s.Peer.Vm, Cause: err}
+	}
+	written := make(chan error, 1)
+	go func() {
+		_, err := s.mux.Write(buffer)
+		written <- err
+	}()
+	select {
+	case err = <-written:
+	case <-ctx.Done():
+		_ = s.mux.SetWriteDeadline(time.Now())
+		err = context.Cause(ctx)
+	}
+	if err != nil {
+		return &Error{Kind: Broken, Peer: s.Peer.Vm, Cause: fmt.Errorf("write message: %w", err)}
+	}
+	return nil
+}
+
 // Read receives a message. Errors are *Error of kind Broken or BadMessage;
 // io.EOF is in the chain when the peer closed the stream.
 func (s *Stream) Read(m proto.Message) error {
@@ -112,10 +170,27 @@
 // SetReadDeadline bounds Read; the zero time means no limit.
 func (s *Stream) SetReadDeadline(t time.Time) { _ = s.mux.SetReadDeadline(t) }
 
-// Close ends the stream in both directions.
+// Close ends the stream in both directions. It does not wait until the peer is
+// told, which takes up to writeTimeout while the connection takes no bytes.
 func (s *Stream) Close() {
-	_ = s.mux.Close()
+	if s.closed.Swap(true) {
+		return
+	}
+	_ = s.mux.SetReadDeadline(time.Now())
+	go func() { _ = s.mux.Close() }()
+}
+
+// CloseWith sends a last message and closes the stream, without waiting. A
+// Close that follows does not overtake the message.
+func (s *Stream) CloseWith(m proto.Message) {
+	if s.closed.Swap(true) {
+		return
+	}
 	_ = s.mux.SetReadDeadline(time.Now())
+	go func() {
+		_ = s.Write(m) // the peer notices the end of the stream in any case
+		_ = s.mux.Close()
+	}()
 }
 
 func muxConfig() *yamux.Config {
--- /dev/null
+++ b/testbed/e2e/network_test.go
@@ -0,0 +1,201 @@
+package e2e
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"camphorwick.dev/settings"
+	"camphorwick.dev/testbed/client"
+	"camphorwick.dev/testbed/fleet"
+)
+
+// lateness is how long after its deadline a request may end (section 1.2,
+// guarantee 1, with one second for the way back).
+const lateness = time.Second
+
+// isOutcome reports whether a text is one of the typed outcomes.
+func isOutcome(s string) bool {
+	switch s {
+	case "completed", "not_run", "failed", "unknown":
+		return true
+	}
+	return false
+}
+
+// shortGrace bounds the time for which agents keep answers of lost entries,
+// and with it the time of a graceful stop after faults.
+func shortGrace(s *settings.Settings) {
+	if s.Agent != nil {
+		s.Agent.OrphanGraceMillis = 3000
+	}
+}
+
+// heal ends all network faults and waits until the entries reach all daemons.
+func heal(ctx context.Context, t *testing.T, f *fleet.Fleet) {
+	t.Helper()
+	if err := f.HealAll(); err != nil {
+		t.Fatal(err)
+	}
+	if err := f.AwaitMesh(ctx); err != nil {
+		t.Fatal(err)
+	}
+}
+
+// Guards against lost, doubled or mixed tokens when a connection fails in the
+// middle of an answer, on either side of the agent, and against an answer
+// that then takes longer than suspicion, a retry and the rest of the answer.
+func TestNetworkFaultDuringAnswer(t *testing.T) {
+	t.Parallel()
+	is := is.New(t)
+	ctx, f := start(t, fleet.Options{Entries: 1, Engines: 3, EngineFlags: slowEngine, Proxies: true, Adjust: shortGrace})
+	control := func(d *fleet.Daemon) *fleet.Proxy { return d.Control }
+	backend := func(d *fleet.Daemon) *fleet.Proxy { return d.Backend }
+	cases := []struct {
+		name string
+		link func(*fleet.Daemon) *fleet.Proxy
+		act  func(*fleet.Proxy) error
+	}{
+		{"agent cut", control, (*fleet.Proxy).Cut},
+		{"agent connections break", control, (*fleet.Proxy).Break},
+		{"agent reset", control, (*fleet.Proxy).Reset},
+		{"to the agent only", control, func(p *fleet.Proxy) error { return p.Drop(fleet.Up) }},
+		{"from the agent only", control, func(p *fleet.Proxy) error { return p.Drop(fleet.Down) }},
+		{"slow from the agent", control, func(p *fleet.Proxy) error { return p.Slow(fleet.Down, 1) }},
+		{"agent far away", control, func(p *fleet.Proxy) error { return p.Delay(300 * time.Millisecond) }},
+		{"engine cut", backend, (*fleet.Proxy).Cut},
+		{"engine reset", backend, (*fleet.Proxy).Reset},
+		{"from the engine only", backend, func(p *fleet.Proxy) error { return p.Drop(fleet.Down) }},
+	}
+	for _, tc := range cases {
+		text := prompt(tc.name, 2000)
+		r := client.Request{Model: "standin", Prompt: text, MaxTokens: 100, Stream: true, TimeoutMS: 20_000}
+		a, err := duringAnswer(ctx, f, 0, r, 5, func(a client.Answer) {
+			d, _ := agentOf(f, a.LastEventID)
+			is.NoErr(tc.act(tc.link(d)))
+		})
+		is.NoErr(err)
+		t.Logf("%s: %s %s after %v", tc.name, a.Outcome, a.Code, a.Duration.Round(time.Millisecond))
+		is.Equal(a.Outcome, "completed")
+		is.Equal(a.Text, expected(text, 100))
+		is.True(a.Duration < 15*time.Second)
+		heal(ctx, t, f)
+		awaitNoMemory(t, f, 15*time.Second)
+	}
+	is.NoErr(f.Stop())
+}
+
+// Guards against requests that outlive their deadline, or end without an
+// outcome, when agents or engines can be reached by nobody or in one direction
+// only, and when a link is too slow for a prompt.
+func TestDeadlinesUnderFaults(t *testing.T) {
+	t.Parallel()
+	is := is.New(t)
+	ctx, f := start(t, fleet.Options{Entries: 2, Engines: 2, Proxies: true, EngineFlags: []string{"--step-per-prefill=2us"}})
+	control := func(act func(*fleet.Proxy) error) func(*fleet.Daemon) error {
+		return func(d *fleet.Daemon) error { return act(d.Control) }
+	}
+	cases := []struct {
+		name string
+		act  func(*fleet.Daemon) error
+	}{
+		{"agents cut", control((*fleet.Proxy).Cut)},
+		{"to the agents dropped", control(func(p *fleet.Proxy) error { return p.Drop(fleet.Up) })},
+		{"from the agents dropped", control(func(p *fleet.Proxy) error { return p.Drop(fleet.Down) })},
+		{"to the agents slow", control(func(p *fleet.Proxy) error { return p.Slow(fleet.Up, 1) })},
+		{"from the agents slow", control(func(p *fleet.Proxy) error { return p.Slow(fleet.Down, 1) })},
+		{"engines cut", func(d *fleet.Daemon) error { return d.Backend.Cut() }},
+		{"from the engines dropped", func(d *fleet.Daemon) error { return d.Backend.Drop(fleet.Down) }},
+		{"to the engines slow", func(d *fleet.Daemon) error { return d.Backend.Slow(fleet.Up, 1) }},
+	}
+	for _, tc := range cases {
+		for _, d := range f.Agents {
+			is.NoErr(tc.act(d))
+		}
+		sendWithDeadlines(ctx, t, f, tc.name)
+		heal(ctx, t, f)
+		awaitNoMemory(t, f, 15*time.Second)
+	}
+	for _, engine := range f.Engines {
+		is.NoErr(f.Faults(engine, http.MethodPost, "/faults", map[string]any{"hang": true}))
+	}
+	sendWithDeadlines(ctx, t, f, "engines hang")
+	for _, engine := range f.Engines {
+		is.NoErr(f.Faults(engine, http.MethodPost, "/faults", map[string]any{"hang": false}))
+	}
+	awaitNoMemory(t, f, 15*time.Second)
+	text := prompt("after", 500)
+	a, err := caller(f, 1).Complete(ctx, client.Request{Model: "standin", Prompt: text, MaxTokens: 5, TimeoutMS: 20_000})
+	is.NoErr(err)
+	is.Equal(a.Outcome, "completed")
+	is.Equal(a.Text, expected(text, 5))
+	is.NoErr(f.Stop())
+}
+
+// sendWithDeadlines sends completions of two sizes with short deadlines at
+// once, streamed and whole, and checks how and when they end.
+func sendWithDeadlines(ctx context.Context, t *testing.T, f *fleet.Fleet, name string) {
+	var group sync.WaitGroup
+	var mu sync.Mutex
+	latest, outcomes := time.Duration(0), map[string]int{}
+	for i := range 16 {
+		timeout := []time.Duration{300 * time.Millisecond, 1500 * time.Millisecond}[i%2]
+		tokens := []int{500, 80_000}[i/2%2] // the longer one exceeds the window of a stream
+		r := client.Request{Model: "standin", Prompt: prompt(fmt.Sprint(name, i), tokens), MaxTokens: 20,
+			Stream: i/4%2 == 0, TimeoutMS: timeout.Milliseconds()}
+		group.Go(func() {
+			a, err := caller(f, i/8).Complete(ctx, r)
+			mu.Lock()
+			defer mu.Unlock()
+			outcomes[strings.TrimSpace(a.Outcome+" "+a.Code)]++
+			latest = max(latest, a.Duration-timeout)
+			switch {
+			case err != nil:
+				t.Errorf("%s: request %d: %v", name, i, err)
+			case !isOutcome(a.Outcome):
+				t.Errorf("%s: request %d: outcome %q", name, i, a.Outcome)
+			case a.Duration > timeout+lateness:
+				t.Errorf("%s: request %d (%d tokens, stream %v): %v after its deadline", name, i, tokens, r.Stream, a.Duration-timeout)
+			case a.Outcome == "completed" && a.Text != expected(r.Prompt, 20):
+				t.Errorf("%s: request %d: wrong text", name, i)
+			}
+		})
+	}
+	group.Wait()
+	t.Logf("%s: outcomes %v, latest end %v relative to its deadline", name, outcomes, latest.Round(time.Millisecond))
+}
+
+// Guards against started answers that wait for the retry budget when one
+// server with many of them fails while few new requests arrive: each waited
+// about 14 s for the next retry, one after the other.
+func TestManyAnswersContinue(t *testing.T) {
+	t.Parallel()
+	is := is.New(t)
+	ctx, f := start(t, fleet.Options{Entries: 1, Engines: 2, EngineFlags: slowEngine, Proxies: true, Adjust: shortGrace})
+	const streams = 16
+	started := make(chan struct{}, streams)
+	var group sync.WaitGroup
+	for i := range streams {
+		r := client.Request{Model: "standin", Prompt: prompt(fmt.Sprint("many", i), 500), MaxTokens: 150, Stream: true, TimeoutMS: 15_000}
+		group.Go(func() {
+			a, err := duringAnswer(ctx, f, 0, r, 3, func(client.Answer) { started <- struct{}{} })
+			if err != nil || a.Outcome != "completed" || a.Text != expected(r.Prompt, 150) {
+				t.Errorf("request %d: outcome %q, code %q, %d events, error %v", i, a.Outcome, a.Code, a.Tokens, err)
+			}
+		})
+	}
+	for range streams {
+		<-started
+	}
+	is.NoErr(f.Agents[0].Backend.Cut())
+	group.Wait()
+	heal(ctx, t, f)
+	awaitNoMemory(t, f, 10*time.Second)
+	is.NoErr(f.Stop())
+}
--- a/testbed/fleet/fleet.go
+++ b/testbed/fleet/fleet.go
@@ -19,6 +19,7 @@
 	"os/exec"
 	"path/filepath"
 	"runtime"
+	"strings"
 	"sync"
 	"syscall"
 	"time"
@@ -52,6 +53,9 @@
 	DataCentres []string
 	// EngineFlags, OrderFlags and PlatformFlags are passed to the stand-ins.
 	EngineFlags, OrderFlags, PlatformFlags []string
+	// Proxies puts fault proxies in front of every daemon's control address
+	// and between every daemon and the platform and its backend server.
+	Proxies bool
 	// Adjust may change the settings of a daemon before it starts.
 	Adjust func(*settings.Settings)
 }
@@ -70,7 +74,11 @@
 type Daemon struct {
 	*Process
 	Settings *settings.Settings
-	file     string
+	// Control, Store and Backend are the proxies in front of its control
+	// address, of the platform and of its backend server; nil if the fleet has
+	// no proxies. Control is used by the entries that connect to this daemon.
+	Control, Store, Backend *Proxy
+	file                    string
 }
 
 // Fleet is a set of running processes.
@@ -82,9 +90,10 @@
 	Agents   []*Daemon
 	Entries  []*Daemon
 
-	mu    sync.Mutex
-	all   []*Process
-	ports []net.Listener
+	mu      sync.Mutex
+	all     []*Process
+	ports   []net.Listener
+	proxies []*Proxy
 }
 
 // StartError says which process did not start.
@@ -150,10 +159,15 @@
 	for i := range o.Entries {
 		f.Entries = append(f.Entries, f.entry(fmt.Sprintf("entry-%d", i+1), i))
 	}
+	for _, d := range f.daemons() {
+		if err := f.addProxies(d); err != nil {
+			return err
+		}
+	}
 	if err := f.PublishVMs(true); err != nil {
 		return err
 	}
-	for _, d := range append(append([]*Daemon{}, f.Agents...), f.Entries...) {
+	for _, d := range f.daemons() {
 		if err := f.StartDaemon(d); err != nil {
 			return err
 		}
@@ -302,6 +316,9 @@
 	if f.Options.Adjust != nil && d.file == "" {
 		f.Options.Adjust(d.Settings)
 	}
+	if err := f.addProxies(d); err != nil {
+		return err
+	}
 	data, err := json.MarshalIndent(d.Settings, "", "  ")
 	if err != nil {
 		return &StartError{d.Settings.VM, err}
@@ -319,12 +336,54 @@
 	return nil
 }
 
+// addProxies puts proxies around a daemon if the fleet has proxies. A daemon
+// that is started again keeps its proxies.
+func (f *Fleet) addProxies(d *Daemon) error {
+	if !f.Options.Proxies || d.Control != nil {
+		return nil
+	}
+	s := d.Settings
+	var err error
+	if d.Control, err = f.proxyTo("control of "+s.VM, s.ControlAddress); err != nil {
+		return err
+	}
+	s.AdvertiseAddress = d.Control.Address()
+	if d.Store, err = f.proxyURL("platform of "+s.VM, &s.Platform.URL); err != nil || s.Agent == nil {
+		return err
+	}
+	url := new(string)
+	switch {
+	case s.Agent.Engine != nil:
+		url = &s.Agent.Engine.URL
+	case s.Agent.Service != nil:
+		url = &s.Agent.Service.URL
+	}
+	d.Backend, err = f.proxyURL("backend server of "+s.VM, url)
+	return err
+}
+
+// proxyURL replaces the host of a URL by a proxy in front of it.
+func (f *Fleet) proxyURL(name string, url *string) (*Proxy, error) {
+	p, err := f.proxyTo(name, strings.TrimPrefix(*url, "http://"))
+	if err == nil {
+		*url = "http://" + p.Address()
+	}
+	return p, err
+}
+
+// daemons returns all daemons, agents first.
+func (f *Fleet) daemons() []*Daemon { return append(append([]*Daemon{}, f.Agents...), f.Entries...) }
+
 // VMs returns the VM list of the daemons.
 func (f *Fleet) VMs() []platform.VM {
 	var vms []platform.VM
-	for _, d := range append(append([]*Daemon{}, f.Agents...), f.Entries...) {
+	for _, d := range f.daemons() {
+		address := d.Settings.AdvertiseAddress
+		if address == "" {
+			address = d.Settings.ControlAddress
+		}
 		vms = append(vms, platform.VM{ID: d.Settings.VM, Role: string(d.Settings.Role), DataCentre: d.Settings.DataCentre,
-			Address: d.Settings.ControlAddress, State: platform.VMLive})
+			Address: address, State: platform.VMLive})
 	}
 	return vms
 }
@@ -444,12 +503,12 @@
 	if _, err := f.Edit(f.Entries[0], Change{Key: "plan/standard", Value: plan}, Change{Key: "client/tester", Value: client}); err != nil {
 		return err
 	}
-	for _, d := range append(append([]*Daemon{}, f.Agents...), f.Entries...) {
+	for _, d := range f.daemons() {
 		if err := f.AwaitReady(ctx, d); err != nil {
 			return err
 		}
 	}
-	return f.awaitMesh(ctx)
+	return f.AwaitMesh(ctx)
 }
 
 // AwaitReady waits until a daemon reports that it is ready.
@@ -473,8 +532,8 @@
 	}
 }
 
-// awaitMesh waits until every entry has a session with every other daemon.
-func (f *Fleet) awaitMesh(ctx context.Context) error {
+// AwaitMesh waits until every entry has a session with every other daemon.
+func (f *Fleet) AwaitMesh(ctx context.Context) error {
 	ctx, cancel := context.WithTimeout(ctx, startTimeout)
 	defer cancel()
 	for _, d := range f.Entries {
@@ -572,8 +631,11 @@
 func (f *Fleet) Kill() {
 	f.releasePorts()
 	f.mu.Lock()
-	all := f.all
+	all, proxies := f.all, f.proxies
 	f.mu.Unlock()
+	for _, p := range proxies {
+		p.proxy.Stop()
+	}
 	for _, p := range all {
 		select {
 		case <-p.done:
--- /dev/null
+++ b/testbed/fleet/proxy.go
@@ -0,0 +1,126 @@
+package fleet
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"time"
+
+	toxiproxy "github.com/Shopify/toxiproxy/v2"
+	"github.com/rs/zerolog"
+)
+
+// Proxy is a TCP proxy in this process that injects faults into the
+// connections to one address. Up is the direction from the side that
+// connects. Safe for concurrent use.
+type Proxy struct {
+	name  string
+	proxy *toxiproxy.Proxy
+}
+
+// Direction restricts a fault to one direction of a connection.
+type Direction string
+
+// Directions: Up leads to the side that listens, Down back to the side that
+// connects.
+const (
+	Up   Direction = "upstream"
+	Down Direction = "downstream"
+)
+
+// faultProxies is the server object that toxiproxy's proxies refer to; its
+// own HTTP interface is not started.
+// Toxiproxy logs on its own, also where a logger is given.
+func faultProxies() *toxiproxy.ApiServer {
+	zerolog.SetGlobalLevel(zerolog.Disabled)
+	return toxiproxy.NewServer(toxiproxy.NewMetricsContainer(nil), zerolog.Nop())
+}
+
+// proxyTo starts a proxy in front of an address.
+func (f *Fleet) proxyTo(name, upstream string) (*Proxy, error) {
+	p := &Proxy{name: name, proxy: toxiproxy.NewProxy(faultProxies(), name, "127.0.0.1:0", upstream)}
+	if err := p.proxy.Start(); err != nil {
+		return nil, &StartError{name, err}
+	}
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.proxies = append(f.proxies, p)
+	return p, nil
+}
+
+// Address is the address to connect to.
+func (p *Proxy) Address() string { return p.proxy.Listen }
+
+// Cut closes all connections and refuses new ones until Heal.
+func (p *Proxy) Cut() error { return p.enable(false) }
+
+// Drop discards all bytes of one direction until Heal; connections stay open
+// and new ones are accepted. Heal closes the connections of this time.
+func (p *Proxy) Drop(d Direction) error { return p.add("timeout", d, map[string]any{"timeout": 0}) }
+
+// Delay adds a latency to each direction.
+func (p *Proxy) Delay(latency time.Duration) error {
+	for _, d := range []Direction{Up, Down} {
+		if err := p.add("latency", d, map[string]any{"latency": latency.Milliseconds()}); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// Slow limits one direction to a rate in KB/s, so that the sender's buffers
+// fill up.
+func (p *Proxy) Slow(d Direction, rate int) error {
+	return p.add("bandwidth", d, map[string]any{"rate": rate})
+}
+
+// Reset resets the connections on which the next bytes are sent, and new
+// ones, until Heal.
+func (p *Proxy) Reset() error { return p.add("reset_peer", Down, map[string]any{"timeout": 0}) }
+
+// Break closes all connections at once; new ones are accepted again.
+func (p *Proxy) Break() error {
+	if err := p.enable(false); err != nil {
+		return err
+	}
+	return p.enable(true)
+}
+
+// Heal ends all faults of the proxy.
+func (p *Proxy) Heal() error {
+	p.proxy.Toxics.ResetToxics(context.Background())
+	return p.enable(true)
+}
+
+func (p *Proxy) enable(on bool) error {
+	state := toxiproxy.Proxy{Listen: p.proxy.Listen, Upstream: p.proxy.Upstream, Enabled: on}
+	if err := p.proxy.Update(&state); err != nil {
+		return fmt.Errorf("switch proxy %s: %w", p.name, err)
+	}
+	return nil
+}
+
+func (p *Proxy) add(kind string, d Direction, attributes map[string]any) error {
+	data, err := json.Marshal(map[string]any{"type": kind, "stream": string(d), "attributes": attributes})
+	if err != nil {
+		return fmt.Errorf("encode fault: %w", err)
+	}
+	if _, err := p.proxy.Toxics.AddToxicJson(bytes.NewReader(data)); err != nil {
+		return fmt.Errorf("add fault to proxy %s: %w", p.name, err)
+	}
+	return nil
+}
+
+// HealAll ends the faults of all proxies.
+func (f *Fleet) HealAll() error {
+	f.mu.Lock()
+	proxies := f.proxies
+	f.mu.Unlock()
+	for _, p := range proxies {
+		if err := p.Heal(); err != nil {
+			return err
+		}
+	}
+	return nil
+}
