--- a/daemon/entry/service.go
+++ b/daemon/entry/service.go
@@ -222,8 +222,11 @@
 	Key     string          `json:"key"`
 	Service string          `json:"service"`
 	Outcome outcome.Outcome `json:"outcome"`
-	Status  uint32          `json:"http_status,omitempty"`
-	Body    string          `json:"body,omitempty"`
+	// State is what the journal holds: "absent", "claimed", "abandoned" or
+	// "done".
+	State  string `json:"state"`
+	Status uint32 `json:"http_status,omitempty"`
+	Body   string `json:"body,omitempty"`
 }
 
 // serveOrderQuery answers the recorded state of an order of the account. The
@@ -243,21 +246,33 @@
 		x.refuse(err)
 		return
 	}
-	answer := orderAnswer{Key: key, Service: service}
-	switch {
-	case !state.Found || state.Record.Status == wire.OrderStatus_ORDER_STATUS_ABANDONED:
-		answer.Outcome = outcome.NotRun
-	case state.Record.Status == wire.OrderStatus_ORDER_STATUS_DONE:
-		answer.Outcome = outcome.Completed
-		answer.Status, answer.Body = state.Record.HttpStatus, string(state.Record.Body)
-	default:
-		answer.Outcome = outcome.Unknown
-	}
+	answer := newOrderAnswer(key, service, state)
 	x.http.Response.Header.Set(headerOutcome, string(outcome.Completed))
 	writeJSON(x.http, http.StatusOK, answer)
 	x.end(outcome.Completed)
 }
 
+// newOrderAnswer tells what a recorded state means. An order that is absent or
+// abandoned is unknown, not not_run: the caller's lost request may still be
+// under way and claim the key. Sending the order again with the same key is
+// always safe and gives certainty.
+func newOrderAnswer(key, service string, state *wire.OrderState) orderAnswer {
+	answer := orderAnswer{Key: key, Service: service, Outcome: outcome.Unknown, State: "absent"}
+	if !state.Found {
+		return answer
+	}
+	switch state.Record.Status {
+	case wire.OrderStatus_ORDER_STATUS_ABANDONED:
+		answer.State = "abandoned"
+	case wire.OrderStatus_ORDER_STATUS_DONE:
+		answer.State, answer.Outcome = "done", outcome.Completed
+		answer.Status, answer.Body = state.Record.HttpStatus, string(state.Record.Body)
+	default:
+		answer.State = "claimed"
+	}
+	return answer
+}
+
 // queryOrder asks agents of the service for the state of an order.
 func (e *Entry) queryOrder(x *exchange, service, key string) (*wire.OrderState, error) {
 	asked := map[string]bool{}
--- a/testbed/e2e/network_test.go
+++ b/testbed/e2e/network_test.go
@@ -37,6 +37,16 @@
 	}
 }
 
+// await waits until a condition holds.
+func await(t *testing.T, limit time.Duration, what string, holds func() bool) {
+	t.Helper()
+	for deadline := time.Now().Add(limit); !holds(); time.Sleep(20 * time.Millisecond) {
+		if time.Now().After(deadline) {
+			t.Fatalf("%s: not within %v", what, limit)
+		}
+	}
+}
+
 // heal ends all network faults and waits until the entries reach all daemons.
 func heal(ctx context.Context, t *testing.T, f *fleet.Fleet) {
 	t.Helper()
