--- a/testbed/fleet/fleet.go
+++ b/testbed/fleet/fleet.go
@@ -21,6 +21,7 @@
 	"runtime"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -79,8 +80,13 @@
 	// no proxies. Control is used by the entries that connect to this daemon.
 	Control, Store, Backend *Proxy
 	file                    string
+	starts                  atomic.Int64
 }
 
+// Starts returns how often the daemon was started. It rises before the new
+// process runs.
+func (d *Daemon) Starts() int64 { return d.starts.Load() }
+
 // Fleet is a set of running processes.
 type Fleet struct {
 	Options  Options
@@ -328,6 +334,7 @@
 		return &StartError{d.Settings.VM, err}
 	}
 	f.releasePorts()
+	d.starts.Add(1)
 	p, err := f.launch(d.Settings.VM, exec.Command(filepath.Join(f.Options.Bin, "camphorwick"), "run", "-s", d.file))
 	if err != nil {
 		return err
