Move the checks of order and edit histories into a package

Checks return violations instead of failing a test; what they check is unchanged. TestQueryPromisesNothing starts its killed entry again, since the final queries go through all entries.

--- a/testbed/e2e/config_test.go
+++ b/testbed/e2e/config_test.go
@@ -3,23 +3,20 @@
 import (
 	"context"
 	"encoding/json"
-	"errors"
 	"fmt"
 	"math/rand/v2"
 	"net/http"
 	"strings"
 	"sync"
-	"sync/atomic"
 	"syscall"
 	"testing"
 	"time"
 
-	"github.com/anishathalye/porcupine"
-	"github.com/google/uuid"
 	"github.com/matryer/is"
 
 	"camphorwick.dev/testbed/client"
 	"camphorwick.dev/testbed/fleet"
+	"camphorwick.dev/testbed/history"
 )
 
 // inForceLimit is the bound of guarantee 8.
@@ -52,207 +49,31 @@
 	})
 }
 
-// snapshot is what one entry says about the configuration.
-type snapshot struct {
-	Revision uint64 `json:"revision"`
-	Items    []struct {
-		Key      string          `json:"key"`
-		Value    json.RawMessage `json:"value"`
-		Revision uint64          `json:"revision"`
-	} `json:"items"`
-}
-
-func readConfig(f *fleet.Fleet, d *fleet.Daemon) (snapshot, error) {
-	var s snapshot
-	data, err := f.Admin(d, http.MethodGet, "/admin/v1/config", nil)
-	if err == nil {
-		err = json.Unmarshal(data, &s)
-	}
-	return s, err
-}
-
-func (s snapshot) item(key string) uint64 {
-	for _, item := range s.Items {
-		if item.Key == key {
-			return item.Revision
-		}
-	}
-	return 0
-}
-
-// watchReverts polls the configuration of all entries until the returned
-// function is called, and fails the test if a process goes back to a lower
-// revision of the whole or of an item. A restarted process starts anew.
+// watchReverts polls all entries until the returned function is called.
 func watchReverts(t *testing.T, f *fleet.Fleet) (stop func()) {
+	ctx, cancel := context.WithCancel(context.Background())
 	done := make(chan struct{})
-	var group sync.WaitGroup
-	var polls atomic.Int64
-	for _, d := range f.Entries {
-		group.Go(func() {
-			var last snapshot
-			starts := d.Starts()
-			for {
-				select {
-				case <-done:
-					return
-				case <-time.After(20 * time.Millisecond):
-				}
-				s, err := readConfig(f, d)
-				if n := d.Starts(); n != starts {
-					starts, last = n, snapshot{}
-					continue
-				}
-				if err != nil {
-					continue
-				}
-				polls.Add(1)
-				if s.Revision < last.Revision {
-					t.Errorf("%s went back from revision %d to %d", d.Settings.VM, last.Revision, s.Revision)
-				}
-				for _, item := range last.Items {
-					if s.item(item.Key) < item.Revision {
-						t.Errorf("%s lost revision %d of %s", d.Settings.VM, item.Revision, item.Key)
-					}
-				}
-				last = s
-			}
-		})
-	}
-	return func() {
-		close(done)
-		group.Wait()
-		t.Logf("%d polls without a revert", polls.Load())
-	}
-}
-
-// editCall and editAnswer are the ends of an edit in a history of one item.
-type editCall struct {
-	item     string
-	expected uint64
-	read     bool // a read of the item's revision at the end
-}
-
-type editAnswer struct {
-	accepted bool
-	code     string
-	revision uint64
-}
-
-// itemModel is a register per item that holds the revision of its last change.
-var itemModel = porcupine.Model{
-	Partition: func(history []porcupine.Operation) [][]porcupine.Operation {
-		byItem := map[string][]porcupine.Operation{}
-		for _, op := range history {
-			item := op.Input.(editCall).item
-			byItem[item] = append(byItem[item], op)
-		}
-		parts := make([][]porcupine.Operation, 0, len(byItem))
-		for _, part := range byItem {
-			parts = append(parts, part)
+	go func() {
+		defer close(done)
+		polls, reverts := history.WatchReverts(ctx, f)
+		t.Logf("%d polls, %d reverts", polls, len(reverts))
+		for _, err := range reverts {
+			t.Error(err)
 		}
-		return parts
-	},
-	Init: func() any { return uint64(0) },
-	Step: func(state, input, output any) (bool, any) {
-		revision, in, out := state.(uint64), input.(editCall), output.(editAnswer)
-		switch {
-		case in.read:
-			return revision == out.revision, revision
-		case out.accepted:
-			return revision == in.expected && out.revision > revision, out.revision
-		case out.code == "edit_conflict":
-			return revision != in.expected, revision
-		}
-		return true, revision // refused for another reason: no effect
-	},
-}
-
-// editHistory collects the edits of all operators.
-type editHistory struct {
-	started    time.Time
-	mu         sync.Mutex
-	operations []porcupine.Operation
-	answers    map[string]int
-}
-
-func (h *editHistory) add(called int64, in editCall, out editAnswer) {
-	h.mu.Lock()
-	defer h.mu.Unlock()
-	name := out.code
-	if out.accepted {
-		name = "accepted"
-	}
-	h.answers[name]++
-	h.operations = append(h.operations, porcupine.Operation{Input: in, Call: called, Output: out, Return: int64(time.Since(h.started))})
-}
-
-// operate makes one edit. An edit in doubt is submitted again with its id
-// until the answer is certain.
-func (h *editHistory) operate(ctx context.Context, f *fleet.Fleet, random *rand.Rand, item string) {
-	seen, err := readConfig(f, f.Entries[random.IntN(2)])
-	if err != nil {
-		return
-	}
-	body := object{"id": uuid.NewString(), "operator": "racer", "changes": []object{{"key": item, "expected_revision": seen.item(item),
-		"value": object{"plan": "standard", "key_hashes": []string{fleet.HashKey(uuid.NewString())}}}}}
-	called := int64(time.Since(h.started))
-	for ctx.Err() == nil {
-		out, certain := submitEdit(f, f.Entries[random.IntN(2)], body)
-		if certain {
-			h.add(called, editCall{item: item, expected: seen.item(item)}, out)
-			return
-		}
-		body["since"] = seen.Revision
-		time.Sleep(50 * time.Millisecond)
-	}
-}
-
-// submitEdit submits an edit once; certain is false if it may have been
-// accepted without an answer. A refusal for lack of the store says nothing
-// about an earlier submission.
-func submitEdit(f *fleet.Fleet, d *fleet.Daemon, body object) (out editAnswer, certain bool) {
-	_, repeated := body["since"]
-	data, err := f.Admin(d, http.MethodPost, "/admin/v1/edits", body)
-	var answer struct {
-		Outcome  string `json:"outcome"`
-		Revision uint64 `json:"revision"`
-		Error    struct {
-			Code string `json:"code"`
-		} `json:"error"`
-	}
-	var status *fleet.StatusError
-	if err != nil && !errors.As(err, &status) || json.Unmarshal(data, &answer) != nil {
-		return editAnswer{}, false
-	}
-	if err == nil {
-		return editAnswer{accepted: true, revision: answer.Revision}, true
+	}()
+	return func() {
+		cancel()
+		<-done
 	}
-	certain = answer.Outcome == "not_run" && (!repeated || answer.Error.Code == "edit_conflict")
-	return editAnswer{code: answer.Error.Code}, certain
 }
 
-// check waits until all entries agree and checks the history.
-func (h *editHistory) check(t *testing.T, f *fleet.Fleet) {
+// report logs the summary of a check and fails the test on violations.
+func report(t *testing.T, check func() (string, []error)) {
 	t.Helper()
-	var last snapshot
-	await(t, inForceLimit, "all entries have the same configuration", func() bool {
-		first, err := readConfig(f, f.Entries[0])
-		second, err2 := readConfig(f, f.Entries[1])
-		last = first
-		return err == nil && err2 == nil && first.Revision == second.Revision
-	})
-	seen := map[string]bool{}
-	for _, op := range h.operations {
-		if item := op.Input.(editCall).item; !seen[item] {
-			seen[item] = true
-			h.add(int64(time.Since(h.started)), editCall{item: item, read: true}, editAnswer{code: "read", revision: last.item(item)})
-		}
-	}
-	t.Logf("revision %d, answers %v", last.Revision, h.answers)
-	for _, part := range itemModel.Partition(h.operations) {
-		if porcupine.CheckOperationsTimeout(itemModel, part, 10*time.Second) != porcupine.Ok {
-			t.Errorf("the answers to the edits of %s fit no order: %v", part[0].Input.(editCall).item, part)
-		}
+	summary, violations := check()
+	t.Log(summary)
+	for _, err := range violations {
+		t.Error(err)
 	}
 }
 
@@ -265,21 +86,11 @@
 	is := is.New(t)
 	ctx, f := start(t, fleet.Options{Entries: 2, Engines: 1, Proxies: true})
 	stopWatch := watchReverts(t, f)
-	h := &editHistory{started: time.Now(), answers: map[string]int{}}
-	stop := make(chan struct{})
+	h := history.NewEdits(f)
+	load, stop := context.WithCancel(ctx)
 	var group sync.WaitGroup
 	for operator := range 6 {
-		group.Go(func() {
-			random := rand.New(rand.NewPCG(uint64(operator), 2))
-			for {
-				select {
-				case <-stop:
-					return
-				default:
-					h.operate(ctx, f, random, fmt.Sprintf("client/racer-%d", random.IntN(4)))
-				}
-			}
-		})
+		group.Go(func() { h.Load(load, uint64(operator), 0) })
 	}
 	time.Sleep(time.Second)
 	is.NoErr(storeRules(f, object{"fault": "lose_answer", "operation": "put", "key_prefix": "config/", "probability": 0.4}))
@@ -295,9 +106,9 @@
 	}))
 	is.NoErr(healStore(f))
 	time.Sleep(time.Second)
-	close(stop)
+	stop()
 	group.Wait()
-	h.check(t, f)
+	report(t, h.Check)
 	stopWatch()
 	is.NoErr(f.Stop())
 }
@@ -311,10 +122,10 @@
 	ctx, f := start(t, fleet.Options{Entries: 2, Engines: 1, Orders: 1, Proxies: true})
 	stopWatch := watchReverts(t, f)
 	random := rand.New(rand.NewPCG(9, 9))
-	h := &editHistory{started: time.Now(), answers: map[string]int{}}
+	h := history.NewEdits(f)
 	editAll := func() {
 		for i := range 5 {
-			h.operate(ctx, f, random, fmt.Sprintf("client/kept-%d", i))
+			h.Edit(random, fmt.Sprintf("client/kept-%d", i))
 		}
 	}
 	editAll()
@@ -341,7 +152,7 @@
 		heal(ctx, t, f)
 		time.Sleep(time.Second) // the watcher of an entry that was cut off reads the store
 	}
-	h.check(t, f)
+	report(t, h.Check)
 	stopWatch()
 	is.NoErr(f.Stop())
 }
--- a/testbed/e2e/e2e_test.go
+++ b/testbed/e2e/e2e_test.go
@@ -19,6 +19,7 @@
 	"camphorwick.dev/standin/enginesim"
 	"camphorwick.dev/testbed/client"
 	"camphorwick.dev/testbed/fleet"
+	"camphorwick.dev/testbed/history"
 )
 
 // testLimit bounds one test.
@@ -123,15 +124,6 @@
 	}
 }
 
-func orderKey(t *testing.T) string {
-	t.Helper()
-	key, err := uuid.NewV7()
-	if err != nil {
-		t.Fatal(err)
-	}
-	return key.String()
-}
-
 // Guards the whole path: streamed and whole answers, idempotent calls, orders.
 func TestPath(t *testing.T) {
 	is := is.New(t)
@@ -148,7 +140,7 @@
 	get, err := caller(f, 1).Call(ctx, http.MethodGet, "/v1/services/orders/stock", nil, nil)
 	is.NoErr(err)
 	is.Equal(get.Outcome, "completed")
-	key := orderKey(t)
+	key := history.NewKey()
 	first, err := caller(f, 0).Order(ctx, "/v1/services/orders/coils", key, []byte("1"))
 	is.NoErr(err)
 	is.Equal(first.Outcome, "completed")
--- a/testbed/e2e/failure_test.go
+++ b/testbed/e2e/failure_test.go
@@ -14,6 +14,7 @@
 
 	"camphorwick.dev/testbed/client"
 	"camphorwick.dev/testbed/fleet"
+	"camphorwick.dev/testbed/history"
 )
 
 // slowEngine makes a token take about 20 ms, so that a test can act in the
@@ -219,7 +220,7 @@
 	a, err := caller(f, 0).Complete(ctx, client.Request{Model: "standin", Prompt: text, MaxTokens: 10})
 	is.NoErr(err)
 	is.Equal(a.Outcome, "completed")
-	key := orderKey(t)
+	key := history.NewKey()
 	order, err := caller(f, 0).Call(ctx, http.MethodPost, "/v1/services/orders/coils", []byte("1"),
 		map[string]string{"Idempotency-Key": key, "Camphorwick-Timeout-Ms": "3000"})
 	is.NoErr(err)
--- a/testbed/e2e/network_test.go
+++ b/testbed/e2e/network_test.go
@@ -14,21 +14,9 @@
 	"camphorwick.dev/settings"
 	"camphorwick.dev/testbed/client"
 	"camphorwick.dev/testbed/fleet"
+	"camphorwick.dev/testbed/history"
 )
 
-// lateness is how long after its deadline a request may end (section 1.2,
-// guarantee 1, with one second for the way back).
-const lateness = time.Second
-
-// isOutcome reports whether a text is one of the typed outcomes.
-func isOutcome(s string) bool {
-	switch s {
-	case "completed", "not_run", "failed", "unknown":
-		return true
-	}
-	return false
-}
-
 // shortGrace bounds the time for which agents keep answers of lost entries,
 // and with it the time of a graceful stop after faults.
 func shortGrace(s *settings.Settings) {
@@ -168,9 +156,9 @@
 			switch {
 			case err != nil:
 				t.Errorf("%s: request %d: %v", name, i, err)
-			case !isOutcome(a.Outcome):
+			case !history.IsOutcome(a.Outcome):
 				t.Errorf("%s: request %d: outcome %q", name, i, a.Outcome)
-			case a.Duration > timeout+lateness:
+			case a.Duration > timeout+history.Lateness:
 				t.Errorf("%s: request %d (%d tokens, stream %v): %v after its deadline", name, i, tokens, r.Stream, a.Duration-timeout)
 			case a.Outcome == "completed" && a.Text != expected(r.Prompt, 20):
 				t.Errorf("%s: request %d: wrong text", name, i)
--- a/testbed/e2e/orders_test.go
+++ b/testbed/e2e/orders_test.go
@@ -11,6 +11,7 @@
 	"github.com/matryer/is"
 
 	"camphorwick.dev/testbed/fleet"
+	"camphorwick.dev/testbed/history"
 )
 
 // orderWorkers is the number of callers that send orders at once.
@@ -183,11 +184,11 @@
 func runOrderFaults(t *testing.T, faults []orderFault) {
 	is := is.New(t)
 	ctx, f := start(t, fleet.Options{Entries: 2, Orders: 2, Proxies: true})
-	history := newOrderHistory()
-	stop := make(chan struct{})
+	orders := history.NewOrders(f)
+	load, stop := context.WithCancel(ctx)
 	var group sync.WaitGroup
 	for worker := range orderWorkers {
-		group.Go(func() { history.load(ctx, t, f, uint64(worker), stop) })
+		group.Go(func() { orders.Load(load, uint64(worker)) })
 	}
 	for _, fault := range faults {
 		if err := fault.begin(ctx, f); err != nil {
@@ -198,34 +199,13 @@
 		}
 		time.Sleep(300 * time.Millisecond)
 	}
-	close(stop)
+	stop()
 	group.Wait()
-	settleOrders(ctx, t, f, history)
-	history.check(t, f)
-	is.NoErr(f.Stop())
-}
-
-// settleOrders ends all faults, lets the system be idle, and asks for every
-// key again through both entries.
-func settleOrders(ctx context.Context, t *testing.T, f *fleet.Fleet, history *orderHistory) {
-	t.Helper()
-	if err := healStore(f); err != nil {
-		t.Fatal(err)
-	}
+	is.NoErr(healStore(f))
 	heal(ctx, t, f)
-	time.Sleep(3 * time.Second)
-	keys := history.keys()
-	var group sync.WaitGroup
-	for worker := range orderWorkers {
-		group.Go(func() {
-			for i := worker; i < len(keys); i += orderWorkers {
-				if _, ok := history.query(ctx, f, i%2, keys[i]); !ok {
-					t.Errorf("the state of order %s cannot be read when all faults have ended", keys[i])
-				}
-			}
-		})
-	}
-	group.Wait()
+	time.Sleep(3 * time.Second) // late effects show themselves
+	report(t, func() (string, []error) { return orders.Check(ctx) })
+	is.NoErr(f.Stop())
 }
 
 // Guards against orders that run twice, and against told outcomes that prove
@@ -254,23 +234,25 @@
 	t.Parallel()
 	is := is.New(t)
 	ctx, f := start(t, fleet.Options{Entries: 2, Orders: 1, Proxies: true})
-	history := newOrderHistory()
-	key := orderKey(t)
+	orders := history.NewOrders(f)
+	key := history.NewKey()
 	is.NoErr(f.Faults(f.Platform, http.MethodPut, "/faults", object{"rules": []object{
 		{"operation": "put", "key_prefix": "orders/", "latency_ms": 1500}}}))
 	sent := make(chan struct{})
 	go func() {
 		defer close(sent)
-		history.send(ctx, f, 0, key, 10*time.Second)
+		orders.Send(ctx, 0, key, 10*time.Second)
 	}()
 	time.Sleep(500 * time.Millisecond)
 	f.Entries[0].KillNow()
 	<-sent
-	_, ok := history.query(ctx, f, 1, key)
+	_, ok := orders.Query(ctx, 1, key)
 	is.True(ok)
 	await(t, 10*time.Second, "the order runs", func() bool {
-		out, ok := history.query(ctx, f, 1, key)
-		return ok && out.outcome == "completed"
+		out, ok := orders.Query(ctx, 1, key)
+		return ok && out == "completed"
 	})
-	history.check(t, f)
+	is.NoErr(f.StartDaemon(f.Entries[0]))
+	is.NoErr(f.AwaitMesh(ctx))
+	report(t, func() (string, []error) { return orders.Check(ctx) })
 }
--- /dev/null
+++ b/testbed/history/orders.go
@@ -0,0 +1,340 @@
+// Package history records what callers and operators are told while faults are
+// injected, and checks it against a sequential model and against what the
+// backend servers have seen. The integration tests and the soak test use it.
+package history
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"math"
+	"math/rand/v2"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/anishathalye/porcupine"
+	"github.com/google/uuid"
+
+	"camphorwick.dev/testbed/client"
+	"camphorwick.dev/testbed/fleet"
+)
+
+// Kinds of operations in the history of an order key.
+const (
+	opSend  = "send"  // an order
+	opQuery = "query" // a query of the recorded state
+	opRuns  = "runs"  // the number of runs at the services, after everything
+)
+
+// orderInput and orderOutput are the two ends of an operation.
+type orderInput struct{ kind, key string }
+
+type orderOutput struct {
+	outcome, code string
+	recorded      bool
+	runs          int
+}
+
+// Lateness is how long after its deadline a request may end: guarantee 1 of
+// the design, with one second for the way back.
+const Lateness = time.Second
+
+// checkLimit bounds the check of one history.
+const checkLimit = 10 * time.Second
+
+// answerLimit bounds the wait for an answer that does not come in time.
+const answerLimit = 15 * time.Second
+
+// IsOutcome reports whether a text is one of the typed outcomes.
+func IsOutcome(s string) bool {
+	switch s {
+	case "completed", "not_run", "failed", "unknown":
+		return true
+	}
+	return false
+}
+
+// Violation is a broken guarantee.
+type Violation struct{ Text string }
+
+func (v *Violation) Error() string { return v.Text }
+
+func violation(format string, args ...any) error { return &Violation{fmt.Sprintf(format, args...)} }
+
+// Clients returns a caller for each entry of a fleet.
+func Clients(f *fleet.Fleet) []*client.Client {
+	var clients []*client.Client
+	for _, d := range f.Entries {
+		clients = append(clients, client.New(d.Settings.Entry.CallersAddress, fleet.CallerKey))
+	}
+	return clients
+}
+
+// Orders collects what callers were told about orders. Safe for concurrent
+// use.
+type Orders struct {
+	fleet   *fleet.Fleet
+	clients []*client.Client
+	started time.Time
+
+	mu         sync.Mutex
+	operations []porcupine.Operation
+	answers    map[string]int
+	late       time.Duration // latest end of an order after its deadline
+}
+
+// NewOrders returns an empty history.
+func NewOrders(f *fleet.Fleet) *Orders {
+	return &Orders{fleet: f, clients: Clients(f), started: time.Now(), answers: map[string]int{}}
+}
+
+func (h *Orders) now() int64 { return int64(time.Since(h.started)) }
+
+// add records an operation. One whose outcome is unknown may take effect at
+// any later time, so it has no end.
+func (h *Orders) add(called int64, in orderInput, out orderOutput) {
+	returned := h.now()
+	if in.kind == opSend && out.outcome == "unknown" {
+		returned = math.MaxInt64
+	}
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.answers[in.kind+" "+out.outcome]++
+	h.operations = append(h.operations, porcupine.Operation{Input: in, Call: called, Output: out, Return: returned})
+}
+
+// Send sends an order through an entry. A broken connection to the entry
+// counts as unknown.
+func (h *Orders) Send(ctx context.Context, entry int, key string, timeout time.Duration) {
+	ctx, cancel := context.WithTimeout(ctx, timeout+answerLimit)
+	defer cancel()
+	called := h.now()
+	a, err := h.clients[entry].Call(ctx, http.MethodPost, "/v1/services/orders/coils", []byte(key),
+		map[string]string{"Idempotency-Key": key, "Camphorwick-Timeout-Ms": fmt.Sprint(timeout.Milliseconds())})
+	out := orderOutput{outcome: a.Outcome, code: a.Code, recorded: a.Recorded}
+	if err != nil || !IsOutcome(a.Outcome) {
+		out = orderOutput{outcome: "unknown", code: "connection"}
+	}
+	h.add(called, orderInput{opSend, key}, out)
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if err == nil {
+		h.late = max(h.late, a.Duration-timeout)
+	}
+}
+
+// Query asks an entry for the outcome of an order; ok is false if it cannot
+// be told. Such queries are not part of the history.
+func (h *Orders) Query(ctx context.Context, entry int, key string) (outcome string, ok bool) {
+	ctx, cancel := context.WithTimeout(ctx, answerLimit)
+	defer cancel()
+	called := h.now()
+	a, err := h.clients[entry].Call(ctx, http.MethodGet, "/v1/orders/"+key, nil, nil)
+	var state struct {
+		Outcome string `json:"outcome"`
+	}
+	if err != nil || a.Status != http.StatusOK || json.Unmarshal([]byte(a.Text), &state) != nil {
+		return "", false
+	}
+	h.add(called, orderInput{opQuery, key}, orderOutput{outcome: state.Outcome})
+	return state.Outcome, true
+}
+
+// keys returns all keys of the history.
+func (h *Orders) keys() []string {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	seen := map[string]bool{}
+	var keys []string
+	for _, op := range h.operations {
+		if key := op.Input.(orderInput).key; !seen[key] {
+			seen[key] = true
+			keys = append(keys, key)
+		}
+	}
+	return keys
+}
+
+// orderModel is a register per key that holds whether the order ran. It
+// forbids a second run, an answer that contradicts an earlier one, and a run
+// that nobody can explain. An order that is answered not_run has no effect in
+// any state: the refusal is about this call.
+var orderModel = porcupine.NondeterministicModel{
+	Partition: func(history []porcupine.Operation) [][]porcupine.Operation {
+		byKey := map[string][]porcupine.Operation{}
+		for _, op := range history {
+			key := op.Input.(orderInput).key
+			byKey[key] = append(byKey[key], op)
+		}
+		parts := make([][]porcupine.Operation, 0, len(byKey))
+		for _, part := range byKey {
+			parts = append(parts, part)
+		}
+		return parts
+	},
+	Init: func() []any { return []any{false} },
+	Step: func(state, input, output any) []any {
+		ran := state.(bool)
+		in, out := input.(orderInput), output.(orderOutput)
+		switch {
+		case in.kind == opRuns:
+			return keepIf(ran, out.runs == runsOf(ran))
+		case in.kind == opSend && out.outcome == "completed" && !out.recorded:
+			if ran {
+				return nil
+			}
+			return []any{true}
+		case in.kind == opSend && out.outcome == "completed":
+			// Recorded, perhaps by an earlier attempt of this very call.
+			return []any{true}
+		case out.outcome == "completed":
+			return keepIf(ran, ran)
+		case in.kind == opQuery && out.outcome == "not_run":
+			return keepIf(ran, !ran)
+		case in.kind == opSend && out.outcome == "unknown" && !ran:
+			return []any{false, true}
+		}
+		return []any{ran}
+	},
+}
+
+func keepIf(state, legal bool) []any {
+	if legal {
+		return []any{state}
+	}
+	return nil
+}
+
+func runsOf(ran bool) int {
+	if ran {
+		return 1
+	}
+	return 0
+}
+
+// Check compares what callers were told with the runs at the services, when
+// all faults have ended and the system has been idle. It asks for each key
+// once more. The summary has the counts; errors are *Violation.
+func (h *Orders) Check(ctx context.Context) (summary string, violations []error) {
+	keys := h.keys()
+	violations = h.queryAll(ctx, keys)
+	runs, err := h.runs()
+	if err != nil {
+		return "", append(violations, err)
+	}
+	byRuns := map[int]int{}
+	for _, key := range keys {
+		byRuns[runs[key]]++
+		h.add(h.now(), orderInput{opRuns, key}, orderOutput{runs: runs[key]})
+	}
+	for n, count := range byRuns {
+		if n > 1 {
+			violations = append(violations, violation("%d orders ran %d times", count, n))
+		}
+	}
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if h.late > Lateness {
+		violations = append(violations, violation("an order was answered %v after its deadline", h.late))
+	}
+	model := orderModel.ToModel()
+	for _, part := range orderModel.Partition(h.operations) {
+		key := part[0].Input.(orderInput).key
+		if porcupine.CheckOperationsTimeout(model, part, checkLimit) != porcupine.Ok || promiseBroken(part, runs[key]) {
+			violations = append(violations, violation("the answers about order %s contradict each other or its %d runs: %v", key, runs[key], describe(part)))
+		}
+	}
+	return fmt.Sprintf("%d keys, by number of runs %v, answers %v, latest answer %v relative to its deadline",
+		len(keys), byRuns, h.answers, h.late.Round(time.Millisecond)), violations
+}
+
+// queryAll asks for all keys again, each through one of the entries.
+func (h *Orders) queryAll(ctx context.Context, keys []string) (violations []error) {
+	const workers = 8
+	var group sync.WaitGroup
+	var mu sync.Mutex
+	for worker := range workers {
+		group.Go(func() {
+			for i := worker; i < len(keys); i += workers {
+				if _, ok := h.Query(ctx, i%len(h.clients), keys[i]); !ok {
+					mu.Lock()
+					violations = append(violations, violation("the state of order %s cannot be read when all faults have ended", keys[i]))
+					mu.Unlock()
+				}
+			}
+		})
+	}
+	group.Wait()
+	return violations
+}
+
+// runs returns how often each key ran at all services together.
+func (h *Orders) runs() (map[string]int, error) {
+	runs := map[string]int{}
+	for _, service := range h.fleet.Orders {
+		var stats struct {
+			Keys map[string]int `json:"keys"`
+		}
+		if err := h.fleet.Stats(service, "/runs", &stats); err != nil {
+			return nil, err
+		}
+		for key, n := range stats.Keys {
+			runs[key] += n
+		}
+	}
+	return runs, nil
+}
+
+// promiseBroken reports whether a query was answered not_run, nobody sent the
+// order afterwards, and the order ran all the same.
+func promiseBroken(part []porcupine.Operation, runs int) bool {
+	var told, sent int64
+	for _, op := range part {
+		in, out := op.Input.(orderInput), op.Output.(orderOutput)
+		switch {
+		case in.kind == opQuery && out.outcome == "not_run":
+			told = max(told, op.Return)
+		case in.kind == opSend:
+			sent = max(sent, op.Call)
+		}
+	}
+	return runs > 0 && told > sent
+}
+
+func describe(part []porcupine.Operation) []string {
+	var lines []string
+	for _, op := range part {
+		in, out := op.Input.(orderInput), op.Output.(orderOutput)
+		lines = append(lines, fmt.Sprintf("%v+%v %s: %s %s recorded=%v runs=%d", time.Duration(op.Call).Round(time.Millisecond),
+			time.Duration(op.Return-op.Call).Round(time.Millisecond), in.kind, out.outcome, out.code, out.recorded, out.runs))
+	}
+	return lines
+}
+
+// Load sends orders until ctx ends. Each key is sent once or through two
+// entries at once, queried, perhaps sent again, and queried again.
+func (h *Orders) Load(ctx context.Context, seed uint64) {
+	random := rand.New(rand.NewPCG(seed, 1))
+	calls := context.WithoutCancel(ctx) // calls in progress end by themselves
+	anyEntry := func() int { return random.IntN(len(h.clients)) }
+	for ctx.Err() == nil {
+		key := NewKey()
+		timeout := time.Duration(600+random.IntN(1800)) * time.Millisecond
+		first, second, both, again := anyEntry(), anyEntry(), random.IntN(2) == 0, random.IntN(3) == 0
+		var group sync.WaitGroup
+		group.Go(func() { h.Send(calls, first, key, timeout) })
+		if both {
+			group.Go(func() { h.Send(calls, second, key, timeout) })
+		}
+		group.Wait()
+		h.Query(calls, anyEntry(), key)
+		if again {
+			h.Send(calls, anyEntry(), key, timeout)
+			h.Query(calls, anyEntry(), key)
+		}
+	}
+}
+
+// NewKey returns a new order key.
+func NewKey() string { return uuid.Must(uuid.NewV7()).String() }
