Add the soak test and fix two faults that it found

TestGroupWaitsForEngines failed before.

Fault 2: an entry that had no configuration yet answered unauthenticated to valid keys. It now answers no_server. TestEntryWithoutConfiguration failed before.

--- a/Makefile
+++ b/Makefile
@@ -37,5 +37,10 @@
 demo: build
 	go run ./testbed/cmd/demo -bin bin
 
+# Mixes faults at random under load; see bin/soak -h for the flags.
+# Example: make soak SOAK='-seed 7 -duration 10m -callers 20'
+soak: build
+	bin/soak -bin bin $(SOAK)
+
 tidy:
 	@for m in $$(go list -m -f '{{.Dir}}'); do (cd $$m && go mod tidy) || exit 1; done
--- a/daemon/entry/group.go
+++ b/daemon/entry/group.go
@@ -62,8 +62,7 @@
 		rest -= size
 	}
 	if rest > 0 {
-		return nil, outcome.New(outcome.PromptTooLong, "a prompt of about %d tokens exceeds the %d engines of model %q together",
-			c.tokens, len(candidates), c.model)
+		return nil, e.tooFewEngines(c, len(prompt), len(candidates))
 	}
 	sort.Slice(members, func(i, j int) bool { return members[i].vm < members[j].vm })
 	for start, i := 0, 0; i < len(members); i++ {
@@ -74,6 +73,27 @@
 	return members, nil
 }
 
+var errEnginesMissing = errors.New("not all engines that the prompt needs can be used now")
+
+// tooFewEngines tells a prompt that no group can hold from one that has to
+// wait until engines that are lost, draining or marked can be used again.
+func (e *Entry) tooFewEngines(c *completion, size, usable int) error {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	room, known := 0, 0
+	for _, state := range e.agents {
+		if serves(state.hello.GetBackend(), c.model) {
+			known++
+			room += int(float64(state.hello.Backend.KvTokens)*segmentShare) * outcome.BytesPerToken
+		}
+	}
+	if room < size {
+		return outcome.New(outcome.PromptTooLong, "a prompt of about %d tokens exceeds the %d engines of model %q together", c.tokens, known, c.model)
+	}
+	return outcome.Wrap(errEnginesMissing, outcome.NoServer, "a prompt of about %d tokens needs more than the %d of %d engines of model %q that can be used now",
+		c.tokens, usable, known, c.model).WithRetryAfter(time.Second)
+}
+
 type candidate struct {
 	vm       string
 	kv       int
@@ -125,8 +145,16 @@
 		case attemptStopped:
 			return r.failure(got.err), nil
 		case attemptNotRun:
-			if outcome.CodeOf(got.err) == outcome.PromptTooLong {
+			switch {
+			case outcome.CodeOf(got.err) == outcome.PromptTooLong, errors.Is(got.err, errEnginesMissing) && !r.started():
 				return r.failure(got.err), nil
+			case errors.Is(got.err, errEnginesMissing):
+				// As in pick: a started completion waits, and no engine was asked.
+				r.attempts--
+				if !pause(ctx, retryPause) {
+					return r.failure(context.Cause(ctx)), nil
+				}
+				continue
 			}
 			if !pause(ctx, retryPause*time.Duration(r.attempts)) {
 				return r.failure(context.Cause(ctx)), nil
--- a/daemon/entry/http.go
+++ b/daemon/entry/http.go
@@ -228,6 +228,9 @@
 		return outcome.New(outcome.Unauthenticated, "the header Authorization must be \"Bearer\" and an API key")
 	}
 	config := e.member.Replica.Config()
+	if config.Revision() == 0 {
+		return outcome.New(outcome.NoServer, "VM %s has no configuration yet", e.settings.VM).WithRetryAfter(time.Second)
+	}
 	account, client, ok := config.ClientByKey(key)
 	if !ok {
 		return outcome.New(outcome.Unauthenticated, "the API key is unknown or revoked")
--- a/daemon/entry/run.go
+++ b/daemon/entry/run.go
@@ -185,9 +185,12 @@
 	return nil
 }
 
+// started reports whether the completion may have run somewhere.
+func (r *run) started() bool { return r.mayRun || len(r.emitted) > 0 }
+
 // failure returns the result of a completion that did not complete.
 func (r *run) failure(err error) result {
-	if r.mayRun || len(r.emitted) > 0 {
+	if r.started() {
 		return result{outcome: outcome.Failed, err: err}
 	}
 	return result{outcome: outcome.NotRun, err: err}
@@ -209,7 +212,7 @@
 			return "", context.Cause(ctx)
 		case ok:
 			return vm, nil
-		case len(r.emitted) == 0 && !r.mayRun:
+		case !r.started():
 			return "", outcome.New(outcome.NoServer, "no backend server can take the request now").WithRetryAfter(time.Second)
 		}
 		clear(r.excluded)
--- a/testbed/e2e/network_test.go
+++ b/testbed/e2e/network_test.go
@@ -197,3 +197,50 @@
 	awaitNoMemory(t, f, 10*time.Second)
 	is.NoErr(f.Stop())
 }
+
+// Guards against a started answer of a group that fails, and against a
+// permanent refusal (prompt_too_long), while an engine that the prompt needs
+// cannot be reached for a time. Found by the soak test.
+func TestGroupWaitsForEngines(t *testing.T) {
+	t.Parallel()
+	is := is.New(t)
+	ctx, f := start(t, fleet.Options{Entries: 1, Engines: 3, Proxies: true, Adjust: shortGrace,
+		EngineFlags: []string{"--kv-tokens=100000", "--step-fixed=20ms", "--step-per-prefill=2us"}})
+	r := client.Request{Model: "standin", Prompt: prompt("group", 120_000), MaxTokens: 100, Stream: true, TimeoutMS: 30_000}
+	a, err := duringAnswer(ctx, f, 0, r, 5, func(client.Answer) {
+		is.NoErr(f.Agents[0].Control.Cut())
+		time.Sleep(500 * time.Millisecond)
+		b, err := caller(f, 0).Complete(ctx, r)
+		is.NoErr(err)
+		is.Equal(b.Outcome, "not_run")
+		is.Equal(b.Code, "no_server")
+		time.Sleep(2 * time.Second)
+		is.NoErr(f.Agents[0].Control.Heal())
+	})
+	is.NoErr(err)
+	is.Equal(a.Outcome, "completed")
+	is.Equal(a.Text, expected(r.Prompt, 100))
+	awaitNoMemory(t, f, 10*time.Second)
+	is.NoErr(f.Stop())
+}
+
+// Guards against a refusal that blames the caller's key (unauthenticated)
+// while an entry has no configuration yet. Found by the soak test.
+func TestEntryWithoutConfiguration(t *testing.T) {
+	t.Parallel()
+	is := is.New(t)
+	ctx, f := start(t, fleet.Options{Entries: 1, Engines: 1, Proxies: true})
+	is.NoErr(f.Faults(f.Platform, http.MethodPut, "/faults", map[string]any{"outage": "refuse"}))
+	fresh := f.AddEntry("entry-fresh")
+	is.NoErr(f.StartDaemon(fresh))
+	c := client.New(fresh.Settings.Entry.CallersAddress, fleet.CallerKey)
+	var a client.Answer
+	await(t, 10*time.Second, "the entry answers", func() bool {
+		var err error
+		a, err = c.Complete(ctx, client.Request{Model: "standin", Prompt: "a", MaxTokens: 1})
+		return err == nil
+	})
+	is.Equal(a.Outcome, "not_run")
+	is.Equal(a.Code, "no_server")
+	is.Equal(a.Status, http.StatusServiceUnavailable)
+}
--- /dev/null
+++ b/testbed/e2e/soak_test.go
@@ -0,0 +1,32 @@
+package e2e
+
+import (
+	"context"
+	"io"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"camphorwick.dev/testbed/soak"
+)
+
+// soakSeed fixes the choice of faults and requests of the short run.
+const soakSeed = 20
+
+// Guards against combinations of faults that no other test has. `make soak`
+// runs longer with other seeds.
+func TestSoak(t *testing.T) {
+	t.Parallel()
+	is := is.New(t)
+	ctx, cancel := context.WithTimeout(context.Background(), testLimit)
+	defer cancel()
+	dir := t.TempDir()
+	report, err := soak.Run(ctx, soak.Options{Bin: binaries, Dir: dir, Seed: soakSeed, Duration: 12 * time.Second, Callers: 8, Orders: 4, Out: io.Discard})
+	is.NoErr(err)
+	var text strings.Builder
+	report.Write(&text)
+	t.Log(text.String())
+	is.Equal(len(report.Violations), 0)
+}
