Bound edits in doubt in the tests; refuse groups finally only when all engines are known

An edit that stays in doubt for 30 s is now a violation; before, a product that never decides it made the test hang (seen with a trial that removes the search for the edit id).

--- a/daemon/entry/group.go
+++ b/daemon/entry/group.go
@@ -14,6 +14,7 @@
 	"camphorwick.dev/api/wire"
 	"camphorwick.dev/link"
 	"camphorwick.dev/observe"
+	"camphorwick.dev/settings"
 )
 
 const (
@@ -78,16 +79,21 @@
 // tooFewEngines tells a prompt that no group can hold from one that has to
 // wait until engines that are lost, draining or marked can be used again.
 func (e *Entry) tooFewEngines(c *completion, size, usable int) error {
+	listed := e.member.ListedVMs()
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	room, known := 0, 0
+	room, known, unseen := 0, 0, false
+	for _, vm := range listed {
+		unseen = unseen || vm.Role == string(settings.RoleAgent) && e.agents[vm.ID] == nil
+	}
 	for _, state := range e.agents {
 		if serves(state.hello.GetBackend(), c.model) {
 			known++
 			room += int(float64(state.hello.Backend.KvTokens)*segmentShare) * outcome.BytesPerToken
 		}
 	}
-	if room < size {
+	// An entry that was started just now has not seen all engines.
+	if room < size && !unseen {
 		return outcome.New(outcome.PromptTooLong, "a prompt of about %d tokens exceeds the %d engines of model %q together", c.tokens, known, c.model)
 	}
 	return outcome.Wrap(errEnginesMissing, outcome.NoServer, "a prompt of about %d tokens needs more than the %d of %d engines of model %q that can be used now",
--- a/testbed/history/edits.go
+++ b/testbed/history/edits.go
@@ -148,6 +148,7 @@
 	mu         sync.Mutex
 	operations []porcupine.Operation
 	answers    map[string]int
+	violations []error
 }
 
 // NewEdits returns an empty history.
@@ -168,8 +169,12 @@
 	h.operations = append(h.operations, porcupine.Operation{Input: in, Call: called, Output: out, Return: h.now()})
 }
 
-// resubmitDelay is the time before an edit in doubt is submitted again.
-const resubmitDelay = 50 * time.Millisecond
+// An edit in doubt is submitted again after resubmitDelay, and must be decided
+// within doubtLimit, which exceeds the faults of all tests.
+const (
+	resubmitDelay = 50 * time.Millisecond
+	doubtLimit    = 30 * time.Second
+)
 
 // Edit changes an item through a random entry. An edit in doubt is submitted
 // again with its id until the answer is certain.
@@ -183,15 +188,17 @@
 	body := map[string]any{"id": uuid.NewString(), "operator": "racer",
 		"changes": []fleet.Change{{Key: item, Value: value, ExpectedRevision: seen.Item(item)}}}
 	called := h.now()
-	for {
+	for deadline := time.Now().Add(doubtLimit); time.Now().Before(deadline); time.Sleep(resubmitDelay) {
 		out, certain := submitEdit(h.fleet, anyEntry(), body)
 		if certain {
 			h.add(called, editCall{item: item, expected: seen.Item(item)}, out)
 			return
 		}
 		body["since"] = seen.Revision
-		time.Sleep(resubmitDelay)
 	}
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.violations = append(h.violations, violation("an edit of %s is still in doubt after %v", item, doubtLimit))
 }
 
 // Load edits a few items until ctx ends.
@@ -236,6 +243,7 @@
 // the counts; errors are *Violation.
 func (h *Edits) Check() (summary string, violations []error) {
 	last, agree := h.awaitAgreement()
+	violations = append(violations, h.violations...)
 	if !agree {
 		violations = append(violations, violation("the entries do not agree on a configuration within %v", agreeLimit))
 	}
