--- a/daemon/entry/group.go
+++ b/daemon/entry/group.go
@@ -14,6 +14,7 @@
 	"camphorwick.dev/api/wire"
 	"camphorwick.dev/link"
 	"camphorwick.dev/observe"
+	"camphorwick.dev/settings"
 )
 
 const (
@@ -62,8 +63,7 @@
 		rest -= size
 	}
 	if rest > 0 {
-		return nil, outcome.New(outcome.PromptTooLong, "a prompt of about %d tokens exceeds the %d engines of model %q together",
-			c.tokens, len(candidates), c.model)
+		return nil, e.tooFewEngines(c, len(prompt), len(candidates))
 	}
 	sort.Slice(members, func(i, j int) bool { return members[i].vm < members[j].vm })
 	for start, i := 0, 0; i < len(members); i++ {
@@ -74,6 +74,32 @@
 	return members, nil
 }
 
+var errEnginesMissing = errors.New("not all engines that the prompt needs can be used now")
+
+// tooFewEngines tells a prompt that no group can hold from one that has to
+// wait until engines that are lost, draining or marked can be used again.
+func (e *Entry) tooFewEngines(c *completion, size, usable int) error {
+	listed := e.member.ListedVMs()
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	room, known, unseen := 0, 0, false
+	for _, vm := range listed {
+		unseen = unseen || vm.Role == string(settings.RoleAgent) && e.agents[vm.ID] == nil
+	}
+	for _, state := range e.agents {
+		if serves(state.hello.GetBackend(), c.model) {
+			known++
+			room += int(float64(state.hello.Backend.KvTokens)*segmentShare) * outcome.BytesPerToken
+		}
+	}
+	// An entry that was started just now has not seen all engines.
+	if room < size && !unseen {
+		return outcome.New(outcome.PromptTooLong, "a prompt of about %d tokens exceeds the %d engines of model %q together", c.tokens, known, c.model)
+	}
+	return outcome.Wrap(errEnginesMissing, outcome.NoServer, "a prompt of about %d tokens needs more than the %d of %d engines of model %q that can be used now",
+		c.tokens, usable, known, c.model).WithRetryAfter(time.Second)
+}
+
 type candidate struct {
 	vm       string
 	kv       int
@@ -117,6 +143,7 @@
 func (e *Entry) groupAttempts(ctx context.Context, r *run) (result, *link.Stream) {
 	for {
 		r.attempts++
+		emitted := len(r.emitted)
 		got := e.groupAttempt(ctx, r)
 		switch got.verdict {
 		case attemptEnded:
@@ -124,14 +151,22 @@
 		case attemptStopped:
 			return r.failure(got.err), nil
 		case attemptNotRun:
-			if outcome.CodeOf(got.err) == outcome.PromptTooLong {
+			switch {
+			case outcome.CodeOf(got.err) == outcome.PromptTooLong, errors.Is(got.err, errEnginesMissing) && !r.started():
 				return r.failure(got.err), nil
+			case errors.Is(got.err, errEnginesMissing):
+				// As in pick: a started completion waits, and no engine was asked.
+				r.attempts--
+				if !pause(ctx, retryPause) {
+					return r.failure(context.Cause(ctx)), nil
+				}
+				continue
 			}
 			if !pause(ctx, retryPause*time.Duration(r.attempts)) {
 				return r.failure(context.Cause(ctx)), nil
 			}
 		}
-		if err := e.mayRetry(ctx, r, got); err != nil {
+		if err := e.mayRetry(ctx, r, got, emitted); err != nil {
 			return r.failure(err), nil
 		}
 	}
@@ -177,7 +212,7 @@
 
 // reserve asks one agent for the memory of its segment and waits for it.
 func (e *Entry) reserve(ctx context.Context, r *run, m *groupMember, last bool, done <-chan struct{}) error {
-	stream, lost, err := e.member.Node.Open(m.vm)
+	stream, lost, err := e.member.Node.Open(ctx, m.vm)
 	if err != nil {
 		return outcome.Wrap(err, outcome.NoServer, "VM %s cannot be reached", m.vm)
 	}
@@ -188,7 +223,7 @@
 	if last {
 		request.MaxTokens = uint32(r.max - len(r.emitted))
 	}
-	if err := stream.Write(&wire.StreamHeader{Body: &wire.StreamHeader_Segment{Segment: request}}); err != nil {
+	if err := send(ctx, lost, stream, &wire.StreamHeader{Body: &wire.StreamHeader_Segment{Segment: request}}); err != nil {
 		return outcome.Wrap(err, outcome.NoServer, "VM %s cannot be reached", m.vm)
 	}
 	m.messages = make(chan *wire.AgentMessage, 16)
@@ -223,8 +258,8 @@
 	var state []byte
 	for i, m := range members {
 		run := &wire.SegmentRun{State: state, Prompt: m.text}
-		if err := m.stream.Write(&wire.EntryMessage{Body: &wire.EntryMessage_Segment{Segment: run}}); err != nil {
-			return broken(m.vm, err)
+		if err := send(ctx, anyLost, m.stream, &wire.EntryMessage{Body: &wire.EntryMessage_Segment{Segment: run}}); err != nil {
+			return brokenOrStopped(ctx, m.vm, err)
 		}
 		if i == len(members)-1 {
 			return e.followMessages(ctx, anyLost, r, m, hadRun)
--- a/daemon/entry/service.go
+++ b/daemon/entry/service.go
@@ -154,7 +154,7 @@
 	ctx, span := e.telemetry.Tracer.Start(ctx, "attempt")
 	defer span.End()
 	span.SetAttributes(attribute.String("agent", vm))
-	stream, lost, err := e.member.Node.Open(vm)
+	stream, lost, err := e.member.Node.Open(ctx, vm)
 	if err != nil {
 		return nil, outcome.Wrap(err, outcome.NoServer, "VM %s cannot be reached", vm)
 	}
@@ -164,7 +164,7 @@
 	c.request.Traceparent = observe.Traceparent(ctx)
 	hadRun := c.mayRun
 	c.mayRun = true
-	if err := stream.Write(&wire.StreamHeader{Body: &wire.StreamHeader_Service{Service: c.request}}); err != nil {
+	if err := send(ctx, lost, stream, &wire.StreamHeader{Body: &wire.StreamHeader_Service{Service: c.request}}); err != nil {
 		return nil, outcome.Wrap(err, outcome.BackendFailed, "the connection to VM %s broke", vm)
 	}
 	messages := make(chan *wire.AgentMessage, 1)
@@ -173,7 +173,7 @@
 	go receive(stream, messages, done)
 	select {
 	case <-ctx.Done():
-		_ = stream.Write(&wire.EntryMessage{Body: &wire.EntryMessage_Cancel{Cancel: &wire.Cancel{AttemptId: c.request.AttemptId}}})
+		stream.CloseWith(&wire.EntryMessage{Body: &wire.EntryMessage_Cancel{Cancel: &wire.Cancel{AttemptId: c.request.AttemptId}}})
 		return nil, context.Cause(ctx)
 	case <-lost.Done():
 		return nil, outcome.Wrap(errSuspected, outcome.BackendFailed, "VM %s did not answer", vm)
@@ -223,8 +223,11 @@
 	Key     string          `json:"key"`
 	Service string          `json:"service"`
 	Outcome outcome.Outcome `json:"outcome"`
-	Status  uint32          `json:"http_status,omitempty"`
-	Body    string          `json:"body,omitempty"`
+	// State is what the journal holds: "absent", "claimed", "abandoned" or
+	// "done".
+	State  string `json:"state"`
+	Status uint32 `json:"http_status,omitempty"`
+	Body   string `json:"body,omitempty"`
 }
 
 // serveOrderQuery answers the recorded state of an order of the account. The
@@ -244,21 +247,33 @@
 		x.refuse(err)
 		return
 	}
-	answer := orderAnswer{Key: key, Service: service}
-	switch {
-	case !state.Found || state.Record.Status == wire.OrderStatus_ORDER_STATUS_ABANDONED:
-		answer.Outcome = outcome.NotRun
-	case state.Record.Status == wire.OrderStatus_ORDER_STATUS_DONE:
-		answer.Outcome = outcome.Completed
-		answer.Status, answer.Body = state.Record.HttpStatus, string(state.Record.Body)
-	default:
-		answer.Outcome = outcome.Unknown
-	}
+	answer := newOrderAnswer(key, service, state)
 	x.http.Response.Header.Set(headerOutcome, string(outcome.Completed))
 	writeJSON(x.http, http.StatusOK, answer)
 	x.end(outcome.Completed)
 }
 
+// newOrderAnswer tells what a recorded state means. An order that is absent or
+// abandoned is unknown, not not_run: the caller's lost request may still be
+// under way and claim the key. Sending the order again with the same key is
+// always safe and gives certainty.
+func newOrderAnswer(key, service string, state *wire.OrderState) orderAnswer {
+	answer := orderAnswer{Key: key, Service: service, Outcome: outcome.Unknown, State: "absent"}
+	if !state.Found {
+		return answer
+	}
+	switch state.Record.Status {
+	case wire.OrderStatus_ORDER_STATUS_ABANDONED:
+		answer.State = "abandoned"
+	case wire.OrderStatus_ORDER_STATUS_DONE:
+		answer.State, answer.Outcome = "done", outcome.Completed
+		answer.Status, answer.Body = state.Record.HttpStatus, string(state.Record.Body)
+	default:
+		answer.State = "claimed"
+	}
+	return answer
+}
+
 // queryOrder asks agents of the service for the state of an order.
 func (e *Entry) queryOrder(x *exchange, service, key string) (*wire.OrderState, error) {
 	asked := map[string]bool{}
@@ -271,11 +286,7 @@
 			break
 		}
 		asked[vm] = true
-		stream, _, err := e.member.Node.Open(vm)
-		if err != nil {
-			continue
-		}
-		state, err := queryAgent(stream, &wire.OrderQuery{ClientAccount: x.account, Service: service, OrderKey: key,
+		state, err := e.queryAgent(x.ctx, vm, &wire.OrderQuery{ClientAccount: x.account, Service: service, OrderKey: key,
 			RemainingMs: uint32(findTimeout.Milliseconds())})
 		switch {
 		case err != nil:
