policy/place: decide which engine serves which model

Ruled out: filling every free place with models, which spends loads on models without demand.

Tests: table, rapid (limits, no repeated load, no end of commands under constant demand), hysteresis under a demand that changes by 40% every 10 s.

--- /dev/null
+++ b/policy/place/place_test.go
@@ -0,0 +1,249 @@
+package place
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"pgregory.net/rapid"
+)
+
+var start = time.Unix(1_000_000, 0)
+
+func engineOf(vm, site string, models ...string) Engine {
+	e := Engine{VM: vm, DataCentre: site, PrefillTokensPerSecond: 1000}
+	for _, m := range models {
+		e.Placed = append(e.Placed, Placed{Name: m})
+	}
+	return e
+}
+
+func loading(e Engine, model string) Engine {
+	e.Placed = append(e.Placed, Placed{Name: model, Loading: true})
+	return e
+}
+
+func allowed(names ...string) []Model {
+	var list []Model
+	for _, n := range names {
+		list = append(list, Model{Name: n, Allowed: true})
+	}
+	return list
+}
+
+// Guards against a rule of the decision that is lost: each case states the
+// commands of one decision.
+func TestDecide(t *testing.T) {
+	some := Demand{Requests: 1}
+	draining := engineOf("e1", "dc-1")
+	draining.Draining = true
+	cases := []struct {
+		name string
+		view View
+		want []Command
+	}{
+		{"a model without an engine gets two in different data centres",
+			View{Models: allowed("a", "b"), Demand: map[string]Demand{"b": some},
+				Engines: []Engine{engineOf("e1", "dc-1", "a"), engineOf("e2", "dc-1", "a"), engineOf("e3", "dc-2", "a")}},
+			[]Command{{Kind: Load, VM: "e1", Model: "b"}, {Kind: Load, VM: "e3", Model: "b"}}},
+		{"a load in progress is not repeated",
+			View{Models: allowed("a"), Demand: map[string]Demand{"a": some},
+				Engines: []Engine{loading(engineOf("e1", "dc-1"), "a"), loading(engineOf("e2", "dc-2"), "a")}}, nil},
+		{"no demand, no command",
+			View{Models: allowed("a", "b"), Engines: []Engine{engineOf("e1", "dc-1", "a")}}, nil},
+		{"a draining engine gets nothing",
+			View{Models: allowed("a"), Demand: map[string]Demand{"a": some}, Engines: []Engine{draining}}, nil},
+		{"the only model of an engine that is in use stays",
+			View{Models: allowed("a", "b", "c"), Demand: map[string]Demand{"a": some, "c": some},
+				Engines: []Engine{engineOf("e1", "dc-1", "a", "b")}},
+			[]Command{{Kind: Unload, VM: "e1", Model: "b"}}},
+		{"a full engine first gives up what no plan allows",
+			View{Models: append(allowed("a", "c"), Model{Name: "old"}), Demand: map[string]Demand{"c": some},
+				Engines: []Engine{engineOf("e1", "dc-1", "a", "old")}},
+			[]Command{{Kind: Unload, VM: "e1", Model: "old"}}},
+		{"a forbidden model is removed when nothing else is to do",
+			View{Models: append(allowed("a"), Model{Name: "old"}), Engines: []Engine{engineOf("e1", "dc-1", "a", "old")}},
+			[]Command{{Kind: Unload, VM: "e1", Model: "old"}}},
+		{"a forbidden model stays while it is the last one",
+			View{Models: []Model{{Name: "old"}}, Engines: []Engine{engineOf("e1", "dc-1", "old")}}, nil},
+		{"versions change on one engine at a time",
+			View{Models: []Model{{Name: "a", Version: "2", Allowed: true}}, Demand: map[string]Demand{"a": some},
+				Engines: []Engine{engineOf("e1", "dc-1", "a"), engineOf("e2", "dc-2", "a")}},
+			[]Command{{Kind: Load, VM: "e1", Model: "a", Version: "2"}}},
+		{"an adapter follows its model",
+			View{Models: []Model{{Name: "a", Allowed: true, Adapters: []Adapter{{"x", "1"}}}}, Demand: map[string]Demand{"a": some},
+				Engines: []Engine{engineOf("e1", "dc-1", "a"), engineOf("e2", "dc-2", "a", "a/x")}},
+			[]Command{{Kind: Load, VM: "e1", Model: "a", Version: "1", Adapter: "x"}, {Kind: Load, VM: "e2", Model: "a", Version: "1", Adapter: "x"}}},
+	}
+	for _, tc := range cases {
+		t.Run(tc.name, func(t *testing.T) {
+			is.New(t).Equal(New(Config{}).Decide(start, tc.view), tc.want)
+		})
+	}
+}
+
+// fleetState applies commands at once, or after the load time.
+type fleetState struct {
+	engines  []Engine
+	loadTime time.Duration
+	ready    map[string]time.Time // by VM and name
+	loads    int
+}
+
+func (f *fleetState) apply(now time.Time, commands []Command) {
+	for _, c := range commands {
+		for i := range f.engines {
+			e := &f.engines[i]
+			if e.VM != c.VM {
+				continue
+			}
+			if c.Kind == Unload {
+				e.Placed = without(e.Placed, c.Model)
+				continue
+			}
+			f.loads++
+			e.Placed = append(without(e.Placed, c.Model), Placed{Name: c.Model, Version: c.Version, Loading: true})
+			f.ready[c.VM+" "+c.Model] = now.Add(f.loadTime)
+		}
+	}
+}
+
+func (f *fleetState) tick(now time.Time) {
+	for i := range f.engines {
+		for j := range f.engines[i].Placed {
+			placed := &f.engines[i].Placed[j]
+			if placed.Loading && !now.Before(f.ready[f.engines[i].VM+" "+placed.Name]) {
+				placed.Loading = false
+			}
+		}
+	}
+}
+
+func without(list []Placed, name string) []Placed {
+	var left []Placed
+	for _, p := range list {
+		if p.Name != name {
+			left = append(left, p)
+		}
+	}
+	return left
+}
+
+// Guards against broken invariants under any demand: loads in progress above
+// the limit, engines above their number of models, an engine that loses its
+// only model in use, repeated loads, and against commands that never end when
+// the demand is constant (oscillation).
+func TestDecideProperties(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		config := Config{MaxLoads: rapid.IntRange(1, 5).Draw(t, "loads"), ModelsPerEngine: rapid.IntRange(2, 3).Draw(t, "slots")}
+		names := []string{"a", "b", "c", "d"}
+		v := View{Demand: map[string]Demand{}}
+		for _, n := range names {
+			v.Models = append(v.Models, Model{Name: n, Allowed: rapid.Bool().Draw(t, "allowed")})
+		}
+		f := &fleetState{loadTime: 5 * time.Second, ready: map[string]time.Time{}}
+		for i := range rapid.IntRange(1, 8).Draw(t, "engines") {
+			e := engineOf(fmt.Sprintf("e%d", i), fmt.Sprintf("dc-%d", rapid.IntRange(1, 3).Draw(t, "site")),
+				rapid.SampledFrom(names).Draw(t, "first"))
+			e.Draining = rapid.IntRange(0, 9).Draw(t, "draining") == 0
+			f.engines = append(f.engines, e)
+		}
+		p, now := New(config), start
+		for range rapid.IntRange(1, 4).Draw(t, "swings") {
+			for _, n := range names {
+				v.Demand[n] = Demand{Requests: float64(rapid.SampledFrom([]int{0, 0, 1, 5}).Draw(t, "requests")),
+					PrefillTokens: rapid.Float64Range(0, 6000).Draw(t, "tokens")}
+			}
+			last := now
+			for range 300 {
+				now = now.Add(time.Second)
+				f.tick(now)
+				v.Engines = f.engines
+				commands := p.Decide(now, v)
+				checkCommands(t, config, v, commands)
+				if len(commands) > 0 {
+					last = now
+				}
+				f.apply(now, commands)
+			}
+			if now.Sub(last) < 60*time.Second {
+				t.Fatalf("commands go on under constant demand")
+			}
+		}
+	})
+}
+
+func checkCommands(t *rapid.T, config Config, v View, commands []Command) {
+	loads := 0
+	for _, e := range v.Engines {
+		for _, p := range e.Placed {
+			if p.Loading {
+				loads++
+			}
+		}
+	}
+	seen := map[string]bool{}
+	for _, c := range commands {
+		if seen[c.VM] {
+			t.Fatalf("two commands for engine %s", c.VM)
+		}
+		seen[c.VM] = true
+		for _, e := range v.Engines {
+			if e.VM == c.VM {
+				checkCommand(t, config, v, e, c)
+			}
+		}
+		if c.Kind == Load {
+			loads++
+		}
+	}
+	if loads > config.MaxLoads {
+		t.Fatalf("%d loads, at most %d are allowed", loads, config.MaxLoads)
+	}
+}
+
+func checkCommand(t *rapid.T, config Config, v View, e Engine, c Command) {
+	inUse, has := 0, false
+	for _, p := range e.Placed {
+		has = has || p.Name == c.Model
+		if p.Name != c.Model && !p.Loading && v.Demand[p.Name].Requests > 0 {
+			inUse++
+		}
+	}
+	switch {
+	case e.Draining:
+		t.Fatalf("command for draining engine %s", e.VM)
+	case c.Kind == Load && has:
+		t.Fatalf("repeated load of %s on %s", c.Model, e.VM)
+	case c.Kind == Load && len(e.Placed) >= config.ModelsPerEngine:
+		t.Fatalf("engine %s is full", e.VM)
+	case c.Kind == Unload && (!has || len(e.Placed) < 2):
+		t.Fatalf("engine %s loses its last model", e.VM)
+	case c.Kind == Unload && v.Demand[c.Model].Requests > 0 && inUse == 0:
+		t.Fatalf("engine %s loses its only model in use", e.VM)
+	}
+}
+
+// Guards against a target that follows small changes of demand.
+func TestHysteresis(t *testing.T) {
+	is := is.New(t)
+	f := &fleetState{ready: map[string]time.Time{}}
+	for i := range 8 {
+		f.engines = append(f.engines, engineOf(fmt.Sprintf("e%d", i), fmt.Sprintf("dc-%d", i%2), "a"))
+	}
+	p, after := New(Config{}), 0
+	for i := range 1200 {
+		now := start.Add(time.Duration(i) * time.Second)
+		// 2,000 to 2,800 tokens per second, changing every 10 s.
+		tokens := 2000 + 800*float64(i/10%2)
+		v := View{Models: allowed("a", "b"), Engines: f.engines, Demand: map[string]Demand{"b": {Requests: 1, PrefillTokens: tokens}, "a": {Requests: 1}}}
+		f.tick(now)
+		f.apply(now, p.Decide(now, v))
+		if i == 120 {
+			after = f.loads
+		}
+	}
+	is.True(after >= 4)
+	is.Equal(f.loads, after)
+}
