Place models on engines: planner with leases, agent as the authority

Cause: a model that no engine had loaded at its start could not be served.

Each entry has a planner (daemon/placement); per model only the holder of the lease placement/<model> sends commands. The agent checks the token against the store for every command, offers, and carries the command out only if the confirmation arrives within the remaining lease, measured from the offer on its own clock. Requests for a listed model wait in the entry while it is being loaded. Models are listed as items model/<name>, not in settings files, so that a version changes on all entries at once and without a restart.

Ruled out: a highest token kept in the agent's memory only, which a restart forgets; deadlines measured from the arrival of one message, which do not count the time that the message waited.

--- a/daemon/agent/agent.go
+++ b/daemon/agent/agent.go
@@ -3,7 +3,7 @@
 // when, so that a stale view in an entry can never overload it, and it alone
 // claims orders before they are sent.
 //
-// Lock order: Agent.mu before request.mu. Neither is held during calls of the
+// Lock order: Agent.mu before request.mu and placements.mu. None is held during calls of the
 // engine, the service or the store.
 package agent
 
@@ -72,7 +72,8 @@
 	// info is the engine's description.
 	info atomic.Pointer[backend.EngineInfo]
 	// report is the engine's last load report.
-	report atomic.Pointer[backend.LoadReport]
+	report     atomic.Pointer[backend.LoadReport]
+	placements *placements
 
 	mu       sync.Mutex
 	queue    *queue.Queue
@@ -85,7 +86,7 @@
 func New(s *settings.Settings, d Deps) (*Agent, error) {
 	a := &Agent{settings: s, log: d.Telemetry.Log, telemetry: d.Telemetry, engine: d.Engine, service: d.Service,
 		stop: make(chan struct{}), wake: make(chan struct{}, 1),
-		requests: map[requestKey]*request{}, jobs: map[string]*request{}, cache: newPrefixSet()}
+		requests: map[requestKey]*request{}, jobs: map[string]*request{}, cache: newPrefixSet(), placements: newPlacements()}
 	m, err := member.New(s, d.Telemetry.Log, d.KV, d.VMs, (*hooks)(a))
 	if err != nil {
 		return nil, err
@@ -133,6 +134,7 @@
 	if a.engine != nil {
 		group.Go(func() error { return a.dispatch(groupCtx) })
 		group.Go(func() error { return a.followCache(groupCtx) })
+		group.Go(func() error { return a.followModels(groupCtx) })
 	} else {
 		group.Go(func() error { return a.runLedger(groupCtx) })
 	}
@@ -220,6 +222,10 @@
 
 func (h *hooks) PeerLoad(*wire.Hello, *wire.Load) {}
 
+func (h *hooks) Demand(*wire.Hello) []*wire.ModelDemand { return nil }
+
+func (h *hooks) PeerDemand(*wire.Hello, []*wire.ModelDemand) {}
+
 func (h *hooks) PeerChanged(*wire.Hello, bool) {}
 
 func (h *hooks) Stream(ctx context.Context, s *link.Stream) { (*Agent)(h).serveStream(ctx, s) }
@@ -271,6 +277,8 @@
 		a.serveCall(ctx, s, body.Service)
 	case *wire.StreamHeader_OrderQuery:
 		a.serveOrderQuery(ctx, s, body.OrderQuery)
+	case *wire.StreamHeader_Place:
+		a.servePlace(ctx, s, body.Place)
 	default:
 		a.log.Warn("stream with an unknown header refused", "peer", s.Peer.Vm)
 	}
@@ -297,6 +305,7 @@
 	load.CachedPrefixes = a.cache.list()
 	if info := a.info.Load(); info != nil {
 		load.Models = info.Models
+		load.Placed = a.placed()
 	}
 	return load
 }
--- /dev/null
+++ b/daemon/agent/placement.go
@@ -0,0 +1,376 @@
+package agent
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"maps"
+	"slices"
+	"sync"
+	"time"
+
+	"camphorwick.dev/api/wire"
+	"camphorwick.dev/backend"
+	"camphorwick.dev/link"
+)
+
+// leaseKeyPrefix is the prefix of the lease keys of planners.
+const leaseKeyPrefix = "placement/"
+
+const (
+	// storeCallLimit bounds the check of a fencing token.
+	storeCallLimit = 2 * time.Second
+	// offerLimit bounds the wait for the confirmation of an offer.
+	offerLimit = 30 * time.Second
+	// modelPollFast and modelPollSlow are the intervals between reads of the
+	// engine's models while a change is expected and otherwise.
+	modelPollFast = 200 * time.Millisecond
+	modelPollSlow = 5 * time.Second
+	// loadLimit is the time after which a load that is not seen has failed.
+	loadLimit = 5 * time.Minute
+	// settleTime is how long a change is expected after an order.
+	settleTime = 2 * time.Second
+)
+
+// placements is what the agent knows of the models on its engine.
+type placements struct {
+	// ordering is held while the engine's models are changed or read, so that
+	// orders reach the engine in the order of their tokens. Capacity 1.
+	ordering chan struct{}
+	// expect asks the poller to read the engine's models soon; capacity 1.
+	expect chan struct{}
+
+	mu sync.Mutex // a leaf
+	// highest is the highest revision of each model's lease key seen.
+	highest map[string]uint64
+	// loading are ordered loads by name.
+	loading map[string]load
+	// versions are the versions that this process has ordered, by name.
+	versions map[string]string
+	role     string
+}
+
+type load struct {
+	version string
+	since   time.Time
+}
+
+func newPlacements() *placements {
+	return &placements{ordering: make(chan struct{}, 1), expect: make(chan struct{}, 1), highest: map[string]uint64{},
+		loading: map[string]load{}, versions: map[string]string{}}
+}
+
+// placeRefusal says why a placement command was not carried out.
+type placeRefusal struct {
+	status  wire.PlaceStatus
+	message string
+}
+
+func (e *placeRefusal) Error() string { return fmt.Sprintf("%v: %s", e.status, e.message) }
+
+func refusePlace(status wire.PlaceStatus, format string, args ...any) error {
+	return &placeRefusal{status, fmt.Sprintf(format, args...)}
+}
+
+// servePlace serves one placement command: check of the token against the
+// store, offer, confirmation, order.
+func (a *Agent) servePlace(ctx context.Context, s *link.Stream, c *wire.PlaceCommand) {
+	err := a.place(ctx, s, c)
+	result := &wire.PlaceResult{Status: wire.PlaceStatus_PLACE_STATUS_DONE}
+	var refusal *placeRefusal
+	switch {
+	case errors.As(err, &refusal):
+		result.Status, result.Message = refusal.status, refusal.message
+	case err != nil:
+		result.Status, result.Message = wire.PlaceStatus_PLACE_STATUS_UNCERTAIN, err.Error()
+	}
+	a.log.Info("placement command", "kind", c.Kind.String(), "model", c.Model, "version", c.Version, "adapter", c.Adapter,
+		"token", c.FencingToken, "planner", c.Planner, "status", result.Status.String(), "reason", result.Message)
+	_ = s.Write(&wire.AgentMessage{Body: &wire.AgentMessage_PlaceResult{PlaceResult: result}})
+}
+
+func (a *Agent) place(ctx context.Context, s *link.Stream, c *wire.PlaceCommand) error {
+	if a.engine == nil || c.Model == "" || c.Kind == wire.PlaceKind_PLACE_KIND_UNSPECIFIED {
+		return refusePlace(wire.PlaceStatus_PLACE_STATUS_REFUSED, "VM %s cannot carry out this command", a.settings.VM)
+	}
+	if a.draining.Load() {
+		return refusePlace(wire.PlaceStatus_PLACE_STATUS_DRAINING, "VM %s is being drained", a.settings.VM)
+	}
+	if err := a.checkToken(ctx, c); err != nil {
+		return err
+	}
+	// The planner measures the remaining time of its lease after it has the
+	// offer, so the time since the offer includes any pause of the planner
+	// between its measurement and the sending.
+	offered := time.Now()
+	if err := s.Write(&wire.AgentMessage{Body: &wire.AgentMessage_PlaceOffer{PlaceOffer: &wire.PlaceOffer{}}}); err != nil {
+		return refusePlace(wire.PlaceStatus_PLACE_STATUS_EXPIRED, "the planner is gone: %v", err)
+	}
+	s.SetReadDeadline(offered.Add(offerLimit))
+	message := &wire.EntryMessage{}
+	if err := s.Read(message); err != nil || message.GetPlace() == nil {
+		return refusePlace(wire.PlaceStatus_PLACE_STATUS_EXPIRED, "no confirmation came")
+	}
+	return a.execute(ctx, c, offered.Add(time.Duration(message.GetPlace().RemainingMs)*time.Millisecond))
+}
+
+// checkToken accepts a token only if it is the present revision of the lease
+// key. The store is read for every command: an agent that was restarted has
+// forgotten which tokens it saw, and the store has not.
+func (a *Agent) checkToken(ctx context.Context, c *wire.PlaceCommand) error {
+	if err := a.checkHighest(c); err != nil {
+		return err
+	}
+	ctx, cancel := context.WithTimeout(ctx, storeCallLimit)
+	defer cancel()
+	present, err := a.member.KV.Get(ctx, leaseKeyPrefix+c.Model)
+	if err != nil {
+		return refusePlace(wire.PlaceStatus_PLACE_STATUS_STORE_UNAVAILABLE, "the token cannot be checked: %v", err)
+	}
+	p := a.placements
+	p.mu.Lock()
+	p.highest[c.Model] = max(p.highest[c.Model], present.Revision)
+	p.mu.Unlock()
+	if present.Revision != c.FencingToken {
+		return refusePlace(wire.PlaceStatus_PLACE_STATUS_FENCED, "the token is %d, the lease key has revision %d", c.FencingToken, present.Revision)
+	}
+	return nil
+}
+
+func (a *Agent) checkHighest(c *wire.PlaceCommand) error {
+	p := a.placements
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if seen := p.highest[c.Model]; c.FencingToken < seen {
+		return refusePlace(wire.PlaceStatus_PLACE_STATUS_FENCED, "the token is %d, a command or lease with %d was seen", c.FencingToken, seen)
+	}
+	return nil
+}
+
+// execute runs the order of a confirmed command. All checks that can change
+// with time are made while ordering is held, just before the order is sent.
+func (a *Agent) execute(ctx context.Context, c *wire.PlaceCommand, deadline time.Time) error {
+	ctx, cancel := context.WithDeadline(ctx, deadline)
+	defer cancel()
+	select {
+	case a.placements.ordering <- struct{}{}:
+		defer func() { <-a.placements.ordering }()
+	case <-ctx.Done():
+	}
+	switch {
+	case ctx.Err() != nil || !time.Now().Before(deadline):
+		return refusePlace(wire.PlaceStatus_PLACE_STATUS_EXPIRED, "the command came after the end of the lease")
+	case a.draining.Load():
+		return refusePlace(wire.PlaceStatus_PLACE_STATUS_DRAINING, "VM %s is being drained", a.settings.VM)
+	}
+	if err := a.checkHighest(c); err != nil {
+		return err
+	}
+	if c.Kind == wire.PlaceKind_PLACE_KIND_UNLOAD {
+		return a.orderUnload(ctx, c)
+	}
+	return a.orderLoad(ctx, c)
+}
+
+// orderLoad runs a load; ordering is held.
+func (a *Agent) orderLoad(ctx context.Context, c *wire.PlaceCommand) error {
+	name := placedName(c)
+	if a.has(name, c.Version) {
+		return a.orderRole(ctx, c)
+	}
+	if err := a.order(ctx, backend.Order{Kind: "load", Model: c.Model, Version: c.Version, Adapter: c.Adapter, Fencing: c.FencingToken}); err != nil {
+		return err
+	}
+	p := a.placements
+	p.mu.Lock()
+	if a.serves(name) {
+		p.versions[name] = c.Version // the engine does not tell when it has changed the version
+	} else {
+		p.loading[name] = load{c.Version, time.Now()}
+	}
+	p.mu.Unlock()
+	a.expectChange()
+	return a.orderRole(ctx, c)
+}
+
+// has reports whether a load has been ordered already.
+func (a *Agent) has(name, version string) bool {
+	p := a.placements
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if l, ok := p.loading[name]; ok {
+		return l.version == version
+	}
+	known, ok := p.versions[name]
+	return a.serves(name) && (version == "" || ok && known == version)
+}
+
+func (a *Agent) serves(name string) bool {
+	info := a.info.Load()
+	return info != nil && contains(info.Models, name)
+}
+
+// orderRole gives the engine a role if the command names one.
+func (a *Agent) orderRole(ctx context.Context, c *wire.PlaceCommand) error {
+	p := a.placements
+	p.mu.Lock()
+	same := c.Role == "" || c.Role == p.role
+	p.mu.Unlock()
+	if same {
+		return nil
+	}
+	if err := a.order(ctx, backend.Order{Kind: "role", Model: c.Model, Role: c.Role, Fencing: c.FencingToken}); err != nil {
+		return err
+	}
+	p.mu.Lock()
+	p.role = c.Role
+	p.mu.Unlock()
+	return nil
+}
+
+// orderUnload removes a model or adapter; ordering is held. New requests are
+// refused from before the order on, and entries send them elsewhere.
+func (a *Agent) orderUnload(ctx context.Context, c *wire.PlaceCommand) error {
+	name := placedName(c)
+	info := *a.info.Load()
+	kept := slices.DeleteFunc(slices.Clone(info.Models), func(m string) bool { return belongsTo(m, name) })
+	if c.Adapter == "" && len(kept) == 0 {
+		return refusePlace(wire.PlaceStatus_PLACE_STATUS_REFUSED, "%q is the only model of the engine", name)
+	}
+	info.Models = kept
+	a.info.Store(&info)
+	err := a.order(ctx, backend.Order{Kind: "unload", Model: c.Model, Adapter: c.Adapter, Fencing: c.FencingToken})
+	if err == nil {
+		p := a.placements
+		p.mu.Lock()
+		maps.DeleteFunc(p.versions, func(m, _ string) bool { return belongsTo(m, name) })
+		maps.DeleteFunc(p.loading, func(m string, _ load) bool { return belongsTo(m, name) })
+		p.mu.Unlock()
+	}
+	a.expectChange() // the poller also restores the list if the order failed
+	return err
+}
+
+// belongsTo reports whether a name is that of a model or of its adapter.
+func belongsTo(name, model string) bool {
+	return name == model || len(name) > len(model) && name[:len(model)+1] == model+"/"
+}
+
+func placedName(c *wire.PlaceCommand) string {
+	if c.Adapter == "" {
+		return c.Model
+	}
+	return c.Model + "/" + c.Adapter
+}
+
+// order sends an order to the engine within the lease of its planner.
+func (a *Agent) order(ctx context.Context, o backend.Order) error {
+	ctx, cancel := context.WithTimeout(ctx, engineCallLimit)
+	defer cancel()
+	err := a.engine.Order(ctx, o)
+	var failure *backend.EngineError
+	switch {
+	case err == nil:
+		return nil
+	case errors.As(err, &failure) && failure.Kind == backend.EngineFenced:
+		return refusePlace(wire.PlaceStatus_PLACE_STATUS_FENCED, "the engine refused the token: %v", err)
+	case errors.As(err, &failure) && failure.Kind != backend.EngineBroken:
+		return refusePlace(wire.PlaceStatus_PLACE_STATUS_REFUSED, "%v", err)
+	}
+	return fmt.Errorf("send order to the engine: %w", err)
+}
+
+// expectChange tells the entries what is under way and makes the poller look.
+func (a *Agent) expectChange() {
+	a.member.Node.Kick()
+	select {
+	case a.placements.expect <- struct{}{}:
+	default:
+	}
+}
+
+// followModels keeps the list of the engine's models up to date until ctx
+// ends. Engines reach the ordered state later than they answer.
+func (a *Agent) followModels(ctx context.Context) error {
+	fastUntil := time.Time{}
+	for {
+		interval := modelPollSlow
+		if time.Now().Before(fastUntil) || a.isLoading() {
+			interval = modelPollFast
+		}
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-a.placements.expect:
+			fastUntil = time.Now().Add(settleTime)
+		case <-time.After(interval):
+			a.readModels(ctx)
+		}
+	}
+}
+
+func (a *Agent) isLoading() bool {
+	p := a.placements
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return len(p.loading) > 0
+}
+
+// readModels reads the engine's models and ends loads that are complete.
+func (a *Agent) readModels(ctx context.Context) {
+	select {
+	case a.placements.ordering <- struct{}{}:
+		defer func() { <-a.placements.ordering }()
+	case <-ctx.Done():
+		return
+	}
+	call, cancel := context.WithTimeout(ctx, engineCallLimit)
+	defer cancel()
+	read, err := a.engine.Info(call)
+	if err != nil {
+		return // the last known list stays in use
+	}
+	info := *a.info.Load()
+	changed := !slices.Equal(info.Models, read.Models)
+	info.Models = read.Models
+	a.info.Store(&info)
+	if a.endLoads(read.Models, time.Now()) || changed {
+		a.log.Info("models of the engine changed", "models", read.Models)
+		a.member.Node.Kick()
+	}
+}
+
+// endLoads removes the loads that are complete or took too long.
+func (a *Agent) endLoads(models []string, now time.Time) (ended bool) {
+	p := a.placements
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for name, l := range p.loading {
+		switch {
+		case contains(models, name):
+			p.versions[name] = l.version
+		case now.Sub(l.since) < loadLimit:
+			continue
+		}
+		delete(p.loading, name)
+		ended = true
+	}
+	return ended
+}
+
+// placed returns what entries must know beyond the names of the models.
+func (a *Agent) placed() []*wire.PlacedModel {
+	p := a.placements
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	var list []*wire.PlacedModel
+	for name, l := range p.loading {
+		list = append(list, &wire.PlacedModel{Name: name, Version: l.version, Loading: true})
+	}
+	for name, version := range p.versions {
+		if _, ok := p.loading[name]; !ok && version != "" {
+			list = append(list, &wire.PlacedModel{Name: name, Version: version})
+		}
+	}
+	return list
+}
--- a/daemon/cmd/camphorwick/main.go
+++ b/daemon/cmd/camphorwick/main.go
@@ -137,7 +137,7 @@
 	switch s.Role {
 	case settings.RoleEntry:
 		listeners := entry.Listeners{Control: control, Callers: ports.open(s.Entry.CallersAddress), Admin: ports.open(s.Entry.AdminAddress)}
-		e, err := entry.New(s, entry.Deps{KV: kv, VMs: store, Telemetry: t})
+		e, err := entry.New(s, entry.Deps{KV: kv, VMs: store, Weights: store, Telemetry: t})
 		if err != nil {
 			return err
 		}
--- a/daemon/entry/admin.go
+++ b/daemon/entry/admin.go
@@ -348,7 +348,7 @@
 			continue
 		}
 		if info := state.hello.Backend; info != nil {
-			row.Models, row.Service, row.KVTokens = info.Models, info.Service, info.KvTokens
+			row.Models, row.Service, row.KVTokens = state.models(), info.Service, info.KvTokens
 		}
 		if load := state.load; load != nil {
 			row.Running, row.Queued, row.KVReserved, row.PrefillTokens = load.Running, load.Queued, load.KvReservedTokens, load.PrefillTokens
--- a/daemon/entry/completion.go
+++ b/daemon/entry/completion.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 	"math"
+	"slices"
 	"sync"
 	"time"
 
@@ -141,10 +142,8 @@
 	defer e.mu.Unlock()
 	largest := 0
 	for _, a := range e.agents {
-		for _, m := range a.hello.GetBackend().GetModels() {
-			if m == model {
-				largest = max(largest, int(a.hello.Backend.KvTokens))
-			}
+		if slices.Contains(a.models(), model) {
+			largest = max(largest, int(a.hello.GetBackend().GetKvTokens()))
 		}
 	}
 	return largest
@@ -157,6 +156,7 @@
 	plan := c.exchange.plan
 	e.mu.Lock()
 	defer e.mu.Unlock()
+	e.meterDemand(now, c)
 	if _, expected, ok := e.table.Pick(now, c.request(e.settings.DataCentre, nil)); ok {
 		work := admit.Work{Band: c.band, Deadline: c.deadline, Expected: expected}
 		if err := e.shedder.Check(now, work); err != nil {
--- a/daemon/entry/entry.go
+++ b/daemon/entry/entry.go
@@ -12,6 +12,7 @@
 	"fmt"
 	"log/slog"
 	"net"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -35,6 +36,7 @@
 type Deps struct {
 	KV        platform.KV
 	VMs       platform.VMList
+	Weights   platform.WeightStore
 	Telemetry *observe.Telemetry
 }
 
@@ -53,6 +55,7 @@
 	member    *member.Member
 	editor    *fleetconf.Editor
 	budget    *retry.Budget
+	placer    *placer
 
 	draining atomic.Bool
 	stop     chan struct{}
@@ -74,6 +77,17 @@
 	hello  *wire.Hello
 	load   *wire.Load
 	usable bool
+	// unusableSince is when usable became false.
+	unusableSince time.Time
+}
+
+// models returns the models that the agent serves: those of its latest load,
+// which change while the session lasts, or those of its handshake.
+func (s *agentState) models() []string {
+	if s.load != nil {
+		return s.load.Models
+	}
+	return s.hello.GetBackend().GetModels()
 }
 
 // New returns an entry that does nothing until Run.
@@ -87,6 +101,9 @@
 		return nil, err
 	}
 	e.member = m
+	if s.Entry.Placement != nil {
+		e.placer = e.newPlacer(s.Entry.Placement, d)
+	}
 	e.editor = fleetconf.NewEditor(d.KV, m.Replica)
 	if e.metrics, err = newMetrics(d.Telemetry.Meter); err != nil {
 		return nil, fmt.Errorf("set up metrics: %w", err)
@@ -118,6 +135,9 @@
 	group, groupCtx := errgroup.WithContext(ctx)
 	callers, admin := e.callersServer(groupCtx), e.adminServer(groupCtx)
 	group.Go(func() error { return e.member.Run(groupCtx, l.Control) })
+	if e.placer != nil {
+		group.Go(func() error { return e.placer.planner.Run(groupCtx) })
+	}
 	group.Go(func() error { return serve(callers, l.Callers, "callers' API") })
 	group.Go(func() error { return serve(admin, l.Admin, "administration API") })
 	group.Go(func() error {
@@ -201,6 +221,9 @@
 		state = &agentState{}
 		e.agents[peer.Vm] = state
 	}
+	if state.usable && !usable || state.unusableSince.IsZero() {
+		state.unusableSince = time.Now()
+	}
 	state.hello, state.usable = peer, usable
 	e.upsert(state)
 	e.refresh(peer.Vm, e.member.Replica.Config())
@@ -215,7 +238,11 @@
 	if state == nil {
 		return
 	}
+	changed := !slices.Equal(state.models(), load.Models)
 	state.load = load
+	if changed {
+		e.upsert(state)
+	}
 	e.report(peer.Vm, load)
 	e.refresh(peer.Vm, e.member.Replica.Config())
 }
@@ -226,7 +253,7 @@
 	if info == nil {
 		return
 	}
-	e.table.Upsert(choose.Agent{VM: state.hello.Vm, DataCentre: state.hello.DataCentre, Models: info.Models,
+	e.table.Upsert(choose.Agent{VM: state.hello.Vm, DataCentre: state.hello.DataCentre, Models: state.models(),
 		KVTokens: int(info.KvTokens), PrefillTokensPerSecond: int(info.PrefillTokensPerSecond), Service: info.Service})
 }
 
--- a/daemon/entry/group.go
+++ b/daemon/entry/group.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"slices"
 	"sort"
 	"strings"
 	"time"
@@ -89,7 +90,7 @@
 	var list []candidate
 	for vm, state := range e.agents {
 		_, marked := config.Mark(vm)
-		if !state.usable || marked || state.load.GetDraining() || !serves(state.hello.GetBackend(), model) {
+		if !state.usable || marked || state.load.GetDraining() || !slices.Contains(state.models(), model) {
 			continue
 		}
 		list = append(list, candidate{vm, int(state.hello.Backend.KvTokens), state.load.GetKvReservedTokens()})
@@ -103,15 +104,6 @@
 	return list
 }
 
-func serves(info *wire.BackendInfo, model string) bool {
-	for _, m := range info.GetModels() {
-		if m == model {
-			return true
-		}
-	}
-	return false
-}
-
 // groupAttempts runs a completion that exceeds one engine. A broken group is
 // formed again from prompt and emitted tokens while budget and time allow.
 func (e *Entry) groupAttempts(ctx context.Context, r *run) (result, *link.Stream) {
--- /dev/null
+++ b/daemon/entry/placement.go
@@ -0,0 +1,283 @@
+package entry
+
+import (
+	"cmp"
+	"context"
+	"hash/fnv"
+	"slices"
+	"strings"
+	"sync/atomic"
+	"time"
+
+	"camphorwick.dev/api/outcome"
+	"camphorwick.dev/api/wire"
+	"camphorwick.dev/daemon/placement"
+	"camphorwick.dev/fleetconf"
+	"camphorwick.dev/link"
+	"camphorwick.dev/policy/place"
+	"camphorwick.dev/settings"
+)
+
+const (
+	// planningEntries is the number of live entries that may plan; two, so
+	// that one may fail. Demand is reported to them only.
+	planningEntries = 2
+	// demandLifetime is how long a report of demand counts.
+	demandLifetime = 5 * time.Second
+	// lossHold is how long an engine whose agent is not heard from still
+	// counts, so that the restart of an agent leads to no loads.
+	lossHold = 10 * time.Second
+	// maxWaiting bounds the requests of one entry that wait for a load.
+	maxWaiting = 1024
+)
+
+// placer is the part of an Entry that takes part in placement; nil if the
+// settings do not switch placement on.
+type placer struct {
+	planner *placement.Planner
+	waiting atomic.Int64 // requests that wait for a model to be loaded
+
+	// The rest is guarded by Entry.mu.
+	meter   *place.Meter
+	reports map[string]demandReport // by entry
+	models  []place.Model           // of the configuration with modelsOf
+	// modelsOf is the revision of models.
+	modelsOf uint64
+}
+
+type demandReport struct {
+	demand []*wire.ModelDemand
+	at     time.Time
+}
+
+func (e *Entry) newPlacer(s *settings.Placement, d Deps) *placer {
+	config := placement.Config{Name: e.member.Claimant(), KV: d.KV, Weights: d.Weights, Fleet: (*placedFleet)(e), Log: e.log,
+		Lease: time.Duration(s.LeaseMillis) * time.Millisecond, Interval: time.Duration(s.IntervalMillis) * time.Millisecond,
+		Policy: place.Config{MaxLoads: s.MaxLoads, ModelsPerEngine: s.ModelsPerEngine}}
+	return &placer{planner: placement.New(config), meter: place.NewMeter(), reports: map[string]demandReport{}}
+}
+
+// meterDemand records a request; e.mu is held.
+func (e *Entry) meterDemand(now time.Time, c *completion) {
+	if e.placer != nil {
+		e.placer.meter.Request(now, place.BaseName(c.model), c.tokens)
+	}
+}
+
+// planners returns the entries that may plan, in order of preference. Entries
+// with different views of the fleet may differ; the leases decide.
+func (e *Entry) planners() []string {
+	var vms []string
+	for _, live := range e.member.LiveEntries() {
+		vms = append(vms, live.VM)
+	}
+	slices.SortFunc(vms, func(a, b string) int { return cmp.Or(cmp.Compare(rank(a), rank(b)), cmp.Compare(a, b)) })
+	return vms[:min(len(vms), planningEntries)]
+}
+
+func rank(vm string) uint64 {
+	h := fnv.New64a()
+	_, _ = h.Write([]byte("placement/" + vm))
+	return h.Sum64()
+}
+
+// Demand reports this entry's demand to the entries that may plan.
+func (h *hooks) Demand(peer *wire.Hello) []*wire.ModelDemand {
+	e := (*Entry)(h)
+	if e.placer == nil || peer.Role != wire.Role_ROLE_ENTRY || !slices.Contains(e.planners(), peer.Vm) {
+		return nil
+	}
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	var list []*wire.ModelDemand
+	for model, d := range e.placer.meter.Demand(time.Now()) {
+		list = append(list, &wire.ModelDemand{Model: model, RequestsPerSecond: float32(d.Requests), PrefillTokensPerSecond: float32(d.PrefillTokens)})
+	}
+	return list
+}
+
+func (h *hooks) PeerDemand(peer *wire.Hello, demand []*wire.ModelDemand) {
+	e := (*Entry)(h)
+	if e.placer == nil {
+		return
+	}
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.placer.reports[peer.Vm] = demandReport{demand, time.Now()}
+}
+
+// placedFleet implements placement.Fleet for an Entry.
+type placedFleet Entry
+
+// View implements placement.Fleet.
+func (f *placedFleet) View(now time.Time) (place.View, bool) {
+	e := (*Entry)(f)
+	if e.draining.Load() || !slices.Contains(e.planners(), e.settings.VM) {
+		return place.View{}, false
+	}
+	config := e.member.Replica.Config()
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if e.placer.modelsOf != config.Revision() {
+		e.placer.models, e.placer.modelsOf = modelsOf(config), config.Revision()
+	}
+	v := place.View{Models: e.placer.models, Demand: e.totalDemand(now)}
+	for vm, state := range e.agents {
+		if info := state.hello.GetBackend(); info == nil || info.Service != "" {
+			continue
+		}
+		_, marked := config.Mark(vm)
+		v.Engines = append(v.Engines, state.engine(now, marked))
+	}
+	return v, len(v.Models) > 0
+}
+
+// totalDemand sums the demand of all entries; e.mu is held.
+func (e *Entry) totalDemand(now time.Time) map[string]place.Demand {
+	total := e.placer.meter.Demand(now)
+	for vm, r := range e.placer.reports {
+		if now.Sub(r.at) > demandLifetime {
+			delete(e.placer.reports, vm)
+			continue
+		}
+		for _, d := range r.demand {
+			sum := total[d.Model]
+			sum.Requests += float64(d.RequestsPerSecond)
+			sum.PrefillTokens += float64(d.PrefillTokensPerSecond)
+			total[d.Model] = sum
+		}
+	}
+	return total
+}
+
+// engine describes an agent's engine to the policy.
+func (s *agentState) engine(now time.Time, marked bool) place.Engine {
+	lost := !s.usable && now.Sub(s.unusableSince) > lossHold
+	g := place.Engine{VM: s.hello.Vm, DataCentre: s.hello.DataCentre, PrefillTokensPerSecond: int(s.hello.Backend.PrefillTokensPerSecond),
+		Draining: marked || lost || s.load.GetDraining(), Held: !s.usable}
+	for _, tokens := range s.load.GetPrefillTokens() {
+		g.QueuedTokens += int(tokens)
+	}
+	known := map[string]bool{}
+	for _, p := range s.load.GetPlaced() {
+		known[p.Name] = true
+		g.Placed = append(g.Placed, place.Placed{Name: p.Name, Version: p.Version, Loading: p.Loading})
+	}
+	for _, m := range s.models() {
+		if !known[m] {
+			g.Placed = append(g.Placed, place.Placed{Name: m})
+		}
+	}
+	return g
+}
+
+// modelsOf returns the models that placement may load, and whether some plan
+// allows them.
+func modelsOf(config *fleetconf.Config) []place.Model {
+	allowed := map[string]bool{}
+	for _, item := range config.Items(fleetconf.PlanPrefix) {
+		if plan, ok := item.Document.(*fleetconf.Plan); ok {
+			for _, m := range plan.Models {
+				allowed[place.BaseName(m)] = true
+			}
+		}
+	}
+	var list []place.Model
+	for _, item := range config.Items(fleetconf.ModelPrefix) {
+		document, ok := item.Document.(*fleetconf.Model)
+		if !ok {
+			continue
+		}
+		name := strings.TrimPrefix(item.Key, fleetconf.ModelPrefix)
+		m := place.Model{Name: name, Version: document.Version, Role: document.Role, Allowed: allowed[name]}
+		for _, a := range document.Adapters {
+			m.Adapters = append(m.Adapters, place.Adapter{Name: a.Name, Version: a.Version})
+		}
+		list = append(list, m)
+	}
+	return list
+}
+
+// Send implements placement.Fleet.
+func (f *placedFleet) Send(ctx context.Context, c place.Command, token uint64, confirm func(context.Context) (time.Duration, error)) error {
+	e := (*Entry)(f)
+	stream, _, err := e.member.Node.Open(c.VM)
+	if err != nil {
+		return outcome.Wrap(err, outcome.NoServer, "VM %s cannot be reached", c.VM)
+	}
+	defer stream.Close()
+	if deadline, ok := ctx.Deadline(); ok {
+		stream.SetReadDeadline(deadline)
+	}
+	kind := wire.PlaceKind_PLACE_KIND_LOAD
+	if c.Kind == place.Unload {
+		kind = wire.PlaceKind_PLACE_KIND_UNLOAD
+	}
+	command := &wire.PlaceCommand{Kind: kind, Model: c.Model, Version: c.Version, Adapter: c.Adapter, Role: c.Role,
+		FencingToken: token, Planner: e.member.Claimant()}
+	if err := stream.Write(&wire.StreamHeader{Body: &wire.StreamHeader_Place{Place: command}}); err != nil {
+		return outcome.Wrap(err, outcome.NoServer, "VM %s cannot be reached", c.VM)
+	}
+	if err := readPlace(stream, c.VM, true); err != nil {
+		return err
+	}
+	remaining, err := confirm(ctx)
+	if err != nil {
+		return err
+	}
+	message := &wire.PlaceConfirm{RemainingMs: uint32(remaining.Milliseconds())}
+	if err := stream.Write(&wire.EntryMessage{Body: &wire.EntryMessage_Place{Place: message}}); err != nil {
+		return outcome.Wrap(err, outcome.BackendFailed, "the command to VM %s may have been lost", c.VM)
+	}
+	return readPlace(stream, c.VM, false)
+}
+
+// readPlace reads an offer or a result from an agent.
+func readPlace(stream *link.Stream, vm string, offer bool) error {
+	m := &wire.AgentMessage{}
+	if err := stream.Read(m); err != nil {
+		return outcome.Wrap(err, outcome.BackendFailed, "VM %s did not answer a placement command", vm)
+	}
+	result := m.GetPlaceResult()
+	switch {
+	case offer && m.GetPlaceOffer() != nil:
+		return nil
+	case !offer && result.GetStatus() == wire.PlaceStatus_PLACE_STATUS_DONE:
+		return nil
+	}
+	return &placement.StatusError{VM: vm, Status: result.GetStatus(), Message: result.GetMessage()}
+}
+
+// awaitModel waits while no engine serves a model that placement may load.
+// It returns at once if the request need not or must not wait.
+func (e *Entry) awaitModel(ctx context.Context, c *completion) {
+	if e.placer == nil || e.modelUsable(c.model) {
+		return
+	}
+	item, ok := e.member.Replica.Config().Item(fleetconf.ModelPrefix + place.BaseName(c.model))
+	if !ok || item == nil {
+		return
+	}
+	defer e.placer.waiting.Add(-1)
+	if e.placer.waiting.Add(1) > maxWaiting {
+		return
+	}
+	for !e.modelUsable(c.model) && pause(ctx, retryPause) {
+	}
+}
+
+// modelUsable reports whether an agent that may get work serves a model.
+func (e *Entry) modelUsable(model string) bool {
+	config := e.member.Replica.Config()
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	for vm, state := range e.agents {
+		if !state.usable || state.load.GetDraining() || !slices.Contains(state.models(), model) {
+			continue
+		}
+		if _, marked := config.Mark(vm); !marked {
+			return true
+		}
+	}
+	return false
+}
--- a/daemon/entry/run.go
+++ b/daemon/entry/run.go
@@ -95,6 +95,7 @@
 // complete runs a completion to its one result.
 func (e *Entry) complete(ctx context.Context, c *completion, a *answer) {
 	r := &run{completion: c, answer: a, excluded: map[string]bool{}}
+	e.awaitModel(ctx, c)
 	attempts := e.attempts
 	if e.needsGroup(c) {
 		attempts = e.groupAttempts
--- a/daemon/member/handler.go
+++ b/daemon/member/handler.go
@@ -18,7 +18,7 @@
 type handler Member
 
 func (h *handler) Heartbeat(peer *wire.Hello) *wire.Heartbeat {
-	return &wire.Heartbeat{ConfigRevision: h.Replica.Revision(), Load: h.hooks.Load()}
+	return &wire.Heartbeat{ConfigRevision: h.Replica.Revision(), Load: h.hooks.Load(), Demand: h.hooks.Demand(peer)}
 }
 
 func (h *handler) HeartbeatReceived(peer *wire.Hello, heartbeat *wire.Heartbeat) {
@@ -29,6 +29,9 @@
 	if heartbeat.Load != nil {
 		h.hooks.PeerLoad(peer, heartbeat.Load)
 	}
+	if peer.Role == wire.Role_ROLE_ENTRY {
+		h.hooks.PeerDemand(peer, heartbeat.Demand)
+	}
 }
 
 func (h *handler) ConfigReceived(peer *wire.Hello, update *wire.ConfigUpdate) {
--- a/daemon/member/member.go
+++ b/daemon/member/member.go
@@ -37,6 +37,10 @@
 	Backend() *wire.BackendInfo
 	// PeerLoad handles the load that an agent reported.
 	PeerLoad(peer *wire.Hello, load *wire.Load)
+	// Demand returns the demand to report to a peer; nil for agents.
+	Demand(peer *wire.Hello) []*wire.ModelDemand
+	// PeerDemand handles the demand that an entry reported.
+	PeerDemand(peer *wire.Hello, demand []*wire.ModelDemand)
 	// PeerChanged is called when a peer becomes usable or stops being so.
 	PeerChanged(peer *wire.Hello, usable bool)
 	// Stream serves a stream that an entry opened.
--- a/fleetconf/config.go
+++ b/fleetconf/config.go
@@ -18,7 +18,7 @@
 	Value []byte
 	// Revision of the last change of the item.
 	Revision uint64
-	// Document is the parsed *Client, *Plan or *Mark; nil if this version
+	// Document is the parsed *Client, *Plan, *Mark or *Model; nil if this version
 	// does not know the kind of the item. It must not be changed.
 	Document any
 }
@@ -154,7 +154,8 @@
 }
 
 func knownKind(key string) bool {
-	return strings.HasPrefix(key, ClientPrefix) || strings.HasPrefix(key, PlanPrefix) || strings.HasPrefix(key, MarkPrefix)
+	return strings.HasPrefix(key, ClientPrefix) || strings.HasPrefix(key, PlanPrefix) || strings.HasPrefix(key, MarkPrefix) ||
+		strings.HasPrefix(key, ModelPrefix)
 }
 
 func (c *Config) usersOf(plan string) int {
--- a/fleetconf/document.go
+++ b/fleetconf/document.go
@@ -22,6 +22,7 @@
 	ClientPrefix = "client/"
 	PlanPrefix   = "plan/"
 	MarkPrefix   = "mark/"
+	ModelPrefix  = "model/"
 )
 
 // Limits of one item, which keep the head and a snapshot within their bounds.
@@ -89,6 +90,23 @@
 	State MarkState `json:"state"`
 }
 
+// Model is the document of a model that placement may load. Plans name the
+// models that callers may use; this item says what to load for them.
+type Model struct {
+	// Version to load; empty accepts the version that an engine has.
+	Version  string         `json:"version,omitempty"`
+	Adapters []ModelAdapter `json:"adapters,omitempty"`
+	// Role to give the engines of the model; empty leaves it.
+	Role string `json:"role,omitempty"`
+}
+
+// ModelAdapter is an adapter that is loaded with its model. Callers ask for it
+// as "model/adapter".
+type ModelAdapter struct {
+	Name    string `json:"name"`
+	Version string `json:"version,omitempty"`
+}
+
 // Service returns the plan's service of that name.
 func (p *Plan) Service(name string) (*PlanService, bool) {
 	for i := range p.Services {
@@ -158,7 +176,7 @@
 }
 
 // ParseItem decodes and validates the document of an item without looking at
-// other items. It returns a *Client, *Plan or *Mark, or a *ValidationError.
+// other items. It returns a *Client, *Plan, *Mark or *Model, or a *ValidationError.
 func ParseItem(key string, value []byte) (any, error) {
 	return parseItem(key, value, true)
 }
@@ -180,8 +198,10 @@
 		return parsePlan(key, value, strict)
 	case MarkPrefix:
 		return parseMark(key, value, strict)
+	case ModelPrefix:
+		return parseModel(key, value, strict)
 	}
-	return nil, invalid(key, "", "the key must start with %q, %q or %q", ClientPrefix, PlanPrefix, MarkPrefix)
+	return nil, invalid(key, "", "the key must start with %q, %q, %q or %q", ClientPrefix, PlanPrefix, MarkPrefix, ModelPrefix)
 }
 
 func decode(key string, value []byte, strict bool, into any) error {
@@ -226,7 +246,7 @@
 	if err := decode(key, value, strict, p); err != nil {
 		return nil, err
 	}
-	if err := checkNames(key, "models", p.Models); err != nil {
+	if err := checkModelNames(key, p.Models); err != nil {
 		return nil, err
 	}
 	if err := checkServices(key, p.Services); err != nil {
@@ -284,6 +304,56 @@
 	return m, nil
 }
 
+func parseModel(key string, value []byte, strict bool) (*Model, error) {
+	m := &Model{}
+	if err := decode(key, value, strict, m); err != nil {
+		return nil, err
+	}
+	if err := checkOptional(key, "version", m.Version); err != nil {
+		return nil, err
+	}
+	if err := checkOptional(key, "role", m.Role); err != nil {
+		return nil, err
+	}
+	names := make([]string, len(m.Adapters))
+	for i, a := range m.Adapters {
+		names[i] = a.Name
+		if err := checkOptional(key, fmt.Sprintf("adapters[%d].version", i), a.Version); err != nil {
+			return nil, err
+		}
+	}
+	return m, checkNames(key, "adapters", names)
+}
+
+func checkOptional(key, field, name string) error {
+	if name == "" {
+		return nil
+	}
+	return checkName(key, field, name)
+}
+
+// checkModelNames accepts names of models and "model/adapter".
+func checkModelNames(key string, names []string) error {
+	seen := map[string]bool{}
+	for i, n := range names {
+		field := fmt.Sprintf("models[%d]", i)
+		model, adapter, found := strings.Cut(n, "/")
+		if err := checkName(key, field, model); err != nil {
+			return err
+		}
+		if found {
+			if err := checkName(key, field, adapter); err != nil {
+				return err
+			}
+		}
+		if seen[n] {
+			return invalid(key, field, "%q is listed twice", n)
+		}
+		seen[n] = true
+	}
+	return nil
+}
+
 func checkNames(key, field string, names []string) error {
 	seen := map[string]bool{}
 	for i, n := range names {
--- a/policy/place/change.go
+++ b/policy/place/change.go
@@ -5,7 +5,8 @@
 // victim returns the model that an engine can give up for another one, or "".
 // Models that no plan allows go first, then those without demand, then those
 // with more engines than their target. An engine keeps at least one model, and
-// a model in demand keeps the engines of its target.
+// a model in demand keeps the engines of its target. Models that the
+// configuration does not list stay.
 func (r *round) victim(e *engine) string {
 	bases := e.bases()
 	if len(bases) < 2 {
@@ -30,10 +31,11 @@
 
 func (r *round) rank(e *engine, placed Placed) int {
 	name := placed.Name
+	model, managed := r.models[name]
 	switch {
-	case placed.Loading || r.onlyInUse(e, name):
+	case !managed || placed.Loading || r.onlyInUse(e, name):
 		return rankKeep
-	case !r.models[name].Allowed:
+	case !model.Allowed:
 		return rankForbidden
 	case !r.inDemand(name):
 		return rankIdle
--- a/policy/place/place.go
+++ b/policy/place/place.go
@@ -60,7 +60,10 @@
 	QueuedTokens int
 	// PrefillTokensPerSecond is the speed of the engine.
 	PrefillTokensPerSecond int
-	Draining               bool
+	// Draining engines get no commands and do not count as serving a model.
+	Draining bool
+	// Held engines get no commands for now, but count.
+	Held bool
 }
 
 // View is what a planner knows of the fleet.
@@ -235,7 +238,7 @@
 		r.models[m.Name] = m
 	}
 	for _, e := range v.Engines {
-		working := &engine{Engine: e}
+		working := &engine{Engine: e, busy: e.Held}
 		for _, placed := range e.Placed {
 			if placed.Loading {
 				r.loads++
--- a/settings/check.go
+++ b/settings/check.go
@@ -16,6 +16,9 @@
 	minBodyBytes     = 4 << 10
 	maxBodyBytes     = 15 << 20 // must fit a message between processes
 	maxQueuedLimit   = 1 << 20
+	minLeaseMillis   = 500
+	maxLeaseMillis   = 10 * 60 * 1000
+	maxPlacedModels  = 1000
 )
 
 // sha256HexLength is the length of a SHA-256 hash in hex digits.
@@ -116,6 +119,12 @@
 	c.between("entry.default_timeout_ms", e.DefaultTimeoutMillis, 1, e.MaxTimeoutMillis)
 	c.between("entry.max_body_bytes", e.MaxBodyBytes, minBodyBytes, maxBodyBytes)
 	c.between("entry.unready_ms", e.UnreadyMillis, 0, maxTimeoutMillis)
+	if p := e.Placement; p != nil {
+		c.between("entry.placement.lease_ms", p.LeaseMillis, minLeaseMillis, maxLeaseMillis)
+		c.between("entry.placement.interval_ms", p.IntervalMillis, 10, p.LeaseMillis/2)
+		c.between("entry.placement.max_loads", p.MaxLoads, 1, maxQueuedLimit)
+		c.between("entry.placement.models_per_engine", p.ModelsPerEngine, 2, maxPlacedModels)
+	}
 }
 
 func (a *Agent) check(c *checker) {
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -101,6 +101,22 @@
 	// UnreadyMillis is the time between failing readiness and closing the
 	// callers' port, so that the balancer can take the entry out first.
 	UnreadyMillis int `json:"unready_ms,omitempty"`
+	// Placement switches the placement of models on. The models are the items
+	// "model/<name>" of the configuration.
+	Placement *Placement `json:"placement,omitempty"`
+}
+
+// Placement tunes the placement of models on engines. It must be the same on
+// all entries of a fleet.
+type Placement struct {
+	// LeaseMillis is the time after which a silent planner is replaced.
+	LeaseMillis int `json:"lease_ms,omitempty"`
+	// IntervalMillis is the time between two decisions.
+	IntervalMillis int `json:"interval_ms,omitempty"`
+	// MaxLoads is the largest number of loads in progress in the fleet.
+	MaxLoads int `json:"max_loads,omitempty"`
+	// ModelsPerEngine is the number of models that fit on one engine.
+	ModelsPerEngine int `json:"models_per_engine,omitempty"`
 }
 
 // Agent holds the settings of the agent role: exactly one backend server.
@@ -144,6 +160,11 @@
 	defaultLongKVShare     = 0.7
 	defaultMaxQueued       = 4096
 	defaultMaxConcurrent   = 64
+
+	defaultLease             = 10 * time.Second
+	defaultPlacementInterval = time.Second
+	defaultMaxLoads          = 4
+	defaultModelsPerEngine   = 2
 )
 
 // Error is a fault in a settings file.
@@ -213,6 +234,12 @@
 		setDefault(&e.MaxTimeoutMillis, millis(defaultMaxTimeout))
 		setDefault(&e.MaxBodyBytes, defaultMaxBodyBytes)
 		setDefault(&e.UnreadyMillis, millis(defaultUnready))
+		if p := e.Placement; p != nil {
+			setDefault(&p.LeaseMillis, millis(defaultLease))
+			setDefault(&p.IntervalMillis, millis(defaultPlacementInterval))
+			setDefault(&p.MaxLoads, defaultMaxLoads)
+			setDefault(&p.ModelsPerEngine, defaultModelsPerEngine)
+		}
 	}
 	if a := s.Agent; a != nil {
 		setDefault(&a.OrphanGraceMillis, millis(defaultOrphanGrace))
