--- a/daemon/agent/placement.go
+++ b/daemon/agent/placement.go
@@ -9,9 +9,10 @@
 	"sync"
 	"time"
 
+	"google.golang.org/protobuf/proto"
+
 	"camphorwick.dev/api/wire"
 	"camphorwick.dev/backend"
-	"camphorwick.dev/link"
 )
 
 // leaseKeyPrefix is the prefix of the lease keys of planners.
@@ -60,6 +61,13 @@
 		loading: map[string]load{}, versions: map[string]string{}}
 }
 
+// placeStream is the part of link.Stream that a placement command uses.
+type placeStream interface {
+	Write(proto.Message) error
+	Read(proto.Message) error
+	SetReadDeadline(time.Time)
+}
+
 // placeRefusal says why a placement command was not carried out.
 type placeRefusal struct {
 	status  wire.PlaceStatus
@@ -74,7 +82,7 @@
 
 // servePlace serves one placement command: check of the token against the
 // store, offer, confirmation, order.
-func (a *Agent) servePlace(ctx context.Context, s *link.Stream, c *wire.PlaceCommand) {
+func (a *Agent) servePlace(ctx context.Context, s placeStream, c *wire.PlaceCommand) {
 	err := a.place(ctx, s, c)
 	result := &wire.PlaceResult{Status: wire.PlaceStatus_PLACE_STATUS_DONE}
 	var refusal *placeRefusal
@@ -89,7 +97,7 @@
 	_ = s.Write(&wire.AgentMessage{Body: &wire.AgentMessage_PlaceResult{PlaceResult: result}})
 }
 
-func (a *Agent) place(ctx context.Context, s *link.Stream, c *wire.PlaceCommand) error {
+func (a *Agent) place(ctx context.Context, s placeStream, c *wire.PlaceCommand) error {
 	if a.engine == nil || c.Model == "" || c.Kind == wire.PlaceKind_PLACE_KIND_UNSPECIFIED {
 		return refusePlace(wire.PlaceStatus_PLACE_STATUS_REFUSED, "VM %s cannot carry out this command", a.settings.VM)
 	}
--- a/daemon/entry/placement.go
+++ b/daemon/entry/placement.go
@@ -225,7 +225,7 @@
 	if err != nil {
 		return err
 	}
-	message := &wire.PlaceConfirm{RemainingMs: uint32(remaining.Milliseconds())}
+	message := &wire.PlaceConfirm{RemainingMs: uint32(max(remaining.Milliseconds(), 0))}
 	if err := stream.Write(&wire.EntryMessage{Body: &wire.EntryMessage_Place{Place: message}}); err != nil {
 		return outcome.Wrap(err, outcome.BackendFailed, "the command to VM %s may have been lost", c.VM)
 	}
--- a/daemon/placement/placement.go
+++ b/daemon/placement/placement.go
@@ -246,6 +246,9 @@
 // confirm takes a slot of the weight store for a load, then checks the lease
 // on the monotonic clock as the last step before the command is sent.
 func (p *Planner) confirm(ctx context.Context, l *lease, c place.Command) (time.Duration, error) {
+	if l.remaining(time.Now()) < minRemaining {
+		return 0, &LeaseEndedError{Model: c.Model} // no slot is wasted
+	}
 	if c.Kind == place.Load {
 		if err := p.config.Weights.Reserve(ctx, c.Model, c.Version); err != nil {
 			p.noteLimit(err)
