--- a/testbed/e2e/placement_test.go
+++ b/testbed/e2e/placement_test.go
@@ -2,7 +2,11 @@
 
 import (
 	"context"
+	"io"
+	"net/http"
+	"strings"
 	"sync"
+	"syscall"
 	"testing"
 	"time"
 
@@ -122,3 +126,136 @@
 	is.New(t).NoErr(f.Stats(f.Platform, "/stats", &stats))
 	return stats.RateLimited
 }
+
+// holder returns the entry that holds the lease of placedModel, or -1.
+func holder(t *testing.T, f *fleet.Fleet) int {
+	t.Helper()
+	response, err := http.Get("http://" + f.Platform.Address + "/v1/kv?key=placement/" + placedModel)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = response.Body.Close() }()
+	value, err := io.ReadAll(response.Body)
+	if err != nil {
+		t.Fatal(err)
+	}
+	for i, d := range f.Entries {
+		if strings.HasPrefix(string(value), d.Settings.VM+"/") {
+			return i
+		}
+	}
+	return -1
+}
+
+// await polls until a condition holds.
+func await(t *testing.T, limit time.Duration, what string, condition func() bool) {
+	t.Helper()
+	for deadline := time.Now().Add(limit); !condition(); time.Sleep(20 * time.Millisecond) {
+		if time.Now().After(deadline) {
+			t.Fatalf("waited %v for %s", limit, what)
+		}
+	}
+}
+
+// allVersions reports whether placedModel is on n engines, all with a version.
+func allVersions(f *fleet.Fleet, n int, version string) bool {
+	versions := versionsOf(f)
+	for _, v := range versions {
+		if v != version {
+			return false
+		}
+	}
+	return len(versions) == n
+}
+
+// platformFaults replaces the fault plan of the platform.
+func platformFaults(t *testing.T, f *fleet.Fleet, plan any) {
+	t.Helper()
+	is.New(t).NoErr(f.Faults(f.Platform, http.MethodPut, "/faults", plan))
+}
+
+type rules map[string]any
+
+// Guards against a planner that is paused past its lease while it sends a
+// command, and wakes after its successor has loaded a newer version: the old
+// version must not come back, whether engines check fencing tokens or not.
+// The planner stops between its offer and the confirmation, because the answer
+// of the weight store is delayed. Needs: the lease check after Reserve or the
+// deadline and the highest token in the agent; each alone is enough here, and
+// the tests on virtual time need each.
+func TestPlacementPausedPlanner(t *testing.T) {
+	for name, flags := range map[string][]string{"tokens checked": {"--fencing-checked"}, "tokens ignored": nil} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			ctx, f := startPlaced(t, fleet.Options{Entries: 2, Engines: 2, DataCentres: []string{"dc-1", "dc-2"},
+				EngineFlags: append([]string{"--load-time=200ms"}, flags...), PlatformFlags: []string{"--weights-per-second=100"}})
+			platformFaults(t, f, rules{"rules": []rules{{"operation": "weights", "latency_ms": 1500, "count": 1}}})
+			var group sync.WaitGroup
+			defer group.Wait()
+			group.Go(func() { _, _ = caller(f, 0).Complete(ctx, placedRequest()) })
+			group.Go(func() { _, _ = caller(f, 1).Complete(ctx, placedRequest()) })
+			await(t, 10*time.Second, "a reserved load", func() bool { return weightCalls(t, f) > 0 })
+			paused := holder(t, f)
+			is.True(paused >= 0)
+			is.NoErr(f.Entries[paused].Signal(syscall.SIGSTOP))
+			other := f.Entries[1-paused]
+			revision, err := f.Item(other, "model/"+placedModel)
+			is.NoErr(err)
+			_, err = f.Edit(other, fleet.Change{Key: "model/" + placedModel, Value: map[string]any{"version": "8"}, ExpectedRevision: revision})
+			is.NoErr(err)
+			await(t, 20*time.Second, "version 8", func() bool { return len(versionsOf(f)) > 0 && allVersions(f, len(versionsOf(f)), "8") })
+			is.NoErr(f.Entries[paused].Signal(syscall.SIGCONT))
+			for end := time.Now().Add(5 * time.Second); time.Now().Before(end); time.Sleep(50 * time.Millisecond) {
+				versions := versionsOf(f)
+				is.True(allVersions(f, len(versions), "8")) // the woken planner ordered an old version
+			}
+			a, err := caller(f, 1-paused).Complete(ctx, placedRequest())
+			is.NoErr(err)
+			is.Equal(a.Outcome, "completed")
+		})
+	}
+}
+
+// Guards against loads without a lease while the store is down, and against a
+// request that is lost by the outage. Needs: the lease before commands.
+func TestPlacementStoreDown(t *testing.T) {
+	is := is.New(t)
+	ctx, f := startPlaced(t, fleet.Options{Entries: 2, Engines: 2, EngineFlags: []string{"--load-time=200ms"}, PlatformFlags: []string{"--weights-per-second=100"}})
+	platformFaults(t, f, rules{"outage": "refuse"})
+	type result struct {
+		a   client.Answer
+		err error
+	}
+	done := make(chan result, 1)
+	go func() {
+		a, err := caller(f, 0).Complete(ctx, placedRequest())
+		done <- result{a, err}
+	}()
+	f.Agents[0].KillNow() // the restarted agent knows no token
+	is.NoErr(f.StartDaemon(f.Agents[0]))
+	time.Sleep(3 * time.Second)
+	is.Equal(len(versionsOf(f)), 0)
+	is.Equal(weightCalls(t, f), 0)
+	platformFaults(t, f, rules{})
+	got := <-done
+	is.NoErr(got.err)
+	is.Equal(got.a.Outcome, "completed")
+	await(t, 20*time.Second, "two engines", func() bool { return allVersions(f, 2, "7") })
+	is.Equal(weightCalls(t, f), 2)
+	is.NoErr(f.Stop())
+}
+
+// Guards against a lease that its planner cannot use, because the answer to
+// the write was lost, until it ends. Needs: reading the key back.
+func TestPlacementLostAnswer(t *testing.T) {
+	is := is.New(t)
+	ctx, f := startPlaced(t, fleet.Options{Entries: 1, Engines: 2, EngineFlags: []string{"--load-time=200ms"}, PlatformFlags: []string{"--weights-per-second=100"}})
+	platformFaults(t, f, rules{"rules": []rules{{"fault": "lose_answer", "operation": "put", "key_prefix": "placement/"}}})
+	a, err := caller(f, 0).Complete(ctx, placedRequest())
+	is.NoErr(err)
+	is.Equal(a.Outcome, "completed")
+	await(t, 10*time.Second, "two engines", func() bool { return allVersions(f, 2, "7") })
+	time.Sleep(2 * placementLease)
+	is.Equal(weightCalls(t, f), 2) // loads are not repeated
+	is.NoErr(f.Stop())
+}
