link: do not suspect peers after an own pause; keep changes in order

The time since the last look at the peers now tells a pause, which is not counted. - Two concurrent updates of a peer could report usable and unusable in the wrong order, which left an entry with the older state until the next change. Updates of one peer are now serialised. - SetTargets after Run added goroutines to a group that had been waited for. - A VM whose clock was set back was refused for ever if it stayed on the VM list. It is accepted 10 min after its last session. - Stream.Close waited up to 10 s on a connection that takes no bytes, and with it the end of the request. It now returns at once.

Looked at and right: SetTargets with a new address, two sessions of a kind, sessions without the first stream, handshake limits.

--- a/link/node.go
+++ b/link/node.go
@@ -90,6 +90,8 @@
 	targets map[string]targetState
 	group   *errgroup.Group
 	ctx     context.Context
+	// ended is set before Run returns; no dialler starts after it.
+	ended bool
 }
 
 type targetState struct {
@@ -99,6 +101,10 @@
 
 // peer is the state of one known process.
 type peer struct {
+	// notify is held from a change of usable to the end of the handler's call,
+	// so that the handler sees the changes in order. It is taken before mu.
+	notify sync.Mutex
+
 	mu        sync.Mutex
 	hello     *wire.Hello
 	control   *Session
@@ -133,6 +139,9 @@
 	group.Go(func() error { return n.watchPeers(ctx) })
 	group.Go(func() error {
 		<-ctx.Done()
+		n.mu.Lock()
+		n.ended = true // SetTargets must not add to a group that has been waited for
+		n.mu.Unlock()
 		return listener.Close()
 	})
 	err := group.Wait()
@@ -172,6 +181,9 @@
 		n.targets[vm] = targetState{Target: t}
 		return
 	}
+	if n.ended {
+		return
+	}
 	ctx, stop := context.WithCancel(n.ctx)
 	n.targets[vm] = targetState{Target: t, stop: stop}
 	n.group.Go(func() error { return n.keep(ctx, t, wire.SessionKind_SESSION_KIND_CONTROL) })
@@ -367,8 +379,9 @@
 }
 
 // register adds a session to its peer. A session of an older epoch than the
-// known one is refused; one of a newer epoch replaces the sessions of the old
-// process.
+// known one is refused while that process may live; a VM whose clock was set
+// back can return after forgetAfter. A newer epoch replaces the sessions of
+// the old process.
 func (n *Node) register(session *Session) (*peer, bool) {
 	n.mu.Lock()
 	p := n.peers[session.Peer.Vm]
@@ -379,7 +392,7 @@
 	}
 	n.mu.Unlock()
 	p.mu.Lock()
-	if session.Peer.Epoch < p.hello.Epoch {
+	if session.Peer.Epoch < p.hello.Epoch && !p.gone() {
 		p.mu.Unlock()
 		n.config.Log.Warn("session of an old process refused", "peer", session.Peer.Vm)
 		return nil, false
@@ -398,7 +411,7 @@
 // p.mu is held.
 func (p *peer) install(session *Session) []*Session {
 	var old []*Session
-	if session.Peer.Epoch > p.hello.Epoch {
+	if session.Peer.Epoch != p.hello.Epoch {
 		if p.control != nil {
 			old = append(old, p.control)
 		}
@@ -434,6 +447,8 @@
 // update recomputes whether a peer is usable and tells the handler about a
 // change. An agent is usable with both sessions and recent heartbeats.
 func (n *Node) update(p *peer) {
+	p.notify.Lock()
+	defer p.notify.Unlock()
 	p.mu.Lock()
 	usable := p.control != nil && time.Since(p.lastHeard) < missedHeartbeats*p.interval
 	if p.hello.Role == wire.Role_ROLE_AGENT {
@@ -454,29 +469,62 @@
 // watchPeers suspects silent peers, drops their sessions later and forgets
 // peers that are gone.
 func (n *Node) watchPeers(ctx context.Context) error {
-	ticker := time.NewTicker(HeartbeatInterval / 4)
+	ticker := time.NewTicker(watchInterval)
 	defer ticker.Stop()
+	last := time.Now()
 	for {
 		select {
 		case <-ctx.Done():
 			return nil
 		case <-ticker.C:
 		}
-		n.mu.Lock()
-		peers := make([]*peer, 0, len(n.peers))
-		for vm, p := range n.peers {
-			if n.forgettable(vm, p) {
-				delete(n.peers, vm)
-				continue
-			}
-			peers = append(peers, p)
+		now := time.Now()
+		n.review(now, now.Sub(last))
+		last = now
+	}
+}
+
+// watchInterval is the time between two looks at the peers.
+const watchInterval = HeartbeatInterval / 4
+
+// review looks at all peers once; elapsed is the time since the last look. If
+// it is much longer than watchInterval, this process was paused itself and
+// could not hear its peers: that time does not count as their silence, so a
+// process that resumes does not suspect all peers at once.
+func (n *Node) review(now time.Time, elapsed time.Duration) {
+	paused := elapsed - watchInterval
+	for _, p := range n.remembered() {
+		if paused >= HeartbeatInterval {
+			p.excuse(now, paused)
 		}
-		n.mu.Unlock()
-		for _, p := range peers {
-			n.update(p)
-			n.dropSilent(p)
+		n.update(p)
+		n.dropSilent(p)
+	}
+}
+
+// excuse takes a pause of this process off the silence of a peer.
+func (p *peer) excuse(now time.Time, paused time.Duration) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.lastHeard = p.lastHeard.Add(paused)
+	if p.lastHeard.After(now) {
+		p.lastHeard = now
+	}
+}
+
+// remembered forgets peers that are gone and returns the others.
+func (n *Node) remembered() []*peer {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	peers := make([]*peer, 0, len(n.peers))
+	for vm, p := range n.peers {
+		if n.forgettable(vm, p) {
+			delete(n.peers, vm)
+			continue
 		}
+		peers = append(peers, p)
 	}
+	return peers
 }
 
 // forgetAfter keeps the epoch of a lost peer long enough to refuse its old
@@ -488,7 +536,13 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	_, wanted := n.targets[vm]
-	return !wanted && p.control == nil && p.data == nil && time.Since(p.lastHeard) > forgetAfter
+	return !wanted && p.gone()
+}
+
+// gone reports whether a peer has been without sessions for forgetAfter; p.mu
+// is held.
+func (p *peer) gone() bool {
+	return p.control == nil && p.data == nil && time.Since(p.lastHeard) > forgetAfter
 }
 
 func (n *Node) dropSilent(p *peer) {
--- a/link/session.go
+++ b/link/session.go
@@ -112,10 +112,16 @@
 // SetReadDeadline bounds Read; the zero time means no limit.
 func (s *Stream) SetReadDeadline(t time.Time) { _ = s.mux.SetReadDeadline(t) }
 
-// Close ends the stream in both directions.
+// SetWriteDeadline bounds the wait of Write for a peer that does not read. A
+// Write that already waits is not affected.
+func (s *Stream) SetWriteDeadline(t time.Time) { _ = s.mux.SetWriteDeadline(t) }
+
+// Close ends the stream in both directions and returns at once: on a
+// connection that takes no bytes, yamux waits up to writeTimeout to send the
+// end of the stream, and no request may end that much later.
 func (s *Stream) Close() {
-	_ = s.mux.Close()
 	_ = s.mux.SetReadDeadline(time.Now())
+	go func() { _ = s.mux.Close() }()
 }
 
 func muxConfig() *yamux.Config {
@@ -145,11 +151,20 @@
 		_ = conn.Close()
 		return nil, &Error{Kind: Refused, Peer: address, Cause: err}
 	}
-	mux, err := yamux.Client(conn, muxConfig())
+	session, err := newSession(conn, peer)
 	if err != nil {
 		_ = conn.Close()
 		return nil, &Error{Kind: Refused, Peer: address, Cause: err}
 	}
+	return session, nil
+}
+
+// newSession returns the dialling side of a session on a connection.
+func newSession(conn net.Conn, peer *wire.Hello) (*Session, error) {
+	mux, err := yamux.Client(conn, muxConfig())
+	if err != nil {
+		return nil, fmt.Errorf("start session: %w", err)
+	}
 	return &Session{Peer: peer, mux: mux}, nil
 }
 
