--- a/link/node_test.go
+++ b/link/node_test.go
@@ -132,7 +132,7 @@
 
 // roundTrip sends a prompt to a peer and returns what comes back.
 func roundTrip(n *testNode, vm string, prompt []byte) (string, error) {
-	stream, _, err := n.Open(vm)
+	stream, _, err := n.Open(context.Background(), vm)
 	if err != nil {
 		return "", err
 	}
@@ -185,14 +185,14 @@
 	entry := startNode(t, "entry", wire.Role_ROLE_ENTRY, 1, nil, nil)
 	entry.target("agent", gate.address)
 	eventually(t, 5*time.Second, "agent is usable", func() bool { return entry.isUsable("agent") })
-	_, lost, err := entry.Open("agent")
+	_, lost, err := entry.Open(context.Background(), "agent")
 	is.NoErr(err)
 	started := time.Now()
 	gate.pause()
 	eventually(t, SuspectAfter+HeartbeatInterval, "agent is suspected", func() bool { return !entry.isUsable("agent") })
 	t.Logf("suspected after %v", time.Since(started))
 	<-lost.Done()
-	_, _, err = entry.Open("agent")
+	_, _, err = entry.Open(context.Background(), "agent")
 	is.True(err != nil)
 	gate.resume()
 	eventually(t, 5*time.Second, "agent is usable again", func() bool { return entry.isUsable("agent") })
--- a/testbed/e2e/placement_test.go
+++ b/testbed/e2e/placement_test.go
@@ -147,16 +147,6 @@
 	return -1
 }
 
-// await polls until a condition holds.
-func await(t *testing.T, limit time.Duration, what string, condition func() bool) {
-	t.Helper()
-	for deadline := time.Now().Add(limit); !condition(); time.Sleep(20 * time.Millisecond) {
-		if time.Now().After(deadline) {
-			t.Fatalf("waited %v for %s", limit, what)
-		}
-	}
-}
-
 // allVersions reports whether placedModel is on n engines, all with a version.
 func allVersions(f *fleet.Fleet, n int, version string) bool {
 	versions := versionsOf(f)
