Reserve the ports of a test fleet for its whole life

A proxy that was cut could not listen again when another process of the machine had taken its port meanwhile (TestNetworkFaultDuringAnswer failed once in a run of all packages: address already in use). The same could happen to a killed daemon. Each port is now held by a bound socket that does not listen, so that connections to it are still refused while its owner is down. Ruled out: trying again, since a connection of another process may hold the port for minutes.

--- a/testbed/fleet/fleet.go
+++ b/testbed/fleet/fleet.go
@@ -13,7 +13,6 @@
 	"errors"
 	"fmt"
 	"io"
-	"net"
 	"net/http"
 	"os"
 	"os/exec"
@@ -98,7 +97,7 @@
 
 	mu      sync.Mutex
 	all     []*Process
-	ports   []net.Listener
+	ports   []int // sockets that reserve ports
 	proxies []*Proxy
 }
 
@@ -255,28 +254,6 @@
 // LogFile returns the log file of a process.
 func (f *Fleet) LogFile(name string) string { return filepath.Join(f.Options.Dir, name+".log") }
 
-// FreeAddress returns a loopback address with a port that is free now.
-func (f *Fleet) FreeAddress() string {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		return "127.0.0.1:1" // opening it fails with a clear error
-	}
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	f.ports = append(f.ports, l) // held until its process starts, so that no port is given twice
-	return l.Addr().String()
-}
-
-// releasePorts closes the listeners that hold reserved ports.
-func (f *Fleet) releasePorts() {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	for _, l := range f.ports {
-		_ = l.Close()
-	}
-	f.ports = nil
-}
-
 func (f *Fleet) base(vm string, role settings.Role, i int) *settings.Settings {
 	return &settings.Settings{VM: vm, Role: role, DataCentre: f.Options.DataCentres[i%len(f.Options.DataCentres)],
 		ControlAddress: f.FreeAddress(), OpsAddress: f.FreeAddress(), InsecurePlaintext: true, LogLevel: "info",
@@ -333,7 +310,6 @@
 	if err := os.WriteFile(d.file, data, 0o644); err != nil {
 		return &StartError{d.Settings.VM, err}
 	}
-	f.releasePorts()
 	d.starts.Add(1)
 	p, err := f.launch(d.Settings.VM, exec.Command(filepath.Join(f.Options.Bin, "camphorwick"), "run", "-s", d.file))
 	if err != nil {
@@ -636,7 +612,6 @@
 
 // Kill ends every process that still runs.
 func (f *Fleet) Kill() {
-	f.releasePorts()
 	f.mu.Lock()
 	all, proxies := f.all, f.proxies
 	f.mu.Unlock()
@@ -651,4 +626,5 @@
 			p.KillNow()
 		}
 	}
+	f.releasePorts()
 }
--- /dev/null
+++ b/testbed/fleet/port.go
@@ -0,0 +1,54 @@
+package fleet
+
+import (
+	"fmt"
+	"syscall"
+)
+
+// FreeAddress returns a loopback address whose port belongs to this fleet
+// until Kill. The port stays free for listeners, also while a process or proxy
+// that listened on it is down: without this, a connection of another process
+// took the port of a proxy that was cut, and it could not listen again.
+func (f *Fleet) FreeAddress() string {
+	socket, port, err := reservePort()
+	if err != nil {
+		return "127.0.0.1:1" // opening it fails with a clear error
+	}
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.ports = append(f.ports, socket)
+	return fmt.Sprintf("127.0.0.1:%d", port)
+}
+
+// reservePort binds a socket to a free loopback port without listening. With
+// SO_REUSEADDR, which Go sets for listeners too, a listener can use the port,
+// and the system gives it to nobody else.
+func reservePort() (socket, port int, err error) {
+	socket, err = syscall.Socket(syscall.AF_INET, syscall.SOCK_STREAM|syscall.SOCK_CLOEXEC, 0)
+	if err != nil {
+		return 0, 0, fmt.Errorf("open a socket: %w", err)
+	}
+	if err = syscall.SetsockoptInt(socket, syscall.SOL_SOCKET, syscall.SO_REUSEADDR, 1); err == nil {
+		err = syscall.Bind(socket, &syscall.SockaddrInet4{Addr: [4]byte{127, 0, 0, 1}})
+	}
+	var bound syscall.Sockaddr
+	if err == nil {
+		bound, err = syscall.Getsockname(socket)
+	}
+	address, ok := bound.(*syscall.SockaddrInet4)
+	if err != nil || !ok {
+		_ = syscall.Close(socket)
+		return 0, 0, fmt.Errorf("reserve a port: %w", err)
+	}
+	return socket, address.Port, nil
+}
+
+// releasePorts closes the sockets that reserve ports.
+func (f *Fleet) releasePorts() {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for _, socket := range f.ports {
+		_ = syscall.Close(socket)
+	}
+	f.ports = nil
+}
--- a/testbed/fleet/proxy.go
+++ b/testbed/fleet/proxy.go
@@ -39,7 +39,7 @@
 
 // proxyTo starts a proxy in front of an address.
 func (f *Fleet) proxyTo(name, upstream string) (*Proxy, error) {
-	p := &Proxy{name: name, proxy: toxiproxy.NewProxy(faultProxies(), name, "127.0.0.1:0", upstream)}
+	p := &Proxy{name: name, proxy: toxiproxy.NewProxy(faultProxies(), name, f.FreeAddress(), upstream)}
 	if err := p.proxy.Start(); err != nil {
 		return nil, &StartError{name, err}
 	}
