--- a/daemon/agent/agent.go
+++ b/daemon/agent/agent.go
@@ -3,7 +3,7 @@
 // when, so that a stale view in an entry can never overload it, and it alone
 // claims orders before they are sent.
 //
-// Lock order: Agent.mu before request.mu. Neither is held during calls of the
+// Lock order: Agent.mu before request.mu and placements.mu. None is held during calls of the
 // engine, the service or the store.
 package agent
 
@@ -71,19 +71,31 @@
 	active atomic.Int64
 	// info is the engine's description.
 	info atomic.Pointer[backend.EngineInfo]
+	// report is the engine's last load report.
+	report atomic.Pointer[backend.LoadReport]
+	// failedPolls counts the load reports in a row that the engine did not give.
+	failedPolls atomic.Int64
+	placements  *placements
 
 	mu       sync.Mutex
 	queue    *queue.Queue
 	requests map[requestKey]*request // the current attempt of each request
 	jobs     map[string]*request     // by job id, while queued or running
 	cache    *prefixSet
+	// prefixesSent is what each entry was sent last. A heartbeat that is lost
+	// with its session leaves old hints until the next change.
+	prefixesSent map[string]sentPrefixes
 }
 
+// sentPrefixes names a version of the cached prefixes sent to one process.
+type sentPrefixes struct{ epoch, version uint64 }
+
 // New returns an agent that does nothing until Run.
 func New(s *settings.Settings, d Deps) (*Agent, error) {
 	a := &Agent{settings: s, log: d.Telemetry.Log, telemetry: d.Telemetry, engine: d.Engine, service: d.Service,
 		stop: make(chan struct{}), wake: make(chan struct{}, 1),
-		requests: map[requestKey]*request{}, jobs: map[string]*request{}, cache: newPrefixSet()}
+		requests: map[requestKey]*request{}, jobs: map[string]*request{}, cache: newPrefixSet(), prefixesSent: map[string]sentPrefixes{},
+		placements: newPlacements()}
 	m, err := member.New(s, d.Telemetry.Log, d.KV, d.VMs, (*hooks)(a))
 	if err != nil {
 		return nil, err
@@ -131,6 +143,7 @@
 	if a.engine != nil {
 		group.Go(func() error { return a.dispatch(groupCtx) })
 		group.Go(func() error { return a.followCache(groupCtx) })
+		group.Go(func() error { return a.followModels(groupCtx) })
 	} else {
 		group.Go(func() error { return a.runLedger(groupCtx) })
 	}
@@ -158,6 +171,7 @@
 	case <-a.stop:
 		a.startDrain("stop requested")
 		a.awaitIdle(ctx)
+		a.sayFarewell(ctx)
 	}
 	if a.ledger == nil {
 		return nil
@@ -179,6 +193,18 @@
 	a.member.Node.Kick()
 }
 
+// farewellTime is how long an agent without work stays connected at the end of
+// a drain, so that its last heartbeat confirms the mark that ended it.
+const farewellTime = 200 * time.Millisecond
+
+func (a *Agent) sayFarewell(ctx context.Context) {
+	a.member.Node.Kick()
+	select {
+	case <-ctx.Done():
+	case <-time.After(farewellTime):
+	}
+}
+
 // awaitIdle waits until all work has ended. At the drain limit, completions
 // are ended with Draining, so that their entries continue them elsewhere.
 func (a *Agent) awaitIdle(ctx context.Context) {
@@ -202,7 +228,17 @@
 // hooks implements member.Hooks for an Agent.
 type hooks Agent
 
-func (h *hooks) Load() *wire.Load { return (*Agent)(h).load() }
+func (h *hooks) Load(peer *wire.Hello) *wire.Load {
+	a := (*Agent)(h)
+	load := a.load()
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if known := a.prefixesSent[peer.Vm]; known != (sentPrefixes{peer.Epoch, a.cache.version}) {
+		a.prefixesSent[peer.Vm] = sentPrefixes{peer.Epoch, a.cache.version}
+		load.CachedPrefixes, load.PrefixesValid = a.cache.list(), true
+	}
+	return load
+}
 
 func (h *hooks) Backend() *wire.BackendInfo {
 	if h.service != nil {
@@ -218,6 +254,10 @@
 
 func (h *hooks) PeerLoad(*wire.Hello, *wire.Load) {}
 
+func (h *hooks) Demand(*wire.Hello) []*wire.ModelDemand { return nil }
+
+func (h *hooks) PeerDemand(*wire.Hello, []*wire.ModelDemand) {}
+
 func (h *hooks) PeerChanged(*wire.Hello, bool) {}
 
 func (h *hooks) Stream(ctx context.Context, s *link.Stream) { (*Agent)(h).serveStream(ctx, s) }
@@ -269,6 +309,8 @@
 		a.serveCall(ctx, s, body.Service)
 	case *wire.StreamHeader_OrderQuery:
 		a.serveOrderQuery(ctx, s, body.OrderQuery)
+	case *wire.StreamHeader_Place:
+		a.servePlace(ctx, s, body.Place)
 	default:
 		a.log.Warn("stream with an unknown header refused", "peer", s.Peer.Vm)
 	}
@@ -292,10 +334,11 @@
 	}
 	load.KvReservedTokens = uint64(l.KVReserved)
 	load.Running, load.Queued = uint32(l.Running), uint32(l.Queued)
-	load.CachedPrefixes = a.cache.list()
 	if info := a.info.Load(); info != nil {
 		load.Models = info.Models
+		load.Placed = a.placed()
 	}
+	load.BackendDown = a.engineDown()
 	return load
 }
 
--- a/daemon/agent/cache.go
+++ b/daemon/agent/cache.go
@@ -21,14 +21,19 @@
 // most recent ones last. It is a hint: events are late and have gaps.
 type prefixSet struct {
 	sequence uint64
-	order    []uint64
-	known    map[uint64]bool
+	// version rises with each change.
+	version uint64
+	order   []uint64
+	known   map[uint64]bool
 }
 
 func newPrefixSet() *prefixSet { return &prefixSet{known: map[uint64]bool{}} }
 
 // apply takes over events. A gap may hide evictions, so it empties the set.
 func (p *prefixSet) apply(events []backend.CacheEvent) {
+	if len(events) > 0 {
+		p.version++
+	}
 	for _, e := range events {
 		if p.sequence != 0 && e.Sequence != p.sequence+1 {
 			p.order, p.known = nil, map[uint64]bool{}
@@ -74,7 +79,7 @@
 
 func (p *prefixSet) list() []uint64 { return append([]uint64(nil), p.order...) }
 
-// followCache reads cache events and the engine's description until ctx ends.
+// followCache reads cache events and the engine's load until ctx ends.
 func (a *Agent) followCache(ctx context.Context) error {
 	ticker := time.NewTicker(cachePoll)
 	defer ticker.Stop()
@@ -84,18 +89,47 @@
 			return nil
 		case <-ticker.C:
 		}
-		a.mu.Lock()
-		after := a.cache.sequence
-		a.mu.Unlock()
 		call, cancel := context.WithTimeout(ctx, engineCallLimit)
-		events, err := a.engine.Events(call, after)
+		a.readEvents(call)
+		a.readLoad(call)
 		cancel()
-		if err != nil {
-			a.log.Debug("cache events cannot be read", "error", err.Error())
-			continue
+	}
+}
+
+func (a *Agent) readEvents(ctx context.Context) {
+	a.mu.Lock()
+	after := a.cache.sequence
+	a.mu.Unlock()
+	events, err := a.engine.Events(ctx, after)
+	if err != nil {
+		a.log.Debug("cache events cannot be read", "error", err.Error())
+		return
+	}
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.cache.apply(events)
+}
+
+// downAfterPolls is the number of unanswered load reports in a row after which
+// entries are told to send nothing here.
+const downAfterPolls = 3
+
+func (a *Agent) engineDown() bool { return a.failedPolls.Load() >= downAfterPolls }
+
+// readLoad keeps the engine's report for metrics; decisions rest on the
+// agent's own count, because the report lags.
+func (a *Agent) readLoad(ctx context.Context) {
+	report, err := a.engine.Load(ctx)
+	if err != nil {
+		if a.failedPolls.Add(1) == downAfterPolls && ctx.Err() == nil {
+			a.log.Error("engine does not answer", "error", err.Error())
+			a.member.Node.Kick()
 		}
-		a.mu.Lock()
-		a.cache.apply(events)
-		a.mu.Unlock()
+		return
+	}
+	if a.failedPolls.Swap(0) >= downAfterPolls {
+		a.log.Info("engine answers again")
+		a.member.Node.Kick()
 	}
+	a.report.Store(&report)
 }
--- a/daemon/agent/completion.go
+++ b/daemon/agent/completion.go
@@ -24,7 +24,7 @@
 			AttemptId: submit.AttemptId, Error: toWire(err), Load: a.load()}}})
 		return
 	}
-	accepted := &wire.AgentMessage{Body: &wire.AgentMessage_Accepted{Accepted: &wire.Accepted{AttemptId: submit.AttemptId}}}
+	accepted := &wire.AgentMessage{Body: &wire.AgentMessage_Accepted{Accepted: &wire.Accepted{AttemptId: submit.AttemptId, Load: a.load()}}}
 	if s.Write(accepted) != nil {
 		r.detach(time.Now())
 		return
@@ -47,8 +47,10 @@
 		Band: outcome.BandOf(tokens), PrefillTokens: a.uncachedTokens(submit), KVTokens: tokens + int(submit.MaxTokens),
 		Arrived: now, Deadline: r.deadline}
 	r.attach()
+	_, r.queueSpan = a.span(r, "queue")
 	old, err := a.enqueue(r, now)
 	if err != nil {
+		r.queueSpan.End()
 		r.cancel(nil)
 		return nil, err
 	}
--- a/daemon/entry/admin.go
+++ b/daemon/entry/admin.go
@@ -7,6 +7,8 @@
 	"crypto/subtle"
 	"encoding/hex"
 	"encoding/json"
+	"errors"
+	"math"
 	"net/http"
 	"sort"
 	"strconv"
@@ -25,6 +27,10 @@
 // editLimit bounds the time of one edit.
 const editLimit = 10 * time.Second
 
+// stoppedAfter is the silence after which a process that is marked as stopping
+// counts as ended: 3 heartbeats.
+const stoppedAfter = 3 * time.Second
+
 // adminItem is one item of the configuration in the administration API.
 type adminItem struct {
 	Key      string          `json:"key"`
@@ -63,11 +69,48 @@
 			if outcome.CodeOf(err) == outcome.OrderInDoubt {
 				result = outcome.Unknown
 			}
-			writeError(c, id, result, err)
+			writeAdminError(c, id, result, err)
 		}
 	})
 }
 
+// adminErrorBody is the body of a refused edit: errorBody with what an
+// operator needs to know about the other edit or about a doubtful one.
+type adminErrorBody struct {
+	RequestID string           `json:"request_id"`
+	Outcome   outcome.Outcome  `json:"outcome"`
+	Error     adminErrorDetail `json:"error"`
+}
+
+type adminErrorDetail struct {
+	errorDetail
+	Conflict *adminConflict `json:"conflict,omitempty"`
+	// Expired says that a repeat of the edit can never resolve it.
+	Expired bool `json:"expired,omitempty"`
+}
+
+// adminConflict tells what another operator did to an item.
+type adminConflict struct {
+	Key              string `json:"key"`
+	ExpectedRevision uint64 `json:"expected_revision"`
+	ActualRevision   uint64 `json:"actual_revision"`
+	Operator         string `json:"operator,omitempty"`
+	EditID           string `json:"edit_id,omitempty"`
+}
+
+// writeAdminError is writeError with the details of a conflict.
+func writeAdminError(c *fasthttp.RequestCtx, id string, result outcome.Outcome, err error) {
+	writeError(c, id, result, err)
+	detail := adminErrorDetail{errorDetail: detailOf(err)}
+	var conflict *fleetconf.ConflictError
+	if errors.As(err, &conflict) {
+		detail.Conflict = &adminConflict{conflict.Item, conflict.Expected, conflict.Actual, conflict.Operator, conflict.EditID}
+	}
+	var expired *fleetconf.ExpiredEditError
+	detail.Expired = errors.As(err, &expired)
+	writeJSON(c, c.Response.StatusCode(), adminErrorBody{id, result, detail})
+}
+
 // authenticateOperator compares the hash of the key in constant time.
 func (e *Entry) authenticateOperator(c *fasthttp.RequestCtx) error {
 	key, _ := strings.CutPrefix(string(c.Request.Header.Peek("Authorization")), "Bearer ")
@@ -86,6 +129,8 @@
 	switch route := string(c.Method()) + " " + string(c.Path()); route {
 	case "GET /admin/v1/config":
 		return e.adminConfig(c)
+	case "GET /admin/v1/edits":
+		return e.adminAcceptedEdit(c)
 	case "POST /admin/v1/edits":
 		return e.adminCommit(ctx, c)
 	case "POST /admin/v1/validate":
@@ -145,7 +190,11 @@
 	defer cancel()
 	revision, err := e.editor.Commit(ctx, edit)
 	if err != nil {
-		e.log.Warn("edit refused", "edit_id", edit.Id, "operator", edit.Operator, "error", err.Error())
+		message := "edit refused"
+		if outcome.CodeOf(err) == outcome.OrderInDoubt {
+			message = "edit in doubt, it may be in force"
+		}
+		e.log.Warn(message, "edit_id", edit.Id, "operator", edit.Operator, "error", err.Error())
 		return err
 	}
 	e.member.StoreReached()
@@ -154,6 +203,37 @@
 	return nil
 }
 
+// adminAcceptedEdit looks for an accepted edit by its id among the edits that
+// this entry remembers. not_found says nothing: the edit may be newer or older.
+func (e *Entry) adminAcceptedEdit(c *fasthttp.RequestCtx) error {
+	args := c.QueryArgs()
+	since, err := strconv.ParseUint(string(args.Peek("since")), 10, 64)
+	if err != nil {
+		return outcome.Wrap(err, outcome.InvalidRequest, "\"since\" is not a number")
+	}
+	id := string(args.Peek("id"))
+	for _, edit := range e.member.Replica.UpdateSince(since, math.MaxInt).GetEdits() {
+		if edit.Id == id {
+			writeJSON(c, http.StatusOK, acceptedEdit(edit))
+			return nil
+		}
+	}
+	return outcome.New(outcome.NotFound, "edit %q is not among the edits since revision %d", id, since)
+}
+
+// acceptedEdit returns an edit in the form of the administration API.
+func acceptedEdit(edit *wire.Edit) map[string]any {
+	changes := []adminItem{}
+	for _, change := range edit.Changes {
+		value := json.RawMessage(change.Value)
+		if len(value) == 0 {
+			value = json.RawMessage("null")
+		}
+		changes = append(changes, adminItem{change.Key, value, edit.Revision})
+	}
+	return map[string]any{"id": edit.Id, "operator": edit.Operator, "revision": edit.Revision, "changes": changes}
+}
+
 // adminValidate checks the items of an edit one by one without committing it.
 func (e *Entry) adminValidate(c *fasthttp.RequestCtx) error {
 	edit, err := parseEdit(c)
@@ -187,15 +267,40 @@
 		return outcome.Wrap(err, outcome.InvalidRequest, "\"revision\" is not a number")
 	}
 	status := e.member.Tracker.InForce(time.Now(), revision, e.expectedVMs()...)
-	missing := []unconfirmed{}
+	missing, stopped := []unconfirmed{}, []unconfirmed{}
+	connected := e.connectedVMs()
 	for _, m := range status.Missing {
-		missing = append(missing, unconfirmed{m.Vm, m.DataCentre, m.ConfigRevision, m.AgeMs})
+		line := unconfirmed{m.Vm, m.DataCentre, m.ConfigRevision, m.AgeMs}
+		if !connected[m.Vm] && e.stoppedAsMarked(m) {
+			stopped = append(stopped, line)
+			continue
+		}
+		missing = append(missing, line)
 	}
 	writeJSON(c, http.StatusOK, map[string]any{"revision": status.Revision, "confirmed": status.Confirmed,
-		"total": status.Total, "missing": missing})
+		"total": status.Total - len(stopped), "missing": missing, "stopped": stopped})
 	return nil
 }
 
+// stoppedAsMarked reports whether an agent is marked as stopping and no entry
+// has heard from it for stoppedAfter. An idle agent ends before it can confirm
+// the mark. It does not count as unconfirmed: an agent that is cut off from
+// every entry gets no work. An entry counts, since callers may still reach it.
+func (e *Entry) stoppedAsMarked(m *wire.Confirmation) bool {
+	mark, _ := e.member.Replica.Config().Mark(m.Vm)
+	silent := time.Duration(m.AgeMs) * time.Millisecond
+	return mark == fleetconf.Stopping && m.Role == wire.Role_ROLE_AGENT && silent > stoppedAfter
+}
+
+// connectedVMs returns the VMs that this entry has a session with.
+func (e *Entry) connectedVMs() map[string]bool {
+	connected := map[string]bool{}
+	for _, p := range e.member.Node.Peers() {
+		connected[p.Hello.Vm] = p.Connected
+	}
+	return connected
+}
+
 // expectedVMs returns the VMs that the platform lists as live.
 func (e *Entry) expectedVMs() []string {
 	var names []string
@@ -276,11 +381,16 @@
 			continue
 		}
 		if info := state.hello.Backend; info != nil {
-			row.Models, row.Service, row.KVTokens = info.Models, info.Service, info.KvTokens
+			row.Models, row.Service, row.KVTokens = state.models(), info.Service, info.KvTokens
 		}
 		if load := state.load; load != nil {
 			row.Running, row.Queued, row.KVReserved, row.PrefillTokens = load.Running, load.Queued, load.KvReservedTokens, load.PrefillTokens
-			if load.Draining {
+			// The last load of a process that has ended says nothing about its state.
+			switch {
+			case row.State != "live":
+			case load.BackendDown:
+				row.State = "backend down"
+			case load.Draining:
 				row.State = "draining"
 			}
 		}
--- a/daemon/entry/group.go
+++ b/daemon/entry/group.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"slices"
 	"sort"
 	"strings"
 	"time"
@@ -87,7 +88,7 @@
 		unseen = unseen || vm.Role == string(settings.RoleAgent) && e.agents[vm.ID] == nil
 	}
 	for _, state := range e.agents {
-		if serves(state.hello.GetBackend(), c.model) {
+		if slices.Contains(state.models(), c.model) {
 			known++
 			room += int(float64(state.hello.Backend.KvTokens)*segmentShare) * outcome.BytesPerToken
 		}
@@ -115,7 +116,7 @@
 	var list []candidate
 	for vm, state := range e.agents {
 		_, marked := config.Mark(vm)
-		if !state.usable || marked || state.load.GetDraining() || !serves(state.hello.GetBackend(), model) {
+		if !state.usable || marked || state.load.GetDraining() || state.load.GetBackendDown() || !slices.Contains(state.models(), model) {
 			continue
 		}
 		list = append(list, candidate{vm, int(state.hello.Backend.KvTokens), state.load.GetKvReservedTokens()})
@@ -129,15 +130,6 @@
 	return list
 }
 
-func serves(info *wire.BackendInfo, model string) bool {
-	for _, m := range info.GetModels() {
-		if m == model {
-			return true
-		}
-	}
-	return false
-}
-
 // groupAttempts runs a completion that exceeds one engine. A broken group is
 // formed again from prompt and emitted tokens while budget and time allow.
 func (e *Entry) groupAttempts(ctx context.Context, r *run) (result, *link.Stream) {
--- a/daemon/entry/run.go
+++ b/daemon/entry/run.go
@@ -62,13 +62,17 @@
 	*completion
 	answer *answer
 	// emitted are the tokens that the caller was sent.
-	emitted  []string
-	accepted bool
+	emitted []string
+	// lastToken is when the latest tokens arrived.
+	lastToken time.Time
+	accepted  bool
 	// mayRun is set while some attempt was sent to an agent that has not said
 	// that it did not run.
 	mayRun   bool
 	attempts int
 	excluded map[string]bool
+	// refusal is the latest reason why an agent did not take the request.
+	refusal error
 }
 
 // verdict says how an attempt ended.
@@ -92,6 +96,7 @@
 // complete runs a completion to its one result.
 func (e *Entry) complete(ctx context.Context, c *completion, a *answer) {
 	r := &run{completion: c, answer: a, excluded: map[string]bool{}}
+	e.awaitModel(ctx, c)
 	attempts := e.attempts
 	if e.needsGroup(c) {
 		attempts = e.groupAttempts
@@ -149,6 +154,7 @@
 			return r.failure(got.err), nil
 		case attemptNotRun:
 			r.excluded[vm] = true
+			r.refusal = got.err
 		case attemptBroken:
 			e.agentFailed(vm)
 			r.excluded = map[string]bool{vm: true}
@@ -212,6 +218,8 @@
 			return "", context.Cause(ctx)
 		case ok:
 			return vm, nil
+		case !r.started() && r.refusal != nil:
+			return "", r.refusal
 		case !r.started():
 			return "", outcome.New(outcome.NoServer, "no backend server can take the request now").WithRetryAfter(time.Second)
 		}
@@ -363,6 +371,11 @@
 		r.mayRun = hadRun
 		return attemptResult{verdict: attemptNotRun, err: fromWire(body.NotRun.Error)}, true
 	case *wire.AgentMessage_Accepted:
+		if load := body.Accepted.Load; load != nil {
+			e.mu.Lock()
+			e.report(vm, load)
+			e.mu.Unlock()
+		}
 		if !r.accepted {
 			r.accepted = true
 			close(r.answer.accepted)
@@ -389,9 +402,13 @@
 	if len(texts) == 0 {
 		return attemptResult{}, false
 	}
+	now := time.Now()
 	if have == 0 {
 		e.metrics.firstToken(r.completion)
+	} else {
+		e.metrics.nextTokens(r.completion, now.Sub(r.lastToken), len(texts))
 	}
+	r.lastToken = now
 	select {
 	case r.answer.tokens <- tokenEvent{vm: vm, offset: have, texts: texts}:
 		r.emitted = append(r.emitted, texts...)
--- a/link/control.go
+++ b/link/control.go
@@ -1,6 +1,7 @@
 package link
 
 import (
+	"math/rand/v2"
 	"sync/atomic"
 	"time"
 
@@ -41,23 +42,41 @@
 
 // send writes heartbeats and the configuration that the peer lacks.
 func (n *Node) send(p *peer, session *Session, stream *Stream, known *atomic.Uint64) {
-	ticker := time.NewTicker(HeartbeatInterval)
-	defer ticker.Stop()
 	for sequence := uint64(1); ; sequence++ {
 		heartbeat := n.config.Handler.Heartbeat(session.Peer)
-		heartbeat.Sequence = sequence
+		interval := max(n.interval(), p.announcedInterval())
+		heartbeat.Sequence, heartbeat.IntervalMs = sequence, uint32(interval.Milliseconds())
 		if stream.Write(&wire.ControlMessage{Body: &wire.ControlMessage_Heartbeat{Heartbeat: heartbeat}}) != nil {
 			return
 		}
 		if n.sendConfig(stream, known) != nil {
 			return
 		}
+		timer := time.NewTimer(interval)
 		select {
-		case <-ticker.C:
+		case <-timer.C:
 		case <-p.kick:
+			n.delayConfig(session)
 		case <-session.Done():
+			timer.Stop()
 			return
 		}
+		timer.Stop()
+	}
+}
+
+// delayConfig waits a random time before a change is sent to an agent, if this
+// node has many peers. Entries are never kept waiting, because changes reach
+// other data centres through them.
+func (n *Node) delayConfig(session *Session) {
+	if session.Peer.Role != wire.Role_ROLE_AGENT || !n.crowded() {
+		return
+	}
+	timer := time.NewTimer(rand.N(maxConfigDelay))
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+	case <-session.Done():
 	}
 }
 
@@ -88,6 +107,23 @@
 	return last
 }
 
+// announced records the time between heartbeats that the peer keeps.
+func (p *peer) announced(ms uint32) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	interval := time.Duration(ms) * time.Millisecond
+	p.interval = min(max(interval, HeartbeatInterval), maxHeartbeatInterval)
+}
+
+// announcedInterval returns the time between heartbeats that the peer keeps.
+// Both ends keep the longer one, so that an agent with few peers does not
+// exceed the traffic that its entry may spend.
+func (p *peer) announcedInterval() time.Duration {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.interval
+}
+
 // receive handles the messages of the peer until the stream ends.
 func (n *Node) receive(p *peer, stream *Stream, known *atomic.Uint64) {
 	for {
@@ -100,6 +136,7 @@
 		p.mu.Unlock()
 		switch body := message.Body.(type) {
 		case *wire.ControlMessage_Heartbeat:
+			p.announced(body.Heartbeat.IntervalMs)
 			known.Store(body.Heartbeat.ConfigRevision)
 			n.config.Handler.HeartbeatReceived(stream.Peer, body.Heartbeat)
 			n.update(p)
--- a/link/node.go
+++ b/link/node.go
@@ -17,16 +17,32 @@
 )
 
 // Times of membership. Three missed heartbeats are suspicion, so a failed
-// peer gets no new work after 3 s.
+// peer gets no new work after 3 s in a fleet of today's size.
 const (
 	HeartbeatInterval = time.Second
-	SuspectAfter      = 3 * HeartbeatInterval
-	// dropAfter closes a session whose peer stays silent, so that a half-open
-	// connection is replaced by a new one.
-	dropAfter      = 10 * HeartbeatInterval
-	redialMin      = 100 * time.Millisecond
-	redialMax      = 2 * time.Second
-	maxConnections = 8192
+	missedHeartbeats  = 3
+	SuspectAfter      = missedHeartbeats * HeartbeatInterval
+	// dropFactor times the time of suspicion closes a session whose peer stays
+	// silent, so that a half-open connection is replaced by a new one.
+	dropFactor = 3
+	// fewPeers is the number of peers up to which heartbeats go out every
+	// HeartbeatInterval. It covers today's fleets, where quick detection counts
+	// for more than 10 KB/s of traffic.
+	fewPeers = 40
+	// peersPerInterval sets the interval of a node with more peers: it grows in
+	// proportion, one HeartbeatInterval for each so many peers.
+	// One heartbeat in each direction takes about 340 bytes with yamux, TLS and
+	// TCP/IP. A node may spend 7 KB/s on control, of which heartbeats get 4.
+	peersPerInterval = 12
+	// maxConfigDelay spreads the updates that a node with many peers sends to
+	// its agents. An agent that has the change from another entry by then has
+	// said so and is not sent it again.
+	maxConfigDelay = time.Second
+	// maxHeartbeatInterval bounds the interval that a peer may announce.
+	maxHeartbeatInterval = 30 * time.Second
+	redialMin            = 100 * time.Millisecond
+	redialMax            = 2 * time.Second
+	maxConnections       = 8192
 )
 
 // Target is a process to keep sessions with.
@@ -82,6 +98,8 @@
 	targets map[string]targetState
 	group   *errgroup.Group
 	ctx     context.Context
+	// ended is set before Run returns; no dialler starts after it.
+	ended bool
 }
 
 type targetState struct {
@@ -91,12 +109,18 @@
 
 // peer is the state of one known process.
 type peer struct {
+	// notify is held from a change of usable to the end of the handler's call,
+	// so that the handler sees the changes in order. It is taken before mu.
+	notify sync.Mutex
+
 	mu        sync.Mutex
 	hello     *wire.Hello
 	control   *Session
 	data      *Session
 	lastHeard time.Time
-	usable    bool
+	// interval is the time between heartbeats that the peer has announced.
+	interval time.Duration
+	usable   bool
 	// lost is cancelled when the peer stops being usable.
 	lost   context.Context
 	cancel context.CancelFunc
@@ -123,6 +147,9 @@
 	group.Go(func() error { return n.watchPeers(ctx) })
 	group.Go(func() error {
 		<-ctx.Done()
+		n.mu.Lock()
+		n.ended = true // SetTargets must not add to a group that has been waited for
+		n.mu.Unlock()
 		return listener.Close()
 	})
 	err := group.Wait()
@@ -162,6 +189,9 @@
 		n.targets[vm] = targetState{Target: t}
 		return
 	}
+	if n.ended {
+		return
+	}
 	ctx, stop := context.WithCancel(n.ctx)
 	n.targets[vm] = targetState{Target: t, stop: stop}
 	n.group.Go(func() error { return n.keep(ctx, t, wire.SessionKind_SESSION_KIND_CONTROL) })
@@ -240,6 +270,25 @@
 	}
 }
 
+// crowded reports whether the node has more than a few peers.
+func (n *Node) crowded() bool {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return len(n.peers) > fewPeers
+}
+
+// interval returns the time between heartbeats, which grows with the number
+// of peers so that the control traffic of a node stays bounded.
+func (n *Node) interval() time.Duration {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if len(n.peers) <= fewPeers {
+		return HeartbeatInterval
+	}
+	rounds := (len(n.peers) + peersPerInterval - 1) / peersPerInterval
+	return min(time.Duration(rounds)*HeartbeatInterval, maxHeartbeatInterval)
+}
+
 func (n *Node) find(vm string) *peer {
 	n.mu.Lock()
 	defer n.mu.Unlock()
@@ -364,19 +413,20 @@
 }
 
 // register adds a session to its peer. A session of an older epoch than the
-// known one is refused; one of a newer epoch replaces the sessions of the old
-// process.
+// known one is refused while that process may live; a VM whose clock was set
+// back can return after forgetAfter. A newer epoch replaces the sessions of
+// the old process.
 func (n *Node) register(session *Session) (*peer, bool) {
 	n.mu.Lock()
 	p := n.peers[session.Peer.Vm]
 	if p == nil {
-		p = &peer{hello: session.Peer, kick: make(chan struct{}, 1)}
+		p = &peer{hello: session.Peer, interval: HeartbeatInterval, kick: make(chan struct{}, 1)}
 		p.lost, p.cancel = context.WithCancel(context.Background())
 		n.peers[session.Peer.Vm] = p
 	}
 	n.mu.Unlock()
 	p.mu.Lock()
-	if session.Peer.Epoch < p.hello.Epoch {
+	if session.Peer.Epoch < p.hello.Epoch && !p.gone() {
 		p.mu.Unlock()
 		n.config.Log.Warn("session of an old process refused", "peer", session.Peer.Vm)
 		return nil, false
@@ -395,7 +445,7 @@
 // p.mu is held.
 func (p *peer) install(session *Session) []*Session {
 	var old []*Session
-	if session.Peer.Epoch > p.hello.Epoch {
+	if session.Peer.Epoch != p.hello.Epoch {
 		if p.control != nil {
 			old = append(old, p.control)
 		}
@@ -431,8 +481,10 @@
 // update recomputes whether a peer is usable and tells the handler about a
 // change. An agent is usable with both sessions and recent heartbeats.
 func (n *Node) update(p *peer) {
+	p.notify.Lock()
+	defer p.notify.Unlock()
 	p.mu.Lock()
-	usable := p.control != nil && time.Since(p.lastHeard) < SuspectAfter
+	usable := p.control != nil && time.Since(p.lastHeard) < missedHeartbeats*p.interval
 	if p.hello.Role == wire.Role_ROLE_AGENT {
 		usable = usable && p.data != nil
 	}
@@ -451,29 +503,62 @@
 // watchPeers suspects silent peers, drops their sessions later and forgets
 // peers that are gone.
 func (n *Node) watchPeers(ctx context.Context) error {
-	ticker := time.NewTicker(HeartbeatInterval / 4)
+	ticker := time.NewTicker(watchInterval)
 	defer ticker.Stop()
+	last := time.Now()
 	for {
 		select {
 		case <-ctx.Done():
 			return nil
 		case <-ticker.C:
 		}
-		n.mu.Lock()
-		peers := make([]*peer, 0, len(n.peers))
-		for vm, p := range n.peers {
-			if n.forgettable(vm, p) {
-				delete(n.peers, vm)
-				continue
-			}
-			peers = append(peers, p)
+		now := time.Now()
+		n.review(now, now.Sub(last))
+		last = now
+	}
+}
+
+// watchInterval is the time between two looks at the peers.
+const watchInterval = HeartbeatInterval / 4
+
+// review looks at all peers once; elapsed is the time since the last look. If
+// it is much longer than watchInterval, this process was paused itself and
+// could not hear its peers: that time does not count as their silence, so a
+// process that resumes does not suspect all peers at once.
+func (n *Node) review(now time.Time, elapsed time.Duration) {
+	paused := elapsed - watchInterval
+	for _, p := range n.remembered() {
+		if paused >= HeartbeatInterval {
+			p.excuse(now, paused)
 		}
-		n.mu.Unlock()
-		for _, p := range peers {
-			n.update(p)
-			n.dropSilent(p)
+		n.update(p)
+		n.dropSilent(p)
+	}
+}
+
+// excuse takes a pause of this process off the silence of a peer.
+func (p *peer) excuse(now time.Time, paused time.Duration) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.lastHeard = p.lastHeard.Add(paused)
+	if p.lastHeard.After(now) {
+		p.lastHeard = now
+	}
+}
+
+// remembered forgets peers that are gone and returns the others.
+func (n *Node) remembered() []*peer {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	peers := make([]*peer, 0, len(n.peers))
+	for vm, p := range n.peers {
+		if n.forgettable(vm, p) {
+			delete(n.peers, vm)
+			continue
 		}
+		peers = append(peers, p)
 	}
+	return peers
 }
 
 // forgetAfter keeps the epoch of a lost peer long enough to refuse its old
@@ -485,13 +570,19 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	_, wanted := n.targets[vm]
-	return !wanted && p.control == nil && p.data == nil && time.Since(p.lastHeard) > forgetAfter
+	return !wanted && p.gone()
+}
+
+// gone reports whether a peer has been without sessions for forgetAfter; p.mu
+// is held.
+func (p *peer) gone() bool {
+	return p.control == nil && p.data == nil && time.Since(p.lastHeard) > forgetAfter
 }
 
 func (n *Node) dropSilent(p *peer) {
 	p.mu.Lock()
 	var silent []*Session
-	if time.Since(p.lastHeard) > dropAfter {
+	if time.Since(p.lastHeard) > dropFactor*missedHeartbeats*p.interval {
 		for _, s := range []*Session{p.control, p.data} {
 			if s != nil {
 				silent = append(silent, s)
--- a/link/session.go
+++ b/link/session.go
@@ -220,11 +220,20 @@
 		_ = conn.Close()
 		return nil, &Error{Kind: Refused, Peer: address, Cause: err}
 	}
-	mux, err := yamux.Client(conn, muxConfig())
+	session, err := newSession(conn, peer)
 	if err != nil {
 		_ = conn.Close()
 		return nil, &Error{Kind: Refused, Peer: address, Cause: err}
 	}
+	return session, nil
+}
+
+// newSession returns the dialling side of a session on a connection.
+func newSession(conn net.Conn, peer *wire.Hello) (*Session, error) {
+	mux, err := yamux.Client(conn, muxConfig())
+	if err != nil {
+		return nil, fmt.Errorf("start session: %w", err)
+	}
 	return &Session{Peer: peer, mux: mux}, nil
 }
 
