--- a/Makefile
+++ b/Makefile
@@ -37,5 +37,10 @@
 demo: build
 	go run ./testbed/cmd/demo -bin bin
 
+# Measures the decision modules in virtual time at the committed loads and
+# seeds, and writes tables and plots to out/bench. Equal on every run.
+bench:
+	go run ./policy/cmd/policybench -report out/bench -limit 3m
+
 tidy:
 	@for m in $$(go list -m -f '{{.Dir}}'); do (cd $$m && go mod tidy) || exit 1; done
--- /dev/null
+++ b/policy/cmd/policybench/report_test.go
@@ -0,0 +1,33 @@
+package main
+
+import (
+	"os"
+	"path/filepath"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"camphorwick.dev/policy/internal/sim"
+)
+
+// Guards against a report that differs from run to run, which would hide the
+// effect of a change of the policy, and against a plot that is not written.
+func TestReportIsTheSameOnEveryRun(t *testing.T) {
+	is := is.New(t)
+	loads := []load{{"small", "Small", sim.Scenario{Base: 0.05, Swing: 5, Failing: 0.125, Length: 18 * time.Second}, 1}}
+	first, second := t.TempDir(), t.TempDir()
+	is.NoErr(writeReport(first, loads))
+	is.NoErr(writeReport(second, loads))
+	files, err := os.ReadDir(first)
+	is.NoErr(err)
+	is.Equal(len(files), 6) // tables, two plots for each size, ablation
+	for _, file := range files {
+		a, err := os.ReadFile(filepath.Join(first, file.Name()))
+		is.NoErr(err)
+		b, err := os.ReadFile(filepath.Join(second, file.Name()))
+		is.NoErr(err)
+		is.True(len(a) > 0)
+		is.Equal(string(a) == string(b), true)
+	}
+}
--- /dev/null
+++ b/policy/cmd/policybench/trace.go
@@ -0,0 +1,61 @@
+package main
+
+import (
+	"fmt"
+	"io"
+
+	"camphorwick.dev/api/outcome"
+	"camphorwick.dev/policy/internal/sim"
+)
+
+// printLate prints what the late short requests at peaks waited for, by main
+// cause, and returns them.
+func printLate(out io.Writer, s sim.Scenario) []sim.Late {
+	s.Strategy = sim.Policy
+	r := sim.Run(s)
+	fmt.Fprintf(out, "\n%d servers, seed %d, load %.2f with peaks of %.2f: %d of %d short requests at peaks late\n\n",
+		s.Servers, s.Seed, s.Base, s.Base*s.Swing, len(r.Late), r.PeakShort)
+	fmt.Fprintln(out, "| Main cause | Late | Mean ms for memory | In the queue's order | In failed attempts | In prefill | KV tokens held by short | By medium | By long |")
+	fmt.Fprintln(out, "|---|---|---|---|---|---|---|---|---|")
+	for c := range sim.CauseCount {
+		printCause(out, r.Late, c)
+	}
+	return r.Late
+}
+
+func printCause(out io.Writer, late []sim.Late, c sim.Cause) {
+	var wait [sim.CauseCount]float64
+	var held [outcome.BandCount]float64
+	n := 0
+	for _, l := range late {
+		if l.Main() != c {
+			continue
+		}
+		n++
+		for i, w := range l.Wait {
+			wait[i] += ms(w.Microseconds())
+		}
+		for b, tokens := range l.Held {
+			held[b] += float64(tokens)
+		}
+	}
+	if n == 0 {
+		return
+	}
+	k := float64(n)
+	fmt.Fprintf(out, "| %s | %d | %.0f | %.0f | %.0f | %.0f | %.0f | %.0f | %.0f |\n", c, n,
+		wait[sim.WaitMemory]/k, wait[sim.WaitOrder]/k, wait[sim.WaitFailure]/k, wait[sim.WaitPrefill]/k,
+		held[outcome.Short]/k, held[outcome.Medium]/k, held[outcome.Long]/k)
+}
+
+// printEachLate lists the late requests one by one.
+func printEachLate(out io.Writer, late []sim.Late) {
+	fmt.Fprintln(out, "\n| Arrived s | Server | Tokens | First token ms | Attempts | Memory ms | Order ms | Failed ms | Prefill ms | Held short | Medium | Long |")
+	fmt.Fprintln(out, "|---|---|---|---|---|---|---|---|---|---|---|---|")
+	for _, l := range late {
+		fmt.Fprintf(out, "| %.2f | %d | %d | %.0f | %d | %.0f | %.0f | %.0f | %.0f | %d | %d | %d |\n", l.At.Seconds(), l.Server, l.Tokens,
+			ms(l.First.Microseconds()), l.Attempts, ms(l.Wait[sim.WaitMemory].Microseconds()), ms(l.Wait[sim.WaitOrder].Microseconds()),
+			ms(l.Wait[sim.WaitFailure].Microseconds()), ms(l.Wait[sim.WaitPrefill].Microseconds()),
+			l.Held[outcome.Short], l.Held[outcome.Medium], l.Held[outcome.Long])
+	}
+}
--- a/policy/internal/sim/entry.go
+++ b/policy/internal/sim/entry.go
@@ -48,7 +48,7 @@
 	r.attempts++
 	s := e.sim.servers[id]
 	a := &attempt{request: r, key: strconv.Itoa(r.id) + "/" + strconv.Itoa(r.attempts), entry: e, server: s,
-		prefill: r.tokens + r.emitted, answer: r.answer - r.emitted}
+		prefill: r.tokens + r.emitted, answer: r.answer - r.emitted, sentAt: e.sim.loop.now}
 	e.router.sent(a)
 	e.sim.loop.after(networkDelay, func() { s.submit(a) })
 	return nil
@@ -61,6 +61,9 @@
 		r.finished = true
 		return
 	}
+	if r.first == 0 {
+		r.charge(a, e.sim.loop.now, err)
+	}
 	e.sim.result.Wasted += a.worked
 	r.emitted += a.emitted
 	r.excluded[a.server.id] = true
--- a/policy/internal/sim/load.go
+++ b/policy/internal/sim/load.go
@@ -51,6 +51,10 @@
 	refused  bool
 	failed   bool
 	excluded map[int]bool
+
+	wait   [CauseCount]time.Duration
+	held   [outcome.BandCount]int // memory by band where the last attempt arrived
+	server int                    // that of the last attempt
 }
 
 // prefix returns the length of the shared prefix in tokens.
--- a/policy/internal/sim/server.go
+++ b/policy/internal/sim/server.go
@@ -24,6 +24,13 @@
 	emitted int
 	worked  int // prefill and generated tokens computed for it
 	ended   bool
+	started bool // the engine has it
+
+	// The waits before the first token, kept for short requests.
+	sentAt  time.Duration
+	changed time.Duration
+	cause   Cause
+	wait    [CauseCount]time.Duration
 }
 
 // scheduler is the queue of a server: the policy or a baseline.
@@ -66,6 +73,7 @@
 		s.end(a, err)
 		return
 	}
+	a.request.held, a.request.server = s.held(), s.id
 	s.attempts = append(s.attempts, a)
 	s.loop.after(a.request.deadline-s.loop.now, func() {
 		if !a.ended {
@@ -88,9 +96,10 @@
 		s.stats.Preempted++
 		s.stats.WastedPreempt += a.worked
 		a.prefill, a.answer = a.prefill+a.emitted, a.answer-a.emitted
-		a.worked, a.emitted = 0, 0
+		a.worked, a.emitted, a.started = 0, 0, false
 	}
 	s.start(now)
+	s.accountWaits()
 	if wake, ok := s.queue.wake(now); ok && (s.wakeAt.IsZero() || !s.wakeAt.After(now) || wake.Before(s.wakeAt)) {
 		s.wakeAt = wake
 		s.loop.after(wake.Sub(now), s.pump)
@@ -103,12 +112,16 @@
 		if !ok {
 			return
 		}
+		a.account(s.loop.now, WaitPrefill)
+		a.started = true
 		s.engine.add(a, priority)
 	}
 }
 
 func (s *server) first(a *attempt) {
 	if a.request.first == 0 {
+		a.account(s.loop.now, WaitPrefill)
+		a.request.charge(a, s.loop.now, nil)
 		a.request.first = s.loop.now + networkDelay
 	}
 	s.queue.first(s.loop.time(), a)
--- a/policy/internal/sim/sim.go
+++ b/policy/internal/sim/sim.go
@@ -73,11 +73,18 @@
 	// Wasted and WastedPreempt are computed tokens that no caller received
 	// because of failures and preemption; Useful those of finished requests.
 	Wasted, WastedPreempt, Useful int
+	// Swing counts admitted short requests by the second of arrival in a swing.
+	Swing [swingPeriod / time.Second]Share
+	// Late are the admitted short requests at peaks that miss FirstTokenTarget.
+	Late []Late
 	// Bound is the share of short requests at peaks that a fleet without any
 	// other load could serve inside FirstTokenTarget.
 	Bound float64
 }
 
+// Share counts requests and those with the first token in FirstTokenTarget.
+type Share struct{ Arrived, InTime int }
+
 type simulation struct {
 	scenario Scenario
 	loop     loop
@@ -205,6 +212,9 @@
 	}
 }
 
+// inTime reports whether the first token came inside FirstTokenTarget.
+func (q *request) inTime() bool { return q.first > 0 && q.first-q.at <= FirstTokenTarget }
+
 func (r *Result) count(q *request) {
 	switch {
 	case q.refused:
@@ -215,7 +225,16 @@
 	default:
 		r.Failed[q.band]++
 	}
-	if q.band != outcome.Short || !q.peak {
+	if q.band != outcome.Short {
+		return
+	}
+	if second := &r.Swing[q.at%swingPeriod/time.Second]; !q.refused {
+		second.Arrived++
+		if q.inTime() {
+			second.InTime++
+		}
+	}
+	if !q.peak {
 		return
 	}
 	if q.refused {
@@ -223,8 +242,10 @@
 		return
 	}
 	r.PeakShort++
-	if q.first > 0 && q.first-q.at <= FirstTokenTarget {
+	if q.inTime() {
 		r.PeakInTime++
+	} else {
+		r.recordLate(q)
 	}
 }
 
