--- a/policy/internal/sim/sim.go
+++ b/policy/internal/sim/sim.go
@@ -77,8 +77,8 @@
 	Swing [swingPeriod / time.Second]Share
 	// Late are the admitted short requests at peaks that miss FirstTokenTarget.
 	Late []Late
-	// Bound is the share of short requests at peaks that a fleet without any
-	// other load could serve inside FirstTokenTarget.
+	// Bound is the share of short requests at peaks that an ideal fleet without
+	// any other load serves inside FirstTokenTarget.
 	Bound float64
 }
 
@@ -178,16 +178,35 @@
 	}
 }
 
-// scheduleFailures takes the failing servers down for 8 s at the start of each
-// peak, when it hurts most; while down they fail quickly.
+// Failures: the failing servers go down one after the other at the start of
+// each peak, when it hurts most; while down they fail quickly.
+const (
+	downTime        = 8 * time.Second
+	failureInterval = 300 * time.Millisecond
+)
+
+// failing is the number of servers that fail at peaks.
+func (s Scenario) failing() int { return int(s.Failing * float64(s.Servers)) }
+
+// downAt is the number of servers that are down at a time.
+func (s Scenario) downAt(at time.Duration) int {
+	down := 0
+	for i := range s.failing() {
+		since := at%swingPeriod - swingStart - time.Duration(i+1)*failureInterval
+		if since >= 0 && since < downTime {
+			down++
+		}
+	}
+	return down
+}
+
 func (m *simulation) scheduleFailures() {
-	const down, failureInterval = 8 * time.Second, 300 * time.Millisecond
-	n := int(m.scenario.Failing * float64(m.scenario.Servers))
+	n := m.scenario.failing()
 	for i := range n {
 		s := m.servers[i*m.scenario.Servers/n]
 		for at := swingStart + time.Duration(i+1)*failureInterval; at < m.scenario.Length; at += swingPeriod {
 			m.loop.after(at, s.crash)
-			m.loop.after(at+down, func() { s.down = false })
+			m.loop.after(at+downTime, func() { s.down = false })
 		}
 	}
 }
@@ -248,31 +267,3 @@
 		r.recordLate(q)
 	}
 }
-
-// bound serves only the short requests with the pooled speed of the servers
-// that are never down, without answers to generate and without loss between
-// steps. It is an estimate of what the engine model allows at peaks.
-func bound(s Scenario, requests []*request) float64 {
-	speed := float64(s.Servers) * (1 - s.Failing) * engineRaw
-	backlog, inTime, all := 0.0, 0, 0
-	last := time.Duration(0)
-	for _, q := range requests {
-		if q.band != outcome.Short {
-			continue
-		}
-		backlog = max(0, backlog-speed*(q.at-last).Seconds())
-		last = q.at
-		own := float64(q.tokens) / engineRaw
-		steps := float64((q.tokens+engineStep-1)/engineStep) * engineStepBase.Seconds()
-		wait := backlog / speed
-		backlog += float64(q.tokens)
-		if !q.peak {
-			continue
-		}
-		all++
-		if wait+own+steps+2*networkDelay.Seconds() <= FirstTokenTarget.Seconds() {
-			inTime++
-		}
-	}
-	return float64(inTime) / float64(max(all, 1))
-}
--- a/policy/internal/sim/sim_test.go
+++ b/policy/internal/sim/sim_test.go
@@ -28,3 +28,34 @@
 	s.NoLong, s.Strategy = false, Naive
 	is.True(p95(Run(s)) > 3*p95(r))
 }
+
+// Guards against a bound that leaves out generation or memory: both must lower
+// it when they run short, and it must be 1 for a light load.
+func TestBoundCountsGenerationAndMemory(t *testing.T) {
+	is := is.New(t)
+	s := Scenario{Servers: 1, Length: time.Second}
+	burst := func(n, tokens, answer int) []*request {
+		var requests []*request
+		for range n {
+			requests = append(requests, &request{band: outcome.Short, tokens: tokens, answer: answer, peak: true, group: -1})
+		}
+		return requests
+	}
+	is.Equal(bound(s, burst(4, 1_000, 10)), 1.0)
+	is.True(bound(s, burst(60, 1_000, 10)) < 0.5) // prefill: 20 ms each
+	// 100 streams that generate add 10 ms to each step of the later requests.
+	generating := func(answer int) float64 {
+		requests := burst(100, 1, answer)
+		for range 40 {
+			requests = append(requests, &request{at: 100 * time.Millisecond, band: outcome.Short, tokens: 1_000, answer: 1, peak: true, group: -1})
+		}
+		return bound(s, requests)
+	}
+	is.True(generating(1) > generating(1_000))
+	// The first request holds memory until its long answer ends.
+	holding := func(answer int) float64 {
+		first := &request{band: outcome.Short, tokens: 1, answer: answer, group: -1}
+		return bound(s, append([]*request{first}, burst(4, 1_000, 10)...))
+	}
+	is.True(holding(1_000) > holding(engineKV-1_000))
+}
