--- a/Makefile
+++ b/Makefile
@@ -37,17 +37,15 @@
 demo: build
 	go run ./testbed/cmd/demo -bin bin
 
-<<<<<<< HEAD
 # Mixes faults at random under load; see bin/soak -h for the flags.
 # Example: make soak SOAK='-seed 7 -duration 10m -callers 20'
 soak: build
 	bin/soak -bin bin $(SOAK)
-=======
+
 # Measures the decision modules in virtual time at the committed loads and
 # seeds, and writes tables and plots to out/bench. Equal on every run.
 bench:
 	go run ./policy/cmd/policybench -report out/bench -limit 3m
->>>>>>> bench
 
 tidy:
 	@for m in $$(go list -m -f '{{.Dir}}'); do (cd $$m && go mod tidy) || exit 1; done
