Take the VM list as a hint: keep sessions to VMs that it lacks and that answer

Cause: an empty or incomplete list (a platform that has just restarted) ended the sessions with all VMs that it lacked; TestEmptyVMList got not_run with no_server 0.6 s after the list was emptied. Ruled out: ignoring empty lists only, because an incomplete one does the same harm.

--- a/daemon/member/member.go
+++ b/daemon/member/member.go
@@ -177,30 +177,58 @@
 // setVMs stores the list and sets the targets, if the list has changed. Of
 // two entries, the one with the smaller VM id dials.
 func (m *Member) setVMs(vms []platform.VM) {
+	vms = m.keepConnected(distinct(vms))
 	if old := m.vms.Load(); old != nil && slices.Equal(*old, vms) {
 		return
 	}
 	m.vms.Store(&vms)
 	chosen := m.choosePeers(vms)
-	seen := map[string]bool{m.Settings.VM: true}
 	var targets []link.Target
 	for _, vm := range vms {
-		if seen[vm.ID] || !chosen[vm.ID] {
-			continue
-		}
-		seen[vm.ID] = true
 		role := wire.Role_ROLE_AGENT
 		if vm.Role == string(settings.RoleEntry) {
 			role = wire.Role_ROLE_ENTRY
-			if vm.ID < m.Settings.VM {
-				continue
-			}
 		}
-		targets = append(targets, link.Target{VM: vm.ID, Role: role, Address: vm.Address})
+		if chosen[vm.ID] && (role == wire.Role_ROLE_AGENT || vm.ID > m.Settings.VM) {
+			targets = append(targets, link.Target{VM: vm.ID, Role: role, Address: vm.Address})
+		}
 	}
 	m.Node.SetTargets(targets)
 }
 
+// distinct returns the first line of each VM.
+func distinct(vms []platform.VM) []platform.VM {
+	seen := map[string]bool{}
+	var list []platform.VM
+	for _, vm := range vms {
+		if !seen[vm.ID] {
+			seen[vm.ID] = true
+			list = append(list, vm)
+		}
+	}
+	return list
+}
+
+// keepConnected adds the VMs of the last list that the new one lacks and that
+// still answer. The list is a hint: one that is empty or incomplete for a
+// while must not cut sessions that work.
+func (m *Member) keepConnected(vms []platform.VM) []platform.VM {
+	listed := map[string]bool{}
+	for _, vm := range vms {
+		listed[vm.ID] = true
+	}
+	answers := map[string]bool{}
+	for _, p := range m.Node.Peers() {
+		answers[p.Hello.Vm] = p.Connected && !p.Suspected
+	}
+	for _, vm := range m.ListedVMs() {
+		if !listed[vm.ID] && answers[vm.ID] {
+			vms = append(vms, vm)
+		}
+	}
+	return vms
+}
+
 // Control sessions between entries in a large fleet: the number of entries of
 // its own data centre that an entry chooses, and the number of entries of each
 // data centre that hold sessions with other data centres.
--- a/testbed/e2e/failure_test.go
+++ b/testbed/e2e/failure_test.go
@@ -289,6 +289,20 @@
 	is.Equal(again.Outcome, "completed")
 }
 
+// Guards against sessions that are cut because the platform's list is empty
+// or lacks VMs for a while. Before lists were taken as a hint, all requests
+// were refused with no_server.
+func TestEmptyVMList(t *testing.T) {
+	is := is.New(t)
+	ctx, f := start(t, fleet.Options{Entries: 2, Engines: 2})
+	is.NoErr(f.Faults(f.Platform, http.MethodPut, "/vms", map[string]any{"vms": []any{}, "immediate": true}))
+	for end := time.Now().Add(3 * time.Second); time.Now().Before(end); {
+		a, err := caller(f, 0).Complete(ctx, client.Request{Model: "standin", Prompt: prompt("list", 200), MaxTokens: 2})
+		is.NoErr(err)
+		is.Equal(a.Outcome, "completed")
+	}
+}
+
 // Guards against an edit that is accepted and not in force everywhere in 5 s.
 func TestEditInForce(t *testing.T) {
 	is := is.New(t)
