Retry idempotent calls that failed, and apply the plan's limits to service calls

Cause: an idempotent call whose answer was lost ended as failed although another server could answer it, its agent got no hold-down, and no plan limited calls of services at all.

--- a/daemon/entry/completion.go
+++ b/daemon/entry/completion.go
@@ -149,22 +149,35 @@
 	return largest
 }
 
-// admit applies the plan's limits and refuses what the fleet cannot finish in
-// time. The returned function gives the limits back.
+// admit refuses what the fleet cannot finish in time and applies the plan's
+// limits. The returned function gives the limits back.
 func (e *Entry) admit(c *completion) (release func(), err error) {
+	if err := e.shed(c); err != nil {
+		return nil, err
+	}
+	return e.applyLimits(c.exchange, c.tokens)
+}
+
+// shed refuses a completion whose deadline the fleet is not expected to meet.
+func (e *Entry) shed(c *completion) error {
 	now := time.Now()
-	plan := c.exchange.plan
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	e.meterDemand(now, c)
-	if _, expected, ok := e.table.Pick(now, c.request(e.settings.DataCentre, nil)); ok {
-		work := admit.Work{Band: c.band, Deadline: c.deadline, Expected: expected}
-		if err := e.shedder.Check(now, work); err != nil {
-			return nil, err
-		}
+	_, expected, ok := e.table.Pick(now, c.request(e.settings.DataCentre, nil))
+	if !ok {
+		return nil
 	}
-	limits := admit.Limits{RequestsPerSecond: plan.RequestsPerSecond, TokensPerSecond: plan.TokensPerSecond, Concurrency: plan.Concurrency}
-	give, err := e.limiter.Admit(now, c.exchange.account, limits, c.tokens, int(e.entries.Load()))
+	return e.shedder.Check(now, admit.Work{Band: c.band, Deadline: c.deadline, Expected: expected})
+}
+
+// applyLimits takes a request of some prompt tokens from the limits of the
+// account's plan. The returned function gives the concurrency back.
+func (e *Entry) applyLimits(x *exchange, tokens int) (release func(), err error) {
+	limits := admit.Limits{RequestsPerSecond: x.plan.RequestsPerSecond, TokensPerSecond: x.plan.TokensPerSecond, Concurrency: x.plan.Concurrency}
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	give, err := e.limiter.Admit(time.Now(), x.account, limits, tokens, int(e.entries.Load()))
 	if err != nil {
 		return nil, err
 	}
--- a/daemon/entry/service.go
+++ b/daemon/entry/service.go
@@ -41,6 +41,14 @@
 		x.refuse(err)
 		return
 	}
+	release, err := e.applyLimits(x, 0)
+	if err != nil {
+		e.metrics.refused(err)
+		x.refuse(err)
+		return
+	}
+	defer release()
+	e.budget.Request(time.Now())
 	ctx, cancel := context.WithCancelCause(x.ctx)
 	defer cancel(nil)
 	ctx, stopTimer := context.WithDeadline(ctx, c.deadline)
@@ -104,13 +112,14 @@
 		}
 		refused[vm] = true
 		response, err := e.callAgent(ctx, c, vm)
-		if err == nil && !repeatable(response) {
+		if err == nil && !c.repeatable(response) {
 			return response
 		}
+		if err != nil || response.Outcome == wire.Outcome_OUTCOME_FAILED {
+			e.agentFailed(vm)
+		}
 		if err == nil {
 			err = fromWire(response.Error)
-		} else {
-			e.agentFailed(vm)
 		}
 		failure = outcome.From(err)
 		if ctx.Err() != nil || !e.budget.Retry(time.Now()) {
@@ -124,9 +133,13 @@
 		Message: failure.Message, RetryAfterMs: uint32(failure.RetryAfter.Milliseconds())}}
 }
 
-// repeatable reports whether an answer permits another agent: the call did
-// not run, for a reason that concerns this agent only.
-func repeatable(r *wire.ServiceResponse) bool {
+// repeatable reports whether an answer permits another agent: the call is
+// idempotent and failed, or did not run for a reason that concerns this agent
+// only.
+func (c *call) repeatable(r *wire.ServiceResponse) bool {
+	if r.Outcome == wire.Outcome_OUTCOME_FAILED {
+		return c.request.Idempotent
+	}
 	if r.Outcome != wire.Outcome_OUTCOME_NOT_RUN {
 		return false
 	}
--- /dev/null
+++ b/testbed/e2e/service_test.go
@@ -0,0 +1,41 @@
+package e2e
+
+import (
+	"net/http"
+	"testing"
+
+	"github.com/matryer/is"
+
+	"camphorwick.dev/testbed/fleet"
+)
+
+// Guards against idempotent calls that fail although another server could
+// answer them, and against service calls that no plan limits.
+func TestServiceCalls(t *testing.T) {
+	is := is.New(t)
+	ctx, f := start(t, fleet.Options{Entries: 1, Orders: 2})
+	breaking := map[string]any{"rules": []map[string]any{{"fault": "lose_request", "operation": "GET"}}}
+	is.NoErr(f.Faults(f.Orders[0], http.MethodPut, "/faults", breaking))
+	for range 10 {
+		a, err := caller(f, 0).Call(ctx, http.MethodGet, "/v1/services/orders/stock", nil, nil)
+		is.NoErr(err)
+		is.Equal(a.Outcome, "completed")
+	}
+	revision, err := f.Item(f.Entries[0], "plan/standard")
+	is.NoErr(err)
+	plan := map[string]any{"models": []string{"standin"}, "requests_per_second": 1, "services": []map[string]any{{"name": "orders",
+		"idempotent": []map[string]string{{"method": "GET", "path_prefix": "/"}}}}}
+	_, err = f.Edit(f.Entries[0], fleet.Change{Key: "plan/standard", Value: plan, ExpectedRevision: revision})
+	is.NoErr(err)
+	limited := 0
+	for range 10 {
+		a, err := caller(f, 0).Call(ctx, http.MethodGet, "/v1/services/orders/stock", nil, nil)
+		is.NoErr(err)
+		if a.Code == "rate_limited" {
+			is.Equal(a.Outcome, "not_run")
+			is.True(a.RetryAfter != "")
+			limited++
+		}
+	}
+	is.True(limited >= 8)
+}
