policy/place: keep a forbidden model that alone is in use; tests per rule

A longer run of the property test found that the removal of models that no plan allows took the only model in use of an engine. A model without an engine now also takes the place of the second copy of another one in the second data centre; before, it was never loaded when all places were taken.

--- a/policy/place/change.go
+++ b/policy/place/change.go
@@ -4,16 +4,13 @@
 
 // victim returns the model that an engine can give up for another one, or "".
 // Models that no plan allows go first, then those without demand, then those
-// with more engines than their target. An engine keeps at least one model, and
-// a model in demand keeps the engines of its target. Models that the
-// configuration does not list stay.
+// with more engines than their target. An engine keeps the only model that is
+// in use, a model in demand keeps the engines of its target, and models that
+// the configuration does not list stay. It is called for full engines, which
+// have at least two models, so one is left.
 func (r *round) victim(e *engine) string {
-	bases := e.bases()
-	if len(bases) < 2 {
-		return ""
-	}
 	best, bestRank := "", rankKeep
-	for _, placed := range bases {
+	for _, placed := range e.bases() {
 		if rank := r.rank(e, placed); rank < bestRank {
 			best, bestRank = placed.Name, rank
 		}
@@ -60,7 +57,7 @@
 }
 
 // sparesSite reports whether a model keeps two data centres, or as many as it
-// has, without this engine.
+// has or should have, without this engine.
 func (r *round) sparesSite(e *engine, name string) bool {
 	with, without := map[string]bool{}, map[string]bool{}
 	for _, holder := range r.holders(name) {
@@ -69,7 +66,7 @@
 			without[holder.DataCentre] = true
 		}
 	}
-	return len(without) >= min(len(with), minEngines)
+	return len(without) >= min(len(with), minEngines, r.targets[name])
 }
 
 func (r *round) load(e *engine, m Model, a Adapter) {
@@ -147,7 +144,7 @@
 			continue
 		}
 		for _, e := range r.holders(name) {
-			if !e.busy && len(e.bases()) > 1 {
+			if !e.busy && len(e.bases()) > 1 && !r.onlyInUse(e, name) {
 				r.unload(e, name)
 				break
 			}
--- a/policy/place/place_test.go
+++ b/policy/place/place_test.go
@@ -36,6 +36,8 @@
 // commands of one decision.
 func TestDecide(t *testing.T) {
 	some := Demand{Requests: 1}
+	held := engineOf("e1", "dc-1")
+	held.Held = true
 	draining := engineOf("e1", "dc-1")
 	draining.Draining = true
 	cases := []struct {
@@ -67,6 +69,22 @@
 			[]Command{{Kind: Unload, VM: "e1", Model: "old"}}},
 		{"a forbidden model stays while it is the last one",
 			View{Models: []Model{{Name: "old"}}, Engines: []Engine{engineOf("e1", "dc-1", "old")}}, nil},
+		{"a forbidden model that alone is in use stays",
+			View{Models: append(allowed("a", "c"), Model{Name: "old"}), Demand: map[string]Demand{"old": some, "c": some},
+				Engines: []Engine{engineOf("e1", "dc-1", "a", "old")}},
+			[]Command{{Kind: Unload, VM: "e1", Model: "a"}}},
+		{"a model that is not listed stays",
+			View{Models: allowed("a", "c"), Demand: map[string]Demand{"a": some, "c": some}, Engines: []Engine{engineOf("e1", "dc-1", "a", "x")}}, nil},
+		{"a held engine gets nothing",
+			View{Models: allowed("a"), Demand: map[string]Demand{"a": some}, Engines: []Engine{held}}, nil},
+		{"a second data centre is used when all engines of a model are in one",
+			View{Models: allowed("a", "b"), Demand: map[string]Demand{"a": some},
+				Engines: []Engine{engineOf("e1", "dc-1", "a"), engineOf("e2", "dc-1", "a"), engineOf("e3", "dc-2", "b")}},
+			[]Command{{Kind: Load, VM: "e3", Model: "a"}}},
+		{"a model without an engine goes before the second engine of another",
+			View{Models: allowed("a", "b", "c"), Demand: map[string]Demand{"a": {Requests: 2}, "b": {Requests: 3}, "c": {Requests: 1}},
+				Engines: []Engine{engineOf("e1", "dc-1", "a", "b"), engineOf("e2", "dc-2", "a", "b")}},
+			[]Command{{Kind: Unload, VM: "e1", Model: "a"}}},
 		{"versions change on one engine at a time",
 			View{Models: []Model{{Name: "a", Version: "2", Allowed: true}}, Demand: map[string]Demand{"a": some},
 				Engines: []Engine{engineOf("e1", "dc-1", "a"), engineOf("e2", "dc-2", "a")}},
@@ -225,6 +243,41 @@
 	}
 }
 
+// Guards against targets that rise or fall at once, which would move engines
+// to and fro with each change of the demand.
+func TestTargets(t *testing.T) {
+	p := New(Config{})
+	v := View{Models: allowed("a")}
+	for i := range 8 {
+		v.Engines = append(v.Engines, engineOf(fmt.Sprintf("e%d", i), "dc-1", "b"))
+	}
+	now := start
+	steps := []struct {
+		name   string
+		tokens float64 // demand in prefill tokens per second; an engine does 1,000
+		wait   time.Duration
+		want   int
+	}{
+		{"a model without engines gets them at once", 2000, 0, 3},
+		{"a short peak changes nothing", 5000, time.Second, 3},
+		{"the peak ends", 2000, time.Second, 3},
+		{"and a new one starts", 5000, time.Second, 3},
+		{"and lasts", 5000, 2 * time.Second, 8},
+		{"a fall within the band changes nothing", 3500, 2 * time.Minute, 8},
+		{"a deep fall starts", 1000, time.Second, 8},
+		{"and has not lasted long enough", 1000, 59 * time.Second, 8},
+		{"and has", 1000, time.Second, 3},
+	}
+	for _, s := range steps {
+		now = now.Add(s.wait)
+		v.Demand = map[string]Demand{"a": {Requests: 0.01, PrefillTokens: s.tokens}}
+		p.Decide(now, v)
+		if got := p.targets["a"].engines; got != s.want {
+			t.Fatalf("%s: target %d, want %d", s.name, got, s.want)
+		}
+	}
+}
+
 // Guards against a target that follows small changes of demand.
 func TestHysteresis(t *testing.T) {
 	is := is.New(t)
--- a/testbed/e2e/placement_test.go
+++ b/testbed/e2e/placement_test.go
@@ -2,8 +2,10 @@
 
 import (
 	"context"
+	"encoding/json"
 	"io"
 	"net/http"
+	"os"
 	"strings"
 	"sync"
 	"syscall"
@@ -20,20 +22,20 @@
 // placedModel is a model that no engine has at the start of a test.
 const placedModel = "second"
 
-// placementLease is short, so that a test can outlast it.
-const placementLease = 2 * time.Second
+// placementLease is short, so that a test can outlast it. The suspicion of a
+// paused process takes 3 s, and a pause between the two reaches the checks of
+// leases rather than those of sessions.
+const placementLease = 600 * time.Millisecond
 
-// withPlacement switches placement on in all entries.
-func withPlacement(s *settings.Settings) {
-	if s.Entry != nil {
-		s.Entry.Placement = &settings.Placement{LeaseMillis: int(placementLease / time.Millisecond), IntervalMillis: 100}
-	}
-}
-
-// startPlaced starts a fleet with placement whose plan allows placedModel.
+// startPlaced starts a fleet with placement in all entries, whose plan allows
+// placedModel.
 func startPlaced(t *testing.T, o fleet.Options) (context.Context, *fleet.Fleet) {
 	t.Helper()
-	o.Adjust = withPlacement
+	o.Adjust = func(s *settings.Settings) {
+		if s.Entry != nil {
+			s.Entry.Placement = &settings.Placement{LeaseMillis: int(placementLease / time.Millisecond), IntervalMillis: 100}
+		}
+	}
 	ctx, f := start(t, o)
 	allowPlaced(t, f)
 	return ctx, f
@@ -83,7 +85,7 @@
 }
 
 // Guards against a model in demand that stays without an engine, against
-// repeated loads and loads beyond the weight store's limit, and against
+// repeated loads by the two entries, which both plan and race for the lease, and loads beyond the weight store's limit, and against
 // engines in one data centre only. Needs: the wait for a load in the entry,
 // Reserve before the command, the overlay of sent commands.
 func TestPlacementLoads(t *testing.T) {
@@ -113,6 +115,11 @@
 	}
 	is.True(versions["engine-1"] == "" || versions["engine-3"] == "") // both are in dc-1
 	is.True(versions["engine-2"] == "" || versions["engine-4"] == "") // both are in dc-2
+	orders := 0
+	for _, d := range f.Agents {
+		orders += len(orderedVersions(t, f, d))
+	}
+	is.Equal(orders, 2)
 	is.Equal(weightCalls(t, f)-limited(t, f), 2)
 	is.NoErr(f.Stop())
 }
@@ -168,6 +175,27 @@
 	return len(versions) == n
 }
 
+// orderedVersions returns the versions of placedModel that an agent ordered
+// from its engine, in order.
+func orderedVersions(t *testing.T, f *fleet.Fleet, agent *fleet.Daemon) []string {
+	t.Helper()
+	data, err := os.ReadFile(f.LogFile(agent.Settings.VM))
+	if err != nil {
+		t.Fatal(err)
+	}
+	var versions []string
+	for line := range strings.Lines(string(data)) {
+		var entry struct{ Msg, Model, Version, Status string }
+		if json.Unmarshal([]byte(line), &entry) != nil {
+			continue // a report of the race detector, say
+		}
+		if entry.Msg == "placement command" && entry.Model == placedModel && entry.Status == "PLACE_STATUS_DONE" {
+			versions = append(versions, entry.Version)
+		}
+	}
+	return versions
+}
+
 // platformFaults replaces the fault plan of the platform.
 func platformFaults(t *testing.T, f *fleet.Fleet, plan any) {
 	t.Helper()
@@ -203,12 +231,13 @@
 			is.NoErr(err)
 			_, err = f.Edit(other, fleet.Change{Key: "model/" + placedModel, Value: map[string]any{"version": "8"}, ExpectedRevision: revision})
 			is.NoErr(err)
-			await(t, 20*time.Second, "version 8", func() bool { return len(versionsOf(f)) > 0 && allVersions(f, len(versionsOf(f)), "8") })
+			await(t, 20*time.Second, "version 8", func() bool { return allVersions(f, 2, "8") })
 			is.NoErr(f.Entries[paused].Signal(syscall.SIGCONT))
-			for end := time.Now().Add(5 * time.Second); time.Now().Before(end); time.Sleep(50 * time.Millisecond) {
-				versions := versionsOf(f)
-				is.True(allVersions(f, len(versions), "8")) // the woken planner ordered an old version
+			time.Sleep(3 * time.Second)
+			for _, d := range f.Agents {
+				is.Equal(orderedVersions(t, f, d), []string{"8"}) // also the woken planner repeats nothing
 			}
+			is.True(allVersions(f, 2, "8"))
 			a, err := caller(f, 1-paused).Complete(ctx, placedRequest())
 			is.NoErr(err)
 			is.Equal(a.Outcome, "completed")
