--- a/daemon/entry/placement.go
+++ b/daemon/entry/placement.go
@@ -14,6 +14,7 @@
 	"camphorwick.dev/daemon/placement"
 	"camphorwick.dev/fleetconf"
 	"camphorwick.dev/link"
+	"camphorwick.dev/platform"
 	"camphorwick.dev/policy/place"
 	"camphorwick.dev/settings"
 )
@@ -25,7 +26,8 @@
 	// demandLifetime is how long a report of demand counts.
 	demandLifetime = 5 * time.Second
 	// lossHold is how long an engine whose agent is not heard from still
-	// counts, so that the restart of an agent leads to no loads.
+	// counts, so that the restart of an agent leads to no loads, and how long
+	// an entry that has started waits for agents that it has not met.
 	lossHold = 10 * time.Second
 	// maxWaiting bounds the requests of one entry that wait for a load.
 	maxWaiting = 1024
@@ -35,6 +37,7 @@
 // settings do not switch placement on.
 type placer struct {
 	planner *placement.Planner
+	started time.Time
 	waiting atomic.Int64 // requests that wait for a model to be loaded
 
 	// The rest is guarded by Entry.mu.
@@ -54,7 +57,7 @@
 	config := placement.Config{Name: e.member.Claimant(), KV: d.KV, Weights: d.Weights, Fleet: (*placedFleet)(e), Log: e.log,
 		Lease: time.Duration(s.LeaseMillis) * time.Millisecond, Interval: time.Duration(s.IntervalMillis) * time.Millisecond,
 		Policy: place.Config{MaxLoads: s.MaxLoads, ModelsPerEngine: s.ModelsPerEngine}}
-	return &placer{planner: placement.New(config), meter: place.NewMeter(), reports: map[string]demandReport{}}
+	return &placer{planner: placement.New(config), started: time.Now(), meter: place.NewMeter(), reports: map[string]demandReport{}}
 }
 
 // meterDemand records a request; e.mu is held.
@@ -118,6 +121,9 @@
 	config := e.member.Replica.Config()
 	e.mu.Lock()
 	defer e.mu.Unlock()
+	if now.Sub(e.placer.started) < lossHold && !knowsAll(e.member.ListedVMs(), e.agents) {
+		return place.View{}, false
+	}
 	if e.placer.modelsOf != config.Revision() {
 		e.placer.models, e.placer.modelsOf = modelsOf(config), config.Revision()
 	}
@@ -132,6 +138,17 @@
 	return v, len(v.Models) > 0
 }
 
+// knowsAll reports whether every listed agent is known. An entry that has just
+// started would otherwise load models again that engines it has not met serve.
+func knowsAll(listed []platform.VM, known map[string]*agentState) bool {
+	for _, vm := range listed {
+		if vm.Role == string(settings.RoleAgent) && vm.State == platform.VMLive && known[vm.ID] == nil {
+			return false
+		}
+	}
+	return len(listed) > 0
+}
+
 // totalDemand sums the demand of all entries; e.mu is held.
 func (e *Entry) totalDemand(now time.Time) map[string]place.Demand {
 	total := e.placer.meter.Demand(now)
--- /dev/null
+++ b/daemon/entry/placement_test.go
@@ -0,0 +1,42 @@
+package entry
+
+import (
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"camphorwick.dev/api/wire"
+	"camphorwick.dev/platform"
+	"camphorwick.dev/policy/place"
+)
+
+// Guards against an entry that plans before it has met all agents.
+func TestKnowsAll(t *testing.T) {
+	is := is.New(t)
+	listed := []platform.VM{{ID: "entry-1", Role: "entry", State: platform.VMLive}, {ID: "server-1", Role: "agent", State: platform.VMLive},
+		{ID: "server-2", Role: "agent", State: platform.VMLeaving}}
+	is.True(!knowsAll(nil, nil))
+	is.True(!knowsAll(listed, nil))
+	is.True(knowsAll(listed, map[string]*agentState{"server-1": {}}))
+}
+
+// Guards against engines that are given up during a short loss, or kept after
+// a long one, and against models of a stale handshake.
+func TestEngineView(t *testing.T) {
+	is := is.New(t)
+	now := time.Now()
+	s := &agentState{usable: true, hello: &wire.Hello{Vm: "server-1", DataCentre: "dc-1", Backend: &wire.BackendInfo{Models: []string{"old"}}}}
+	is.Equal(s.engine(now, false).Placed, []place.Placed{{Name: "old"}})
+	s.load = &wire.Load{Models: []string{"a", "b"}, PrefillTokens: []uint64{1, 2},
+		Placed: []*wire.PlacedModel{{Name: "b", Version: "7"}, {Name: "c", Version: "1", Loading: true}}}
+	e := s.engine(now, false)
+	is.Equal(e.Placed, []place.Placed{{Name: "b", Version: "7"}, {Name: "c", Version: "1", Loading: true}, {Name: "a"}})
+	is.Equal(e.QueuedTokens, 3)
+	is.True(!e.Draining && !e.Held)
+	is.True(s.engine(now, true).Draining)
+	s.usable, s.unusableSince = false, now
+	is.True(!s.engine(now.Add(lossHold), false).Draining)
+	is.True(s.engine(now.Add(lossHold), false).Held)
+	is.True(s.engine(now.Add(lossHold+time.Second), false).Draining)
+}
--- a/fleetconf/document_test.go
+++ b/fleetconf/document_test.go
@@ -33,6 +33,12 @@
 		{"plan/p", `{"services":[{"name":"s"},{"name":"s"}]}`, "services[1]"},
 		{"mark/vm-1", `{"state":"leaving"}`, "ok"},
 		{"mark/vm-1", `{"state":"gone"}`, "state"},
+		{"plan/p", `{"models":["m","m/a"]}`, "ok"},
+		{"plan/p", `{"models":["m/a/b"]}`, "models[0]"},
+		{"model/m", `{"version":"7","role":"prefill","adapters":[{"name":"a","version":"1"}]}`, "ok"},
+		{"model/m", `{"version":"a b"}`, "version"},
+		{"model/m", `{"adapters":[{"name":"a"},{"name":"a"}]}`, "adapters[1]"},
+		{"model/m", `{"adapters":[{"name":"a","version":"/"}]}`, "adapters[0].version"},
 	} {
 		t.Run(c.key+c.value, func(t *testing.T) {
 			is := is.New(t)
--- a/settings/settings_test.go
+++ b/settings/settings_test.go
@@ -36,6 +36,9 @@
 		{"no transport security", `"insecure_plaintext": true,`, ``, "tls"},
 		{"bad URL", `"http://127.0.0.1:7100"`, `"ftp://x"`, "platform.url"},
 		{"short hash", `b7852b855"`, `"`, "entry.admin_key_sha256[0]"},
+		{"lease too short", `"admin_address"`, `"placement": {"lease_ms": 10}, "admin_address"`, "entry.placement.lease_ms"},
+		{"interval too long for the lease", `"admin_address"`, `"placement": {"lease_ms": 1000, "interval_ms": 600}, "admin_address"`, "entry.placement.interval_ms"},
+		{"one model per engine", `"admin_address"`, `"placement": {"models_per_engine": 1}, "admin_address"`, "entry.placement.models_per_engine"},
 		{"negative limit", `"admin_address"`, `"max_body_bytes": -1, "admin_address"`, "entry.max_body_bytes"},
 	}
 	for _, tc := range cases {
--- a/testbed/e2e/placement_test.go
+++ b/testbed/e2e/placement_test.go
@@ -93,6 +93,7 @@
 	ctx, f := startPlaced(t, fleet.Options{Entries: 2, Engines: 4, DataCentres: []string{"dc-1", "dc-2"},
 		EngineFlags: []string{"--load-time=500ms"}, PlatformFlags: []string{"--weights-per-second=0.5"}})
 	var group sync.WaitGroup
+	began := time.Now()
 	for i := range 8 {
 		group.Go(func() {
 			a, err := caller(f, i%2).Complete(ctx, placedRequest())
@@ -102,6 +103,7 @@
 		})
 	}
 	group.Wait()
+	t.Logf("all requests were answered after %v", time.Since(began))
 	deadline := time.Now().Add(10 * time.Second)
 	for len(versionsOf(f)) < 2 && time.Now().Before(deadline) {
 		time.Sleep(100 * time.Millisecond)
