e2e: placement while only the lease keys cannot be reached

The outage of the whole platform also stops the weight store, so it could not show that lease and token check are needed. Trial on a scratch copy: with a planner that goes on without a lease and an agent that accepts an unchecked token, both cases fail; without the wait in the entry, both fail too.

--- a/testbed/e2e/placement_test.go
+++ b/testbed/e2e/placement_test.go
@@ -248,32 +248,42 @@
 }
 
 // Guards against loads without a lease while the store is down, and against a
-// request that is lost by the outage. Needs: the lease before commands.
+// request that is lost by the outage. In the second case only the lease keys
+// cannot be reached, so that the weight store alone would permit a load.
+// Needs: the wait in the entry; the lease in the planner or the token check in
+// the agent.
 func TestPlacementStoreDown(t *testing.T) {
-	is := is.New(t)
-	ctx, f := startPlaced(t, fleet.Options{Entries: 2, Engines: 2, EngineFlags: []string{"--load-time=200ms"}, PlatformFlags: []string{"--weights-per-second=100"}})
-	platformFaults(t, f, rules{"outage": "refuse"})
-	type result struct {
-		a   client.Answer
-		err error
+	for name, plan := range map[string]rules{
+		"whole platform": {"outage": "refuse"},
+		"lease keys":     {"rules": []rules{{"fault": "refuse", "key_prefix": "placement/"}}},
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			ctx, f := startPlaced(t, fleet.Options{Entries: 2, Engines: 2, EngineFlags: []string{"--load-time=200ms"}, PlatformFlags: []string{"--weights-per-second=100"}})
+			platformFaults(t, f, plan)
+			type result struct {
+				a   client.Answer
+				err error
+			}
+			done := make(chan result, 1)
+			go func() {
+				a, err := caller(f, 0).Complete(ctx, placedRequest())
+				done <- result{a, err}
+			}()
+			f.Agents[0].KillNow() // the restarted agent knows no token
+			is.NoErr(f.StartDaemon(f.Agents[0]))
+			time.Sleep(3 * time.Second)
+			is.Equal(len(versionsOf(f)), 0)
+			is.Equal(weightCalls(t, f), 0)
+			platformFaults(t, f, rules{})
+			got := <-done
+			is.NoErr(got.err)
+			is.Equal(got.a.Outcome, "completed")
+			await(t, 20*time.Second, "two engines", func() bool { return allVersions(f, 2, "7") })
+			is.Equal(weightCalls(t, f), 2)
+			is.NoErr(f.Stop())
+		})
 	}
-	done := make(chan result, 1)
-	go func() {
-		a, err := caller(f, 0).Complete(ctx, placedRequest())
-		done <- result{a, err}
-	}()
-	f.Agents[0].KillNow() // the restarted agent knows no token
-	is.NoErr(f.StartDaemon(f.Agents[0]))
-	time.Sleep(3 * time.Second)
-	is.Equal(len(versionsOf(f)), 0)
-	is.Equal(weightCalls(t, f), 0)
-	platformFaults(t, f, rules{})
-	got := <-done
-	is.NoErr(got.err)
-	is.Equal(got.a.Outcome, "completed")
-	await(t, 20*time.Second, "two engines", func() bool { return allVersions(f, 2, "7") })
-	is.Equal(weightCalls(t, f), 2)
-	is.NoErr(f.Stop())
 }
 
 // Guards against a lease that its planner cannot use, because the answer to
