--- a/testbed/e2e/placement_test.go
+++ b/testbed/e2e/placement_test.go
@@ -2,8 +2,10 @@
 
 import (
 	"context"
+	"encoding/json"
 	"io"
 	"net/http"
+	"os"
 	"strings"
 	"sync"
 	"syscall"
@@ -20,20 +22,20 @@
 // placedModel is a model that no engine has at the start of a test.
 const placedModel = "second"
 
-// placementLease is short, so that a test can outlast it.
-const placementLease = 2 * time.Second
+// placementLease is short, so that a test can outlast it. The suspicion of a
+// paused process takes 3 s, and a pause between the two reaches the checks of
+// leases rather than those of sessions.
+const placementLease = 600 * time.Millisecond
 
-// withPlacement switches placement on in all entries.
-func withPlacement(s *settings.Settings) {
-	if s.Entry != nil {
-		s.Entry.Placement = &settings.Placement{LeaseMillis: int(placementLease / time.Millisecond), IntervalMillis: 100}
-	}
-}
-
-// startPlaced starts a fleet with placement whose plan allows placedModel.
+// startPlaced starts a fleet with placement in all entries, whose plan allows
+// placedModel.
 func startPlaced(t *testing.T, o fleet.Options) (context.Context, *fleet.Fleet) {
 	t.Helper()
-	o.Adjust = withPlacement
+	o.Adjust = func(s *settings.Settings) {
+		if s.Entry != nil {
+			s.Entry.Placement = &settings.Placement{LeaseMillis: int(placementLease / time.Millisecond), IntervalMillis: 100}
+		}
+	}
 	ctx, f := start(t, o)
 	allowPlaced(t, f)
 	return ctx, f
@@ -83,7 +85,7 @@
 }
 
 // Guards against a model in demand that stays without an engine, against
-// repeated loads and loads beyond the weight store's limit, and against
+// repeated loads by the two entries, which both plan and race for the lease, and loads beyond the weight store's limit, and against
 // engines in one data centre only. Needs: the wait for a load in the entry,
 // Reserve before the command, the overlay of sent commands.
 func TestPlacementLoads(t *testing.T) {
@@ -91,6 +93,7 @@
 	ctx, f := startPlaced(t, fleet.Options{Entries: 2, Engines: 4, DataCentres: []string{"dc-1", "dc-2"},
 		EngineFlags: []string{"--load-time=500ms"}, PlatformFlags: []string{"--weights-per-second=0.5"}})
 	var group sync.WaitGroup
+	began := time.Now()
 	for i := range 8 {
 		group.Go(func() {
 			a, err := caller(f, i%2).Complete(ctx, placedRequest())
@@ -100,6 +103,7 @@
 		})
 	}
 	group.Wait()
+	t.Logf("all requests were answered after %v", time.Since(began))
 	deadline := time.Now().Add(10 * time.Second)
 	for len(versionsOf(f)) < 2 && time.Now().Before(deadline) {
 		time.Sleep(100 * time.Millisecond)
@@ -113,6 +117,11 @@
 	}
 	is.True(versions["engine-1"] == "" || versions["engine-3"] == "") // both are in dc-1
 	is.True(versions["engine-2"] == "" || versions["engine-4"] == "") // both are in dc-2
+	orders := 0
+	for _, d := range f.Agents {
+		orders += len(orderedVersions(t, f, d))
+	}
+	is.Equal(orders, 2)
 	is.Equal(weightCalls(t, f)-limited(t, f), 2)
 	is.NoErr(f.Stop())
 }
@@ -158,6 +167,27 @@
 	return len(versions) == n
 }
 
+// orderedVersions returns the versions of placedModel that an agent ordered
+// from its engine, in order.
+func orderedVersions(t *testing.T, f *fleet.Fleet, agent *fleet.Daemon) []string {
+	t.Helper()
+	data, err := os.ReadFile(f.LogFile(agent.Settings.VM))
+	if err != nil {
+		t.Fatal(err)
+	}
+	var versions []string
+	for line := range strings.Lines(string(data)) {
+		var entry struct{ Msg, Model, Version, Status string }
+		if json.Unmarshal([]byte(line), &entry) != nil {
+			continue // a report of the race detector, say
+		}
+		if entry.Msg == "placement command" && entry.Model == placedModel && entry.Status == "PLACE_STATUS_DONE" {
+			versions = append(versions, entry.Version)
+		}
+	}
+	return versions
+}
+
 // platformFaults replaces the fault plan of the platform.
 func platformFaults(t *testing.T, f *fleet.Fleet, plan any) {
 	t.Helper()
@@ -193,12 +223,13 @@
 			is.NoErr(err)
 			_, err = f.Edit(other, fleet.Change{Key: "model/" + placedModel, Value: map[string]any{"version": "8"}, ExpectedRevision: revision})
 			is.NoErr(err)
-			await(t, 20*time.Second, "version 8", func() bool { return len(versionsOf(f)) > 0 && allVersions(f, len(versionsOf(f)), "8") })
+			await(t, 20*time.Second, "version 8", func() bool { return allVersions(f, 2, "8") })
 			is.NoErr(f.Entries[paused].Signal(syscall.SIGCONT))
-			for end := time.Now().Add(5 * time.Second); time.Now().Before(end); time.Sleep(50 * time.Millisecond) {
-				versions := versionsOf(f)
-				is.True(allVersions(f, len(versions), "8")) // the woken planner ordered an old version
+			time.Sleep(3 * time.Second)
+			for _, d := range f.Agents {
+				is.Equal(orderedVersions(t, f, d), []string{"8"}) // also the woken planner repeats nothing
 			}
+			is.True(allVersions(f, 2, "8"))
 			a, err := caller(f, 1-paused).Complete(ctx, placedRequest())
 			is.NoErr(err)
 			is.Equal(a.Outcome, "completed")
@@ -207,32 +238,42 @@
 }
 
 // Guards against loads without a lease while the store is down, and against a
-// request that is lost by the outage. Needs: the lease before commands.
+// request that is lost by the outage. In the second case only the lease keys
+// cannot be reached, so that the weight store alone would permit a load.
+// Needs: the wait in the entry; the lease in the planner or the token check in
+// the agent.
 func TestPlacementStoreDown(t *testing.T) {
-	is := is.New(t)
-	ctx, f := startPlaced(t, fleet.Options{Entries: 2, Engines: 2, EngineFlags: []string{"--load-time=200ms"}, PlatformFlags: []string{"--weights-per-second=100"}})
-	platformFaults(t, f, rules{"outage": "refuse"})
-	type result struct {
-		a   client.Answer
-		err error
-	}
-	done := make(chan result, 1)
-	go func() {
-		a, err := caller(f, 0).Complete(ctx, placedRequest())
-		done <- result{a, err}
-	}()
-	f.Agents[0].KillNow() // the restarted agent knows no token
-	is.NoErr(f.StartDaemon(f.Agents[0]))
-	time.Sleep(3 * time.Second)
-	is.Equal(len(versionsOf(f)), 0)
-	is.Equal(weightCalls(t, f), 0)
-	platformFaults(t, f, rules{})
-	got := <-done
-	is.NoErr(got.err)
-	is.Equal(got.a.Outcome, "completed")
-	await(t, 20*time.Second, "two engines", func() bool { return allVersions(f, 2, "7") })
-	is.Equal(weightCalls(t, f), 2)
-	is.NoErr(f.Stop())
+	for name, plan := range map[string]rules{
+		"whole platform": {"outage": "refuse"},
+		"lease keys":     {"rules": []rules{{"fault": "refuse", "key_prefix": "placement/"}}},
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			ctx, f := startPlaced(t, fleet.Options{Entries: 2, Engines: 2, EngineFlags: []string{"--load-time=200ms"}, PlatformFlags: []string{"--weights-per-second=100"}})
+			platformFaults(t, f, plan)
+			type result struct {
+				a   client.Answer
+				err error
+			}
+			done := make(chan result, 1)
+			go func() {
+				a, err := caller(f, 0).Complete(ctx, placedRequest())
+				done <- result{a, err}
+			}()
+			f.Agents[0].KillNow() // the restarted agent knows no token
+			is.NoErr(f.StartDaemon(f.Agents[0]))
+			time.Sleep(3 * time.Second)
+			is.Equal(len(versionsOf(f)), 0)
+			is.Equal(weightCalls(t, f), 0)
+			platformFaults(t, f, rules{})
+			got := <-done
+			is.NoErr(got.err)
+			is.Equal(got.a.Outcome, "completed")
+			await(t, 20*time.Second, "two engines", func() bool { return allVersions(f, 2, "7") })
+			is.Equal(weightCalls(t, f), 2)
+			is.NoErr(f.Stop())
+		})
+	}
 }
 
 // Guards against a lease that its planner cannot use, because the answer to
