agent: free the engine's memory on every way out; bound a drain

Faults: - After a failed export the job was queued again without a confirmed cancel, so the queue promised memory that the engine still held, and a cancel that failed was never repeated. - After a failed export of a stream that went on, short work waited for the end of the long stream.

--- a/daemon/agent/agent.go
+++ b/daemon/agent/agent.go
@@ -38,6 +38,10 @@
 // flushLimit bounds the writing of order outcomes at the end of a drain.
 const flushLimit = 30 * time.Second
 
+// drainGrace bounds the wait, after the drain limit, for work that was ended:
+// an engine that hangs must not hold up a stop for ever.
+const drainGrace = 30 * time.Second
+
 // Deps are the outside parts that an Agent uses. Exactly one of Engine and
 // Service is set.
 type Deps struct {
@@ -79,8 +83,7 @@
 	requests map[requestKey]*request // the current attempt of each request
 	jobs     map[string]*request     // by job id, while queued or running
 	cache    *prefixSet
-	// prefixesSent is what each entry was sent last. A heartbeat that is lost
-	// with its session leaves old hints until the next change.
+	// prefixesSent is what each connected entry was sent last.
 	prefixesSent map[string]sentPrefixes
 }
 
@@ -188,9 +191,10 @@
 }
 
 // awaitIdle waits until all work has ended. At the drain limit, completions
-// are ended with Draining, so that their entries continue them elsewhere.
+// are ended with Draining, so that their entries continue them elsewhere;
+// what an engine has not given up drainGrace later is left to the next process.
 func (a *Agent) awaitIdle(ctx context.Context) {
-	limit := time.After(a.settings.DrainLimit())
+	limit, ended := time.After(a.settings.DrainLimit()), false
 	ticker := time.NewTicker(drainPoll)
 	defer ticker.Stop()
 	for a.active.Load() > 0 || a.heldAnswers() > 0 {
@@ -199,8 +203,14 @@
 			return
 		case <-limit:
 			a.log.Warn("drain limit reached", "active", a.active.Load())
+			if ended {
+				return
+			}
+			ended, limit = true, nil
 			a.cancelAll(outcome.New(outcome.Draining, "the drain limit of VM %s is over", a.settings.VM))
-			limit = nil
+			if a.engine != nil { // calls of a service end at their own deadlines
+				limit = time.After(drainGrace)
+			}
 		case <-ticker.C:
 		}
 	}
@@ -236,7 +246,16 @@
 
 func (h *hooks) PeerLoad(*wire.Hello, *wire.Load) {}
 
-func (h *hooks) PeerChanged(*wire.Hello, bool) {}
+// PeerChanged forgets what a lost entry was sent: its next session gets the
+// cached prefixes again, and entries that were replaced take no memory.
+func (h *hooks) PeerChanged(peer *wire.Hello, usable bool) {
+	if usable {
+		return
+	}
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	delete(h.prefixesSent, peer.Vm)
+}
 
 func (h *hooks) Stream(ctx context.Context, s *link.Stream) { (*Agent)(h).serveStream(ctx, s) }
 
@@ -258,10 +277,8 @@
 
 // resume accepts work again unless the process is stopping.
 func (a *Agent) resume() {
-	select {
-	case <-a.stop:
+	if a.stopping() {
 		return
-	default:
 	}
 	if a.draining.Swap(false) {
 		a.log.Info("drain ended, the VM is no longer marked")
--- a/daemon/agent/completion.go
+++ b/daemon/agent/completion.go
@@ -187,6 +187,7 @@
 		case *wire.EntryMessage_Cancel:
 			r.cancel(outcome.New(outcome.Cancelled, "the caller is gone"))
 			a.forget(r)
+			a.signal() // a queued job leaves the queue at once
 			return
 		case *wire.EntryMessage_Acknowledge:
 			if end := r.isEnded(); end && body.Acknowledge.Offset >= r.submit.Offset+uint32(len(r.emitted())) {
--- a/daemon/agent/order.go
+++ b/daemon/agent/order.go
@@ -26,14 +26,14 @@
 	ctx, span := a.telemetry.Tracer.Start(observe.WithTraceparent(ctx, call.Traceparent), "service",
 		trace.WithAttributes(attribute.String("request_id", call.RequestId), attribute.Bool("idempotent", call.Idempotent)))
 	defer span.End()
-	if err := a.enterCall(ctx, call); err != nil {
+	waiting, gone := context.WithCancel(ctx)
+	defer gone()
+	go cancelOnRequest(s, gone)
+	if err := a.enterCall(waiting, call); err != nil {
 		_ = s.Write(answer(refusal(err)))
 		return
 	}
 	defer a.leaveCall()
-	waiting, gone := context.WithCancel(ctx)
-	defer gone()
-	go cancelOnRequest(s, gone)
 	response := a.runCall(ctx, waiting, call)
 	span.SetAttributes(attribute.String("outcome", response.Outcome.String()))
 	_ = s.Write(answer(response))
@@ -54,7 +54,7 @@
 	}
 }
 
-// enterCall admits a call and waits for its turn.
+// enterCall admits a call and waits for its turn until ctx ends.
 func (a *Agent) enterCall(ctx context.Context, call *wire.ServiceRequest) error {
 	if a.service == nil || call.Service != a.settings.Agent.Service.Name {
 		return outcome.New(outcome.UnknownService, "VM %s does not serve %q", a.settings.VM, call.Service)
--- a/daemon/agent/request.go
+++ b/daemon/agent/request.go
@@ -90,12 +90,22 @@
 		end.AttemptId = r.submit.AttemptId
 		end.CompletionTokens = r.submit.Offset + uint32(len(r.texts))
 		r.ended = end
+		r.submit.Prompt = nil // up to megabytes, and the answer may be kept for the grace time
 		r.notify()
 	}
 	r.mu.Unlock()
 	r.cancel(nil)
 }
 
+// cutOff returns the outcome of a request that ends before its answer is
+// whole: not_run only if no engine was sent any part of it.
+func (r *request) cutOff() wire.Outcome {
+	if r.starts > 0 || r.submit.Offset > 0 {
+		return wire.Outcome_OUTCOME_FAILED
+	}
+	return wire.Outcome_OUTCOME_NOT_RUN
+}
+
 // next returns the texts from an offset on, the result if all texts have been
 // returned, and the channel that is closed by the next change.
 func (r *request) next(offset uint32) (texts []string, ended *wire.End, changed <-chan struct{}) {
--- /dev/null
+++ b/daemon/agent/review_test.go
@@ -0,0 +1,335 @@
+package agent
+
+import (
+	"context"
+	"errors"
+	"io"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/matryer/is"
+	"go.uber.org/goleak"
+
+	"camphorwick.dev/api/outcome"
+	"camphorwick.dev/api/wire"
+	"camphorwick.dev/backend"
+	"camphorwick.dev/observe"
+	"camphorwick.dev/platform/memkv"
+	"camphorwick.dev/policy/queue"
+	"camphorwick.dev/settings"
+)
+
+func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
+
+// fakeEngine is an engine whose streams produce what the test sends them.
+type fakeEngine struct {
+	backend.Engine // calls that no test expects
+
+	mu      sync.Mutex
+	kv      int
+	streams map[string]*fakeStream
+	started []string
+	// export and cancel decide how calls for a stream end; nil for success.
+	export, cancel func(id string) error
+}
+
+type fakeStream struct {
+	engine *fakeEngine
+	id     string
+	chunks chan backend.Chunk
+	gone   chan struct{} // closed when the engine drops the stream
+}
+
+func (e *fakeEngine) Info(context.Context) (backend.EngineInfo, error) {
+	return backend.EngineInfo{Models: []string{"m"}, KVTokens: e.kv, PrefillTokensPerSecond: 1_000_000, StepTokens: 10_000}, nil
+}
+
+func (e *fakeEngine) Streams(context.Context) ([]backend.StreamInfo, error) { return nil, nil }
+
+func (e *fakeEngine) Start(_ context.Context, c backend.Completion) (backend.Stream, error) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	s := &fakeStream{engine: e, id: c.StreamID, chunks: make(chan backend.Chunk, 16), gone: make(chan struct{})}
+	e.streams[c.StreamID] = s
+	e.started = append(e.started, c.StreamID)
+	return s, nil
+}
+
+func (e *fakeEngine) Cancel(_ context.Context, id string) error {
+	if e.cancel != nil {
+		if err := e.cancel(id); err != nil {
+			return err
+		}
+	}
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.drop(id)
+	return nil
+}
+
+func (e *fakeEngine) Export(_ context.Context, id string) ([]byte, error) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if e.export != nil {
+		if err := e.export(id); err != nil {
+			return nil, err
+		}
+	}
+	e.drop(id)
+	return []byte("state"), nil
+}
+
+// drop forgets a stream; e.mu is held.
+func (e *fakeEngine) drop(id string) {
+	if s := e.streams[id]; s != nil {
+		close(s.gone)
+		delete(e.streams, id)
+	}
+}
+
+// held returns the streams that still hold memory.
+func (e *fakeEngine) held() []string {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	var ids []string
+	for id := range e.streams {
+		ids = append(ids, id)
+	}
+	return ids
+}
+
+// stream returns the running stream whose id has the prefix; nil if none.
+func (e *fakeEngine) stream(prefix string) *fakeStream {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	for id, s := range e.streams {
+		if strings.HasPrefix(id, prefix) {
+			return s
+		}
+	}
+	return nil
+}
+
+func (s *fakeStream) Next(ctx context.Context) (backend.Chunk, error) {
+	select {
+	case c := <-s.chunks:
+		return c, nil
+	case <-s.gone:
+		return backend.Chunk{}, &backend.EngineError{Kind: backend.EngineBroken, Message: "gone", Cause: io.EOF}
+	case <-ctx.Done():
+		return backend.Chunk{}, ctx.Err()
+	}
+}
+
+func (s *fakeStream) Close() error { return s.engine.Cancel(context.Background(), s.id) }
+
+// runAgent starts the dispatcher of an agent beside the engine. Call it in a
+// synctest bubble; the returned function ends the dispatcher.
+func runAgent(t *testing.T, engine *fakeEngine) (*Agent, func()) {
+	t.Helper()
+	engine.streams = map[string]*fakeStream{}
+	telemetry, err := observe.New(t.Context(), observe.Options{VM: "agent-1", LogLevel: "error", Log: io.Discard})
+	if err != nil {
+		t.Fatal(err)
+	}
+	s := &settings.Settings{VM: "agent-1", Role: settings.RoleAgent, InsecurePlaintext: true, DrainLimitSeconds: 10,
+		Agent: &settings.Agent{OrphanGraceMillis: 30_000, Engine: &settings.Engine{LongKVShare: 1, MaxQueued: 10}}}
+	a, err := New(s, Deps{KV: memkv.New(), Engine: engine, Telemetry: telemetry})
+	if err != nil {
+		t.Fatal(err)
+	}
+	if err := a.prepareEngine(t.Context()); err != nil {
+		t.Fatal(err)
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	go func() { _ = a.dispatch(ctx) }()
+	return a, func() { cancel(); synctest.Wait() }
+}
+
+func submit(id string, tokens, max int, limit time.Duration) *wire.SubmitRequest {
+	return &wire.SubmitRequest{RequestId: id, AttemptId: id, ClientAccount: "c", Model: "m", Prompt: []byte("p"),
+		PromptTokens: uint32(tokens), MaxTokens: uint32(max), RemainingMs: uint32(limit.Milliseconds())}
+}
+
+func accept(t *testing.T, a *Agent, s *wire.SubmitRequest) *request {
+	t.Helper()
+	r, err := a.accept(t.Context(), s, time.Now())
+	if err != nil {
+		t.Fatal(err)
+	}
+	synctest.Wait()
+	return r
+}
+
+func (r *request) result() *wire.End {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.ended
+}
+
+// preempt starts a long request and then a short one that needs its memory.
+func preempt(t *testing.T, a *Agent, e *fakeEngine) (long, short *request) {
+	t.Helper()
+	long = accept(t, a, submit("long", 200_000, 100, time.Hour))
+	e.stream("long").chunks <- backend.Chunk{Texts: []string{"a"}}
+	synctest.Wait()
+	return long, accept(t, a, submit("short", 8_000, 3_000, time.Hour))
+}
+
+var errEngine = errors.New("the engine failed")
+
+// Guards against a paused stream that the engine keeps: after a failed export
+// the reservation was given to other work without a confirmed cancel, and
+// nothing freed the stream later.
+func TestFailedExportFreesEngineMemory(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		var failures atomic.Int32
+		failures.Store(3)
+		e := &fakeEngine{kv: 205_000}
+		e.export = func(id string) error {
+			go e.lose(id) // the stream breaks, but the engine keeps its memory
+			return errEngine
+		}
+		e.cancel = func(id string) error {
+			if strings.HasPrefix(id, "long") && failures.Add(-1) >= 0 {
+				return errEngine
+			}
+			return nil
+		}
+		a, stop := runAgent(t, e)
+		defer stop()
+		preempt(t, a, e)
+		for _, id := range e.held() {
+			is.True(!(strings.HasPrefix(id, "short") && e.stream("long.1") != nil)) // both do not fit
+		}
+		time.Sleep(10 * time.Second)
+		is.True(e.stream("long.1") == nil)
+		is.True(e.stream("short") != nil)
+	})
+}
+
+// lose breaks the connection of a stream and keeps its memory.
+func (e *fakeEngine) lose(id string) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if s := e.streams[id]; s != nil {
+		close(s.gone)
+		e.streams[id] = &fakeStream{engine: e, id: id, gone: make(chan struct{})}
+	}
+}
+
+// Guards against short work that waits for the end of a long stream, because
+// its export failed while the stream went on.
+func TestFailedExportCancelsTheStream(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		e := &fakeEngine{kv: 205_000, export: func(string) error { return errEngine }}
+		a, stop := runAgent(t, e)
+		defer stop()
+		long, _ := preempt(t, a, e)
+		is.True(e.stream("short") != nil)
+		e.stream("short").chunks <- backend.Chunk{Texts: []string{"s"}, Final: true}
+		time.Sleep(time.Minute) // the long prompt is computed again
+		e.stream("long.2").chunks <- backend.Chunk{Texts: []string{"b"}, Final: true, FinishReason: "stop"}
+		synctest.Wait()
+		is.Equal(long.emitted(), []string{"a", "b"})
+		is.Equal(long.result().Outcome, wire.Outcome_OUTCOME_COMPLETED)
+		is.Equal(a.load().KvReservedTokens, uint64(0))
+	})
+}
+
+// Guards against a stream that is asked for zero further tokens after a pause
+// that came between its last token and its end.
+func TestPauseAfterTheLastToken(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		e := &fakeEngine{kv: 200_500, export: func(string) error { return errEngine }}
+		a, stop := runAgent(t, e)
+		defer stop()
+		long := accept(t, a, submit("long", 200_000, 1, time.Hour))
+		e.stream("long").chunks <- backend.Chunk{Texts: []string{"a"}}
+		synctest.Wait()
+		accept(t, a, submit("short", 1_000, 100, time.Hour))
+		e.stream("short").chunks <- backend.Chunk{Final: true}
+		time.Sleep(time.Minute)
+		is.Equal(long.result().GetOutcome(), wire.Outcome_OUTCOME_COMPLETED)
+		is.Equal(long.emitted(), []string{"a"})
+		is.Equal(len(e.started), 2)
+	})
+}
+
+// Guards against a segment chosen to be paused, which cannot be: the queue
+// then counted on its memory and named no other job.
+func TestSegmentIsNotPreempted(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		a, stop := runAgent(t, &fakeEngine{kv: 205_000})
+		defer stop()
+		seg, err := a.newSegment(t.Context(), nil, &wire.SegmentReserve{RequestId: "g", AttemptId: "g", ClientAccount: "c",
+			Model: "m", SegmentTokens: 200_000, RemainingMs: 3_600_000})
+		is.NoErr(err)
+		<-seg.granted
+		accept(t, a, submit("short", 8_000, 3_000, time.Hour))
+		a.mu.Lock()
+		is.True(!seg.request.pausing)
+		a.mu.Unlock()
+		seg.release()
+	})
+}
+
+// Guards against "failed" for a request whose deadline passed before any part
+// of it was sent to the engine.
+func TestGrantAfterTheDeadlineIsNotRun(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		e := &fakeEngine{kv: 10_000}
+		a, stop := runAgent(t, e)
+		defer stop()
+		r := newRequest(t.Context(), submit("r", 10, 10, time.Second), time.Now())
+		r.job = queue.Job{ID: "r", KVTokens: 20, Deadline: r.deadline}
+		_, r.queueSpan = a.span(r, "queue")
+		a.active.Add(1)
+		time.Sleep(2 * time.Second)
+		a.run(r, queue.Grant{Job: r.job})
+		is.Equal(r.result().Outcome, wire.Outcome_OUTCOME_NOT_RUN)
+		is.Equal(outcome.Code(r.result().Error.Code), outcome.DeadlineExceeded)
+		is.Equal(len(e.started), 0)
+	})
+}
+
+// Guards against a drain that waits for ever for an engine that hangs.
+func TestDrainEndsBesideAHangingEngine(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		e := &fakeEngine{kv: 10_000, cancel: func(string) error { time.Sleep(time.Hour); return nil }}
+		a, stop := runAgent(t, e)
+		defer stop()
+		r := accept(t, a, submit("r", 10, 10, time.Hour))
+		started := time.Now()
+		a.Stop()
+		is.NoErr(a.awaitStop(t.Context()))
+		is.True(time.Since(started) <= a.settings.DrainLimit()+drainGrace+time.Second)
+		is.Equal(outcome.Code(r.result().Error.Code), outcome.Draining)
+		time.Sleep(2 * time.Hour) // the engine answers again
+	})
+}
+
+// Guards against a map that keeps an element for every entry there ever was.
+func TestLostEntryIsForgotten(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		a, stop := runAgent(t, &fakeEngine{kv: 10_000})
+		defer stop()
+		entry := &wire.Hello{Vm: "entry-1", Epoch: 1}
+		is.True((*hooks)(a).Load(entry).PrefixesValid)
+		is.True(!(*hooks)(a).Load(entry).PrefixesValid)
+		(*hooks)(a).PeerChanged(entry, false)
+		is.Equal(len(a.prefixesSent), 0)
+		is.True((*hooks)(a).Load(entry).PrefixesValid) // its next session is sent them again
+	})
+}
--- a/daemon/agent/runner.go
+++ b/daemon/agent/runner.go
@@ -24,6 +24,9 @@
 	engineCallLimit = 5 * time.Second
 	// exportLimit bounds the export of a long prompt's KV cache.
 	exportLimit = 60 * time.Second
+	// cancelGiveUp is how long an agent that stops repeats a cancel that the
+	// engine does not confirm; the next process of the VM cancels what is left.
+	cancelGiveUp = 10 * time.Second
 )
 
 // prepareEngine waits for the engine's description and cancels the streams
@@ -155,10 +158,7 @@
 	if r.queueSpan != nil {
 		r.queueSpan.End()
 	}
-	result := wire.Outcome_OUTCOME_NOT_RUN
-	if r.starts > 0 || r.submit.Offset > 0 {
-		result = wire.Outcome_OUTCOME_FAILED
-	}
+	result := r.cutOff()
 	a.metrics.ended(r, result)
 	r.end(&wire.End{Outcome: result, Error: toWire(cause)})
 	a.active.Add(-1)
@@ -175,10 +175,19 @@
 		a.finish(r, "", a.endOf(r, backend.Chunk{}, context.Cause(r.ctx)))
 		return
 	}
+	if rest := int(r.submit.MaxTokens) - len(r.emitted()); rest <= 0 && r.starts > 0 && r.state == nil {
+		// The stream was paused after its last token and before its end.
+		a.finish(r, "", &wire.End{Outcome: wire.Outcome_OUTCOME_COMPLETED, FinishReason: finishLength, PromptTokens: r.submit.PromptTokens})
+		return
+	}
 	r.starts++
 	streamID := fmt.Sprintf("%s.%d", r.submit.AttemptId, r.starts)
 	chunk, paused, err := a.stream(ctx, r, streamID, grant.Priority)
 	if paused {
+		if r.state == nil {
+			// Only a successful export frees the engine's memory.
+			a.cancelStream(streamID)
+		}
 		a.requeue(r)
 		return
 	}
@@ -206,7 +215,7 @@
 			if r.ctx.Err() == nil {
 				paused = a.takeExport(r, exported)
 			}
-			_ = stream.Close()
+			closeBehind(stream)
 			return chunk, paused, fmt.Errorf("read engine stream: %w", err)
 		}
 		r.add(chunk.Texts)
@@ -221,6 +230,11 @@
 	}
 }
 
+// closeBehind closes a stream that has not ended without waiting for the
+// engine: an engine that hangs must not delay the result of a request. The
+// reservation waits for cancelStream.
+func closeBehind(stream backend.Stream) { go func() { _ = stream.Close() }() }
+
 // completion returns the engine request for the rest of the answer.
 func (a *Agent) completion(r *request, id string, priority int) backend.Completion {
 	c := backend.Completion{StreamID: id, Model: r.submit.Model, Priority: priority}
@@ -245,7 +259,8 @@
 
 // exportOnPause exports the stream when the dispatcher asks for a pause. The
 // export ends the stream, which the reader sees as an error after the last
-// token.
+// token. If it fails, the stream is cancelled instead: the queue counts on the
+// memory and short work waits for it.
 func (a *Agent) exportOnPause(r *request, id string, result chan<- exportResult, done <-chan struct{}) {
 	select {
 	case <-done:
@@ -256,6 +271,13 @@
 	defer cancel()
 	state, err := a.engine.Export(ctx, id)
 	result <- exportResult{state, err}
+	if err != nil {
+		call, done := context.WithTimeout(context.Background(), engineCallLimit)
+		defer done()
+		if err := a.engine.Cancel(call, id); err != nil {
+			a.log.Warn("engine stream could not be cancelled", "stream", id, "error", err.Error())
+		}
+	}
 }
 
 // takeExport waits for the result of an export in progress, if there is one,
@@ -320,7 +342,7 @@
 			PromptTokens: uint32(last.PromptTokens), CachedTokens: uint32(last.CachedTokens)}
 	}
 	if r.ctx.Err() != nil {
-		return &wire.End{Outcome: wire.Outcome_OUTCOME_FAILED, Error: toWire(context.Cause(r.ctx))}
+		return &wire.End{Outcome: r.cutOff(), Error: toWire(context.Cause(r.ctx))}
 	}
 	var failure *backend.EngineError
 	code := outcome.BackendFailed
@@ -351,6 +373,7 @@
 // cancelStream repeats a cancel until the engine confirms it. An engine that
 // was restarted does not know the stream, which counts as confirmed.
 func (a *Agent) cancelStream(id string) {
+	started := time.Now()
 	for delay := engineRetryMin; ; delay = min(2*delay, engineRetryMax) {
 		ctx, cancel := context.WithTimeout(context.Background(), engineCallLimit)
 		err := a.engine.Cancel(ctx, id)
@@ -359,11 +382,22 @@
 			return
 		}
 		a.log.Warn("engine stream could not be cancelled", "stream", id, "error", err.Error())
-		select {
-		case <-a.stop:
-			// The next process of this VM cancels what is left.
+		if a.stopping() && time.Since(started) > cancelGiveUp {
 			return
-		case <-time.After(delay):
 		}
+		time.Sleep(delay)
 	}
 }
+
+// stopping reports whether Stop was called.
+func (a *Agent) stopping() bool {
+	select {
+	case <-a.stop:
+		return true
+	default:
+		return false
+	}
+}
+
+// finishLength is the finish reason of an answer that has reached max_tokens.
+const finishLength = "length"
--- a/daemon/agent/segment.go
+++ b/daemon/agent/segment.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"math"
 	"time"
 
 	"camphorwick.dev/api/outcome"
@@ -52,6 +53,11 @@
 	seg.serve()
 }
 
+// neverPreempted in Job.Preemptions keeps the queue from choosing a segment to
+// be paused: it cannot be, so short work would wait for memory that is not
+// freed.
+const neverPreempted = math.MaxInt
+
 // newSegment queues the reservation.
 func (a *Agent) newSegment(ctx context.Context, s *link.Stream, reserve *wire.SegmentReserve) (*segment, error) {
 	info := a.info.Load()
@@ -67,7 +73,7 @@
 	r.granted = func(g queue.Grant) { seg.granted <- g }
 	r.job = queue.Job{ID: reserve.AttemptId, Account: reserve.ClientAccount, Weight: int(reserve.Weight), Band: outcome.Long,
 		PrefillTokens: int(reserve.SegmentTokens), KVTokens: int(reserve.SegmentTokens + reserve.MaxTokens),
-		Arrived: now, Deadline: r.deadline}
+		Arrived: now, Deadline: r.deadline, Preemptions: neverPreempted}
 	if _, err := a.enqueue(r, now); err != nil {
 		r.cancel(nil)
 		return nil, err
@@ -131,13 +137,13 @@
 	for {
 		chunk, err := stream.Next(ctx)
 		if err != nil {
-			_ = stream.Close()
+			closeBehind(stream)
 			return outcome.Wrap(err, outcome.BackendFailed, "the segment on VM %s broke", a.settings.VM)
 		}
 		if len(chunk.Texts) > 0 {
 			tokens := &wire.Tokens{AttemptId: s.reserve.AttemptId, Offset: offset, Texts: chunk.Texts}
 			if err := s.write(&wire.AgentMessage{Body: &wire.AgentMessage_Tokens{Tokens: tokens}}); err != nil {
-				_ = stream.Close()
+				closeBehind(stream)
 				return err
 			}
 			offset += uint32(len(chunk.Texts))
