--- a/daemon/agent/placement_test.go
+++ b/daemon/agent/placement_test.go
@@ -58,8 +58,8 @@
 	return errors.New("no message")
 }
 
-// fakeEngine ignores fencing tokens. check sees every order.
-type fakeEngine struct {
+// orderEngine ignores fencing tokens. check sees every order.
+type orderEngine struct {
 	backend.Engine
 	vm    string
 	check func(vm string, o backend.Order)
@@ -68,7 +68,7 @@
 	models map[string]string
 }
 
-func (f *fakeEngine) Info(context.Context) (backend.EngineInfo, error) {
+func (f *orderEngine) Info(context.Context) (backend.EngineInfo, error) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	info := backend.EngineInfo{PrefillTokensPerSecond: 1000}
@@ -79,7 +79,7 @@
 	return info, nil
 }
 
-func (f *fakeEngine) Order(_ context.Context, o backend.Order) error {
+func (f *orderEngine) Order(_ context.Context, o backend.Order) error {
 	f.check(f.vm, o)
 	f.mu.Lock()
 	defer f.mu.Unlock()
@@ -171,7 +171,7 @@
 				token, err := store.Put(t.Context(), leaseKeyPrefix+"b", nil, 0, 0)
 				is.NoErr(err)
 				orders := 0
-				engine := &fakeEngine{vm: "vm-1", models: map[string]string{"a": ""}, check: func(string, backend.Order) { orders++ }}
+				engine := &orderEngine{vm: "vm-1", models: map[string]string{"a": ""}, check: func(string, backend.Order) { orders++ }}
 				status := tc.act(testAgent("vm-1", store, engine), store, token)
 				is.Equal(status, tc.want)
 				if status != wire.PlaceStatus_PLACE_STATUS_DONE && tc.name != "a newer token between offer and confirmation" {
@@ -194,7 +194,7 @@
 	calm     bool // no more pauses
 	agents   []*Agent
 	stops    []context.CancelFunc
-	engines  []*fakeEngine
+	engines  []*orderEngine
 	reports  []place.Engine
 	versions map[string]string
 	highest  map[string]uint64 // token by VM and model
@@ -376,7 +376,7 @@
 	w.agents, w.stops = make([]*Agent, engines), make([]context.CancelFunc, engines)
 	for i := range engines {
 		vm := fmt.Sprintf("vm-%d", i)
-		w.engines = append(w.engines, &fakeEngine{vm: vm, models: map[string]string{"a": ""}, check: w.check})
+		w.engines = append(w.engines, &orderEngine{vm: vm, models: map[string]string{"a": ""}, check: w.check})
 		w.reports = append(w.reports, place.Engine{VM: vm, DataCentre: fmt.Sprintf("dc-%d", i%2), PrefillTokensPerSecond: 1000})
 		w.startAgent(i)
 	}
