Forget replaced agents; unit tests of token order and of the end of an answer

Entry.agents kept every agent that ever was and counted it when a prompt's size was checked. TestTokensOnceAndInOrder fails without the entry's removal of overlapping tokens, which no test noticed before.

--- a/daemon/agent/agent.go
+++ b/daemon/agent/agent.go
@@ -264,6 +264,8 @@
 
 func (h *hooks) PeerLoad(*wire.Hello, *wire.Load) {}
 
+func (h *hooks) VMsChanged([]platform.VM) {}
+
 func (h *hooks) Demand(*wire.Hello) []*wire.ModelDemand { return nil }
 
 func (h *hooks) PeerDemand(*wire.Hello, []*wire.ModelDemand) {}
--- a/daemon/entry/entry.go
+++ b/daemon/entry/entry.go
@@ -229,6 +229,24 @@
 	e.refresh(peer.Vm, e.member.Replica.Config())
 }
 
+// VMsChanged forgets agents that are neither listed nor usable, because VMs
+// are replaced all the time.
+func (h *hooks) VMsChanged(vms []platform.VM) {
+	e := (*Entry)(h)
+	listed := make(map[string]bool, len(vms))
+	for _, vm := range vms {
+		listed[vm.ID] = true
+	}
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	for vm, state := range e.agents {
+		if !listed[vm] && !state.usable {
+			delete(e.agents, vm)
+			e.table.Remove(vm)
+		}
+	}
+}
+
 // PeerLoad takes over the load that an agent reported.
 func (h *hooks) PeerLoad(peer *wire.Hello, load *wire.Load) {
 	e := (*Entry)(h)
--- /dev/null
+++ b/daemon/entry/run_test.go
@@ -0,0 +1,83 @@
+package entry
+
+import (
+	"context"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"go.opentelemetry.io/otel/metric/noop"
+
+	"camphorwick.dev/api/wire"
+	"camphorwick.dev/platform"
+	"camphorwick.dev/policy/choose"
+)
+
+// newRun returns an entry and a run that can handle messages without a
+// connection.
+func newRun(t *testing.T) (*Entry, *run) {
+	t.Helper()
+	m, err := newMetrics(noop.Meter{})
+	if err != nil {
+		t.Fatal(err)
+	}
+	e := &Entry{metrics: m, table: choose.New(choose.Config{Seed: 1}), agents: map[string]*agentState{}}
+	return e, &run{completion: &completion{exchange: &exchange{started: time.Now()}}, answer: newAnswer(), excluded: map[string]bool{}}
+}
+
+func tokens(attempt string, offset uint32, texts ...string) *wire.AgentMessage {
+	return &wire.AgentMessage{Body: &wire.AgentMessage_Tokens{Tokens: &wire.Tokens{AttemptId: attempt, Offset: offset, Texts: texts}}}
+}
+
+// Guards against tokens that reach the caller twice or belong to an attempt
+// that was replaced, and against a gap that goes unnoticed.
+func TestTokensOnceAndInOrder(t *testing.T) {
+	is := is.New(t)
+	e, r := newRun(t)
+	ctx := context.Background()
+	for _, m := range []*wire.AgentMessage{
+		tokens("a", 0, "one ", "two "),
+		tokens("a", 1, "two ", "three "), // overlaps
+		tokens("old", 3, "wrong "),       // replaced attempt
+		tokens("a", 0, "one "),           // nothing new
+		tokens("a", 3, "four"),
+	} {
+		_, final := e.handle(ctx, r, "vm", "a", m, false)
+		is.True(!final)
+	}
+	is.Equal(strings.Join(r.emitted, ""), "one two three four")
+	sent := ""
+	for len(r.answer.tokens) > 0 {
+		event := <-r.answer.tokens
+		sent += strings.Join(event.texts, "")
+	}
+	is.Equal(sent, "one two three four")
+	got, final := e.handle(ctx, r, "vm", "a", tokens("a", 5, "six"), false)
+	is.True(final)
+	is.Equal(got.verdict, attemptBroken)
+	is.Equal(len(r.emitted), 4)
+}
+
+// Guards against a whole answer that lacks its last tokens.
+func TestEndMustMatchTokens(t *testing.T) {
+	is := is.New(t)
+	_, r := newRun(t)
+	r.emitted = []string{"one"}
+	end := &wire.End{Outcome: wire.Outcome_OUTCOME_COMPLETED, CompletionTokens: 2}
+	is.Equal(endOf(r, "vm", end, false).verdict, attemptBroken)
+	end.CompletionTokens = 1
+	is.Equal(endOf(r, "vm", end, false).verdict, attemptEnded)
+}
+
+// Guards against a table of agents that grows with every replaced VM.
+func TestReplacedAgentsAreForgotten(t *testing.T) {
+	is := is.New(t)
+	e, _ := newRun(t)
+	for vm, usable := range map[string]bool{"gone": false, "listed": false, "connected": true} {
+		e.agents[vm] = &agentState{hello: &wire.Hello{Vm: vm}, usable: usable}
+	}
+	(*hooks)(e).VMsChanged([]platform.VM{{ID: "listed"}})
+	is.Equal(len(e.agents), 2)
+	is.True(e.agents["gone"] == nil)
+}
--- a/daemon/member/member.go
+++ b/daemon/member/member.go
@@ -45,6 +45,8 @@
 	PeerDemand(peer *wire.Hello, demand []*wire.ModelDemand)
 	// PeerChanged is called when a peer becomes usable or stops being so.
 	PeerChanged(peer *wire.Hello, usable bool)
+	// VMsChanged is called when the VM list has changed.
+	VMsChanged(vms []platform.VM)
 	// Stream serves a stream that an entry opened.
 	Stream(ctx context.Context, s *link.Stream)
 	// ConfigChanged is called after a new revision is in force.
@@ -194,6 +196,7 @@
 		}
 	}
 	m.Node.SetTargets(targets)
+	m.hooks.VMsChanged(vms)
 }
 
 // distinct returns the first line of each VM.
