entry: end requests in time and count failures of agents truly

Faults, each shown by a test that failed before: - A caller could end the process: Last-Event-ID with a large offset asked for up to 64 GB, and a second holder of a resumed request closed a closed channel. - A request whose own time ended in an agent put that agent in hold-down, used the retry budget, and was failed instead of not_run if it had only been queued. - A caller that reads slowly ended its attempt without Cancel, so the engine went on for the orphan grace time. - A prompt or a Cancel for an agent that does not read waited until the session was dropped after 9 s, whatever the deadline. - A caller that reads nothing held its connection, and a drain, without limit. Its connection now ends 10 s after the deadline. - A whole answer whose end was lost was continued with 0 tokens and failed. - Without any known engine a prompt was refused as too long instead of with no_server. - A request that had ended before it was sent was counted as load of the agent until the process ended. Without a test of its own: service calls now count as requests of the retry budget; a not_run of a group's last agent no longer hides that earlier segments ran.

Ruled out: at-most-once of orders offered to a second agent, and not_run after a lost Submit (mayRun stays set).

--- a/daemon/entry/completion.go
+++ b/daemon/entry/completion.go
@@ -53,6 +53,7 @@
 		x.refuse(err)
 		return
 	}
+	boundAnswer(x.http, c.deadline)
 	release, err := e.admit(c)
 	if err != nil {
 		e.metrics.refused(err)
--- a/daemon/entry/group.go
+++ b/daemon/entry/group.go
@@ -40,7 +40,8 @@
 
 // needsGroup reports whether a completion exceeds every single engine.
 func (e *Entry) needsGroup(c *completion) bool {
-	return c.tokens+c.max > e.largestPrompt(c.model)
+	largest := e.largestPrompt(c.model)
+	return largest > 0 && c.tokens+c.max > largest // without any engine, the answer is no_server
 }
 
 // planGroup chooses the engines of a group and cuts the prompt. The engines
@@ -168,10 +169,7 @@
 			return attemptResult{verdict: attemptNotRun, err: err}
 		}
 	}
-	if !r.accepted {
-		r.accepted = true
-		close(r.answer.accepted)
-	}
+	r.accept()
 	return e.runGroup(ctx, r, members)
 }
 
@@ -188,7 +186,7 @@
 	if last {
 		request.MaxTokens = uint32(r.max - len(r.emitted))
 	}
-	if err := stream.Write(&wire.StreamHeader{Body: &wire.StreamHeader_Segment{Segment: request}}); err != nil {
+	if err := writeHeader(ctx, lost, stream, &wire.StreamHeader{Body: &wire.StreamHeader_Segment{Segment: request}}); err != nil {
 		return outcome.Wrap(err, outcome.NoServer, "VM %s cannot be reached", m.vm)
 	}
 	m.messages = make(chan *wire.AgentMessage, 16)
@@ -213,7 +211,6 @@
 // runGroup runs the reserved segments in order. The loss of any member ends
 // the attempt, because later segments depend on all earlier ones.
 func (e *Entry) runGroup(ctx context.Context, r *run, members []*groupMember) attemptResult {
-	hadRun := r.mayRun
 	r.mayRun = true
 	anyLost, stop := context.WithCancel(context.Background())
 	defer stop()
@@ -227,7 +224,8 @@
 			return broken(m.vm, err)
 		}
 		if i == len(members)-1 {
-			return e.followMessages(ctx, anyLost, r, m, hadRun)
+			// The earlier segments have run, whatever the last agent says.
+			return e.followMessages(ctx, anyLost, r, m, true)
 		}
 		got, next := awaitSegment(ctx, anyLost, m)
 		if next == nil {
--- a/daemon/entry/http.go
+++ b/daemon/entry/http.go
@@ -26,6 +26,8 @@
 const (
 	readTimeout = 30 * time.Second
 	idleTimeout = 75 * time.Second
+	// answerGrace is the time to read the rest of an answer after its deadline.
+	answerGrace = 10 * time.Second
 	// discardFactor times the body limit is read and dropped of an oversized
 	// body, so that its caller can read the refusal before the connection is
 	// reset.
@@ -166,6 +168,7 @@
 
 // handleCaller routes one request of a caller.
 func (e *Entry) handleCaller(ctx context.Context, c *fasthttp.RequestCtx) {
+	boundAnswer(c, time.Now().Add(time.Duration(e.settings.Entry.MaxTimeoutMillis)*time.Millisecond))
 	path := string(c.Path())
 	switch path {
 	case "/healthz":
@@ -197,6 +200,12 @@
 	}
 }
 
+// boundAnswer ends the connection of a caller that has not read its answer
+// answerGrace after the deadline. Without it such a caller holds up a drain.
+func boundAnswer(c *fasthttp.RequestCtx, deadline time.Time) {
+	_ = c.Conn().SetWriteDeadline(deadline.Add(answerGrace))
+}
+
 func (e *Entry) serveReady(c *fasthttp.RequestCtx) {
 	if err := e.Ready(); err != nil {
 		c.SetStatusCode(http.StatusServiceUnavailable)
--- a/daemon/entry/resume.go
+++ b/daemon/entry/resume.go
@@ -49,7 +49,7 @@
 	}
 	vm, text, ok := strings.Cut(id, "/")
 	n, parseErr := strconv.ParseUint(text, 10, 32)
-	if !ok || parseErr != nil {
+	if !ok || parseErr != nil || n > maxMaxTokens {
 		return "", 0, outcome.New(outcome.InvalidRequest, "Last-Event-ID %q is not an agent and an offset", id)
 	}
 	return vm, uint32(n), nil
@@ -61,6 +61,10 @@
 	r := &run{completion: c, answer: a, emitted: make([]string, offset), mayRun: true}
 	got := attemptResult{err: outcome.New(outcome.NotFound, "no agent holds request %q from token %d on", c.exchange.requestID, offset)}
 	for _, candidate := range e.holders(vm) {
+		if ctx.Err() != nil {
+			got = attemptResult{verdict: attemptStopped, err: context.Cause(ctx)}
+			break
+		}
 		got = e.readRest(ctx, r, candidate)
 		if got.verdict != attemptNotRun {
 			break
@@ -102,7 +106,7 @@
 	}
 	request := &wire.ResumeRequest{RequestId: r.exchange.requestID, ClientAccount: r.exchange.account,
 		Offset: uint32(len(r.emitted)), RemainingMs: remaining(r.deadline), Traceparent: observe.Traceparent(ctx)}
-	if err := stream.Write(&wire.StreamHeader{Body: &wire.StreamHeader_Resume{Resume: request}}); err != nil {
+	if err := writeHeader(ctx, lost, stream, &wire.StreamHeader{Body: &wire.StreamHeader_Resume{Resume: request}}); err != nil {
 		stream.Close()
 		return attemptResult{verdict: attemptNotRun, err: outcome.Wrap(err, outcome.NoServer, "VM %s cannot be reached", vm)}
 	}
@@ -117,11 +121,6 @@
 		stream.Close()
 		return attemptResult{verdict: attemptNotRun, err: fromWire(first.GetNotRun().GetError())}
 	}
-	close(r.answer.accepted)
-	r.accepted = true
-	got := e.follow(ctx, lost, r, vm, stream, first.GetAccepted().AttemptId, true)
-	if got.stream == nil {
-		stream.Close()
-	}
-	return got
+	r.accept()
+	return e.follow(ctx, lost, r, vm, stream, first.GetAccepted().AttemptId, true)
 }
--- /dev/null
+++ b/daemon/entry/review_test.go
@@ -0,0 +1,291 @@
+package entry
+
+import (
+	"bufio"
+	"context"
+	"io"
+	"log/slog"
+	"net"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"github.com/valyala/fasthttp"
+	"go.uber.org/goleak"
+
+	"camphorwick.dev/api/outcome"
+	"camphorwick.dev/api/wire"
+	"camphorwick.dev/fleetconf"
+	"camphorwick.dev/link"
+	"camphorwick.dev/observe"
+	"camphorwick.dev/platform/memkv"
+	"camphorwick.dev/policy/choose"
+	"camphorwick.dev/settings"
+)
+
+// TestMain looks for goroutines that are left. fasthttp keeps one for the date
+// and ends the one of a server's worker pool up to 10 s after its shutdown.
+func TestMain(m *testing.M) {
+	goleak.VerifyTestMain(m, goleak.IgnoreAnyFunction("github.com/valyala/fasthttp.updateServerDate.func1"),
+		goleak.IgnoreAnyFunction("github.com/valyala/fasthttp.(*workerPool).Start.func2"))
+}
+
+// fakeAgent serves the streams of an entry with a function.
+type fakeAgent struct {
+	serve func(s *link.Stream, header *wire.StreamHeader)
+	calls atomic.Int32
+}
+
+func (f *fakeAgent) Heartbeat(*wire.Hello) *wire.Heartbeat          { return &wire.Heartbeat{} }
+func (f *fakeAgent) HeartbeatReceived(*wire.Hello, *wire.Heartbeat) {}
+func (f *fakeAgent) ConfigReceived(*wire.Hello, *wire.ConfigUpdate) {}
+func (f *fakeAgent) ConfigFor(uint64) *wire.ConfigUpdate            { return nil }
+func (f *fakeAgent) PeerChanged(*wire.Hello, bool)                  {}
+func (f *fakeAgent) Stream(_ context.Context, s *link.Stream) {
+	f.calls.Add(1)
+	if f.serve == nil {
+		time.Sleep(time.Second) // takes nothing from the stream
+		return
+	}
+	header := &wire.StreamHeader{}
+	if s.Read(header) == nil {
+		f.serve(s, header)
+	}
+}
+
+// startNode runs a node until the end of the test and returns its address.
+func startNode(t *testing.T, n *link.Node) string {
+	t.Helper()
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	done := make(chan struct{})
+	go func() { defer close(done); _ = n.Run(ctx, listener) }()
+	t.Cleanup(func() { cancel(); <-done })
+	return listener.Addr().String()
+}
+
+// startEntry returns an entry with sessions to the agents agent-1, agent-2 ...
+func startEntry(t *testing.T, agents ...*fakeAgent) *Entry {
+	t.Helper()
+	telemetry, err := observe.New(t.Context(), observe.Options{VM: "entry-1", LogLevel: "error", Log: io.Discard})
+	if err != nil {
+		t.Fatal(err)
+	}
+	s := &settings.Settings{VM: "entry-1", Role: settings.RoleEntry, DataCentre: "dc-1", InsecurePlaintext: true,
+		Entry: &settings.Entry{MaxTimeoutMillis: 60_000}}
+	e, err := New(s, Deps{KV: memkv.New(), Telemetry: telemetry})
+	if err != nil {
+		t.Fatal(err)
+	}
+	var targets []link.Target
+	for i, a := range agents {
+		vm := "agent-" + string(rune('1'+i))
+		address := startNode(t, link.NewNode(link.Config{Handler: a, Log: slog.New(slog.DiscardHandler), Self: func() *wire.Hello {
+			return &wire.Hello{Vm: vm, Role: wire.Role_ROLE_AGENT, DataCentre: "dc-1", Epoch: 1, Backend: &wire.BackendInfo{
+				Models: []string{"m"}, KvTokens: 2_000_000, PrefillTokensPerSecond: 1_000}}
+		}}))
+		targets = append(targets, link.Target{VM: vm, Role: wire.Role_ROLE_AGENT, Address: address})
+	}
+	startNode(t, e.member.Node)
+	e.member.Node.SetTargets(targets)
+	for len(e.holders("")) < len(agents) {
+		time.Sleep(5 * time.Millisecond)
+	}
+	return e
+}
+
+// newCompletion returns a completion of the entry and the context of its
+// deadline.
+func newCompletion(t *testing.T, e *Entry, prompt string, limit time.Duration) (context.Context, *completion) {
+	t.Helper()
+	deadline := time.Now().Add(limit)
+	ctx, cancel := context.WithDeadline(t.Context(), deadline)
+	t.Cleanup(cancel)
+	_, span := e.telemetry.Tracer.Start(ctx, "test")
+	x := &exchange{requestID: "r", account: "c", plan: &fleetconf.Plan{}, span: span, ctx: ctx, started: time.Now()}
+	return ctx, &completion{exchange: x, model: "m", prompt: []byte(prompt), tokens: 1, max: 2, deadline: deadline}
+}
+
+func accepted(s *link.Stream, attempt string) {
+	_ = s.Write(&wire.AgentMessage{Body: &wire.AgentMessage_Accepted{Accepted: &wire.Accepted{AttemptId: attempt}}})
+}
+
+func tokens(s *link.Stream, attempt string, offset int, texts ...string) {
+	_ = s.Write(&wire.AgentMessage{Body: &wire.AgentMessage_Tokens{Tokens: &wire.Tokens{AttemptId: attempt, Offset: uint32(offset), Texts: texts}}})
+}
+
+func ended(s *link.Stream, attempt string, o wire.Outcome, code outcome.Code) {
+	_ = s.Write(&wire.AgentMessage{Body: &wire.AgentMessage_End{End: &wire.End{AttemptId: attempt, Outcome: o,
+		Error: &wire.Error{Code: string(code)}}}})
+}
+
+// Guards against agents in hold-down and repeats because a request ran out of
+// its own time, and against "failed" for one that never left the queue.
+func TestOwnDeadlineIsNoFailureOfTheAgent(t *testing.T) {
+	for _, c := range []struct {
+		sent wire.Outcome
+		want outcome.Outcome
+	}{{wire.Outcome_OUTCOME_FAILED, outcome.Failed}, {wire.Outcome_OUTCOME_NOT_RUN, outcome.NotRun}} {
+		is := is.New(t)
+		agent := &fakeAgent{serve: func(s *link.Stream, h *wire.StreamHeader) {
+			accepted(s, h.GetSubmit().AttemptId)
+			ended(s, h.GetSubmit().AttemptId, c.sent, outcome.DeadlineExceeded)
+		}}
+		e := startEntry(t, agent)
+		ctx, request := newCompletion(t, e, "p", time.Second)
+		a := newAnswer()
+		e.complete(ctx, request, a)
+		is.Equal(a.result.outcome, c.want)
+		is.Equal(outcome.CodeOf(a.result.err), outcome.DeadlineExceeded)
+		is.Equal(agent.calls.Load(), int32(1))
+	}
+}
+
+// Guards against work that goes on in an engine because its caller reads too
+// slowly: the attempt ended without Cancel.
+func TestSlowCallerCancelsTheAttempt(t *testing.T) {
+	is := is.New(t)
+	cancelled := make(chan bool, 1)
+	e := startEntry(t, &fakeAgent{serve: func(s *link.Stream, h *wire.StreamHeader) {
+		for i := range 100 {
+			tokens(s, h.GetSubmit().AttemptId, i, "t")
+		}
+		m := &wire.EntryMessage{}
+		cancelled <- s.Read(m) == nil && m.GetCancel() != nil
+	}})
+	ctx, request := newCompletion(t, e, "p", 300*time.Millisecond)
+	request.max = 100
+	a := newAnswer()
+	e.complete(ctx, request, a) // nobody reads a.tokens
+	is.Equal(a.result.outcome, outcome.Failed)
+	is.True(<-cancelled)
+}
+
+// Guards against a request that ends seconds after its deadline because an
+// agent that is paused does not take its prompt.
+func TestPausedAgentDoesNotDelayTheEnd(t *testing.T) {
+	is := is.New(t)
+	e := startEntry(t, &fakeAgent{})
+	ctx, request := newCompletion(t, e, string(make([]byte, 4<<20)), 300*time.Millisecond)
+	a := newAnswer()
+	started := time.Now()
+	e.complete(ctx, request, a)
+	is.True(time.Since(started) < 900*time.Millisecond)
+	is.Equal(a.result.outcome, outcome.Failed) // the agent may still run it
+	is.Equal(outcome.CodeOf(a.result.err), outcome.DeadlineExceeded)
+}
+
+// Guards against "failed" for an answer of which only the end was lost: no
+// engine can continue it with 0 tokens.
+func TestLostEndOfAFullAnswer(t *testing.T) {
+	is := is.New(t)
+	agent := &fakeAgent{serve: func(s *link.Stream, h *wire.StreamHeader) {
+		tokens(s, h.GetSubmit().AttemptId, 0, "a", "b")
+	}}
+	e := startEntry(t, agent)
+	ctx, request := newCompletion(t, e, "p", 5*time.Second)
+	a := newAnswer()
+	e.complete(ctx, request, a)
+	is.Equal(a.result.outcome, outcome.Completed)
+	is.Equal(a.result.end.CompletionTokens, uint32(2))
+	is.Equal(agent.calls.Load(), int32(1))
+}
+
+// Guards against a panic of the entry when a second agent holds a request
+// whose first holder accepted the query and then ended with not_run.
+func TestResumeFromTwoHolders(t *testing.T) {
+	is := is.New(t)
+	holder := func(s *link.Stream, _ *wire.StreamHeader) {
+		accepted(s, "a")
+		ended(s, "a", wire.Outcome_OUTCOME_NOT_RUN, outcome.Draining)
+	}
+	e := startEntry(t, &fakeAgent{serve: holder}, &fakeAgent{serve: holder})
+	ctx, request := newCompletion(t, e, "", 5*time.Second)
+	a := newAnswer()
+	e.resume(ctx, request, a, "", 0)
+	is.Equal(a.result.outcome, outcome.Failed)
+}
+
+// Guards against memory of up to 64 GB that a caller's offset asks for.
+func TestOffsetOfEventIDIsBounded(t *testing.T) {
+	is := is.New(t)
+	_, _, err := parseEventID("agent-1/4294967295")
+	is.Equal(outcome.CodeOf(err), outcome.InvalidRequest)
+	vm, offset, err := parseEventID("agent-1/131072")
+	is.NoErr(err)
+	is.Equal(vm, "agent-1")
+	is.Equal(offset, uint32(maxMaxTokens))
+}
+
+// Guards against load that is counted for requests that ended before they were
+// sent; it was never taken off again.
+func TestEndedRequestIsNotCountedAsSent(t *testing.T) {
+	is := is.New(t)
+	e := startEntry(t, &fakeAgent{})
+	_, request := newCompletion(t, e, "p", time.Second)
+	request.tokens = 100
+	ctx, cancel := context.WithCancel(t.Context())
+	cancel()
+	expected := func() time.Duration {
+		e.mu.Lock()
+		defer e.mu.Unlock()
+		_, d, _ := e.table.Pick(time.Now(), choose.Request{Model: "m", Tokens: 100, DataCentre: "dc-1"})
+		return d
+	}
+	before := expected()
+	for range 10 {
+		_, err := e.pick(ctx, &run{completion: request, excluded: map[string]bool{}})
+		is.True(err != nil)
+	}
+	is.True(expected() <= before)
+}
+
+// Guards against prompt_too_long, which tells a caller not to repeat, while an
+// entry that has just started knows no engine yet.
+func TestNoEngineIsNoServer(t *testing.T) {
+	is := is.New(t)
+	e := startEntry(t)
+	ctx, request := newCompletion(t, e, "p", time.Second)
+	a := newAnswer()
+	e.complete(ctx, request, a)
+	is.Equal(a.result.outcome, outcome.NotRun)
+	is.Equal(outcome.CodeOf(a.result.err), outcome.NoServer)
+}
+
+// Guards against a caller that reads nothing of a streamed answer: it held a
+// connection, and with it a drain of the entry, without limit.
+func TestCallerThatDoesNotReadIsCutOff(t *testing.T) {
+	is := is.New(t)
+	written := make(chan error, 1)
+	server := &fasthttp.Server{Handler: func(c *fasthttp.RequestCtx) {
+		boundAnswer(c, time.Now().Add(200*time.Millisecond-answerGrace))
+		c.SetBodyStreamWriter(func(w *bufio.Writer) {
+			var err error
+			for err == nil {
+				err = flush(w, string(make([]byte, 1<<20)))
+			}
+			written <- err
+		})
+	}}
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	is.NoErr(err)
+	served := make(chan error, 1)
+	go func() { served <- server.Serve(listener) }()
+	conn, err := net.Dial("tcp", listener.Addr().String())
+	is.NoErr(err)
+	defer conn.Close()
+	_, err = conn.Write([]byte("GET / HTTP/1.1\r\nHost: entry\r\n\r\n"))
+	is.NoErr(err)
+	select {
+	case err := <-written:
+		is.True(err != nil)
+	case <-time.After(5 * time.Second):
+		t.Fatal("the answer is still being written")
+	}
+	is.NoErr(server.Shutdown())
+	is.NoErr(<-served)
+}
--- a/daemon/entry/run.go
+++ b/daemon/entry/run.go
@@ -24,6 +24,8 @@
 	// deliveryLimit is how long an agent is kept waiting for the
 	// acknowledgement of an answer that has ended.
 	deliveryLimit = 20 * time.Second
+	// cancelLimit bounds the writing of a Cancel.
+	cancelLimit = 5 * time.Second
 )
 
 // answer passes a completion from the goroutine that runs it to the one that
@@ -120,6 +122,15 @@
 	return err.Error()
 }
 
+// accept tells the caller's side that an agent has taken the request. Several
+// agents may take it one after the other.
+func (r *run) accept() {
+	if !r.accepted {
+		r.accepted = true
+		close(r.answer.accepted)
+	}
+}
+
 // acknowledge tells the agent that the caller has the whole answer. Without
 // it the agent keeps the answer for a while, so that the caller can fetch it.
 func (r *run) acknowledge(stream *link.Stream) {
@@ -154,6 +165,9 @@
 			r.refusal = got.err
 		case attemptBroken:
 			e.agentFailed(vm)
+			if len(r.emitted) >= r.max { // only the end of the answer was lost
+				return result{outcome: outcome.Completed, end: r.fullEnd()}, nil
+			}
 			r.excluded = map[string]bool{vm: true}
 		}
 		if err := e.mayRetry(ctx, r, got); err != nil {
@@ -180,6 +194,12 @@
 	return nil
 }
 
+// fullEnd returns the end of an answer of max_tokens tokens.
+func (r *run) fullEnd() *wire.End {
+	return &wire.End{Outcome: wire.Outcome_OUTCOME_COMPLETED, FinishReason: "length",
+		PromptTokens: uint32(r.tokens), CompletionTokens: uint32(len(r.emitted))}
+}
+
 // failure returns the result of a completion that did not complete.
 func (r *run) failure(err error) result {
 	if r.mayRun || len(r.emitted) > 0 {
@@ -191,6 +211,9 @@
 // pick chooses the next agent. A completion that has started waits for one.
 func (e *Entry) pick(ctx context.Context, r *run) (string, error) {
 	for {
+		if ctx.Err() != nil {
+			return "", context.Cause(ctx)
+		}
 		now := time.Now()
 		e.mu.Lock()
 		vm, _, ok := e.table.Pick(now, r.request(e.settings.DataCentre, func(vm string) bool { return r.excluded[vm] }))
@@ -200,8 +223,6 @@
 		}
 		e.mu.Unlock()
 		switch {
-		case ctx.Err() != nil:
-			return "", context.Cause(ctx)
 		case ok:
 			return vm, nil
 		case len(r.emitted) == 0 && !r.mayRun && r.refusal != nil:
@@ -248,11 +269,7 @@
 	if err != nil {
 		return attemptResult{verdict: attemptNotRun, err: outcome.Wrap(err, outcome.NoServer, "VM %s cannot be reached", vm)}
 	}
-	got = e.converse(ctx, lost, r, vm, stream)
-	if got.stream == nil {
-		stream.Close()
-	}
-	return got
+	return e.converse(ctx, lost, r, vm, stream)
 }
 
 // converse sends the request and handles the agent's messages.
@@ -260,14 +277,46 @@
 	submit := r.submit(ctx)
 	hadRun := r.mayRun
 	r.mayRun = true
-	if err := stream.Write(&wire.StreamHeader{Body: &wire.StreamHeader_Submit{Submit: submit}}); err != nil {
+	if err := writeHeader(ctx, lost, stream, &wire.StreamHeader{Body: &wire.StreamHeader_Submit{Submit: submit}}); err != nil {
+		stream.Close()
+		if ctx.Err() != nil {
+			return attemptResult{verdict: attemptStopped, err: context.Cause(ctx)}
+		}
 		return broken(vm, err)
 	}
 	return e.follow(ctx, lost, r, vm, stream, submit.AttemptId, hadRun)
 }
 
-// follow handles the messages of an attempt until it has ended.
-func (e *Entry) follow(ctx, lost context.Context, r *run, vm string, stream *link.Stream, attempt string, hadRun bool) attemptResult {
+// writeHeader opens the conversation with an agent. It gives up when ctx or
+// lost ends: an agent that is paused takes no large prompt.
+func writeHeader(ctx, lost context.Context, stream *link.Stream, header *wire.StreamHeader) error {
+	expire := func() { stream.SetWriteDeadline(time.Now()) }
+	defer context.AfterFunc(ctx, expire)()
+	defer context.AfterFunc(lost, expire)()
+	return stream.Write(header)
+}
+
+// cancelBehind cancels an attempt and closes its stream without waiting: an
+// agent that does not read must not delay the result of a request.
+func cancelBehind(stream *link.Stream, attempt string) {
+	go func() {
+		stream.SetWriteDeadline(time.Now().Add(cancelLimit))
+		_ = stream.Write(&wire.EntryMessage{Body: &wire.EntryMessage_Cancel{Cancel: &wire.Cancel{AttemptId: attempt}}})
+		stream.Close()
+	}()
+}
+
+// follow handles the messages of an attempt until it has ended. It cancels an
+// attempt whose request has ended, and closes the stream unless it is returned.
+func (e *Entry) follow(ctx, lost context.Context, r *run, vm string, stream *link.Stream, attempt string, hadRun bool) (got attemptResult) {
+	defer func() {
+		switch {
+		case got.verdict == attemptStopped:
+			cancelBehind(stream, attempt)
+		case got.stream == nil:
+			stream.Close()
+		}
+	}()
 	messages := make(chan *wire.AgentMessage, 16)
 	done := make(chan struct{})
 	defer close(done)
@@ -275,7 +324,6 @@
 	for {
 		select {
 		case <-ctx.Done():
-			_ = stream.Write(&wire.EntryMessage{Body: &wire.EntryMessage_Cancel{Cancel: &wire.Cancel{AttemptId: attempt}}})
 			return attemptResult{verdict: attemptStopped, err: context.Cause(ctx)}
 		case <-lost.Done():
 			return broken(vm, errSuspected)
@@ -346,10 +394,7 @@
 			e.report(vm, load)
 			e.mu.Unlock()
 		}
-		if !r.accepted {
-			r.accepted = true
-			close(r.answer.accepted)
-		}
+		r.accept()
 	case *wire.AgentMessage_Tokens:
 		if body.Tokens.AttemptId == attempt {
 			return e.emit(ctx, r, vm, body.Tokens)
@@ -401,11 +446,24 @@
 		return attemptResult{verdict: attemptEnded, end: end}
 	case wire.Outcome_OUTCOME_NOT_RUN:
 		r.mayRun = hadRun
+		if ownEnd(end) {
+			return attemptResult{verdict: attemptStopped, err: fromWire(end.Error)}
+		}
 		return attemptResult{verdict: attemptNotRun, err: fromWire(end.Error)}
 	}
+	if ownEnd(end) {
+		return attemptResult{verdict: attemptStopped, err: fromWire(end.Error)}
+	}
 	return attemptResult{verdict: attemptBroken, err: fromWire(end.Error)}
 }
 
+// ownEnd reports whether a request ended because its own time was over or it
+// was cancelled: no other agent can help, and the agent has not failed.
+func ownEnd(end *wire.End) bool {
+	code := outcome.Code(end.Error.GetCode())
+	return code == outcome.DeadlineExceeded || code == outcome.Cancelled
+}
+
 // fromWire returns the error of a message.
 func fromWire(e *wire.Error) *outcome.Error {
 	if e == nil {
--- a/daemon/entry/service.go
+++ b/daemon/entry/service.go
@@ -46,6 +46,7 @@
 	ctx, stopTimer := context.WithDeadline(ctx, c.deadline)
 	defer stopTimer()
 	defer e.watchCaller(x.http.Conn(), cancel)()
+	e.budget.Request(time.Now())
 	response := e.callService(ctx, c)
 	e.log.Info("call ended", "request_id", x.requestID, "client_account", x.account, "service", c.request.Service,
 		"idempotent", c.request.Idempotent, "outcome", response.Outcome.String(), "error", response.Error.GetMessage(),
@@ -163,7 +164,7 @@
 	c.request.Traceparent = observe.Traceparent(ctx)
 	hadRun := c.mayRun
 	c.mayRun = true
-	if err := stream.Write(&wire.StreamHeader{Body: &wire.StreamHeader_Service{Service: c.request}}); err != nil {
+	if err := writeHeader(ctx, lost, stream, &wire.StreamHeader{Body: &wire.StreamHeader_Service{Service: c.request}}); err != nil {
 		return nil, outcome.Wrap(err, outcome.BackendFailed, "the connection to VM %s broke", vm)
 	}
 	messages := make(chan *wire.AgentMessage, 1)
--- a/link/session.go
+++ b/link/session.go
@@ -112,8 +112,8 @@
 // SetReadDeadline bounds Read; the zero time means no limit.
 func (s *Stream) SetReadDeadline(t time.Time) { _ = s.mux.SetReadDeadline(t) }
 
-// SetWriteDeadline bounds the wait of Write for a peer that does not read. A
-// Write that already waits is not affected.
+// SetWriteDeadline bounds the wait of Write for a peer that does not read,
+// also of a Write that already waits.
 func (s *Stream) SetWriteDeadline(t time.Time) { _ = s.mux.SetWriteDeadline(t) }
 
 // Close ends the stream in both directions and returns at once: on a
