--- a/ctl/cmd/camphorwickctl/commands.go
+++ b/ctl/cmd/camphorwickctl/commands.go
@@ -52,7 +52,7 @@
 	app *app
 	format
 	Args struct {
-		List string `positional-arg-name:"LIST" description:"clients, plans or marks; default: all"`
+		List string `positional-arg-name:"LIST" description:"clients, plans, models or marks; default: all"`
 	} `positional-args:"yes"`
 }
 
@@ -60,7 +60,7 @@
 func (c *listCommand) Execute([]string) error {
 	prefix, ok := ctl.Prefixes[c.Args.List]
 	if c.Args.List != "" && !ok {
-		return usageError("LIST must be clients, plans or marks")
+		return usageError("LIST must be clients, plans, models or marks")
 	}
 	client, err := c.app.client()
 	if err != nil {
--- a/daemon/entry/group.go
+++ b/daemon/entry/group.go
@@ -42,7 +42,8 @@
 
 // needsGroup reports whether a completion exceeds every single engine.
 func (e *Entry) needsGroup(c *completion) bool {
-	return c.tokens+c.max > e.largestPrompt(c.model)
+	largest := e.largestPrompt(c.model)
+	return largest > 0 && c.tokens+c.max > largest // without any engine, the answer is no_server
 }
 
 // planGroup chooses the engines of a group and cuts the prompt. The engines
@@ -195,10 +196,7 @@
 			return attemptResult{verdict: attemptNotRun, err: err}
 		}
 	}
-	if !r.accepted {
-		r.accepted = true
-		close(r.answer.accepted)
-	}
+	r.accept()
 	return e.runGroup(ctx, r, members)
 }
 
@@ -240,7 +238,6 @@
 // runGroup runs the reserved segments in order. The loss of any member ends
 // the attempt, because later segments depend on all earlier ones.
 func (e *Entry) runGroup(ctx context.Context, r *run, members []*groupMember) attemptResult {
-	hadRun := r.mayRun
 	r.mayRun = true
 	anyLost, stop := context.WithCancel(context.Background())
 	defer stop()
@@ -254,7 +251,8 @@
 			return brokenOrStopped(ctx, m.vm, err)
 		}
 		if i == len(members)-1 {
-			return e.followMessages(ctx, anyLost, r, m, hadRun)
+			// The earlier segments have run, whatever the last agent says.
+			return e.followMessages(ctx, anyLost, r, m, true)
 		}
 		got, next := awaitSegment(ctx, anyLost, m)
 		if next == nil {
--- a/daemon/entry/run.go
+++ b/daemon/entry/run.go
@@ -122,6 +122,15 @@
 	return err.Error()
 }
 
+// accept tells the caller's side that an agent has taken the request. Several
+// agents may take it one after the other.
+func (r *run) accept() {
+	if !r.accepted {
+		r.accepted = true
+		close(r.answer.accepted)
+	}
+}
+
 // acknowledge tells the agent that the caller has the whole answer. Without
 // it the agent keeps the answer for a while, so that the caller can fetch it.
 func (r *run) acknowledge(stream *link.Stream) {
@@ -157,6 +166,9 @@
 			r.refusal = got.err
 		case attemptBroken:
 			e.agentFailed(vm)
+			if len(r.emitted) >= r.max { // only the end of the answer was lost
+				return result{outcome: outcome.Completed, end: r.fullEnd()}, nil
+			}
 			r.excluded = map[string]bool{vm: true}
 		}
 		if err := e.mayRetry(ctx, r, got, emitted); err != nil {
@@ -194,6 +206,12 @@
 // started reports whether the completion may have run somewhere.
 func (r *run) started() bool { return r.mayRun || len(r.emitted) > 0 }
 
+// fullEnd returns the end of an answer of max_tokens tokens.
+func (r *run) fullEnd() *wire.End {
+	return &wire.End{Outcome: wire.Outcome_OUTCOME_COMPLETED, FinishReason: "length",
+		PromptTokens: uint32(r.tokens), CompletionTokens: uint32(len(r.emitted))}
+}
+
 // failure returns the result of a completion that did not complete.
 func (r *run) failure(err error) result {
 	if r.started() {
@@ -205,6 +223,9 @@
 // pick chooses the next agent. A completion that has started waits for one.
 func (e *Entry) pick(ctx context.Context, r *run) (string, error) {
 	for {
+		if ctx.Err() != nil {
+			return "", context.Cause(ctx)
+		}
 		now := time.Now()
 		e.mu.Lock()
 		vm, _, ok := e.table.Pick(now, r.request(e.settings.DataCentre, func(vm string) bool { return r.excluded[vm] }))
@@ -214,8 +235,6 @@
 		}
 		e.mu.Unlock()
 		switch {
-		case ctx.Err() != nil:
-			return "", context.Cause(ctx)
 		case ok:
 			return vm, nil
 		case !r.started() && r.refusal != nil:
@@ -262,11 +281,7 @@
 	if err != nil {
 		return attemptResult{verdict: attemptNotRun, err: outcome.Wrap(err, outcome.NoServer, "VM %s cannot be reached", vm)}
 	}
-	got = e.converse(ctx, lost, r, vm, stream)
-	if got.stream == nil {
-		stream.Close()
-	}
-	return got
+	return e.converse(ctx, lost, r, vm, stream)
 }
 
 // converse sends the request and handles the agent's messages.
@@ -275,13 +290,23 @@
 	hadRun := r.mayRun
 	r.mayRun = true
 	if err := send(ctx, lost, stream, &wire.StreamHeader{Body: &wire.StreamHeader_Submit{Submit: submit}}); err != nil {
+		stream.Close()
 		return brokenOrStopped(ctx, vm, err)
 	}
 	return e.follow(ctx, lost, r, vm, stream, submit.AttemptId, hadRun)
 }
 
-// follow handles the messages of an attempt until it has ended.
-func (e *Entry) follow(ctx, lost context.Context, r *run, vm string, stream *link.Stream, attempt string, hadRun bool) attemptResult {
+// follow handles the messages of an attempt until it has ended. It cancels an
+// attempt whose request has ended, and closes the stream unless it is returned.
+func (e *Entry) follow(ctx, lost context.Context, r *run, vm string, stream *link.Stream, attempt string, hadRun bool) (got attemptResult) {
+	defer func() {
+		switch {
+		case got.verdict == attemptStopped:
+			stream.CloseWith(&wire.EntryMessage{Body: &wire.EntryMessage_Cancel{Cancel: &wire.Cancel{AttemptId: attempt}}})
+		case got.stream == nil:
+			stream.Close()
+		}
+	}()
 	messages := make(chan *wire.AgentMessage, 16)
 	done := make(chan struct{})
 	defer close(done)
@@ -289,7 +314,6 @@
 	for {
 		select {
 		case <-ctx.Done():
-			stream.CloseWith(&wire.EntryMessage{Body: &wire.EntryMessage_Cancel{Cancel: &wire.Cancel{AttemptId: attempt}}})
 			return attemptResult{verdict: attemptStopped, err: context.Cause(ctx)}
 		case <-lost.Done():
 			return broken(vm, errSuspected)
@@ -376,10 +400,7 @@
 			e.report(vm, load)
 			e.mu.Unlock()
 		}
-		if !r.accepted {
-			r.accepted = true
-			close(r.answer.accepted)
-		}
+		r.accept()
 	case *wire.AgentMessage_Tokens:
 		if body.Tokens.AttemptId == attempt {
 			return e.emit(ctx, r, vm, body.Tokens)
@@ -431,11 +452,24 @@
 		return attemptResult{verdict: attemptEnded, end: end}
 	case wire.Outcome_OUTCOME_NOT_RUN:
 		r.mayRun = hadRun
+		if ownEnd(end) {
+			return attemptResult{verdict: attemptStopped, err: fromWire(end.Error)}
+		}
 		return attemptResult{verdict: attemptNotRun, err: fromWire(end.Error)}
 	}
+	if ownEnd(end) {
+		return attemptResult{verdict: attemptStopped, err: fromWire(end.Error)}
+	}
 	return attemptResult{verdict: attemptBroken, err: fromWire(end.Error)}
 }
 
+// ownEnd reports whether a request ended because its own time was over or it
+// was cancelled: no other agent can help, and the agent has not failed.
+func ownEnd(end *wire.End) bool {
+	code := outcome.Code(end.Error.GetCode())
+	return code == outcome.DeadlineExceeded || code == outcome.Cancelled
+}
+
 // fromWire returns the error of a message.
 func fromWire(e *wire.Error) *outcome.Error {
 	if e == nil {
--- a/daemon/entry/run_test.go
+++ b/daemon/entry/run_test.go
@@ -26,7 +26,7 @@
 	return e, &run{completion: &completion{exchange: &exchange{started: time.Now()}}, answer: newAnswer(), excluded: map[string]bool{}}
 }
 
-func tokens(attempt string, offset uint32, texts ...string) *wire.AgentMessage {
+func tokenMessage(attempt string, offset uint32, texts ...string) *wire.AgentMessage {
 	return &wire.AgentMessage{Body: &wire.AgentMessage_Tokens{Tokens: &wire.Tokens{AttemptId: attempt, Offset: offset, Texts: texts}}}
 }
 
@@ -37,11 +37,11 @@
 	e, r := newRun(t)
 	ctx := context.Background()
 	for _, m := range []*wire.AgentMessage{
-		tokens("a", 0, "one ", "two "),
-		tokens("a", 1, "two ", "three "), // overlaps
-		tokens("old", 3, "wrong "),       // replaced attempt
-		tokens("a", 0, "one "),           // nothing new
-		tokens("a", 3, "four"),
+		tokenMessage("a", 0, "one ", "two "),
+		tokenMessage("a", 1, "two ", "three "), // overlaps
+		tokenMessage("old", 3, "wrong "),       // replaced attempt
+		tokenMessage("a", 0, "one "),           // nothing new
+		tokenMessage("a", 3, "four"),
 	} {
 		_, final := e.handle(ctx, r, "vm", "a", m, false)
 		is.True(!final)
@@ -53,7 +53,7 @@
 		sent += strings.Join(event.texts, "")
 	}
 	is.Equal(sent, "one two three four")
-	got, final := e.handle(ctx, r, "vm", "a", tokens("a", 5, "six"), false)
+	got, final := e.handle(ctx, r, "vm", "a", tokenMessage("a", 5, "six"), false)
 	is.True(final)
 	is.Equal(got.verdict, attemptBroken)
 	is.Equal(len(r.emitted), 4)
