--- a/api/outcome/outcome.go
+++ b/api/outcome/outcome.go
@@ -52,6 +52,7 @@
 	KeyExpired          Code = "key_expired"
 	KeyConflict         Code = "key_conflict"
 	EditConflict        Code = "edit_conflict"
+	EditInDoubt         Code = "edit_in_doubt"
 	Cancelled           Code = "cancelled"
 	Internal            Code = "internal"
 )
--- a/ctl/edit.go
+++ b/ctl/edit.go
@@ -118,7 +118,7 @@
 			r.doubt, r.unanswered = true, time.Now()
 		case isRefused && refused.Expired:
 			return 0, true, &DoubtError{Edit: r.edit, Expired: true, Cause: err}
-		case isRefused && refused.Code == outcome.OrderInDoubt:
+		case isRefused && refused.Code == outcome.EditInDoubt:
 			r.doubt = true
 		case isRefused && r.final(refused):
 			return 0, true, err
--- a/daemon/entry/admin.go
+++ b/daemon/entry/admin.go
@@ -66,7 +66,7 @@
 		}
 		if err := e.handleAdmin(ctx, c); err != nil {
 			result := outcome.NotRun
-			if outcome.CodeOf(err) == outcome.OrderInDoubt {
+			if outcome.CodeOf(err) == outcome.EditInDoubt {
 				result = outcome.Unknown
 			}
 			writeAdminError(c, id, result, err)
@@ -191,7 +191,7 @@
 	revision, err := e.editor.Commit(ctx, edit)
 	if err != nil {
 		message := "edit refused"
-		if outcome.CodeOf(err) == outcome.OrderInDoubt {
+		if outcome.CodeOf(err) == outcome.EditInDoubt {
 			message = "edit in doubt, it may be in force"
 		}
 		e.log.Warn(message, "edit_id", edit.Id, "operator", edit.Operator, "error", err.Error())
--- a/daemon/entry/http.go
+++ b/daemon/entry/http.go
@@ -68,6 +68,7 @@
 	outcome.DeadlineUnreachable: http.StatusServiceUnavailable,
 	outcome.BackendFailed:       http.StatusBadGateway,
 	outcome.OrderInDoubt:        http.StatusBadGateway,
+	outcome.EditInDoubt:         http.StatusBadGateway,
 	outcome.DeadlineExceeded:    http.StatusGatewayTimeout,
 	outcome.Cancelled:           499,
 }
--- a/fleetconf/editor.go
+++ b/fleetconf/editor.go
@@ -122,7 +122,7 @@
 //
 // Errors contain an *outcome.Error. invalid_request with *ValidationError,
 // edit_conflict with *ConflictError or *ReusedEditError, store_unavailable: the
-// edit was not accepted. order_in_doubt with *InDoubtError: the edit may have
+// edit was not accepted. edit_in_doubt with *InDoubtError: the edit may have
 // been accepted; with *ExpiredEditError in the chain, the store can no longer
 // tell.
 func (e *Editor) Commit(ctx context.Context, edit *wire.Edit) (revision uint64, err error) {
@@ -261,7 +261,7 @@
 	var expired *ExpiredEditError
 	if c.doubt != nil || errors.As(err, &expired) {
 		doubt := &InDoubtError{EditID: c.edit.Id, Since: c.since, Cause: errors.Join(c.doubt, err)}
-		return outcome.Wrap(doubt, outcome.OrderInDoubt, "the edit may have been accepted; submit it again with the same id")
+		return outcome.Wrap(doubt, outcome.EditInDoubt, "the edit may have been accepted; submit it again with the same id")
 	}
 	var typed *outcome.Error
 	var limited *platform.RateLimitedError
--- a/fleetconf/editor_test.go
+++ b/fleetconf/editor_test.go
@@ -157,7 +157,7 @@
 		_, err = editor.Commit(t.Context(), second)
 		var doubt *InDoubtError
 		is.True(errors.As(err, &doubt)) // the write may have taken effect
-		is.Equal(outcome.CodeOf(err), outcome.OrderInDoubt)
+		is.Equal(outcome.CodeOf(err), outcome.EditInDoubt)
 		is.Equal(doubt.EditID, "b")
 
 		store.SetDown(false)
@@ -194,7 +194,7 @@
 	_, err = editor.Commit(t.Context(), first)
 	var expired *ExpiredEditError
 	is.True(errors.As(err, &expired))
-	is.Equal(outcome.CodeOf(err), outcome.OrderInDoubt)
+	is.Equal(outcome.CodeOf(err), outcome.EditInDoubt)
 	_, marked := editor.replica.Config().Mark("vm")
 	is.True(!marked)
 }
@@ -376,7 +376,7 @@
 func TestUntypedWriteErrorIsInDoubt(t *testing.T) {
 	is := is.New(t)
 	_, err := NewEditor(&untypedStore{memkv.New()}, NewReplica()).Commit(t.Context(), edit("a", gold()))
-	is.Equal(outcome.CodeOf(err), outcome.OrderInDoubt)
+	is.Equal(outcome.CodeOf(err), outcome.EditInDoubt)
 }
 
 // secondWriteFails is a store that holds the first write back and becomes
--- a/fleetconf/property_test.go
+++ b/fleetconf/property_test.go
@@ -350,7 +350,7 @@
 			return fmt.Errorf("accepted edit %s of revision %d is lost", r.edit.Id, r.revision)
 		case r.err == nil && ok && seen != r.revision:
 			return fmt.Errorf("edit %s accepted as %d has revision %d", r.edit.Id, r.revision, seen)
-		case r.err != nil && outcome.CodeOf(r.err) != outcome.OrderInDoubt && ok:
+		case r.err != nil && outcome.CodeOf(r.err) != outcome.EditInDoubt && ok:
 			return fmt.Errorf("refused edit %s appears as revision %d: %w", r.edit.Id, seen, r.err)
 		}
 	}
@@ -482,7 +482,7 @@
 				switch outcome.CodeOf(r.err) {
 				case "":
 					accepted++
-				case outcome.OrderInDoubt:
+				case outcome.EditInDoubt:
 					doubted++
 				default:
 					refused++
