Avoid engines without free memory for short requests

No late prompt had lost time in a failed attempt. The choice now adds 50 ms for an agent that reports too little free memory.

--- a/policy/choose/choose_test.go
+++ b/policy/choose/choose_test.go
@@ -176,3 +176,23 @@
 	table.CachedPrefixes("b", nil)
 	is.Equal(len(table.owners), 0)
 }
+
+// Guards against short requests that wait for memory on an idle engine that
+// long work fills, and against a report that blocks the only agent.
+func TestPickAvoidsFullMemoryForShort(t *testing.T) {
+	is := is.New(t)
+	table := twoAgents()
+	table.Report(start, "a", Load{KVReserved: 995_000})
+	table.Sent(start, "b", outcome.Short, 400) // 40 ms
+	pick := func(band outcome.Band, tokens int) string {
+		vm, _, ok := table.Pick(start, Request{Model: "m", Band: band, Tokens: tokens, DataCentre: "dc1"})
+		is.True(ok)
+		return vm
+	}
+	is.Equal(pick(outcome.Short, 1_000), "b")
+	is.Equal(pick(outcome.Medium, 1_000), "a")
+	table.Sent(start, "b", outcome.Short, 200) // 60 ms exceed the penalty
+	is.Equal(pick(outcome.Short, 1_000), "a")
+	table.Remove("b")
+	is.Equal(pick(outcome.Short, 1_000), "a")
+}
--- a/policy/choose/config.go
+++ b/policy/choose/config.go
@@ -15,7 +15,11 @@
 	// successFactor reduces the count of recent failures at each success.
 	successFactor = 0.8
 	// maxOwners bounds the agents kept per cached prefix.
-	maxOwners = 4
+	maxOwners            = 4
+	defaultMemoryPenalty = 50 * time.Millisecond
+	// memoryMargin is the KV-cache memory in tokens that must be free beyond a
+	// short request; other requests take it between two reports.
+	memoryMargin = 10_000
 	// blockTokens is the length of a prefix block in tokens.
 	blockTokens = 1024
 )
@@ -33,6 +37,10 @@
 	// entries that look at all of them crowd the few that look best in the
 	// common but old reports.
 	ScanAll int
+	// MemoryPenalty is added to the expected time of a short request on an
+	// agent that reports too little free KV-cache memory for it. It exceeds the
+	// usual difference between agents, but not the wait at one that is busy.
+	MemoryPenalty time.Duration
 	// Samples is the number of agents looked at in larger fleets, in the own
 	// data centre and again in all of them.
 	Samples int
@@ -43,6 +51,7 @@
 	setDefault(&c.MaxHold, defaultMaxHold)
 	setDefault(&c.DefaultDistance, defaultDistance)
 	setDefault(&c.ScanAll, defaultScanAll)
+	setDefault(&c.MemoryPenalty, defaultMemoryPenalty)
 	setDefault(&c.Samples, defaultSamples)
 	return c
 }
--- a/policy/choose/pick.go
+++ b/policy/choose/pick.go
@@ -135,6 +135,9 @@
 	if site >= 0 {
 		expected += t.distance[site][a.site]
 	}
+	if request.Band == outcome.Short && a.reserved+request.Tokens+memoryMargin > a.KVTokens {
+		expected += t.config.MemoryPenalty
+	}
 	return choice{agent: a, expected: expected}
 }
 
--- a/policy/choose/table.go
+++ b/policy/choose/table.go
@@ -50,6 +50,7 @@
 	// was sent since, drained up to drained.
 	ahead       [outcome.BandCount]float64
 	drained     time.Time
+	reserved    int // KV-cache memory in tokens, as reported
 	outstanding int // requests of this entry that run there
 
 	failures  float64 // recent failures, reduced by successes
@@ -216,6 +217,7 @@
 		return
 	}
 	a.drained = now
+	a.reserved = load.KVReserved
 	for b, tokens := range load.PrefillTokens {
 		a.ahead[b] = float64(tokens)
 	}
--- a/policy/cmd/policybench/main.go
+++ b/policy/cmd/policybench/main.go
@@ -7,6 +7,7 @@
 	"flag"
 	"fmt"
 	"os"
+	"strings"
 	"time"
 
 	"camphorwick.dev/policy/internal/sim"
@@ -30,6 +31,7 @@
 	attention := flag.Int("attention", 0, "context length in tokens that doubles the cost of a prefill token; 0 is never")
 	ablation := flag.Bool("ablation", true, "print the ablation table")
 	late := flag.Bool("late", false, "print only what the late short requests at peaks waited for")
+	bySeed := flag.String("by-seed", "", "print only the figures of each seed for these variants of the ablation, separated by commas")
 	folder := flag.String("report", "", "folder to write the report of all committed loads and seeds to; other flags are ignored")
 	limit := flag.Duration("limit", 3*time.Minute, "time after which the program gives up")
 	flag.Parse()
@@ -47,6 +49,9 @@
 		}
 		return nil
 	}
+	if *bySeed != "" {
+		return compareSeeds(os.Stdout, scenario, strings.Split(*bySeed, ","), *seeds)
+	}
 	for _, scenario.Servers = range fleetSizes {
 		compare(os.Stdout, scenario)
 	}
--- /dev/null
+++ b/policy/cmd/policybench/seeds.go
@@ -0,0 +1,91 @@
+package main
+
+import (
+	"errors"
+	"fmt"
+	"io"
+	"slices"
+	"sync"
+
+	"camphorwick.dev/api/outcome"
+	"camphorwick.dev/policy/internal/sim"
+)
+
+// errUnknownVariant is a variant that the ablation does not have.
+var errUnknownVariant = errors.New("unknown variant")
+
+// seedFigures are the figures that compareSeeds prints.
+var seedFigures = []struct {
+	name  string
+	value func(*sim.Result) string
+}{
+	{"peak short in 0.52 s, %", func(r *sim.Result) string { return fmt.Sprintf("%.2f", inTime(r)) }},
+	{"short p95 ms", func(r *sim.Result) string {
+		return fmt.Sprintf("%.0f", ms(r.FirstToken[outcome.Short].ValueAtQuantile(95)))
+	}},
+	{"medium p95 ms", func(r *sim.Result) string {
+		return fmt.Sprintf("%.0f", ms(r.FirstToken[outcome.Medium].ValueAtQuantile(95)))
+	}},
+	{"medium finished, %", func(r *sim.Result) string { return fmt.Sprintf("%.1f", finished(r, outcome.Medium)) }},
+	{"long finished, %", func(r *sim.Result) string { return fmt.Sprintf("%.1f", longFinished(r)) }},
+	{"retries", func(r *sim.Result) string { return fmt.Sprint(r.Retries) }},
+	{"wasted, %", func(r *sim.Result) string { return fmt.Sprintf("%.2f", wasted(r, r.Wasted+r.WastedPreempt)) }},
+}
+
+// compareSeeds prints figures of each seed, because a mean can hide a seed
+// that a rule makes worse.
+func compareSeeds(out io.Writer, s sim.Scenario, names []string, seeds int) error {
+	s.Strategy = sim.Policy
+	for _, s.Servers = range fleetSizes {
+		fmt.Fprintf(out, "\n%d servers, load %.2f with peaks of %.2f, seeds %d to %d\n\n| Figure | Variant |", s.Servers, s.Base,
+			s.Base*s.Swing, s.Seed, s.Seed+uint64(seeds)-1)
+		for i := range seeds {
+			fmt.Fprintf(out, " %d |", s.Seed+uint64(i))
+		}
+		fmt.Fprint(out, "\n|---|---|")
+		for range seeds {
+			fmt.Fprint(out, "---|")
+		}
+		fmt.Fprintln(out)
+		results := make([][]*sim.Result, len(names))
+		for i, name := range names {
+			var err error
+			if results[i], err = runSeeds(s, name, seeds); err != nil {
+				return err
+			}
+		}
+		for _, figure := range seedFigures {
+			for i, name := range names {
+				fmt.Fprintf(out, "| %s | %s |", figure.name, name)
+				for _, r := range results[i] {
+					fmt.Fprintf(out, " %s |", figure.value(r))
+				}
+				fmt.Fprintln(out)
+			}
+		}
+	}
+	return nil
+}
+
+func runSeeds(s sim.Scenario, name string, seeds int) ([]*sim.Result, error) {
+	k := slices.IndexFunc(variants, func(v variant) bool { return v.name == name })
+	if k < 0 {
+		return nil, fmt.Errorf("%q: %w", name, errUnknownVariant)
+	}
+	variants[k].change(&s.Rules)
+	results := make([]*sim.Result, seeds)
+	var group sync.WaitGroup
+	slots := make(chan struct{}, parallel)
+	first := s.Seed
+	for i := range results {
+		s := s
+		s.Seed = first + uint64(i)
+		group.Go(func() {
+			slots <- struct{}{}
+			results[i] = sim.Run(s)
+			<-slots
+		})
+	}
+	group.Wait()
+	return results, nil
+}
--- a/policy/cmd/policybench/tables.go
+++ b/policy/cmd/policybench/tables.go
@@ -69,6 +69,7 @@
 		r.Queue.UrgencyFactor, r.Queue.TokenTime, r.Queue.DrainTime = almostZero, never, never
 	}},
 	{"no preemption", func(r *sim.Rules) { r.NoPreemption = true }},
+	{"full memory breaks only ties", func(r *sim.Rules) { r.Choose.MemoryPenalty = never }},
 	{"no account of sent work", func(r *sim.Rules) { r.NoSent = true }},
 	{"no hold-down", func(r *sim.Rules) { r.NoHoldDown = true }},
 	{"no prefix hints", func(r *sim.Rules) { r.NoPrefixes = true }},
