--- a/policy/queue/property_test.go
+++ b/policy/queue/property_test.go
@@ -73,7 +73,7 @@
 			"preempt": func(t *rapid.T) {
 				for _, id := range q.Preempt(now) {
 					j := m.running[id]
-					if j.Band == outcome.Short || j.Preemptions > 0 {
+					if j.Band != outcome.Long || j.Preemptions > 0 {
 						t.Fatalf("preempts %+v", j)
 					}
 					q.Requeue(now, j)
--- a/policy/queue/queue.go
+++ b/policy/queue/queue.go
@@ -329,7 +329,7 @@
 	return jobs
 }
 
-// Preempt returns the ids of running long and medium jobs to pause now, because the
+// Preempt returns the ids of running long jobs to pause now, because the
 // oldest waiting short job does not fit in memory. The caller cancels each
 // one and calls Requeue. A job is preempted at most MaxPreemptions times and
 // is not named twice in one run.
@@ -357,13 +357,12 @@
 	return ids
 }
 
-// victim returns the running job that can best be repeated: a long one before
-// a medium one, then one that is
+// victim returns the running long job that can best be repeated: one that is
 // still in prefill if possible, then the one with the latest start limit.
 func (q *Queue) victim(now time.Time) *entry {
 	var best *entry
 	for _, e := range q.running {
-		if e.job.Band == outcome.Short || e.pausing || e.job.Preemptions >= q.config.MaxPreemptions ||
+		if e.job.Band != outcome.Long || e.pausing || e.job.Preemptions >= q.config.MaxPreemptions ||
 			!now.Before(e.latest) {
 			continue
 		}
@@ -375,9 +374,6 @@
 }
 
 func betterVictim(a, b *entry) bool {
-	if a.job.Band != b.job.Band {
-		return a.job.Band > b.job.Band
-	}
 	if a.prefilling != b.prefilling {
 		return a.prefilling
 	}
