--- a/policy/queue/queue.go
+++ b/policy/queue/queue.go
@@ -171,7 +171,7 @@
 		if q.mayStartUrgent(urgent) {
 			return q.start(urgent, PriorityUrgent), true
 		}
-		if !q.fitsUrgent(urgent) {
+		if !q.fits(urgent) {
 			return Grant{}, false // leaves the memory that drains to the urgent job
 		}
 	}
@@ -218,19 +218,7 @@
 }
 
 func (q *Queue) mayStartUrgent(e *entry) bool {
-	return q.fitsUrgent(e) && !q.longPrefillsFull(e)
-}
-
-// fitsUrgent reports whether an urgent job fits and leaves the reserve of
-// short work, or as much of it as the engine has beside the job.
-func (q *Queue) fitsUrgent(e *entry) bool {
-	if len(q.running) == 0 {
-		return true
-	}
-	reserve := int(q.config.ShortKVShare * float64(q.config.KVTokens))
-	reserve = min(reserve, q.config.KVTokens-e.job.KVTokens)
-	reserve = max(0, reserve-q.reservedBand[outcome.Short])
-	return q.reserved+e.job.KVTokens+reserve <= q.config.KVTokens
+	return q.fits(e) && !q.longPrefillsFull(e)
 }
 
 // longPrefillsFull reports whether the job is long and must wait for the end
