Use the observed prefill speed of slow engines in the choice

The queue observes the speed from short jobs, which the engine serves first, and an entry believes it below 70% of the speed of the handshake.

--- a/policy/choose/choose_test.go
+++ b/policy/choose/choose_test.go
@@ -196,3 +196,24 @@
 	table.Remove("b")
 	is.Equal(pick(outcome.Short, 1_000), "a")
 }
+
+// Guards against short requests that queue at a slow engine, and against the
+// noise of observed speeds that moves work between equal engines.
+func TestPickUsesObservedSlowness(t *testing.T) {
+	is := is.New(t)
+	table := twoAgents()
+	request := Request{Model: "m", Tokens: 1_000, DataCentre: "dc1"}
+	table.Sent(start, "b", outcome.Short, 200) // a: 100 ms, b: 120 ms
+	table.SetPrefillSpeed(start, "unknown", 1)
+	table.SetPrefillSpeed(start, "a", 8_000) // 125 ms if believed
+	table.SetPrefillSpeed(start, "b", 20_000)
+	vm, expected, _ := table.Pick(start, request)
+	is.Equal(vm, "a")
+	is.Equal(expected, 100*time.Millisecond)
+	table.SetPrefillSpeed(start, "a", 5_000)
+	vm, _, _ = table.Pick(start, request)
+	is.Equal(vm, "b")
+	table.SetPrefillSpeed(start, "a", 9_000) // recovered
+	vm, _, _ = table.Pick(start, request)
+	is.Equal(vm, "a")
+}
--- a/policy/choose/config.go
+++ b/policy/choose/config.go
@@ -20,6 +20,9 @@
 	// memoryMargin is the KV-cache memory in tokens that must be free beyond a
 	// short request; other requests take it between two reports.
 	memoryMargin = 10_000
+	// slowShare is the share of the speed of the handshake below which an
+	// observed speed is believed.
+	slowShare = 0.7
 	// blockTokens is the length of a prefix block in tokens.
 	blockTokens = 1024
 )
--- a/policy/choose/pick.go
+++ b/policy/choose/pick.go
@@ -131,7 +131,7 @@
 	for b := outcome.Short; b <= request.Band; b++ {
 		tokens += a.ahead[b]
 	}
-	expected := time.Duration(tokens / float64(a.PrefillTokensPerSecond) * float64(time.Second))
+	expected := time.Duration(tokens / float64(a.speed) * float64(time.Second))
 	if site >= 0 {
 		expected += t.distance[site][a.site]
 	}
@@ -160,7 +160,7 @@
 	for b := outcome.Short; b <= request.Band; b++ {
 		tokens += best.ahead[b]
 	}
-	return choice{agent: best, expected: time.Duration(tokens / float64(best.PrefillTokensPerSecond) * float64(time.Second))}
+	return choice{agent: best, expected: time.Duration(tokens / float64(best.speed) * float64(time.Second))}
 }
 
 // PickService returns the usable agent of an order service with the highest
--- a/policy/choose/table.go
+++ b/policy/choose/table.go
@@ -50,6 +50,7 @@
 	// was sent since, drained up to drained.
 	ahead       [outcome.BandCount]float64
 	drained     time.Time
+	speed       int // prefill tokens/s in force
 	reserved    int // KV-cache memory in tokens, as reported
 	outstanding int // requests of this entry that run there
 
@@ -101,7 +102,7 @@
 	}
 	description.Models = slices.Clone(description.Models)
 	description.PrefillTokensPerSecond = max(description.PrefillTokensPerSecond, 1)
-	a.Agent = description
+	a.Agent, a.speed = description, description.PrefillTokensPerSecond
 	a.site = t.site(description.DataCentre)
 	t.link(a)
 }
@@ -223,6 +224,22 @@
 	}
 }
 
+// SetPrefillSpeed records the prefill speed in tokens/s that an agent observed.
+// It replaces the speed of the handshake only where it is far lower, because
+// cached prefixes and short samples make observations differ between engines of
+// equal speed.
+func (t *Table) SetPrefillSpeed(now time.Time, vm string, tokensPerSecond int) {
+	a := t.agents[vm]
+	if a == nil {
+		return
+	}
+	a.drain(now)
+	a.speed = a.PrefillTokensPerSecond
+	if float64(tokensPerSecond) < slowShare*float64(a.speed) {
+		a.speed = max(tokensPerSecond, 1)
+	}
+}
+
 // Sent adds work that this entry sent to an agent to the agent's load.
 func (t *Table) Sent(now time.Time, vm string, band outcome.Band, tokens int) {
 	if a := t.agents[vm]; a != nil {
@@ -239,7 +256,7 @@
 	if elapsed <= 0 {
 		return
 	}
-	done := elapsed.Seconds() * float64(a.PrefillTokensPerSecond)
+	done := elapsed.Seconds() * float64(a.speed)
 	for b := range a.ahead {
 		part := min(done, a.ahead[b])
 		a.ahead[b] -= part
--- a/policy/cmd/policybench/main.go
+++ b/policy/cmd/policybench/main.go
@@ -31,6 +31,8 @@
 	attention := flag.Int("attention", 0, "context length in tokens that doubles the cost of a prefill token; 0 is never")
 	ablation := flag.Bool("ablation", true, "print the ablation table")
 	late := flag.Bool("late", false, "print only what the late short requests at peaks waited for")
+	slow := flag.Float64("slow", 0, "share of slow servers, rounded to whole servers, which entries do not know about")
+	slowSpeed := flag.Float64("slow-speed", 0.5, "speed of the slow servers as a share of the usual one")
 	bySeed := flag.String("by-seed", "", "print only the figures of each seed for these variants of the ablation, separated by commas")
 	folder := flag.String("report", "", "folder to write the report of all committed loads and seeds to; other flags are ignored")
 	limit := flag.Duration("limit", 3*time.Minute, "time after which the program gives up")
@@ -42,7 +44,8 @@
 	if *folder != "" {
 		return writeReport(*folder, committed)
 	}
-	scenario := sim.Scenario{Seed: *seed, Length: *length, Base: *base, Swing: *swing, Failing: *failing, LongTimeout: *longTimeout, Attention: *attention}
+	scenario := sim.Scenario{Seed: *seed, Length: *length, Base: *base, Swing: *swing, Failing: *failing, LongTimeout: *longTimeout, Attention: *attention,
+		Slow: *slow, SlowSpeed: *slowSpeed}
 	if *late {
 		for _, scenario.Servers = range fleetSizes {
 			printEachLate(os.Stdout, printLate(os.Stdout, scenario))
--- a/policy/cmd/policybench/tables.go
+++ b/policy/cmd/policybench/tables.go
@@ -72,6 +72,7 @@
 	{"full memory breaks only ties", func(r *sim.Rules) { r.Choose.MemoryPenalty = never }},
 	{"no account of sent work", func(r *sim.Rules) { r.NoSent = true }},
 	{"no hold-down", func(r *sim.Rules) { r.NoHoldDown = true }},
+	{"no observed speed", func(r *sim.Rules) { r.NoSpeed = true }},
 	{"no prefix hints", func(r *sim.Rules) { r.NoPrefixes = true }},
 	{"all agents scanned", func(r *sim.Rules) { r.Choose.ScanAll = unlimited }},
 	{"no reserve for short", func(r *sim.Rules) { r.Queue.ShortKVShare = almostZero }},
--- a/policy/internal/sim/bound.go
+++ b/policy/internal/sim/bound.go
@@ -54,7 +54,7 @@
 
 // step runs one step of the servers that are up.
 func (p *pool) step() {
-	up := float64(p.scenario.Servers - p.scenario.downAt(p.now))
+	up := p.scenario.capacityAt(p.now)
 	p.waiting = slices.DeleteFunc(p.waiting, p.late)
 	for len(p.waiting) > 0 && p.reserved+p.waiting[0].need() <= int(up*engineKV) {
 		p.reserved += p.waiting[0].need()
--- a/policy/internal/sim/engine.go
+++ b/policy/internal/sim/engine.go
@@ -38,7 +38,8 @@
 	// attention is the context length in tokens at which a prefill token costs
 	// twice as much as at the start of a prompt; 0 is never.
 	attention int
-	run       int // number of restarts; a step of an older run is ignored
+	speed     float64 // share of the usual speed
+	run       int     // number of restarts; a step of an older run is ignored
 	cached    []int
 	first     func(*attempt)
 	finished  func(*attempt)
@@ -92,7 +93,8 @@
 	}
 	prefill := time.Duration((float64(engineStep-budget) + attention) / engineRaw * float64(time.Second))
 	run := e.run
-	e.loop.after(engineStepBase+prefill+time.Duration(decodes)*engineDecodeCost, func() {
+	took := engineStepBase + prefill + time.Duration(decodes)*engineDecodeCost
+	e.loop.after(time.Duration(float64(took)/e.speed), func() {
 		if run == e.run {
 			e.endStep()
 		}
--- a/policy/internal/sim/entry.go
+++ b/policy/internal/sim/entry.go
@@ -153,8 +153,11 @@
 
 func (p *policyRouter) mayRetry() bool { return p.rules.NoBudget || p.budget.Retry(p.sim.loop.time()) }
 
-func (p *policyRouter) report(s *server, load queue.Load) {
+func (p *policyRouter) report(s *server, load queue.Load, speed int) {
 	vm := strconv.Itoa(s.id)
+	if speed > 0 && !p.rules.NoSpeed {
+		p.table.SetPrefillSpeed(p.sim.loop.time(), vm, speed)
+	}
 	p.table.Report(p.sim.loop.time(), vm, choose.Load(load))
 	if p.rules.NoPrefixes {
 		return
--- a/policy/internal/sim/server.go
+++ b/policy/internal/sim/server.go
@@ -42,6 +42,7 @@
 	expired(now time.Time) []*attempt
 	preempt(now time.Time) []*attempt
 	load(now time.Time) queue.Load
+	speed() int
 	wake(now time.Time) (time.Time, bool)
 }
 
@@ -60,7 +61,7 @@
 
 func newServer(id int, l *loop, newQueue func() scheduler, stats *Result) *server {
 	s := &server{id: id, loop: l, newQueue: newQueue, queue: newQueue(), stats: stats}
-	s.engine = engine{loop: l, first: s.first, finished: s.finished}
+	s.engine = engine{loop: l, speed: 1, first: s.first, finished: s.finished}
 	return s
 }
 
@@ -216,6 +217,7 @@
 	return list
 }
 
+func (p *policyQueue) speed() int                           { return p.queue.PrefillSpeed() }
 func (p *policyQueue) load(now time.Time) queue.Load        { return p.queue.Load(now) }
 func (p *policyQueue) wake(now time.Time) (time.Time, bool) { return p.queue.NextWake(now) }
 
@@ -258,5 +260,6 @@
 func (f *fifo) first(time.Time, *attempt)        {}
 func (f *fifo) expired(time.Time) []*attempt     { return nil }
 func (f *fifo) preempt(time.Time) []*attempt     { return nil }
+func (f *fifo) speed() int                       { return 0 }
 func (f *fifo) load(time.Time) queue.Load        { return queue.Load{} }
 func (f *fifo) wake(time.Time) (time.Time, bool) { return time.Time{}, false }
--- a/policy/internal/sim/sim.go
+++ b/policy/internal/sim/sim.go
@@ -1,6 +1,7 @@
 package sim
 
 import (
+	"math"
 	"strconv"
 	"time"
 
@@ -29,6 +30,7 @@
 // Rules switches rules of the policy off, for the ablation table.
 type Rules struct {
 	NoFairness, NoPreemption, NoShedder, NoSent, NoHoldDown, NoPrefixes, NoBudget bool
+	NoSpeed                                                                       bool
 
 	Queue  queue.Config
 	Choose choose.Config
@@ -52,7 +54,10 @@
 	// Attention is the context length in tokens at which a prefill token costs
 	// twice as much as at the start of a prompt; 0 is never.
 	Attention int
-	Rules     Rules
+	// Slow is the share of servers that run at SlowSpeed, a share of the usual
+	// speed, for all of the run. Handshakes give the usual speed.
+	Slow, SlowSpeed float64
+	Rules           Rules
 }
 
 // Result holds the figures of one run.
@@ -122,7 +127,7 @@
 	}
 	for i := range m.scenario.Servers {
 		s := newServer(i, &m.loop, newQueue, m.result)
-		s.engine.attention = m.scenario.Attention
+		s.engine.attention, s.engine.speed = m.scenario.Attention, m.scenario.speed(i)
 		m.servers = append(m.servers, s)
 	}
 	for i := range entries {
@@ -145,6 +150,16 @@
 	}
 }
 
+// speed returns the speed of a server as a share of the usual one. Slow
+// servers are spread over the fleet.
+func (s Scenario) speed(id int) float64 {
+	slow := int(math.Round(s.Slow * float64(s.Servers)))
+	if id*slow/s.Servers != (id+1)*slow/s.Servers {
+		return s.SlowSpeed
+	}
+	return 1
+}
+
 func (m *simulation) newPolicyQueue() scheduler {
 	c := m.scenario.Rules.Queue
 	c.KVTokens, c.StepTokens, c.PrefillTokensPerSecond = engineKV, engineStep, enginePrefill
@@ -167,10 +182,10 @@
 func siteName(id int) string { return "dc" + strconv.Itoa(id%3) }
 
 func (m *simulation) report(s *server) {
-	load := s.queue.load(m.loop.time())
+	load, speed := s.queue.load(m.loop.time()), s.queue.speed()
 	m.loop.after(networkDelay, func() {
 		for _, p := range m.policies {
-			p.report(s, load)
+			p.report(s, load, speed)
 		}
 	})
 	if m.loop.now < m.scenario.Length+timeouts[outcome.Long] {
@@ -188,16 +203,19 @@
 // failing is the number of servers that fail at peaks.
 func (s Scenario) failing() int { return int(s.Failing * float64(s.Servers)) }
 
-// downAt is the number of servers that are down at a time.
-func (s Scenario) downAt(at time.Duration) int {
-	down := 0
+// capacityAt is the sum of the speeds of the servers that are up at a time.
+func (s Scenario) capacityAt(at time.Duration) float64 {
+	sum := 0.0
+	for id := range s.Servers {
+		sum += s.speed(id)
+	}
 	for i := range s.failing() {
 		since := at%swingPeriod - swingStart - time.Duration(i+1)*failureInterval
 		if since >= 0 && since < downTime {
-			down++
+			sum -= s.speed(i * s.Servers / s.failing())
 		}
 	}
-	return down
+	return sum
 }
 
 func (m *simulation) scheduleFailures() {
--- a/policy/queue/queue.go
+++ b/policy/queue/queue.go
@@ -64,6 +64,8 @@
 	urgentPos  int       // index in Queue.urgency, or -1
 	expiryPos  int       // index in Queue.expiry, or -1
 	prefilling bool
+	started    time.Time
+	work       int // prefill tokens of the band on the engine at the start, its own included
 	pausing    bool
 }
 
@@ -82,6 +84,7 @@
 	waiting      [outcome.BandCount]int // queued prefill tokens
 	prefill      [outcome.BandCount]int // prefill tokens running
 	longPrefills int
+	speed        speed
 	lastShort    time.Time
 	hadShort     bool
 }
@@ -165,11 +168,11 @@
 func (q *Queue) Next(now time.Time) (Grant, bool) {
 	urgent := q.urgent(now)
 	if e := q.bands[outcome.Short].head(); e != nil && q.mayStartShort(e, urgent) {
-		return q.start(e, PriorityShort), true
+		return q.start(now, e, PriorityShort), true
 	}
 	if urgent != nil {
 		if q.mayStartUrgent(urgent) {
-			return q.start(urgent, PriorityUrgent), true
+			return q.start(now, urgent, PriorityUrgent), true
 		}
 		if !q.fits(urgent) {
 			return Grant{}, false // leaves the memory that drains to the urgent job
@@ -180,14 +183,14 @@
 	}
 	if e := q.bands[outcome.Medium].head(); e != nil {
 		if q.mayStartMedium(now, e) {
-			return q.start(e, PriorityMedium), true
+			return q.start(now, e, PriorityMedium), true
 		}
 		if !q.fits(e) || !q.leavesReserve(now, e) {
 			return Grant{}, false
 		}
 	}
 	if e := q.bands[outcome.Long].head(); e != nil && q.mayStartLong(now, e) {
-		return q.start(e, PriorityLong), true
+		return q.start(now, e, PriorityLong), true
 	}
 	return Grant{}, false
 }
@@ -261,13 +264,14 @@
 	return q.bands[outcome.Short].size > 0 || (q.hadShort && now.Before(q.lastShort.Add(q.config.ShortQuiet)))
 }
 
-func (q *Queue) start(e *entry, priority int) Grant {
+func (q *Queue) start(now time.Time, e *entry, priority int) Grant {
 	q.dequeue(e, true)
 	q.running[e.job.ID] = e
 	q.reserved += e.job.KVTokens
 	q.reservedBand[e.job.Band] += e.job.KVTokens
 	q.prefill[e.job.Band] += e.job.PrefillTokens
 	e.prefilling = true
+	e.started, e.work = now, q.prefill[e.job.Band]
 	if e.job.Band == outcome.Long {
 		q.longPrefills++
 	}
@@ -287,6 +291,7 @@
 // FirstToken records that the prefill of a running job has ended.
 func (q *Queue) FirstToken(now time.Time, id string) {
 	if e := q.running[id]; e != nil {
+		q.observe(now, e)
 		q.endPrefill(e)
 	}
 }
--- a/policy/queue/queue_test.go
+++ b/policy/queue/queue_test.go
@@ -48,3 +48,31 @@
 	is.True(outcome.From(err).RetryAfter > 0)
 	is.Equal(len(q.Expired(start.Add(time.Minute))), 1)
 }
+
+// Guards against an observed speed that long prefills, small samples or
+// cancelled jobs distort.
+func TestPrefillSpeedIsObservedFromShortJobs(t *testing.T) {
+	is := is.New(t)
+	q := New(Config{StepTokens: 1_000})
+	now := start
+	run := func(id string, tokens int, took time.Duration) {
+		is.NoErr(q.Push(now, job(id, tokens, time.Hour)))
+		_, ok := q.Next(now)
+		is.True(ok)
+		now = now.Add(took)
+		q.FirstToken(now, id)
+		q.FirstToken(now.Add(time.Hour), id)
+		q.Finish(now, id)
+	}
+	run("small", 1_000, time.Second)
+	run("long", 200_000, time.Hour/2)
+	for range minSamples {
+		is.Equal(q.PrefillSpeed(), 0)
+		run("short", 5_000, 500*time.Millisecond)
+	}
+	is.Equal(q.PrefillSpeed(), 10_000)
+	is.NoErr(q.Push(now, job("cancelled", 5_000, time.Hour)))
+	q.Next(now)
+	q.Finish(now.Add(time.Minute), "cancelled")
+	is.Equal(q.PrefillSpeed(), 10_000)
+}
