--- a/policy/cmd/policybench/seeds.go
+++ b/policy/cmd/policybench/seeds.go
@@ -28,7 +28,6 @@
 	}},
 	{"medium finished, %", func(r *sim.Result) string { return fmt.Sprintf("%.1f", finished(r, outcome.Medium)) }},
 	{"long finished, %", func(r *sim.Result) string { return fmt.Sprintf("%.1f", longFinished(r)) }},
-	{"short failed", func(r *sim.Result) string { return fmt.Sprint(r.Failed[outcome.Short]) }},
 	{"retries", func(r *sim.Result) string { return fmt.Sprint(r.Retries) }},
 	{"wasted, %", func(r *sim.Result) string { return fmt.Sprintf("%.2f", wasted(r, r.Wasted+r.WastedPreempt)) }},
 }
--- a/policy/cmd/policybench/tables.go
+++ b/policy/cmd/policybench/tables.go
@@ -77,7 +77,6 @@
 	{"all agents scanned", func(r *sim.Rules) { r.Choose.ScanAll = unlimited }},
 	{"no reserve for short", func(r *sim.Rules) { r.Queue.ShortKVShare = almostZero }},
 	{"no shedder", func(r *sim.Rules) { r.NoShedder = true }},
-	{"no share for aged retries", func(r *sim.Rules) { r.Retry.AgedShare = almostZero }},
 	{"no retry budget", func(r *sim.Rules) { r.NoBudget = true }},
 }
 
--- a/policy/internal/sim/entry.go
+++ b/policy/internal/sim/entry.go
@@ -26,7 +26,7 @@
 	pick(r *request) (int, error)
 	sent(a *attempt)
 	ended(a *attempt, err error)
-	mayRetry(r *request) bool
+	mayRetry() bool
 }
 
 type entry struct {
@@ -67,7 +67,7 @@
 	e.sim.result.Wasted += a.worked
 	r.emitted += a.emitted
 	r.excluded[a.server.id] = true
-	if e.sim.loop.now >= r.deadline || r.attempts >= maxAttempts || final(err) || !e.router.mayRetry(r) {
+	if e.sim.loop.now >= r.deadline || r.attempts >= maxAttempts || final(err) || !e.router.mayRetry() {
 		r.refused, r.failed = notRun(r, err), !notRun(r, err)
 		return
 	}
@@ -151,10 +151,7 @@
 	}
 }
 
-func (p *policyRouter) mayRetry(r *request) bool {
-	now := p.sim.loop.now
-	return p.rules.NoBudget || p.budget.RetryAfter(epoch.Add(now), now-r.at)
-}
+func (p *policyRouter) mayRetry() bool { return p.rules.NoBudget || p.budget.Retry(p.sim.loop.time()) }
 
 func (p *policyRouter) report(s *server, load queue.Load, speed int) {
 	vm := strconv.Itoa(s.id)
@@ -196,4 +193,4 @@
 
 func (b *baseline) sent(a *attempt)             { b.outstanding[a.server.id]++ }
 func (b *baseline) ended(a *attempt, err error) { b.outstanding[a.server.id]-- }
-func (b *baseline) mayRetry(*request) bool              { return true }
+func (b *baseline) mayRetry() bool              { return true }
--- a/policy/retry/retry.go
+++ b/policy/retry/retry.go
@@ -10,11 +10,9 @@
 
 // Defaults of Config.
 const (
-	defaultRatio     = 0.1
-	defaultConstant  = 3.0
-	defaultHalfLife  = 30 * time.Second
-	defaultAgedAfter = 5 * time.Second
-	defaultAgedShare = 0.3
+	defaultRatio    = 0.1
+	defaultConstant = 3.0
+	defaultHalfLife = 30 * time.Second
 )
 
 // Config sets the bound of a Budget. Zero values get defaults.
@@ -26,12 +24,6 @@
 	Constant float64
 	// HalfLife is the time after which a request or retry counts half.
 	HalfLife time.Duration
-	// AgedShare is the share of the bound, 0 to 1, that RetryAfter leaves to
-	// requests that have waited for AgedAfter.
-	AgedShare float64
-	// AgedAfter is the time since the arrival of a request after which it may
-	// use all of the bound.
-	AgedAfter time.Duration
 }
 
 // Budget counts recent requests and retries with exponential decay. It is
@@ -56,12 +48,6 @@
 	if config.HalfLife <= 0 {
 		config.HalfLife = defaultHalfLife
 	}
-	if config.AgedShare <= 0 {
-		config.AgedShare = defaultAgedShare
-	}
-	if config.AgedAfter <= 0 {
-		config.AgedAfter = defaultAgedAfter
-	}
 	return &Budget{config: config}
 }
 
@@ -74,25 +60,11 @@
 }
 
 // Retry reports whether a retry is allowed now, and records it if so.
-func (b *Budget) Retry(now time.Time) bool { return b.retry(now, 1) }
-
-// RetryAfter is Retry for a request that arrived waited ago. It leaves a part
-// of the bound to requests that have waited long, because they have lost more
-// work and a new attempt of a caller would start at the end of the queue. The
-// bound on all retries is that of Retry.
-func (b *Budget) RetryAfter(now time.Time, waited time.Duration) bool {
-	if waited >= b.config.AgedAfter {
-		return b.retry(now, 1)
-	}
-	return b.retry(now, 1-b.config.AgedShare)
-}
-
-// retry allows a retry within a share of the bound.
-func (b *Budget) retry(now time.Time, share float64) bool {
+func (b *Budget) Retry(now time.Time) bool {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	b.decay(now)
-	if b.retries+1 > share*(b.config.Ratio*b.requests+b.config.Constant) {
+	if b.retries+1 > b.config.Ratio*b.requests+b.config.Constant {
 		return false
 	}
 	b.retries++
