Wait for the retry budget instead of failing an interrupted request

A crash interrupts many requests at once, and the budget of the next seconds would allow nearly all of the retries. The bound on retries stays the same. Budget.Delay says how long to wait, at most 5 s.

--- a/policy/cmd/policybench/tables.go
+++ b/policy/cmd/policybench/tables.go
@@ -77,6 +77,7 @@
 	{"all agents scanned", func(r *sim.Rules) { r.Choose.ScanAll = unlimited }},
 	{"no reserve for short", func(r *sim.Rules) { r.Queue.ShortKVShare = almostZero }},
 	{"no shedder", func(r *sim.Rules) { r.NoShedder = true }},
+	{"no wait for the retry budget", func(r *sim.Rules) { r.NoBudgetWait = true }},
 	{"no retry budget", func(r *sim.Rules) { r.NoBudget = true }},
 }
 
--- a/policy/internal/sim/entry.go
+++ b/policy/internal/sim/entry.go
@@ -26,7 +26,9 @@
 	pick(r *request) (int, error)
 	sent(a *attempt)
 	ended(a *attempt, err error)
-	mayRetry() bool
+	// mayRetry reports whether a retry is allowed now, and if not, how long to
+	// wait before asking again; 0 is never.
+	mayRetry() (time.Duration, bool)
 }
 
 type entry struct {
@@ -67,10 +69,24 @@
 	e.sim.result.Wasted += a.worked
 	r.emitted += a.emitted
 	r.excluded[a.server.id] = true
-	if e.sim.loop.now >= r.deadline || r.attempts >= maxAttempts || final(err) || !e.router.mayRetry() {
+	if e.sim.loop.now >= r.deadline || r.attempts >= maxAttempts || final(err) {
 		r.refused, r.failed = notRun(r, err), !notRun(r, err)
 		return
 	}
+	e.retry(r, err)
+}
+
+// retry tries again after an error as soon as the router allows.
+func (e *entry) retry(r *request, cause error) {
+	wait, ok := e.router.mayRetry()
+	if !ok && (wait == 0 || e.sim.loop.now+wait >= r.deadline) {
+		r.refused, r.failed = notRun(r, cause), !notRun(r, cause)
+		return
+	}
+	if !ok {
+		e.sim.loop.after(wait, func() { e.retry(r, cause) })
+		return
+	}
 	e.sim.result.Retries++
 	if err := e.try(r); err != nil {
 		r.refused, r.failed = r.emitted == 0, r.emitted > 0
@@ -151,7 +167,16 @@
 	}
 }
 
-func (p *policyRouter) mayRetry() bool { return p.rules.NoBudget || p.budget.Retry(p.sim.loop.time()) }
+func (p *policyRouter) mayRetry() (time.Duration, bool) {
+	now := p.sim.loop.time()
+	if p.rules.NoBudget || p.budget.Retry(now) {
+		return 0, true
+	}
+	if p.rules.NoBudgetWait {
+		return 0, false
+	}
+	return p.budget.Delay(now), false
+}
 
 func (p *policyRouter) report(s *server, load queue.Load, speed int) {
 	vm := strconv.Itoa(s.id)
@@ -191,6 +216,6 @@
 	return best, nil
 }
 
-func (b *baseline) sent(a *attempt)             { b.outstanding[a.server.id]++ }
-func (b *baseline) ended(a *attempt, err error) { b.outstanding[a.server.id]-- }
-func (b *baseline) mayRetry() bool              { return true }
+func (b *baseline) sent(a *attempt)                 { b.outstanding[a.server.id]++ }
+func (b *baseline) ended(a *attempt, err error)     { b.outstanding[a.server.id]-- }
+func (b *baseline) mayRetry() (time.Duration, bool) { return 0, true }
--- a/policy/internal/sim/sim.go
+++ b/policy/internal/sim/sim.go
@@ -30,7 +30,7 @@
 // Rules switches rules of the policy off, for the ablation table.
 type Rules struct {
 	NoFairness, NoPreemption, NoShedder, NoSent, NoHoldDown, NoPrefixes, NoBudget bool
-	NoSpeed                                                                       bool
+	NoSpeed, NoBudgetWait                                                         bool
 
 	Queue  queue.Config
 	Choose choose.Config
--- a/policy/retry/retry.go
+++ b/policy/retry/retry.go
@@ -71,6 +71,28 @@
 	return true
 }
 
+// maxDelay bounds Delay, since requests that arrive meanwhile allow retries
+// sooner.
+const maxDelay = 5 * time.Second
+
+// Delay returns how long to wait before asking Retry again, 0 if it allows a
+// retry now. A request that waits keeps the bound on retries and does not fail
+// because a crash interrupted many requests at once.
+func (b *Budget) Delay(now time.Time) time.Duration {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.decay(now)
+	over, free := b.retries-b.config.Ratio*b.requests, b.config.Constant-1
+	if over <= free {
+		return 0
+	}
+	if free <= 0 {
+		return maxDelay // only further requests can allow a retry
+	}
+	delay := time.Duration(math.Log2(over/free) * float64(b.config.HalfLife))
+	return min(delay+time.Millisecond, maxDelay) // rounded up
+}
+
 // decay ages both counts to now. A time before the last one changes nothing.
 func (b *Budget) decay(now time.Time) {
 	if b.updated.IsZero() {
--- a/policy/retry/retry_test.go
+++ b/policy/retry/retry_test.go
@@ -70,3 +70,25 @@
 	group.Wait()
 	is.True(retries.Load() <= 83)
 }
+
+// Guards against a wait after which the retry is still refused, and against one
+// without end.
+func TestDelayEndsWithAnAllowedRetry(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		now := time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
+		b := New(Config{Constant: rapid.SampledFrom([]float64{0.5, 1, 1.5, 3}).Draw(t, "constant")})
+		for range rapid.IntRange(0, 200).Draw(t, "requests") {
+			b.Request(now)
+		}
+		for b.Retry(now) {
+		}
+		b.Request(now)
+		delay := b.Delay(now)
+		if delay < 0 || delay > maxDelay {
+			t.Fatalf("delay %v", delay)
+		}
+		if delay < maxDelay && !b.Retry(now.Add(delay)) {
+			t.Fatalf("refused after %v", delay)
+		}
+	})
+}
