--- a/policy/cmd/policybench/main.go
+++ b/policy/cmd/policybench/main.go
@@ -31,6 +31,7 @@
 	attention := flag.Int("attention", 0, "context length in tokens that doubles the cost of a prefill token; 0 is never")
 	ablation := flag.Bool("ablation", true, "print the ablation table")
 	late := flag.Bool("late", false, "print only what the late short requests at peaks waited for")
+	longTokens := flag.Float64("long-tokens", 0, "share of the prompt tokens from prompts over 100,000 tokens; 0 is the usual lengths")
 	slow := flag.Float64("slow", 0, "share of slow servers, rounded to whole servers, which entries do not know about")
 	slowSpeed := flag.Float64("slow-speed", 0.5, "speed of the slow servers as a share of the usual one")
 	bySeed := flag.String("by-seed", "", "print only the figures of each seed for these variants of the ablation, separated by commas")
@@ -45,7 +46,7 @@
 		return writeReport(*folder, committed)
 	}
 	scenario := sim.Scenario{Seed: *seed, Length: *length, Base: *base, Swing: *swing, Failing: *failing, LongTimeout: *longTimeout, Attention: *attention,
-		Slow: *slow, SlowSpeed: *slowSpeed}
+		LongTokens: *longTokens, Slow: *slow, SlowSpeed: *slowSpeed}
 	if *late {
 		for _, scenario.Servers = range fleetSizes {
 			printEachLate(os.Stdout, printLate(os.Stdout, scenario))
--- a/policy/internal/sim/load.go
+++ b/policy/internal/sim/load.go
@@ -69,12 +69,12 @@
 // base and peak within a second.
 func trace(s Scenario) []*request {
 	random := rand.New(rand.NewPCG(s.Seed, 1))
-	capacity := float64(s.Servers*enginePrefill) / meanPrompt // requests/s
+	capacity := float64(s.Servers*enginePrefill) / s.meanPrompt() // requests/s
 	var requests []*request
 	for at := time.Duration(0); at < s.Length; {
 		utilization, peak := s.utilization(at)
 		at += time.Duration(random.ExpFloat64() / (utilization * capacity) * float64(time.Second))
-		r := draw(random, at)
+		r := s.draw(random, at)
 		r.id, r.peak = len(requests), peak
 		r.deadline = at + s.timeout(r.band)
 		if s.NoLong && r.band == outcome.Long {
@@ -92,9 +92,45 @@
 	return timeouts[b]
 }
 
-func draw(random *rand.Rand, at time.Duration) *request {
+// Prompts of a load with a given share of long tokens: long ones are
+// log-uniform within what an engine holds, the others as usual.
+const (
+	minLong   = 100_001
+	maxLong   = 400_000
+	meanLong  = 216_000 // of the distribution above
+	meanOther = 9_000   // of the usual lengths up to 100,000
+)
+
+// longRate is the share of the prompts that are drawn as long ones.
+func (s Scenario) longRate() float64 {
+	long := s.LongTokens * meanOther
+	return long / (long + (1-s.LongTokens)*meanLong)
+}
+
+func (s Scenario) meanPrompt() float64 {
+	if s.LongTokens == 0 {
+		return meanPrompt
+	}
+	return s.longRate()*meanLong + (1-s.longRate())*meanOther
+}
+
+func (s Scenario) tokens(random *rand.Rand) int {
+	switch {
+	case s.LongTokens == 0:
+		return logNormal(random, medianPrompt, sigmaPrompt, minPrompt, maxPrompt)
+	case random.Float64() < s.longRate():
+		return int(minLong * math.Pow(float64(maxLong)/minLong, random.Float64()))
+	}
+	for {
+		if n := logNormal(random, medianPrompt, sigmaPrompt, minPrompt, maxPrompt); n < minLong {
+			return n
+		}
+	}
+}
+
+func (s Scenario) draw(random *rand.Rand, at time.Duration) *request {
 	r := &request{at: at, group: -1, excluded: map[int]bool{}}
-	r.tokens = logNormal(random, medianPrompt, sigmaPrompt, minPrompt, maxPrompt)
+	r.tokens = s.tokens(random)
 	r.answer = logNormal(random, medianAnswer, sigmaAnswer, 8, maxAnswer)
 	r.band = outcome.BandOf(r.tokens)
 	if random.Float64() >= largeShare {
--- a/policy/internal/sim/sim.go
+++ b/policy/internal/sim/sim.go
@@ -54,6 +54,9 @@
 	// Attention is the context length in tokens at which a prefill token costs
 	// twice as much as at the start of a prompt; 0 is never.
 	Attention int
+	// LongTokens is the share of the prompt tokens that come from prompts over
+	// 100,000 tokens, 0 for the usual lengths.
+	LongTokens float64
 	// Slow is the share of servers that run at SlowSpeed, a share of the usual
 	// speed, for all of the run. Handshakes give the usual speed.
 	Slow, SlowSpeed float64
--- a/policy/internal/sim/sim_test.go
+++ b/policy/internal/sim/sim_test.go
@@ -59,3 +59,21 @@
 	}
 	is.True(holding(1_000) > holding(engineKV-1_000))
 }
+
+// Guards against a heavy long load with another share of tokens or another
+// total than asked for.
+func TestLongTokensSetsTheShare(t *testing.T) {
+	is := is.New(t)
+	s := Scenario{Seed: 1, Servers: 25, Length: 600 * time.Second, Base: 0.5, Swing: 1, LongTokens: 0.5}
+	long, all := 0, 0
+	for _, r := range trace(s) {
+		all += r.tokens
+		if r.tokens >= minLong {
+			long += r.tokens
+		}
+	}
+	share := float64(long) / float64(all)
+	is.True(share > 0.45 && share < 0.55)
+	load := float64(all) / (s.Length.Seconds() * float64(s.Servers*enginePrefill))
+	is.True(load > 0.45 && load < 0.55)
+}
