Use the observed prefill speed and the wait for the retry budget in the daemon

Agents report the speed that they observe, and a completion that may have run waits for the budget instead of failing; one that was only refused still fails at once.

--- a/daemon/agent/agent.go
+++ b/daemon/agent/agent.go
@@ -358,6 +358,7 @@
 		load.Placed = a.placed()
 	}
 	load.BackendDown = a.engineDown()
+	load.PrefillTokensPerSecond = uint64(a.queue.PrefillSpeed())
 	return load
 }
 
--- a/daemon/entry/entry.go
+++ b/daemon/entry/entry.go
@@ -283,7 +283,11 @@
 			l.PrefillTokens[band] = int(tokens)
 		}
 	}
-	e.table.Report(time.Now(), vm, l)
+	now := time.Now()
+	e.table.Report(now, vm, l)
+	if load.PrefillTokensPerSecond > 0 {
+		e.table.SetPrefillSpeed(now, vm, int(load.PrefillTokensPerSecond))
+	}
 	if load.PrefixesValid {
 		e.table.CachedPrefixes(vm, load.CachedPrefixes)
 	}
--- a/daemon/entry/run.go
+++ b/daemon/entry/run.go
@@ -22,6 +22,9 @@
 	// retryPause is the wait before a started completion looks for an agent
 	// again when none is usable or the retry budget is used up.
 	retryPause = 100 * time.Millisecond
+	// maxBudgetPause bounds one wait for the retry budget, which new requests
+	// may fill sooner than expected.
+	maxBudgetPause = 5 * time.Second
 	// deliveryLimit is how long an agent is kept waiting for the
 	// acknowledgement of an answer that has ended.
 	deliveryLimit = 20 * time.Second
@@ -182,7 +185,8 @@
 // does not count towards the retry budget, because a server that dies may
 // leave many started answers at once, and few requests then feed the budget.
 // Each such retry needs progress, so a peak is not amplified. A completion
-// whose first tokens the caller has waits for the budget instead of failing.
+// that may have run waits for the budget instead of failing, because one crash
+// interrupts many at once; one that was only refused fails at once.
 func (e *Entry) mayRetry(ctx context.Context, r *run, got attemptResult, emitted int) error {
 	if r.attempts >= maxAttempts {
 		return got.err
@@ -191,11 +195,11 @@
 		e.metrics.retried(r.completion)
 		return nil
 	}
-	for !e.budget.Retry(time.Now()) {
-		if len(r.emitted) == 0 {
+	for now := time.Now(); !e.budget.Retry(now); now = time.Now() {
+		if !r.started() {
 			return got.err
 		}
-		if !pause(ctx, retryPause) {
+		if !pause(ctx, min(max(e.budget.Delay(now), retryPause), maxBudgetPause)) {
 			return context.Cause(ctx)
 		}
 	}
