--- a/daemon/agent/agent.go
+++ b/daemon/agent/agent.go
@@ -3,7 +3,7 @@
 // when, so that a stale view in an entry can never overload it, and it alone
 // claims orders before they are sent.
 //
-// Lock order: Agent.mu before request.mu. Neither is held during calls of the
+// Lock order: Agent.mu before request.mu and placements.mu. None is held during calls of the
 // engine, the service or the store.
 package agent
 
@@ -77,6 +77,9 @@
 	info atomic.Pointer[backend.EngineInfo]
 	// report is the engine's last load report.
 	report atomic.Pointer[backend.LoadReport]
+	// failedPolls counts the load reports in a row that the engine did not give.
+	failedPolls atomic.Int64
+	placements  *placements
 
 	mu       sync.Mutex
 	queue    *queue.Queue
@@ -94,7 +97,8 @@
 func New(s *settings.Settings, d Deps) (*Agent, error) {
 	a := &Agent{settings: s, log: d.Telemetry.Log, telemetry: d.Telemetry, engine: d.Engine, service: d.Service,
 		stop: make(chan struct{}), wake: make(chan struct{}, 1),
-		requests: map[requestKey]*request{}, jobs: map[string]*request{}, cache: newPrefixSet(), prefixesSent: map[string]sentPrefixes{}}
+		requests: map[requestKey]*request{}, jobs: map[string]*request{}, cache: newPrefixSet(), prefixesSent: map[string]sentPrefixes{},
+		placements: newPlacements()}
 	m, err := member.New(s, d.Telemetry.Log, d.KV, d.VMs, (*hooks)(a))
 	if err != nil {
 		return nil, err
@@ -142,6 +146,7 @@
 	if a.engine != nil {
 		group.Go(func() error { return a.dispatch(groupCtx) })
 		group.Go(func() error { return a.followCache(groupCtx) })
+		group.Go(func() error { return a.followModels(groupCtx) })
 	} else {
 		group.Go(func() error { return a.runLedger(groupCtx) })
 	}
@@ -169,6 +174,7 @@
 	case <-a.stop:
 		a.startDrain("stop requested")
 		a.awaitIdle(ctx)
+		a.sayFarewell(ctx)
 	}
 	if a.ledger == nil {
 		return nil
@@ -190,6 +196,18 @@
 	a.member.Node.Kick()
 }
 
+// farewellTime is how long an agent without work stays connected at the end of
+// a drain, so that its last heartbeat confirms the mark that ended it.
+const farewellTime = 200 * time.Millisecond
+
+func (a *Agent) sayFarewell(ctx context.Context) {
+	a.member.Node.Kick()
+	select {
+	case <-ctx.Done():
+	case <-time.After(farewellTime):
+	}
+}
+
 // awaitIdle waits until all work has ended. At the drain limit, completions
 // are ended with Draining, so that their entries continue them elsewhere;
 // what an engine has not given up drainGrace later is left to the next process.
@@ -246,6 +264,12 @@
 
 func (h *hooks) PeerLoad(*wire.Hello, *wire.Load) {}
 
+func (h *hooks) VMsChanged([]platform.VM) {}
+
+func (h *hooks) Demand(*wire.Hello) []*wire.ModelDemand { return nil }
+
+func (h *hooks) PeerDemand(*wire.Hello, []*wire.ModelDemand) {}
+
 // PeerChanged forgets what a lost entry was sent: its next session gets the
 // cached prefixes again, and entries that were replaced take no memory.
 func (h *hooks) PeerChanged(peer *wire.Hello, usable bool) {
@@ -304,6 +328,8 @@
 		a.serveCall(ctx, s, body.Service)
 	case *wire.StreamHeader_OrderQuery:
 		a.serveOrderQuery(ctx, s, body.OrderQuery)
+	case *wire.StreamHeader_Place:
+		a.servePlace(ctx, s, body.Place)
 	default:
 		a.log.Warn("stream with an unknown header refused", "peer", s.Peer.Vm)
 	}
@@ -329,7 +355,9 @@
 	load.Running, load.Queued = uint32(l.Running), uint32(l.Queued)
 	if info := a.info.Load(); info != nil {
 		load.Models = info.Models
+		load.Placed = a.placed()
 	}
+	load.BackendDown = a.engineDown()
 	return load
 }
 
--- a/daemon/entry/admin.go
+++ b/daemon/entry/admin.go
@@ -190,7 +190,11 @@
 	defer cancel()
 	revision, err := e.editor.Commit(ctx, edit)
 	if err != nil {
-		e.log.Warn("edit refused", "edit_id", edit.Id, "operator", edit.Operator, "error", err.Error())
+		message := "edit refused"
+		if outcome.CodeOf(err) == outcome.OrderInDoubt {
+			message = "edit in doubt, it may be in force"
+		}
+		e.log.Warn(message, "edit_id", edit.Id, "operator", edit.Operator, "error", err.Error())
 		return err
 	}
 	e.member.StoreReached()
@@ -377,12 +381,16 @@
 			continue
 		}
 		if info := state.hello.Backend; info != nil {
-			row.Models, row.Service, row.KVTokens = info.Models, info.Service, info.KvTokens
+			row.Models, row.Service, row.KVTokens = state.models(), info.Service, info.KvTokens
 		}
 		if load := state.load; load != nil {
 			row.Running, row.Queued, row.KVReserved, row.PrefillTokens = load.Running, load.Queued, load.KvReservedTokens, load.PrefillTokens
 			// The last load of a process that has ended says nothing about its state.
-			if load.Draining && row.State == "live" {
+			switch {
+			case row.State != "live":
+			case load.BackendDown:
+				row.State = "backend down"
+			case load.Draining:
 				row.State = "draining"
 			}
 		}
--- a/daemon/entry/group.go
+++ b/daemon/entry/group.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"slices"
 	"sort"
 	"strings"
 	"time"
@@ -14,6 +15,7 @@
 	"camphorwick.dev/api/wire"
 	"camphorwick.dev/link"
 	"camphorwick.dev/observe"
+	"camphorwick.dev/settings"
 )
 
 const (
@@ -63,8 +65,7 @@
 		rest -= size
 	}
 	if rest > 0 {
-		return nil, outcome.New(outcome.PromptTooLong, "a prompt of about %d tokens exceeds the %d engines of model %q together",
-			c.tokens, len(candidates), c.model)
+		return nil, e.tooFewEngines(c, len(prompt), len(candidates))
 	}
 	sort.Slice(members, func(i, j int) bool { return members[i].vm < members[j].vm })
 	for start, i := 0, 0; i < len(members); i++ {
@@ -75,6 +76,32 @@
 	return members, nil
 }
 
+var errEnginesMissing = errors.New("not all engines that the prompt needs can be used now")
+
+// tooFewEngines tells a prompt that no group can hold from one that has to
+// wait until engines that are lost, draining or marked can be used again.
+func (e *Entry) tooFewEngines(c *completion, size, usable int) error {
+	listed := e.member.ListedVMs()
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	room, known, unseen := 0, 0, false
+	for _, vm := range listed {
+		unseen = unseen || vm.Role == string(settings.RoleAgent) && e.agents[vm.ID] == nil
+	}
+	for _, state := range e.agents {
+		if slices.Contains(state.models(), c.model) {
+			known++
+			room += int(float64(state.hello.Backend.KvTokens)*segmentShare) * outcome.BytesPerToken
+		}
+	}
+	// An entry that was started just now has not seen all engines.
+	if room < size && !unseen {
+		return outcome.New(outcome.PromptTooLong, "a prompt of about %d tokens exceeds the %d engines of model %q together", c.tokens, known, c.model)
+	}
+	return outcome.Wrap(errEnginesMissing, outcome.NoServer, "a prompt of about %d tokens needs more than the %d of %d engines of model %q that can be used now",
+		c.tokens, usable, known, c.model).WithRetryAfter(time.Second)
+}
+
 type candidate struct {
 	vm       string
 	kv       int
@@ -90,7 +117,7 @@
 	var list []candidate
 	for vm, state := range e.agents {
 		_, marked := config.Mark(vm)
-		if !state.usable || marked || state.load.GetDraining() || !serves(state.hello.GetBackend(), model) {
+		if !state.usable || marked || state.load.GetDraining() || state.load.GetBackendDown() || !slices.Contains(state.models(), model) {
 			continue
 		}
 		list = append(list, candidate{vm, int(state.hello.Backend.KvTokens), state.load.GetKvReservedTokens()})
@@ -104,20 +131,12 @@
 	return list
 }
 
-func serves(info *wire.BackendInfo, model string) bool {
-	for _, m := range info.GetModels() {
-		if m == model {
-			return true
-		}
-	}
-	return false
-}
-
 // groupAttempts runs a completion that exceeds one engine. A broken group is
 // formed again from prompt and emitted tokens while budget and time allow.
 func (e *Entry) groupAttempts(ctx context.Context, r *run) (result, *link.Stream) {
 	for {
 		r.attempts++
+		emitted := len(r.emitted)
 		got := e.groupAttempt(ctx, r)
 		switch got.verdict {
 		case attemptEnded:
@@ -125,14 +144,22 @@
 		case attemptStopped:
 			return r.failure(got.err), nil
 		case attemptNotRun:
-			if outcome.CodeOf(got.err) == outcome.PromptTooLong {
+			switch {
+			case outcome.CodeOf(got.err) == outcome.PromptTooLong, errors.Is(got.err, errEnginesMissing) && !r.started():
 				return r.failure(got.err), nil
+			case errors.Is(got.err, errEnginesMissing):
+				// As in pick: a started completion waits, and no engine was asked.
+				r.attempts--
+				if !pause(ctx, retryPause) {
+					return r.failure(context.Cause(ctx)), nil
+				}
+				continue
 			}
 			if !pause(ctx, retryPause*time.Duration(r.attempts)) {
 				return r.failure(context.Cause(ctx)), nil
 			}
 		}
-		if err := e.mayRetry(ctx, r, got); err != nil {
+		if err := e.mayRetry(ctx, r, got, emitted); err != nil {
 			return r.failure(err), nil
 		}
 	}
@@ -175,7 +202,7 @@
 
 // reserve asks one agent for the memory of its segment and waits for it.
 func (e *Entry) reserve(ctx context.Context, r *run, m *groupMember, last bool, done <-chan struct{}) error {
-	stream, lost, err := e.member.Node.Open(m.vm)
+	stream, lost, err := e.member.Node.Open(ctx, m.vm)
 	if err != nil {
 		return outcome.Wrap(err, outcome.NoServer, "VM %s cannot be reached", m.vm)
 	}
@@ -186,7 +213,7 @@
 	if last {
 		request.MaxTokens = uint32(r.max - len(r.emitted))
 	}
-	if err := writeHeader(ctx, lost, stream, &wire.StreamHeader{Body: &wire.StreamHeader_Segment{Segment: request}}); err != nil {
+	if err := send(ctx, lost, stream, &wire.StreamHeader{Body: &wire.StreamHeader_Segment{Segment: request}}); err != nil {
 		return outcome.Wrap(err, outcome.NoServer, "VM %s cannot be reached", m.vm)
 	}
 	m.messages = make(chan *wire.AgentMessage, 16)
@@ -220,8 +247,8 @@
 	var state []byte
 	for i, m := range members {
 		run := &wire.SegmentRun{State: state, Prompt: m.text}
-		if err := m.stream.Write(&wire.EntryMessage{Body: &wire.EntryMessage_Segment{Segment: run}}); err != nil {
-			return broken(m.vm, err)
+		if err := send(ctx, anyLost, m.stream, &wire.EntryMessage{Body: &wire.EntryMessage_Segment{Segment: run}}); err != nil {
+			return brokenOrStopped(ctx, m.vm, err)
 		}
 		if i == len(members)-1 {
 			// The earlier segments have run, whatever the last agent says.
--- a/daemon/entry/review_test.go
+++ b/daemon/entry/review_test.go
@@ -114,7 +114,7 @@
 	_ = s.Write(&wire.AgentMessage{Body: &wire.AgentMessage_Accepted{Accepted: &wire.Accepted{AttemptId: attempt}}})
 }
 
-func tokens(s *link.Stream, attempt string, offset int, texts ...string) {
+func sendTokens(s *link.Stream, attempt string, offset int, texts ...string) {
 	_ = s.Write(&wire.AgentMessage{Body: &wire.AgentMessage_Tokens{Tokens: &wire.Tokens{AttemptId: attempt, Offset: uint32(offset), Texts: texts}}})
 }
 
@@ -152,7 +152,7 @@
 	cancelled := make(chan bool, 1)
 	e := startEntry(t, &fakeAgent{serve: func(s *link.Stream, h *wire.StreamHeader) {
 		for i := range 100 {
-			tokens(s, h.GetSubmit().AttemptId, i, "t")
+			sendTokens(s, h.GetSubmit().AttemptId, i, "t")
 		}
 		m := &wire.EntryMessage{}
 		cancelled <- s.Read(m) == nil && m.GetCancel() != nil
@@ -184,7 +184,7 @@
 func TestLostEndOfAFullAnswer(t *testing.T) {
 	is := is.New(t)
 	agent := &fakeAgent{serve: func(s *link.Stream, h *wire.StreamHeader) {
-		tokens(s, h.GetSubmit().AttemptId, 0, "a", "b")
+		sendTokens(s, h.GetSubmit().AttemptId, 0, "a", "b")
 	}}
 	e := startEntry(t, agent)
 	ctx, request := newCompletion(t, e, "p", 5*time.Second)
--- a/daemon/entry/run.go
+++ b/daemon/entry/run.go
@@ -8,6 +8,7 @@
 
 	"github.com/google/uuid"
 	"go.opentelemetry.io/otel/attribute"
+	"google.golang.org/protobuf/proto"
 
 	"camphorwick.dev/api/outcome"
 	"camphorwick.dev/api/wire"
@@ -24,8 +25,6 @@
 	// deliveryLimit is how long an agent is kept waiting for the
 	// acknowledgement of an answer that has ended.
 	deliveryLimit = 20 * time.Second
-	// cancelLimit bounds the writing of a Cancel.
-	cancelLimit = 5 * time.Second
 )
 
 // answer passes a completion from the goroutine that runs it to the one that
@@ -97,6 +96,7 @@
 // complete runs a completion to its one result.
 func (e *Entry) complete(ctx context.Context, c *completion, a *answer) {
 	r := &run{completion: c, answer: a, excluded: map[string]bool{}}
+	e.awaitModel(ctx, c)
 	attempts := e.attempts
 	if e.needsGroup(c) {
 		attempts = e.groupAttempts
@@ -154,6 +154,7 @@
 			return r.failure(err), nil
 		}
 		r.attempts++
+		emitted := len(r.emitted)
 		got := e.attempt(ctx, r, vm)
 		switch got.verdict {
 		case attemptEnded:
@@ -170,18 +171,26 @@
 			}
 			r.excluded = map[string]bool{vm: true}
 		}
-		if err := e.mayRetry(ctx, r, got); err != nil {
+		if err := e.mayRetry(ctx, r, got, emitted); err != nil {
 			return r.failure(err), nil
 		}
 	}
 }
 
-// mayRetry returns nil if another attempt is allowed now. A completion whose
-// first tokens the caller has waits for the retry budget instead of failing.
-func (e *Entry) mayRetry(ctx context.Context, r *run, got attemptResult) error {
+// mayRetry returns nil if another attempt is allowed now; emitted is the
+// number of tokens before the last attempt. An attempt that brought tokens
+// does not count towards the retry budget, because a server that dies may
+// leave many started answers at once, and few requests then feed the budget.
+// Each such retry needs progress, so a peak is not amplified. A completion
+// whose first tokens the caller has waits for the budget instead of failing.
+func (e *Entry) mayRetry(ctx context.Context, r *run, got attemptResult, emitted int) error {
 	if r.attempts >= maxAttempts {
 		return got.err
 	}
+	if len(r.emitted) > emitted {
+		e.metrics.retried(r.completion)
+		return nil
+	}
 	for !e.budget.Retry(time.Now()) {
 		if len(r.emitted) == 0 {
 			return got.err
@@ -200,9 +209,12 @@
 		PromptTokens: uint32(r.tokens), CompletionTokens: uint32(len(r.emitted))}
 }
 
+// started reports whether the completion may have run somewhere.
+func (r *run) started() bool { return r.mayRun || len(r.emitted) > 0 }
+
 // failure returns the result of a completion that did not complete.
 func (r *run) failure(err error) result {
-	if r.mayRun || len(r.emitted) > 0 {
+	if r.started() {
 		return result{outcome: outcome.Failed, err: err}
 	}
 	return result{outcome: outcome.NotRun, err: err}
@@ -225,9 +237,9 @@
 		switch {
 		case ok:
 			return vm, nil
-		case len(r.emitted) == 0 && !r.mayRun && r.refusal != nil:
+		case !r.started() && r.refusal != nil:
 			return "", r.refusal
-		case len(r.emitted) == 0 && !r.mayRun:
+		case !r.started():
 			return "", outcome.New(outcome.NoServer, "no backend server can take the request now").WithRetryAfter(time.Second)
 		}
 		clear(r.excluded)
@@ -265,11 +277,15 @@
 		e.table.Ended(time.Now(), vm, got.verdict == attemptEnded)
 		e.mu.Unlock()
 	}()
-	stream, lost, err := e.member.Node.Open(vm)
+	stream, lost, err := e.member.Node.Open(ctx, vm)
 	if err != nil {
 		return attemptResult{verdict: attemptNotRun, err: outcome.Wrap(err, outcome.NoServer, "VM %s cannot be reached", vm)}
 	}
-	return e.converse(ctx, lost, r, vm, stream)
+	got = e.converse(ctx, lost, r, vm, stream)
+	if got.stream == nil {
+		stream.Close()
+	}
+	return got
 }
 
 // converse sends the request and handles the agent's messages.
@@ -277,44 +293,18 @@
 	submit := r.submit(ctx)
 	hadRun := r.mayRun
 	r.mayRun = true
-	if err := writeHeader(ctx, lost, stream, &wire.StreamHeader{Body: &wire.StreamHeader_Submit{Submit: submit}}); err != nil {
-		stream.Close()
-		if ctx.Err() != nil {
-			return attemptResult{verdict: attemptStopped, err: context.Cause(ctx)}
-		}
-		return broken(vm, err)
+	if err := send(ctx, lost, stream, &wire.StreamHeader{Body: &wire.StreamHeader_Submit{Submit: submit}}); err != nil {
+		return brokenOrStopped(ctx, vm, err)
 	}
 	return e.follow(ctx, lost, r, vm, stream, submit.AttemptId, hadRun)
 }
 
-// writeHeader opens the conversation with an agent. It gives up when ctx or
-// lost ends: an agent that is paused takes no large prompt.
-func writeHeader(ctx, lost context.Context, stream *link.Stream, header *wire.StreamHeader) error {
-	expire := func() { stream.SetWriteDeadline(time.Now()) }
-	defer context.AfterFunc(ctx, expire)()
-	defer context.AfterFunc(lost, expire)()
-	return stream.Write(header)
-}
-
-// cancelBehind cancels an attempt and closes its stream without waiting: an
-// agent that does not read must not delay the result of a request.
-func cancelBehind(stream *link.Stream, attempt string) {
-	go func() {
-		stream.SetWriteDeadline(time.Now().Add(cancelLimit))
-		_ = stream.Write(&wire.EntryMessage{Body: &wire.EntryMessage_Cancel{Cancel: &wire.Cancel{AttemptId: attempt}}})
-		stream.Close()
-	}()
-}
-
 // follow handles the messages of an attempt until it has ended. It cancels an
-// attempt whose request has ended, and closes the stream unless it is returned.
+// attempt whose request has ended.
 func (e *Entry) follow(ctx, lost context.Context, r *run, vm string, stream *link.Stream, attempt string, hadRun bool) (got attemptResult) {
 	defer func() {
-		switch {
-		case got.verdict == attemptStopped:
-			cancelBehind(stream, attempt)
-		case got.stream == nil:
-			stream.Close()
+		if got.verdict == attemptStopped {
+			stream.CloseWith(&wire.EntryMessage{Body: &wire.EntryMessage_Cancel{Cancel: &wire.Cancel{AttemptId: attempt}}})
 		}
 	}()
 	messages := make(chan *wire.AgentMessage, 16)
@@ -350,6 +340,22 @@
 	return attemptResult{verdict: attemptBroken, err: outcome.Wrap(err, outcome.BackendFailed, "the attempt on VM %s broke", vm)}
 }
 
+// send writes a message until ctx ends or the agent is lost. The wait for the
+// agent's window or connection must not outlast the deadline of the request.
+func send(ctx, lost context.Context, stream *link.Stream, m proto.Message) error {
+	ctx, cancel := link.Until(ctx, lost)
+	defer cancel()
+	return stream.WriteContext(ctx, m)
+}
+
+// brokenOrStopped is the result of an attempt whose message was not sent.
+func brokenOrStopped(ctx context.Context, vm string, err error) attemptResult {
+	if ctx.Err() != nil {
+		return attemptResult{verdict: attemptStopped, err: context.Cause(ctx)}
+	}
+	return broken(vm, err)
+}
+
 // receive passes the messages of a stream on until it ends or done is closed.
 func receive(stream *link.Stream, messages chan<- *wire.AgentMessage, done <-chan struct{}) {
 	defer close(messages)
--- a/daemon/member/member.go
+++ b/daemon/member/member.go
@@ -39,8 +39,14 @@
 	Backend() *wire.BackendInfo
 	// PeerLoad handles the load that an agent reported.
 	PeerLoad(peer *wire.Hello, load *wire.Load)
+	// Demand returns the demand to report to a peer; nil for agents.
+	Demand(peer *wire.Hello) []*wire.ModelDemand
+	// PeerDemand handles the demand that an entry reported.
+	PeerDemand(peer *wire.Hello, demand []*wire.ModelDemand)
 	// PeerChanged is called when a peer becomes usable or stops being so.
 	PeerChanged(peer *wire.Hello, usable bool)
+	// VMsChanged is called when the VM list has changed.
+	VMsChanged(vms []platform.VM)
 	// Stream serves a stream that an entry opened.
 	Stream(ctx context.Context, s *link.Stream)
 	// ConfigChanged is called after a new revision is in force.
@@ -173,35 +179,65 @@
 // setVMs stores the list and sets the targets, if the list has changed. Of
 // two entries, the one with the smaller VM id dials.
 func (m *Member) setVMs(vms []platform.VM) {
+	vms = m.keepConnected(distinct(vms))
 	if old := m.vms.Load(); old != nil && slices.Equal(*old, vms) {
 		return
 	}
 	m.vms.Store(&vms)
 	chosen := m.choosePeers(vms)
-	seen := map[string]bool{m.Settings.VM: true}
 	var targets []link.Target
 	for _, vm := range vms {
-		if seen[vm.ID] || !chosen[vm.ID] {
-			continue
-		}
-		seen[vm.ID] = true
 		role := wire.Role_ROLE_AGENT
 		if vm.Role == string(settings.RoleEntry) {
 			role = wire.Role_ROLE_ENTRY
-			if vm.ID < m.Settings.VM {
-				continue
-			}
 		}
-		targets = append(targets, link.Target{VM: vm.ID, Role: role, Address: vm.Address})
+		if chosen[vm.ID] && (role == wire.Role_ROLE_AGENT || vm.ID > m.Settings.VM) {
+			targets = append(targets, link.Target{VM: vm.ID, Role: role, Address: vm.Address})
+		}
 	}
 	m.Node.SetTargets(targets)
+	m.hooks.VMsChanged(vms)
+}
+
+// distinct returns the first line of each VM.
+func distinct(vms []platform.VM) []platform.VM {
+	seen := map[string]bool{}
+	var list []platform.VM
+	for _, vm := range vms {
+		if !seen[vm.ID] {
+			seen[vm.ID] = true
+			list = append(list, vm)
+		}
+	}
+	return list
+}
+
+// keepConnected adds the VMs of the last list that the new one lacks and that
+// still answer. The list is a hint: one that is empty or incomplete for a
+// while must not cut sessions that work.
+func (m *Member) keepConnected(vms []platform.VM) []platform.VM {
+	listed := map[string]bool{}
+	for _, vm := range vms {
+		listed[vm.ID] = true
+	}
+	answers := map[string]bool{}
+	for _, p := range m.Node.Peers() {
+		answers[p.Hello.Vm] = p.Connected && !p.Suspected
+	}
+	for _, vm := range m.ListedVMs() {
+		if !listed[vm.ID] && answers[vm.ID] {
+			vms = append(vms, vm)
+		}
+	}
+	return vms
 }
 
-// Numbers of entries of the own and of each other data centre that an entry
-// chooses for control sessions in a large fleet; about as many choose it.
+// Control sessions between entries in a large fleet: the number of entries of
+// its own data centre that an entry chooses, and the number of entries of each
+// data centre that hold sessions with other data centres.
 const (
 	nearEntries = 4
-	farEntries  = 1
+	gateways    = 2
 	// meshedEntries is the number of entries up to which all are connected.
 	meshedEntries = 16
 )
@@ -222,7 +258,7 @@
 		}
 	}
 	chosen := map[string]bool{}
-	near, far := nearEntries, farEntries
+	near, far := nearEntries, gateways
 	if len(entries) <= meshedEntries {
 		near, far = meshedEntries, meshedEntries
 	}
--- a/link/control.go
+++ b/link/control.go
@@ -1,6 +1,7 @@
 package link
 
 import (
+	"math/rand/v2"
 	"sync/atomic"
 	"time"
 
@@ -43,7 +44,7 @@
 func (n *Node) send(p *peer, session *Session, stream *Stream, known *atomic.Uint64) {
 	for sequence := uint64(1); ; sequence++ {
 		heartbeat := n.config.Handler.Heartbeat(session.Peer)
-		interval := n.interval()
+		interval := max(n.interval(), p.announcedInterval())
 		heartbeat.Sequence, heartbeat.IntervalMs = sequence, uint32(interval.Milliseconds())
 		if stream.Write(&wire.ControlMessage{Body: &wire.ControlMessage_Heartbeat{Heartbeat: heartbeat}}) != nil {
 			return
@@ -55,6 +56,7 @@
 		select {
 		case <-timer.C:
 		case <-p.kick:
+			n.delayConfig(session)
 		case <-session.Done():
 			timer.Stop()
 			return
@@ -63,6 +65,21 @@
 	}
 }
 
+// delayConfig waits a random time before a change is sent to an agent, if this
+// node has many peers. Entries are never kept waiting, because changes reach
+// other data centres through them.
+func (n *Node) delayConfig(session *Session) {
+	if session.Peer.Role != wire.Role_ROLE_AGENT || !n.crowded() {
+		return
+	}
+	timer := time.NewTimer(rand.N(maxConfigDelay))
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+	case <-session.Done():
+	}
+}
+
 // sendConfig sends the edits or the snapshot that the peer lacks. A lost or
 // refused update is repaired after the peer's next heartbeat, which resets
 // known to the revision in force there.
@@ -98,6 +115,15 @@
 	p.interval = min(max(interval, HeartbeatInterval), maxHeartbeatInterval)
 }
 
+// announcedInterval returns the time between heartbeats that the peer keeps.
+// Both ends keep the longer one, so that an agent with few peers does not
+// exceed the traffic that its entry may spend.
+func (p *peer) announcedInterval() time.Duration {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.interval
+}
+
 // receive handles the messages of the peer until the stream ends.
 func (n *Node) receive(p *peer, stream *Stream, known *atomic.Uint64) {
 	for {
--- a/testbed/e2e/failure_test.go
+++ b/testbed/e2e/failure_test.go
@@ -14,6 +14,7 @@
 
 	"camphorwick.dev/testbed/client"
 	"camphorwick.dev/testbed/fleet"
+	"camphorwick.dev/testbed/history"
 )
 
 // slowEngine makes a token take about 20 ms, so that a test can act in the
@@ -75,6 +76,47 @@
 	}
 }
 
+// Guards against an engine that has died and is still offered work, and
+// against a fleet table that shows it as well.
+func TestDeadEngineIsShown(t *testing.T) {
+	is := is.New(t)
+	ctx, f := start(t, fleet.Options{Entries: 1, Engines: 2})
+	f.Engines[0].KillNow()
+	var states map[string]string
+	for deadline := time.Now().Add(5 * time.Second); states["server-1"] != "backend down"; time.Sleep(50 * time.Millisecond) {
+		is.True(time.Now().Before(deadline))
+		states = fleetStates(t, f)
+	}
+	for range 5 {
+		a, err := caller(f, 0).Complete(ctx, client.Request{Model: "standin", Prompt: prompt("dead", 500), MaxTokens: 2, Stream: true})
+		is.NoErr(err)
+		is.Equal(a.Outcome, "completed")
+	}
+	var stats engineStats
+	is.NoErr(f.Stats(f.Engines[1], "/stats", &stats))
+	is.Equal(len(stats.Starts), 5)
+}
+
+// fleetStates returns the state of each VM in the fleet table.
+func fleetStates(t *testing.T, f *fleet.Fleet) map[string]string {
+	t.Helper()
+	data, err := f.Admin(f.Entries[0], http.MethodGet, "/admin/v1/fleet", nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	var table struct {
+		VMs []struct{ VM, State string }
+	}
+	if err := json.Unmarshal(data, &table); err != nil {
+		t.Fatal(err)
+	}
+	states := map[string]string{}
+	for _, vm := range table.VMs {
+		states[vm.VM] = vm.State
+	}
+	return states
+}
+
 // Guards against an answer that is lost with its entry: another entry hands
 // out the rest.
 func TestEntryKilled(t *testing.T) {
@@ -219,7 +261,7 @@
 	a, err := caller(f, 0).Complete(ctx, client.Request{Model: "standin", Prompt: text, MaxTokens: 10})
 	is.NoErr(err)
 	is.Equal(a.Outcome, "completed")
-	key := orderKey(t)
+	key := history.NewKey()
 	order, err := caller(f, 0).Call(ctx, http.MethodPost, "/v1/services/orders/coils", []byte("1"),
 		map[string]string{"Idempotency-Key": key, "Camphorwick-Timeout-Ms": "3000"})
 	is.NoErr(err)
@@ -247,6 +289,20 @@
 	is.Equal(again.Outcome, "completed")
 }
 
+// Guards against sessions that are cut because the platform's list is empty
+// or lacks VMs for a while. Before lists were taken as a hint, all requests
+// were refused with no_server.
+func TestEmptyVMList(t *testing.T) {
+	is := is.New(t)
+	ctx, f := start(t, fleet.Options{Entries: 2, Engines: 2})
+	is.NoErr(f.Faults(f.Platform, http.MethodPut, "/vms", map[string]any{"vms": []any{}, "immediate": true}))
+	for end := time.Now().Add(3 * time.Second); time.Now().Before(end); {
+		a, err := caller(f, 0).Complete(ctx, client.Request{Model: "standin", Prompt: prompt("list", 200), MaxTokens: 2})
+		is.NoErr(err)
+		is.Equal(a.Outcome, "completed")
+	}
+}
+
 // Guards against an edit that is accepted and not in force everywhere in 5 s.
 func TestEditInForce(t *testing.T) {
 	is := is.New(t)
--- a/testbed/fleet/fleet.go
+++ b/testbed/fleet/fleet.go
@@ -13,13 +13,14 @@
 	"errors"
 	"fmt"
 	"io"
-	"net"
 	"net/http"
 	"os"
 	"os/exec"
 	"path/filepath"
 	"runtime"
+	"strings"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -52,6 +53,9 @@
 	DataCentres []string
 	// EngineFlags, OrderFlags and PlatformFlags are passed to the stand-ins.
 	EngineFlags, OrderFlags, PlatformFlags []string
+	// Proxies puts fault proxies in front of every daemon's control address
+	// and between every daemon and the platform and its backend server.
+	Proxies bool
 	// Adjust may change the settings of a daemon before it starts.
 	Adjust func(*settings.Settings)
 }
@@ -70,9 +74,18 @@
 type Daemon struct {
 	*Process
 	Settings *settings.Settings
-	file     string
+	// Control, Store and Backend are the proxies in front of its control
+	// address, of the platform and of its backend server; nil if the fleet has
+	// no proxies. Control is used by the entries that connect to this daemon.
+	Control, Store, Backend *Proxy
+	file                    string
+	starts                  atomic.Int64
 }
 
+// Starts returns how often the daemon was started. It rises before the new
+// process runs.
+func (d *Daemon) Starts() int64 { return d.starts.Load() }
+
 // Fleet is a set of running processes.
 type Fleet struct {
 	Options  Options
@@ -82,9 +95,10 @@
 	Agents   []*Daemon
 	Entries  []*Daemon
 
-	mu    sync.Mutex
-	all   []*Process
-	ports []net.Listener
+	mu      sync.Mutex
+	all     []*Process
+	ports   []int // sockets that reserve ports
+	proxies []*Proxy
 }
 
 // StartError says which process did not start.
@@ -150,10 +164,15 @@
 	for i := range o.Entries {
 		f.Entries = append(f.Entries, f.entry(fmt.Sprintf("entry-%d", i+1), i))
 	}
+	for _, d := range f.daemons() {
+		if err := f.addProxies(d); err != nil {
+			return err
+		}
+	}
 	if err := f.PublishVMs(true); err != nil {
 		return err
 	}
-	for _, d := range append(append([]*Daemon{}, f.Agents...), f.Entries...) {
+	for _, d := range f.daemons() {
 		if err := f.StartDaemon(d); err != nil {
 			return err
 		}
@@ -235,28 +254,6 @@
 // LogFile returns the log file of a process.
 func (f *Fleet) LogFile(name string) string { return filepath.Join(f.Options.Dir, name+".log") }
 
-// FreeAddress returns a loopback address with a port that is free now.
-func (f *Fleet) FreeAddress() string {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		return "127.0.0.1:1" // opening it fails with a clear error
-	}
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	f.ports = append(f.ports, l) // held until its process starts, so that no port is given twice
-	return l.Addr().String()
-}
-
-// releasePorts closes the listeners that hold reserved ports.
-func (f *Fleet) releasePorts() {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	for _, l := range f.ports {
-		_ = l.Close()
-	}
-	f.ports = nil
-}
-
 func (f *Fleet) base(vm string, role settings.Role, i int) *settings.Settings {
 	return &settings.Settings{VM: vm, Role: role, DataCentre: f.Options.DataCentres[i%len(f.Options.DataCentres)],
 		ControlAddress: f.FreeAddress(), OpsAddress: f.FreeAddress(), InsecurePlaintext: true, LogLevel: "info",
@@ -302,6 +299,9 @@
 	if f.Options.Adjust != nil && d.file == "" {
 		f.Options.Adjust(d.Settings)
 	}
+	if err := f.addProxies(d); err != nil {
+		return err
+	}
 	data, err := json.MarshalIndent(d.Settings, "", "  ")
 	if err != nil {
 		return &StartError{d.Settings.VM, err}
@@ -310,7 +310,7 @@
 	if err := os.WriteFile(d.file, data, 0o644); err != nil {
 		return &StartError{d.Settings.VM, err}
 	}
-	f.releasePorts()
+	d.starts.Add(1)
 	p, err := f.launch(d.Settings.VM, exec.Command(filepath.Join(f.Options.Bin, "camphorwick"), "run", "-s", d.file))
 	if err != nil {
 		return err
@@ -319,12 +319,54 @@
 	return nil
 }
 
+// addProxies puts proxies around a daemon if the fleet has proxies. A daemon
+// that is started again keeps its proxies.
+func (f *Fleet) addProxies(d *Daemon) error {
+	if !f.Options.Proxies || d.Control != nil {
+		return nil
+	}
+	s := d.Settings
+	var err error
+	if d.Control, err = f.proxyTo("control of "+s.VM, s.ControlAddress); err != nil {
+		return err
+	}
+	s.AdvertiseAddress = d.Control.Address()
+	if d.Store, err = f.proxyURL("platform of "+s.VM, &s.Platform.URL); err != nil || s.Agent == nil {
+		return err
+	}
+	url := new(string)
+	switch {
+	case s.Agent.Engine != nil:
+		url = &s.Agent.Engine.URL
+	case s.Agent.Service != nil:
+		url = &s.Agent.Service.URL
+	}
+	d.Backend, err = f.proxyURL("backend server of "+s.VM, url)
+	return err
+}
+
+// proxyURL replaces the host of a URL by a proxy in front of it.
+func (f *Fleet) proxyURL(name string, url *string) (*Proxy, error) {
+	p, err := f.proxyTo(name, strings.TrimPrefix(*url, "http://"))
+	if err == nil {
+		*url = "http://" + p.Address()
+	}
+	return p, err
+}
+
+// daemons returns all daemons, agents first.
+func (f *Fleet) daemons() []*Daemon { return append(append([]*Daemon{}, f.Agents...), f.Entries...) }
+
 // VMs returns the VM list of the daemons.
 func (f *Fleet) VMs() []platform.VM {
 	var vms []platform.VM
-	for _, d := range append(append([]*Daemon{}, f.Agents...), f.Entries...) {
+	for _, d := range f.daemons() {
+		address := d.Settings.AdvertiseAddress
+		if address == "" {
+			address = d.Settings.ControlAddress
+		}
 		vms = append(vms, platform.VM{ID: d.Settings.VM, Role: string(d.Settings.Role), DataCentre: d.Settings.DataCentre,
-			Address: d.Settings.ControlAddress, State: platform.VMLive})
+			Address: address, State: platform.VMLive})
 	}
 	return vms
 }
@@ -444,12 +486,12 @@
 	if _, err := f.Edit(f.Entries[0], Change{Key: "plan/standard", Value: plan}, Change{Key: "client/tester", Value: client}); err != nil {
 		return err
 	}
-	for _, d := range append(append([]*Daemon{}, f.Agents...), f.Entries...) {
+	for _, d := range f.daemons() {
 		if err := f.AwaitReady(ctx, d); err != nil {
 			return err
 		}
 	}
-	return f.awaitMesh(ctx)
+	return f.AwaitMesh(ctx)
 }
 
 // AwaitReady waits until a daemon reports that it is ready.
@@ -473,8 +515,8 @@
 	}
 }
 
-// awaitMesh waits until every entry has a session with every other daemon.
-func (f *Fleet) awaitMesh(ctx context.Context) error {
+// AwaitMesh waits until every entry has a session with every other daemon.
+func (f *Fleet) AwaitMesh(ctx context.Context) error {
 	ctx, cancel := context.WithTimeout(ctx, startTimeout)
 	defer cancel()
 	for _, d := range f.Entries {
@@ -570,10 +612,12 @@
 
 // Kill ends every process that still runs.
 func (f *Fleet) Kill() {
-	f.releasePorts()
 	f.mu.Lock()
-	all := f.all
+	all, proxies := f.all, f.proxies
 	f.mu.Unlock()
+	for _, p := range proxies {
+		p.proxy.Stop()
+	}
 	for _, p := range all {
 		select {
 		case <-p.done:
@@ -582,4 +626,5 @@
 			p.KillNow()
 		}
 	}
+	f.releasePorts()
 }
