--- a/ctl/list.go
+++ b/ctl/list.go
@@ -17,6 +17,7 @@
 	"clients": fleetconf.ClientPrefix,
 	"plans":   fleetconf.PlanPrefix,
 	"marks":   fleetconf.MarkPrefix,
+	"models":  fleetconf.ModelPrefix,
 }
 
 // ErrInvalidList marks a list file with a wrong form.
--- a/daemon/entry/resume.go
+++ b/daemon/entry/resume.go
@@ -124,9 +124,5 @@
 		return attemptResult{verdict: attemptNotRun, err: fromWire(first.GetNotRun().GetError())}
 	}
 	r.accept()
-	got := e.follow(ctx, lost, r, vm, stream, first.GetAccepted().AttemptId, true)
-	if got.stream == nil {
-		stream.Close()
-	}
-	return got
+	return e.follow(ctx, lost, r, vm, stream, first.GetAccepted().AttemptId, true)
 }
--- a/daemon/entry/run.go
+++ b/daemon/entry/run.go
@@ -203,15 +203,15 @@
 	return nil
 }
 
+// started reports whether the completion may have run somewhere.
+func (r *run) started() bool { return r.mayRun || len(r.emitted) > 0 }
+
 // fullEnd returns the end of an answer of max_tokens tokens.
 func (r *run) fullEnd() *wire.End {
 	return &wire.End{Outcome: wire.Outcome_OUTCOME_COMPLETED, FinishReason: "length",
 		PromptTokens: uint32(r.tokens), CompletionTokens: uint32(len(r.emitted))}
 }
 
-// started reports whether the completion may have run somewhere.
-func (r *run) started() bool { return r.mayRun || len(r.emitted) > 0 }
-
 // failure returns the result of a completion that did not complete.
 func (r *run) failure(err error) result {
 	if r.started() {
@@ -281,11 +281,7 @@
 	if err != nil {
 		return attemptResult{verdict: attemptNotRun, err: outcome.Wrap(err, outcome.NoServer, "VM %s cannot be reached", vm)}
 	}
-	got = e.converse(ctx, lost, r, vm, stream)
-	if got.stream == nil {
-		stream.Close()
-	}
-	return got
+	return e.converse(ctx, lost, r, vm, stream)
 }
 
 // converse sends the request and handles the agent's messages.
@@ -294,17 +290,21 @@
 	hadRun := r.mayRun
 	r.mayRun = true
 	if err := send(ctx, lost, stream, &wire.StreamHeader{Body: &wire.StreamHeader_Submit{Submit: submit}}); err != nil {
+		stream.Close()
 		return brokenOrStopped(ctx, vm, err)
 	}
 	return e.follow(ctx, lost, r, vm, stream, submit.AttemptId, hadRun)
 }
 
 // follow handles the messages of an attempt until it has ended. It cancels an
-// attempt whose request has ended.
+// attempt whose request has ended, and closes the stream unless it is returned.
 func (e *Entry) follow(ctx, lost context.Context, r *run, vm string, stream *link.Stream, attempt string, hadRun bool) (got attemptResult) {
 	defer func() {
-		if got.verdict == attemptStopped {
+		switch {
+		case got.verdict == attemptStopped:
 			stream.CloseWith(&wire.EntryMessage{Body: &wire.EntryMessage_Cancel{Cancel: &wire.Cancel{AttemptId: attempt}}})
+		case got.stream == nil:
+			stream.Close()
 		}
 	}()
 	messages := make(chan *wire.AgentMessage, 16)
