--- a/daemon/entry/service.go
+++ b/daemon/entry/service.go
@@ -54,7 +54,6 @@
 	ctx, stopTimer := context.WithDeadline(ctx, c.deadline)
 	defer stopTimer()
 	defer e.watchCaller(x.http.Conn(), cancel)()
-	e.budget.Request(time.Now())
 	response := e.callService(ctx, c)
 	e.log.Info("call ended", "request_id", x.requestID, "client_account", x.account, "service", c.request.Service,
 		"idempotent", c.request.Idempotent, "outcome", response.Outcome.String(), "error", response.Error.GetMessage(),
