--- a/testbed/fleet/fleet.go
+++ b/testbed/fleet/fleet.go
@@ -4,20 +4,16 @@
 package fleet
 
 import (
-	"bufio"
-	"bytes"
 	"context"
 	"crypto/sha256"
 	"encoding/hex"
 	"encoding/json"
 	"errors"
 	"fmt"
-	"io"
 	"net/http"
 	"os"
 	"os/exec"
 	"path/filepath"
-	"runtime"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -60,16 +56,6 @@
 	Adjust func(*settings.Settings)
 }
 
-// Process is one started process.
-type Process struct {
-	Name string
-	// Address and FaultsAddress are set for stand-ins.
-	Address, FaultsAddress string
-	cmd                    *exec.Cmd
-	done                   chan struct{}
-	err                    error
-}
-
 // Daemon is a process of the product with its settings.
 type Daemon struct {
 	*Process
@@ -101,28 +87,6 @@
 	proxies []*Proxy
 }
 
-// StartError says which process did not start.
-type StartError struct {
-	Name  string
-	Cause error
-}
-
-func (e *StartError) Error() string { return fmt.Sprintf("start %s: %v", e.Name, e.Cause) }
-
-// Unwrap returns the cause.
-func (e *StartError) Unwrap() error { return e.Cause }
-
-// StatusError is an unexpected HTTP status.
-type StatusError struct {
-	URL    string
-	Status int
-	Body   string
-}
-
-func (e *StatusError) Error() string {
-	return fmt.Sprintf("%s: status %d: %s", e.URL, e.Status, e.Body)
-}
-
 var errNotReady = errors.New("not ready in time")
 
 // Start starts a fleet and waits until every daemon is ready, after the
@@ -180,77 +144,6 @@
 	return f.configure(ctx)
 }
 
-// StartStandin starts a stand-in and waits for its addresses.
-func (f *Fleet) StartStandin(binary, name string, args []string) (*Process, error) {
-	cmd := exec.Command(filepath.Join(f.Options.Bin, binary), args...)
-	stdout, err := cmd.StdoutPipe()
-	if err != nil {
-		return nil, &StartError{name, err}
-	}
-	p, err := f.launch(name, cmd)
-	if err != nil {
-		return nil, err
-	}
-	var ready struct {
-		Address       string `json:"address"`
-		FaultsAddress string `json:"faults_address"`
-	}
-	lines := bufio.NewScanner(stdout)
-	for ready.Address == "" && lines.Scan() {
-		_ = json.Unmarshal(lines.Bytes(), &ready) // other lines have no address
-	}
-	go func() { _, _ = io.Copy(io.Discard, stdout) }()
-	if ready.Address == "" {
-		return nil, &StartError{name, errNotReady}
-	}
-	p.Address, p.FaultsAddress = ready.Address, ready.FaultsAddress
-	return p, nil
-}
-
-// launch starts a command with its standard error in a log file.
-func (f *Fleet) launch(name string, cmd *exec.Cmd) (*Process, error) {
-	log, err := os.OpenFile(f.LogFile(name), os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o644)
-	if err != nil {
-		return nil, &StartError{name, err}
-	}
-	cmd.Stderr = log
-	cmd.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
-	if err := startOnOneThread(cmd); err != nil {
-		_ = log.Close()
-		return nil, &StartError{name, err}
-	}
-	p := &Process{Name: name, cmd: cmd, done: make(chan struct{})}
-	go func() {
-		p.err = cmd.Wait()
-		_ = log.Close()
-		close(p.done)
-	}()
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	f.all = append(f.all, p)
-	return p, nil
-}
-
-// starts passes commands to the thread that starts them.
-var starts = sync.OnceValue(func() chan<- func() {
-	requests := make(chan func())
-	go func() {
-		runtime.LockOSThread()
-		for start := range requests {
-			start()
-		}
-	}()
-	return requests
-})
-
-// startOnOneThread starts a command from a thread that never ends. The kernel
-// sends Pdeathsig when the starting thread ends, not when the process does.
-func startOnOneThread(cmd *exec.Cmd) error {
-	result := make(chan error, 1)
-	starts() <- func() { result <- cmd.Start() }
-	return <-result
-}
-
 // LogFile returns the log file of a process.
 func (f *Fleet) LogFile(name string) string { return filepath.Join(f.Options.Dir, name+".log") }
 
@@ -377,101 +270,6 @@
 	return f.Faults(f.Platform, http.MethodPut, "/vms", map[string]any{"vms": f.VMs(), "immediate": immediate})
 }
 
-// Faults calls the faults address of a stand-in.
-func (f *Fleet) Faults(p *Process, method, path string, body any) error {
-	_, err := call(method, "http://"+p.FaultsAddress+path, "", body)
-	return err
-}
-
-// Stats decodes /stats or another JSON page of a stand-in's faults address.
-func (f *Fleet) Stats(p *Process, path string, into any) error {
-	data, err := call(http.MethodGet, "http://"+p.FaultsAddress+path, "", nil)
-	if err != nil {
-		return err
-	}
-	return json.Unmarshal(data, into)
-}
-
-// Admin calls the administration API of an entry.
-func (f *Fleet) Admin(d *Daemon, method, path string, body any) ([]byte, error) {
-	return call(method, "http://"+d.Settings.Entry.AdminAddress+path, AdminKey, body)
-}
-
-// Change is one item of an edit.
-type Change struct {
-	Key              string `json:"key"`
-	Value            any    `json:"value"`
-	ExpectedRevision uint64 `json:"expected_revision"`
-}
-
-// Edit commits an edit through an entry and returns its revision.
-func (f *Fleet) Edit(d *Daemon, changes ...Change) (uint64, error) {
-	data, err := f.Admin(d, http.MethodPost, "/admin/v1/edits", map[string]any{"operator": "test", "changes": changes})
-	if err != nil {
-		return 0, err
-	}
-	var answer struct {
-		Revision uint64 `json:"revision"`
-	}
-	return answer.Revision, json.Unmarshal(data, &answer)
-}
-
-// Item returns the revision of a configuration item as an entry sees it.
-func (f *Fleet) Item(d *Daemon, key string) (uint64, error) {
-	data, err := f.Admin(d, http.MethodGet, "/admin/v1/config?prefix="+key, nil)
-	if err != nil {
-		return 0, err
-	}
-	var answer struct {
-		Items []struct {
-			Key      string `json:"key"`
-			Revision uint64 `json:"revision"`
-		} `json:"items"`
-	}
-	if err := json.Unmarshal(data, &answer); err != nil {
-		return 0, err
-	}
-	for _, item := range answer.Items {
-		if item.Key == key {
-			return item.Revision, nil
-		}
-	}
-	return 0, nil
-}
-
-// call makes an HTTP call with a JSON body.
-func call(method, url, key string, body any) ([]byte, error) {
-	var reader io.Reader
-	if body != nil {
-		data, err := json.Marshal(body)
-		if err != nil {
-			return nil, fmt.Errorf("encode: %w", err)
-		}
-		reader = bytes.NewReader(data)
-	}
-	request, err := http.NewRequest(method, url, reader)
-	if err != nil {
-		return nil, fmt.Errorf("call %s: %w", url, err)
-	}
-	if key != "" {
-		request.Header.Set("Authorization", "Bearer "+key)
-	}
-	client := http.Client{Timeout: startTimeout}
-	response, err := client.Do(request)
-	if err != nil {
-		return nil, fmt.Errorf("call %s: %w", url, err)
-	}
-	defer func() { _ = response.Body.Close() }()
-	data, err := io.ReadAll(response.Body)
-	if err != nil {
-		return nil, fmt.Errorf("read %s: %w", url, err)
-	}
-	if response.StatusCode >= http.StatusMultipleChoices {
-		return data, &StatusError{URL: url, Status: response.StatusCode, Body: string(data)}
-	}
-	return data, nil
-}
-
 // configure commits the lists of the tests and waits for readiness.
 func (f *Fleet) configure(ctx context.Context) error {
 	if len(f.Entries) == 0 {
@@ -535,58 +333,6 @@
 	return nil
 }
 
-func (f *Fleet) liveVMs(d *Daemon) (int, error) {
-	data, err := f.Admin(d, http.MethodGet, "/admin/v1/fleet", nil)
-	if err != nil {
-		return 0, err
-	}
-	var answer struct {
-		VMs []struct {
-			State string `json:"state"`
-		} `json:"vms"`
-	}
-	if err := json.Unmarshal(data, &answer); err != nil {
-		return 0, err
-	}
-	live := 0
-	for _, vm := range answer.VMs {
-		if vm.State == "live" {
-			live++
-		}
-	}
-	return live, nil
-}
-
-// Signal sends a signal to a process.
-func (p *Process) Signal(s syscall.Signal) error { return p.cmd.Process.Signal(s) }
-
-// Pid returns the process id.
-func (p *Process) Pid() int { return p.cmd.Process.Pid }
-
-// Done is closed when the process has ended.
-func (p *Process) Done() <-chan struct{} { return p.done }
-
-// Terminate sends SIGTERM and waits for the end. The error is that of the
-// process, or says that it did not end in time.
-func (p *Process) Terminate() error {
-	_ = p.Signal(syscall.SIGTERM)
-	select {
-	case <-p.done:
-		if p.err != nil {
-			return fmt.Errorf("stop %s: %w", p.Name, p.err)
-		}
-		return nil
-	case <-time.After(stopTimeout):
-		return fmt.Errorf("stop %s: %w", p.Name, errNotReady)
-	}
-}
-
-// KillNow sends SIGKILL and waits for the end.
-func (p *Process) KillNow() {
-	_ = p.Signal(syscall.SIGKILL)
-	<-p.done
-}
-
 // Stop stops entries, agents and stand-ins gracefully, in this order.
 func (f *Fleet) Stop() error {
 	var failures []error
@@ -597,19 +343,6 @@
 	return errors.Join(failures...)
 }
 
-func terminateAll(list []*Daemon) []error {
-	errs := make([]error, len(list))
-	var group sync.WaitGroup
-	for i, d := range list {
-		if d.Process == nil {
-			continue
-		}
-		group.Go(func() { errs[i] = d.Terminate() })
-	}
-	group.Wait()
-	return errs
-}
-
 // Kill ends every process that still runs.
 func (f *Fleet) Kill() {
 	f.mu.Lock()
--- /dev/null
+++ b/testbed/fleet/process.go
@@ -0,0 +1,150 @@
+package fleet
+
+import (
+	"bufio"
+	"encoding/json"
+	"fmt"
+	"io"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"runtime"
+	"sync"
+	"syscall"
+	"time"
+)
+
+// Process is one started process.
+type Process struct {
+	Name string
+	// Address and FaultsAddress are set for stand-ins.
+	Address, FaultsAddress string
+	cmd                    *exec.Cmd
+	done                   chan struct{}
+	err                    error
+}
+
+// StartError says which process did not start.
+type StartError struct {
+	Name  string
+	Cause error
+}
+
+func (e *StartError) Error() string { return fmt.Sprintf("start %s: %v", e.Name, e.Cause) }
+
+// Unwrap returns the cause.
+func (e *StartError) Unwrap() error { return e.Cause }
+
+// StartStandin starts a stand-in and waits for its addresses.
+func (f *Fleet) StartStandin(binary, name string, args []string) (*Process, error) {
+	cmd := exec.Command(filepath.Join(f.Options.Bin, binary), args...)
+	stdout, err := cmd.StdoutPipe()
+	if err != nil {
+		return nil, &StartError{name, err}
+	}
+	p, err := f.launch(name, cmd)
+	if err != nil {
+		return nil, err
+	}
+	var ready struct {
+		Address       string `json:"address"`
+		FaultsAddress string `json:"faults_address"`
+	}
+	lines := bufio.NewScanner(stdout)
+	for ready.Address == "" && lines.Scan() {
+		_ = json.Unmarshal(lines.Bytes(), &ready) // other lines have no address
+	}
+	go func() { _, _ = io.Copy(io.Discard, stdout) }()
+	if ready.Address == "" {
+		return nil, &StartError{name, errNotReady}
+	}
+	p.Address, p.FaultsAddress = ready.Address, ready.FaultsAddress
+	return p, nil
+}
+
+// launch starts a command with its standard error in a log file.
+func (f *Fleet) launch(name string, cmd *exec.Cmd) (*Process, error) {
+	log, err := os.OpenFile(f.LogFile(name), os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o644)
+	if err != nil {
+		return nil, &StartError{name, err}
+	}
+	cmd.Stderr = log
+	cmd.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
+	if err := startOnOneThread(cmd); err != nil {
+		_ = log.Close()
+		return nil, &StartError{name, err}
+	}
+	p := &Process{Name: name, cmd: cmd, done: make(chan struct{})}
+	go func() {
+		p.err = cmd.Wait()
+		_ = log.Close()
+		close(p.done)
+	}()
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.all = append(f.all, p)
+	return p, nil
+}
+
+// starts passes commands to the thread that starts them.
+var starts = sync.OnceValue(func() chan<- func() {
+	requests := make(chan func())
+	go func() {
+		runtime.LockOSThread()
+		for start := range requests {
+			start()
+		}
+	}()
+	return requests
+})
+
+// startOnOneThread starts a command from a thread that never ends. The kernel
+// sends Pdeathsig when the starting thread ends, not when the process does.
+func startOnOneThread(cmd *exec.Cmd) error {
+	result := make(chan error, 1)
+	starts() <- func() { result <- cmd.Start() }
+	return <-result
+}
+
+// Signal sends a signal to a process.
+func (p *Process) Signal(s syscall.Signal) error { return p.cmd.Process.Signal(s) }
+
+// Pid returns the process id.
+func (p *Process) Pid() int { return p.cmd.Process.Pid }
+
+// Done is closed when the process has ended.
+func (p *Process) Done() <-chan struct{} { return p.done }
+
+// Terminate sends SIGTERM and waits for the end. The error is that of the
+// process, or says that it did not end in time.
+func (p *Process) Terminate() error {
+	_ = p.Signal(syscall.SIGTERM)
+	select {
+	case <-p.done:
+		if p.err != nil {
+			return fmt.Errorf("stop %s: %w", p.Name, p.err)
+		}
+		return nil
+	case <-time.After(stopTimeout):
+		return fmt.Errorf("stop %s: %w", p.Name, errNotReady)
+	}
+}
+
+// KillNow sends SIGKILL and waits for the end.
+func (p *Process) KillNow() {
+	_ = p.Signal(syscall.SIGKILL)
+	<-p.done
+}
+
+func terminateAll(list []*Daemon) []error {
+	errs := make([]error, len(list))
+	var group sync.WaitGroup
+	for i, d := range list {
+		if d.Process == nil {
+			continue
+		}
+		group.Go(func() { errs[i] = d.Terminate() })
+	}
+	group.Wait()
+	return errs
+}
