Test whole answers after the death of an entry; engines that free nothing by themselves

The engine stand-in freed broken streams after 10 s by itself, so the tests of memory could pass without the agent. They now run with engines that keep streams until they are cancelled.

--- a/testbed/e2e/failure_test.go
+++ b/testbed/e2e/failure_test.go
@@ -55,7 +55,7 @@
 	for _, tc := range cases {
 		t.Run(tc.name, func(t *testing.T) {
 			is := is.New(t)
-			ctx, f := start(t, fleet.Options{Entries: 1, Engines: 3, EngineFlags: slowEngine})
+			ctx, f := start(t, fleet.Options{Entries: 1, Engines: 3, EngineFlags: append([]string{"--keep-forever"}, slowEngine...)})
 			text := prompt("review", 2000)
 			var hit *fleet.Daemon
 			a, err := duringAnswer(ctx, f, 0, client.Request{Model: "standin", Prompt: text, MaxTokens: 100, Stream: true}, 5, func(a client.Answer) {
@@ -137,7 +137,7 @@
 func TestCallerGone(t *testing.T) {
 	for _, stream := range []bool{true, false} {
 		is := is.New(t)
-		_, f := start(t, fleet.Options{Entries: 1, Engines: 1, EngineFlags: slowEngine})
+		_, f := start(t, fleet.Options{Entries: 1, Engines: 1, EngineFlags: append([]string{"--keep-forever"}, slowEngine...)})
 		ctx, cancel := context.WithTimeout(context.Background(), time.Second)
 		_, err := caller(f, 0).Complete(ctx, client.Request{Model: "standin", Prompt: prompt("gone", 2000), MaxTokens: 4000, Stream: stream})
 		cancel()
@@ -325,3 +325,24 @@
 	_, err = f.Edit(f.Entries[1], fleet.Change{Key: "client/second", Value: map[string]any{"plan": "standard", "key_hashes": []string{}}, ExpectedRevision: 0})
 	is.True(err != nil) // the item has changed since revision 0
 }
+
+// Guards against a whole answer that is lost with its entry: another entry
+// finds it by the request id alone.
+func TestWholeAnswerAfterEntryDeath(t *testing.T) {
+	is := is.New(t)
+	ctx, f := start(t, fleet.Options{Entries: 2, Engines: 3, EngineFlags: slowEngine})
+	text := prompt("whole", 1000)
+	lost := make(chan error, 1)
+	go func() {
+		_, err := caller(f, 0).Complete(ctx, client.Request{Model: "standin", Prompt: text, MaxTokens: 100, ID: "whole-1"})
+		lost <- err
+	}()
+	time.Sleep(time.Second)
+	f.Entries[0].KillNow()
+	is.True(<-lost != nil)
+	a, err := caller(f, 1).Resume(ctx, "whole-1", "")
+	is.NoErr(err)
+	is.Equal(a.Outcome, "completed")
+	is.Equal(a.Text, expected(text, 100))
+	awaitNoMemory(t, f, 5*time.Second)
+}
