--- a/daemon/agent/agent.go
+++ b/daemon/agent/agent.go
@@ -174,7 +174,7 @@
 	case <-a.stop:
 		a.startDrain("stop requested")
 		a.awaitIdle(ctx)
-		a.sayFarewell(ctx)
+		a.awaitLastHeartbeat(ctx)
 	}
 	if a.ledger == nil {
 		return nil
@@ -196,15 +196,15 @@
 	a.member.Node.Kick()
 }
 
-// farewellTime is how long an agent without work stays connected at the end of
+// lastHeartbeatTime is how long an agent without work stays connected at the end of
 // a drain, so that its last heartbeat confirms the mark that ended it.
-const farewellTime = 200 * time.Millisecond
+const lastHeartbeatTime = 200 * time.Millisecond
 
-func (a *Agent) sayFarewell(ctx context.Context) {
+func (a *Agent) awaitLastHeartbeat(ctx context.Context) {
 	a.member.Node.Kick()
 	select {
 	case <-ctx.Done():
-	case <-time.After(farewellTime):
+	case <-time.After(lastHeartbeatTime):
 	}
 }
 
--- a/daemon/entry/run.go
+++ b/daemon/entry/run.go
@@ -285,11 +285,11 @@
 	if err != nil {
 		return attemptResult{verdict: attemptNotRun, err: outcome.Wrap(err, outcome.NoServer, "VM %s cannot be reached", vm)}
 	}
-	return e.converse(ctx, lost, r, vm, stream)
+	return e.runAttempt(ctx, lost, r, vm, stream)
 }
 
-// converse sends the request and handles the agent's messages.
-func (e *Entry) converse(ctx, lost context.Context, r *run, vm string, stream *link.Stream) attemptResult {
+// runAttempt sends the request and handles the agent's messages.
+func (e *Entry) runAttempt(ctx, lost context.Context, r *run, vm string, stream *link.Stream) attemptResult {
 	submit := r.submit(ctx)
 	hadRun := r.mayRun
 	r.mayRun = true
--- a/ledger/worker.go
+++ b/ledger/worker.go
@@ -156,7 +156,7 @@
 
 // stop refuses the waiting callers after Close gave up on the store.
 func (l *Ledger) stop(s *shard) {
-	l.absorb(s)
+	l.takePending(s)
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.failWaiting(s, true, outcome.New(outcome.StoreUnavailable, "the order journal was closed"))
@@ -169,7 +169,7 @@
 // round performs one read if needed and at most one write. It returns the
 // delay before the next round.
 func (l *Ledger) round(s *shard) time.Duration {
-	l.absorb(s)
+	l.takePending(s)
 	if len(s.work) == 0 {
 		return 0
 	}
@@ -195,10 +195,10 @@
 	return l.write(s, p)
 }
 
-// absorb takes over the pending operations and drops those whose callers have
+// takePending takes over the pending operations and drops those whose callers have
 // left. Given-up claims that are or may get into the store become tasks to mark
 // them.
-func (l *Ledger) absorb(s *shard) {
+func (l *Ledger) takePending(s *shard) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	all := append(s.work, s.pending...)
@@ -531,7 +531,7 @@
 			continue
 		}
 		op.stored = true
-		if !op.givenUp { // else absorb turns it into a task to mark the record
+		if !op.givenUp { // else takePending turns it into a task to mark the record
 			op.won = true
 			l.settle(op)
 		}
--- a/link/peer.go
+++ b/link/peer.go
@@ -130,7 +130,7 @@
 		case <-ticker.C:
 		}
 		now := time.Now()
-		n.review(now, now.Sub(last))
+		n.checkPeers(now, now.Sub(last))
 		last = now
 	}
 }
@@ -138,23 +138,23 @@
 // watchInterval is the time between two looks at the peers.
 const watchInterval = HeartbeatInterval / 4
 
-// review looks at all peers once; elapsed is the time since the last look. If
+// checkPeers looks at all peers once; elapsed is the time since the last look. If
 // it is much longer than watchInterval, this process was paused itself and
 // could not hear its peers: that time does not count as their silence, so a
 // process that resumes does not suspect all peers at once.
-func (n *Node) review(now time.Time, elapsed time.Duration) {
+func (n *Node) checkPeers(now time.Time, elapsed time.Duration) {
 	paused := elapsed - watchInterval
 	for _, p := range n.remembered() {
 		if paused >= HeartbeatInterval {
-			p.excuse(now, paused)
+			p.discountPause(now, paused)
 		}
 		n.update(p)
 		n.dropSilent(p)
 	}
 }
 
-// excuse takes a pause of this process off the silence of a peer.
-func (p *peer) excuse(now time.Time, paused time.Duration) {
+// discountPause takes a pause of this process off the silence of a peer.
+func (p *peer) discountPause(now time.Time, paused time.Duration) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.lastHeard = p.lastHeard.Add(paused)
--- a/link/peer_test.go
+++ b/link/peer_test.go
@@ -34,12 +34,12 @@
 	const pause = 5 * time.Second
 	n, r, p := silentNode(t, pause)
 	lost := p.lost
-	n.review(time.Now(), pause+watchInterval)
+	n.checkPeers(time.Now(), pause+watchInterval)
 	is.True(r.isUsable("entry-2"))
 	is.NoErr(lost.Err()) // attempts on the peer go on
 
 	n, r, _ = silentNode(t, pause)
-	n.review(time.Now(), watchInterval) // this process ran all the time
+	n.checkPeers(time.Now(), watchInterval) // this process ran all the time
 	is.True(!r.isUsable("entry-2"))
 }
 
--- a/policy/choose/table.go
+++ b/policy/choose/table.go
@@ -114,7 +114,7 @@
 		return
 	}
 	t.unlink(a)
-	t.disown(a)
+	t.dropPrefixOwnership(a)
 	delete(t.agents, vm)
 }
 
@@ -309,7 +309,7 @@
 	if a == nil {
 		return
 	}
-	t.disown(a)
+	t.dropPrefixOwnership(a)
 	a.prefixes = append(a.prefixes[:0], prefixes...)
 	for _, p := range a.prefixes {
 		if len(t.owners[p]) < maxOwners && !slices.Contains(t.owners[p], a) {
@@ -318,7 +318,7 @@
 	}
 }
 
-func (t *Table) disown(a *agent) {
+func (t *Table) dropPrefixOwnership(a *agent) {
 	for _, p := range a.prefixes {
 		if left := remove(t.owners[p], a); len(left) > 0 {
 			t.owners[p] = left
