Refuse callers without a key before their body is read

Cause: bodies of up to 12 MB were read into memory before the key was checked, so that callers without a key could occupy an entry's memory. The key is now checked first; what is left of a refused body is dropped for at most 1 s, so that its caller can read the refusal. Ruled out: checking after a part of the body, since the HTTP library hands over a request once 8 KB of its body are there.

--- a/daemon/entry/admin.go
+++ b/daemon/entry/admin.go
@@ -64,6 +64,10 @@
 			writeError(c, id, outcome.NotRun, err)
 			return
 		}
+		if err := readBody(c, maxAdminBody); err != nil {
+			writeError(c, id, outcome.NotRun, err)
+			return
+		}
 		if err := e.handleAdmin(ctx, c); err != nil {
 			result := outcome.NotRun
 			if outcome.CodeOf(err) == outcome.EditInDoubt {
--- a/daemon/entry/http.go
+++ b/daemon/entry/http.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"context"
 	"encoding/json"
+	"errors"
 	"fmt"
 	"io"
 	"net"
@@ -28,10 +29,11 @@
 	idleTimeout = 75 * time.Second
 	// answerGrace is the time to read the rest of an answer after its deadline.
 	answerGrace = 10 * time.Second
-	// discardFactor times the body limit is read and dropped of an oversized
-	// body, so that its caller can read the refusal before the connection is
-	// reset.
+	// discardFactor times the body limit is read and dropped, for at most
+	// discardTime, of a body that was refused, so that its caller can read the
+	// refusal before the connection is reset.
 	discardFactor    = 8
+	discardTime      = time.Second
 	maxConcurrency   = 65536
 	maxAdminBody     = 4 << 20
 	headerBufferSize = 16 << 10
@@ -116,13 +118,8 @@
 		Name: name, StreamRequestBody: true, MaxRequestBodySize: maxBody, ReadBufferSize: headerBufferSize,
 		ReadTimeout: readTimeout, IdleTimeout: idleTimeout,
 		Handler: func(c *fasthttp.RequestCtx) {
-			if err := readBody(c, maxBody); err != nil {
-				writeError(c, uuid.NewString(), outcome.NotRun, err)
-				c.SetStatusCode(http.StatusRequestEntityTooLarge)
-				c.SetConnectionClose()
-				return
-			}
 			handler(c)
+			dropBody(c, int64(maxBody)*discardFactor)
 		},
 		Concurrency: maxConcurrency, CloseOnShutdown: true, NoDefaultServerHeader: true,
 		ErrorHandler: func(c *fasthttp.RequestCtx, err error) {
@@ -146,7 +143,6 @@
 		return outcome.Wrap(err, outcome.InvalidRequest, "the body cannot be read")
 	}
 	if body.Len() > limit {
-		_, _ = io.CopyN(io.Discard, stream, int64(limit)*discardFactor)
 		return outcome.New(outcome.InvalidRequest, "the body exceeds %d bytes", limit)
 	}
 	_ = c.Request.CloseBodyStream()
@@ -154,6 +150,18 @@
 	return nil
 }
 
+// dropBody reads what a handler has left of a body, up to limit bytes.
+func dropBody(c *fasthttp.RequestCtx, limit int64) {
+	stream := c.RequestBodyStream()
+	if stream == nil {
+		return
+	}
+	_ = c.Conn().SetReadDeadline(time.Now().Add(discardTime))
+	if _, err := io.CopyN(io.Discard, stream, limit); !errors.Is(err, io.EOF) {
+		c.SetConnectionClose()
+	}
+}
+
 // serve runs a server until it is shut down.
 func serve(s *fasthttp.Server, l net.Listener, name string) error {
 	if err := s.Serve(l); err != nil {
@@ -184,6 +192,11 @@
 		x.refuse(err)
 		return
 	}
+	if err := readBody(c, e.settings.Entry.MaxBodyBytes); err != nil {
+		x.refuse(err)
+		c.SetStatusCode(http.StatusRequestEntityTooLarge)
+		return
+	}
 	method := string(c.Method())
 	switch {
 	case path == "/v1/completions" && method == http.MethodPost:
--- a/testbed/e2e/e2e_test.go
+++ b/testbed/e2e/e2e_test.go
@@ -2,8 +2,10 @@
 package e2e
 
 import (
+	"bufio"
 	"context"
 	"fmt"
+	"net"
 	"net/http"
 	"os"
 	"os/exec"
@@ -213,3 +215,21 @@
 	}
 	return peers
 }
+
+// Guards against callers without a key who occupy an entry's memory with large
+// bodies: they are refused before their body is read.
+func TestUnauthenticatedBodyIsNotRead(t *testing.T) {
+	is := is.New(t)
+	_, f := start(t, fleet.Options{Entries: 1, Engines: 1})
+	for _, address := range []string{f.Entries[0].Settings.Entry.CallersAddress, f.Entries[0].Settings.Entry.AdminAddress} {
+		conn, err := net.Dial("tcp", address)
+		is.NoErr(err)
+		_, err = fmt.Fprintf(conn, "POST /v1/completions HTTP/1.1\r\nHost: x\r\nAuthorization: Bearer none\r\nContent-Length: 3000000\r\n\r\n%s", strings.Repeat("x", 64<<10))
+		is.NoErr(err)
+		is.NoErr(conn.SetReadDeadline(time.Now().Add(3 * time.Second)))
+		response, err := http.ReadResponse(bufio.NewReader(conn), nil)
+		is.NoErr(err)
+		is.Equal(response.StatusCode, http.StatusUnauthorized)
+		_ = conn.Close()
+	}
+}
