Mend repetitions found in the read-through

Three commands of camphorwickctl read a list and opened a client alike; the agent had its own copy of slices.Contains and a parameter without use; a group's segments carried a text of which only the length was right. No behaviour changed.

--- a/ctl/cmd/camphorwickctl/commands.go
+++ b/ctl/cmd/camphorwickctl/commands.go
@@ -113,11 +113,7 @@
 
 // Execute implements flags.Commander.
 func (c *validateCommand) Execute([]string) error {
-	list, err := c.load(c.app)
-	if err != nil {
-		return err
-	}
-	client, err := c.app.client()
+	list, client, err := c.open(c.app)
 	if err != nil {
 		return err
 	}
@@ -141,12 +137,18 @@
 	} `positional-args:"yes" required:"yes"`
 }
 
-func (f *fileArgument) load(a *app) (*ctl.List, error) {
+// open reads the list file and returns a client for the fleet.
+func (f *fileArgument) open(a *app) (*ctl.List, *ctl.Client, error) {
 	data, err := a.readFile(f.Args.File)
 	if err != nil {
-		return nil, err
+		return nil, nil, err
+	}
+	list, err := ctl.ParseList(f.Args.File, data)
+	if err != nil {
+		return nil, nil, err
 	}
-	return ctl.ParseList(f.Args.File, data)
+	client, err := a.client()
+	return list, client, err
 }
 
 type diffCommand struct {
@@ -156,11 +158,7 @@
 
 // Execute implements flags.Commander.
 func (c *diffCommand) Execute([]string) error {
-	list, err := c.load(c.app)
-	if err != nil {
-		return err
-	}
-	client, err := c.app.client()
+	list, client, err := c.open(c.app)
 	if err != nil {
 		return err
 	}
--- a/ctl/cmd/camphorwickctl/edits.go
+++ b/ctl/cmd/camphorwickctl/edits.go
@@ -220,11 +220,7 @@
 
 // Execute implements flags.Commander.
 func (c *applyCommand) Execute([]string) error {
-	list, err := c.load(c.app)
-	if err != nil {
-		return err
-	}
-	client, err := c.app.client()
+	list, client, err := c.open(c.app)
 	if err != nil {
 		return err
 	}
--- a/daemon/agent/completion.go
+++ b/daemon/agent/completion.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
 	"go.opentelemetry.io/otel/attribute"
@@ -38,7 +39,7 @@
 	if info == nil {
 		return nil, outcome.New(outcome.UnknownModel, "VM %s has no engine", a.settings.VM)
 	}
-	if !contains(info.Models, submit.Model) {
+	if !slices.Contains(info.Models, submit.Model) {
 		return nil, outcome.New(outcome.UnknownModel, "model %q is not loaded on VM %s", submit.Model, a.settings.VM)
 	}
 	tokens := int(submit.PromptTokens)
@@ -84,15 +85,6 @@
 	return old, nil
 }
 
-func contains(list []string, s string) bool {
-	for _, l := range list {
-		if l == s {
-			return true
-		}
-	}
-	return false
-}
-
 // uncachedTokens returns the prompt tokens that the prefix cache is not known
 // to hold.
 func (a *Agent) uncachedTokens(s *wire.SubmitRequest) int {
@@ -154,7 +146,7 @@
 		}
 		if ended != nil {
 			if s.Write(&wire.AgentMessage{Body: &wire.AgentMessage_End{End: ended}}) == nil {
-				a.awaitAcknowledge(r, lost)
+				a.awaitAcknowledge(lost)
 			}
 			return
 		}
@@ -168,7 +160,7 @@
 
 // awaitAcknowledge keeps the stream open until the entry has confirmed that
 // the caller has the whole answer, or the stream is lost.
-func (a *Agent) awaitAcknowledge(r *request, lost <-chan struct{}) {
+func (a *Agent) awaitAcknowledge(lost <-chan struct{}) {
 	select {
 	case <-lost:
 	case <-time.After(time.Duration(a.settings.Agent.OrphanGraceMillis) * time.Millisecond):
--- a/daemon/agent/placement.go
+++ b/daemon/agent/placement.go
@@ -215,7 +215,7 @@
 
 func (a *Agent) serves(name string) bool {
 	info := a.info.Load()
-	return info != nil && contains(info.Models, name)
+	return info != nil && slices.Contains(info.Models, name)
 }
 
 // orderRole gives the engine a role if the command names one.
@@ -355,7 +355,7 @@
 	defer p.mu.Unlock()
 	for name, l := range p.loading {
 		switch {
-		case contains(models, name):
+		case slices.Contains(models, name):
 			p.versions[name] = l.version
 		case now.Sub(l.since) < loadLimit:
 			continue
--- a/daemon/agent/segment.go
+++ b/daemon/agent/segment.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"math"
+	"slices"
 	"time"
 
 	"camphorwick.dev/api/outcome"
@@ -61,7 +62,7 @@
 // newSegment queues the reservation.
 func (a *Agent) newSegment(ctx context.Context, s *link.Stream, reserve *wire.SegmentReserve) (*segment, error) {
 	info := a.info.Load()
-	if info == nil || !contains(info.Models, reserve.Model) {
+	if info == nil || !slices.Contains(info.Models, reserve.Model) {
 		return nil, outcome.New(outcome.UnknownModel, "model %q is not loaded on VM %s", reserve.Model, a.settings.VM)
 	}
 	now := time.Now()
--- a/daemon/entry/group.go
+++ b/daemon/entry/group.go
@@ -31,9 +31,11 @@
 type groupMember struct {
 	vm      string
 	attempt string
-	text    []byte
-	stream  *link.Stream
-	lost    context.Context
+	// size is the length of the segment in bytes, text the segment itself.
+	size   int
+	text   []byte
+	stream *link.Stream
+	lost   context.Context
 	// messages are what the agent sent; closed when the stream ends.
 	messages chan *wire.AgentMessage
 }
@@ -60,17 +62,17 @@
 		}
 		room := int(float64(candidate.kv)*segmentShare) * outcome.BytesPerToken
 		size := min(rest, room)
-		// Only the length of the text is right here; it is cut in order below.
-		members = append(members, &groupMember{vm: candidate.vm, text: prompt[:size]})
+		members = append(members, &groupMember{vm: candidate.vm, size: size})
 		rest -= size
 	}
 	if rest > 0 {
 		return nil, e.tooFewEngines(c, len(prompt), len(candidates))
 	}
 	sort.Slice(members, func(i, j int) bool { return members[i].vm < members[j].vm })
-	for start, i := 0, 0; i < len(members); i++ {
-		end := start + len(members[i].text)
-		members[i].text = prompt[start:end:end]
+	start := 0
+	for _, m := range members {
+		end := start + m.size
+		m.text = prompt[start:end:end]
 		start = end
 	}
 	return members, nil
