--- a/backend/servicehttp/servicehttp.go
+++ b/backend/servicehttp/servicehttp.go
@@ -13,7 +13,7 @@
 	"github.com/valyala/fasthttp"
 
 	"camphorwick.dev/backend"
-	"camphorwick.dev/platform/httpcall"
+	"camphorwick.dev/cloud/httpcall"
 )
 
 const headerKey = "Idempotency-Key"
--- a/platform/platform.go
+++ b/cloud/cloud.go
@@ -1,8 +1,8 @@
-// Package platform declares what camphorwick needs from the platform it runs
+// Package cloud declares what camphorwick needs from the platform it runs
 // on: a small key-value service, a list of VMs and a store of model weights.
 // The interfaces are narrow so that an adapter for another platform protocol
 // stays small. Package httpkv holds the adapter that is in use.
-package platform
+package cloud
 
 import (
 	"context"
--- a/platform/httpkv/call.go
+++ b/cloud/httpkv/call.go
@@ -10,8 +10,8 @@
 
 	"github.com/valyala/fasthttp"
 
-	"camphorwick.dev/platform"
-	"camphorwick.dev/platform/httpcall"
+	"camphorwick.dev/cloud"
+	"camphorwick.dev/cloud/httpcall"
 )
 
 // Paths, header and codes of the protocol.
@@ -50,7 +50,7 @@
 
 	key      string // key, expected and lease are for typed errors
 	expected uint64
-	lease    platform.LeaseID
+	lease    cloud.LeaseID
 }
 
 // reply is a successful answer, or status 404 for an absent key.
@@ -117,11 +117,11 @@
 	sent := !errors.As(err, &failed) || failed.Sent
 	switch {
 	case r.write && sent:
-		return &platform.UncertainError{Operation: r.operation, Cause: err}
+		return &cloud.UncertainError{Operation: r.operation, Cause: err}
 	case !r.write && ctx.Err() != nil:
 		return fmt.Errorf("%s: %w", r.operation, ctx.Err())
 	default:
-		return &platform.UnavailableError{Operation: r.operation, Cause: err}
+		return &cloud.UnavailableError{Operation: r.operation, Cause: err}
 	}
 }
 
@@ -136,15 +136,15 @@
 	}
 	switch answer.Code {
 	case codeConflict:
-		return reply{}, &platform.ConflictError{Key: r.key, Expected: r.expected, Actual: answer.Actual}
+		return reply{}, &cloud.ConflictError{Key: r.key, Expected: r.expected, Actual: answer.Actual}
 	case codeRateLimited:
-		return reply{}, &platform.RateLimitedError{RetryAfter: time.Duration(answer.RetryAfterMS) * time.Millisecond}
+		return reply{}, &cloud.RateLimitedError{RetryAfter: time.Duration(answer.RetryAfterMS) * time.Millisecond}
 	case codeTooLarge:
-		return reply{}, &platform.TooLargeError{Key: r.key, Size: len(r.body)}
+		return reply{}, &cloud.TooLargeError{Key: r.key, Size: len(r.body)}
 	case codeLeaseEnded:
-		return reply{}, &platform.LeaseError{ID: r.lease}
+		return reply{}, &cloud.LeaseError{ID: r.lease}
 	case codeUnavailable, codeInvalid:
-		return reply{}, &platform.UnavailableError{
+		return reply{}, &cloud.UnavailableError{
 			Operation: r.operation, Cause: fmt.Errorf("status %d, %s: %s", status, answer.Code, answer.Message),
 		}
 	default:
@@ -155,7 +155,7 @@
 // undetermined is the error for an answer that does not tell the effect.
 func (r request) undetermined(cause error) error {
 	if r.write {
-		return &platform.UncertainError{Operation: r.operation, Cause: cause}
+		return &cloud.UncertainError{Operation: r.operation, Cause: cause}
 	}
-	return &platform.UnavailableError{Operation: r.operation, Cause: cause}
+	return &cloud.UnavailableError{Operation: r.operation, Cause: cause}
 }
--- a/platform/httpkv/httpkv.go
+++ b/cloud/httpkv/httpkv.go
@@ -14,8 +14,8 @@
 
 	"github.com/valyala/fasthttp"
 
-	"camphorwick.dev/platform"
-	"camphorwick.dev/platform/httpcall"
+	"camphorwick.dev/cloud"
+	"camphorwick.dev/cloud/httpcall"
 )
 
 const (
@@ -41,7 +41,7 @@
 	MaxConnections int
 }
 
-// Client implements platform.KV, platform.VMList and platform.WeightStore.
+// Client implements cloud.KV, cloud.VMList and cloud.WeightStore.
 // Safe for concurrent use. No call is ever retried.
 //
 // A read or a watch whose context ends returns an error that wraps the
@@ -53,9 +53,9 @@
 }
 
 var (
-	_ platform.KV          = (*Client)(nil)
-	_ platform.VMList      = (*Client)(nil)
-	_ platform.WeightStore = (*Client)(nil)
+	_ cloud.KV          = (*Client)(nil)
+	_ cloud.VMList      = (*Client)(nil)
+	_ cloud.WeightStore = (*Client)(nil)
 )
 
 // New returns a client that connects on first use.
@@ -74,21 +74,21 @@
 // Close closes idle connections and refuses further calls.
 func (c *Client) Close() { c.http.Close() }
 
-// Get implements platform.KV.
-func (c *Client) Get(ctx context.Context, key string) (platform.Entry, error) {
+// Get implements cloud.KV.
+func (c *Client) Get(ctx context.Context, key string) (cloud.Entry, error) {
 	r, err := c.call(ctx, request{
 		operation: "get " + key, method: fasthttp.MethodGet, path: pathKV, mayBeAbsent: true, args: args{"key": key},
 	})
 	if err != nil {
-		return platform.Entry{}, err
+		return cloud.Entry{}, err
 	}
 	return r.entry()
 }
 
-// Put implements platform.KV.
-func (c *Client) Put(ctx context.Context, key string, value []byte, expected uint64, lease platform.LeaseID) (uint64, error) {
-	if len(value) > platform.MaxValueBytes {
-		return 0, &platform.TooLargeError{Key: key, Size: len(value)}
+// Put implements cloud.KV.
+func (c *Client) Put(ctx context.Context, key string, value []byte, expected uint64, lease cloud.LeaseID) (uint64, error) {
+	if len(value) > cloud.MaxValueBytes {
+		return 0, &cloud.TooLargeError{Key: key, Size: len(value)}
 	}
 	r, err := c.call(ctx, request{
 		operation: "put " + key, write: true, method: fasthttp.MethodPut, path: pathKV,
@@ -110,7 +110,7 @@
 	return answer.Revision, nil
 }
 
-// Delete implements platform.KV.
+// Delete implements cloud.KV.
 func (c *Client) Delete(ctx context.Context, key string, expected uint64) error {
 	_, err := c.call(ctx, request{
 		operation: "delete " + key, write: true, noBody: true, method: fasthttp.MethodDelete, path: pathKV,
@@ -119,7 +119,7 @@
 	return err
 }
 
-// List implements platform.KV.
+// List implements cloud.KV.
 func (c *Client) List(ctx context.Context, prefix string) ([]string, error) {
 	r, err := c.call(ctx, request{operation: "list " + prefix, method: fasthttp.MethodGet, path: pathKeys, args: args{"prefix": prefix}})
 	if err != nil {
@@ -132,8 +132,8 @@
 	return answer.Keys, err
 }
 
-// Watch implements platform.KV. It polls until the key changes or ctx ends.
-func (c *Client) Watch(ctx context.Context, key string, after uint64) (platform.Entry, error) {
+// Watch implements cloud.KV. It polls until the key changes or ctx ends.
+func (c *Client) Watch(ctx context.Context, key string, after uint64) (cloud.Entry, error) {
 	for {
 		wait := c.options.WatchWait
 		if deadline, ok := ctx.Deadline(); ok {
@@ -144,7 +144,7 @@
 			args: args{"key": key, "after": number(after), "wait_ms": milliseconds(wait)},
 		})
 		if err != nil {
-			return platform.Entry{}, err
+			return cloud.Entry{}, err
 		}
 		if r.status != fasthttp.StatusNoContent {
 			return r.entry()
@@ -152,8 +152,8 @@
 	}
 }
 
-// Grant implements platform.KV.
-func (c *Client) Grant(ctx context.Context, ttl time.Duration) (platform.LeaseID, error) {
+// Grant implements cloud.KV.
+func (c *Client) Grant(ctx context.Context, ttl time.Duration) (cloud.LeaseID, error) {
 	r, err := c.call(ctx, request{
 		operation: "grant", write: true, method: fasthttp.MethodPost, path: pathLeases, args: args{"ttl_ms": milliseconds(ttl)},
 	})
@@ -161,7 +161,7 @@
 		return 0, err
 	}
 	var answer struct {
-		Lease platform.LeaseID `json:"lease"`
+		Lease cloud.LeaseID `json:"lease"`
 	}
 	if err := r.decode(&answer); err != nil {
 		return 0, err
@@ -172,8 +172,8 @@
 	return answer.Lease, nil
 }
 
-// Renew implements platform.KV.
-func (c *Client) Renew(ctx context.Context, id platform.LeaseID) error {
+// Renew implements cloud.KV.
+func (c *Client) Renew(ctx context.Context, id cloud.LeaseID) error {
 	_, err := c.call(ctx, request{
 		operation: "renew", write: true, noBody: true, method: fasthttp.MethodPut, path: pathLeases,
 		lease: id, args: args{"lease": number(uint64(id))},
@@ -181,8 +181,8 @@
 	return err
 }
 
-// Revoke implements platform.KV. A lease that has ended is no error.
-func (c *Client) Revoke(ctx context.Context, id platform.LeaseID) error {
+// Revoke implements cloud.KV. A lease that has ended is no error.
+func (c *Client) Revoke(ctx context.Context, id cloud.LeaseID) error {
 	_, err := c.call(ctx, request{
 		operation: "revoke", write: true, noBody: true, method: fasthttp.MethodDelete, path: pathLeases,
 		lease: id, args: args{"lease": number(uint64(id))},
@@ -190,20 +190,20 @@
 	return err
 }
 
-// VMs implements platform.VMList.
-func (c *Client) VMs(ctx context.Context) ([]platform.VM, error) {
+// VMs implements cloud.VMList.
+func (c *Client) VMs(ctx context.Context) ([]cloud.VM, error) {
 	r, err := c.call(ctx, request{operation: "list VMs", method: fasthttp.MethodGet, path: pathVMs})
 	if err != nil {
 		return nil, err
 	}
 	var answer struct {
-		VMs []platform.VM `json:"vms"`
+		VMs []cloud.VM `json:"vms"`
 	}
 	err = r.decode(&answer)
 	return answer.VMs, err
 }
 
-// Reserve implements platform.WeightStore.
+// Reserve implements cloud.WeightStore.
 func (c *Client) Reserve(ctx context.Context, model, version string) error {
 	_, err := c.call(ctx, request{
 		operation: "reserve weights", write: true, noBody: true, method: fasthttp.MethodPost, path: pathWeights,
@@ -227,15 +227,15 @@
 
 // entry reads the value and its revision from an answer; status 404 is an
 // absent key.
-func (r reply) entry() (platform.Entry, error) {
+func (r reply) entry() (cloud.Entry, error) {
 	if r.status == fasthttp.StatusNotFound {
-		return platform.Entry{}, nil
+		return cloud.Entry{}, nil
 	}
 	revision, err := strconv.ParseUint(r.revision, 10, 64)
 	if err != nil {
-		return platform.Entry{}, r.request.undetermined(fmt.Errorf("parsing %s: %w", headerRevision, err))
+		return cloud.Entry{}, r.request.undetermined(fmt.Errorf("parsing %s: %w", headerRevision, err))
 	}
-	return platform.Entry{Value: r.body, Revision: revision}, nil
+	return cloud.Entry{Value: r.body, Revision: revision}, nil
 }
 
 var errUnknownAnswer = errors.New("answer outside the protocol")
--- a/platform/httpkv/httpkv_test.go
+++ b/cloud/httpkv/httpkv_test.go
@@ -14,7 +14,7 @@
 	"github.com/matryer/is"
 	"github.com/valyala/fasthttp"
 
-	"camphorwick.dev/platform"
+	"camphorwick.dev/cloud"
 	"camphorwick.dev/standin/platformsim"
 	"camphorwick.dev/standin/process"
 )
@@ -80,19 +80,19 @@
 	entry, err := s.Get(ctx, "a")
 	is.NoErr(err)
 	is.Equal(entry.Revision, uint64(0)) // absent
-	large := bytes.Repeat([]byte{0, 255}, platform.MaxValueBytes/2)
+	large := bytes.Repeat([]byte{0, 255}, cloud.MaxValueBytes/2)
 	first, err := s.Put(ctx, "a &?/\n", large, 0, 0)
 	is.NoErr(err)
 	entry, err = s.Get(ctx, "a &?/\n")
 	is.NoErr(err)
 	is.True(entry.Revision == first && bytes.Equal(entry.Value, large))
 	_, err = s.Put(ctx, "a &?/\n", nil, first+7, 0)
-	var conflict *platform.ConflictError
+	var conflict *cloud.ConflictError
 	is.True(errors.As(err, &conflict))
-	is.Equal(*conflict, platform.ConflictError{Key: "a &?/\n", Expected: first + 7, Actual: first})
+	is.Equal(*conflict, cloud.ConflictError{Key: "a &?/\n", Expected: first + 7, Actual: first})
 	_, err = s.Put(ctx, "b", append(large, 0), 0, 0)
-	is.True(as[*platform.TooLargeError](err))
-	is.True(as[*platform.ConflictError](s.Delete(ctx, "a &?/\n", first+7)))
+	is.True(as[*cloud.TooLargeError](err))
+	is.True(as[*cloud.ConflictError](s.Delete(ctx, "a &?/\n", first+7)))
 	is.NoErr(s.Delete(ctx, "a &?/\n", first))
 	second, err := s.Put(ctx, "a2", nil, 0, 0)
 	is.NoErr(err)
@@ -115,12 +115,12 @@
 	entry, err := s.Get(ctx, "k")
 	is.NoErr(err)
 	is.Equal(entry.Revision, uint64(0))
-	is.True(as[*platform.LeaseError](s.Renew(ctx, id)))
+	is.True(as[*cloud.LeaseError](s.Renew(ctx, id)))
 	short, err := s.Grant(ctx, time.Millisecond)
 	is.NoErr(err)
 	time.Sleep(20 * time.Millisecond)
 	_, err = s.Put(ctx, "k", nil, 0, short)
-	is.True(as[*platform.LeaseError](err))
+	is.True(as[*cloud.LeaseError](err))
 }
 
 // Guards against a wrong class of error, which would make the order journal
@@ -141,8 +141,8 @@
 			is.NoErr(err)
 			s.control(t, "PUT", "/faults", `{"rules":[{"fault":"`+test.fault+`","operation":"put","count":1}]}`)
 			_, err = s.Put(ctx, "k", []byte("v"), 0, 0)
-			is.Equal(as[*platform.UncertainError](err), test.uncertain)
-			is.Equal(as[*platform.UnavailableError](err), !test.uncertain)
+			is.Equal(as[*cloud.UncertainError](err), test.uncertain)
+			is.Equal(as[*cloud.UnavailableError](err), !test.uncertain)
 			is.Equal(s.calls(t, "put"), 1) // not retried
 			entry, err := s.Get(ctx, "k")
 			is.NoErr(err)
@@ -171,12 +171,12 @@
 	}
 	s.control(t, "PUT", "/faults", `{"outage":"lose_request"}`)
 	_, err := s.Get(ctx, "k")
-	is.True(as[*platform.UnavailableError](err))
+	is.True(as[*cloud.UnavailableError](err))
 	is.Equal(s.calls(t, "get"), 1)
-	is.True(as[*platform.UnavailableError](<-watch))
+	is.True(as[*cloud.UnavailableError](<-watch))
 	s.control(t, "PUT", "/faults", `{"outage":"refuse"}`)
 	_, err = s.List(ctx, "k")
-	is.True(as[*platform.UnavailableError](err))
+	is.True(as[*cloud.UnavailableError](err))
 	s.control(t, "DELETE", "/faults", "")
 	_, err = s.Get(ctx, "k")
 	is.NoErr(err)
@@ -191,14 +191,14 @@
 	defer cancel()
 	began := time.Now()
 	_, err := s.Put(ctx, "k", []byte("v"), 0, 0)
-	is.True(as[*platform.UncertainError](err) && errors.Is(err, context.DeadlineExceeded))
+	is.True(as[*cloud.UncertainError](err) && errors.Is(err, context.DeadlineExceeded))
 	is.True(time.Since(began) < 300*time.Millisecond)
 	entry, err := s.Watch(context.Background(), "k", 0)
 	is.NoErr(err)
 	is.Equal(string(entry.Value), "v") // took effect later
 
 	_, err = s.Put(ctx, "k", nil, entry.Revision, 0)
-	is.True(as[*platform.UnavailableError](err) && errors.Is(err, context.DeadlineExceeded)) // not sent
+	is.True(as[*cloud.UnavailableError](err) && errors.Is(err, context.DeadlineExceeded)) // not sent
 	_, err = s.Get(ctx, "k")
 	is.True(errors.Is(err, context.DeadlineExceeded))
 
@@ -218,9 +218,9 @@
 	defer c.Close()
 	s.control(t, "PUT", "/faults", `{"latency_ms":300}`)
 	_, err := c.Put(context.Background(), "k", nil, 0, 0)
-	is.True(as[*platform.UncertainError](err) && errors.Is(err, context.DeadlineExceeded))
+	is.True(as[*cloud.UncertainError](err) && errors.Is(err, context.DeadlineExceeded))
 	_, err = c.Get(context.Background(), "k")
-	is.True(as[*platform.UnavailableError](err) && errors.Is(err, context.DeadlineExceeded))
+	is.True(as[*cloud.UnavailableError](err) && errors.Is(err, context.DeadlineExceeded))
 }
 
 // Guards against writes that are called uncertain although nothing listens,
@@ -248,7 +248,7 @@
 	time.Sleep(20 * time.Millisecond) // until the close arrives
 	for range 2 {
 		_, err = c.Put(ctx, "k", nil, 1, 0)
-		is.True(as[*platform.UnavailableError](err))
+		is.True(as[*cloud.UnavailableError](err))
 	}
 }
 
@@ -280,10 +280,10 @@
 		}()
 		c := New(Options{Address: listener.Addr().String()})
 		_, err = c.Put(context.Background(), "k", nil, 0, 0)
-		is.True(as[*platform.UncertainError](err))
-		is.True(as[*platform.UncertainError](c.Delete(context.Background(), "k", 1)))
+		is.True(as[*cloud.UncertainError](err))
+		is.True(as[*cloud.UncertainError](c.Delete(context.Background(), "k", 1)))
 		_, err = c.Get(context.Background(), "k")
-		is.True(as[*platform.UnavailableError](err))
+		is.True(as[*cloud.UnavailableError](err))
 		c.Close()
 		is.NoErr(listener.Close())
 	}
@@ -299,7 +299,7 @@
 		"weights": func() error { return s.Reserve(ctx, "m", "1") },
 	} {
 		is.NoErr(call())
-		var limited *platform.RateLimitedError
+		var limited *cloud.RateLimitedError
 		is.True(errors.As(call(), &limited))
 		is.True(limited.RetryAfter > 0 && limited.RetryAfter <= time.Second)
 		is.Equal(s.calls(t, operation), 2)
@@ -324,7 +324,7 @@
 // Guards against a VM list that shows changes at once or loses fields.
 func TestVMListLags(t *testing.T) {
 	is, ctx, s := is.New(t), context.Background(), start(t, platformsim.Options{VMLag: 150 * time.Millisecond})
-	vm := platform.VM{ID: "e1", Role: "entry", DataCentre: "dc1", Address: "127.0.0.1:1", State: platform.VMLeaving}
+	vm := cloud.VM{ID: "e1", Role: "entry", DataCentre: "dc1", Address: "127.0.0.1:1", State: cloud.VMLeaving}
 	line, err := json.Marshal(vm)
 	is.NoErr(err)
 	began := time.Now()
@@ -333,7 +333,7 @@
 		vms, err := s.VMs(ctx)
 		is.NoErr(err)
 		if len(vms) > 0 {
-			is.Equal(vms, []platform.VM{vm})
+			is.Equal(vms, []cloud.VM{vm})
 			break
 		}
 		time.Sleep(5 * time.Millisecond)
@@ -357,7 +357,7 @@
 				_, err = s.Put(ctx, "n", append(entry.Value, 'x'), entry.Revision, 0)
 				if err == nil {
 					done++
-				} else if !as[*platform.ConflictError](err) {
+				} else if !as[*cloud.ConflictError](err) {
 					t.Error(err)
 					return
 				}
--- a/platform/memkv/memkv.go
+++ b/cloud/memkv/memkv.go
@@ -1,4 +1,4 @@
-// Package memkv is an in-memory platform.KV for tests. It can be switched
+// Package memkv is an in-memory cloud.KV for tests. It can be switched
 // off, lose the answers of writes that took effect, and delay writes so that
 // they take effect after their caller has given up.
 package memkv
@@ -11,7 +11,7 @@
 	"sync"
 	"time"
 
-	"camphorwick.dev/platform"
+	"camphorwick.dev/cloud"
 )
 
 var (
@@ -44,10 +44,10 @@
 type Store struct {
 	mu       sync.Mutex
 	entries  map[string]record
-	leases   map[platform.LeaseID]time.Time
-	ttls     map[platform.LeaseID]time.Duration
+	leases   map[cloud.LeaseID]time.Time
+	ttls     map[cloud.LeaseID]time.Duration
 	revision uint64
-	lease    platform.LeaseID
+	lease    cloud.LeaseID
 	changed  chan struct{} // closed and replaced on each change
 	down     bool
 	fault    func(key string) Fault
@@ -56,18 +56,18 @@
 }
 
 type record struct {
-	platform.Entry
-	lease platform.LeaseID
+	cloud.Entry
+	lease cloud.LeaseID
 }
 
-var _ platform.KV = (*Store)(nil)
+var _ cloud.KV = (*Store)(nil)
 
 // New returns an empty store.
 func New() *Store {
 	return &Store{
 		entries: map[string]record{},
-		leases:  map[platform.LeaseID]time.Time{},
-		ttls:    map[platform.LeaseID]time.Duration{},
+		leases:  map[cloud.LeaseID]time.Time{},
+		ttls:    map[cloud.LeaseID]time.Duration{},
 		changed: make(chan struct{}),
 	}
 }
@@ -116,34 +116,34 @@
 	}
 }
 
-// Get implements platform.KV.
-func (s *Store) Get(ctx context.Context, key string) (platform.Entry, error) {
+// Get implements cloud.KV.
+func (s *Store) Get(ctx context.Context, key string) (cloud.Entry, error) {
 	if err := ctx.Err(); err != nil {
-		return platform.Entry{}, err
+		return cloud.Entry{}, err
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.calls.Reads++
 	if s.down {
-		return platform.Entry{}, &platform.UnavailableError{Operation: "get " + key, Cause: errOutage}
+		return cloud.Entry{}, &cloud.UnavailableError{Operation: "get " + key, Cause: errOutage}
 	}
 	s.expire()
 	return s.entries[key].Entry, nil
 }
 
-// Put implements platform.KV.
-func (s *Store) Put(ctx context.Context, key string, value []byte, expected uint64, lease platform.LeaseID) (uint64, error) {
+// Put implements cloud.KV.
+func (s *Store) Put(ctx context.Context, key string, value []byte, expected uint64, lease cloud.LeaseID) (uint64, error) {
 	if err := ctx.Err(); err != nil {
-		return 0, &platform.UnavailableError{Operation: "put " + key, Cause: err}
+		return 0, &cloud.UnavailableError{Operation: "put " + key, Cause: err}
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.calls.Writes++
 	if s.down {
-		return 0, &platform.UnavailableError{Operation: "put " + key, Cause: errOutage}
+		return 0, &cloud.UnavailableError{Operation: "put " + key, Cause: errOutage}
 	}
 	value = append([]byte(nil), value...)
-	uncertain := &platform.UncertainError{Operation: "put " + key, Cause: errLost}
+	uncertain := &cloud.UncertainError{Operation: "put " + key, Cause: errLost}
 	switch s.nextFault(key) {
 	case LoseAnswer:
 		_, _ = s.put(key, value, expected, lease)
@@ -165,51 +165,51 @@
 }
 
 // put carries out a write; s.mu is held.
-func (s *Store) put(key string, value []byte, expected uint64, lease platform.LeaseID) (uint64, error) {
+func (s *Store) put(key string, value []byte, expected uint64, lease cloud.LeaseID) (uint64, error) {
 	s.expire()
-	if len(value) > platform.MaxValueBytes {
-		return 0, &platform.TooLargeError{Key: key, Size: len(value)}
+	if len(value) > cloud.MaxValueBytes {
+		return 0, &cloud.TooLargeError{Key: key, Size: len(value)}
 	}
 	if _, ok := s.leases[lease]; lease != 0 && !ok {
-		return 0, &platform.LeaseError{ID: lease}
+		return 0, &cloud.LeaseError{ID: lease}
 	}
 	if actual := s.entries[key].Revision; actual != expected {
-		return 0, &platform.ConflictError{Key: key, Expected: expected, Actual: actual}
+		return 0, &cloud.ConflictError{Key: key, Expected: expected, Actual: actual}
 	}
 	return s.set(key, value, lease), nil
 }
 
-func (s *Store) set(key string, value []byte, lease platform.LeaseID) uint64 {
+func (s *Store) set(key string, value []byte, lease cloud.LeaseID) uint64 {
 	s.revision++
-	s.entries[key] = record{platform.Entry{Value: value, Revision: s.revision}, lease}
+	s.entries[key] = record{cloud.Entry{Value: value, Revision: s.revision}, lease}
 	s.notify()
 	return s.revision
 }
 
-// Delete implements platform.KV.
+// Delete implements cloud.KV.
 func (s *Store) Delete(ctx context.Context, key string, expected uint64) error {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.calls.Writes++
 	if s.down {
-		return &platform.UnavailableError{Operation: "delete " + key, Cause: errOutage}
+		return &cloud.UnavailableError{Operation: "delete " + key, Cause: errOutage}
 	}
 	s.expire()
 	if actual := s.entries[key].Revision; actual != expected {
-		return &platform.ConflictError{Key: key, Expected: expected, Actual: actual}
+		return &cloud.ConflictError{Key: key, Expected: expected, Actual: actual}
 	}
 	delete(s.entries, key)
 	s.notify()
 	return nil
 }
 
-// List implements platform.KV.
+// List implements cloud.KV.
 func (s *Store) List(ctx context.Context, prefix string) ([]string, error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.calls.Reads++
 	if s.down {
-		return nil, &platform.UnavailableError{Operation: "list " + prefix, Cause: errOutage}
+		return nil, &cloud.UnavailableError{Operation: "list " + prefix, Cause: errOutage}
 	}
 	s.expire()
 	var keys []string
@@ -222,8 +222,8 @@
 	return keys, nil
 }
 
-// Watch implements platform.KV.
-func (s *Store) Watch(ctx context.Context, key string, after uint64) (platform.Entry, error) {
+// Watch implements cloud.KV.
+func (s *Store) Watch(ctx context.Context, key string, after uint64) (cloud.Entry, error) {
 	s.mu.Lock()
 	s.calls.Watches++
 	s.mu.Unlock()
@@ -233,7 +233,7 @@
 		entry, changed, down := s.entries[key].Entry, s.changed, s.down
 		s.mu.Unlock()
 		if down {
-			return platform.Entry{}, &platform.UnavailableError{Operation: "watch " + key, Cause: errOutage}
+			return cloud.Entry{}, &cloud.UnavailableError{Operation: "watch " + key, Cause: errOutage}
 		}
 		if entry.Revision > after {
 			return entry, nil
@@ -241,18 +241,18 @@
 		select {
 		case <-changed:
 		case <-ctx.Done():
-			return platform.Entry{}, ctx.Err()
+			return cloud.Entry{}, ctx.Err()
 		}
 	}
 }
 
-// Grant implements platform.KV.
-func (s *Store) Grant(ctx context.Context, ttl time.Duration) (platform.LeaseID, error) {
+// Grant implements cloud.KV.
+func (s *Store) Grant(ctx context.Context, ttl time.Duration) (cloud.LeaseID, error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.calls.Writes++
 	if s.down {
-		return 0, &platform.UnavailableError{Operation: "grant", Cause: errOutage}
+		return 0, &cloud.UnavailableError{Operation: "grant", Cause: errOutage}
 	}
 	s.lease++
 	s.ttls[s.lease] = ttl
@@ -260,29 +260,29 @@
 	return s.lease, nil
 }
 
-// Renew implements platform.KV.
-func (s *Store) Renew(ctx context.Context, id platform.LeaseID) error {
+// Renew implements cloud.KV.
+func (s *Store) Renew(ctx context.Context, id cloud.LeaseID) error {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.calls.Writes++
 	if s.down {
-		return &platform.UnavailableError{Operation: "renew", Cause: errOutage}
+		return &cloud.UnavailableError{Operation: "renew", Cause: errOutage}
 	}
 	s.expire()
 	if _, ok := s.leases[id]; !ok {
-		return &platform.LeaseError{ID: id}
+		return &cloud.LeaseError{ID: id}
 	}
 	s.leases[id] = time.Now().Add(s.ttls[id])
 	return nil
 }
 
-// Revoke implements platform.KV.
-func (s *Store) Revoke(ctx context.Context, id platform.LeaseID) error {
+// Revoke implements cloud.KV.
+func (s *Store) Revoke(ctx context.Context, id cloud.LeaseID) error {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.calls.Writes++
 	if s.down {
-		return &platform.UnavailableError{Operation: "revoke", Cause: errOutage}
+		return &cloud.UnavailableError{Operation: "revoke", Cause: errOutage}
 	}
 	s.end(id)
 	return nil
@@ -298,7 +298,7 @@
 	}
 }
 
-func (s *Store) end(id platform.LeaseID) {
+func (s *Store) end(id cloud.LeaseID) {
 	delete(s.leases, id)
 	delete(s.ttls, id)
 	for key, r := range s.entries {
--- a/ctl/examples_test.go
+++ b/ctl/examples_test.go
@@ -10,8 +10,8 @@
 	"github.com/matryer/is"
 
 	"camphorwick.dev/api/wire"
+	"camphorwick.dev/cloud/memkv"
 	"camphorwick.dev/fleetconf"
-	"camphorwick.dev/platform/memkv"
 	"camphorwick.dev/settings"
 )
 
--- a/daemon/agent/agent.go
+++ b/daemon/agent/agent.go
@@ -22,12 +22,12 @@
 	"camphorwick.dev/api/outcome"
 	"camphorwick.dev/api/wire"
 	"camphorwick.dev/backend"
+	"camphorwick.dev/cloud"
 	"camphorwick.dev/daemon/member"
 	"camphorwick.dev/fleetconf"
 	"camphorwick.dev/ledger"
 	"camphorwick.dev/link"
 	"camphorwick.dev/observe"
-	"camphorwick.dev/platform"
 	"camphorwick.dev/policy/queue"
 	"camphorwick.dev/settings"
 )
@@ -45,8 +45,8 @@
 // Deps are the outside parts that an Agent uses. Exactly one of Engine and
 // Service is set.
 type Deps struct {
-	KV        platform.KV
-	VMs       platform.VMList
+	KV        cloud.KV
+	VMs       cloud.VMList
 	Engine    backend.Engine
 	Service   backend.Service
 	Telemetry *observe.Telemetry
@@ -264,7 +264,7 @@
 
 func (h *hooks) PeerLoad(*wire.Hello, *wire.Load) {}
 
-func (h *hooks) VMsChanged([]platform.VM) {}
+func (h *hooks) VMsChanged([]cloud.VM) {}
 
 func (h *hooks) Demand(*wire.Hello) []*wire.ModelDemand { return nil }
 
--- a/daemon/agent/placement_test.go
+++ b/daemon/agent/placement_test.go
@@ -18,11 +18,11 @@
 
 	"camphorwick.dev/api/wire"
 	"camphorwick.dev/backend"
+	"camphorwick.dev/cloud"
+	"camphorwick.dev/cloud/memkv"
 	"camphorwick.dev/daemon/member"
 	"camphorwick.dev/daemon/placement"
 	"camphorwick.dev/link"
-	"camphorwick.dev/platform"
-	"camphorwick.dev/platform/memkv"
 	"camphorwick.dev/policy/place"
 	"camphorwick.dev/settings"
 )
@@ -95,7 +95,7 @@
 	return nil
 }
 
-func testAgent(vm string, kv platform.KV, engine backend.Engine) *Agent {
+func testAgent(vm string, kv cloud.KV, engine backend.Engine) *Agent {
 	log := slog.New(slog.DiscardHandler)
 	a := &Agent{settings: &settings.Settings{VM: vm}, log: log, engine: engine, placements: newPlacements(),
 		member: &member.Member{KV: kv, Node: link.NewNode(link.Config{Log: log})}}
@@ -246,13 +246,13 @@
 	}
 }
 
-// Reserve implements platform.WeightStore with a free slot every other call.
+// Reserve implements cloud.WeightStore with a free slot every other call.
 func (w *world) Reserve(context.Context, string, string) error {
 	w.pause()
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	if w.random.IntN(2) == 0 && !w.calm {
-		return &platform.RateLimitedError{RetryAfter: time.Second}
+		return &cloud.RateLimitedError{RetryAfter: time.Second}
 	}
 	w.grants++
 	return nil
@@ -260,26 +260,26 @@
 
 // pausingKV pauses its caller after each call that planners and agents make.
 type pausingKV struct {
-	platform.KV
+	cloud.KV
 	world *world
 }
 
-func (k pausingKV) Get(ctx context.Context, key string) (platform.Entry, error) {
+func (k pausingKV) Get(ctx context.Context, key string) (cloud.Entry, error) {
 	defer k.world.pause()
 	return k.KV.Get(ctx, key)
 }
 
-func (k pausingKV) Put(ctx context.Context, key string, value []byte, expected uint64, lease platform.LeaseID) (uint64, error) {
+func (k pausingKV) Put(ctx context.Context, key string, value []byte, expected uint64, lease cloud.LeaseID) (uint64, error) {
 	defer k.world.pause()
 	return k.KV.Put(ctx, key, value, expected, lease)
 }
 
-func (k pausingKV) Grant(ctx context.Context, ttl time.Duration) (platform.LeaseID, error) {
+func (k pausingKV) Grant(ctx context.Context, ttl time.Duration) (cloud.LeaseID, error) {
 	defer k.world.pause()
 	return k.KV.Grant(ctx, ttl)
 }
 
-func (k pausingKV) Renew(ctx context.Context, id platform.LeaseID) error {
+func (k pausingKV) Renew(ctx context.Context, id cloud.LeaseID) error {
 	defer k.world.pause()
 	return k.KV.Renew(ctx, id)
 }
--- a/daemon/agent/runner_test.go
+++ b/daemon/agent/runner_test.go
@@ -17,8 +17,8 @@
 	"camphorwick.dev/api/outcome"
 	"camphorwick.dev/api/wire"
 	"camphorwick.dev/backend"
+	"camphorwick.dev/cloud/memkv"
 	"camphorwick.dev/observe"
-	"camphorwick.dev/platform/memkv"
 	"camphorwick.dev/policy/queue"
 	"camphorwick.dev/settings"
 )
--- a/daemon/cmd/camphorwick/main.go
+++ b/daemon/cmd/camphorwick/main.go
@@ -20,12 +20,12 @@
 	"camphorwick.dev/backend"
 	"camphorwick.dev/backend/enginehttp"
 	"camphorwick.dev/backend/servicehttp"
+	"camphorwick.dev/cloud"
+	"camphorwick.dev/cloud/httpkv"
 	"camphorwick.dev/daemon/agent"
 	"camphorwick.dev/daemon/entry"
 	"camphorwick.dev/daemon/member"
 	"camphorwick.dev/observe"
-	"camphorwick.dev/platform"
-	"camphorwick.dev/platform/httpkv"
 	"camphorwick.dev/settings"
 )
 
@@ -185,7 +185,7 @@
 	return err
 }
 
-func agentDeps(s *settings.Settings, kv platform.KV, vms platform.VMList, t *observe.Telemetry) (agent.Deps, error) {
+func agentDeps(s *settings.Settings, kv cloud.KV, vms cloud.VMList, t *observe.Telemetry) (agent.Deps, error) {
 	deps := agent.Deps{KV: kv, VMs: vms, Telemetry: t}
 	if s.Agent.Engine != nil {
 		deps.Engine = enginehttp.New(hostOf(s.Agent.Engine.URL))
--- a/daemon/entry/admin.go
+++ b/daemon/entry/admin.go
@@ -20,8 +20,8 @@
 
 	"camphorwick.dev/api/outcome"
 	"camphorwick.dev/api/wire"
+	"camphorwick.dev/cloud"
 	"camphorwick.dev/fleetconf"
-	"camphorwick.dev/platform"
 )
 
 // editLimit bounds the time of one edit.
@@ -309,7 +309,7 @@
 func (e *Entry) expectedVMs() []string {
 	var names []string
 	for _, vm := range e.member.ListedVMs() {
-		if vm.State == platform.VMLive {
+		if vm.State == cloud.VMLive {
 			names = append(names, vm.ID)
 		}
 	}
--- a/daemon/entry/entry.go
+++ b/daemon/entry/entry.go
@@ -21,11 +21,11 @@
 
 	"camphorwick.dev/api/outcome"
 	"camphorwick.dev/api/wire"
+	"camphorwick.dev/cloud"
 	"camphorwick.dev/daemon/member"
 	"camphorwick.dev/fleetconf"
 	"camphorwick.dev/link"
 	"camphorwick.dev/observe"
-	"camphorwick.dev/platform"
 	"camphorwick.dev/policy/admit"
 	"camphorwick.dev/policy/choose"
 	"camphorwick.dev/policy/retry"
@@ -34,9 +34,9 @@
 
 // Deps are the outside parts that an Entry uses.
 type Deps struct {
-	KV        platform.KV
-	VMs       platform.VMList
-	Weights   platform.WeightStore
+	KV        cloud.KV
+	VMs       cloud.VMList
+	Weights   cloud.WeightStore
 	Telemetry *observe.Telemetry
 }
 
@@ -231,7 +231,7 @@
 
 // VMsChanged forgets agents that are neither listed nor usable, because VMs
 // are replaced all the time.
-func (h *hooks) VMsChanged(vms []platform.VM) {
+func (h *hooks) VMsChanged(vms []cloud.VM) {
 	e := (*Entry)(h)
 	listed := make(map[string]bool, len(vms))
 	for _, vm := range vms {
--- a/daemon/entry/limits_test.go
+++ b/daemon/entry/limits_test.go
@@ -16,10 +16,10 @@
 
 	"camphorwick.dev/api/outcome"
 	"camphorwick.dev/api/wire"
+	"camphorwick.dev/cloud/memkv"
 	"camphorwick.dev/fleetconf"
 	"camphorwick.dev/link"
 	"camphorwick.dev/observe"
-	"camphorwick.dev/platform/memkv"
 	"camphorwick.dev/policy/choose"
 	"camphorwick.dev/settings"
 )
--- a/daemon/entry/placement.go
+++ b/daemon/entry/placement.go
@@ -11,10 +11,10 @@
 
 	"camphorwick.dev/api/outcome"
 	"camphorwick.dev/api/wire"
+	"camphorwick.dev/cloud"
 	"camphorwick.dev/daemon/placement"
 	"camphorwick.dev/fleetconf"
 	"camphorwick.dev/link"
-	"camphorwick.dev/platform"
 	"camphorwick.dev/policy/place"
 	"camphorwick.dev/settings"
 )
@@ -140,9 +140,9 @@
 
 // knowsAll reports whether every listed agent is known. An entry that has just
 // started would otherwise load models again that engines it has not met serve.
-func knowsAll(listed []platform.VM, known map[string]*agentState) bool {
+func knowsAll(listed []cloud.VM, known map[string]*agentState) bool {
 	for _, vm := range listed {
-		if vm.Role == string(settings.RoleAgent) && vm.State == platform.VMLive && known[vm.ID] == nil {
+		if vm.Role == string(settings.RoleAgent) && vm.State == cloud.VMLive && known[vm.ID] == nil {
 			return false
 		}
 	}
--- a/daemon/entry/placement_test.go
+++ b/daemon/entry/placement_test.go
@@ -7,15 +7,15 @@
 	"github.com/matryer/is"
 
 	"camphorwick.dev/api/wire"
-	"camphorwick.dev/platform"
+	"camphorwick.dev/cloud"
 	"camphorwick.dev/policy/place"
 )
 
 // Guards against an entry that plans before it has met all agents.
 func TestKnowsAll(t *testing.T) {
 	is := is.New(t)
-	listed := []platform.VM{{ID: "entry-1", Role: "entry", State: platform.VMLive}, {ID: "server-1", Role: "agent", State: platform.VMLive},
-		{ID: "server-2", Role: "agent", State: platform.VMLeaving}}
+	listed := []cloud.VM{{ID: "entry-1", Role: "entry", State: cloud.VMLive}, {ID: "server-1", Role: "agent", State: cloud.VMLive},
+		{ID: "server-2", Role: "agent", State: cloud.VMLeaving}}
 	is.True(!knowsAll(nil, nil))
 	is.True(!knowsAll(listed, nil))
 	is.True(knowsAll(listed, map[string]*agentState{"server-1": {}}))
--- a/daemon/entry/run_test.go
+++ b/daemon/entry/run_test.go
@@ -10,7 +10,7 @@
 	"go.opentelemetry.io/otel/metric/noop"
 
 	"camphorwick.dev/api/wire"
-	"camphorwick.dev/platform"
+	"camphorwick.dev/cloud"
 	"camphorwick.dev/policy/choose"
 )
 
@@ -77,7 +77,7 @@
 	for vm, usable := range map[string]bool{"gone": false, "listed": false, "connected": true} {
 		e.agents[vm] = &agentState{hello: &wire.Hello{Vm: vm}, usable: usable}
 	}
-	(*hooks)(e).VMsChanged([]platform.VM{{ID: "listed"}})
+	(*hooks)(e).VMsChanged([]cloud.VM{{ID: "listed"}})
 	is.Equal(len(e.agents), 2)
 	is.True(e.agents["gone"] == nil)
 }
--- a/daemon/member/member.go
+++ b/daemon/member/member.go
@@ -16,9 +16,9 @@
 	"golang.org/x/sync/errgroup"
 
 	"camphorwick.dev/api/wire"
+	"camphorwick.dev/cloud"
 	"camphorwick.dev/fleetconf"
 	"camphorwick.dev/link"
-	"camphorwick.dev/platform"
 	"camphorwick.dev/policy/subset"
 	"camphorwick.dev/settings"
 )
@@ -46,7 +46,7 @@
 	// PeerChanged is called when a peer becomes usable or stops being so.
 	PeerChanged(peer *wire.Hello, usable bool)
 	// VMsChanged is called when the VM list has changed.
-	VMsChanged(vms []platform.VM)
+	VMsChanged(vms []cloud.VM)
 	// Stream serves a stream that an entry opened.
 	Stream(ctx context.Context, s *link.Stream)
 	// ConfigChanged is called after a new revision is in force.
@@ -60,19 +60,19 @@
 	Replica  *fleetconf.Replica
 	Tracker  *fleetconf.Tracker
 	Node     *link.Node
-	KV       platform.KV
-	VMs      platform.VMList
+	KV       cloud.KV
+	VMs      cloud.VMList
 	Epoch    uint64
 
 	hooks Hooks
 	// lastStore is the Unix time in ns of the last successful store call.
 	lastStore atomic.Int64
-	vms       atomic.Pointer[[]platform.VM]
+	vms       atomic.Pointer[[]cloud.VM]
 	started   time.Time
 }
 
 // New returns a member that does nothing until Run.
-func New(s *settings.Settings, log *slog.Logger, kv platform.KV, vms platform.VMList, hooks Hooks) (*Member, error) {
+func New(s *settings.Settings, log *slog.Logger, kv cloud.KV, vms cloud.VMList, hooks Hooks) (*Member, error) {
 	m := &Member{Settings: s, Log: log, Replica: fleetconf.NewReplica(), Tracker: fleetconf.NewTracker(),
 		KV: kv, VMs: vms, hooks: hooks, started: time.Now(), Epoch: uint64(time.Now().UnixNano())}
 	config := link.Config{Self: m.hello, Handler: (*handler)(m), Log: log}
@@ -167,18 +167,18 @@
 	}
 }
 
-func (m *Member) settingsPeers() []platform.VM {
-	peers := make([]platform.VM, 0, len(m.Settings.Platform.Peers))
+func (m *Member) settingsPeers() []cloud.VM {
+	peers := make([]cloud.VM, 0, len(m.Settings.Platform.Peers))
 	for _, p := range m.Settings.Platform.Peers {
-		peers = append(peers, platform.VM{ID: p.VM, Role: string(p.Role), DataCentre: p.DataCentre,
-			Address: p.Address, State: platform.VMLive})
+		peers = append(peers, cloud.VM{ID: p.VM, Role: string(p.Role), DataCentre: p.DataCentre,
+			Address: p.Address, State: cloud.VMLive})
 	}
 	return peers
 }
 
 // setVMs stores the list and sets the targets, if the list has changed. Of
 // two entries, the one with the smaller VM id dials.
-func (m *Member) setVMs(vms []platform.VM) {
+func (m *Member) setVMs(vms []cloud.VM) {
 	vms = m.keepConnected(distinct(vms))
 	if old := m.vms.Load(); old != nil && slices.Equal(*old, vms) {
 		return
@@ -200,9 +200,9 @@
 }
 
 // distinct returns the first line of each VM.
-func distinct(vms []platform.VM) []platform.VM {
+func distinct(vms []cloud.VM) []cloud.VM {
 	seen := map[string]bool{}
-	var list []platform.VM
+	var list []cloud.VM
 	for _, vm := range vms {
 		if !seen[vm.ID] {
 			seen[vm.ID] = true
@@ -215,7 +215,7 @@
 // keepConnected adds the VMs of the last list that the new one lacks and that
 // still answer. The list is a hint: one that is empty or incomplete for a
 // while must not cut sessions that work.
-func (m *Member) keepConnected(vms []platform.VM) []platform.VM {
+func (m *Member) keepConnected(vms []cloud.VM) []cloud.VM {
 	listed := map[string]bool{}
 	for _, vm := range vms {
 		listed[vm.ID] = true
@@ -244,7 +244,7 @@
 
 // choosePeers returns the VMs that this entry holds sessions with: all in a
 // small fleet, else a subset that all entries compute alike.
-func (m *Member) choosePeers(vms []platform.VM) map[string]bool {
+func (m *Member) choosePeers(vms []cloud.VM) map[string]bool {
 	self := subset.Node{VM: m.Settings.VM, DataCentre: m.Settings.DataCentre}
 	entries := []subset.Node{self}
 	var agents []subset.Node
@@ -272,7 +272,7 @@
 }
 
 // ListedVMs returns the VMs of the last list that was read.
-func (m *Member) ListedVMs() []platform.VM {
+func (m *Member) ListedVMs() []cloud.VM {
 	if vms := m.vms.Load(); vms != nil {
 		return *vms
 	}
--- a/daemon/member/meteredkv.go
+++ b/daemon/member/meteredkv.go
@@ -9,7 +9,7 @@
 	"go.opentelemetry.io/otel/attribute"
 	"go.opentelemetry.io/otel/metric"
 
-	"camphorwick.dev/platform"
+	"camphorwick.dev/cloud"
 )
 
 // storeCallBounds are histogram bounds in seconds; the store answers in
@@ -19,13 +19,13 @@
 // meteredKV counts and times the calls of the store, since the platform limits
 // them. A watch is counted and not timed.
 type meteredKV struct {
-	platform.KV
+	cloud.KV
 	calls   metric.Int64Counter
 	seconds metric.Float64Histogram
 }
 
 // MeterKV returns kv with metrics of its calls by operation and result.
-func MeterKV(kv platform.KV, meter metric.Meter) (platform.KV, error) {
+func MeterKV(kv cloud.KV, meter metric.Meter) (cloud.KV, error) {
 	calls, err := meter.Int64Counter("camphorwick.store.calls")
 	if err != nil {
 		return nil, fmt.Errorf("create counter: %w", err)
@@ -49,10 +49,10 @@
 
 // resultOf names the kind of an error for metrics.
 func resultOf(err error) string {
-	var conflict *platform.ConflictError
-	var unavailable *platform.UnavailableError
-	var uncertain *platform.UncertainError
-	var limited *platform.RateLimitedError
+	var conflict *cloud.ConflictError
+	var unavailable *cloud.UnavailableError
+	var uncertain *cloud.UncertainError
+	var limited *cloud.RateLimitedError
 	switch {
 	case err == nil:
 		return "ok"
@@ -68,14 +68,14 @@
 	return "error"
 }
 
-func (m *meteredKV) Get(ctx context.Context, key string) (platform.Entry, error) {
+func (m *meteredKV) Get(ctx context.Context, key string) (cloud.Entry, error) {
 	started := time.Now()
 	entry, err := m.KV.Get(ctx, key)
 	m.record("get", started, err)
 	return entry, err
 }
 
-func (m *meteredKV) Put(ctx context.Context, key string, value []byte, expected uint64, lease platform.LeaseID) (uint64, error) {
+func (m *meteredKV) Put(ctx context.Context, key string, value []byte, expected uint64, lease cloud.LeaseID) (uint64, error) {
 	started := time.Now()
 	revision, err := m.KV.Put(ctx, key, value, expected, lease)
 	m.record("put", started, err)
@@ -96,7 +96,7 @@
 	return keys, err
 }
 
-func (m *meteredKV) Watch(ctx context.Context, key string, after uint64) (platform.Entry, error) {
+func (m *meteredKV) Watch(ctx context.Context, key string, after uint64) (cloud.Entry, error) {
 	started := time.Now()
 	entry, err := m.KV.Watch(ctx, key, after)
 	m.record("watch", started, err)
--- a/daemon/placement/lease.go
+++ b/daemon/placement/lease.go
@@ -8,7 +8,7 @@
 
 	"github.com/google/uuid"
 
-	"camphorwick.dev/platform"
+	"camphorwick.dev/cloud"
 )
 
 // KeyPrefix is the prefix of the lease keys: placement/<model>.
@@ -20,7 +20,7 @@
 
 // lease is the right to plan for one model.
 type lease struct {
-	id platform.LeaseID
+	id cloud.LeaseID
 	// token is the store revision of the lease key. A later holder has a
 	// higher one, because revisions of the store only rise.
 	token uint64
@@ -42,7 +42,7 @@
 
 // leases takes and renews leases.
 type leases struct {
-	kv      platform.KV
+	kv      cloud.KV
 	planner string
 	ttl     time.Duration
 }
@@ -77,10 +77,10 @@
 
 // write writes the lease key. The value is unique to this call, so that a lost
 // answer is resolved by reading it back.
-func (s *leases) write(ctx context.Context, key string, id platform.LeaseID) (uint64, error) {
+func (s *leases) write(ctx context.Context, key string, id cloud.LeaseID) (uint64, error) {
 	value := s.planner + " " + uuid.NewString()
 	token, err := s.kv.Put(ctx, key, []byte(value), 0, id)
-	var uncertain *platform.UncertainError
+	var uncertain *cloud.UncertainError
 	if !errors.As(err, &uncertain) {
 		return token, err
 	}
--- a/daemon/placement/placement.go
+++ b/daemon/placement/placement.go
@@ -15,7 +15,7 @@
 	"time"
 
 	"camphorwick.dev/api/wire"
-	"camphorwick.dev/platform"
+	"camphorwick.dev/cloud"
 	"camphorwick.dev/policy/place"
 )
 
@@ -63,8 +63,8 @@
 type Config struct {
 	// Name of the process, shown to other planners and in logs of agents.
 	Name    string
-	KV      platform.KV
-	Weights platform.WeightStore
+	KV      cloud.KV
+	Weights cloud.WeightStore
 	Fleet   Fleet
 	Log     *slog.Logger
 	// Lease is the time after which a silent planner is replaced.
@@ -198,7 +198,7 @@
 		if err = p.leases.renew(ctx, l); err == nil {
 			return l, nil
 		}
-		var ended *platform.LeaseError
+		var ended *cloud.LeaseError
 		if !errors.As(err, &ended) && l.remaining(time.Now()) > minRemaining {
 			return l, nil // the lease lasts until its known end
 		}
@@ -264,7 +264,7 @@
 
 // noteLimit keeps further loads back until the weight store takes one.
 func (p *Planner) noteLimit(err error) {
-	var limited *platform.RateLimitedError
+	var limited *cloud.RateLimitedError
 	if errors.As(err, &limited) {
 		p.mu.Lock()
 		defer p.mu.Unlock()
@@ -284,7 +284,7 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	var refused *StatusError
-	var limited *platform.RateLimitedError
+	var limited *cloud.RateLimitedError
 	var ended *LeaseEndedError
 	switch {
 	case err == nil:
--- a/daemon/placement/placement_test.go
+++ b/daemon/placement/placement_test.go
@@ -10,8 +10,8 @@
 
 	"github.com/matryer/is"
 
-	"camphorwick.dev/platform"
-	"camphorwick.dev/platform/memkv"
+	"camphorwick.dev/cloud"
+	"camphorwick.dev/cloud/memkv"
 	"camphorwick.dev/policy/place"
 )
 
@@ -60,16 +60,16 @@
 
 // slowKV answers late.
 type slowKV struct {
-	platform.KV
+	cloud.KV
 	delay time.Duration
 }
 
-func (s slowKV) Grant(ctx context.Context, ttl time.Duration) (platform.LeaseID, error) {
+func (s slowKV) Grant(ctx context.Context, ttl time.Duration) (cloud.LeaseID, error) {
 	defer time.Sleep(s.delay)
 	return s.KV.Grant(ctx, ttl)
 }
 
-func (s slowKV) Renew(ctx context.Context, id platform.LeaseID) error {
+func (s slowKV) Renew(ctx context.Context, id cloud.LeaseID) error {
 	defer time.Sleep(s.delay)
 	return s.KV.Renew(ctx, id)
 }
@@ -141,7 +141,7 @@
 		{"once until the report must show it", 0, 0, nil, 1, 1},
 		{"not after a slow offer", ttl, 0, nil, 0, 0},
 		{"not after a slow weight store", 0, ttl, nil, 0, 1},
-		{"not beyond the limit of the weight store", 0, 0, &platform.RateLimitedError{RetryAfter: time.Minute}, 0, 1},
+		{"not beyond the limit of the weight store", 0, 0, &cloud.RateLimitedError{RetryAfter: time.Minute}, 0, 1},
 	}
 	for _, tc := range cases {
 		t.Run(tc.name, func(t *testing.T) {
--- a/fleetconf/editor.go
+++ b/fleetconf/editor.go
@@ -12,7 +12,7 @@
 
 	"camphorwick.dev/api/outcome"
 	"camphorwick.dev/api/wire"
-	"camphorwick.dev/platform"
+	"camphorwick.dev/cloud"
 	"google.golang.org/protobuf/proto"
 )
 
@@ -21,7 +21,7 @@
 	MaxEditBytes = 256 << 10
 	// compactHeadBytes is the size of a head at which a snapshot is written
 	// even if it has few edits. With one more edit the head stays below
-	// platform.MaxValueBytes.
+	// cloud.MaxValueBytes.
 	compactHeadBytes = 512 << 10
 	// keptHeadBytes bounds the edits that stay in the head after a snapshot.
 	keptHeadBytes = 256 << 10
@@ -110,7 +110,7 @@
 }
 
 // NewEditor returns an editor that uses and advances the replica.
-func NewEditor(kv platform.KV, replica *Replica) *Editor {
+func NewEditor(kv cloud.KV, replica *Replica) *Editor {
 	return &Editor{storage: storage{kv}, replica: replica, headEdits: MaxHeadEdits, keptEdits: keptHeadEdits}
 }
 
@@ -230,13 +230,13 @@
 }
 
 func retryable(err error) bool {
-	var limited *platform.RateLimitedError
+	var limited *cloud.RateLimitedError
 	var missing *MissingSnapshotError
 	return mayExist(err) || errors.As(err, &limited) || errors.As(err, &missing)
 }
 
 func retryDelay(err error, attempt int) time.Duration {
-	var limited *platform.RateLimitedError
+	var limited *cloud.RateLimitedError
 	if errors.As(err, &limited) {
 		return limited.RetryAfter
 	}
@@ -264,7 +264,7 @@
 		return outcome.Wrap(doubt, outcome.EditInDoubt, "the edit may have been accepted; submit it again with the same id")
 	}
 	var typed *outcome.Error
-	var limited *platform.RateLimitedError
+	var limited *cloud.RateLimitedError
 	switch {
 	case errors.As(err, &typed):
 		return err
@@ -492,10 +492,10 @@
 
 // refused reports whether a failed write certainly had no effect.
 func refused(err error) bool {
-	var conflict *platform.ConflictError
-	var unavailable *platform.UnavailableError
-	var limited *platform.RateLimitedError
-	var large *platform.TooLargeError
+	var conflict *cloud.ConflictError
+	var unavailable *cloud.UnavailableError
+	var limited *cloud.RateLimitedError
+	var large *cloud.TooLargeError
 	return errors.As(err, &conflict) || errors.As(err, &unavailable) || errors.As(err, &limited) || errors.As(err, &large)
 }
 
--- a/fleetconf/editor_test.go
+++ b/fleetconf/editor_test.go
@@ -12,8 +12,8 @@
 
 	"camphorwick.dev/api/outcome"
 	"camphorwick.dev/api/wire"
-	"camphorwick.dev/platform"
-	"camphorwick.dev/platform/memkv"
+	"camphorwick.dev/cloud"
+	"camphorwick.dev/cloud/memkv"
 	"github.com/matryer/is"
 	"google.golang.org/protobuf/proto"
 )
@@ -172,7 +172,7 @@
 // downAfterWrite is a store that becomes unavailable after each write.
 type downAfterWrite struct{ *memkv.Store }
 
-func (s *downAfterWrite) Put(ctx context.Context, key string, value []byte, expected uint64, lease platform.LeaseID) (uint64, error) {
+func (s *downAfterWrite) Put(ctx context.Context, key string, value []byte, expected uint64, lease cloud.LeaseID) (uint64, error) {
 	defer s.SetDown(true)
 	return s.Store.Put(ctx, key, value, expected, lease)
 }
@@ -363,10 +363,10 @@
 }
 
 // untypedStore carries writes out and fails with an error that is no type of
-// package platform.
+// package cloud.
 type untypedStore struct{ *memkv.Store }
 
-func (s *untypedStore) Put(ctx context.Context, key string, value []byte, expected uint64, lease platform.LeaseID) (uint64, error) {
+func (s *untypedStore) Put(ctx context.Context, key string, value []byte, expected uint64, lease cloud.LeaseID) (uint64, error) {
 	_, _ = s.Store.Put(ctx, key, value, expected, lease)
 	return 0, context.DeadlineExceeded
 }
@@ -386,7 +386,7 @@
 	writes int
 }
 
-func (s *secondWriteFails) Put(ctx context.Context, key string, value []byte, expected uint64, lease platform.LeaseID) (uint64, error) {
+func (s *secondWriteFails) Put(ctx context.Context, key string, value []byte, expected uint64, lease cloud.LeaseID) (uint64, error) {
 	s.writes++
 	s.SetDown(s.writes == 2)
 	return s.Store.Put(ctx, key, value, expected, lease)
--- a/fleetconf/measure_test.go
+++ b/fleetconf/measure_test.go
@@ -11,7 +11,7 @@
 	"time"
 
 	"camphorwick.dev/api/wire"
-	"camphorwick.dev/platform/memkv"
+	"camphorwick.dev/cloud/memkv"
 	"github.com/matryer/is"
 	"google.golang.org/protobuf/proto"
 )
--- a/fleetconf/property_test.go
+++ b/fleetconf/property_test.go
@@ -13,8 +13,8 @@
 
 	"camphorwick.dev/api/outcome"
 	"camphorwick.dev/api/wire"
-	"camphorwick.dev/platform"
-	"camphorwick.dev/platform/memkv"
+	"camphorwick.dev/cloud"
+	"camphorwick.dev/cloud/memkv"
 	"github.com/anishathalye/porcupine"
 	"google.golang.org/protobuf/proto"
 	"pgregory.net/rapid"
@@ -33,7 +33,7 @@
 	fault   []string
 }
 
-func (j *journal) record(key string, e platform.Entry) {
+func (j *journal) record(key string, e cloud.Entry) {
 	head := &wire.ConfigHead{}
 	if key != HeadKey || proto.Unmarshal(e.Value, head) != nil {
 		return
@@ -51,19 +51,19 @@
 	}
 }
 
-func (j *journal) Get(ctx context.Context, key string) (platform.Entry, error) {
+func (j *journal) Get(ctx context.Context, key string) (cloud.Entry, error) {
 	e, err := j.Store.Get(ctx, key)
 	j.record(key, e)
 	return e, err
 }
 
-func (j *journal) Watch(ctx context.Context, key string, after uint64) (platform.Entry, error) {
+func (j *journal) Watch(ctx context.Context, key string, after uint64) (cloud.Entry, error) {
 	e, err := j.Store.Watch(ctx, key, after)
 	j.record(key, e)
 	return e, err
 }
 
-func (j *journal) Put(ctx context.Context, key string, value []byte, expected uint64, lease platform.LeaseID) (uint64, error) {
+func (j *journal) Put(ctx context.Context, key string, value []byte, expected uint64, lease cloud.LeaseID) (uint64, error) {
 	j.writing.RLock()
 	defer j.writing.RUnlock()
 	return j.Store.Put(ctx, key, value, expected, lease)
--- a/fleetconf/storage.go
+++ b/fleetconf/storage.go
@@ -9,7 +9,7 @@
 	"strings"
 
 	"camphorwick.dev/api/wire"
-	"camphorwick.dev/platform"
+	"camphorwick.dev/cloud"
 	"google.golang.org/protobuf/proto"
 )
 
@@ -20,7 +20,7 @@
 )
 
 // chunkBytes bounds the items of one snapshot value. With one item of at most
-// MaxItemBytes above it, a value stays below platform.MaxValueBytes.
+// MaxItemBytes above it, a value stays below cloud.MaxValueBytes.
 const chunkBytes = 768 << 10
 
 // MissingSnapshotError says that a chunk of a base snapshot is absent: the
@@ -58,14 +58,14 @@
 
 // storage reads and writes the configuration's values.
 type storage struct {
-	kv platform.KV
+	kv cloud.KV
 }
 
 func chunkKey(revision uint64, chunk int) string {
 	return fmt.Sprintf("%s%020d/%04d", SnapshotPrefix, revision, chunk)
 }
 
-func decodeHead(entry platform.Entry) (*wire.ConfigHead, error) {
+func decodeHead(entry cloud.Entry) (*wire.ConfigHead, error) {
 	head := &wire.ConfigHead{}
 	if err := proto.Unmarshal(entry.Value, head); err != nil {
 		return nil, &CorruptValueError{Key: HeadKey, Cause: err}
@@ -178,8 +178,8 @@
 }
 
 func mayExist(err error) bool {
-	var conflict *platform.ConflictError
-	var uncertain *platform.UncertainError
+	var conflict *cloud.ConflictError
+	var uncertain *cloud.UncertainError
 	return errors.As(err, &conflict) || errors.As(err, &uncertain)
 }
 
--- a/fleetconf/watcher.go
+++ b/fleetconf/watcher.go
@@ -10,7 +10,7 @@
 	"time"
 
 	"camphorwick.dev/api/wire"
-	"camphorwick.dev/platform"
+	"camphorwick.dev/cloud"
 	"google.golang.org/protobuf/proto"
 )
 
@@ -34,7 +34,7 @@
 }
 
 // NewWatcher returns a watcher; log may be nil.
-func NewWatcher(kv platform.KV, replica *Replica, log *slog.Logger) *Watcher {
+func NewWatcher(kv cloud.KV, replica *Replica, log *slog.Logger) *Watcher {
 	if log == nil {
 		log = slog.New(slog.DiscardHandler)
 	}
@@ -78,7 +78,7 @@
 var errNoChange = errors.New("the head has not changed")
 
 // next reads the head, or waits until it has a store revision above after.
-func (w *Watcher) next(ctx context.Context, read bool, after uint64) (platform.Entry, error) {
+func (w *Watcher) next(ctx context.Context, read bool, after uint64) (cloud.Entry, error) {
 	if read {
 		return w.storage.kv.Get(ctx, HeadKey)
 	}
@@ -87,13 +87,13 @@
 	defer cancel()
 	entry, err := w.storage.kv.Watch(watchCtx, HeadKey, after)
 	if err != nil && ctx.Err() == nil && watchCtx.Err() != nil {
-		return platform.Entry{Revision: after}, errNoChange
+		return cloud.Entry{Revision: after}, errNoChange
 	}
 	return entry, err
 }
 
 // follow brings the replica to the head, or the head to the replica.
-func (w *Watcher) follow(ctx context.Context, entry platform.Entry) error {
+func (w *Watcher) follow(ctx context.Context, entry cloud.Entry) error {
 	head, err := decodeHead(entry)
 	if err != nil {
 		return err
--- a/fleetconf/watcher_test.go
+++ b/fleetconf/watcher_test.go
@@ -6,7 +6,7 @@
 	"testing/synctest"
 	"time"
 
-	"camphorwick.dev/platform/memkv"
+	"camphorwick.dev/cloud/memkv"
 	"github.com/matryer/is"
 )
 
--- a/ledger/bench_test.go
+++ b/ledger/bench_test.go
@@ -9,7 +9,7 @@
 	"testing"
 	"time"
 
-	"camphorwick.dev/platform/memkv"
+	"camphorwick.dev/cloud/memkv"
 )
 
 // BenchmarkOrders measures whole orders (claim, send at once, outcome) against
--- a/ledger/ledger.go
+++ b/ledger/ledger.go
@@ -22,7 +22,7 @@
 
 	"camphorwick.dev/api/outcome"
 	"camphorwick.dev/api/wire"
-	"camphorwick.dev/platform"
+	"camphorwick.dev/cloud"
 )
 
 // Sizes of the parts of a record in bytes.
@@ -39,10 +39,10 @@
 	// claimLimitBytes is the value size above which new claims are refused.
 	// The rest is kept for outcomes, which add 6 bytes per record once bodies
 	// are no longer kept: 7,000 records need 42 KB.
-	claimLimitBytes = platform.MaxValueBytes - 64<<10
+	claimLimitBytes = cloud.MaxValueBytes - 64<<10
 	// bodyLimitBytes is the value size above which bodies are no longer kept,
 	// so that large responses do not take the place of claims.
-	bodyLimitBytes = platform.MaxValueBytes / 2
+	bodyLimitBytes = cloud.MaxValueBytes / 2
 )
 
 // Config holds the limits of a Ledger. Zero values select the defaults.
@@ -103,7 +103,7 @@
 // call is made under it. A shard's snapshot, work list and failure count belong
 // to the one worker that is running for the shard.
 type Ledger struct {
-	kv       platform.KV
+	kv       cloud.KV
 	claimant string
 	cfg      Config
 	ctx      context.Context // ends when Close gives up on the store
@@ -127,7 +127,7 @@
 
 // New returns a ledger. claimant names this process and must never be used by
 // another Ledger: VM id and epoch.
-func New(kv platform.KV, claimant string, cfg Config) *Ledger {
+func New(kv cloud.KV, claimant string, cfg Config) *Ledger {
 	ctx, cancel := context.WithCancel(context.Background())
 	cfg = cfg.withDefaults()
 	return &Ledger{
--- a/ledger/ledger_test.go
+++ b/ledger/ledger_test.go
@@ -17,8 +17,8 @@
 
 	"camphorwick.dev/api/outcome"
 	"camphorwick.dev/api/wire"
-	"camphorwick.dev/platform"
-	"camphorwick.dev/platform/memkv"
+	"camphorwick.dev/cloud"
+	"camphorwick.dev/cloud/memkv"
 )
 
 func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
@@ -69,7 +69,7 @@
 }
 
 // stored returns the record of a key in the store.
-func stored(t testing.TB, kv platform.KV, key Key) *wire.OrderRecord {
+func stored(t testing.TB, kv cloud.KV, key Key) *wire.OrderRecord {
 	t.Helper()
 	entry, err := kv.Get(t.Context(), key.storeKey())
 	if err != nil {
@@ -312,7 +312,7 @@
 // racingKV changes a value after each read.
 type racingKV struct{ *memkv.Store }
 
-func (kv *racingKV) Get(ctx context.Context, key string) (platform.Entry, error) {
+func (kv *racingKV) Get(ctx context.Context, key string) (cloud.Entry, error) {
 	entry, err := kv.Store.Get(ctx, key)
 	if err == nil && entry.Revision != 0 {
 		_, err = kv.Store.Put(ctx, key, entry.Value, entry.Revision, 0)
--- a/ledger/limits_test.go
+++ b/ledger/limits_test.go
@@ -13,8 +13,8 @@
 
 	"camphorwick.dev/api/outcome"
 	"camphorwick.dev/api/wire"
-	"camphorwick.dev/platform"
-	"camphorwick.dev/platform/memkv"
+	"camphorwick.dev/cloud"
+	"camphorwick.dev/cloud/memkv"
 )
 
 // limitedKV refuses calls by the platform's rate limit.
@@ -32,7 +32,7 @@
 	kv.until = time.Now().Add(d)
 }
 
-func (kv *limitedKV) Put(ctx context.Context, key string, value []byte, expected uint64, lease platform.LeaseID) (uint64, error) {
+func (kv *limitedKV) Put(ctx context.Context, key string, value []byte, expected uint64, lease cloud.LeaseID) (uint64, error) {
 	kv.mu.Lock()
 	defer kv.mu.Unlock()
 	if wait := time.Until(kv.until); wait > 0 {
@@ -40,7 +40,7 @@
 		if kv.vague {
 			wait = 0
 		}
-		return 0, &platform.RateLimitedError{RetryAfter: wait}
+		return 0, &cloud.RateLimitedError{RetryAfter: wait}
 	}
 	return kv.Store.Put(ctx, key, value, expected, lease)
 }
@@ -192,7 +192,7 @@
 	after   func() // called after each write if not nil
 }
 
-func (kv *slowKV) Put(ctx context.Context, key string, value []byte, expected uint64, lease platform.LeaseID) (uint64, error) {
+func (kv *slowKV) Put(ctx context.Context, key string, value []byte, expected uint64, lease cloud.LeaseID) (uint64, error) {
 	time.Sleep(kv.latency)
 	if kv.after != nil {
 		defer kv.after()
--- a/ledger/property_test.go
+++ b/ledger/property_test.go
@@ -16,8 +16,8 @@
 
 	"camphorwick.dev/api/outcome"
 	"camphorwick.dev/api/wire"
-	"camphorwick.dev/platform"
-	"camphorwick.dev/platform/memkv"
+	"camphorwick.dev/cloud"
+	"camphorwick.dev/cloud/memkv"
 )
 
 // journal is what the scenarios need of a Ledger or of the naive baseline.
@@ -45,7 +45,7 @@
 	return claim, record, err
 }
 
-func newLedgerJournal(kv platform.KV, claimant string, now func() time.Time) journal {
+func newLedgerJournal(kv cloud.KV, claimant string, now func() time.Time) journal {
 	cfg := Config{MaxBackoff: 30 * time.Second, Logger: slog.New(slog.DiscardHandler), Now: now}
 	return ledgerJournal{New(kv, claimant, cfg)}
 }
@@ -132,20 +132,20 @@
 	time.Sleep(delay)
 }
 
-func (kv *faultyKV) Get(ctx context.Context, key string) (platform.Entry, error) {
+func (kv *faultyKV) Get(ctx context.Context, key string) (cloud.Entry, error) {
 	kv.sleep()
 	defer kv.sleep()
 	return kv.Store.Get(ctx, key)
 }
 
-func (kv *faultyKV) Put(ctx context.Context, key string, value []byte, expected uint64, lease platform.LeaseID) (uint64, error) {
+func (kv *faultyKV) Put(ctx context.Context, key string, value []byte, expected uint64, lease cloud.LeaseID) (uint64, error) {
 	kv.sleep()
 	defer kv.sleep()
 	return kv.Store.Put(ctx, key, value, expected, lease)
 }
 
 // openFunc starts a process with a clock.
-type openFunc func(kv platform.KV, claimant string, now func() time.Time) journal
+type openFunc func(kv cloud.KV, claimant string, now func() time.Time) journal
 
 // run is one execution of a scenario.
 type run struct {
@@ -449,9 +449,9 @@
 
 // naive is the differential baseline: one compare-and-swap per order and a
 // blind retry after a lost answer.
-type naive struct{ kv platform.KV }
+type naive struct{ kv cloud.KV }
 
-func newNaive(kv platform.KV, _ string, _ func() time.Time) journal { return &naive{kv} }
+func newNaive(kv cloud.KV, _ string, _ func() time.Time) journal { return &naive{kv} }
 
 type naiveClaim struct{}
 
@@ -472,8 +472,8 @@
 	retried := false
 	for ctx.Err() == nil {
 		_, err := n.kv.Put(ctx, storeKey, []byte(attempt), 0, 0)
-		var uncertain *platform.UncertainError
-		var conflict *platform.ConflictError
+		var uncertain *cloud.UncertainError
+		var conflict *cloud.ConflictError
 		switch {
 		case err == nil, retried && errors.As(err, &conflict):
 			return naiveClaim{}, nil, nil
--- a/ledger/snapshot.go
+++ b/ledger/snapshot.go
@@ -7,7 +7,7 @@
 	"google.golang.org/protobuf/proto"
 
 	"camphorwick.dev/api/wire"
-	"camphorwick.dev/platform"
+	"camphorwick.dev/cloud"
 )
 
 // Field numbers of wire.OrderShard and wire.OrderRecord.
@@ -26,7 +26,7 @@
 	size     int // bytes of all frames
 }
 
-func parseSnapshot(entry platform.Entry) (*snapshot, error) {
+func parseSnapshot(entry cloud.Entry) (*snapshot, error) {
 	s := &snapshot{revision: entry.Revision, size: len(entry.Value), index: map[keyHash]int{}}
 	for rest := entry.Value; len(rest) > 0; {
 		number, kind, tagSize := protowire.ConsumeTag(rest)
--- a/ledger/sweep.go
+++ b/ledger/sweep.go
@@ -7,7 +7,7 @@
 	"math/rand/v2"
 	"time"
 
-	"camphorwick.dev/platform"
+	"camphorwick.dev/cloud"
 )
 
 // Run deletes old values until ctx ends or Close is called. Several ledgers may
@@ -69,7 +69,7 @@
 	if entry.Revision == 0 {
 		return nil
 	}
-	var conflict *platform.ConflictError
+	var conflict *cloud.ConflictError
 	if err := l.kv.Delete(ctx, storeKey, entry.Revision); err != nil && !errors.As(err, &conflict) {
 		return fmt.Errorf("delete %s: %w", storeKey, err)
 	}
--- a/ledger/uncertain_test.go
+++ b/ledger/uncertain_test.go
@@ -11,8 +11,8 @@
 	"github.com/matryer/is"
 
 	"camphorwick.dev/api/outcome"
-	"camphorwick.dev/platform"
-	"camphorwick.dev/platform/memkv"
+	"camphorwick.dev/cloud"
+	"camphorwick.dev/cloud/memkv"
 )
 
 // Guards against a lost answer that is taken for a refusal or for a second
@@ -249,11 +249,11 @@
 
 // pausedKV delays each read, as if the process were paused before it.
 type pausedKV struct {
-	platform.KV
+	cloud.KV
 	pause time.Duration
 }
 
-func (kv *pausedKV) Get(ctx context.Context, key string) (platform.Entry, error) {
+func (kv *pausedKV) Get(ctx context.Context, key string) (cloud.Entry, error) {
 	time.Sleep(kv.pause)
 	return kv.KV.Get(ctx, key)
 }
--- a/ledger/worker.go
+++ b/ledger/worker.go
@@ -9,7 +9,7 @@
 
 	"camphorwick.dev/api/outcome"
 	"camphorwick.dev/api/wire"
-	"camphorwick.dev/platform"
+	"camphorwick.dev/cloud"
 )
 
 // firstBackoff is the delay after the first failed store call.
@@ -251,7 +251,7 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	delay := l.backoff(s)
-	var limited *platform.RateLimitedError
+	var limited *cloud.RateLimitedError
 	if errors.As(err, &limited) {
 		// All shards wait: the limit is the platform's, and new claims do not
 		// shorten this delay as they do after an outage.
@@ -479,10 +479,10 @@
 	defer cancel()
 	revision, err := l.kv.Put(ctx, s.storeKey, value, expected, 0)
 	var (
-		conflict    *platform.ConflictError
-		unavailable *platform.UnavailableError
-		limited     *platform.RateLimitedError
-		tooLarge    *platform.TooLargeError
+		conflict    *cloud.ConflictError
+		unavailable *cloud.UnavailableError
+		limited     *cloud.RateLimitedError
+		tooLarge    *cloud.TooLargeError
 	)
 	switch {
 	case err == nil:
--- a/testbed/fleet/fleet.go
+++ b/testbed/fleet/fleet.go
@@ -20,7 +20,7 @@
 	"syscall"
 	"time"
 
-	"camphorwick.dev/platform"
+	"camphorwick.dev/cloud"
 	"camphorwick.dev/settings"
 )
 
@@ -251,15 +251,15 @@
 func (f *Fleet) daemons() []*Daemon { return append(append([]*Daemon{}, f.Agents...), f.Entries...) }
 
 // VMs returns the VM list of the daemons.
-func (f *Fleet) VMs() []platform.VM {
-	var vms []platform.VM
+func (f *Fleet) VMs() []cloud.VM {
+	var vms []cloud.VM
 	for _, d := range f.daemons() {
 		address := d.Settings.AdvertiseAddress
 		if address == "" {
 			address = d.Settings.ControlAddress
 		}
-		vms = append(vms, platform.VM{ID: d.Settings.VM, Role: string(d.Settings.Role), DataCentre: d.Settings.DataCentre,
-			Address: address, State: platform.VMLive})
+		vms = append(vms, cloud.VM{ID: d.Settings.VM, Role: string(d.Settings.Role), DataCentre: d.Settings.DataCentre,
+			Address: address, State: cloud.VMLive})
 	}
 	return vms
 }
