--- /dev/null
+++ b/daemon/cmd/camphorwick/gateway.go
@@ -0,0 +1,58 @@
+package main
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"net/url"
+	"runtime/debug"
+	"time"
+
+	"camphorwick.dev/gateway/node"
+	"camphorwick.dev/gateway/upstream"
+	"camphorwick.dev/observe"
+	"camphorwick.dev/platform"
+	"camphorwick.dev/policy/retry"
+	"camphorwick.dev/settings"
+)
+
+const (
+	// retryReserve is the share of the retry budget that is left unused.
+	retryReserve = 0.15
+	// graceMargin is the time before SIGKILL at which a stopping gateway cuts
+	// off what is still running.
+	graceMargin = 300 * time.Millisecond
+	// memoryShare is the share of the VM's memory from which the garbage
+	// collector works harder.
+	memoryShare = 0.6
+	bytesPerMB  = 1 << 20
+)
+
+// serveGateway runs the gateway role until it has stopped.
+func serveGateway(ctx context.Context, s *settings.Settings, t *observe.Telemetry) error {
+	debug.SetMemoryLimit(int64(float64(s.Gateway.MemoryMB) * memoryShare * bytesPerMB))
+	address, err := url.Parse(s.Platform.URL)
+	if err != nil {
+		return fmt.Errorf("parse the platform's URL: %w", err)
+	}
+	store := platform.NewStore(address.Host, upstream.New())
+	n, err := node.New(gatewayOptions(s, t), node.Protocol{Wire: platform.Wire{}, Store: store, DecodeConfig: platform.DecodeConfig,
+		DecodeServer: platform.DecodeServer, ConfigKey: platform.ConfigKey, ServersPrefix: platform.ServersPrefix})
+	if err != nil {
+		return err
+	}
+	ops, err := net.Listen("tcp", s.OpsAddress)
+	if err != nil {
+		return fmt.Errorf("open the port of health and metrics: %w", err)
+	}
+	return runRole(ctx, t, n, n.Run, ops)
+}
+
+func gatewayOptions(s *settings.Settings, t *observe.Telemetry) node.Options {
+	g := s.Gateway
+	return node.Options{VM: s.VM, DataCentre: s.DataCentre, Callers: g.CallersAddress, Peers: s.ControlAddress,
+		Budget:     retry.WindowConfig{Span: seconds(g.RetryWindowSeconds), Ratio: g.RetryRatio, Extra: g.RetryExtra, Reserve: retryReserve},
+		DrainLimit: seconds(g.GraceSeconds) - graceMargin, Log: t.Log, Meter: t.Meter}
+}
+
+func seconds(s float64) time.Duration { return time.Duration(s * float64(time.Second)) }
--- a/daemon/cmd/camphorwick/main.go
+++ b/daemon/cmd/camphorwick/main.go
@@ -40,7 +40,7 @@
 const shutdownLimit = 5 * time.Second
 
 type runCommand struct {
-	Settings string `short:"s" long:"settings" required:"true" description:"settings file in JSON"`
+	Settings string `short:"s" long:"settings" required:"true" env:"CAMPHORWICK_NODE_FILE" description:"settings file in JSON"`
 }
 
 type checkCommand struct {
@@ -104,7 +104,11 @@
 	if err != nil {
 		return fmt.Errorf("set up telemetry: %w", err)
 	}
-	err = serve(ctx, s, telemetry)
+	if s.Role == settings.RoleGateway {
+		err = serveGateway(ctx, s, telemetry)
+	} else {
+		err = serve(ctx, s, telemetry)
+	}
 	if err != nil {
 		telemetry.Log.Error("daemon failed", "error", err.Error())
 	}
--- /dev/null
+++ b/gateway/ingress/events.go
@@ -0,0 +1,50 @@
+package ingress
+
+import (
+	"bytes"
+	"strconv"
+)
+
+// maxEventBytes bounds the memory for an event that has no end.
+const maxEventBytes = 1 << 20
+
+var (
+	eventEnd = []byte("\n\n")
+	idField  = []byte("id:")
+)
+
+// eventBuffer cuts a stream of server-sent events at the ends of events.
+type eventBuffer struct {
+	data []byte
+}
+
+// add appends bytes of the stream.
+func (b *eventBuffer) add(p []byte) { b.data = append(b.data, p...) }
+
+// next returns the next whole event with its empty line, or nil. It is valid
+// until the next call of add.
+func (b *eventBuffer) next() []byte {
+	i := bytes.Index(b.data, eventEnd)
+	if i < 0 {
+		return nil
+	}
+	event := b.data[:i+len(eventEnd)]
+	b.data = b.data[i+len(eventEnd):]
+	return event
+}
+
+// rest returns the bytes after the last whole event.
+func (b *eventBuffer) rest() []byte { return b.data }
+
+// eventID returns the id of an event.
+func eventID(event []byte) (int64, bool) {
+	for line := range bytes.Lines(event) {
+		value, ok := bytes.CutPrefix(line, idField)
+		if !ok {
+			continue
+		}
+		id, err := strconv.ParseInt(string(bytes.TrimSpace(value)), 10, 64)
+		return id, err == nil
+	}
+	return 0, false
+}
--- /dev/null
+++ b/gateway/ingress/exchange.go
@@ -0,0 +1,369 @@
+package ingress
+
+import (
+	"bytes"
+	"context"
+	"errors"
+	"io"
+	"log/slog"
+	"net/http"
+	"strconv"
+	"time"
+
+	"camphorwick.dev/gateway/routing"
+	"camphorwick.dev/gateway/schedule"
+	"camphorwick.dev/gateway/upstream"
+	"camphorwick.dev/policy/dispatch"
+	"camphorwick.dev/policy/suspect"
+)
+
+const (
+	// maxSends bounds the servers that are tried, refusals included.
+	maxSends = 4
+	// maxBuffered is the largest answer that is read whole before the caller
+	// gets its first byte, so that a broken one can be replaced.
+	maxBuffered = 1 << 20
+	// hangFactor times the latency target is how long an idempotent request
+	// waits for a server if it may go to another.
+	hangFactor = 3
+	// statusCallerGone is logged for callers that went away; it is not sent.
+	statusCallerGone = 499
+)
+
+// exchange is one request of a caller.
+type exchange struct {
+	g        *Gateway
+	w        http.ResponseWriter
+	r        *http.Request
+	log      *slog.Logger
+	ctx      context.Context
+	arrived  time.Time
+	deadline time.Time
+	table    *routing.Table
+	route    *routing.Route
+	meta     Meta
+	account  string
+	body     []byte
+
+	service  string
+	sends    int
+	ran      int // sends that may have run
+	excluded []string
+	begun    bool      // the head of the answer was written
+	firstAt  time.Time // when the first byte was written
+	resume   string    // last event that the caller has
+	lastID   int64
+	server   string
+	reason   string // why the last send did not succeed
+	retry    time.Duration
+}
+
+// verdict says how to go on after a send.
+type verdict uint8
+
+const (
+	done    verdict = iota // the caller has its answer
+	again                  // another server may be tried
+	giveUp                 // the request ends without an answer of a server
+	pending                // a failure of the server is at hand, to be passed on if no other server helps
+)
+
+// run sends the request to servers until one has answered or none may be
+// tried.
+func (x *exchange) run() {
+	x.service = x.route.PickService()
+	x.resume = x.meta.LastEventID
+	if id, err := strconv.ParseInt(x.resume, 10, 64); err == nil {
+		x.lastID = id
+	}
+	x.g.countRequest(x.service)
+	var held *heldAnswer
+	for {
+		v, answer := x.send()
+		if answer != nil {
+			held = answer
+		}
+		if v == done {
+			return
+		}
+		if v == giveUp || !x.mayRepeat(v) {
+			break
+		}
+	}
+	if held != nil && !x.begun && x.ctx.Err() == nil {
+		x.passOn(held)
+		return
+	}
+	x.fail()
+}
+
+// mayRepeat reports whether another server may get the request.
+func (x *exchange) mayRepeat(v verdict) bool {
+	switch {
+	case x.ctx.Err() != nil, x.sends >= maxSends:
+		return false
+	case x.ran > 0 && !x.route.Repeatable():
+		return false
+	case x.ran >= x.route.MaxServers:
+		return false
+	}
+	if x.reason == reasonUnreachable {
+		return true // nothing arrived, so nothing is repeated
+	}
+	if !x.g.tryRepeat(x.service) {
+		x.log.Warn("repeat refused by the budget", "service", x.service, "reason", x.reason)
+		x.g.Metrics.count(x.g.Metrics.budgetRefusals, x.service)
+		return false
+	}
+	x.g.Metrics.count(x.g.Metrics.repeats, x.reason)
+	return true
+}
+
+// Reasons why a send did not succeed.
+const (
+	reasonUnreachable = "server_unreachable"
+	reasonNoAnswer    = "no_answer"
+	reasonNotRun      = "server_refused"
+	reasonForeign     = "answer_not_genuine"
+	reasonServerError = "server_error"
+	reasonBroken      = "answer_broken"
+	reasonOverload    = "overloaded"
+	reasonNoServer    = "no_server"
+	reasonTooLarge    = "prompt_too_large"
+	reasonTimeout     = "timeout"
+	reasonGone        = "caller_gone"
+)
+
+// send assigns the request to a server, sends it there and passes the answer
+// on.
+func (x *exchange) send() (verdict, *heldAnswer) {
+	a, err := x.g.Scheduler.Acquire(x.ctx, x.placement())
+	if err != nil {
+		x.notPlaced(err)
+		return giveUp, nil
+	}
+	defer a.End()
+	x.sends++
+	x.server = a.Server.ID
+	x.excluded = append(x.excluded, a.Server.ID)
+	x.g.Metrics.wait(x.ctx, time.Since(x.arrived))
+	ctx, cancel := x.sendContext()
+	defer cancel()
+	answer, err := x.g.Client.Do(ctx, a.Server.Address, x.request(a))
+	if err != nil {
+		return x.noAnswer(a, err), nil
+	}
+	return x.take(a, answer)
+}
+
+// placement describes the request to the scheduler.
+func (x *exchange) placement() schedule.Request {
+	p := schedule.Request{Service: x.service, LatencyTarget: x.route.LatencyTarget, Arrived: x.arrived, Deadline: x.deadline, Exclude: x.excluded}
+	if s := x.table.Service(x.service); s != nil && x.meta.PromptTokens > 0 {
+		p.Engine = s.Engine
+	}
+	answer := x.meta.MaxAnswerTokens
+	if x.meta.AnswerHint > 0 {
+		answer = min(answer, 2*x.meta.AnswerHint)
+	}
+	p.Prompt = dispatch.Prompt{Tokens: x.meta.PromptTokens, Answer: answer}
+	return p
+}
+
+func (x *exchange) notPlaced(err error) {
+	var overload *schedule.OverloadError
+	var none *schedule.NoServerError
+	var large *schedule.TooLargeError
+	switch {
+	case errors.As(err, &overload):
+		x.reason, x.retry = reasonOverload, overload.RetryAfter
+	case errors.As(err, &none):
+		x.reason, x.retry = reasonNoServer, startRetryAfter
+	case errors.As(err, &large):
+		x.reason = reasonTooLarge
+	}
+	x.log.Info("request not placed", "service", x.service, "reason", x.reason, "error", err.Error(), "config", x.table.Version)
+}
+
+// sendContext bounds one send. An idempotent request leaves a server that
+// hangs while it may still go to another.
+func (x *exchange) sendContext() (context.Context, context.CancelFunc) {
+	if x.route.Kind == routing.Idempotent && x.route.LatencyTarget > 0 && x.ran+1 < x.route.MaxServers {
+		return context.WithTimeoutCause(x.ctx, hangFactor*x.route.LatencyTarget, errHang)
+	}
+	return context.WithCancel(x.ctx)
+}
+
+var errHang = errors.New("the server does not answer in several times the latency target")
+
+// request builds the request for the assigned server.
+func (x *exchange) request(a *schedule.Assignment) *upstream.Request {
+	h := forwardable(x.r.Header)
+	out := Outbound{ServerID: a.Server.ID, Account: x.account, LastEventID: x.resume, TimeLeft: time.Until(x.deadline)}
+	for _, helper := range a.Helpers {
+		out.Helpers = append(out.Helpers, helper.Address)
+	}
+	x.g.Wire.EncodeRequest(h, out)
+	if len(x.body) > 0 || x.r.ContentLength != 0 {
+		h["Content-Length"] = []string{strconv.Itoa(len(x.body))}
+	}
+	var head bytes.Buffer
+	head.WriteString(x.r.Method + " " + x.r.RequestURI + " HTTP/1.1\r\nHost: " + x.r.Host + "\r\n")
+	_ = h.Write(&head) // a bytes.Buffer takes all bytes
+	head.WriteString("\r\n")
+	return &upstream.Request{Method: x.r.Method, Head: head.Bytes(), Body: x.body, Once: !x.route.Repeatable(),
+		Belongs: func(h http.Header) bool {
+			id := x.g.Wire.DecodeAnswer(0, h).RequestID
+			return id == "" || id == x.meta.ID
+		}}
+}
+
+// noAnswer judges a send without an answer.
+func (x *exchange) noAnswer(a *schedule.Assignment, err error) verdict {
+	var failed *upstream.Error
+	sent := !errors.As(err, &failed) || failed.Sent
+	x.reason = reasonUnreachable
+	if sent {
+		x.reason = reasonNoAnswer
+		x.ran++
+	}
+	if x.ctx.Err() != nil {
+		x.log.Info("no answer in time", "server", a.Server.ID, "sent", sent, "error", err.Error())
+		return giveUp
+	}
+	a.Observe(suspect.Unreachable)
+	x.log.Warn("send failed", "server", a.Server.ID, "sent", sent, "error", err.Error())
+	return again
+}
+
+// take judges the head of an answer and passes it on.
+func (x *exchange) take(a *schedule.Assignment, answer *upstream.Response) (verdict, *heldAnswer) {
+	whole := false
+	defer func() { answer.Close(whole) }()
+	m := x.g.Wire.DecodeAnswer(answer.Status, answer.Header)
+	if m.NotRun {
+		_, err := io.Copy(io.Discard, io.LimitReader(answer.Body, maxBuffered))
+		whole = err == nil
+		x.reason = reasonNotRun
+		a.Observe(suspect.Failure)
+		x.log.Info("server refused", "server", a.Server.ID, "status", answer.Status, "at_server", m.AtServer, "misrouted", m.Misrouted)
+		return again, nil
+	}
+	x.ran++
+	if !m.Signed || answer.Header.Get("Content-Encoding") != "" {
+		x.reason = reasonForeign
+		a.Observe(suspect.Failure)
+		x.log.Warn("answer not genuine", "server", a.Server.ID, "status", answer.Status)
+		return again, nil
+	}
+	if x.route.Kind == routing.Stream && answer.Status < http.StatusMultipleChoices {
+		v := x.relay(a, answer)
+		whole = v == done
+		return v, nil
+	}
+	return x.buffer(a, answer, &whole)
+}
+
+// heldAnswer is a whole answer of a server.
+type heldAnswer struct {
+	status int
+	header http.Header
+	body   []byte
+}
+
+// buffer reads an answer whole and passes it on, or holds a server's failure
+// while another server may do better.
+func (x *exchange) buffer(a *schedule.Assignment, answer *upstream.Response, whole *bool) (verdict, *heldAnswer) {
+	body, err := io.ReadAll(io.LimitReader(answer.Body, maxBuffered+1))
+	if err != nil || len(body) > maxBuffered {
+		x.reason = reasonBroken
+		if x.ctx.Err() == nil {
+			a.Observe(suspect.Failure)
+			x.log.Warn("answer broken", "server", a.Server.ID, "bytes", len(body), "error", errorText(err))
+		}
+		return again, nil
+	}
+	*whole = true
+	held := &heldAnswer{status: answer.Status, header: answer.Header, body: body}
+	if answer.Status >= http.StatusInternalServerError {
+		a.Observe(suspect.Failure)
+		x.reason = reasonServerError
+		return pending, held
+	}
+	a.Observe(suspect.Success)
+	x.passOn(held)
+	return done, nil
+}
+
+func errorText(err error) string {
+	if err == nil {
+		return "too long"
+	}
+	return err.Error()
+}
+
+// passOn gives a server's answer to the caller unchanged.
+func (x *exchange) passOn(held *heldAnswer) {
+	x.writeHead(held.header)
+	x.w.Header().Set("Content-Length", strconv.Itoa(len(held.body)))
+	x.w.WriteHeader(held.status)
+	x.firstAt = time.Now()
+	if x.r.Method != http.MethodHead {
+		_, _ = x.w.Write(held.body) // a caller that is gone needs no answer
+	}
+	x.finish(held.status, "")
+}
+
+// writeHead copies the headers of a server's answer.
+func (x *exchange) writeHead(from http.Header) {
+	h := x.w.Header()
+	for name, values := range forwardable(from) {
+		h[name] = values
+	}
+	if _, ok := from["Content-Type"]; !ok {
+		h["Content-Type"] = nil
+	}
+	if _, ok := from["Date"]; !ok {
+		h["Date"] = nil
+	}
+}
+
+// fail ends a request that no server has answered.
+func (x *exchange) fail() {
+	switch {
+	case x.begun:
+		x.finish(http.StatusBadGateway, x.reason)
+		panic(http.ErrAbortHandler) // an answer that ends early must not look complete
+	case x.r.Context().Err() != nil:
+		x.finish(statusCallerGone, reasonGone)
+		panic(http.ErrAbortHandler)
+	case x.ran > 0 && x.ctx.Err() != nil:
+		x.answer(http.StatusGatewayTimeout, reasonTimeout)
+	case x.ran > 0:
+		x.answer(http.StatusBadGateway, x.reason)
+	case x.ctx.Err() != nil:
+		x.refuse(http.StatusServiceUnavailable, reasonTimeout, 0)
+	default:
+		x.refuse(http.StatusServiceUnavailable, x.reason, max(x.retry, refusedRetryAfter))
+	}
+}
+
+// finish logs the end of the request.
+func (x *exchange) finish(status int, reason string) {
+	route, version := "", int64(0)
+	if x.route != nil {
+		route = x.route.Name
+	}
+	if x.table != nil {
+		version = x.table.Version
+	}
+	took := time.Since(x.arrived)
+	first := int64(-1)
+	if !x.firstAt.IsZero() {
+		first = x.firstAt.Sub(x.arrived).Milliseconds()
+	}
+	x.g.Metrics.request(x.r.Context(), status, reason, took)
+	x.log.Info("request ended", "status", status, "reason", reason, "route", route, "config", version, "account", x.account,
+		"server", x.server, "sends", x.sends, "ran", x.ran, "prompt_tokens", x.meta.PromptTokens,
+		"first_ms", first, "took_ms", took.Milliseconds())
+}
--- /dev/null
+++ b/gateway/ingress/ingress.go
@@ -0,0 +1,212 @@
+// Package ingress takes the callers' requests, sends them to backend servers
+// and returns the answers. It decides what may be repeated and what a caller
+// may be told: a refusal (429, 503) promises that the request has not run and
+// never will; 502 and 504 promise nothing.
+//
+// The server is net/http's, because fasthttp does not report a caller that
+// goes away while its request waits.
+package ingress
+
+import (
+	"context"
+	"errors"
+	"io"
+	"log/slog"
+	"net/http"
+	"strconv"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"camphorwick.dev/gateway/routing"
+	"camphorwick.dev/gateway/schedule"
+	"camphorwick.dev/gateway/upstream"
+	"camphorwick.dev/policy/retry"
+)
+
+const (
+	// defaultTimeLeft applies to requests that state no time on a route that
+	// states none.
+	defaultTimeLeft = 15 * time.Second
+	// startRetryAfter is what callers are told while no configuration or no
+	// server is known.
+	startRetryAfter = 500 * time.Millisecond
+	// refusedRetryAfter is what callers are told when all servers refused.
+	refusedRetryAfter = 300 * time.Millisecond
+)
+
+// Options are what a Gateway works with.
+type Options struct {
+	Wire      Wire
+	Scheduler *schedule.Scheduler
+	Client    *upstream.Client
+	Log       *slog.Logger
+	Metrics   *Metrics
+	// Budget bounds the repeats of each service; Processes returns the number
+	// of processes that share it.
+	Budget    retry.WindowConfig
+	Processes func() int
+}
+
+// Gateway serves callers. It implements http.Handler.
+type Gateway struct {
+	Options
+	table   atomic.Pointer[routing.Table]
+	active  atomic.Int64
+	closing atomic.Bool
+	started time.Time
+
+	mu      sync.Mutex
+	budgets map[string]*retry.Window
+}
+
+// New returns a gateway without configuration; it refuses all requests until
+// SetTable is called.
+func New(o Options) *Gateway {
+	return &Gateway{Options: o, budgets: map[string]*retry.Window{}, started: time.Now()}
+}
+
+// SetTable puts a configuration in force; older versions are ignored.
+func (g *Gateway) SetTable(t *routing.Table) bool {
+	for {
+		old := g.table.Load()
+		if old != nil && old.Version >= t.Version {
+			return false
+		}
+		if g.table.CompareAndSwap(old, t) {
+			return true
+		}
+	}
+}
+
+// Table returns the configuration in force, or nil.
+func (g *Gateway) Table() *routing.Table { return g.table.Load() }
+
+// Active returns the number of requests in progress.
+func (g *Gateway) Active() int { return int(g.active.Load()) }
+
+// CloseConnections makes each further answer the last one of its connection.
+func (g *Gateway) CloseConnections() { g.closing.Store(true) }
+
+// ServeHTTP implements http.Handler.
+func (g *Gateway) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	g.active.Add(1)
+	defer g.active.Add(-1)
+	if g.closing.Load() {
+		w.Header().Set("Connection", "close")
+	}
+	x := &exchange{g: g, w: w, r: r, arrived: time.Now(), table: g.table.Load(), meta: g.Wire.DecodeRequest(r.Header)}
+	x.log = g.Log.With("request_id", x.meta.ID)
+	if !x.admit() {
+		return
+	}
+	ctx, cancel := context.WithDeadlineCause(r.Context(), x.deadline, errTimeout)
+	defer cancel()
+	x.ctx = ctx
+	x.run()
+}
+
+var errTimeout = errors.New("the time of the request is over")
+
+// admit finds the route and the account and reads the body. It answers
+// requests that are not allowed itself and returns false.
+func (x *exchange) admit() bool {
+	if x.table == nil {
+		x.refuse(http.StatusServiceUnavailable, "no_configuration", startRetryAfter)
+		return false
+	}
+	x.route = x.table.Match(x.r.Host, x.r.RequestURI)
+	if x.route == nil {
+		x.refuse(http.StatusNotFound, "no_route", 0)
+		return false
+	}
+	if x.table.NeedsKey(x.route) {
+		account := x.table.Account(x.meta.Key)
+		if account == nil {
+			x.refuse(http.StatusUnauthorized, "unknown_key", 0)
+			return false
+		}
+		x.account = account.Name
+	}
+	x.deadline = x.arrived.Add(x.timeLeft())
+	return x.readBody()
+}
+
+// timeLeft returns the time that the request has from its arrival.
+func (x *exchange) timeLeft() time.Duration {
+	left := x.meta.TimeLeft
+	if left <= 0 {
+		left = defaultTimeLeft
+	}
+	if x.route.Timeout > 0 {
+		left = min(left, x.route.Timeout)
+	}
+	return left
+}
+
+func (x *exchange) readBody() bool {
+	limit := int64(x.table.Limits.BodyBytes)
+	if limit <= 0 {
+		limit = 4 << 20
+	}
+	if x.r.ContentLength > limit {
+		x.refuse(http.StatusRequestEntityTooLarge, "body_too_large", 0)
+		return false
+	}
+	if x.r.ContentLength == 0 {
+		return true
+	}
+	body, err := io.ReadAll(http.MaxBytesReader(x.w, x.r.Body, limit))
+	if err == nil {
+		x.body = body
+		return true
+	}
+	var tooLarge *http.MaxBytesError
+	if errors.As(err, &tooLarge) {
+		x.refuse(http.StatusRequestEntityTooLarge, "body_too_large", 0)
+		return false
+	}
+	x.refuse(http.StatusBadRequest, "body_unreadable", 0)
+	return false
+}
+
+// refuse answers without having sent the request to any server.
+func (x *exchange) refuse(status int, reason string, retryAfter time.Duration) {
+	h := x.w.Header()
+	if retryAfter > 0 {
+		h.Set("Retry-After", strconv.FormatFloat(retryAfter.Seconds(), 'f', 3, 64))
+	}
+	x.answer(status, reason)
+}
+
+// answer ends the request with a status of the gateway's own.
+func (x *exchange) answer(status int, reason string) {
+	h := x.w.Header()
+	h["Content-Type"] = nil
+	h.Set("Content-Length", "0")
+	x.w.WriteHeader(status)
+	x.finish(status, reason)
+}
+
+// budget returns the repeats of a service. mu is held.
+func (g *Gateway) budget(service string) *retry.Window {
+	b := g.budgets[service]
+	if b == nil {
+		b = retry.NewWindow(g.Budget)
+		g.budgets[service] = b
+	}
+	return b
+}
+
+func (g *Gateway) countRequest(service string) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.budget(service).Request(time.Since(g.started))
+}
+
+// tryRepeat takes one repeat from the budget of a service.
+func (g *Gateway) tryRepeat(service string) bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.budget(service).TryRepeat(time.Since(g.started), g.Processes())
+}
--- /dev/null
+++ b/gateway/node/node.go
@@ -0,0 +1,408 @@
+// Package node assembles a gateway process: it follows the platform's store,
+// serves callers, tells its peers what it has in work, and stops gracefully.
+package node
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"log/slog"
+	"net"
+	"net/http"
+	"net/netip"
+	"strings"
+	"sync"
+	"time"
+
+	"go.opentelemetry.io/otel/metric"
+	"golang.org/x/sync/errgroup"
+
+	"camphorwick.dev/gateway/follow"
+	"camphorwick.dev/gateway/ingress"
+	"camphorwick.dev/gateway/peers"
+	"camphorwick.dev/gateway/registry"
+	"camphorwick.dev/gateway/routing"
+	"camphorwick.dev/gateway/schedule"
+	"camphorwick.dev/gateway/upstream"
+	"camphorwick.dev/policy/retry"
+)
+
+const (
+	// peersPrefix is where the gateways enter themselves in the store.
+	peersPrefix = "gateways/"
+	// leaseTime is how long the entry of a dead gateway stays.
+	leaseTime = 6 * time.Second
+	// renewInterval is the time between renewals of the lease.
+	renewInterval = 2 * time.Second
+	// sweepInterval is the time between looks at idle connections and at
+	// servers that have vanished.
+	sweepInterval = 250 * time.Millisecond
+	// maxHeaderBytes bounds the head of a request; the configuration may state
+	// less.
+	maxHeaderBytes = 64 << 10
+	// leaveTime is how long a stopping gateway serves on at the least: the
+	// platform asks each second whether it is ready and takes it out after two
+	// misses.
+	leaveTime = 2500 * time.Millisecond
+	// drainPoll is how often a stopping gateway looks for requests in progress.
+	drainPoll = 25 * time.Millisecond
+)
+
+// Protocol is what the adapter to a platform offers.
+type Protocol struct {
+	Wire          ingress.Wire
+	Store         follow.Store
+	DecodeConfig  func([]byte) (*routing.Config, error)
+	DecodeServer  func(key string, value []byte) (*registry.Server, error)
+	ConfigKey     string
+	ServersPrefix string
+}
+
+// Options are the settings of a node.
+type Options struct {
+	VM         string
+	DataCentre string
+	// Callers and Peers are IP:port.
+	Callers string
+	Peers   string
+	Budget  retry.WindowConfig
+	// DrainLimit bounds a graceful stop.
+	DrainLimit time.Duration
+	Log        *slog.Logger
+	Meter      metric.Meter
+}
+
+// Node is a gateway process.
+type Node struct {
+	options  Options
+	protocol Protocol
+	registry *registry.Registry
+	schedule *schedule.Scheduler
+	gateway  *ingress.Gateway
+	client   *upstream.Client
+	peers    *peers.Exchange
+	stop     chan struct{}
+	stopOnce sync.Once
+}
+
+// New returns a node that does nothing until Run is called. client is used for
+// backend servers.
+func New(o Options, p Protocol) (*Node, error) {
+	n := &Node{options: o, protocol: p, client: upstream.New(), stop: make(chan struct{})}
+	n.registry = registry.New(n.serverChanged)
+	n.schedule = schedule.New(n.registry, o.DataCentre)
+	n.schedule.OnSuspect = func(service, id string) {
+		o.Log.Warn("server avoided", "service", service, "server", id)
+	}
+	metrics, err := ingress.NewMetrics(o.Meter)
+	if err != nil {
+		return nil, fmt.Errorf("set up metrics: %w", err)
+	}
+	n.peers = &peers.Exchange{VM: o.VM, Scheduler: n.schedule, Log: o.Log, ConfigVersion: n.configVersion}
+	n.gateway = ingress.New(ingress.Options{Wire: p.Wire, Scheduler: n.schedule, Client: n.client, Log: o.Log, Metrics: metrics,
+		Budget: o.Budget, Processes: n.peers.Processes})
+	return n, nil
+}
+
+func (n *Node) configVersion() int64 {
+	if t := n.gateway.Table(); t != nil {
+		return t.Version
+	}
+	return 0
+}
+
+func (n *Node) serverChanged(c registry.Change) {
+	n.options.Log.Info("server "+c.What, "server", c.Server.ID, "service", c.Server.Service, "address", c.Server.Address, "data_centre", c.Server.DataCentre)
+	switch c.What {
+	case "added", "restarted":
+		n.schedule.Forget(c.Server.Service, c.Server.ID)
+	case "removed":
+		n.schedule.Forget(c.Server.Service, c.Server.ID)
+		n.client.Forget(c.Server.Address)
+	}
+}
+
+// Stop begins a graceful stop.
+func (n *Node) Stop() { n.stopOnce.Do(func() { close(n.stop) }) }
+
+// Ready returns nil if the node can serve, else the reason why not.
+func (n *Node) Ready() error {
+	select {
+	case <-n.stop:
+		return errStopping
+	default:
+	}
+	if n.gateway.Table() == nil {
+		return errNoConfiguration
+	}
+	if !n.registry.Synced() {
+		return errNoServers
+	}
+	return nil
+}
+
+var (
+	errStopping        = errors.New("the gateway is stopping")
+	errNoConfiguration = errors.New("no configuration is known yet")
+	errNoServers       = errors.New("the servers are not known yet")
+)
+
+// Run serves until a graceful stop has ended or ctx ends.
+func (n *Node) Run(ctx context.Context) error {
+	listener, err := listen(ctx, n.options.Callers)
+	if err != nil {
+		return fmt.Errorf("open the callers' port: %w", err)
+	}
+	datagrams, err := listenUDP(n.options.Peers)
+	if err != nil {
+		return errors.Join(fmt.Errorf("open the peers' port: %w", err), listener.Close())
+	}
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	server := &http.Server{Handler: n.gateway, MaxHeaderBytes: maxHeaderBytes, ConnState: trackState,
+		ErrorLog: slog.NewLogLogger(n.options.Log.Handler(), slog.LevelDebug)}
+	group, ctx := errgroup.WithContext(ctx)
+	group.Go(func() error {
+		err := server.Serve(&idleListener{Listener: listener, limit: n.idleLimit})
+		if errors.Is(err, http.ErrServerClosed) {
+			return nil
+		}
+		return fmt.Errorf("serve callers: %w", err)
+	})
+	group.Go(func() error { return n.peers.Run(ctx, datagrams) })
+	group.Go(func() error { return n.schedule.Run(ctx) })
+	group.Go(func() error { return n.sweep(ctx) })
+	group.Go(func() error { return n.enter(ctx) })
+	n.followAll(ctx, group)
+	group.Go(func() error {
+		defer cancel()
+		return n.drain(ctx, server)
+	})
+	return group.Wait()
+}
+
+func listenUDP(address string) (*net.UDPConn, error) {
+	parsed, err := netip.ParseAddrPort(address)
+	if err != nil {
+		return nil, err
+	}
+	return net.ListenUDP("udp", net.UDPAddrFromAddrPort(parsed))
+}
+
+// idleLimit returns how long a caller's connection may be idle.
+func (n *Node) idleLimit() time.Duration {
+	if t := n.gateway.Table(); t != nil {
+		return t.Limits.IdleTimeout
+	}
+	return 0
+}
+
+// followAll follows the configuration, the servers and the other gateways.
+func (n *Node) followAll(ctx context.Context, group *errgroup.Group) {
+	followers := []*follow.Follower{
+		{Prefix: n.protocol.ConfigKey, Handler: &configHandler{node: n}},
+		{Prefix: n.protocol.ServersPrefix, Handler: &serverHandler{node: n}},
+		{Prefix: peersPrefix, Handler: &peerHandler{node: n, known: map[string]netip.AddrPort{}}},
+	}
+	for _, f := range followers {
+		f.Store, f.Log = n.protocol.Store, n.options.Log
+		group.Go(func() error { return f.Run(ctx) })
+	}
+}
+
+// sweep drops what has been idle or gone too long.
+func (n *Node) sweep(ctx context.Context) error {
+	ticker := time.NewTicker(sweepInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case now := <-ticker.C:
+			n.client.Sweep(now)
+			n.registry.Sweep(now)
+		}
+	}
+}
+
+// enter keeps the node's entry for its peers in the store.
+func (n *Node) enter(ctx context.Context) error {
+	lease := int64(0)
+	for {
+		var err error
+		if lease == 0 {
+			lease, err = n.writeEntry(ctx)
+		} else {
+			err = n.protocol.Store.Renew(ctx, lease)
+		}
+		var ended *follow.LeaseError
+		if errors.As(err, &ended) {
+			lease = 0
+			continue
+		}
+		if err != nil && ctx.Err() == nil {
+			n.options.Log.Debug("own entry not renewed", "error", err.Error())
+		}
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-time.After(renewInterval):
+		}
+	}
+}
+
+func (n *Node) writeEntry(ctx context.Context) (int64, error) {
+	lease, err := n.protocol.Store.Grant(ctx, leaseTime)
+	if err != nil {
+		return 0, err
+	}
+	if err := n.protocol.Store.Put(ctx, peersPrefix+n.options.VM, []byte(n.options.Peers), lease); err != nil {
+		return 0, err
+	}
+	return lease, nil
+}
+
+// drain waits for Stop, then until no request is in progress and the platform
+// has taken the node out, at most DrainLimit.
+func (n *Node) drain(ctx context.Context, server *http.Server) error {
+	select {
+	case <-ctx.Done():
+		return server.Close()
+	case <-n.stop:
+	}
+	begun := time.Now()
+	n.options.Log.Info("stopping", "in_progress", n.gateway.Active())
+	n.gateway.CloseConnections()
+	for time.Since(begun) < n.options.DrainLimit && ctx.Err() == nil {
+		time.Sleep(drainPoll)
+		if time.Since(begun) >= leaveTime && n.gateway.Active() == 0 {
+			break
+		}
+	}
+	n.options.Log.Info("stopped serving", "cut", n.gateway.Active())
+	return server.Close()
+}
+
+// configHandler puts configurations in force.
+type configHandler struct{ node *Node }
+
+// Replace implements follow.Handler.
+func (h *configHandler) Replace(items []follow.Item) {
+	for _, item := range items {
+		h.Change(item)
+	}
+}
+
+// Change implements follow.Handler.
+func (h *configHandler) Change(item follow.Item) {
+	n := h.node
+	if item.Key != n.protocol.ConfigKey || item.Deleted {
+		return
+	}
+	config, err := n.protocol.DecodeConfig(item.Value)
+	if err != nil {
+		n.options.Log.Error("configuration not understood, the last one stays in force", "revision", item.Revision, "error", err.Error())
+		return
+	}
+	if n.gateway.SetTable(routing.NewTable(config)) {
+		n.options.Log.Info("configuration in force", "version", config.Version, "revision", item.Revision, "routes", len(config.Routes))
+	}
+}
+
+// Failed implements follow.Handler.
+func (h *configHandler) Failed(error) {}
+
+// Restored implements follow.Handler.
+func (h *configHandler) Restored() {}
+
+// serverHandler keeps the registry.
+type serverHandler struct{ node *Node }
+
+// Replace implements follow.Handler.
+func (h *serverHandler) Replace(items []follow.Item) {
+	var list []*registry.Server
+	for _, item := range items {
+		if s := h.decode(item); s != nil {
+			list = append(list, s)
+		}
+	}
+	h.node.registry.Replace(list, time.Now())
+}
+
+// Change implements follow.Handler.
+func (h *serverHandler) Change(item follow.Item) {
+	id := strings.TrimPrefix(item.Key, h.node.protocol.ServersPrefix)
+	if item.Deleted {
+		h.node.registry.Remove(id, time.Now())
+		return
+	}
+	if s := h.decode(item); s != nil {
+		h.node.registry.Put(s)
+		return
+	}
+	h.node.registry.Remove(id, time.Now())
+}
+
+func (h *serverHandler) decode(item follow.Item) *registry.Server {
+	s, err := h.node.protocol.DecodeServer(item.Key, item.Value)
+	if err != nil {
+		h.node.options.Log.Warn("entry names no server", "key", item.Key, "revision", item.Revision, "error", err.Error())
+		return nil
+	}
+	return s
+}
+
+// Failed implements follow.Handler.
+func (h *serverHandler) Failed(error) { h.node.registry.StoreFailed(time.Now()) }
+
+// Restored implements follow.Handler.
+func (h *serverHandler) Restored() { h.node.registry.StoreFailed(time.Now()) }
+
+// peerHandler keeps the list of the other gateways.
+type peerHandler struct {
+	node  *Node
+	known map[string]netip.AddrPort
+}
+
+// Replace implements follow.Handler.
+func (h *peerHandler) Replace(items []follow.Item) {
+	clear(h.known)
+	for _, item := range items {
+		h.note(item)
+	}
+	h.publish()
+}
+
+// Change implements follow.Handler.
+func (h *peerHandler) Change(item follow.Item) {
+	h.note(item)
+	h.publish()
+}
+
+func (h *peerHandler) note(item follow.Item) {
+	vm := strings.TrimPrefix(item.Key, peersPrefix)
+	delete(h.known, vm)
+	if item.Deleted {
+		return
+	}
+	address, err := netip.ParseAddrPort(string(item.Value))
+	if err != nil {
+		h.node.options.Log.Warn("entry names no gateway", "key", item.Key, "error", err.Error())
+		return
+	}
+	h.known[vm] = address
+}
+
+func (h *peerHandler) publish() {
+	peers := make(map[string]netip.AddrPort, len(h.known))
+	for vm, address := range h.known {
+		peers[vm] = address
+	}
+	h.node.peers.SetPeers(peers)
+}
+
+// Failed implements follow.Handler.
+func (h *peerHandler) Failed(error) {}
+
+// Restored implements follow.Handler.
+func (h *peerHandler) Restored() {}
--- /dev/null
+++ b/gateway/peers/peers.go
@@ -0,0 +1,177 @@
+// Package peers tells the other gateways of an installation what this one has
+// in work on each backend server, in datagrams. The word of a peer is a hint:
+// a lost datagram costs a worse choice, never a wrong answer.
+package peers
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"log/slog"
+	"net"
+	"net/netip"
+	"sync"
+	"time"
+
+	"golang.org/x/sync/errgroup"
+	"google.golang.org/protobuf/proto"
+
+	"camphorwick.dev/api/wire"
+	"camphorwick.dev/gateway/schedule"
+	"camphorwick.dev/policy/dispatch"
+)
+
+const (
+	// minInterval is the shortest time between two datagrams to a peer, and
+	// intervalPerPeer what each peer adds, so that the cost of a process stays
+	// bounded in large installations.
+	minInterval     = 40 * time.Millisecond
+	intervalPerPeer = 10 * time.Millisecond
+	// quietInterval is the time between datagrams that say nothing new.
+	quietInterval = 500 * time.Millisecond
+	// maxDatagram bounds what is sent and read.
+	maxDatagram = 60_000
+)
+
+// Exchange sends and takes the loads. Safe for concurrent use.
+type Exchange struct {
+	VM        string
+	Scheduler *schedule.Scheduler
+	Log       *slog.Logger
+	// ConfigVersion returns the version in force here.
+	ConfigVersion func() int64
+
+	mu       sync.Mutex
+	peers    map[string]netip.AddrPort
+	synced   bool
+	sequence map[string]uint64
+}
+
+// unknownProcesses is assumed until the other gateways are known: it keeps the
+// share of a process in a common bound small.
+const unknownProcesses = 8
+
+// SetPeers replaces the list of the other gateways by VM.
+func (e *Exchange) SetPeers(peers map[string]netip.AddrPort) {
+	delete(peers, e.VM)
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.peers = peers
+	e.synced = true
+}
+
+// Processes returns the number of gateways, this one included.
+func (e *Exchange) Processes() int {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if !e.synced {
+		return unknownProcesses
+	}
+	return len(e.peers) + 1
+}
+
+// Run exchanges loads over conn until ctx ends; it closes conn.
+func (e *Exchange) Run(ctx context.Context, conn *net.UDPConn) error {
+	e.sequence = map[string]uint64{}
+	group, ctx := errgroup.WithContext(ctx)
+	group.Go(func() error { return e.send(ctx, conn) })
+	group.Go(func() error { return e.receive(ctx, conn) })
+	group.Go(func() error {
+		<-ctx.Done()
+		return conn.Close()
+	})
+	return group.Wait()
+}
+
+func (e *Exchange) send(ctx context.Context, conn *net.UDPConn) error {
+	sequence := uint64(time.Now().UnixNano()) // rises over restarts, a clock step costs some datagrams
+	var last []byte
+	var lastSent time.Time
+	for {
+		targets := e.targets()
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-time.After(max(minInterval, time.Duration(len(targets))*intervalPerPeer)):
+		}
+		loads := e.loads()
+		body, err := proto.Marshal(loads)
+		if err != nil {
+			return fmt.Errorf("encode loads: %w", err)
+		}
+		if string(body) == string(last) && time.Since(lastSent) < quietInterval {
+			continue
+		}
+		last, lastSent = body, time.Now()
+		sequence++
+		loads.Sequence = sequence
+		e.broadcast(conn, loads, targets)
+	}
+}
+
+func (e *Exchange) broadcast(conn *net.UDPConn, loads *wire.PeerLoads, targets []netip.AddrPort) {
+	body, err := proto.Marshal(loads)
+	if err != nil || len(body) > maxDatagram {
+		e.Log.Error("loads cannot be sent", "bytes", len(body))
+		return
+	}
+	for _, target := range targets {
+		if _, err := conn.WriteToUDPAddrPort(body, target); err != nil && !errors.Is(err, net.ErrClosed) {
+			e.Log.Debug("loads not sent", "peer", target.String(), "error", err.Error())
+		}
+	}
+}
+
+func (e *Exchange) targets() []netip.AddrPort {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	targets := make([]netip.AddrPort, 0, len(e.peers))
+	for _, address := range e.peers {
+		targets = append(targets, address)
+	}
+	return targets
+}
+
+func (e *Exchange) loads() *wire.PeerLoads {
+	out := &wire.PeerLoads{Vm: e.VM, ConfigVersion: e.ConfigVersion()}
+	e.Scheduler.Own(func(id string, l dispatch.Load) {
+		out.Loads = append(out.Loads, &wire.ServerLoad{Server: id, Writers: uint32(l.Writers), Waiting: uint32(l.Waiting),
+			Helping: uint32(l.Helping), ContextTokens: uint32(l.Context),
+			ReadingTokens: float32(l.Reading.Tokens), ReadingMillionPairs: float32(l.Reading.MillionPairs)})
+	})
+	return out
+}
+
+func (e *Exchange) receive(ctx context.Context, conn *net.UDPConn) error {
+	buffer := make([]byte, maxDatagram)
+	for {
+		n, _, err := conn.ReadFromUDPAddrPort(buffer)
+		if ctx.Err() != nil {
+			return nil
+		}
+		if err != nil {
+			e.Log.Debug("datagram not read", "error", err.Error())
+			continue
+		}
+		message := &wire.PeerLoads{}
+		if err := proto.Unmarshal(buffer[:n], message); err != nil || message.GetVm() == "" {
+			e.Log.Debug("datagram is not a message of a peer", "bytes", n)
+			continue
+		}
+		e.take(message)
+	}
+}
+
+func (e *Exchange) take(m *wire.PeerLoads) {
+	if m.GetSequence() <= e.sequence[m.GetVm()] {
+		return
+	}
+	e.sequence[m.GetVm()] = m.GetSequence()
+	loads := make(map[string]dispatch.Load, len(m.GetLoads()))
+	for _, l := range m.GetLoads() {
+		loads[l.GetServer()] = dispatch.Load{Writers: int(l.GetWriters()), Waiting: int(l.GetWaiting()), Helping: int(l.GetHelping()),
+			Context: int(l.GetContextTokens()),
+			Reading: dispatch.Work{Tokens: float64(l.GetReadingTokens()), MillionPairs: float64(l.GetReadingMillionPairs())}}
+	}
+	e.Scheduler.SetPeer(m.GetVm(), loads)
+}
--- /dev/null
+++ b/gateway/schedule/schedule.go
@@ -0,0 +1,381 @@
+// Package schedule assigns requests to backend servers. Requests for model
+// engines wait here while no engine has a slot and the memory for them; the
+// one whose latency target ends first goes first. Requests for plain services
+// go at once to the server with the least in work.
+//
+// Lock order: Scheduler.mu is taken before the lock of the registry.
+package schedule
+
+import (
+	"context"
+	"fmt"
+	"slices"
+	"sync"
+	"time"
+
+	"camphorwick.dev/gateway/registry"
+	"camphorwick.dev/policy/dispatch"
+	"camphorwick.dev/policy/suspect"
+)
+
+const (
+	// retryTick is how often waiting requests are tried again when nothing
+	// else happens, because work of peers also ends.
+	retryTick = 20 * time.Millisecond
+	// maxScan bounds the waiting requests that are looked at for one change.
+	maxScan = 24
+	// remoteCost is what a server in another data centre must have less in
+	// work than a near one, in requests.
+	remoteCost = 1
+	// minServeShare is the share of a request's time that must be left when it
+	// is placed; the rest is what it may wait.
+	minServeShare = 0.35
+	// rateWeight is the weight of the newest interval between placements in
+	// the forecast of the queue.
+	rateWeight = 0.1
+	// minRetryAfter and maxRetryAfter bound the delay that a refused caller is
+	// told.
+	minRetryAfter = 200 * time.Millisecond
+	maxRetryAfter = 4 * time.Second
+)
+
+// Request is what has to be placed.
+type Request struct {
+	Service string
+	// Engine is nil for plain services.
+	Engine *dispatch.Engine
+	Prompt dispatch.Prompt
+	// LatencyTarget is the wanted time to the first byte.
+	LatencyTarget time.Duration
+	// Arrived is when the request came, Deadline when its time is over.
+	Arrived, Deadline time.Time
+	// Exclude lists servers that have failed or refused it.
+	Exclude []string
+}
+
+// NoServerError says that the service has no server that may get work.
+type NoServerError struct{ Service string }
+
+func (e *NoServerError) Error() string { return fmt.Sprintf("service %q has no server", e.Service) }
+
+// TooLargeError says that a prompt exceeds the memory of an engine.
+type TooLargeError struct{ Tokens, Memory int }
+
+func (e *TooLargeError) Error() string {
+	return fmt.Sprintf("a prompt of %d tokens does not fit an engine of %d", e.Tokens, e.Memory)
+}
+
+// OverloadError says that the request cannot be served in its time.
+type OverloadError struct {
+	Waiting    int
+	Forecast   time.Duration
+	RetryAfter time.Duration
+}
+
+func (e *OverloadError) Error() string {
+	return fmt.Sprintf("%d requests wait, the forecast is %v", e.Waiting, e.Forecast)
+}
+
+// Assignment is the right to send one request to a server. End must be called.
+type Assignment struct {
+	Server  *registry.Server
+	Helpers []*registry.Server
+	// Expected is the estimated time to the first token; 0 for plain services.
+	Expected time.Duration
+
+	scheduler *Scheduler
+	job       *dispatch.Job
+	service   string
+}
+
+// Scheduler assigns requests. Safe for concurrent use.
+type Scheduler struct {
+	registry   *registry.Registry
+	dataCentre string
+
+	mu       sync.Mutex
+	board    *dispatch.Board
+	chooser  dispatch.Chooser
+	trackers map[string]*suspect.Tracker
+	waiting  []*waiter // by due time
+	// interval is the recent time between placements while requests wait.
+	interval   time.Duration
+	lastPlaced time.Time
+	candidates []dispatch.Candidate
+	// OnSuspect is called when a server starts to be avoided.
+	OnSuspect func(service, id string)
+}
+
+type waiter struct {
+	request Request
+	due     time.Time
+	result  chan result
+}
+
+type result struct {
+	assignment *Assignment
+	err        error
+}
+
+// New returns a scheduler of a process in dataCentre.
+func New(r *registry.Registry, dataCentre string) *Scheduler {
+	return &Scheduler{registry: r, dataCentre: dataCentre, board: dispatch.NewBoard(),
+		trackers: map[string]*suspect.Tracker{}, OnSuspect: func(string, string) {}}
+}
+
+// Acquire waits until the request may be sent. The errors are NoServerError,
+// TooLargeError, OverloadError or the context's.
+func (s *Scheduler) Acquire(ctx context.Context, r Request) (*Assignment, error) {
+	now := time.Now()
+	s.mu.Lock()
+	a, err := s.place(r, now)
+	if a != nil || err != nil {
+		s.mu.Unlock()
+		return a, err
+	}
+	if err := s.forecast(r, now); err != nil {
+		s.mu.Unlock()
+		return nil, err
+	}
+	w := &waiter{request: r, due: r.Arrived.Add(r.LatencyTarget), result: make(chan result, 1)}
+	s.insert(w)
+	s.mu.Unlock()
+	timer := time.NewTimer(r.latestStart(now).Sub(now))
+	defer timer.Stop()
+	select {
+	case got := <-w.result:
+		return got.assignment, got.err
+	case <-ctx.Done():
+		return s.leave(w, context.Cause(ctx))
+	case <-timer.C:
+		return s.leave(w, &OverloadError{Forecast: time.Since(now), RetryAfter: minRetryAfter})
+	}
+}
+
+// latestStart returns the time after which it makes no sense to start r.
+func (r *Request) latestStart(now time.Time) time.Time {
+	return now.Add(time.Duration(float64(r.Deadline.Sub(now)) * (1 - minServeShare)))
+}
+
+// leave takes a waiter out of the queue, or hands out what it was given
+// meanwhile.
+func (s *Scheduler) leave(w *waiter, err error) (*Assignment, error) {
+	s.mu.Lock()
+	i := slices.Index(s.waiting, w)
+	if i >= 0 {
+		s.waiting = slices.Delete(s.waiting, i, i+1)
+	}
+	s.mu.Unlock()
+	if i >= 0 {
+		return nil, err
+	}
+	got := <-w.result
+	if got.assignment != nil {
+		got.assignment.End()
+	}
+	return nil, err
+}
+
+// insert queues w by its due time. mu is held.
+func (s *Scheduler) insert(w *waiter) {
+	i, _ := slices.BinarySearchFunc(s.waiting, w.due, func(x *waiter, due time.Time) int { return x.due.Compare(due) })
+	s.waiting = slices.Insert(s.waiting, i, w)
+}
+
+// forecast refuses a request that the queue cannot serve in time. mu is held.
+func (s *Scheduler) forecast(r Request, now time.Time) error {
+	if len(s.waiting) == 0 || s.interval == 0 {
+		return nil
+	}
+	due := r.Arrived.Add(r.LatencyTarget)
+	ahead := 0
+	for _, w := range s.waiting {
+		if w.due.After(due) {
+			break
+		}
+		ahead++
+	}
+	wait := time.Duration(ahead) * s.interval
+	if now.Add(wait).Before(r.latestStart(now)) {
+		return nil
+	}
+	return &OverloadError{Waiting: ahead, Forecast: wait, RetryAfter: min(max(wait/2, minRetryAfter), maxRetryAfter)}
+}
+
+// Run tries waiting requests again from time to time until ctx ends.
+func (s *Scheduler) Run(ctx context.Context) error {
+	ticker := time.NewTicker(retryTick)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-ticker.C:
+			s.mu.Lock()
+			s.drainQueue(time.Now())
+			s.mu.Unlock()
+		}
+	}
+}
+
+// drainQueue places the waiting requests that fit now. mu is held.
+func (s *Scheduler) drainQueue(now time.Time) {
+	if len(s.waiting) == 0 {
+		return
+	}
+	kept := s.waiting[:0]
+	for i, w := range s.waiting {
+		if i >= maxScan {
+			kept = append(kept, w)
+			continue
+		}
+		a, err := s.place(w.request, now)
+		if a == nil && err == nil {
+			kept = append(kept, w)
+			continue
+		}
+		s.observePlacement(now)
+		w.result <- result{assignment: a, err: err}
+	}
+	clear(s.waiting[len(kept):])
+	s.waiting = kept
+}
+
+func (s *Scheduler) observePlacement(now time.Time) {
+	if !s.lastPlaced.IsZero() {
+		gap := min(now.Sub(s.lastPlaced), time.Second)
+		s.interval += time.Duration(float64(gap-s.interval) * rateWeight)
+	}
+	s.lastPlaced = now
+}
+
+// place assigns r if a server can take it now; nil, nil means that it has to
+// wait. mu is held.
+func (s *Scheduler) place(r Request, now time.Time) (*Assignment, error) {
+	servers := s.usable(&r, now)
+	if len(servers) == 0 {
+		return nil, &NoServerError{Service: r.Service}
+	}
+	if r.Engine == nil {
+		return s.placePlain(r, servers, now), nil
+	}
+	if need := r.Prompt.Tokens + r.Prompt.Answer; need > r.Engine.MemoryTokens {
+		return nil, &TooLargeError{Tokens: need, Memory: r.Engine.MemoryTokens}
+	}
+	s.candidates = s.candidates[:0]
+	for i, server := range servers {
+		s.candidates = append(s.candidates, dispatch.Candidate{Index: i, Load: s.board.Load(server.ID, now), Local: server.DataCentre == s.dataCentre})
+	}
+	plan, ok := s.chooser.Choose(r.Engine, r.Prompt, s.candidates)
+	if !ok {
+		return nil, nil
+	}
+	a := &Assignment{scheduler: s, Server: servers[plan.First], Expected: plan.FirstToken, service: r.Service}
+	ids := make([]string, 0, len(plan.Helpers))
+	for _, i := range plan.Helpers {
+		a.Helpers = append(a.Helpers, servers[i])
+		ids = append(ids, servers[i].ID)
+	}
+	a.job = s.board.Start(a.Server.ID, ids, r.Prompt, plan.FirstToken, now)
+	return a, nil
+}
+
+// usable returns the servers that may get r. Servers under suspicion are used
+// when there is no other. mu is held.
+func (s *Scheduler) usable(r *Request, now time.Time) []*registry.Server {
+	all := s.registry.Servers(r.Service)
+	tracker := s.tracker(r.Service)
+	sound := make([]*registry.Server, 0, len(all))
+	var avoided []*registry.Server
+	for _, server := range all {
+		switch {
+		case slices.Contains(r.Exclude, server.ID):
+		case tracker.Avoided(server.ID, now):
+			avoided = append(avoided, server)
+		default:
+			sound = append(sound, server)
+		}
+	}
+	if len(sound) == 0 {
+		return avoided
+	}
+	return sound
+}
+
+// placePlain picks the server with the least in work. mu is held.
+func (s *Scheduler) placePlain(r Request, servers []*registry.Server, now time.Time) *Assignment {
+	var best *registry.Server
+	bestCost := 0
+	for _, server := range servers {
+		cost := s.board.Load(server.ID, now).Waiting
+		if server.DataCentre != s.dataCentre {
+			cost += remoteCost
+		}
+		if best == nil || cost < bestCost {
+			best, bestCost = server, cost
+		}
+	}
+	a := &Assignment{scheduler: s, Server: best, service: r.Service}
+	a.job = s.board.Start(best.ID, nil, dispatch.Prompt{}, 0, now)
+	return a
+}
+
+func (s *Scheduler) tracker(service string) *suspect.Tracker {
+	t := s.trackers[service]
+	if t == nil {
+		t = suspect.NewTracker()
+		s.trackers[service] = t
+	}
+	return t
+}
+
+// FirstToken records that the answer has begun.
+func (a *Assignment) FirstToken() {
+	s := a.scheduler
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	a.job.FirstToken()
+}
+
+// Observe records what became of the request at its server.
+func (a *Assignment) Observe(o suspect.Outcome) {
+	s := a.scheduler
+	s.mu.Lock()
+	suspected := s.tracker(a.service).Observe(a.Server.ID, o, time.Now())
+	s.mu.Unlock()
+	if suspected {
+		s.OnSuspect(a.service, a.Server.ID)
+	}
+}
+
+// End records that the request no longer uses its server.
+func (a *Assignment) End() {
+	s := a.scheduler
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	a.job.End()
+	s.drainQueue(time.Now())
+}
+
+// Forget drops the suspicion of a server that has restarted or gone.
+func (s *Scheduler) Forget(service, id string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.tracker(service).Forget(id)
+}
+
+// Own calls f for each server with work of this process.
+func (s *Scheduler) Own(f func(id string, l dispatch.Load)) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.board.Engines(time.Now(), f)
+}
+
+// SetPeer records what a peer has in work.
+func (s *Scheduler) SetPeer(name string, loads map[string]dispatch.Load) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	now := time.Now()
+	s.board.SetPeer(name, loads, now)
+	s.drainQueue(now)
+}
--- /dev/null
+++ b/gateway/upstream/silence.go
@@ -0,0 +1,23 @@
+package upstream
+
+import (
+	"syscall"
+	"time"
+
+	"golang.org/x/sys/unix"
+)
+
+// ControlSilence returns a net.Dialer.Control that ends a connection whose
+// peer has not acknowledged sent bytes for d.
+func ControlSilence(d time.Duration) func(network, address string, c syscall.RawConn) error {
+	return func(_, _ string, c syscall.RawConn) error {
+		var set error
+		err := c.Control(func(fd uintptr) {
+			set = unix.SetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, int(d.Milliseconds()))
+		})
+		if err != nil {
+			return err
+		}
+		return set
+	}
+}
--- /dev/null
+++ b/gateway/upstream/upstream.go
@@ -0,0 +1,335 @@
+// Package upstream sends HTTP/1.1 requests to backend servers over kept
+// connections. The standard library parses the answers; the connections are
+// managed here, because its client repeats requests on its own, and because a
+// connection must be closed as soon as anything unexpected is read from it.
+package upstream
+
+import (
+	"bufio"
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strconv"
+	"strings"
+	"sync"
+	"time"
+
+	"golang.org/x/sys/unix"
+)
+
+const (
+	// dialTimeout bounds the opening of a connection inside one region.
+	dialTimeout = time.Second
+	// defaultIdle is how long a connection is kept whose server states no
+	// timeout.
+	defaultIdle = 4 * time.Second
+	// idleMargin is taken off the stated timeout, so that a request does not
+	// cross the server's close.
+	idleMargin = 700 * time.Millisecond
+	// freshIdle is the longest idle time before a request that must not be
+	// repeated; a server may drop an idle connection without notice.
+	freshIdle = time.Second
+	// silentTimeout ends a connection whose peer acknowledges nothing.
+	silentTimeout = 1500 * time.Millisecond
+	// largeRequest is the size from which a request is written beside the
+	// reading of the answer, because the server may answer before it reads on.
+	largeRequest = 16 << 10
+	readBuffer   = 4 << 10
+	// maxSkipped bounds the answers to other requests that are passed over
+	// before the one that is waited for.
+	maxSkipped = 2
+)
+
+// Error tells why there is no answer.
+type Error struct {
+	// Sent says that bytes of the request may have reached the server, so that
+	// it may have run.
+	Sent    bool
+	Address string
+	Cause   error
+}
+
+func (e *Error) Error() string {
+	if e.Sent {
+		return fmt.Sprintf("no answer from %s: %v", e.Address, e.Cause)
+	}
+	return fmt.Sprintf("no connection to %s: %v", e.Address, e.Cause)
+}
+
+// Unwrap returns the cause.
+func (e *Error) Unwrap() error { return e.Cause }
+
+// Client keeps the connections to all servers. Safe for concurrent use.
+type Client struct {
+	dialer net.Dialer
+	mu     sync.Mutex
+	idle   map[string][]*conn // by address, the last used at the end
+	// OnDial is called for each connection that is opened.
+	OnDial func()
+}
+
+// New returns a client without connections.
+func New() *Client {
+	c := &Client{idle: map[string][]*conn{}}
+	c.dialer = net.Dialer{Timeout: dialTimeout, Control: ControlSilence(silentTimeout),
+		KeepAliveConfig: net.KeepAliveConfig{Enable: true, Idle: time.Second, Interval: time.Second, Count: 2}}
+	return c
+}
+
+type conn struct {
+	net.Conn
+	br      *bufio.Reader
+	address string
+	expires time.Time
+	since   time.Time
+}
+
+// Request is a request in the form in which it is sent.
+type Request struct {
+	Method string
+	Head   []byte // request line and headers with the empty line
+	Body   []byte
+	// Once says that the request must not be repeated if its fate is unknown.
+	Once bool
+	// Belongs reports whether an answer with these headers is the one to this
+	// request.
+	Belongs func(http.Header) bool
+}
+
+// Response is the answer of a server. Close must be called.
+type Response struct {
+	Status int
+	Header http.Header
+	// Length is the length of the body, -1 if it is not stated.
+	Length int64
+	Body   io.Reader
+
+	client  *Client
+	conn    *conn
+	answer  *http.Response
+	written <-chan error
+	stop    func() bool
+	once    sync.Once
+}
+
+// Do sends r to address. When ctx ends, the connection is closed, which tells
+// the server to stop. The error is an *Error.
+func (c *Client) Do(ctx context.Context, address string, r *Request) (*Response, error) {
+	cn := c.take(address, r.Once)
+	if cn == nil {
+		var err error
+		if cn, err = c.dial(ctx, address); err != nil {
+			return nil, &Error{Address: address, Cause: err}
+		}
+	}
+	stop := context.AfterFunc(ctx, func() { _ = cn.Close() })
+	written, err := cn.send(r)
+	if err != nil {
+		return nil, cn.fail(ctx, stop, err)
+	}
+	answer, err := cn.receive(r)
+	if err != nil {
+		return nil, cn.fail(ctx, stop, err)
+	}
+	return &Response{Status: answer.StatusCode, Header: answer.Header, Length: answer.ContentLength, Body: answer.Body,
+		client: c, conn: cn, answer: answer, written: written, stop: stop}, nil
+}
+
+func (cn *conn) fail(ctx context.Context, stop func() bool, err error) error {
+	stop()
+	_ = cn.Close()
+	if ctx.Err() != nil {
+		err = context.Cause(ctx)
+	}
+	return &Error{Sent: true, Address: cn.address, Cause: err}
+}
+
+// send writes r. A large one is written in the background; the channel then
+// gives the result.
+func (cn *conn) send(r *Request) (<-chan error, error) {
+	if len(r.Head)+len(r.Body) <= largeRequest {
+		_, err := cn.Write(append(r.Head, r.Body...))
+		return nil, err
+	}
+	written := make(chan error, 1)
+	go func() {
+		buffers := net.Buffers{r.Head, r.Body}
+		_, err := buffers.WriteTo(cn.Conn)
+		written <- err
+	}()
+	return written, nil
+}
+
+// receive reads the head of the answer to r and passes over late answers to
+// earlier requests.
+func (cn *conn) receive(r *Request) (*http.Response, error) {
+	request := &http.Request{Method: r.Method}
+	for skipped := 0; ; skipped++ {
+		answer, err := http.ReadResponse(cn.br, request)
+		if err != nil {
+			return nil, err
+		}
+		if answer.StatusCode < http.StatusOK {
+			continue
+		}
+		if r.Belongs == nil || r.Belongs(answer.Header) {
+			return answer, nil
+		}
+		if skipped == maxSkipped {
+			return nil, errForeignAnswer
+		}
+		if _, err := io.Copy(io.Discard, answer.Body); err != nil {
+			return nil, err
+		}
+	}
+}
+
+var errForeignAnswer = errors.New("the answers belong to other requests")
+
+// Close gives the connection back if the answer was read to its end, or
+// closes it.
+func (r *Response) Close(whole bool) {
+	r.once.Do(func() {
+		stopped := r.stop()
+		if !whole || !stopped || r.answer.Close || r.conn.br.Buffered() > 0 || !r.requestWritten() {
+			_ = r.conn.Close()
+			return
+		}
+		r.client.put(r.conn, r.answer.Header)
+	})
+}
+
+// requestWritten reports whether the server has taken the whole request.
+func (r *Response) requestWritten() bool {
+	if r.written == nil {
+		return true
+	}
+	select {
+	case err := <-r.written:
+		return err == nil
+	default:
+		return false
+	}
+}
+
+func (c *Client) dial(ctx context.Context, address string) (*conn, error) {
+	if c.OnDial != nil {
+		c.OnDial()
+	}
+	nc, err := c.dialer.DialContext(ctx, "tcp", address)
+	if err != nil {
+		return nil, err
+	}
+	return &conn{Conn: nc, br: bufio.NewReaderSize(nc, readBuffer), address: address}, nil
+}
+
+// take returns a kept connection that is still usable, or nil.
+func (c *Client) take(address string, once bool) *conn {
+	now := time.Now()
+	for {
+		c.mu.Lock()
+		list := c.idle[address]
+		if len(list) == 0 {
+			c.mu.Unlock()
+			return nil
+		}
+		cn := list[len(list)-1]
+		list[len(list)-1] = nil
+		c.idle[address] = list[:len(list)-1]
+		c.mu.Unlock()
+		if now.Before(cn.expires) && !(once && now.Sub(cn.since) > freshIdle) && !Readable(cn.Conn) {
+			return cn
+		}
+		_ = cn.Close()
+	}
+}
+
+func (c *Client) put(cn *conn, h http.Header) {
+	keep := defaultIdle
+	if stated, ok := keepAliveTimeout(h); ok {
+		keep = stated - idleMargin
+	}
+	if keep <= 0 {
+		_ = cn.Close()
+		return
+	}
+	cn.since = time.Now()
+	cn.expires = cn.since.Add(keep)
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.idle[cn.address] = append(c.idle[cn.address], cn)
+}
+
+// keepAliveTimeout returns the timeout of a Keep-Alive header.
+func keepAliveTimeout(h http.Header) (time.Duration, bool) {
+	for _, field := range strings.Split(h.Get("Keep-Alive"), ",") {
+		name, value, _ := strings.Cut(strings.TrimSpace(field), "=")
+		if !strings.EqualFold(name, "timeout") {
+			continue
+		}
+		seconds, err := strconv.Atoi(value)
+		if err == nil && seconds >= 0 {
+			return time.Duration(seconds) * time.Second, true
+		}
+	}
+	return 0, false
+}
+
+// Sweep closes the connections that have been idle too long.
+func (c *Client) Sweep(now time.Time) {
+	c.mu.Lock()
+	var expired []*conn
+	for address, list := range c.idle {
+		kept := list[:0]
+		for _, cn := range list {
+			if now.Before(cn.expires) {
+				kept = append(kept, cn)
+			} else {
+				expired = append(expired, cn)
+			}
+		}
+		clear(list[len(kept):])
+		if len(kept) == 0 {
+			delete(c.idle, address)
+		} else {
+			c.idle[address] = kept
+		}
+	}
+	c.mu.Unlock()
+	for _, cn := range expired {
+		_ = cn.Close()
+	}
+}
+
+// Forget closes the idle connections to address.
+func (c *Client) Forget(address string) {
+	c.mu.Lock()
+	list := c.idle[address]
+	delete(c.idle, address)
+	c.mu.Unlock()
+	for _, cn := range list {
+		_ = cn.Close()
+	}
+}
+
+// Readable reports whether an idle connection has unasked bytes or was closed.
+func Readable(nc net.Conn) bool {
+	tcp, ok := nc.(*net.TCPConn)
+	if !ok {
+		return true
+	}
+	raw, err := tcp.SyscallConn()
+	if err != nil {
+		return true
+	}
+	quiet := false
+	err = raw.Control(func(fd uintptr) {
+		var one [1]byte
+		_, _, err := unix.Recvfrom(int(fd), one[:], unix.MSG_PEEK|unix.MSG_DONTWAIT)
+		quiet = errors.Is(err, unix.EAGAIN)
+	})
+	return err != nil || !quiet
+}
--- /dev/null
+++ b/policy/dispatch/engine.go
@@ -0,0 +1,114 @@
+// Package dispatch decides which model engines read a prompt and which one
+// writes the answer. It performs no I/O and takes the time as an argument.
+//
+// An engine works in passes. A pass with writers runs a fixed number of token
+// steps and reads one chunk of waiting prompts, so prompts are read far more
+// slowly beside writers. A prompt may be read in even parts by several
+// engines; the parts are read ahead of other prompts, and the first token
+// follows the last part. Splitting a prompt therefore shortens the wait for
+// the first token, at the price that it depends on more engines.
+package dispatch
+
+import "math"
+
+// Engine describes the speed and the size of the engines of one service.
+// Times are in milliseconds.
+type Engine struct {
+	// Slots is the number of requests that an engine works on at once.
+	Slots int
+	// MemoryTokens is the KV cache of an engine.
+	MemoryTokens int
+	// ChunkTokens is the most that a pass reads.
+	ChunkTokens int
+	// StepsPerPass is the number of token steps of a pass with writers.
+	StepsPerPass int
+	// StepMillis is the time of a token step; each writer adds
+	// StepMillisPerWriter and each thousand tokens of its context
+	// StepMillisPerKContext.
+	StepMillis            float64
+	StepMillisPerWriter   float64
+	StepMillisPerKContext float64
+	// ReadTokensPerMilli is the speed of reading prompts; each million pairs
+	// of a token and an earlier one adds PairMillisPerMillion.
+	ReadTokensPerMilli   float64
+	PairMillisPerMillion float64
+	// HelperHopMillis is added to each step of an answer whose prompt lies on
+	// several engines.
+	HelperHopMillis float64
+}
+
+// Work is an amount of prompt to read.
+type Work struct {
+	Tokens float64
+	// MillionPairs counts pairs of a token and an earlier one.
+	MillionPairs float64
+}
+
+// PromptWork returns the work of reading a whole prompt.
+func PromptWork(tokens int) Work {
+	n := float64(tokens)
+	return Work{Tokens: n, MillionPairs: n * n / 2e6}
+}
+
+// Part returns one of n even parts of w.
+func (w Work) Part(n int) Work {
+	return Work{Tokens: w.Tokens / float64(n), MillionPairs: w.MillionPairs / float64(n)}
+}
+
+// Scale returns share of w.
+func (w Work) Scale(share float64) Work {
+	return Work{Tokens: w.Tokens * share, MillionPairs: w.MillionPairs * share}
+}
+
+// Add returns the sum of both.
+func (w Work) Add(o Work) Work {
+	return Work{Tokens: w.Tokens + o.Tokens, MillionPairs: w.MillionPairs + o.MillionPairs}
+}
+
+// Load is what an engine has to do.
+type Load struct {
+	// Writers is the number of answers in progress and Context the tokens of
+	// memory that they and the waiting prompts will need at their end.
+	Writers int
+	Context int
+	// Waiting is the number of requests whose prompt is being read here to be
+	// answered here.
+	Waiting int
+	// Helping is the number of prompts of other engines in work here.
+	Helping int
+	// Reading is what is left to read, parts for other engines included.
+	Reading Work
+}
+
+// Add returns the sum of both.
+func (l Load) Add(o Load) Load {
+	return Load{Writers: l.Writers + o.Writers, Context: l.Context + o.Context, Waiting: l.Waiting + o.Waiting,
+		Helping: l.Helping + o.Helping, Reading: l.Reading.Add(o.Reading)}
+}
+
+// stepsMillis returns the time of the token steps of one pass.
+func (e *Engine) stepsMillis(l Load) float64 {
+	if l.Writers == 0 {
+		return 0
+	}
+	step := e.StepMillis + e.StepMillisPerWriter*float64(l.Writers) + e.StepMillisPerKContext*float64(l.Context)/1000
+	return step * float64(e.StepsPerPass)
+}
+
+// PassMillis returns the time of a pass that reads nothing.
+func (e *Engine) PassMillis(l Load) float64 { return e.stepsMillis(l) }
+
+// readMillis returns the bare time of reading w, without token steps.
+func (e *Engine) readMillis(w Work) float64 {
+	return w.Tokens/e.ReadTokensPerMilli + w.MillionPairs*e.PairMillisPerMillion
+}
+
+// FinishMillis estimates the time until an engine with load l has read w on
+// top of what it is reading.
+func (e *Engine) FinishMillis(l Load, w Work) float64 {
+	all := l.Reading.Add(w)
+	steps := e.stepsMillis(l)
+	passes := math.Ceil(all.Tokens / float64(e.ChunkTokens))
+	// The pass in progress has to end first; on average half of it is left.
+	return steps/2 + e.readMillis(all) + (passes-1)*steps
+}
--- /dev/null
+++ b/policy/retry/window.go
@@ -0,0 +1,66 @@
+package retry
+
+import "time"
+
+// windowSlots is the number of parts that a window is counted in.
+const windowSlots = 20
+
+// WindowConfig bounds the repeats of one service: in each span of Span there
+// may be Ratio x the requests of that span + Extra repeats, over all
+// processes.
+type WindowConfig struct {
+	Span  time.Duration
+	Ratio float64
+	Extra float64
+	// Reserve is the share of the bound that is left unused, because windows
+	// slide and processes count at different times.
+	Reserve float64
+}
+
+// Window counts the requests and the repeats of one service in one process. It
+// is not safe for concurrent use.
+type Window struct {
+	config WindowConfig
+	slots  [windowSlots]windowSlot
+}
+
+type windowSlot struct {
+	number            int64
+	requests, repeats int
+}
+
+// NewWindow returns a window without requests.
+func NewWindow(c WindowConfig) *Window { return &Window{config: c} }
+
+func (w *Window) slot(now time.Duration) *windowSlot {
+	number := int64(now / (w.config.Span / windowSlots))
+	s := &w.slots[number%windowSlots]
+	if s.number != number {
+		*s = windowSlot{number: number}
+	}
+	return s
+}
+
+// Request counts a request; now is the time since any fixed moment.
+func (w *Window) Request(now time.Duration) { w.slot(now).requests++ }
+
+// TryRepeat counts a repeat and returns true if the window has room for it.
+// processes is the number of processes that share the bound.
+func (w *Window) TryRepeat(now time.Duration, processes int) bool {
+	current := w.slot(now)
+	requests, repeats := 0, 0
+	for i := range w.slots {
+		s := &w.slots[i]
+		if current.number-s.number < windowSlots {
+			requests += s.requests
+			repeats += s.repeats
+		}
+	}
+	c := &w.config
+	allowed := (c.Ratio*float64(requests) + c.Extra/float64(max(processes, 1))) * (1 - c.Reserve)
+	if float64(repeats+1) > allowed {
+		return false
+	}
+	current.repeats++
+	return true
+}
--- /dev/null
+++ b/policy/suspect/suspect.go
@@ -0,0 +1,101 @@
+// Package suspect tracks which backend servers fail, from the outcomes of the
+// requests that were sent to them, and says which ones to avoid. It performs
+// no I/O and takes the time as an argument.
+package suspect
+
+import "time"
+
+const (
+	// firstHold is how long a server that could not be reached is avoided;
+	// each further failure in a row doubles it up to maxHold.
+	firstHold = 500 * time.Millisecond
+	maxHold   = 4 * time.Second
+	// shareHold is how long a server that fails much of its requests is
+	// avoided.
+	shareHold = 3 * time.Second
+	// weight is the share of the newest outcome in the failure share.
+	weight = 0.15
+	// failingShare is the failure share from which a server is avoided if the
+	// whole group fails far less.
+	failingShare = 0.3
+	groupFactor  = 2.5
+	// minOutcomes is how many outcomes a judgement needs.
+	minOutcomes = 4
+)
+
+// Outcome is what became of a request at a server.
+type Outcome uint8
+
+// Outcomes.
+const (
+	// Success means that the server answered in full.
+	Success Outcome = iota
+	// Failure means that the server answered with an error of its own or
+	// broke off.
+	Failure
+	// Unreachable means that no connection or no answer came.
+	Unreachable
+)
+
+// Tracker judges the servers of one service. It is not safe for concurrent use.
+type Tracker struct {
+	servers map[string]*record
+	group   float64 // failure share of all servers
+}
+
+type record struct {
+	share    float64
+	outcomes int
+	row      int
+	until    time.Time
+}
+
+// NewTracker returns a tracker without suspicions.
+func NewTracker() *Tracker { return &Tracker{servers: map[string]*record{}} }
+
+// Observe records an outcome and returns whether the server is avoided from
+// now on that was not before.
+func (t *Tracker) Observe(id string, o Outcome, now time.Time) bool {
+	r := t.servers[id]
+	if r == nil {
+		r = &record{}
+		t.servers[id] = r
+	}
+	failed := 0.0
+	if o != Success {
+		failed = 1
+	}
+	r.outcomes++
+	r.share += (failed - r.share) * weight
+	t.group += (failed - t.group) * weight / float64(max(len(t.servers), 1))
+	if o == Success {
+		r.row = 0
+		return false
+	}
+	before := now.Before(r.until)
+	r.row++
+	switch {
+	case o == Unreachable:
+		hold := min(firstHold<<min(r.row-1, 8), maxHold)
+		r.hold(now.Add(hold))
+	case r.outcomes >= minOutcomes && r.share > failingShare && r.share > groupFactor*t.group:
+		r.hold(now.Add(shareHold))
+		r.share = failingShare / 2 // a readmitted server is judged anew
+	}
+	return !before && now.Before(r.until)
+}
+
+func (r *record) hold(until time.Time) {
+	if until.After(r.until) {
+		r.until = until
+	}
+}
+
+// Avoided reports whether a server should get no work now.
+func (t *Tracker) Avoided(id string, now time.Time) bool {
+	r := t.servers[id]
+	return r != nil && now.Before(r.until)
+}
+
+// Forget drops what is known of a server.
+func (t *Tracker) Forget(id string) { delete(t.servers, id) }
--- a/settings/check.go
+++ b/settings/check.go
@@ -19,6 +19,8 @@
 	minLeaseMillis   = 500
 	maxLeaseMillis   = 10 * 60 * 1000
 	maxPlacedModels  = 1000
+	minMemoryMB      = 32
+	maxMemoryMB      = 1 << 20
 )
 
 // sha256HexLength is the length of a SHA-256 hash in hex digits.
@@ -87,7 +89,7 @@
 }
 
 func (s *Settings) checkRole(c *checker) {
-	c.oneOf("role", string(s.Role), string(RoleEntry), string(RoleAgent))
+	c.oneOf("role", string(s.Role), string(RoleEntry), string(RoleAgent), string(RoleGateway))
 	switch s.Role {
 	case RoleEntry:
 		if s.Entry == nil {
@@ -101,6 +103,27 @@
 			return
 		}
 		s.Agent.check(c)
+	case RoleGateway:
+		if s.Gateway == nil {
+			c.fail("gateway", "", `an object when "role" is "gateway"`)
+			return
+		}
+		s.Gateway.check(c)
+	}
+}
+
+func (g *Gateway) check(c *checker) {
+	c.address("gateway.callers_address", g.CallersAddress)
+	c.between("gateway.memory_mb", g.MemoryMB, minMemoryMB, maxMemoryMB)
+	c.positive("gateway.retry_ratio", g.RetryRatio)
+	c.positive("gateway.retry_extra", g.RetryExtra)
+	c.positive("gateway.retry_window_s", g.RetryWindowSeconds)
+	c.positive("gateway.grace_s", g.GraceSeconds)
+}
+
+func (c *checker) positive(field string, value float64) {
+	if value <= 0 {
+		c.fail(field, strconv.FormatFloat(value, 'g', -1, 64), "a number above 0")
 	}
 }
 
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -21,6 +21,8 @@
 const (
 	RoleEntry Role = "entry"
 	RoleAgent Role = "agent"
+	// RoleGateway is an entry that speaks the protocol of the users' platform.
+	RoleGateway Role = "gateway"
 )
 
 // Settings is the content of a settings file.
@@ -44,9 +46,25 @@
 	LogLevel          string   `json:"log_level,omitempty"`
 	Trace             Trace    `json:"trace,omitempty"`
 	// DrainLimitSeconds bounds a graceful stop.
-	DrainLimitSeconds int    `json:"drain_limit_s,omitempty"`
-	Entry             *Entry `json:"entry,omitempty"`
-	Agent             *Agent `json:"agent,omitempty"`
+	DrainLimitSeconds int      `json:"drain_limit_s,omitempty"`
+	Entry             *Entry   `json:"entry,omitempty"`
+	Agent             *Agent   `json:"agent,omitempty"`
+	Gateway           *Gateway `json:"gateway,omitempty"`
+}
+
+// Gateway holds the settings of the gateway role.
+type Gateway struct {
+	// CallersAddress is the IP:port of the callers' API.
+	CallersAddress string `json:"callers_address"`
+	// MemoryMB is the memory that the VM grants the process, in MB.
+	MemoryMB int `json:"memory_mb"`
+	// RetryRatio and RetryExtra bound the repeats of a service in each span of
+	// RetryWindowSeconds, over all gateways: ratio x requests + extra.
+	RetryRatio         float64 `json:"retry_ratio"`
+	RetryExtra         float64 `json:"retry_extra"`
+	RetryWindowSeconds float64 `json:"retry_window_s"`
+	// GraceSeconds is the time from SIGTERM to SIGKILL.
+	GraceSeconds float64 `json:"grace_s"`
 }
 
 // TLS names the files of the process's certificate and of the fleet's CA, all
