--- a/daemon/cmd/camphorwick/gateway.go
+++ b/daemon/cmd/camphorwick/gateway.go
@@ -3,8 +3,10 @@
 import (
 	"context"
 	"fmt"
+	"io"
 	"net"
 	"net/url"
+	"os"
 	"runtime/debug"
 	"time"
 
@@ -29,7 +31,7 @@
 )
 
 // serveGateway runs the gateway role until it has stopped.
-func serveGateway(ctx context.Context, s *settings.Settings, t *observe.Telemetry) error {
+func serveGateway(ctx context.Context, path string, s *settings.Settings, t *observe.Telemetry) error {
 	debug.SetMemoryLimit(int64(float64(s.Gateway.MemoryMB) * memoryShare * bytesPerMB))
 	address, err := url.Parse(s.Platform.URL)
 	if err != nil {
@@ -45,14 +47,27 @@
 	if err != nil {
 		return fmt.Errorf("open the port of health and metrics: %w", err)
 	}
-	return runRole(ctx, t, n, n.Run, ops)
+	reload := reloader{log: t.Log, path: path, apply: func(s *settings.Settings) { n.SetBudget(budget(s.Gateway)) }}
+	return runRole(ctx, t, n, n.Run, ops, reload)
 }
 
 func gatewayOptions(s *settings.Settings, t *observe.Telemetry) node.Options {
 	g := s.Gateway
 	return node.Options{VM: s.VM, DataCentre: s.DataCentre, Callers: g.CallersAddress, Peers: s.ControlAddress,
-		Budget:     retry.WindowConfig{Span: seconds(g.RetryWindowSeconds), Ratio: g.RetryRatio, Extra: g.RetryExtra, Reserve: retryReserve},
-		DrainLimit: seconds(g.GraceSeconds) - graceMargin, Log: t.Log, Meter: t.Meter}
+		Budget: budget(g), DrainLimit: seconds(g.GraceSeconds) - graceMargin, Log: t.Log, Meter: t.Meter}
 }
 
 func seconds(s float64) time.Duration { return time.Duration(s * float64(time.Second)) }
+
+func budget(g *settings.Gateway) retry.WindowConfig {
+	return retry.WindowConfig{Span: seconds(g.RetryWindowSeconds), Ratio: g.RetryRatio, Extra: g.RetryExtra, Reserve: retryReserve}
+}
+
+// output returns where a role writes its log. The engineers of the users'
+// platform read what the gateway writes to standard output.
+func output(role settings.Role) io.Writer {
+	if role == settings.RoleGateway {
+		return observe.NewBoundedWriter(os.Stdout)
+	}
+	return os.Stderr
+}
--- a/daemon/cmd/camphorwick/main.go
+++ b/daemon/cmd/camphorwick/main.go
@@ -100,12 +100,12 @@
 	}
 	ctx := context.Background()
 	telemetry, err := observe.New(ctx, observe.Options{VM: s.VM, Role: string(s.Role), DataCentre: s.DataCentre,
-		LogLevel: s.LogLevel, Log: os.Stderr, OTLPURL: s.Trace.OTLPURL, LogSpans: s.Trace.Log})
+		LogLevel: s.LogLevel, Log: output(s.Role), OTLPURL: s.Trace.OTLPURL, LogSpans: s.Trace.Log})
 	if err != nil {
 		return fmt.Errorf("set up telemetry: %w", err)
 	}
 	if s.Role == settings.RoleGateway {
-		err = serveGateway(ctx, s, telemetry)
+		err = serveGateway(ctx, c.Settings, s, telemetry)
 	} else {
 		err = serve(ctx, s, telemetry)
 	}
@@ -160,16 +160,18 @@
 	if ports.err != nil {
 		return ports.err
 	}
-	return runRole(ctx, t, r, run, ops)
+	return runRole(ctx, t, r, run, ops, reloader{log: t.Log})
 }
 
 // runRole runs a role beside its health port and stops it on a signal. A
 // second signal cuts off what is still running.
-func runRole(ctx context.Context, t *observe.Telemetry, r role, run func(context.Context) error, ops net.Listener) error {
+func runRole(ctx context.Context, t *observe.Telemetry, r role, run func(context.Context) error, ops net.Listener, reload reloader) error {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	signals := make(chan os.Signal, 2)
 	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT)
+	reloads := make(chan os.Signal, 1)
+	signal.Notify(reloads, syscall.SIGHUP)
 	go func() {
 		<-signals
 		r.Stop()
@@ -179,6 +181,7 @@
 	}()
 	group, groupCtx := errgroup.WithContext(ctx)
 	group.Go(func() error { return t.ServeOps(groupCtx, ops, r.Ready) })
+	group.Go(func() error { return watchSettings(groupCtx, reloads, reload) })
 	group.Go(func() error {
 		defer cancel()
 		t.Log.Info("daemon started")
--- a/gateway/ingress/ingress.go
+++ b/gateway/ingress/ingress.go
@@ -79,6 +79,18 @@
 	}
 }
 
+// SetBudget replaces the bounds on repeats; what was counted so far is
+// forgotten, which at worst doubles the repeats of one window.
+func (g *Gateway) SetBudget(c retry.WindowConfig) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if g.Budget == c {
+		return
+	}
+	g.Budget = c
+	clear(g.budgets)
+}
+
 // Table returns the configuration in force, or nil.
 func (g *Gateway) Table() *routing.Table { return g.table.Load() }
 
--- a/gateway/node/node.go
+++ b/gateway/node/node.go
@@ -122,6 +122,9 @@
 	}
 }
 
+// SetBudget replaces the bounds on repeats.
+func (n *Node) SetBudget(c retry.WindowConfig) { n.gateway.SetBudget(c) }
+
 // Stop begins a graceful stop.
 func (n *Node) Stop() { n.stopOnce.Do(func() { close(n.stop) }) }
 
--- a/observe/observe.go
+++ b/observe/observe.go
@@ -39,6 +39,7 @@
 	// Registry is what a Prometheus scraper reads.
 	Registry *prometheus.Registry
 
+	output  io.Writer
 	metrics *sdkmetric.MeterProvider
 	traces  *sdktrace.TracerProvider
 }
@@ -51,7 +52,7 @@
 	if err := level.UnmarshalText([]byte(o.LogLevel)); err != nil {
 		return nil, fmt.Errorf("log level %q: %w", o.LogLevel, err)
 	}
-	t := &Telemetry{Registry: prometheus.NewRegistry()}
+	t := &Telemetry{Registry: prometheus.NewRegistry(), output: o.Log}
 	t.Log = slog.New(slog.NewJSONHandler(o.Log, &slog.HandlerOptions{Level: level})).
 		With("vm", o.VM, "role", o.Role, "data_centre", o.DataCentre)
 	identity := resource.NewSchemaless(attribute.String("service.name", instrumentation),
@@ -80,6 +81,9 @@
 
 // Shutdown sends what has not been sent yet.
 func (t *Telemetry) Shutdown(ctx context.Context) error {
+	if bounded, ok := t.output.(*BoundedWriter); ok {
+		defer bounded.Flush()
+	}
 	if err := t.traces.Shutdown(ctx); err != nil {
 		return fmt.Errorf("shut down traces: %w", err)
 	}
