Place prompts by the pauses that their reading causes

An engine reads what waits inside the next pass, so a part of a long prompt stretches the pauses of all answers there; the former model took reading to be slow beside writers and spread parts over busy engines. Short answers are now kept together, and peers hear of a placement at once instead of after 40 ms.

--- a/gateway/ingress/exchange.go
+++ b/gateway/ingress/exchange.go
@@ -54,7 +54,11 @@
 	resume   string    // last event that the caller has
 	lastID   int64
 	server   string
-	reason   string // why the last send did not succeed
+	reason   string        // why the last send did not succeed
+	expected time.Duration // estimate of the last placement
+	helpers  int
+	load     dispatch.Load // of the chosen engine at the last placement
+	waited   time.Duration
 	retry    time.Duration
 }
 
@@ -145,6 +149,7 @@
 	defer a.End()
 	x.sends++
 	x.server = a.Server.ID
+	x.expected, x.helpers, x.load, x.waited = a.Expected, len(a.Helpers), a.Load, time.Since(x.arrived)
 	x.excluded = append(x.excluded, a.Server.ID)
 	x.g.Metrics.wait(x.ctx, time.Since(x.arrived))
 	ctx, cancel := x.sendContext()
@@ -166,10 +171,13 @@
 	if x.meta.AnswerHint > 0 {
 		answer = min(answer, 2*x.meta.AnswerHint)
 	}
-	p.Prompt = dispatch.Prompt{Tokens: x.meta.PromptTokens, Answer: answer}
+	p.Prompt = dispatch.Prompt{Tokens: x.meta.PromptTokens, Answer: answer, TargetMillis: millis(x.route.LatencyTarget),
+		GapMillis: millis(x.route.EventGapTarget)}
 	return p
 }
 
+func millis(d time.Duration) float64 { return float64(d) / float64(time.Millisecond) }
+
 func (x *exchange) notPlaced(err error) {
 	var overload *schedule.OverloadError
 	var none *schedule.NoServerError
@@ -365,5 +373,6 @@
 	x.g.Metrics.request(x.r.Context(), status, reason, took)
 	x.log.Info("request ended", "status", status, "reason", reason, "route", route, "config", version, "account", x.account,
 		"server", x.server, "sends", x.sends, "ran", x.ran, "prompt_tokens", x.meta.PromptTokens,
-		"first_ms", first, "took_ms", took.Milliseconds())
+		"waited_ms", x.waited.Milliseconds(), "expected_ms", x.expected.Milliseconds(), "helpers", x.helpers,
+		"writers", x.load.Writers, "reading_tokens", int(x.load.Reading.Tokens), "first_ms", first, "took_ms", took.Milliseconds())
 }
--- a/gateway/node/node.go
+++ b/gateway/node/node.go
@@ -98,7 +98,8 @@
 	if err != nil {
 		return nil, fmt.Errorf("set up metrics: %w", err)
 	}
-	n.peers = &peers.Exchange{VM: o.VM, Scheduler: n.schedule, Log: o.Log, ConfigVersion: n.configVersion}
+	n.peers = peers.New(o.VM, n.schedule, o.Log, n.configVersion)
+	n.schedule.OnPlaced = n.peers.Kick
 	n.gateway = ingress.New(ingress.Options{Wire: p.Wire, Scheduler: n.schedule, Client: n.client, Log: o.Log, Metrics: metrics,
 		Budget: o.Budget, Processes: n.peers.Processes})
 	return n, nil
--- a/gateway/peers/peers.go
+++ b/gateway/peers/peers.go
@@ -6,8 +6,8 @@
 import (
 	"context"
 	"errors"
-	"fmt"
 	"log/slog"
+	"math"
 	"net"
 	"net/netip"
 	"sync"
@@ -25,10 +25,13 @@
 	// minInterval is the shortest time between two datagrams to a peer, and
 	// intervalPerPeer what each peer adds, so that the cost of a process stays
 	// bounded in large installations.
-	minInterval     = 40 * time.Millisecond
-	intervalPerPeer = 10 * time.Millisecond
-	// quietInterval is the time between datagrams that say nothing new.
-	quietInterval = 500 * time.Millisecond
+	minInterval     = 3 * time.Millisecond
+	intervalPerPeer = 500 * time.Microsecond
+	// changeInterval is the time between datagrams while nothing is placed.
+	changeInterval = 60 * time.Millisecond
+	// completeInterval is the time between datagrams that name all servers,
+	// which make up for lost ones.
+	completeInterval = 600 * time.Millisecond
 	// maxDatagram bounds what is sent and read.
 	maxDatagram = 60_000
 )
@@ -45,6 +48,12 @@
 	peers    map[string]netip.AddrPort
 	synced   bool
 	sequence map[string]uint64
+	kick     chan struct{}
+}
+
+// New returns an exchange; Kick may be called from now on.
+func New(vm string, s *schedule.Scheduler, log *slog.Logger, configVersion func() int64) *Exchange {
+	return &Exchange{VM: vm, Scheduler: s, Log: log, ConfigVersion: configVersion, kick: make(chan struct{}, 1), sequence: map[string]uint64{}}
 }
 
 // unknownProcesses is assumed until the other gateways are known: it keeps the
@@ -72,7 +81,6 @@
 
 // Run exchanges loads over conn until ctx ends; it closes conn.
 func (e *Exchange) Run(ctx context.Context, conn *net.UDPConn) error {
-	e.sequence = map[string]uint64{}
 	group, ctx := errgroup.WithContext(ctx)
 	group.Go(func() error { return e.send(ctx, conn) })
 	group.Go(func() error { return e.receive(ctx, conn) })
@@ -83,29 +91,44 @@
 	return group.Wait()
 }
 
+// Kick asks for a datagram soon, because a prompt was placed. It never blocks.
+func (e *Exchange) Kick() {
+	select {
+	case e.kick <- struct{}{}:
+	default:
+	}
+}
+
 func (e *Exchange) send(ctx context.Context, conn *net.UDPConn) error {
-	sequence := uint64(time.Now().UnixNano()) // rises over restarts, a clock step costs some datagrams
-	var last []byte
-	var lastSent time.Time
+	sequence := uint64(time.Now().UnixNano()) // rises over restarts; a clock step costs some datagrams
+	sent := map[string]*wire.ServerLoad{}
+	var completed time.Time
+	timer := time.NewTimer(changeInterval)
+	defer timer.Stop()
 	for {
-		targets := e.targets()
 		select {
 		case <-ctx.Done():
 			return nil
-		case <-time.After(max(minInterval, time.Duration(len(targets))*intervalPerPeer)):
+		case <-e.kick:
+		case <-timer.C:
 		}
-		loads := e.loads()
-		body, err := proto.Marshal(loads)
-		if err != nil {
-			return fmt.Errorf("encode loads: %w", err)
+		complete := time.Since(completed) >= completeInterval
+		loads := e.loads(sent, complete)
+		targets := e.targets()
+		if complete || len(loads.GetLoads()) > 0 {
+			sequence++
+			loads.Sequence = sequence
+			e.broadcast(conn, loads, targets)
 		}
-		if string(body) == string(last) && time.Since(lastSent) < quietInterval {
-			continue
+		if complete {
+			completed = time.Now()
+		}
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-time.After(max(minInterval, time.Duration(len(targets))*intervalPerPeer)):
 		}
-		last, lastSent = body, time.Now()
-		sequence++
-		loads.Sequence = sequence
-		e.broadcast(conn, loads, targets)
+		timer.Reset(changeInterval)
 	}
 }
 
@@ -132,16 +155,42 @@
 	return targets
 }
 
-func (e *Exchange) loads() *wire.PeerLoads {
-	out := &wire.PeerLoads{Vm: e.VM, ConfigVersion: e.ConfigVersion()}
+// loads returns what is in work, or what differs from what was sent last.
+func (e *Exchange) loads(sent map[string]*wire.ServerLoad, complete bool) *wire.PeerLoads {
+	out := &wire.PeerLoads{Vm: e.VM, ConfigVersion: e.ConfigVersion(), Complete: complete}
+	working := map[string]bool{}
 	e.Scheduler.Own(func(id string, l dispatch.Load) {
-		out.Loads = append(out.Loads, &wire.ServerLoad{Server: id, Writers: uint32(l.Writers), Waiting: uint32(l.Waiting),
-			Helping: uint32(l.Helping), ContextTokens: uint32(l.Context),
-			ReadingTokens: float32(l.Reading.Tokens), ReadingMillionPairs: float32(l.Reading.MillionPairs)})
+		working[id] = true
+		load := &wire.ServerLoad{Server: id, Writers: uint32(l.Writers), Waiting: uint32(l.Waiting),
+			Helping: uint32(l.Helping), ContextTokens: uint32(l.Context), GapMs: uint32(l.GapMillis),
+			ReadingTokens: roundUp(l.Reading.Tokens, tokenStep), ReadingMillionPairs: roundUp(l.Reading.MillionPairs, pairStep)}
+		if !complete && proto.Equal(load, sent[id]) {
+			return
+		}
+		sent[id] = load
+		out.Loads = append(out.Loads, load)
 	})
+	for id := range sent {
+		if working[id] {
+			continue
+		}
+		delete(sent, id)
+		if !complete {
+			out.Loads = append(out.Loads, &wire.ServerLoad{Server: id})
+		}
+	}
 	return out
 }
 
+// Steps to which the work that is left is rounded, so that its steady decrease
+// is not a change each time.
+const (
+	tokenStep = 2048
+	pairStep  = 128
+)
+
+func roundUp(x, step float64) float32 { return float32(math.Ceil(x/step) * step) }
+
 func (e *Exchange) receive(ctx context.Context, conn *net.UDPConn) error {
 	buffer := make([]byte, maxDatagram)
 	for {
@@ -170,8 +219,8 @@
 	loads := make(map[string]dispatch.Load, len(m.GetLoads()))
 	for _, l := range m.GetLoads() {
 		loads[l.GetServer()] = dispatch.Load{Writers: int(l.GetWriters()), Waiting: int(l.GetWaiting()), Helping: int(l.GetHelping()),
-			Context: int(l.GetContextTokens()),
+			Context: int(l.GetContextTokens()), GapMillis: float64(l.GetGapMs()),
 			Reading: dispatch.Work{Tokens: float64(l.GetReadingTokens()), MillionPairs: float64(l.GetReadingMillionPairs())}}
 	}
-	e.Scheduler.SetPeer(m.GetVm(), loads)
+	e.Scheduler.SetPeer(m.GetVm(), loads, m.GetComplete())
 }
--- a/gateway/schedule/schedule.go
+++ b/gateway/schedule/schedule.go
@@ -82,6 +82,8 @@
 	Helpers []*registry.Server
 	// Expected is the estimated time to the first token; 0 for plain services.
 	Expected time.Duration
+	// Load is what the server had in work before this request.
+	Load dispatch.Load
 
 	scheduler *Scheduler
 	job       *dispatch.Job
@@ -104,6 +106,8 @@
 	candidates []dispatch.Candidate
 	// OnSuspect is called when a server starts to be avoided.
 	OnSuspect func(service, id string)
+	// OnPlaced is called, with the lock held, when a prompt was placed.
+	OnPlaced func()
 }
 
 type waiter struct {
@@ -120,7 +124,7 @@
 // New returns a scheduler of a process in dataCentre.
 func New(r *registry.Registry, dataCentre string) *Scheduler {
 	return &Scheduler{registry: r, dataCentre: dataCentre, board: dispatch.NewBoard(),
-		trackers: map[string]*suspect.Tracker{}, OnSuspect: func(string, string) {}}
+		trackers: map[string]*suspect.Tracker{}, OnSuspect: func(string, string) {}, OnPlaced: func() {}}
 }
 
 // Acquire waits until the request may be sent. The errors are NoServerError,
@@ -270,13 +274,15 @@
 	if !ok {
 		return nil, nil
 	}
-	a := &Assignment{scheduler: s, Server: servers[plan.First], Expected: plan.FirstToken, service: r.Service}
+	a := &Assignment{scheduler: s, Server: servers[plan.First], Expected: plan.FirstToken, service: r.Service,
+		Load: s.candidates[plan.First].Load}
 	ids := make([]string, 0, len(plan.Helpers))
 	for _, i := range plan.Helpers {
 		a.Helpers = append(a.Helpers, servers[i])
 		ids = append(ids, servers[i].ID)
 	}
 	a.job = s.board.Start(a.Server.ID, ids, r.Prompt, plan.FirstToken, now)
+	s.OnPlaced()
 	return a, nil
 }
 
@@ -371,11 +377,11 @@
 	s.board.Engines(time.Now(), f)
 }
 
-// SetPeer records what a peer has in work.
-func (s *Scheduler) SetPeer(name string, loads map[string]dispatch.Load) {
+// SetPeer records what a peer has in work, all of it or what has changed.
+func (s *Scheduler) SetPeer(name string, loads map[string]dispatch.Load, complete bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	now := time.Now()
-	s.board.SetPeer(name, loads, now)
+	s.board.SetPeer(name, loads, complete, now)
 	s.drainQueue(now)
 }
--- a/policy/dispatch/board.go
+++ b/policy/dispatch/board.go
@@ -21,6 +21,7 @@
 type engineWork struct {
 	writers, waiting, context int
 	parts                     map[*Job]bool // true: this engine answers, false: it helps
+	answers                   map[*Job]bool // in progress and waiting
 }
 
 type peerWork struct {
@@ -55,6 +56,7 @@
 	e.waiting++
 	e.context += p.Tokens + p.Answer
 	e.parts[j] = true
+	e.answers[j] = true
 	for _, id := range helpers {
 		b.engine(id).parts[j] = false
 	}
@@ -64,7 +66,7 @@
 func (b *Board) engine(id string) *engineWork {
 	e := b.own[id]
 	if e == nil {
-		e = &engineWork{parts: map[*Job]bool{}}
+		e = &engineWork{parts: map[*Job]bool{}, answers: map[*Job]bool{}}
 		b.own[id] = e
 	}
 	return e
@@ -103,6 +105,7 @@
 		e.writers--
 	}
 	e.context -= j.prompt.Tokens + j.prompt.Answer
+	delete(e.answers, j)
 }
 
 // unread returns what is left to read of one part.
@@ -118,6 +121,9 @@
 		return Load{}
 	}
 	l := Load{Writers: e.writers, Waiting: e.waiting, Context: e.context}
+	for j := range e.answers {
+		l.GapMillis = shorterGap(l.GapMillis, j.prompt.GapMillis)
+	}
 	for j, answers := range e.parts {
 		if !answers {
 			l.Helping++
@@ -151,7 +157,16 @@
 	}
 }
 
-// SetPeer replaces what a peer has in work. The board keeps loads.
-func (b *Board) SetPeer(name string, loads map[string]Load, now time.Time) {
-	b.peers[name] = &peerWork{loads: loads, at: now}
+// SetPeer records what a peer has in work: all of it, or only the engines that
+// have changed. The board keeps loads.
+func (b *Board) SetPeer(name string, loads map[string]Load, complete bool, now time.Time) {
+	p := b.peers[name]
+	if p == nil || complete {
+		b.peers[name] = &peerWork{loads: loads, at: now}
+		return
+	}
+	p.at = now
+	for id, l := range loads {
+		p.loads[id] = l
+	}
 }
--- a/policy/dispatch/engine.go
+++ b/policy/dispatch/engine.go
@@ -2,15 +2,14 @@
 // writes the answer. It performs no I/O and takes the time as an argument.
 //
 // An engine works in passes. A pass with writers runs a fixed number of token
-// steps and reads one chunk of waiting prompts, so prompts are read far more
-// slowly beside writers. A prompt may be read in even parts by several
-// engines; the parts are read ahead of other prompts, and the first token
-// follows the last part. Splitting a prompt therefore shortens the wait for
-// the first token, at the price that it depends on more engines.
+// steps, reads what waits between them, and ends with one event of each
+// answer. A long prompt therefore stretches the pauses in all answers of its
+// engine. A prompt may be read in even parts by several engines; the parts are
+// read ahead of other prompts, and the first token follows the last part.
+// Splitting a prompt shortens the wait for its first token and the pauses that
+// it causes, at the price that it depends on more engines.
 package dispatch
 
-import "math"
-
 // Engine describes the speed and the size of the engines of one service.
 // Times are in milliseconds.
 type Engine struct {
@@ -78,37 +77,62 @@
 	Helping int
 	// Reading is what is left to read, parts for other engines included.
 	Reading Work
+	// GapMillis is the shortest pause between events that an answer in
+	// progress or waiting here allows; 0 if there is none.
+	GapMillis float64
 }
 
 // Add returns the sum of both.
 func (l Load) Add(o Load) Load {
 	return Load{Writers: l.Writers + o.Writers, Context: l.Context + o.Context, Waiting: l.Waiting + o.Waiting,
-		Helping: l.Helping + o.Helping, Reading: l.Reading.Add(o.Reading)}
+		Helping: l.Helping + o.Helping, Reading: l.Reading.Add(o.Reading), GapMillis: shorterGap(l.GapMillis, o.GapMillis)}
 }
 
-// stepsMillis returns the time of the token steps of one pass.
-func (e *Engine) stepsMillis(l Load) float64 {
-	if l.Writers == 0 {
-		return 0
+// shorterGap returns the shorter of two pauses; 0 means none.
+func shorterGap(a, b float64) float64 {
+	if a == 0 || b != 0 && b < a {
+		return b
 	}
-	step := e.StepMillis + e.StepMillisPerWriter*float64(l.Writers) + e.StepMillisPerKContext*float64(l.Context)/1000
-	return step * float64(e.StepsPerPass)
+	return a
 }
 
-// PassMillis returns the time of a pass that reads nothing.
-func (e *Engine) PassMillis(l Load) float64 { return e.stepsMillis(l) }
+// stepsMillis returns the time of the token steps of one pass with writers.
+func (e *Engine) stepsMillis(writers, context int) float64 {
+	step := e.StepMillis + e.StepMillisPerWriter*float64(writers) + e.StepMillisPerKContext*float64(context)/1000
+	return step * float64(e.StepsPerPass)
+}
 
-// readMillis returns the bare time of reading w, without token steps.
-func (e *Engine) readMillis(w Work) float64 {
+// ReadMillis returns the bare time of reading w, without token steps.
+func (e *Engine) ReadMillis(w Work) float64 {
 	return w.Tokens/e.ReadTokensPerMilli + w.MillionPairs*e.PairMillisPerMillion
 }
 
-// FinishMillis estimates the time until an engine with load l has read w on
-// top of what it is reading.
-func (e *Engine) FinishMillis(l Load, w Work) float64 {
-	all := l.Reading.Add(w)
-	steps := e.stepsMillis(l)
-	passes := math.Ceil(all.Tokens / float64(e.ChunkTokens))
+// FinishMillis estimates the time until an engine with load l has read work
+// that takes partMillis on top of what it is reading, and has made the first
+// event of the answer.
+func (e *Engine) FinishMillis(l Load, partMillis float64) float64 {
+	steps := e.stepsMillis(l.Writers+1, l.Context)
+	read := e.ReadMillis(l.Reading) + partMillis
+	if l.Writers == 0 {
+		return read + steps
+	}
 	// The pass in progress has to end first; on average half of it is left.
-	return steps/2 + e.readMillis(all) + (passes-1)*steps
+	return steps/2 + read + steps
 }
+
+// SlackMillis returns how much the engine may read in its next pass, besides
+// what waits there already, without a pause that is too long for an answer.
+func (e *Engine) SlackMillis(l Load) float64 {
+	if l.GapMillis == 0 {
+		return unlimitedMillis
+	}
+	return l.GapMillis - gapMarginMillis - e.stepsMillis(l.Writers+l.Waiting, l.Context) - e.ReadMillis(l.Reading)
+}
+
+const (
+	// unlimitedMillis stands for no limit.
+	unlimitedMillis = 1e12
+	// gapMarginMillis is left of the longest pause for the network and for
+	// work of other processes that is not known yet.
+	gapMarginMillis = 30
+)
--- a/policy/dispatch/plan.go
+++ b/policy/dispatch/plan.go
@@ -1,6 +1,7 @@
 package dispatch
 
 import (
+	"cmp"
 	"slices"
 	"time"
 )
@@ -12,12 +13,22 @@
 const (
 	// helperMillis is what one more engine must gain: each helper is one more
 	// engine whose failure stalls the request.
-	helperMillis = 1.5
+	helperMillis = 2
 	// remoteMillis is what an engine in another data centre must gain.
-	remoteMillis = 4
-	// writerMillis prefers engines with fewer answers, whose events come
-	// faster.
-	writerMillis = 0.5
+	remoteMillis = 1
+	// openMillis is what an engine must gain whose answers would have to make
+	// shorter pauses from now on: short answers are kept together, so that
+	// other engines can read long prompts without harm.
+	openMillis = 25
+	// harmMillis is the price of a pause that is too long, for each answer
+	// that suffers it.
+	harmMillis = 400
+	// promptShare of the wait counts while it is well inside the latency
+	// target; from lateShare of the target on each millisecond counts
+	// lateWeight.
+	promptShare = 0.15
+	lateShare   = 0.6
+	lateWeight  = 2
 )
 
 // smallestPartTokens is the least that is worth a part of its own.
@@ -39,6 +50,10 @@
 	Tokens int
 	// Answer is the number of tokens that the answer will need.
 	Answer int
+	// TargetMillis is the wanted time to the first event, GapMillis the longest
+	// pause between events of an answer in time; 0 if there is none.
+	TargetMillis float64
+	GapMillis    float64
 }
 
 // Plan says which engines a prompt goes to.
@@ -60,9 +75,13 @@
 
 type ranked struct {
 	candidate *Candidate
-	millis    float64
-	// first says that the engine has a slot and the memory for the answer.
-	first bool
+	// finish is the expected time of its part, harm the price of the pauses
+	// that it causes.
+	finish, harm float64
+	// open is the price of the first answer of its kind there.
+	open float64
+	// room says that the engine has a slot and the memory for the answer.
+	room bool
 }
 
 // Choose places a prompt; ok is false if no engine has a slot and the memory
@@ -74,68 +93,78 @@
 		if parts > len(candidates) || parts > 1 && p.Tokens < parts*smallestPartTokens {
 			break
 		}
-		c.rank(e, p, candidates, work.Part(parts))
-		first, millis := c.take(parts)
+		c.rank(e, p, candidates, e.ReadMillis(work.Part(parts)))
+		first := c.first()
 		if first < 0 {
-			continue
+			return plan, false
 		}
-		score := millis + helperMillis*float64(parts-1)
-		if best >= 0 && score >= best {
+		finish, price := c.price(p, first, parts)
+		if best >= 0 && price >= best {
 			continue
 		}
-		best = score
+		best = price
 		plan = c.plan(first, parts, plan.Helpers[:0])
-		plan.FirstToken = time.Duration(millis * float64(time.Millisecond))
+		plan.FirstToken = time.Duration(finish * float64(time.Millisecond))
 	}
 	return plan, best >= 0
 }
 
-// rank orders the candidates by the time at which they would have read part.
-func (c *Chooser) rank(e *Engine, p Prompt, candidates []Candidate, part Work) {
+// rank orders the candidates by the time and the harm of reading a part.
+func (c *Chooser) rank(e *Engine, p Prompt, candidates []Candidate, partMillis float64) {
 	c.order = c.order[:0]
 	for i := range candidates {
 		k := &candidates[i]
-		millis := e.FinishMillis(k.Load, part) + k.PenaltyMillis + writerMillis*float64(k.Load.Writers)
+		r := ranked{candidate: k, finish: e.FinishMillis(k.Load, partMillis) + k.PenaltyMillis}
 		if !k.Local {
-			millis += remoteMillis
+			r.finish += remoteMillis
 		}
 		if k.Load.Helping >= e.Slots {
-			millis += float64(time.Hour / time.Millisecond)
+			r.finish += unlimitedMillis
+		}
+		if slack := e.SlackMillis(k.Load); partMillis > slack {
+			r.harm = harmMillis * float64(k.Load.Writers+k.Load.Waiting)
+		}
+		if p.GapMillis > 0 && (k.Load.GapMillis == 0 || k.Load.GapMillis > p.GapMillis) {
+			r.open = openMillis
 		}
-		room := k.Load.Writers+k.Load.Waiting < e.Slots && k.Load.Context+p.Tokens+p.Answer <= e.MemoryTokens
-		c.order = append(c.order, ranked{candidate: k, millis: millis, first: room})
+		r.room = k.Load.Writers+k.Load.Waiting < e.Slots && k.Load.Context+p.Tokens+p.Answer <= e.MemoryTokens
+		c.order = append(c.order, r)
 	}
 	slices.SortFunc(c.order, func(a, b ranked) int {
-		switch {
-		case a.millis < b.millis:
-			return -1
-		case a.millis > b.millis:
-			return 1
-		default:
-			return a.candidate.Index - b.candidate.Index
-		}
+		return cmp.Or(cmp.Compare(a.finish+a.harm, b.finish+b.harm), a.candidate.Index-b.candidate.Index)
 	})
 }
 
-// take returns the position of the engine that answers and the time of the
-// slowest of parts engines, or -1. The answering engine is the earliest with
-// room; the others are the earliest of the rest.
-func (c *Chooser) take(parts int) (first int, millis float64) {
-	first = -1
+// first returns the position of the engine that answers, or -1.
+func (c *Chooser) first() int {
+	best := -1
 	for i := range c.order {
-		if c.order[i].first {
-			first = i
-			break
+		r := &c.order[i]
+		if r.room && (best < 0 || r.finish*promptShare+r.harm+r.open < c.order[best].finish*promptShare+c.order[best].harm+c.order[best].open) {
+			best = i
 		}
 	}
-	if first < 0 {
-		return -1, 0
+	return best
+}
+
+// price returns the expected time to the first event and the price of a plan.
+// The helpers are the earliest engines besides the first.
+func (c *Chooser) price(p Prompt, first, parts int) (finish, price float64) {
+	r := &c.order[first]
+	finish, price = r.finish, r.open+r.harm+helperMillis*float64(parts-1)
+	for i, helpers := 0, 0; helpers < parts-1; i++ {
+		if i == first {
+			continue
+		}
+		helpers++
+		finish = max(finish, c.order[i].finish)
+		price += c.order[i].harm
 	}
-	last := parts - 1
-	if first > last {
-		last = first
+	price += finish * promptShare
+	if late := finish - lateShare*p.TargetMillis; p.TargetMillis > 0 && late > 0 {
+		price += late * lateWeight
 	}
-	return first, c.order[last].millis
+	return finish, price
 }
 
 // plan lists the chosen engines.
