Store prompts larger than one engine on several; refuse the hugest under load

Prompts over one engine's memory were refused as too large. A single prompt of 521,000 tokens at the start of a burst took 28 engine seconds and made a dozen reviews late, so a prompt that takes over 0.2 of all engines' time within its target is refused with Retry-After while more than 0.35 of the engines read.

--- a/daemon/cmd/camphorwick/gateway.go
+++ b/daemon/cmd/camphorwick/gateway.go
@@ -38,7 +38,7 @@
 		return fmt.Errorf("parse the platform's URL: %w", err)
 	}
 	store := platform.NewStore(address.Host, upstream.New())
-	n, err := node.New(gatewayOptions(s, t), node.Protocol{Wire: platform.Wire{}, Store: store, DecodeConfig: platform.DecodeConfig,
+	n, err := node.New(gatewayOptions(s, t), node.Protocol{Wire: platform.Wire{}, Store: store, Memory: platform.NewMemory, DecodeConfig: platform.DecodeConfig,
 		DecodeServer: platform.DecodeServer, ConfigKey: platform.ConfigKey, ServersPrefix: platform.ServersPrefix})
 	if err != nil {
 		return err
--- a/gateway/ingress/exchange.go
+++ b/gateway/ingress/exchange.go
@@ -10,6 +10,7 @@
 	"strconv"
 	"time"
 
+	"camphorwick.dev/gateway/reserve"
 	"camphorwick.dev/gateway/routing"
 	"camphorwick.dev/gateway/schedule"
 	"camphorwick.dev/gateway/upstream"
@@ -66,10 +67,11 @@
 type verdict uint8
 
 const (
-	done    verdict = iota // the caller has its answer
-	again                  // another server may be tried
-	giveUp                 // the request ends without an answer of a server
-	pending                // a failure of the server is at hand, to be passed on if no other server helps
+	done     verdict = iota // the caller has its answer
+	again                   // another server may be tried
+	unplaced                // nothing was sent; another placement may do
+	giveUp                  // the request ends without an answer of a server
+	pending                 // a failure of the server is at hand, to be passed on if no other server helps
 )
 
 // run sends the request to servers until one has answered or none may be
@@ -111,6 +113,10 @@
 	case x.ran >= x.route.MaxServers:
 		return false
 	}
+	if v == unplaced {
+		x.excluded = x.excluded[:len(x.excluded)-1]
+		return x.pause()
+	}
 	if x.reason == reasonUnreachable {
 		return true // nothing arrived, so nothing is repeated
 	}
@@ -123,6 +129,20 @@
 	return true
 }
 
+// reservePause is the time after which memory that was not free is asked for
+// again: about a pass of an engine.
+const reservePause = 60 * time.Millisecond
+
+// pause waits before another placement; false if the time is over.
+func (x *exchange) pause() bool {
+	select {
+	case <-x.ctx.Done():
+		return false
+	case <-time.After(reservePause):
+		return true
+	}
+}
+
 // Reasons why a send did not succeed.
 const (
 	reasonUnreachable = "server_unreachable"
@@ -134,6 +154,7 @@
 	reasonOverload    = "overloaded"
 	reasonNoServer    = "no_server"
 	reasonTooLarge    = "prompt_too_large"
+	reasonMemory      = "memory_not_reserved"
 	reasonTimeout     = "timeout"
 	reasonGone        = "caller_gone"
 )
@@ -154,7 +175,14 @@
 	x.g.Metrics.wait(x.ctx, time.Since(x.arrived))
 	ctx, cancel := x.sendContext()
 	defer cancel()
-	answer, err := x.g.Client.Do(ctx, a.Server.Address, x.request(a))
+	hold, err := x.g.Reserver.Reserve(ctx, a)
+	if err != nil {
+		x.reason, x.retry = reasonMemory, refusedRetryAfter
+		x.log.Info("memory not reserved", "server", a.Server.ID, "helpers", len(a.Helpers), "error", err.Error())
+		return unplaced, nil
+	}
+	defer hold.Release()
+	answer, err := x.g.Client.Do(ctx, a.Server.Address, x.request(a, hold))
 	if err != nil {
 		return x.noAnswer(a, err), nil
 	}
@@ -205,11 +233,11 @@
 var errHang = errors.New("the server does not answer in several times the latency target")
 
 // request builds the request for the assigned server.
-func (x *exchange) request(a *schedule.Assignment) *upstream.Request {
+func (x *exchange) request(a *schedule.Assignment, hold *reserve.Hold) *upstream.Request {
 	h := forwardable(x.r.Header)
 	out := Outbound{ServerID: a.Server.ID, Account: x.account, LastEventID: x.resume, TimeLeft: time.Until(x.deadline)}
-	for _, helper := range a.Helpers {
-		out.Helpers = append(out.Helpers, helper.Address)
+	for i, helper := range a.Helpers {
+		out.Helpers = append(out.Helpers, Helper{Address: helper.Address, Ticket: hold.Ticket(i)})
 	}
 	x.g.Wire.EncodeRequest(h, out)
 	if len(x.body) > 0 || x.r.ContentLength != 0 {
--- a/gateway/ingress/ingress.go
+++ b/gateway/ingress/ingress.go
@@ -18,6 +18,7 @@
 	"sync/atomic"
 	"time"
 
+	"camphorwick.dev/gateway/reserve"
 	"camphorwick.dev/gateway/routing"
 	"camphorwick.dev/gateway/schedule"
 	"camphorwick.dev/gateway/upstream"
@@ -40,6 +41,7 @@
 	Wire      Wire
 	Scheduler *schedule.Scheduler
 	Client    *upstream.Client
+	Reserver  *reserve.Reserver
 	Log       *slog.Logger
 	Metrics   *Metrics
 	// Budget bounds the repeats of each service; Processes returns the number
--- a/gateway/ingress/wire.go
+++ b/gateway/ingress/wire.go
@@ -31,8 +31,14 @@
 	Account     string
 	LastEventID string
 	TimeLeft    time.Duration
-	// Helpers are the addresses of the engines that read parts of the prompt.
-	Helpers []string
+	Helpers     []Helper
+}
+
+// Helper is an engine that reads a part of the prompt.
+type Helper struct {
+	Address string
+	// Ticket names the memory that is reserved there; empty for none.
+	Ticket string
 }
 
 // AnswerMeta is what the headers of a server's answer say.
--- a/gateway/node/node.go
+++ b/gateway/node/node.go
@@ -21,6 +21,7 @@
 	"camphorwick.dev/gateway/ingress"
 	"camphorwick.dev/gateway/peers"
 	"camphorwick.dev/gateway/registry"
+	"camphorwick.dev/gateway/reserve"
 	"camphorwick.dev/gateway/routing"
 	"camphorwick.dev/gateway/schedule"
 	"camphorwick.dev/gateway/upstream"
@@ -50,8 +51,10 @@
 
 // Protocol is what the adapter to a platform offers.
 type Protocol struct {
-	Wire          ingress.Wire
-	Store         follow.Store
+	Wire  ingress.Wire
+	Store follow.Store
+	// Memory returns the client for reservations of engine memory.
+	Memory        func(*upstream.Client) reserve.Memory
 	DecodeConfig  func([]byte) (*routing.Config, error)
 	DecodeServer  func(key string, value []byte) (*registry.Server, error)
 	ConfigKey     string
@@ -100,7 +103,8 @@
 	}
 	n.peers = peers.New(o.VM, n.schedule, o.Log, n.configVersion)
 	n.schedule.OnPlaced = n.peers.Kick
-	n.gateway = ingress.New(ingress.Options{Wire: p.Wire, Scheduler: n.schedule, Client: n.client, Log: o.Log, Metrics: metrics,
+	n.gateway = ingress.New(ingress.Options{Wire: p.Wire, Scheduler: n.schedule, Client: n.client, Log: o.Log,
+		Reserver: reserve.New(p.Memory(n.client), o.Log), Metrics: metrics,
 		Budget: o.Budget, Processes: n.peers.Processes})
 	return n, nil
 }
--- a/gateway/schedule/schedule.go
+++ b/gateway/schedule/schedule.go
@@ -58,11 +58,12 @@
 
 func (e *NoServerError) Error() string { return fmt.Sprintf("service %q has no server", e.Service) }
 
-// TooLargeError says that a prompt exceeds the memory of an engine.
+// TooLargeError says that a prompt exceeds the memory of all engines that may
+// store it together.
 type TooLargeError struct{ Tokens, Memory int }
 
 func (e *TooLargeError) Error() string {
-	return fmt.Sprintf("a prompt of %d tokens does not fit an engine of %d", e.Tokens, e.Memory)
+	return fmt.Sprintf("a prompt of %d tokens does not fit the engines of %d each", e.Tokens, e.Memory)
 }
 
 // OverloadError says that the request cannot be served in its time.
@@ -80,6 +81,9 @@
 type Assignment struct {
 	Server  *registry.Server
 	Helpers []*registry.Server
+	// Held are the tokens that each helper stores in reserved memory; nil if
+	// none does.
+	Held []int
 	// Expected is the estimated time to the first token; 0 for plain services.
 	Expected time.Duration
 	// Load is what the server had in work before this request.
@@ -99,7 +103,8 @@
 	board    *dispatch.Board
 	chooser  dispatch.Chooser
 	trackers map[string]*suspect.Tracker
-	waiting  []*waiter // by due time
+	demand   map[string]*dispatch.Demand
+	waiting  []*waiter // in the order of the last look
 	// interval is the recent time between placements while requests wait.
 	interval   time.Duration
 	lastPlaced time.Time
@@ -112,7 +117,6 @@
 
 type waiter struct {
 	request Request
-	due     time.Time
 	result  chan result
 }
 
@@ -124,7 +128,7 @@
 // New returns a scheduler of a process in dataCentre.
 func New(r *registry.Registry, dataCentre string) *Scheduler {
 	return &Scheduler{registry: r, dataCentre: dataCentre, board: dispatch.NewBoard(),
-		trackers: map[string]*suspect.Tracker{}, OnSuspect: func(string, string) {}, OnPlaced: func() {}}
+		trackers: map[string]*suspect.Tracker{}, demand: map[string]*dispatch.Demand{}, OnSuspect: func(string, string) {}, OnPlaced: func() {}}
 }
 
 // Acquire waits until the request may be sent. The errors are NoServerError,
@@ -141,10 +145,10 @@
 		s.mu.Unlock()
 		return nil, err
 	}
-	w := &waiter{request: r, due: r.Arrived.Add(r.LatencyTarget), result: make(chan result, 1)}
-	s.insert(w)
+	w := &waiter{request: r, result: make(chan result, 1)}
+	s.waiting = append(s.waiting, w)
 	s.mu.Unlock()
-	timer := time.NewTimer(r.latestStart(now).Sub(now))
+	timer := time.NewTimer(r.latestStart().Sub(now))
 	defer timer.Stop()
 	select {
 	case got := <-w.result:
@@ -157,10 +161,28 @@
 }
 
 // latestStart returns the time after which it makes no sense to start r.
-func (r *Request) latestStart(now time.Time) time.Time {
-	return now.Add(time.Duration(float64(r.Deadline.Sub(now)) * (1 - minServeShare)))
+func (r *Request) latestStart() time.Time {
+	return r.Arrived.Add(time.Duration(float64(r.Deadline.Sub(r.Arrived)) * (1 - minServeShare)))
 }
 
+// waited returns the share of the time until the latest start that is over.
+func (r *Request) waited(now time.Time) float64 {
+	return float64(now.Sub(r.Arrived)) / float64(max(r.latestStart().Sub(r.Arrived), 1))
+}
+
+// key orders the waiting requests: those that can still meet their target by
+// when it ends, then the others by when they must start.
+func (r *Request) key(now time.Time) time.Time {
+	due := r.Arrived.Add(r.LatencyTarget)
+	if now.Add(r.LatencyTarget / 4).Before(due) {
+		return due
+	}
+	return r.latestStart().Add(lateRank)
+}
+
+// lateRank puts requests that will be late behind those that can be in time.
+const lateRank = time.Hour
+
 // leave takes a waiter out of the queue, or hands out what it was given
 // meanwhile.
 func (s *Scheduler) leave(w *waiter, err error) (*Assignment, error) {
@@ -180,27 +202,20 @@
 	return nil, err
 }
 
-// insert queues w by its due time. mu is held.
-func (s *Scheduler) insert(w *waiter) {
-	i, _ := slices.BinarySearchFunc(s.waiting, w.due, func(x *waiter, due time.Time) int { return x.due.Compare(due) })
-	s.waiting = slices.Insert(s.waiting, i, w)
-}
-
 // forecast refuses a request that the queue cannot serve in time. mu is held.
 func (s *Scheduler) forecast(r Request, now time.Time) error {
 	if len(s.waiting) == 0 || s.interval == 0 {
 		return nil
 	}
-	due := r.Arrived.Add(r.LatencyTarget)
+	due := r.key(now)
 	ahead := 0
 	for _, w := range s.waiting {
-		if w.due.After(due) {
-			break
+		if !w.request.key(now).After(due) {
+			ahead++
 		}
-		ahead++
 	}
 	wait := time.Duration(ahead) * s.interval
-	if now.Add(wait).Before(r.latestStart(now)) {
+	if now.Add(wait).Before(r.latestStart()) {
 		return nil
 	}
 	return &OverloadError{Waiting: ahead, Forecast: wait, RetryAfter: min(max(wait/2, minRetryAfter), maxRetryAfter)}
@@ -216,7 +231,9 @@
 			return nil
 		case <-ticker.C:
 			s.mu.Lock()
-			s.drainQueue(time.Now())
+			now := time.Now()
+			s.observeDemand(now)
+			s.drainQueue(now)
 			s.mu.Unlock()
 		}
 	}
@@ -227,6 +244,7 @@
 	if len(s.waiting) == 0 {
 		return
 	}
+	slices.SortStableFunc(s.waiting, func(a, b *waiter) int { return a.request.key(now).Compare(b.request.key(now)) })
 	kept := s.waiting[:0]
 	for i, w := range s.waiting {
 		if i >= maxScan {
@@ -263,12 +281,16 @@
 	if r.Engine == nil {
 		return s.placePlain(r, servers, now), nil
 	}
-	if need := r.Prompt.Tokens + r.Prompt.Answer; need > r.Engine.MemoryTokens {
+	if need := r.Prompt.Tokens + r.Prompt.Answer; need > r.Engine.MemoryTokens*min(len(servers), dispatch.MaxHelpers+1) {
 		return nil, &TooLargeError{Tokens: need, Memory: r.Engine.MemoryTokens}
 	}
-	s.candidates = s.candidates[:0]
-	for i, server := range servers {
-		s.candidates = append(s.candidates, dispatch.Candidate{Index: i, Load: s.board.Load(server.ID, now), Local: server.DataCentre == s.dataCentre})
+	s.look(servers, now)
+	r.Prompt.LeftMillis = float64(r.Deadline.Sub(now)) / float64(time.Millisecond)
+	if s.demandOf(r.Service).Refuses(r.Engine, r.Prompt, len(servers)) {
+		return nil, &OverloadError{Forecast: maxRetryAfter, RetryAfter: maxRetryAfter}
+	}
+	if !r.Engine.MayStart(r.Prompt, r.Engine.BacklogMillis(s.candidates), r.waited(now)) {
+		return nil, nil
 	}
 	plan, ok := s.chooser.Choose(r.Engine, r.Prompt, s.candidates)
 	if !ok {
@@ -281,11 +303,38 @@
 		a.Helpers = append(a.Helpers, servers[i])
 		ids = append(ids, servers[i].ID)
 	}
-	a.job = s.board.Start(a.Server.ID, ids, r.Prompt, plan.FirstToken, now)
+	a.Held = plan.Held
+	a.job = s.board.Start(a.Server.ID, ids, plan.Held, r.Prompt, plan.FirstToken, now)
 	s.OnPlaced()
 	return a, nil
 }
 
+// look makes the candidates of servers. mu is held.
+func (s *Scheduler) look(servers []*registry.Server, now time.Time) {
+	s.candidates = s.candidates[:0]
+	for i, server := range servers {
+		s.candidates = append(s.candidates, dispatch.Candidate{Index: i, Load: s.board.Load(server.ID, now), Local: server.DataCentre == s.dataCentre})
+	}
+}
+
+func (s *Scheduler) demandOf(service string) *dispatch.Demand {
+	d := s.demand[service]
+	if d == nil {
+		d = &dispatch.Demand{}
+		s.demand[service] = d
+	}
+	return d
+}
+
+// observeDemand looks at the engines of all services that got prompts. mu is
+// held.
+func (s *Scheduler) observeDemand(now time.Time) {
+	for service, d := range s.demand {
+		s.look(s.registry.Servers(service), now)
+		d.Observe(s.candidates)
+	}
+}
+
 // usable returns the servers that may get r. Servers under suspicion are used
 // when there is no other. mu is held.
 func (s *Scheduler) usable(r *Request, now time.Time) []*registry.Server {
@@ -322,7 +371,7 @@
 		}
 	}
 	a := &Assignment{scheduler: s, Server: best, service: r.Service}
-	a.job = s.board.Start(best.ID, nil, dispatch.Prompt{}, 0, now)
+	a.job = s.board.Start(best.ID, nil, nil, dispatch.Prompt{}, 0, now)
 	return a
 }
 
--- /dev/null
+++ b/policy/dispatch/admit.go
@@ -0,0 +1,73 @@
+package dispatch
+
+const (
+	// longReadMillis is the reading time from which a prompt waits for the
+	// backlog of all engines to shrink. Shorter ones hardly add to it.
+	longReadMillis = 150
+	// backlogShare of its latency target is the backlog in which a prompt
+	// starts that reads for no longer than that target; one that reads for
+	// longer needs a backlog that is smaller in proportion.
+	backlogShare = 0.4
+	// lastBacklogShare of the target is added by the end of the time that a
+	// prompt may wait.
+	lastBacklogShare = 0.5
+	// hugeShare is the share of the time of all engines within the latency
+	// target from which a prompt is not started while the engines are in
+	// demand: it would make many others late.
+	hugeShare = 0.2
+	// busyShare is the share of engines with prompts to read from which they
+	// count as in demand.
+	busyShare = 0.35
+	// demandWeight is the weight of the newest look in the demand; looks are
+	// made every 20 ms, so it follows the last seconds.
+	demandWeight = 0.01
+)
+
+// Demand follows how many engines have prompts to read.
+type Demand struct{ share float64 }
+
+// Observe takes a look at the engines.
+func (d *Demand) Observe(candidates []Candidate) {
+	if len(candidates) == 0 {
+		return
+	}
+	busy := 0
+	for i := range candidates {
+		if candidates[i].Load.Reading.Tokens > 0 {
+			busy++
+		}
+	}
+	d.share += (float64(busy)/float64(len(candidates)) - d.share) * demandWeight
+}
+
+// Refuses reports whether a prompt should come back at a calmer time.
+func (d *Demand) Refuses(e *Engine, p Prompt, engines int) bool {
+	return d.share > busyShare && e.ReadMillis(PromptWork(p.Tokens)) > hugeShare*float64(engines)*p.TargetMillis
+}
+
+// BacklogMillis returns the mean time that the engines need to read what they
+// have been given.
+func (e *Engine) BacklogMillis(candidates []Candidate) float64 {
+	if len(candidates) == 0 {
+		return 0
+	}
+	sum := 0.0
+	for i := range candidates {
+		sum += e.ReadMillis(candidates[i].Load.Reading)
+	}
+	return sum / float64(len(candidates))
+}
+
+// MayStart reports whether a prompt should start with the given backlog.
+// Several moderate prompts are worth more than one huge one that takes the
+// same time, so the longer a prompt reads, the calmer the engines must be.
+// waited is the share of its waiting time that is over, from 0 to 1.
+func (e *Engine) MayStart(p Prompt, backlogMillis, waited float64) bool {
+	read := e.ReadMillis(PromptWork(p.Tokens))
+	if read < longReadMillis || p.TargetMillis <= 0 {
+		return true
+	}
+	allowed := p.TargetMillis * backlogShare * min(1, p.TargetMillis/read)
+	allowed += p.TargetMillis * lastBacklogShare * waited
+	return backlogMillis <= allowed
+}
--- a/policy/dispatch/board.go
+++ b/policy/dispatch/board.go
@@ -39,6 +39,7 @@
 	board    *Board
 	first    string
 	helpers  []string
+	held     []int // tokens stored at each helper; nil for none
 	prompt   Prompt
 	part     Work
 	started  time.Time
@@ -48,13 +49,17 @@
 }
 
 // Start records that a prompt was sent to engine first with the help of
-// others; expected is the time until its first token.
-func (b *Board) Start(first string, helpers []string, p Prompt, expected time.Duration, now time.Time) *Job {
-	j := &Job{board: b, first: first, helpers: helpers, prompt: p, started: now, expected: expected, reading: true,
+// others, which store held tokens of it each; expected is the time until its
+// first token.
+func (b *Board) Start(first string, helpers []string, held []int, p Prompt, expected time.Duration, now time.Time) *Job {
+	j := &Job{board: b, first: first, helpers: helpers, held: held, prompt: p, started: now, expected: expected, reading: true,
 		part: PromptWork(p.Tokens).Part(len(helpers) + 1)}
 	e := b.engine(first)
 	e.waiting++
-	e.context += p.Tokens + p.Answer
+	e.context += j.own()
+	for i, tokens := range held {
+		b.engine(helpers[i]).context += tokens
+	}
 	e.parts[j] = true
 	e.answers[j] = true
 	for _, id := range helpers {
@@ -104,10 +109,22 @@
 	} else {
 		e.writers--
 	}
-	e.context -= j.prompt.Tokens + j.prompt.Answer
+	e.context -= j.own()
+	for i, tokens := range j.held {
+		j.board.engine(j.helpers[i]).context -= tokens
+	}
 	delete(e.answers, j)
 }
 
+// own returns the memory that the job needs at the answering engine.
+func (j *Job) own() int {
+	tokens := j.prompt.Tokens + j.prompt.Answer
+	for _, held := range j.held {
+		tokens -= held
+	}
+	return tokens
+}
+
 // unread returns what is left to read of one part.
 func (j *Job) unread(now time.Time) Work {
 	share := 1 - float64(now.Sub(j.started))/float64(max(j.expected, time.Millisecond))
@@ -149,7 +166,7 @@
 // Engines calls f for each engine with work of this process.
 func (b *Board) Engines(now time.Time, f func(id string, l Load)) {
 	for id, e := range b.own {
-		if e.writers == 0 && e.waiting == 0 && len(e.parts) == 0 {
+		if e.writers == 0 && e.waiting == 0 && e.context == 0 && len(e.parts) == 0 {
 			delete(b.own, id)
 			continue
 		}
