Stop within the grace time; refuse streams that a stopping gateway cannot end

Idle connections are closed once the platform has taken the gateway out, and new streams are refused with Retry-After.

--- a/daemon/cmd/camphorwick/gateway.go
+++ b/daemon/cmd/camphorwick/gateway.go
@@ -23,7 +23,7 @@
 	retryReserve = 0.15
 	// graceMargin is the time before SIGKILL at which a stopping gateway cuts
 	// off what is still running.
-	graceMargin = 300 * time.Millisecond
+	graceMargin = 800 * time.Millisecond
 	// memoryShare is the share of the VM's memory from which the garbage
 	// collector works harder.
 	memoryShare = 0.6
--- a/gateway/ingress/ingress.go
+++ b/gateway/ingress/ingress.go
@@ -32,6 +32,9 @@
 	// startRetryAfter is what callers are told while no configuration or no
 	// server is known.
 	startRetryAfter = 500 * time.Millisecond
+	// stoppingRetryAfter is what callers are told by a gateway that stops; any
+	// other gateway can serve them at once.
+	stoppingRetryAfter = 20 * time.Millisecond
 	// refusedRetryAfter is what callers are told when all servers refused.
 	refusedRetryAfter = 300 * time.Millisecond
 )
@@ -56,7 +59,9 @@
 	table   atomic.Pointer[routing.Table]
 	active  atomic.Int64
 	closing atomic.Bool
-	started time.Time
+	// refuseLong says that new streams could not end before the stop.
+	refuseLong atomic.Bool
+	started    time.Time
 
 	mu      sync.Mutex
 	budgets map[string]*retry.Window
@@ -102,6 +107,10 @@
 // CloseConnections makes each further answer the last one of its connection.
 func (g *Gateway) CloseConnections() { g.closing.Store(true) }
 
+// RefuseLong refuses new streams from now on, because the process will stop
+// before they could end.
+func (g *Gateway) RefuseLong() { g.refuseLong.Store(true) }
+
 // ServeHTTP implements http.Handler.
 func (g *Gateway) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	g.active.Add(1)
@@ -142,6 +151,10 @@
 		}
 		x.account = account.Name
 	}
+	if x.route.Kind == routing.Stream && x.g.refuseLong.Load() {
+		x.refuse(http.StatusServiceUnavailable, "stopping", stoppingRetryAfter)
+		return false
+	}
 	x.deadline = x.arrived.Add(x.timeLeft())
 	return x.readBody()
 }
--- a/gateway/node/listener.go
+++ b/gateway/node/listener.go
@@ -4,6 +4,7 @@
 	"context"
 	"net"
 	"net/http"
+	"sync"
 	"sync/atomic"
 	"time"
 )
@@ -14,6 +15,7 @@
 // moment is set instead.
 type idleConn struct {
 	net.Conn
+	owner *idleListener
 	idle  atomic.Bool
 	limit func() time.Duration
 }
@@ -28,10 +30,41 @@
 	return c.Conn.SetReadDeadline(t)
 }
 
-// idleListener wraps accepted connections in idleConn.
+// Close implements net.Conn.
+func (c *idleConn) Close() error {
+	c.owner.forget(c)
+	return c.Conn.Close()
+}
+
+// idleListener wraps accepted connections in idleConn and knows the open ones.
 type idleListener struct {
 	net.Listener
 	limit func() time.Duration
+
+	mu   sync.Mutex
+	open map[*idleConn]struct{}
+}
+
+func (l *idleListener) forget(c *idleConn) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	delete(l.open, c)
+}
+
+// closeIdle closes the connections without a request. A request that crosses
+// the close has not been read, which tells its caller that it may be repeated.
+func (l *idleListener) closeIdle() {
+	l.mu.Lock()
+	var idle []*idleConn
+	for c := range l.open {
+		if c.idle.Load() {
+			idle = append(idle, c)
+		}
+	}
+	l.mu.Unlock()
+	for _, c := range idle {
+		_ = c.Close()
+	}
 }
 
 // Accept implements net.Listener.
@@ -40,8 +73,11 @@
 	if err != nil {
 		return nil, err
 	}
-	wrapped := &idleConn{Conn: c, limit: l.limit}
+	wrapped := &idleConn{Conn: c, limit: l.limit, owner: l}
 	wrapped.idle.Store(true)
+	l.mu.Lock()
+	l.open[wrapped] = struct{}{}
+	l.mu.Unlock()
 	return wrapped, nil
 }
 
--- a/gateway/node/node.go
+++ b/gateway/node/node.go
@@ -170,8 +170,9 @@
 	server := &http.Server{Handler: n.gateway, MaxHeaderBytes: maxHeaderBytes, ConnState: trackState,
 		ErrorLog: slog.NewLogLogger(n.options.Log.Handler(), slog.LevelDebug)}
 	group, ctx := errgroup.WithContext(ctx)
+	callers := &idleListener{Listener: listener, limit: n.idleLimit, open: map[*idleConn]struct{}{}}
 	group.Go(func() error {
-		err := server.Serve(&idleListener{Listener: listener, limit: n.idleLimit})
+		err := server.Serve(callers)
 		if errors.Is(err, http.ErrServerClosed) {
 			return nil
 		}
@@ -184,7 +185,7 @@
 	n.followAll(ctx, group)
 	group.Go(func() error {
 		defer cancel()
-		return n.drain(ctx, server)
+		return n.drain(ctx, server, callers)
 	})
 	return group.Wait()
 }
@@ -272,7 +273,7 @@
 
 // drain waits for Stop, then until no request is in progress and the platform
 // has taken the node out, at most DrainLimit.
-func (n *Node) drain(ctx context.Context, server *http.Server) error {
+func (n *Node) drain(ctx context.Context, server *http.Server, callers *idleListener) error {
 	select {
 	case <-ctx.Done():
 		return server.Close()
@@ -283,7 +284,12 @@
 	n.gateway.CloseConnections()
 	for time.Since(begun) < n.options.DrainLimit && ctx.Err() == nil {
 		time.Sleep(drainPoll)
-		if time.Since(begun) >= leaveTime && n.gateway.Active() == 0 {
+		if time.Since(begun) < leaveTime {
+			continue
+		}
+		n.gateway.RefuseLong()
+		callers.closeIdle()
+		if n.gateway.Active() == 0 {
 			break
 		}
 	}
--- a/observe/ops.go
+++ b/observe/ops.go
@@ -17,7 +17,7 @@
 
 const (
 	opsReadTimeout     = 10 * time.Second
-	opsShutdownTimeout = 2 * time.Second
+	opsShutdownTimeout = 200 * time.Millisecond // probes are short
 )
 
 // ServeOps serves /healthz, /readyz, /metrics and /debug/pprof/ until ctx ends. ready returns
--- a/policy/dispatch/admit.go
+++ b/policy/dispatch/admit.go
@@ -3,7 +3,7 @@
 const (
 	// longReadMillis is the reading time from which a prompt waits for the
 	// backlog of all engines to shrink. Shorter ones hardly add to it.
-	longReadMillis = 150
+	longReadMillis = 400
 	// backlogShare of its latency target is the backlog in which a prompt
 	// starts that reads for no longer than that target; one that reads for
 	// longer needs a backlog that is smaller in proportion.
