--- /dev/null
+++ b/gateway/follow/follow_test.go
@@ -0,0 +1,121 @@
+package follow
+
+import (
+	"context"
+	"errors"
+	"io"
+	"log/slog"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+)
+
+// scriptedStore answers each call from a list.
+type scriptedStore struct {
+	Store
+	mu      sync.Mutex
+	ranges  []reply
+	watches []reply
+	afters  []int64
+	done    context.CancelFunc
+}
+
+type reply struct {
+	items    []Item
+	revision int64
+	err      error
+}
+
+func (s *scriptedStore) Range(context.Context, string) ([]Item, int64, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	r := s.ranges[0]
+	s.ranges = s.ranges[1:]
+	return r.items, r.revision, r.err
+}
+
+func (s *scriptedStore) Watch(ctx context.Context, _ string, after int64, _ time.Duration) ([]Item, int64, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.afters = append(s.afters, after)
+	if len(s.watches) == 0 {
+		s.done()
+		return nil, 0, ctx.Err()
+	}
+	r := s.watches[0]
+	s.watches = s.watches[1:]
+	return r.items, r.revision, r.err
+}
+
+// recorder notes what a follower reports.
+type recorder struct{ events []string }
+
+func (r *recorder) Replace(items []Item) {
+	r.events = append(r.events, "replace")
+	for _, i := range items {
+		r.events = append(r.events, " "+i.Key+"="+string(i.Value))
+	}
+}
+
+func (r *recorder) Change(i Item) {
+	value := string(i.Value)
+	if i.Deleted {
+		value = "deleted"
+	}
+	r.events = append(r.events, i.Key+"="+value)
+}
+func (r *recorder) Failed(error) { r.events = append(r.events, "failed") }
+func (r *recorder) Restored()    { r.events = append(r.events, "restored") }
+
+func run(t *testing.T, s *scriptedStore) *recorder {
+	t.Helper()
+	ctx, cancel := context.WithTimeout(context.Background(), 10*time.Second)
+	defer cancel()
+	s.done = cancel
+	r := &recorder{}
+	f := &Follower{Store: s, Prefix: "p/", Handler: r, Log: slog.New(slog.NewJSONHandler(io.Discard, nil))}
+	if err := f.Run(ctx); err != nil {
+		t.Fatal(err)
+	}
+	return r
+}
+
+// Guards against changes that are lost with the store's history.
+func TestReadsAgainWhenTheHistoryIsGone(t *testing.T) {
+	is := is.New(t)
+	s := &scriptedStore{
+		ranges:  []reply{{items: []Item{{Key: "p/a", Value: []byte("1"), Revision: 3}}, revision: 5}, {items: []Item{{Key: "p/a", Value: []byte("2"), Revision: 9}}, revision: 9}},
+		watches: []reply{{err: &CompactedError{After: 5}}},
+	}
+	r := run(t, s)
+	is.Equal(r.events, []string{"replace", " p/a=1", "replace", " p/a=2"})
+	is.Equal(s.afters, []int64{5, 9})
+}
+
+// Guards against a step back: pages are not a snapshot, so a watch may repeat
+// changes that a page has already shown.
+func TestIgnoresOlderChanges(t *testing.T) {
+	is := is.New(t)
+	s := &scriptedStore{
+		ranges: []reply{{items: []Item{{Key: "p/a", Value: []byte("new"), Revision: 8}}, revision: 5}},
+		watches: []reply{{revision: 9, items: []Item{{Key: "p/a", Value: []byte("old"), Revision: 6},
+			{Key: "p/b", Value: []byte("x"), Revision: 7}, {Key: "p/a", Deleted: true, Revision: 9}}}},
+	}
+	is.Equal(run(t, s).events, []string{"replace", " p/a=new", "p/b=x", "p/a=deleted"})
+}
+
+// Guards against an outage that goes unnoticed and against a watch that starts
+// anew after it.
+func TestGoesOnAfterAnOutage(t *testing.T) {
+	is := is.New(t)
+	failure := errors.New("reset")
+	s := &scriptedStore{
+		ranges:  []reply{{err: failure}, {revision: 4}},
+		watches: []reply{{revision: 6}, {err: failure}, {err: failure}, {revision: 7}},
+	}
+	r := run(t, s)
+	is.Equal(r.events, []string{"failed", "restored", "replace", "failed", "failed", "restored"})
+	is.Equal(s.afters, []int64{4, 6, 6, 6, 7})
+}
--- /dev/null
+++ b/policy/dispatch/plan_test.go
@@ -0,0 +1,203 @@
+package dispatch
+
+import (
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"pgregory.net/rapid"
+)
+
+// testEngine is the engine of the users' smaller deployments.
+func testEngine() *Engine {
+	return &Engine{Slots: 16, MemoryTokens: 315_000, ChunkTokens: 2048, StepsPerPass: 51, StepMillis: 0.85, StepMillisPerWriter: 0.00425,
+		StepMillisPerKContext: 0.00285, ReadTokensPerMilli: 177, PairMillisPerMillion: 0.184, HelperHopMillis: 0.05}
+}
+
+func short() Prompt {
+	return Prompt{Tokens: 5000, Answer: 1700, TargetMillis: 300, GapMillis: 250, LeftMillis: 10_000}
+}
+
+func review() Prompt {
+	return Prompt{Tokens: 154_000, Answer: 840, TargetMillis: 3000, GapMillis: 1000, LeftMillis: 15_000}
+}
+
+func candidates(loads ...Load) []Candidate {
+	out := make([]Candidate, len(loads))
+	for i, l := range loads {
+		out[i] = Candidate{Index: i, Load: l, Local: true}
+	}
+	return out
+}
+
+// Guards against short answers on all engines, which leaves none that can read
+// a long prompt without stretching their pauses.
+func TestShortAnswersStayTogether(t *testing.T) {
+	is := is.New(t)
+	writing := Load{Writers: 6, Context: 40_000, GapMillis: 250}
+	plan, ok := new(Chooser).Choose(testEngine(), short(), candidates(Load{}, writing, Load{}))
+	is.True(ok)
+	is.Equal(plan.First, 1)
+}
+
+// Guards against parts of a long prompt on engines whose short answers would
+// pause for longer than their callers allow (seen as late quotes in bursts of
+// reviews).
+func TestLongPromptSparesShortAnswers(t *testing.T) {
+	is := is.New(t)
+	writing := Load{Writers: 8, Context: 50_000, GapMillis: 250}
+	loads := []Load{writing, writing, writing, {}, {}, {}, {}}
+	plan, ok := new(Chooser).Choose(testEngine(), review(), candidates(loads...))
+	is.True(ok)
+	is.True(plan.First >= 3)
+	for _, h := range plan.Helpers {
+		is.True(h >= 3)
+	}
+	is.True(len(plan.Helpers) > 0) // one engine alone takes 3 s
+	is.True(plan.FirstToken < 3*time.Second)
+}
+
+// Guards against a choice without slot or memory.
+func TestNoEngineWithRoom(t *testing.T) {
+	is := is.New(t)
+	full := Load{Writers: 16, Context: 80_000, GapMillis: 250}
+	_, ok := new(Chooser).Choose(testEngine(), short(), candidates(full, full))
+	is.True(!ok)
+}
+
+// Guards against the refusal of prompts that no engine can store alone.
+func TestPromptLargerThanOneEngine(t *testing.T) {
+	is := is.New(t)
+	p := Prompt{Tokens: 520_000, Answer: 900, TargetMillis: 3000, GapMillis: 1000, LeftMillis: 15_000}
+	plan, ok := new(Chooser).Choose(testEngine(), p, candidates(make([]Load, 12)...))
+	is.True(ok)
+	is.Equal(len(plan.Held), len(plan.Helpers))
+	held := 0
+	for _, tokens := range plan.Held {
+		held += tokens
+		is.True(tokens <= testEngine().MemoryTokens-memoryMarginTokens)
+	}
+	is.True(p.Tokens+p.Answer-held <= testEngine().MemoryTokens-memoryMarginTokens)
+}
+
+// Guards against plans that overfill an engine, name one twice or store less
+// than the prompt.
+func TestPlansFitTheirEngines(t *testing.T) {
+	e := testEngine()
+	rapid.Check(t, func(t *rapid.T) {
+		n := rapid.IntRange(1, 24).Draw(t, "engines")
+		loads := make([]Load, n)
+		for i := range loads {
+			loads[i] = Load{Writers: rapid.IntRange(0, 17).Draw(t, "writers"), Context: rapid.IntRange(0, e.MemoryTokens).Draw(t, "context"),
+				Helping: rapid.IntRange(0, 3).Draw(t, "helping"), Reading: Work{Tokens: rapid.Float64Range(0, 50_000).Draw(t, "reading")},
+				GapMillis: rapid.SampledFrom([]float64{0, 250, 600, 1000}).Draw(t, "gap")}
+		}
+		p := Prompt{Tokens: rapid.IntRange(1, 700_000).Draw(t, "tokens"), Answer: rapid.IntRange(1, 4000).Draw(t, "answer"),
+			TargetMillis: 300, GapMillis: 250, LeftMillis: 10_000}
+		plan, ok := new(Chooser).Choose(e, p, candidates(loads...))
+		if !ok {
+			return
+		}
+		seen := map[int]bool{plan.First: true}
+		rest := p.Tokens + p.Answer
+		for i, h := range plan.Helpers {
+			if seen[h] {
+				t.Fatalf("engine %d is named twice", h)
+			}
+			seen[h] = true
+			if plan.Held != nil {
+				rest -= plan.Held[i]
+				if plan.Held[i] > 0 && loads[h].Context+plan.Held[i] > e.MemoryTokens {
+					t.Fatalf("helper %d stores %d tokens beside %d", h, plan.Held[i], loads[h].Context)
+				}
+			}
+		}
+		if first := loads[plan.First]; first.Writers+first.Waiting >= e.Slots || first.Context+rest > e.MemoryTokens {
+			t.Fatalf("the first engine has no room: %+v, %d tokens", first, rest)
+		}
+		if len(plan.Helpers) > MaxHelpers {
+			t.Fatalf("%d helpers", len(plan.Helpers))
+		}
+	})
+}
+
+// Pattern: a burst of reviews (x2.7) with a prompt of over 500,000 tokens at
+// its start. Guards against the one prompt that makes a dozen others late.
+func TestHugePromptWaitsForCalmEngines(t *testing.T) {
+	is := is.New(t)
+	e := testEngine()
+	huge := Prompt{Tokens: 521_000, TargetMillis: 3000}
+	var calm, busy Demand
+	reading := candidates(make([]Load, 16)...)
+	for i := range reading[:10] {
+		reading[i].Load.Reading = PromptWork(50_000)
+	}
+	for range 500 {
+		calm.Observe(candidates(make([]Load, 16)...))
+		busy.Observe(reading)
+	}
+	is.True(!calm.Refuses(e, huge, 16))
+	is.True(busy.Refuses(e, huge, 16))
+	is.True(!busy.Refuses(e, review(), 16))
+	is.True(!busy.Refuses(e, short(), 16))
+	is.True(!busy.Refuses(e, huge, 78)) // a large fleet reads it in time
+}
+
+// Pattern: reviews arrive faster than the engines read them. Guards against
+// queues inside the engines, where their order can no longer be changed, and
+// against waiting quotes.
+func TestLongPromptsWaitHere(t *testing.T) {
+	is := is.New(t)
+	e := testEngine()
+	is.True(e.MayStart(review(), 500, 0))
+	is.True(!e.MayStart(review(), 3000, 0))
+	is.True(e.MayStart(review(), 2500, 1)) // it has waited as long as it may
+	is.True(e.MayStart(short(), 3000, 0))
+	large := Prompt{Tokens: 23_800, TargetMillis: 300, GapMillis: 250}
+	is.True(e.MayStart(large, 3000, 0)) // a quote waited 1.9 s
+}
+
+func TestBoardCountsWork(t *testing.T) {
+	is := is.New(t)
+	b, now := NewBoard(), time.Unix(100, 0)
+	j := b.Start("a", []string{"b"}, []int{4000}, Prompt{Tokens: 10_000, Answer: 500, GapMillis: 250}, 100*time.Millisecond, now)
+	is.Equal(b.Load("a", now).Waiting, 1)
+	is.Equal(b.Load("a", now).Context, 6500)
+	is.Equal(b.Load("b", now).Context, 4000)
+	is.Equal(b.Load("b", now).Helping, 1)
+	is.Equal(b.Load("b", now).Reading.Tokens, 5000.0)
+	is.Equal(b.Load("b", now.Add(50*time.Millisecond)).Reading.Tokens, 2500.0)
+	j.FirstToken()
+	is.Equal(b.Load("a", now), Load{Writers: 1, Context: 6500, GapMillis: 250})
+	j.End()
+	j.End()
+	is.Equal(b.Load("a", now), Load{})
+	is.Equal(b.Load("b", now), Load{})
+}
+
+// Guards against the load of a dead peer, and against partial messages that
+// erase the rest.
+func TestBoardPeers(t *testing.T) {
+	is := is.New(t)
+	b, now := NewBoard(), time.Unix(100, 0)
+	b.SetPeer("p", map[string]Load{"a": {Writers: 2, GapMillis: 600}, "b": {Writers: 1}}, true, now)
+	b.SetPeer("p", map[string]Load{"b": {}}, false, now)
+	is.Equal(b.Load("a", now).Writers, 2)
+	is.Equal(b.Load("a", now).GapMillis, 600.0)
+	is.Equal(b.Load("b", now).Writers, 0)
+	is.Equal(b.Load("a", now.Add(peerLifetime+time.Millisecond)).Writers, 0)
+}
+
+func BenchmarkChoose(b *testing.B) {
+	e := testEngine()
+	loads := make([]Load, 78)
+	for i := range loads {
+		loads[i] = Load{Writers: i % 16, Context: 4000 * (i % 16), GapMillis: 250}
+	}
+	all := candidates(loads...)
+	chooser := new(Chooser)
+	b.ReportAllocs()
+	for b.Loop() {
+		chooser.Choose(e, review(), all)
+	}
+}
--- /dev/null
+++ b/policy/retry/window_test.go
@@ -0,0 +1,56 @@
+package retry
+
+import (
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"pgregory.net/rapid"
+)
+
+// Guards against repeats beyond the bound in any window, summed over all
+// processes.
+func TestWindowBound(t *testing.T) {
+	config := WindowConfig{Span: 10 * time.Second, Ratio: 0.2, Extra: 100, Reserve: 0.15}
+	rapid.Check(t, func(t *rapid.T) {
+		processes := rapid.IntRange(1, 4).Draw(t, "processes")
+		windows := make([]*Window, processes)
+		for i := range windows {
+			windows[i] = NewWindow(config)
+		}
+		var requests, repeats []time.Duration
+		now := time.Duration(0)
+		for range rapid.IntRange(50, 400).Draw(t, "steps") {
+			now += time.Duration(rapid.IntRange(0, 200).Draw(t, "gap")) * time.Millisecond
+			w := windows[rapid.IntRange(0, processes-1).Draw(t, "process")]
+			if rapid.Bool().Draw(t, "request") {
+				w.Request(now)
+				requests = append(requests, now)
+			} else if w.TryRepeat(now, processes) {
+				repeats = append(repeats, now)
+			}
+			in := func(times []time.Duration) (n float64) {
+				for _, at := range times {
+					if at > now-config.Span {
+						n++
+					}
+				}
+				return n
+			}
+			if in(repeats) > config.Ratio*in(requests)+config.Extra {
+				t.Fatalf("%v repeats for %v requests", in(repeats), in(requests))
+			}
+		}
+	})
+}
+
+// Guards against a budget that never refills.
+func TestWindowRefills(t *testing.T) {
+	is := is.New(t)
+	w := NewWindow(WindowConfig{Span: 10 * time.Second, Extra: 4})
+	for range 4 {
+		is.True(w.TryRepeat(0, 1))
+	}
+	is.True(!w.TryRepeat(9*time.Second, 1))
+	is.True(w.TryRepeat(11*time.Second, 1))
+}
