--- /dev/null
+++ b/gateway/ingress/harness_test.go
@@ -0,0 +1,275 @@
+package ingress
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"fmt"
+	"io"
+	"log/slog"
+	"net"
+	"net/http"
+	"strconv"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"go.opentelemetry.io/otel/metric/noop"
+
+	"camphorwick.dev/gateway/registry"
+	"camphorwick.dev/gateway/reserve"
+	"camphorwick.dev/gateway/routing"
+	"camphorwick.dev/gateway/schedule"
+	"camphorwick.dev/gateway/upstream"
+	"camphorwick.dev/policy/dispatch"
+	"camphorwick.dev/policy/retry"
+)
+
+// testWire uses short header names of its own.
+type testWire struct{}
+
+func (testWire) DecodeRequest(h http.Header) Meta {
+	ms, _ := strconv.Atoi(h.Get("Left"))
+	tokens, _ := strconv.Atoi(h.Get("Tokens"))
+	return Meta{ID: h.Get("Id"), Key: h.Get("Key"), LastEventID: h.Get("Last"), TimeLeft: time.Duration(ms) * time.Millisecond,
+		PromptTokens: tokens, MaxAnswerTokens: 100}
+}
+
+func (testWire) EncodeRequest(h http.Header, o Outbound) {
+	for _, name := range []string{"Key", "Left", "Last", "Account", "Server"} {
+		h.Del(name)
+	}
+	h.Set("Left", strconv.FormatInt(o.TimeLeft.Milliseconds(), 10))
+	h.Set("Server", o.ServerID)
+	if o.Account != "" {
+		h.Set("Account", o.Account)
+	}
+	if o.LastEventID != "" {
+		h.Set("Last", o.LastEventID)
+	}
+}
+
+func (testWire) DecodeAnswer(status int, h http.Header) AnswerMeta {
+	return AnswerMeta{RequestID: h.Get("Id"), Signed: h.Get("Mark") != "", NotRun: h.Get("Not-Run") != ""}
+}
+
+// noMemory refuses all reservations.
+type noMemory struct{}
+
+func (noMemory) Reserve(context.Context, string, string, string, int, time.Duration) error {
+	return fmt.Errorf("no memory")
+}
+func (noMemory) Release(context.Context, string, string, string) error { return nil }
+
+// seen is a request as a backend server got it.
+type seen struct {
+	server string
+	line   string
+	header http.Header
+	body   string
+	at     time.Time
+}
+
+// fleet is a gateway in front of raw servers.
+type fleet struct {
+	t       *testing.T
+	gateway *Gateway
+	address string
+	log     *lockedBuffer
+
+	mu   sync.Mutex
+	seen []seen
+}
+
+type lockedBuffer struct {
+	mu sync.Mutex
+	b  bytes.Buffer
+}
+
+func (l *lockedBuffer) Write(p []byte) (int, error) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.b.Write(p)
+}
+
+// answer writes the answer to one request; it returns false to end the
+// connection.
+type answer func(c net.Conn, br *bufio.Reader, r *http.Request) bool
+
+// newFleet starts servers s0, s1 ... that answer in the given ways.
+func newFleet(t *testing.T, answers ...answer) *fleet {
+	f := &fleet{t: t, log: &lockedBuffer{}}
+	reg := registry.New(func(registry.Change) {})
+	for i, a := range answers {
+		id := "s" + strconv.Itoa(i)
+		reg.Put(&registry.Server{ID: id, Service: "service", Address: f.startServer(id, a), DataCentre: "dc", Slots: 4})
+	}
+	metrics, err := NewMetrics(noop.NewMeterProvider().Meter(""))
+	if err != nil {
+		t.Fatal(err)
+	}
+	log := slog.New(slog.NewJSONHandler(f.log, nil))
+	f.gateway = New(Options{Wire: testWire{}, Scheduler: schedule.New(reg, "dc"), Client: upstream.New(), Log: log, Metrics: metrics,
+		Reserver: reserve.New(noMemory{}, log), Processes: func() int { return 1 },
+		Budget: retry.WindowConfig{Span: 10 * time.Second, Ratio: 0.2, Extra: 10}})
+	f.gateway.SetTable(testTable())
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	server := &http.Server{Handler: f.gateway, ErrorLog: slog.NewLogLogger(log.Handler(), slog.LevelError)}
+	go func() { _ = server.Serve(l) }()
+	t.Cleanup(func() { _ = server.Close() })
+	f.address = l.Addr().String()
+	return f
+}
+
+func testTable() *routing.Table {
+	route := func(prefix string, kind routing.Kind, resumable bool) routing.Route {
+		return routing.Route{Name: prefix, Host: "a.example", Prefix: prefix, Kind: kind, Resumable: resumable, Timeout: 2 * time.Second,
+			LatencyTarget: 300 * time.Millisecond, EventGapTarget: 250 * time.Millisecond, MaxServers: 2,
+			Targets: []routing.Target{{Service: "service", Weight: 1}}}
+	}
+	brief := route("/brief/", routing.NonIdempotent, false)
+	brief.Timeout = 200 * time.Millisecond
+	public := route("/public/", routing.Idempotent, false)
+	public.Public = true
+	engine := &dispatch.Engine{Slots: 4, MemoryTokens: 100_000, ChunkTokens: 2048, StepsPerPass: 10, StepMillis: 1, ReadTokensPerMilli: 100}
+	return routing.NewTable(&routing.Config{Version: 1, Limits: routing.Limits{BodyBytes: 1 << 20},
+		Routes: []routing.Route{route("/order/", routing.NonIdempotent, false), route("/lookup/", routing.Idempotent, false),
+			route("/stream/", routing.Stream, true), route("/once/", routing.Stream, false), brief, public},
+		Services: []routing.Service{{Name: "service", Engine: engine}},
+		Accounts: []routing.Account{{Name: "hanbit", Keys: []string{"secret"}}}})
+}
+
+func (f *fleet) startServer(id string, a answer) string {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		f.t.Fatal(err)
+	}
+	f.t.Cleanup(func() { _ = l.Close() })
+	go func() {
+		for {
+			c, err := l.Accept()
+			if err != nil {
+				return
+			}
+			go f.serveConn(id, c, a)
+		}
+	}()
+	return l.Addr().String()
+}
+
+func (f *fleet) serveConn(id string, c net.Conn, a answer) {
+	defer func() { _ = c.Close() }()
+	br := bufio.NewReader(c)
+	for {
+		r, err := http.ReadRequest(br)
+		if err != nil {
+			return
+		}
+		body, err := io.ReadAll(r.Body)
+		if err != nil {
+			return
+		}
+		f.mu.Lock()
+		f.seen = append(f.seen, seen{server: id, line: r.Method + " " + r.RequestURI, header: r.Header, body: string(body), at: time.Now()})
+		f.mu.Unlock()
+		if !a(c, br, r) {
+			return
+		}
+	}
+}
+
+func (f *fleet) requests() []seen {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return append([]seen(nil), f.seen...)
+}
+
+// call sends one request over a new connection and returns the answer with its
+// body; err is set if the body is not whole.
+func (f *fleet) call(method, target, headers, body string) (*http.Response, string, error) {
+	f.t.Helper()
+	c, err := net.Dial("tcp", f.address)
+	if err != nil {
+		f.t.Fatal(err)
+	}
+	defer func() { _ = c.Close() }()
+	_ = c.SetDeadline(time.Now().Add(10 * time.Second))
+	if body != "" {
+		headers += "Content-Length: " + strconv.Itoa(len(body)) + "\r\n"
+	}
+	_, _ = io.WriteString(c, method+" "+target+" HTTP/1.1\r\nHost: a.example\r\nId: r1\r\nKey: secret\r\n"+headers+"\r\n"+body)
+	response, err := http.ReadResponse(bufio.NewReader(c), &http.Request{Method: method})
+	if err != nil {
+		return nil, "", err
+	}
+	data, err := io.ReadAll(response.Body)
+	return response, string(data), err
+}
+
+// firstThen answers the first of all requests in one way and the others in
+// another.
+func firstThen(first, rest answer) answer {
+	var calls atomic.Int32
+	return func(c net.Conn, br *bufio.Reader, r *http.Request) bool {
+		if calls.Add(1) == 1 {
+			return first(c, br, r)
+		}
+		return rest(c, br, r)
+	}
+}
+
+// text answers with a status and a marked body of known length.
+func text(status int, body string) answer {
+	return func(c net.Conn, _ *bufio.Reader, r *http.Request) bool {
+		_, err := fmt.Fprintf(c, "HTTP/1.1 %d X\r\nMark: m\r\nId: %s\r\nContent-Length: %d\r\n\r\n%s", status, r.Header.Get("Id"), len(body), body)
+		return err == nil
+	}
+}
+
+// raw answers with fixed bytes and closes the connection.
+func raw(s string) answer {
+	return func(c net.Conn, _ *bufio.Reader, _ *http.Request) bool {
+		_, _ = io.WriteString(c, s)
+		return false
+	}
+}
+
+// refusal answers that the request did not run.
+func refusal(c net.Conn, _ *bufio.Reader, r *http.Request) bool {
+	_, err := fmt.Fprintf(c, "HTTP/1.1 503 X\r\nNot-Run: 1\r\nId: %s\r\nContent-Length: 0\r\n\r\n", r.Header.Get("Id"))
+	return err == nil
+}
+
+// events answers with the events after the caller's last one up to last, and
+// then ends the stream, or cuts it in the middle of an event.
+func events(last int, whole bool) answer {
+	return func(c net.Conn, _ *bufio.Reader, r *http.Request) bool {
+		_, _ = io.WriteString(c, "HTTP/1.1 200 OK\r\nMark: m\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n")
+		first, _ := strconv.Atoi(r.Header.Get("Last"))
+		for id := first + 1; id <= last; id++ {
+			chunk(c, fmt.Sprintf("id: %d\ndata: e%d\n\n", id, id))
+		}
+		if whole {
+			_, _ = io.WriteString(c, "0\r\n\r\n")
+			return true
+		}
+		chunk(c, fmt.Sprintf("id: %d\nda", last+1))
+		return false
+	}
+}
+
+func chunk(c net.Conn, s string) { _, _ = fmt.Fprintf(c, "%x\r\n%s\r\n", len(s), s) }
+
+// wantEvents is the text of the events first to last.
+func wantEvents(first, last int) string {
+	var b strings.Builder
+	for id := first; id <= last; id++ {
+		fmt.Fprintf(&b, "id: %d\ndata: e%d\n\n", id, id)
+	}
+	return b.String()
+}
--- /dev/null
+++ b/gateway/ingress/ingress_test.go
@@ -0,0 +1,297 @@
+package ingress
+
+import (
+	"bufio"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+)
+
+// Guards against changes of what the caller sent.
+func TestRequestIsForwardedUnchanged(t *testing.T) {
+	is := is.New(t)
+	f := newFleet(t, text(200, "ok"))
+	target := "/order/%2F..//a%20b;c?q=1&&r=%zz"
+	response, body, err := f.call("POST", target, "X-Custom: 1\r\nLeft: 1500\r\nAccount: forged\r\nServer: forged\r\nConnection: keep-alive, X-Hop\r\nX-Hop: 1\r\n", "some body")
+	is.NoErr(err)
+	is.Equal(response.StatusCode, 200)
+	is.Equal(response.Header.Get("Mark"), "m")
+	is.Equal(body, "ok")
+	got := f.requests()
+	is.Equal(len(got), 1)
+	is.Equal(got[0].line, "POST "+target)
+	is.Equal(got[0].body, "some body")
+	is.Equal(got[0].header.Get("X-Custom"), "1")
+	is.Equal(got[0].header.Get("Key"), "")   // the caller's key stays here
+	is.Equal(got[0].header.Get("X-Hop"), "") // concerns one connection
+	is.Equal(got[0].header["Account"], []string{"hanbit"})
+	is.Equal(got[0].header["Server"], []string{"s0"})
+}
+
+// Guards against chunked bodies that reach the server in another form than
+// their bytes.
+func TestChunkedBody(t *testing.T) {
+	is := is.New(t)
+	f := newFleet(t, text(200, "ok"))
+	c, err := net.Dial("tcp", f.address)
+	is.NoErr(err)
+	defer func() { _ = c.Close() }()
+	_, _ = io.WriteString(c, "POST /order/ HTTP/1.1\r\nHost: a.example\r\nId: r1\r\nKey: secret\r\nTransfer-Encoding: chunked\r\n\r\n4\r\nab\r\n\r\n3\r\ncde\r\n0\r\n\r\n")
+	_, err = http.ReadResponse(bufio.NewReader(c), nil)
+	is.NoErr(err)
+	is.Equal(f.requests()[0].body, "ab\r\ncde")
+}
+
+// Guards against more time for the server than the caller has left.
+func TestTimeLeftIsPassedOn(t *testing.T) {
+	is := is.New(t)
+	f := newFleet(t, text(200, "ok"))
+	_, _, err := f.call("POST", "/order/", "Left: 700\r\n", "x")
+	is.NoErr(err)
+	left := f.requests()[0].header.Get("Left")
+	is.True(len(left) == 3 && left > "500" && left <= "700")
+}
+
+func TestRefusals(t *testing.T) {
+	for _, c := range []struct {
+		name, target, headers string
+		want                  int
+	}{
+		{"no route", "/none/", "", 404},
+		{"unknown key", "/order/", "Key: wrong\r\n", 401},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			is := is.New(t)
+			f := newFleet(t, text(200, "ok"))
+			conn, err := net.Dial("tcp", f.address)
+			is.NoErr(err)
+			defer func() { _ = conn.Close() }()
+			_, _ = io.WriteString(conn, "GET "+c.target+" HTTP/1.1\r\nHost: a.example\r\nId: r1\r\n"+c.headers+"\r\n")
+			response, err := http.ReadResponse(bufio.NewReader(conn), nil)
+			is.NoErr(err)
+			is.Equal(response.StatusCode, c.want)
+			is.Equal(len(f.requests()), 0)
+		})
+	}
+}
+
+func TestPublicRouteNeedsNoKey(t *testing.T) {
+	is := is.New(t)
+	f := newFleet(t, text(200, "ok"))
+	response, _, err := f.call("GET", "/public/", "Key: wrong\r\n", "")
+	is.NoErr(err)
+	is.Equal(response.StatusCode, 200)
+	is.Equal(f.requests()[0].header.Get("Account"), "")
+}
+
+func TestBodyOverTheLimit(t *testing.T) {
+	is := is.New(t)
+	f := newFleet(t, text(200, "ok"))
+	response, _, err := f.call("POST", "/order/", "", strings.Repeat("x", 1<<20+1))
+	is.NoErr(err)
+	is.Equal(response.StatusCode, 413)
+}
+
+// Guards against 404 and 401 while nothing is known: only 503 promises that
+// the caller may come again.
+func TestWithoutConfiguration(t *testing.T) {
+	is := is.New(t)
+	f := newFleet(t, text(200, "ok"))
+	f.gateway.table.Store(nil)
+	response, _, err := f.call("POST", "/order/", "", "x")
+	is.NoErr(err)
+	is.Equal(response.StatusCode, 503)
+	is.True(response.Header.Get("Retry-After") != "")
+}
+
+func TestConfigurationsOnlyGoForward(t *testing.T) {
+	is := is.New(t)
+	f := newFleet(t)
+	newer := testTable()
+	newer.Version = 5
+	older := testTable()
+	older.Version = 4
+	is.True(f.gateway.SetTable(newer))
+	is.True(!f.gateway.SetTable(older))
+	is.Equal(f.gateway.Table().Version, int64(5))
+}
+
+// Each case states what an order and a lookup end with, and how often a server
+// saw them, when the first server that gets them fails in one way. Guards
+// against orders that run twice and refusals that are not true.
+func TestFailuresOfServers(t *testing.T) {
+	good := text(200, "ok")
+	for _, c := range []struct {
+		name                     string
+		bad                      answer
+		orderStatus, orderSeen   int
+		lookupStatus, lookupSeen int
+	}{
+		{"not run", refusal, 200, 2, 200, 2},
+		{"closed without an answer", raw(""), 502, 1, 200, 2},
+		{"garbage", raw("\x00garbage\r\n\r\n"), 502, 1, 200, 2},
+		{"cut body", raw("HTTP/1.1 200 OK\r\nMark: m\r\nContent-Length: 9\r\n\r\nhalf"), 502, 1, 200, 2},
+		{"unmarked answer", raw("HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok"), 502, 1, 200, 2},
+		{"unmarked refusal", raw("HTTP/1.1 503 X\r\nContent-Length: 0\r\n\r\n"), 502, 1, 200, 2},
+		{"encoded answer", raw("HTTP/1.1 200 OK\r\nMark: m\r\nContent-Encoding: gzip\r\nContent-Length: 2\r\n\r\nok"), 502, 1, 200, 2},
+		{"foreign answers only", raw(strings.Repeat("HTTP/1.1 200 OK\r\nMark: m\r\nId: other\r\nContent-Length: 2\r\n\r\nno", 4)), 502, 1, 200, 2},
+		{"own error", text(500, "bad"), 500, 1, 200, 2},
+		{"own refusal of the caller", text(409, "no"), 409, 1, 409, 1},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			is := is.New(t)
+			for _, r := range []struct {
+				method, target string
+				status, seen   int
+			}{{"POST", "/order/1", c.orderStatus, c.orderSeen}, {"GET", "/lookup/1", c.lookupStatus, c.lookupSeen}} {
+				either := firstThen(c.bad, good)
+				f := newFleet(t, either, either)
+				response, _, err := f.call(r.method, r.target, "", "")
+				is.NoErr(err)
+				is.Equal(response.StatusCode, r.status)
+				got := f.requests()
+				is.Equal(len(got), r.seen)
+				if len(got) == 2 {
+					is.True(got[0].server != got[1].server)
+				}
+			}
+		})
+	}
+}
+
+// Guards against a lost error: where no server does better, the caller gets
+// what the last one said.
+func TestServerErrorIsPassedOn(t *testing.T) {
+	is := is.New(t)
+	f := newFleet(t, text(500, "one"), text(500, "one"))
+	response, body, err := f.call("GET", "/lookup/1", "", "")
+	is.NoErr(err)
+	is.Equal(response.StatusCode, 500)
+	is.Equal(response.Header.Get("Mark"), "m")
+	is.Equal(body, "one")
+	is.Equal(len(f.requests()), 2)
+}
+
+// Guards against refusals of requests that may have run.
+func TestTimeoutOfAnOrder(t *testing.T) {
+	is := is.New(t)
+	hang := func(_ net.Conn, br *bufio.Reader, _ *http.Request) bool {
+		_, err := br.ReadByte()
+		return err == nil
+	}
+	f := newFleet(t, hang)
+	begun := time.Now()
+	response, _, err := f.call("POST", "/brief/", "", "x")
+	is.NoErr(err)
+	is.Equal(response.StatusCode, 504)
+	took := time.Since(begun)
+	is.True(took >= 200*time.Millisecond && took < 450*time.Millisecond) // answered at the route's timeout
+}
+
+// Guards against a lookup that waits for a server that hangs while another
+// could answer.
+func TestHangingServerIsLeft(t *testing.T) {
+	is := is.New(t)
+	either := firstThen(func(_ net.Conn, br *bufio.Reader, _ *http.Request) bool {
+		_, err := br.ReadByte()
+		return err == nil
+	}, text(200, "ok"))
+	f := newFleet(t, either, either)
+	response, _, err := f.call("GET", "/lookup/", "", "")
+	is.NoErr(err)
+	is.Equal(response.StatusCode, 200)
+}
+
+func TestNoServer(t *testing.T) {
+	is := is.New(t)
+	f := newFleet(t)
+	response, _, err := f.call("POST", "/order/", "", "x")
+	is.NoErr(err)
+	is.Equal(response.StatusCode, 503)
+	is.True(response.Header.Get("Retry-After") != "")
+}
+
+// Guards against more repeats than the budget allows while all servers fail.
+func TestBudgetBoundsRepeats(t *testing.T) {
+	is := is.New(t)
+	f := newFleet(t, raw(""), raw(""))
+	for range 50 {
+		_, _, err := f.call("GET", "/lookup/", "", "")
+		is.NoErr(err)
+	}
+	repeats := len(f.requests()) - 50
+	is.True(repeats > 5)
+	is.True(repeats <= 10+50/5)
+}
+
+// Guards against work for a caller who has gone, while a server works on the
+// request.
+func TestCallerGone(t *testing.T) {
+	is := is.New(t)
+	ended := make(chan time.Time, 1)
+	f := newFleet(t, func(_ net.Conn, br *bufio.Reader, _ *http.Request) bool {
+		_, err := br.ReadByte()
+		ended <- time.Now()
+		return err == nil
+	})
+	c, err := net.Dial("tcp", f.address)
+	is.NoErr(err)
+	_, _ = io.WriteString(c, "POST /stream/ HTTP/1.1\r\nHost: a.example\r\nId: r1\r\nKey: secret\r\nContent-Length: 1\r\n\r\nx")
+	for len(f.requests()) == 0 {
+		time.Sleep(time.Millisecond)
+	}
+	closed := time.Now()
+	_ = c.Close()
+	is.True((<-ended).Sub(closed) < 500*time.Millisecond)
+}
+
+// Guards against a request that reaches a server after its caller has gone
+// while it waited here for a slot.
+func TestCallerGoneWhileWaiting(t *testing.T) {
+	is := is.New(t)
+	release := make(chan struct{})
+	f := newFleet(t, func(c net.Conn, br *bufio.Reader, r *http.Request) bool {
+		<-release
+		return events(1, true)(c, br, r)
+	})
+	send := func(id int) net.Conn {
+		c, err := net.Dial("tcp", f.address)
+		is.NoErr(err)
+		_, _ = fmt.Fprintf(c, "POST /stream/ HTTP/1.1\r\nHost: a.example\r\nId: r%d\r\nKey: secret\r\nTokens: 100\r\nContent-Length: 1\r\n\r\nx", id)
+		return c
+	}
+	for id := range 4 {
+		defer func(c net.Conn) { _ = c.Close() }(send(id))
+	}
+	for len(f.requests()) < 4 {
+		time.Sleep(time.Millisecond)
+	}
+	waiting := send(5)
+	time.Sleep(50 * time.Millisecond)
+	_ = waiting.Close()
+	time.Sleep(50 * time.Millisecond)
+	close(release)
+	time.Sleep(100 * time.Millisecond)
+	is.Equal(len(f.requests()), 4)
+}
+
+// Guards against lost lines for failed requests: the id leads to the reason
+// and to what was decided on the way.
+func TestFailureIsLogged(t *testing.T) {
+	is := is.New(t)
+	f := newFleet(t, raw(""))
+	_, _, err := f.call("POST", "/order/7", "", "x")
+	is.NoErr(err)
+	f.log.mu.Lock()
+	defer f.log.mu.Unlock()
+	lines := f.log.b.String()
+	for _, want := range []string{`"msg":"send failed","request_id":"r1","server":"s0","sent":true`, `"msg":"request ended","request_id":"r1","status":502,"reason":"no_answer"`} {
+		is.True(strings.Contains(lines, want))
+	}
+}
--- a/gateway/ingress/stream.go
+++ b/gateway/ingress/stream.go
@@ -14,6 +14,8 @@
 
 const relayBuffer = 4 << 10
 
+var errEventTooLong = errors.New("an event of the stream has no end")
+
 // relay passes a stream on, event by event, so that another server can go on
 // after the last whole event.
 func (x *exchange) relay(a *schedule.Assignment, answer *upstream.Response) verdict {
@@ -35,6 +37,9 @@
 				x.reason = reasonGone
 				return giveUp
 			}
+			if len(events.rest()) > maxEventBytes {
+				return x.broken(a, errEventTooLong)
+			}
 		}
 		switch {
 		case err == nil:
--- /dev/null
+++ b/gateway/upstream/upstream_test.go
@@ -0,0 +1,277 @@
+package upstream
+
+import (
+	"bufio"
+	"context"
+	"errors"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+)
+
+// script answers the requests of one connection. n counts connections from 1.
+type script func(n int, c net.Conn, br *bufio.Reader)
+
+// serve runs a raw server and returns its address and the number of
+// connections so far.
+func serve(t *testing.T, s script) (address string, connections *atomic.Int32) {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = l.Close() })
+	connections = &atomic.Int32{}
+	go func() {
+		for {
+			c, err := l.Accept()
+			if err != nil {
+				return
+			}
+			n := int(connections.Add(1))
+			go func() {
+				defer func() { _ = c.Close() }()
+				s(n, c, bufio.NewReader(c))
+			}()
+		}
+	}()
+	return l.Addr().String(), connections
+}
+
+// readRequest reads one request with its body.
+func readRequest(br *bufio.Reader) (*http.Request, string, error) {
+	r, err := http.ReadRequest(br)
+	if err != nil {
+		return nil, "", err
+	}
+	body, err := io.ReadAll(r.Body)
+	return r, string(body), err
+}
+
+func get(id string) *Request {
+	return &Request{Method: http.MethodGet, Head: []byte("GET /x HTTP/1.1\r\nHost: h\r\nId: " + id + "\r\n\r\n"),
+		Belongs: func(h http.Header) bool { return h.Get("Id") == "" || h.Get("Id") == id }}
+}
+
+// fetch makes one request and returns the body; the connection is kept if it
+// was read whole.
+func fetch(c *Client, address string, r *Request) (string, error) {
+	ctx, cancel := context.WithTimeout(context.Background(), 5*time.Second)
+	defer cancel()
+	answer, err := c.Do(ctx, address, r)
+	if err != nil {
+		return "", err
+	}
+	body, err := io.ReadAll(answer.Body)
+	answer.Close(err == nil)
+	return string(body), err
+}
+
+// answering answers all requests of a connection with one text.
+func answering(text string) script {
+	return func(_ int, c net.Conn, br *bufio.Reader) {
+		for {
+			if _, _, err := readRequest(br); err != nil {
+				return
+			}
+			_, _ = io.WriteString(c, text)
+		}
+	}
+}
+
+// Each case states how many connections two requests need.
+func TestReuseOfConnections(t *testing.T) {
+	ok := "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok"
+	for _, c := range []struct {
+		name, answer string
+		want         int32
+	}{
+		{"whole answer", ok, 1},
+		{"chunked answer", "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nok\r\n0\r\n\r\n", 1},
+		{"bytes after the answer", ok + "HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nwrong", 2},
+		{"server closes", "HTTP/1.1 200 OK\r\nConnection: close\r\nContent-Length: 2\r\n\r\nok", 2},
+		{"timeout of zero", "HTTP/1.1 200 OK\r\nKeep-Alive: timeout=0\r\nContent-Length: 2\r\n\r\nok", 2},
+		{"timeout of a minute", "HTTP/1.1 200 OK\r\nKeep-Alive: timeout=60\r\nContent-Length: 2\r\n\r\nok", 1},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			is := is.New(t)
+			address, connections := serve(t, answering(c.answer))
+			client := New()
+			for range 2 {
+				body, err := fetch(client, address, get("1"))
+				is.NoErr(err)
+				is.Equal(body, "ok")
+			}
+			is.Equal(connections.Load(), c.want)
+		})
+	}
+}
+
+// Guards against an answer to an earlier request that arrives where the next
+// one is expected.
+func TestLateAnswerIsSkipped(t *testing.T) {
+	is := is.New(t)
+	address, _ := serve(t, func(_ int, c net.Conn, br *bufio.Reader) {
+		for {
+			r, _, err := readRequest(br)
+			if err != nil {
+				return
+			}
+			if r.Header.Get("Id") == "2" {
+				_, _ = io.WriteString(c, "HTTP/1.1 200 OK\r\nId: 1\r\nContent-Length: 5\r\n\r\nwrong")
+			}
+			_, _ = io.WriteString(c, "HTTP/1.1 200 OK\r\nId: "+r.Header.Get("Id")+"\r\nContent-Length: 2\r\n\r\nok")
+		}
+	})
+	client := New()
+	for _, id := range []string{"1", "2", "3"} {
+		body, err := fetch(client, address, get(id))
+		is.NoErr(err)
+		is.Equal(body, "ok")
+	}
+}
+
+// Guards against broken answers that pass as whole, and against repetition by
+// the client: the server sees each request once.
+func TestBrokenAnswers(t *testing.T) {
+	for name, answer := range map[string]string{
+		"cut body":       "HTTP/1.1 200 OK\r\nContent-Length: 10\r\n\r\nhalf",
+		"cut chunk":      "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\na\r\nhalf",
+		"no last chunk":  "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n4\r\nhalf\r\n",
+		"no answer":      "",
+		"not a response": "\x00\x01garbage\r\n\r\n",
+		"cut head":       "HTTP/1.1 200 OK\r\nContent-",
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			var requests atomic.Int32
+			address, _ := serve(t, func(_ int, c net.Conn, br *bufio.Reader) {
+				if _, _, err := readRequest(br); err == nil {
+					requests.Add(1)
+				}
+				_, _ = io.WriteString(c, answer)
+			})
+			_, err := fetch(New(), address, get("1"))
+			is.True(err != nil)
+			is.Equal(requests.Load(), int32(1))
+		})
+	}
+}
+
+// Guards against an answer without length that was reset and passes as whole.
+func TestResetIsNotAnEnd(t *testing.T) {
+	is := is.New(t)
+	address, _ := serve(t, func(_ int, c net.Conn, br *bufio.Reader) {
+		_, _, _ = readRequest(br)
+		_, _ = io.WriteString(c, "HTTP/1.1 200 OK\r\n\r\nhalf")
+		time.Sleep(50 * time.Millisecond)
+		_ = c.(*net.TCPConn).SetLinger(0)
+	})
+	_, err := fetch(New(), address, get("1"))
+	is.True(err != nil)
+}
+
+// Guards against the loss of the fact that nothing was sent.
+func TestUnreachable(t *testing.T) {
+	is := is.New(t)
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	is.NoErr(err)
+	address := l.Addr().String()
+	is.NoErr(l.Close())
+	_, err = fetch(New(), address, get("1"))
+	var failed *Error
+	is.True(errors.As(err, &failed))
+	is.True(!failed.Sent)
+}
+
+// Guards against other bytes where the rest of a body is due: the server
+// answers before it has read a long body.
+func TestEarlyAnswer(t *testing.T) {
+	is := is.New(t)
+	address, connections := serve(t, func(n int, c net.Conn, br *bufio.Reader) {
+		if n == 1 {
+			_, _ = br.ReadString('\n')
+			_, _ = io.WriteString(c, "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok")
+			time.Sleep(2 * time.Second)
+			return
+		}
+		answering("HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok")(n, c, br)
+	})
+	client := New()
+	body := strings.Repeat("x", 16<<20)
+	r := &Request{Method: http.MethodPost, Head: []byte("POST /x HTTP/1.1\r\nHost: h\r\nContent-Length: 16777216\r\n\r\n"), Body: []byte(body)}
+	for range 2 {
+		got, err := fetch(client, address, r)
+		is.NoErr(err)
+		is.Equal(got, "ok")
+	}
+	is.Equal(connections.Load(), int32(2))
+}
+
+// Guards against a server that works on after its caller has gone.
+func TestCancelClosesTheConnection(t *testing.T) {
+	is := is.New(t)
+	gone := make(chan time.Time, 1)
+	address, _ := serve(t, func(_ int, _ net.Conn, br *bufio.Reader) {
+		_, _, _ = readRequest(br)
+		_, _ = br.ReadByte()
+		gone <- time.Now()
+	})
+	ctx, cancel := context.WithCancel(context.Background())
+	begun := time.Now()
+	time.AfterFunc(50*time.Millisecond, cancel)
+	_, err := New().Do(ctx, address, get("1"))
+	is.True(errors.Is(err, context.Canceled))
+	is.True((<-gone).Sub(begun) < 500*time.Millisecond)
+}
+
+// Guards against an order on a connection that the server may have dropped.
+func TestOrdersUseFreshConnections(t *testing.T) {
+	is := is.New(t)
+	address, connections := serve(t, answering("HTTP/1.1 200 OK\r\nKeep-Alive: timeout=60\r\nContent-Length: 2\r\n\r\nok"))
+	client := New()
+	order := get("1")
+	order.Once = true
+	_, err := fetch(client, address, order)
+	is.NoErr(err)
+	client.mu.Lock()
+	client.idle[address][0].since = time.Now().Add(-freshIdle - time.Millisecond)
+	client.mu.Unlock()
+	_, err = fetch(client, address, order)
+	is.NoErr(err)
+	is.Equal(connections.Load(), int32(2))
+}
+
+// Guards against a request on a connection that the server has closed.
+func TestClosedConnectionIsNoticed(t *testing.T) {
+	is := is.New(t)
+	address, connections := serve(t, func(_ int, c net.Conn, br *bufio.Reader) {
+		_, _, _ = readRequest(br)
+		_, _ = io.WriteString(c, "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok")
+	})
+	client := New()
+	for range 3 {
+		_, err := fetch(client, address, get("1"))
+		is.NoErr(err)
+		time.Sleep(20 * time.Millisecond)
+	}
+	is.Equal(connections.Load(), int32(3))
+}
+
+func TestSweepClosesIdleConnections(t *testing.T) {
+	is := is.New(t)
+	address, _ := serve(t, answering("HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok"))
+	client := New()
+	_, err := fetch(client, address, get("1"))
+	is.NoErr(err)
+	client.Sweep(time.Now())
+	is.Equal(len(client.idle), 1)
+	client.Sweep(time.Now().Add(defaultIdle + time.Second))
+	is.Equal(len(client.idle), 0)
+}
