--- a/gateway/follow/follow.go
+++ b/gateway/follow/follow.go
@@ -12,7 +12,7 @@
 
 const (
 	// WatchWait is how long the store may hold a watch without a change.
-	WatchWait = 20 * time.Second
+	WatchWait = 30 * time.Second
 	// minBackoff and maxBackoff bound the pause after a failed call. Calls are
 	// priced, refused ones too.
 	minBackoff = 150 * time.Millisecond
@@ -71,6 +71,9 @@
 	Prefix  string
 	Handler Handler
 	Log     *slog.Logger
+	// Gather is the time after a change before the next call, so that changes
+	// that come together cost one call.
+	Gather time.Duration
 
 	revisions map[string]int64
 	after     int64
@@ -131,9 +134,23 @@
 		f.revisions[item.Key] = item.Revision
 		f.Handler.Change(item)
 	}
+	if len(items) > 0 {
+		sleep(ctx, f.Gather)
+	}
 	return nil
 }
 
+// sleep waits for d or until ctx ends.
+func sleep(ctx context.Context, d time.Duration) {
+	if d <= 0 {
+		return
+	}
+	select {
+	case <-ctx.Done():
+	case <-time.After(d):
+	}
+}
+
 func (f *Follower) succeeded() {
 	f.backoff = 0
 	if f.failing {
@@ -150,9 +167,5 @@
 	}
 	f.Handler.Failed(err)
 	f.backoff = min(max(f.backoff*2, minBackoff), maxBackoff)
-	pause := f.backoff/2 + rand.N(f.backoff/2)
-	select {
-	case <-ctx.Done():
-	case <-time.After(pause):
-	}
+	sleep(ctx, f.backoff/2+rand.N(f.backoff/2))
 }
--- a/gateway/node/node.go
+++ b/gateway/node/node.go
@@ -32,9 +32,17 @@
 	// peersPrefix is where the gateways enter themselves in the store.
 	peersPrefix = "gateways/"
 	// leaseTime is how long the entry of a dead gateway stays.
-	leaseTime = 6 * time.Second
+	leaseTime = 20 * time.Second
 	// renewInterval is the time between renewals of the lease.
-	renewInterval = 2 * time.Second
+	renewInterval = 6 * time.Second
+	// retryEntry is the time after which a failed write of the entry is tried
+	// again.
+	retryEntry = 2 * time.Second
+	// gatherServers and gatherPeers are how long changes gather before the
+	// next call. A leaving server may get work for 2 s and more; the list of
+	// peers is a hint.
+	gatherServers = 200 * time.Millisecond
+	gatherPeers   = 2 * time.Second
 	// sweepInterval is the time between looks at idle connections and at
 	// servers that have vanished.
 	sweepInterval = 250 * time.Millisecond
@@ -210,8 +218,8 @@
 func (n *Node) followAll(ctx context.Context, group *errgroup.Group) {
 	followers := []*follow.Follower{
 		{Prefix: n.protocol.ConfigKey, Handler: &configHandler{node: n}},
-		{Prefix: n.protocol.ServersPrefix, Handler: &serverHandler{node: n}},
-		{Prefix: peersPrefix, Handler: &peerHandler{node: n, known: map[string]netip.AddrPort{}}},
+		{Prefix: n.protocol.ServersPrefix, Handler: &serverHandler{node: n}, Gather: gatherServers},
+		{Prefix: peersPrefix, Handler: &peerHandler{node: n, known: map[string]netip.AddrPort{}}, Gather: gatherPeers},
 	}
 	for _, f := range followers {
 		f.Store, f.Log = n.protocol.Store, n.options.Log
@@ -249,13 +257,15 @@
 			lease = 0
 			continue
 		}
-		if err != nil && ctx.Err() == nil {
+		pause := renewInterval
+		if err != nil {
+			pause = retryEntry
 			n.options.Log.Debug("own entry not renewed", "error", err.Error())
 		}
 		select {
 		case <-ctx.Done():
 			return nil
-		case <-time.After(renewInterval):
+		case <-time.After(pause):
 		}
 	}
 }
