--- a/gateway/ingress/harness_test.go
+++ b/gateway/ingress/harness_test.go
@@ -111,7 +111,7 @@
 		t.Fatal(err)
 	}
 	log := slog.New(slog.NewJSONHandler(f.log, nil))
-	f.gateway = New(Options{Wire: testWire{}, Scheduler: schedule.New(reg, "dc"), Client: upstream.New(), Log: log, Metrics: metrics,
+	f.gateway = New(Options{Wire: testWire{}, Scheduler: schedule.New(reg, "vm", "dc"), Client: upstream.New(), Log: log, Metrics: metrics,
 		Reserver: reserve.New(noMemory{}, log), Processes: func() int { return 1 },
 		Budget: retry.WindowConfig{Span: 10 * time.Second, Ratio: 0.2, Extra: 10}})
 	f.gateway.SetTable(testTable())
--- a/gateway/node/node.go
+++ b/gateway/node/node.go
@@ -4,6 +4,7 @@
 
 import (
 	"context"
+	"encoding/json"
 	"errors"
 	"fmt"
 	"log/slog"
@@ -101,7 +102,7 @@
 func New(o Options, p Protocol) (*Node, error) {
 	n := &Node{options: o, protocol: p, client: upstream.New(), stop: make(chan struct{})}
 	n.registry = registry.New(n.serverChanged)
-	n.schedule = schedule.New(n.registry, o.DataCentre)
+	n.schedule = schedule.New(n.registry, o.VM, o.DataCentre)
 	n.schedule.OnSuspect = func(service, id string) {
 		o.Log.Warn("server avoided", "service", service, "server", id)
 	}
@@ -219,7 +220,7 @@
 	followers := []*follow.Follower{
 		{Prefix: n.protocol.ConfigKey, Handler: &configHandler{node: n}},
 		{Prefix: n.protocol.ServersPrefix, Handler: &serverHandler{node: n}, Gather: gatherServers},
-		{Prefix: peersPrefix, Handler: &peerHandler{node: n, known: map[string]netip.AddrPort{}}, Gather: gatherPeers},
+		{Prefix: peersPrefix, Handler: &peerHandler{node: n, known: map[string]peer{}}, Gather: gatherPeers},
 	}
 	for _, f := range followers {
 		f.Store, f.Log = n.protocol.Store, n.options.Log
@@ -270,12 +271,22 @@
 	}
 }
 
+// entry is what a gateway writes of itself.
+type entry struct {
+	Address    string `json:"address"` // of the peers' port
+	DataCentre string `json:"data_centre"`
+}
+
 func (n *Node) writeEntry(ctx context.Context) (int64, error) {
+	value, err := json.Marshal(entry{Address: n.options.Peers, DataCentre: n.options.DataCentre})
+	if err != nil {
+		return 0, fmt.Errorf("encode the own entry: %w", err)
+	}
 	lease, err := n.protocol.Store.Grant(ctx, leaseTime)
 	if err != nil {
 		return 0, err
 	}
-	if err := n.protocol.Store.Put(ctx, peersPrefix+n.options.VM, []byte(n.options.Peers), lease); err != nil {
+	if err := n.protocol.Store.Put(ctx, peersPrefix+n.options.VM, value, lease); err != nil {
 		return 0, err
 	}
 	return lease, nil
@@ -385,7 +396,12 @@
 // peerHandler keeps the list of the other gateways.
 type peerHandler struct {
 	node  *Node
-	known map[string]netip.AddrPort
+	known map[string]peer // by VM
+}
+
+type peer struct {
+	address    netip.AddrPort
+	dataCentre string
 }
 
 // Replace implements follow.Handler.
@@ -406,23 +422,30 @@
 func (h *peerHandler) note(item follow.Item) {
 	vm := strings.TrimPrefix(item.Key, peersPrefix)
 	delete(h.known, vm)
-	if item.Deleted {
+	if item.Deleted || vm == h.node.options.VM {
 		return
 	}
-	address, err := netip.ParseAddrPort(string(item.Value))
-	if err != nil {
-		h.node.options.Log.Warn("entry names no gateway", "key", item.Key, "error", err.Error())
-		return
+	var e entry
+	err := json.Unmarshal(item.Value, &e)
+	if err == nil {
+		var address netip.AddrPort
+		if address, err = netip.ParseAddrPort(e.Address); err == nil {
+			h.known[vm] = peer{address: address, dataCentre: e.DataCentre}
+			return
+		}
 	}
-	h.known[vm] = address
+	h.node.options.Log.Warn("entry names no gateway", "key", item.Key, "error", err.Error())
 }
 
 func (h *peerHandler) publish() {
-	peers := make(map[string]netip.AddrPort, len(h.known))
-	for vm, address := range h.known {
-		peers[vm] = address
+	addresses := make(map[string]netip.AddrPort, len(h.known))
+	gateways := []schedule.Gateway{{VM: h.node.options.VM, DataCentre: h.node.options.DataCentre}}
+	for vm, p := range h.known {
+		addresses[vm] = p.address
+		gateways = append(gateways, schedule.Gateway{VM: vm, DataCentre: p.dataCentre})
 	}
-	h.node.peers.SetPeers(peers)
+	h.node.peers.SetPeers(addresses)
+	h.node.schedule.SetGateways(gateways)
 }
 
 // Failed implements follow.Handler.
--- a/gateway/schedule/schedule.go
+++ b/gateway/schedule/schedule.go
@@ -9,6 +9,7 @@
 import (
 	"context"
 	"fmt"
+	"math/rand/v2"
 	"slices"
 	"sync"
 	"time"
@@ -33,6 +34,9 @@
 	// rateWeight is the weight of the newest interval between placements in
 	// the forecast of the queue.
 	rateWeight = 0.1
+	// tieMillis is the range of the random difference between engines that are
+	// alike, so that gateways do not all take the same helpers.
+	tieMillis = 4
 	// minRetryAfter and maxRetryAfter bound the delay that a refused caller is
 	// told.
 	minRetryAfter = 200 * time.Millisecond
@@ -109,6 +113,7 @@
 	interval   time.Duration
 	lastPlaced time.Time
 	candidates []dispatch.Candidate
+	homes      homes
 	// OnSuspect is called when a server starts to be avoided.
 	OnSuspect func(service, id string)
 	// OnPlaced is called, with the lock held, when a prompt was placed.
@@ -125,9 +130,9 @@
 	err        error
 }
 
-// New returns a scheduler of a process in dataCentre.
-func New(r *registry.Registry, dataCentre string) *Scheduler {
-	return &Scheduler{registry: r, dataCentre: dataCentre, board: dispatch.NewBoard(),
+// New returns a scheduler of the gateway on a VM in dataCentre.
+func New(r *registry.Registry, vm, dataCentre string) *Scheduler {
+	return &Scheduler{registry: r, dataCentre: dataCentre, homes: newHomes(vm, dataCentre), board: dispatch.NewBoard(),
 		trackers: map[string]*suspect.Tracker{}, demand: map[string]*dispatch.Demand{}, OnSuspect: func(string, string) {}, OnPlaced: func() {}}
 }
 
@@ -313,7 +318,8 @@
 func (s *Scheduler) look(servers []*registry.Server, now time.Time) {
 	s.candidates = s.candidates[:0]
 	for i, server := range servers {
-		s.candidates = append(s.candidates, dispatch.Candidate{Index: i, Load: s.board.Load(server.ID, now), Local: server.DataCentre == s.dataCentre})
+		s.candidates = append(s.candidates, dispatch.Candidate{Index: i, Load: s.board.Load(server.ID, now),
+			Local: server.DataCentre == s.dataCentre, Home: s.homes.isHome(server), PenaltyMillis: rand.Float64() * tieMillis})
 	}
 }
 
@@ -412,6 +418,13 @@
 	s.drainQueue(time.Now())
 }
 
+// SetGateways replaces the list of the gateways, this one included.
+func (s *Scheduler) SetGateways(gateways []Gateway) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.homes.set(gateways)
+}
+
 // Forget drops the suspicion of a server that has restarted or gone.
 func (s *Scheduler) Forget(service, id string) {
 	s.mu.Lock()
--- a/policy/dispatch/plan.go
+++ b/policy/dispatch/plan.go
@@ -20,6 +20,9 @@
 	// shorter pauses from now on: short answers are kept together, so that
 	// other engines can read long prompts without harm.
 	openMillis = 25
+	// awayMillis is what an engine must gain that another gateway prefers:
+	// gateways choose at the same time, and would all take the same engine.
+	awayMillis = 15
 	// harmPerGap times the longest pause that an answer allows is the price of
 	// exceeding it, for each answer of the engine: callers of long answers
 	// allow longer pauses.
@@ -45,6 +48,8 @@
 	Load  Load
 	// Local engines are in the data centre of the chooser.
 	Local bool
+	// Home engines are those that this chooser prefers and no other does.
+	Home bool
 	// PenaltyMillis is added to its expected time, for suspicion and alike.
 	PenaltyMillis float64
 }
@@ -140,6 +145,9 @@
 		if p.GapMillis > 0 && (k.Load.GapMillis == 0 || k.Load.GapMillis > p.GapMillis) {
 			r.open = openMillis
 		}
+		if !k.Home {
+			r.open += awayMillis
+		}
 		r.room = k.Load.Writers+k.Load.Waiting < e.Slots && k.Load.Context+p.Tokens+p.Answer <= e.MemoryTokens
 		c.order = append(c.order, r)
 	}
--- a/policy/dispatch/plan_test.go
+++ b/policy/dispatch/plan_test.go
@@ -25,7 +25,7 @@
 func candidates(loads ...Load) []Candidate {
 	out := make([]Candidate, len(loads))
 	for i, l := range loads {
-		out[i] = Candidate{Index: i, Load: l, Local: true}
+		out[i] = Candidate{Index: i, Load: l, Local: true, Home: true}
 	}
 	return out
 }
