Round the work that peers tell to the nearest small step

Each of 25 peers rounded any rest up to 2048 tokens, so that engines seemed to read 11,000 tokens that nobody had sent; first tokens were expected after 480 ms and came after 90.

--- a/gateway/peers/peers.go
+++ b/gateway/peers/peers.go
@@ -163,7 +163,7 @@
 		working[id] = true
 		load := &wire.ServerLoad{Server: id, Writers: uint32(l.Writers), Waiting: uint32(l.Waiting),
 			Helping: uint32(l.Helping), ContextTokens: uint32(l.Context), GapMs: uint32(l.GapMillis),
-			ReadingTokens: roundUp(l.Reading.Tokens, tokenStep), ReadingMillionPairs: roundUp(l.Reading.MillionPairs, pairStep)}
+			ReadingTokens: round(l.Reading.Tokens, tokenStep), ReadingMillionPairs: round(l.Reading.MillionPairs, pairStep)}
 		if !complete && proto.Equal(load, sent[id]) {
 			return
 		}
@@ -183,13 +183,14 @@
 }
 
 // Steps to which the work that is left is rounded, so that its steady decrease
-// is not a change each time.
+// is not a change each time. A receiver adds up what all peers have in work, so
+// the steps are far smaller than a usual prompt.
 const (
-	tokenStep = 2048
-	pairStep  = 128
+	tokenStep = 512
+	pairStep  = 32
 )
 
-func roundUp(x, step float64) float32 { return float32(math.Ceil(x/step) * step) }
+func round(x, step float64) float32 { return float32(math.Round(x/step) * step) }
 
 func (e *Exchange) receive(ctx context.Context, conn *net.UDPConn) error {
 	buffer := make([]byte, maxDatagram)
