Stand-in for the users' platform and a fault soak of gateways

The soak runs gateways as separate processes; faults come from outside, in series that overlap: signals, loopback proxies, a store that is busy, resets, says nothing or forgets, servers that crash, drain or spoil answers. It checks what callers and servers see.

--- a/Makefile
+++ b/Makefile
@@ -3,7 +3,7 @@
 PACKAGES = $$(go list work)
 GOFILES  = $$(git ls-files '*.go' | grep -v '\.pb\.go$$')
 
-.PHONY: all build test check fmt vet lint generate generated demo bench soak tidy
+.PHONY: all build test check fmt vet lint generate generated wire-names demo bench soak gateway-soak tidy
 
 all: check test
 
@@ -15,7 +15,7 @@
 test:
 	@sh .ci/test
 
-check: fmt vet lint generated
+check: fmt vet lint generated wire-names
 
 fmt:
 	@out=$$(gofmt -l $(GOFILES)); if [ -n "$$out" ]; then echo "not formatted: $$out"; exit 1; fi
@@ -42,6 +42,16 @@
 soak: build
 	bin/soak -bin bin $(SOAK)
 
+# Plays seeds of faults against gateways before stand-ins of the users'
+# platform; see bin/gatewaysoak -h for the flags.
+# Example: make gateway-soak SOAK='-seed 100 -seeds 50 -jobs 4'
+gateway-soak: build
+	bin/gatewaysoak -bin bin $(SOAK)
+
+# Fails if names of the platform's protocol stand outside its adapter.
+wire-names:
+	.ci/wire-names
+
 # Measures the decision modules in virtual time at the committed loads and
 # seeds, and writes tables and plots to out/bench. Equal on every run.
 bench:
--- a/gateway/node/node.go
+++ b/gateway/node/node.go
@@ -126,7 +126,7 @@
 }
 
 func (n *Node) serverChanged(c registry.Change) {
-	n.options.Log.Info("server "+c.What, "server", c.Server.ID, "service", c.Server.Service, "address", c.Server.Address, "data_centre", c.Server.DataCentre)
+	n.options.Log.Info("server "+c.What, "server", c.Server.ID, "service", c.Server.Service, "address", c.Server.Address, "server_data_centre", c.Server.DataCentre)
 	switch c.What {
 	case "added", "restarted":
 		n.schedule.Forget(c.Server.Service, c.Server.ID)
--- /dev/null
+++ b/standin/fleetsim/server.go
@@ -0,0 +1,200 @@
+package fleetsim
+
+import (
+	"bufio"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strconv"
+	"strings"
+	"sync"
+	"time"
+)
+
+// Fault is what a server does to a request.
+type Fault uint8
+
+// Faults of a server.
+const (
+	NoFault      Fault = iota
+	RefuseRun          // 503 that says the request did not run
+	CloseUnrun         // the connection is closed before the run
+	CloseRun           // the request runs and its answer is lost
+	CutAnswer          // the answer breaks off in the middle
+	ExtraAnswer        // a second answer follows the first
+	HangRun            // the request runs and no answer comes for hangTime
+	OwnError           // the request runs and fails with 500
+	faultsNumber = iota
+)
+
+// Faults is the number of faults, NoFault included.
+const Faults = faultsNumber
+
+const hangTime = 3 * time.Second
+
+// Run is one run of a request at a server.
+type Run struct {
+	Server, RequestID, Tenant, Key, Line, Body string
+	// From is the first event of a stream.
+	From int
+	At   time.Time
+}
+
+// Server is a backend server. It answers orders and lookups with a body that
+// names the request, and streams with numbered events.
+type Server struct {
+	ID, Service string
+	// Events is the length of a stream, Pause the time between its events.
+	Events int
+	Pause  time.Duration
+	// Fault chooses what happens to a request; nil for none.
+	Fault func() Fault
+	// OnRun is called when a request begins to run.
+	OnRun func(Run)
+
+	listener net.Listener
+	mu       sync.Mutex
+	open     map[net.Conn]bool
+	closed   bool
+}
+
+// Start opens a port on the loopback interface and serves.
+func (s *Server) Start() error {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return fmt.Errorf("start server %s: %w", s.ID, err)
+	}
+	s.listener, s.open = l, map[net.Conn]bool{}
+	go func() {
+		for {
+			c, err := l.Accept()
+			if err != nil {
+				return
+			}
+			s.mu.Lock()
+			s.open[c] = true
+			closed := s.closed
+			s.mu.Unlock()
+			if closed {
+				_ = c.Close()
+				return
+			}
+			go s.serve(c)
+		}
+	}()
+	return nil
+}
+
+// Address returns the host and port.
+func (s *Server) Address() string { return s.listener.Addr().String() }
+
+// Crash closes the port and all connections at once.
+func (s *Server) Crash() {
+	_ = s.listener.Close()
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.closed = true
+	for c := range s.open {
+		_ = c.Close()
+	}
+}
+
+// Entry returns the registry entry of the server.
+func (s *Server) Entry(address, zone, state string) map[string]any {
+	return map[string]any{"service": s.Service, "address": address, "zone": zone, "version": "v1", "slotCount": 8, "state": state,
+		"coldLeftMs": 0, "sequence": 1, "born": 1764547200000}
+}
+
+func (s *Server) serve(c net.Conn) {
+	defer func() {
+		_ = c.Close()
+		s.mu.Lock()
+		delete(s.open, c)
+		s.mu.Unlock()
+	}()
+	br := bufio.NewReader(c)
+	for {
+		r, err := http.ReadRequest(br)
+		if err != nil {
+			return
+		}
+		body, err := io.ReadAll(r.Body)
+		if err != nil || !s.handle(c, r, string(body)) {
+			return
+		}
+	}
+}
+
+// handle answers one request; false ends the connection.
+func (s *Server) handle(c net.Conn, r *http.Request, body string) bool {
+	id := r.Header.Get("X-Attempt-Id")
+	if expected := r.Header.Get("X-Expect-Instance"); expected != "" && expected != s.ID {
+		return write(c, "HTTP/1.1 421 Misdirected Request\r\nX-Instance-Id: %s\r\nContent-Length: 0\r\n\r\n", s.ID)
+	}
+	fault := NoFault
+	if s.Fault != nil {
+		fault = s.Fault()
+	}
+	switch fault {
+	case RefuseRun:
+		return write(c, "HTTP/1.1 503 Busy\r\nX-Attempt-Id: %s\r\nX-Not-Executed: 1\r\nContent-Length: 0\r\n\r\n", id)
+	case CloseUnrun:
+		return false
+	}
+	from, _ := strconv.Atoi(r.Header.Get("Last-Event-Id")) // 0 without one
+	s.OnRun(Run{Server: s.ID, RequestID: id, Tenant: r.Header.Get("X-Tenant"), Key: r.Header.Get("X-Api-Key"),
+		Line: r.Method + " " + r.RequestURI, Body: body, From: from + 1, At: time.Now()})
+	switch fault {
+	case CloseRun:
+		return false
+	case HangRun:
+		time.Sleep(hangTime)
+		return false
+	case OwnError:
+		return write(c, "HTTP/1.1 500 Error\r\nX-Attempt-Id: %s\r\nX-Server-Stamp: %s\r\nContent-Length: 0\r\n\r\n", id, s.ID)
+	}
+	if strings.HasPrefix(r.RequestURI, "/stream/") {
+		return s.stream(c, id, from, fault)
+	}
+	return s.answer(c, id, fault)
+}
+
+// Body is the whole answer to an order or a lookup.
+func Body(requestID string) string { return "answer to " + requestID }
+
+func (s *Server) answer(c net.Conn, id string, fault Fault) bool {
+	text := Body(id)
+	head := fmt.Sprintf("HTTP/1.1 200 OK\r\nX-Attempt-Id: %s\r\nX-Server-Stamp: %s\r\nContent-Length: %d\r\n\r\n", id, s.ID, len(text))
+	switch fault {
+	case CutAnswer:
+		write(c, "%s%s", head, text[:len(text)/2])
+		return false
+	case ExtraAnswer:
+		return write(c, "%s%s%s%s", head, text, head, text)
+	}
+	return write(c, "%s%s", head, text)
+}
+
+// Event is one event of a stream.
+func Event(id int) string { return fmt.Sprintf("id: %d\ndata: event %d\n\n", id, id) }
+
+func (s *Server) stream(c net.Conn, id string, from int, fault Fault) bool {
+	write(c, "HTTP/1.1 200 OK\r\nX-Attempt-Id: %s\r\nX-Server-Stamp: %s\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n", id, s.ID)
+	for n := from + 1; n <= s.Events; n++ {
+		if fault == CutAnswer && n == from+3 {
+			write(c, "%x\r\n%s", len(Event(n)), Event(n)[:5])
+			return false
+		}
+		if !write(c, "%x\r\n%s\r\n", len(Event(n)), Event(n)) {
+			return false
+		}
+		time.Sleep(s.Pause)
+	}
+	return write(c, "0\r\n\r\n")
+}
+
+func write(c net.Conn, format string, args ...any) bool {
+	_, err := fmt.Fprintf(c, format, args...)
+	return err == nil
+}
--- /dev/null
+++ b/standin/fleetsim/store.go
@@ -0,0 +1,310 @@
+// Package fleetsim is a stand-in for the users' platform in tests: its store
+// and the backend servers that register themselves there. It follows the
+// platform's published protocol and shares no code with the product.
+package fleetsim
+
+import (
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"sort"
+	"strconv"
+	"strings"
+	"sync"
+	"time"
+)
+
+// Mode is how a store treats its callers.
+type Mode string
+
+// Modes of a store.
+const (
+	Serving Mode = ""
+	Busy    Mode = "busy"   // 503 to every call
+	Reset   Mode = "reset"  // every connection is cut
+	Silent  Mode = "silent" // no call is answered
+)
+
+const (
+	pageItems = 50
+	// silence bounds how long a silent store holds a call.
+	silence = 10 * time.Second
+)
+
+type item struct {
+	Key      string `json:"key"`
+	Value    []byte `json:"value,omitempty"`
+	Revision int64  `json:"revision"`
+	Created  int64  `json:"created,omitempty"`
+	LeaseID  int64  `json:"leaseId,omitempty"`
+	Deleted  bool   `json:"deleted,omitempty"`
+}
+
+// Store is the platform's store. It implements http.Handler and is safe for
+// concurrent use.
+type Store struct {
+	mu        sync.Mutex
+	revision  int64
+	items     map[string]item
+	history   []item
+	compacted int64 // changes up to here are gone
+	leases    map[int64]*lease
+	nextLease int64
+	changed   chan struct{} // closed at each change
+	mode      Mode
+	calls     map[string]int
+}
+
+type lease struct {
+	ttl time.Duration
+	end time.Time
+}
+
+// NewStore returns an empty store.
+func NewStore() *Store {
+	return &Store{revision: 1, items: map[string]item{}, leases: map[int64]*lease{}, changed: make(chan struct{}), calls: map[string]int{}}
+}
+
+// SetMode changes how callers are treated. Waiting watches are cut.
+func (s *Store) SetMode(m Mode) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.mode = m
+	s.wake()
+}
+
+// Compact drops the history and cuts the waiting watches.
+func (s *Store) Compact() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.history, s.compacted = nil, s.revision
+	s.wake()
+}
+
+// Calls returns the number of calls by kind.
+func (s *Store) Calls() map[string]int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	out := make(map[string]int, len(s.calls))
+	for kind, n := range s.calls {
+		out[kind] = n
+	}
+	return out
+}
+
+// Write stores a key as the operator or a server would.
+func (s *Store) Write(key string, value any) error {
+	data, err := json.Marshal(value)
+	if err != nil {
+		return fmt.Errorf("encode %s: %w", key, err)
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.put(item{Key: key, Value: data})
+	return nil
+}
+
+// Remove deletes a key.
+func (s *Store) Remove(key string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.drop(key)
+}
+
+// put stores an item under the next revision. mu is held.
+func (s *Store) put(i item) {
+	s.revision++
+	i.Revision, i.Created = s.revision, s.revision
+	if old, ok := s.items[i.Key]; ok {
+		i.Created = old.Created
+	}
+	s.items[i.Key] = i
+	s.history = append(s.history, i)
+	s.wake()
+}
+
+// drop deletes an item. mu is held.
+func (s *Store) drop(key string) {
+	if _, ok := s.items[key]; !ok {
+		return
+	}
+	s.revision++
+	delete(s.items, key)
+	s.history = append(s.history, item{Key: key, Revision: s.revision, Deleted: true})
+	s.wake()
+}
+
+func (s *Store) wake() {
+	close(s.changed)
+	s.changed = make(chan struct{})
+}
+
+// expire drops the keys of leases that have ended. mu is held.
+func (s *Store) expire(now time.Time) {
+	for id, l := range s.leases {
+		if now.Before(l.end) {
+			continue
+		}
+		delete(s.leases, id)
+		for key, i := range s.items {
+			if i.LeaseID == id {
+				s.drop(key)
+			}
+		}
+	}
+}
+
+// ServeHTTP implements http.Handler.
+func (s *Store) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	kind := strings.TrimPrefix(r.URL.Path, "/-/kv-")
+	s.mu.Lock()
+	s.calls[strings.SplitN(kind, "/", 2)[0]]++
+	mode := s.mode
+	s.expire(time.Now())
+	s.mu.Unlock()
+	switch mode {
+	case Busy:
+		w.WriteHeader(http.StatusServiceUnavailable)
+		return
+	case Reset:
+		panic(http.ErrAbortHandler)
+	case Silent:
+		select {
+		case <-r.Context().Done():
+		case <-time.After(silence):
+		}
+		panic(http.ErrAbortHandler)
+	}
+	switch {
+	case kind == "range":
+		s.serveRange(w, r)
+	case kind == "watch":
+		s.serveWatch(w, r)
+	case kind == "txn":
+		s.serveTxn(w, r)
+	case kind == "lease":
+		s.serveLease(w, r)
+	case strings.HasPrefix(kind, "keep/"):
+		s.serveKeep(w, strings.TrimPrefix(kind, "keep/"))
+	default:
+		w.WriteHeader(http.StatusNotFound)
+	}
+}
+
+func reply(w http.ResponseWriter, body any) {
+	w.Header().Set("Content-Type", "application/json")
+	_ = json.NewEncoder(w).Encode(body) // a caller that is gone needs no answer
+}
+
+func (s *Store) serveRange(w http.ResponseWriter, r *http.Request) {
+	prefix, after := r.FormValue("prefix"), r.FormValue("after")
+	s.mu.Lock()
+	var found []item
+	for key, i := range s.items {
+		if strings.HasPrefix(key, prefix) && key > after {
+			found = append(found, i)
+		}
+	}
+	at := s.revision
+	s.mu.Unlock()
+	sort.Slice(found, func(i, j int) bool { return found[i].Key < found[j].Key })
+	more := len(found) > pageItems
+	if more {
+		found = found[:pageItems]
+	}
+	reply(w, map[string]any{"entries": found, "hasMore": more, "at": at})
+}
+
+func (s *Store) serveWatch(w http.ResponseWriter, r *http.Request) {
+	prefix := r.FormValue("prefix")
+	after, _ := strconv.ParseInt(r.FormValue("after"), 10, 64)
+	wait, _ := strconv.ParseInt(r.FormValue("waitMs"), 10, 64)
+	end := time.NewTimer(time.Duration(wait) * time.Millisecond)
+	defer end.Stop()
+	for {
+		s.mu.Lock()
+		if after < s.compacted {
+			s.mu.Unlock()
+			w.WriteHeader(http.StatusGone)
+			return
+		}
+		events := []item{}
+		for _, i := range s.history {
+			if i.Revision > after && strings.HasPrefix(i.Key, prefix) {
+				events = append(events, i)
+			}
+		}
+		at, changed, mode := s.revision, s.changed, s.mode
+		s.mu.Unlock()
+		if mode != Serving {
+			panic(http.ErrAbortHandler)
+		}
+		if len(events) > 0 {
+			reply(w, map[string]any{"events": events, "at": at})
+			return
+		}
+		select {
+		case <-changed:
+		case <-end.C:
+			reply(w, map[string]any{"events": events, "at": at})
+			return
+		case <-r.Context().Done():
+			return
+		}
+	}
+}
+
+func (s *Store) serveTxn(w http.ResponseWriter, r *http.Request) {
+	var txn struct {
+		Write []item `json:"write"`
+	}
+	if err := json.NewDecoder(r.Body).Decode(&txn); err != nil {
+		w.WriteHeader(http.StatusBadRequest)
+		return
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, i := range txn.Write {
+		if i.LeaseID != 0 && s.leases[i.LeaseID] == nil {
+			w.WriteHeader(http.StatusNotFound)
+			return
+		}
+		if strings.HasPrefix(i.Key, "op/") || strings.HasPrefix(i.Key, "servers/") {
+			w.WriteHeader(http.StatusForbidden)
+			return
+		}
+	}
+	for _, i := range txn.Write {
+		s.put(i)
+	}
+	reply(w, map[string]int64{"revision": s.revision})
+}
+
+func (s *Store) serveLease(w http.ResponseWriter, r *http.Request) {
+	var body struct {
+		TTL int64 `json:"ttlMs"`
+	}
+	if err := json.NewDecoder(r.Body).Decode(&body); err != nil {
+		w.WriteHeader(http.StatusBadRequest)
+		return
+	}
+	ttl := time.Duration(body.TTL) * time.Millisecond
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.nextLease++
+	s.leases[s.nextLease] = &lease{ttl: ttl, end: time.Now().Add(ttl)}
+	reply(w, map[string]int64{"leaseId": s.nextLease, "ttlMs": body.TTL})
+}
+
+func (s *Store) serveKeep(w http.ResponseWriter, id string) {
+	n, _ := strconv.ParseInt(id, 10, 64) // an id that is no number names no lease
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	l := s.leases[n]
+	if l == nil {
+		w.WriteHeader(http.StatusNotFound)
+		return
+	}
+	l.end = time.Now().Add(l.ttl)
+	reply(w, map[string]int64{"ttlMs": l.ttl.Milliseconds()})
+}
--- a/testbed/fleet/fleet.go
+++ b/testbed/fleet/fleet.go
@@ -103,6 +103,16 @@
 	return f, nil
 }
 
+// Empty returns a fleet without processes, for tests that bring their own.
+func Empty(o Options) (*Fleet, error) {
+	if o.Bin == "" || o.Dir == "" {
+		return nil, errNoFolders
+	}
+	return &Fleet{Options: o}, nil
+}
+
+var errNoFolders = errors.New("a fleet needs the folder of the binaries and one for logs")
+
 func (f *Fleet) start(ctx context.Context) error {
 	o := f.Options
 	var err error
--- a/testbed/fleet/process.go
+++ b/testbed/fleet/process.go
@@ -62,6 +62,18 @@
 	return p, nil
 }
 
+// StartProcess starts a process whose standard output goes to its log file.
+func (f *Fleet) StartProcess(binary, name string, args []string) (*Process, error) {
+	cmd := exec.Command(filepath.Join(f.Options.Bin, binary), args...)
+	log, err := os.OpenFile(f.LogFile(name), os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o644)
+	if err != nil {
+		return nil, &StartError{name, err}
+	}
+	defer func() { _ = log.Close() }() // the process has its own descriptor
+	cmd.Stdout = log
+	return f.launch(name, cmd)
+}
+
 // launch starts a command with its standard error in a log file.
 func (f *Fleet) launch(name string, cmd *exec.Cmd) (*Process, error) {
 	log, err := os.OpenFile(f.LogFile(name), os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o644)
--- a/testbed/fleet/proxy.go
+++ b/testbed/fleet/proxy.go
@@ -37,6 +37,9 @@
 	return toxiproxy.NewServer(toxiproxy.NewMetricsContainer(nil), zerolog.Nop())
 }
 
+// Proxy starts a proxy in front of an address.
+func (f *Fleet) Proxy(name, upstream string) (*Proxy, error) { return f.proxyTo(name, upstream) }
+
 // proxyTo starts a proxy in front of an address.
 func (f *Fleet) proxyTo(name, upstream string) (*Proxy, error) {
 	p := &Proxy{name: name, proxy: toxiproxy.NewProxy(faultProxies(), name, f.FreeAddress(), upstream)}
--- /dev/null
+++ b/testbed/gatewaysoak/callers.go
@@ -0,0 +1,190 @@
+package gatewaysoak
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"strings"
+	"time"
+
+	"camphorwick.dev/standin/fleetsim"
+)
+
+const (
+	host        = "soak.example"
+	tenant      = "hanbit"
+	apiKey      = "soak-key"
+	timeLeft    = 4 * time.Second
+	callerRest  = 20 * time.Millisecond
+	droppedPath = "/dropped/1"
+)
+
+// kind of a request; it is the first part of the request's id.
+type kind string
+
+const (
+	orderKind  kind = "order"
+	lookupKind kind = "lookup"
+	streamKind kind = "stream"
+)
+
+func kindOf(id string) kind {
+	name, _, _ := strings.Cut(id, "-")
+	return kind(name)
+}
+
+// lineOf returns the method and the path of a request.
+func lineOf(id string) string {
+	method := http.MethodPost
+	if kindOf(id) == lookupKind {
+		method = http.MethodGet
+	}
+	return method + " /" + string(kindOf(id)) + "/" + id + "%2F?x=1&&y"
+}
+
+// caller sends requests one after the other and keeps its connection for as
+// long as the gateway does.
+type caller struct {
+	run     *run
+	index   int
+	sent    int
+	random  *rand.Rand
+	gateway *gateway
+	conn    net.Conn
+	br      *bufio.Reader
+}
+
+func (r *run) newCaller(index int) *caller {
+	return &caller{run: r, index: index, random: rand.New(rand.NewPCG(r.options.Seed, uint64(index+1)))}
+}
+
+// loop sends requests until ctx ends.
+func (c *caller) loop(ctx context.Context) {
+	kinds := []kind{orderKind, orderKind, lookupKind, streamKind, streamKind}
+	for ctx.Err() == nil {
+		g := c.run.gateways[c.random.IntN(len(c.run.gateways))]
+		if c.conn != nil && c.random.Float64() < 0.8 {
+			g = c.gateway
+		}
+		c.once(ctx, g, kinds[c.random.IntN(len(kinds))])
+		select {
+		case <-ctx.Done():
+		case <-time.After(callerRest):
+		}
+	}
+	c.close()
+}
+
+func (c *caller) close() {
+	if c.conn != nil {
+		_ = c.conn.Close()
+		c.conn = nil
+	}
+}
+
+// connect opens a connection to a gateway unless there is one.
+func (c *caller) connect(g *gateway) error {
+	if c.conn != nil && c.gateway == g {
+		return nil
+	}
+	c.close()
+	conn, err := net.DialTimeout("tcp", g.callers, time.Second)
+	if err != nil {
+		return err
+	}
+	c.gateway, c.conn, c.br = g, conn, bufio.NewReader(conn)
+	return nil
+}
+
+// once sends one request and checks its answer; true if it was served whole.
+func (c *caller) once(ctx context.Context, g *gateway, k kind) bool {
+	if err := c.connect(g); err != nil {
+		c.run.count(string(k) + " no connection")
+		return false
+	}
+	c.sent++
+	id := fmt.Sprintf("%s-%d-%d", k, c.index, c.sent)
+	_ = c.conn.SetDeadline(time.Now().Add(timeLeft + 2*time.Second))
+	response, err := c.exchange(id)
+	if err != nil {
+		c.close()
+		c.run.count(string(k) + " no answer")
+		return false
+	}
+	body, err := io.ReadAll(response.Body)
+	if err != nil || response.Close {
+		c.close()
+	}
+	return c.judge(id, response, string(body), err)
+}
+
+func (c *caller) exchange(id string) (*http.Response, error) {
+	method, target, _ := strings.Cut(lineOf(id), " ")
+	request := fmt.Sprintf("%s %s HTTP/1.1\r\nHost: %s\r\nX-Attempt-Id: %s\r\nX-Api-Key: %s\r\nX-Deadline-Ms: %d\r\nX-Tenant: forged\r\n",
+		method, target, host, id, apiKey, timeLeft.Milliseconds())
+	if kindOf(id) == streamKind {
+		request += "X-Model: m\r\nX-Token-Usage: 3000,200\r\n"
+	}
+	if method == http.MethodPost {
+		request += fmt.Sprintf("Content-Length: %d\r\n\r\n%s", len(id), id)
+	} else {
+		request += "\r\n"
+	}
+	if _, err := io.WriteString(c.conn, request); err != nil {
+		return nil, err
+	}
+	return http.ReadResponse(c.br, &http.Request{Method: method})
+}
+
+// judge checks an answer against the promises.
+func (c *caller) judge(id string, response *http.Response, body string, err error) bool {
+	k := kindOf(id)
+	c.run.count(fmt.Sprintf("%s %d", k, response.StatusCode))
+	switch response.StatusCode {
+	case http.StatusOK:
+		return c.judgeSuccess(id, response, body, err)
+	case http.StatusServiceUnavailable, http.StatusTooManyRequests, http.StatusRequestTimeout, http.StatusMisdirectedRequest:
+		c.run.mu.Lock()
+		c.run.promises[id] = response.StatusCode
+		c.run.mu.Unlock()
+	case http.StatusUnauthorized, http.StatusNotFound:
+		c.run.violate("request %s was answered %d", id, response.StatusCode)
+	}
+	return false
+}
+
+func (c *caller) judgeSuccess(id string, response *http.Response, body string, err error) bool {
+	if response.Header.Get("X-Server-Stamp") == "" {
+		c.run.violate("request %s: success without the mark of a server", id)
+	}
+	want := fleetsim.Body(id)
+	if kindOf(id) == streamKind {
+		var events strings.Builder
+		for n := 1; n <= streamEvents; n++ {
+			events.WriteString(fleetsim.Event(n))
+		}
+		want = events.String()
+	}
+	switch {
+	case err == nil && body != want:
+		c.run.violate("request %s: whole answer %q, expected %q", id, body, want)
+	case err != nil && !strings.HasPrefix(want, body):
+		c.run.violate("request %s: broken answer %q is not the beginning of %q", id, body, want)
+	}
+	return err == nil
+}
+
+// status sends a GET to a path and returns the status, 0 without an answer.
+func (c *caller) status(g *gateway, path string) int {
+	response, err := http.DefaultClient.Do(&http.Request{Method: http.MethodGet, Host: host, URL: g.url(path),
+		Header: http.Header{"X-Api-Key": {apiKey}, "X-Attempt-Id": {"probe"}, "X-Deadline-Ms": {"1000"}}})
+	if err != nil {
+		return 0
+	}
+	_ = response.Body.Close()
+	return response.StatusCode
+}
--- /dev/null
+++ b/testbed/gatewaysoak/fleet.go
@@ -0,0 +1,178 @@
+package gatewaysoak
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"net/url"
+	"os"
+	"path/filepath"
+	"sync"
+	"syscall"
+	"time"
+
+	"camphorwick.dev/settings"
+	"camphorwick.dev/standin/fleetsim"
+	"camphorwick.dev/testbed/fleet"
+)
+
+// gateway is a gateway process with the proxy on its way to the store.
+type gateway struct {
+	run      *run
+	index    int
+	name     string
+	callers  string // address of the callers' port
+	ops      string
+	settings string // path
+	store    *fleet.Proxy
+
+	mu      sync.Mutex // taken for the whole of a stop and start
+	process *fleet.Process
+}
+
+func (r *run) newGateway(i int, storeAddress string) (*gateway, error) {
+	g := &gateway{run: r, index: i, name: fmt.Sprintf("gateway-%d", i), callers: r.fleet.FreeAddress(), ops: r.fleet.FreeAddress()}
+	var err error
+	if g.store, err = r.fleet.Proxy("store of "+g.name, storeAddress); err != nil {
+		return nil, err
+	}
+	s := &settings.Settings{VM: g.name, Role: settings.RoleGateway, DataCentre: "dc-1", ControlAddress: r.fleet.FreeAddress(), OpsAddress: g.ops,
+		InsecurePlaintext: true, Platform: settings.Platform{URL: "http://" + g.store.Address()},
+		Gateway: &settings.Gateway{CallersAddress: g.callers, MemoryMB: 256, RetryRatio: 0.2, RetryExtra: 100, RetryWindowSeconds: 10,
+			GraceSeconds: graceTime.Seconds()}}
+	data, err := json.Marshal(s)
+	if err != nil {
+		return nil, fmt.Errorf("encode settings: %w", err)
+	}
+	g.settings = filepath.Join(r.options.Dir, g.name+".json")
+	if err := os.WriteFile(g.settings, data, 0o600); err != nil {
+		return nil, fmt.Errorf("write settings: %w", err)
+	}
+	return g, g.start()
+}
+
+func (g *gateway) start() error {
+	var err error
+	g.process, err = g.run.fleet.StartProcess("camphorwick", g.name, []string{"run", "--settings", g.settings})
+	return err
+}
+
+func (g *gateway) url(path string) *url.URL {
+	return &url.URL{Scheme: "http", Host: g.callers, Path: path}
+}
+
+// awaitReady waits until the gateway says that it can serve.
+func (g *gateway) awaitReady(ctx context.Context) error {
+	for {
+		response, err := http.Get("http://" + g.ops + "/readyz")
+		if err == nil {
+			_ = response.Body.Close()
+			if response.StatusCode == http.StatusOK {
+				return nil
+			}
+		}
+		select {
+		case <-ctx.Done():
+			return fmt.Errorf("%s is not ready: %w", g.name, ctx.Err())
+		case <-time.After(20 * time.Millisecond):
+		}
+	}
+}
+
+// replace ends the process with a signal and starts it again.
+func (g *gateway) replace(s syscall.Signal) error {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	begun := time.Now()
+	if err := g.process.Signal(s); err != nil {
+		return err
+	}
+	select {
+	case <-g.process.Done():
+	case <-time.After(graceTime + time.Second):
+		g.run.violate("%s did not end within %v of %v", g.name, time.Since(begun), s)
+		g.process.KillNow()
+	}
+	return g.start()
+}
+
+// pause freezes the process for d.
+func (g *gateway) pause(d time.Duration) error {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if err := g.process.Signal(syscall.SIGSTOP); err != nil {
+		return err
+	}
+	time.Sleep(d)
+	return g.process.Signal(syscall.SIGCONT)
+}
+
+// backend is a server with the proxy on the way to it.
+type backend struct {
+	index int
+	mu    sync.Mutex // taken for the whole of a fault
+	sim   *fleetsim.Server
+	proxy *fleet.Proxy
+	life  int
+}
+
+func (r *run) newBackend(i int) (*backend, error) {
+	b := &backend{index: i}
+	return b, r.startBackend(b)
+}
+
+// startBackend starts a new incarnation with a new id behind a new proxy.
+func (r *run) startBackend(b *backend) error {
+	b.life++
+	service := "streams"
+	if b.index >= streamServers {
+		service = "orders"
+	}
+	b.sim = &fleetsim.Server{ID: fmt.Sprintf("server-%d-%d", b.index, b.life), Service: service, Events: streamEvents, Pause: eventPause,
+		Fault: r.fault, OnRun: r.seen}
+	if err := b.sim.Start(); err != nil {
+		return err
+	}
+	var err error
+	b.proxy, err = r.fleet.Proxy(b.sim.ID, b.sim.Address())
+	return err
+}
+
+func (r *run) register(b *backend, state string) error {
+	return r.store.Write("servers/"+b.sim.ID, b.sim.Entry(b.proxy.Address(), "dc-1", state))
+}
+
+func (r *run) stopServers() {
+	for _, b := range r.servers {
+		b.sim.Crash()
+	}
+}
+
+// configure writes the next version of the configuration; the first one has a
+// route that the others drop.
+func (r *run) configure() error {
+	r.mu.Lock()
+	r.version += 3
+	version := r.version
+	r.mu.Unlock()
+	route := func(name, service, kind string, more map[string]any) map[string]any {
+		out := map[string]any{"name": name, "host": host, "prefix": "/" + name + "/", "kind": kind, "timeoutMs": 5000, "targetLatencyMs": 300,
+			"priority": 1, "service": service, "maxAttempts": 2}
+		for k, v := range more {
+			out[k] = v
+		}
+		return out
+	}
+	routes := []any{route("order", "orders", "non_idempotent", nil), route("lookup", "orders", "idempotent", nil),
+		route("stream", "streams", "streaming", map[string]any{"resumable": true, "gapTargetMs": 250}),
+		route(fmt.Sprintf("added-%d", version), "orders", "idempotent", nil)}
+	if version == 3 {
+		routes = append(routes, route("dropped", "orders", "idempotent", nil))
+	}
+	engine := map[string]any{"slotCount": 8, "kvCapacity": 100000, "stepCount": 10, "step_ms": 1, "read_per_s": 100000, "chunk": 2048}
+	return r.store.Write("op/config", map[string]any{"version": version, "routeTable": routes,
+		"services": []any{map[string]any{"name": "streams", "maxConns": 100, "engineName": engine}, map[string]any{"name": "orders", "maxConns": 100}},
+		"limits":   map[string]any{"maxHeaderBytes": 16384, "maxBodyBytes": 1 << 20, "headerTimeoutMs": 3000, "idleTimeoutMs": 5000},
+		"tenants":  []any{map[string]any{"name": tenant, "apiKeys": []string{apiKey, fmt.Sprint("other-", version)}}}})
+}
