--- a/gateway/schedule/schedule.go
+++ b/gateway/schedule/schedule.go
@@ -23,6 +23,8 @@
 	// retryTick is how often waiting requests are tried again when nothing
 	// else happens, because work of peers also ends.
 	retryTick = 20 * time.Millisecond
+	// demandInterval is the time between looks at the engines.
+	demandInterval = 100 * time.Millisecond
 	// maxScan bounds the waiting requests that are looked at for one change.
 	maxScan = 24
 	// remoteCost is what a server in another data centre must have less in
@@ -230,17 +232,22 @@
 func (s *Scheduler) Run(ctx context.Context) error {
 	ticker := time.NewTicker(retryTick)
 	defer ticker.Stop()
+	looked := time.Now()
 	for {
 		select {
 		case <-ctx.Done():
 			return nil
 		case <-ticker.C:
-			s.mu.Lock()
-			now := time.Now()
+		}
+		now := time.Now()
+		s.mu.Lock()
+		if now.Sub(looked) >= demandInterval {
+			looked = now
+			s.board.Expire(now)
 			s.observeDemand(now)
-			s.drainQueue(now)
-			s.mu.Unlock()
 		}
+		s.drainQueue(now)
+		s.mu.Unlock()
 	}
 }
 
--- a/policy/dispatch/admit.go
+++ b/policy/dispatch/admit.go
@@ -19,8 +19,8 @@
 	// count as in demand.
 	busyShare = 0.35
 	// demandWeight is the weight of the newest look in the demand; looks are
-	// made every 20 ms, so it follows the last seconds.
-	demandWeight = 0.01
+	// made every 100 ms, so it follows the last seconds.
+	demandWeight = 0.05
 )
 
 // Demand follows how many engines have prompts to read.
--- a/policy/dispatch/board.go
+++ b/policy/dispatch/board.go
@@ -14,8 +14,17 @@
 // Board keeps what this process and its peers have in work on each engine. It
 // is not safe for concurrent use.
 type Board struct {
-	own   map[string]*engineWork
-	peers map[string]*peerWork
+	own map[string]*engineWork
+	// engines holds the work of the peers by engine, peers what belongs to one
+	// peer.
+	engines map[string]*peerEngine
+	peers   map[string]*peerWork
+}
+
+// peerEngine is the work of all peers on one engine.
+type peerEngine struct {
+	loads map[string]Load // by peer
+	sum   Load
 }
 
 type engineWork struct {
@@ -25,13 +34,13 @@
 }
 
 type peerWork struct {
-	loads map[string]Load
-	at    time.Time
+	engines map[string]bool
+	at      time.Time
 }
 
 // NewBoard returns an empty board.
 func NewBoard() *Board {
-	return &Board{own: map[string]*engineWork{}, peers: map[string]*peerWork{}}
+	return &Board{own: map[string]*engineWork{}, engines: map[string]*peerEngine{}, peers: map[string]*peerWork{}}
 }
 
 // Job is a request in work.
@@ -153,12 +162,8 @@
 // Load returns what this process and its peers have in work on an engine.
 func (b *Board) Load(id string, now time.Time) Load {
 	l := b.Own(id, now)
-	for name, p := range b.peers {
-		if now.Sub(p.at) > peerLifetime {
-			delete(b.peers, name)
-			continue
-		}
-		l = l.Add(p.loads[id])
+	if e := b.engines[id]; e != nil {
+		l = l.Add(e.sum)
 	}
 	return l
 }
@@ -175,15 +180,62 @@
 }
 
 // SetPeer records what a peer has in work: all of it, or only the engines that
-// have changed. The board keeps loads.
+// have changed.
 func (b *Board) SetPeer(name string, loads map[string]Load, complete bool, now time.Time) {
 	p := b.peers[name]
-	if p == nil || complete {
-		b.peers[name] = &peerWork{loads: loads, at: now}
-		return
+	if p == nil {
+		p = &peerWork{engines: map[string]bool{}}
+		b.peers[name] = p
 	}
 	p.at = now
+	if complete {
+		for id := range p.engines {
+			if _, named := loads[id]; !named {
+				b.setPeerLoad(name, p, id, Load{})
+			}
+		}
+	}
 	for id, l := range loads {
-		p.loads[id] = l
+		b.setPeerLoad(name, p, id, l)
+	}
+}
+
+// setPeerLoad replaces the work of one peer on one engine.
+func (b *Board) setPeerLoad(name string, p *peerWork, id string, l Load) {
+	e := b.engines[id]
+	if l == (Load{}) {
+		delete(p.engines, id)
+		if e == nil {
+			return
+		}
+		delete(e.loads, name)
+		if len(e.loads) == 0 {
+			delete(b.engines, id)
+			return
+		}
+	} else {
+		if e == nil {
+			e = &peerEngine{loads: map[string]Load{}}
+			b.engines[id] = e
+		}
+		p.engines[id] = true
+		e.loads[name] = l
+	}
+	e.sum = Load{}
+	for _, load := range e.loads {
+		e.sum = e.sum.Add(load)
+	}
+}
+
+// Expire forgets the work of peers that have been silent.
+func (b *Board) Expire(now time.Time) {
+	for name, p := range b.peers {
+		if now.Sub(p.at) <= peerLifetime {
+			continue
+		}
+		for id := range p.engines {
+			b.setPeerLoad(name, p, id, Load{})
+		}
+		delete(b.peers, name)
 	}
 }
--- a/policy/dispatch/plan.go
+++ b/policy/dispatch/plan.go
@@ -39,7 +39,7 @@
 )
 
 // smallestPartTokens is the least that is worth a part of its own.
-const smallestPartTokens = 512
+const smallestPartTokens = 2048
 
 // Candidate is an engine that may be chosen.
 type Candidate struct {
@@ -85,104 +85,131 @@
 // Chooser chooses engines. It reuses its memory; it is not safe for concurrent
 // use.
 type Chooser struct {
-	order []ranked
+	// order holds the candidates by base, chosen positions in it.
+	order  []ranked
+	chosen []int
 }
 
 type ranked struct {
 	candidate *Candidate
-	// finish is the expected time of its part, harm the price of the pauses
-	// that it causes.
-	finish, harm float64
-	// open is the price of the first answer of its kind there.
+	// base is the expected time of an empty part, to which the time of the part
+	// is added.
+	base float64
+	// slack is the longest part that makes no pause too long, harm the price of
+	// a longer one.
+	slack, harm float64
+	// open is the price of answering there.
 	open float64
 	// room says that the engine has a slot and the memory for the answer.
 	room bool
 }
 
+// harmOf returns the price of the pauses that a part causes.
+func (r *ranked) harmOf(partMillis float64) float64 {
+	if partMillis > r.slack {
+		return r.harm
+	}
+	return 0
+}
+
 // Choose places a prompt; ok is false if no engine has a slot and the memory
 // for it now.
 func (c *Chooser) Choose(e *Engine, p Prompt, candidates []Candidate) (plan Plan, ok bool) {
+	c.rank(e, p, candidates)
 	best := -1.0
 	work := PromptWork(p.Tokens)
 	for _, parts := range partCounts {
 		if parts > len(candidates) || parts > 1 && p.Tokens < parts*smallestPartTokens {
 			break
 		}
-		c.rank(e, p, candidates, e.ReadMillis(work.Part(parts)))
-		first := c.first()
+		partMillis := e.ReadMillis(work.Part(parts))
+		first := c.first(partMillis)
 		if first < 0 {
 			break
 		}
-		finish, price := c.price(p, first, parts)
+		c.pickHelpers(first, parts-1, partMillis)
+		finish, price := c.price(p, first, partMillis)
 		if best >= 0 && price >= best {
 			continue
 		}
 		best = price
-		plan = c.plan(first, parts, plan)
-		plan.FirstToken = time.Duration(finish * float64(time.Millisecond))
+		plan = c.plan(first, plan, finish)
 	}
 	if best < 0 {
-		return c.spread(e, p, candidates)
+		return c.spread(e, p)
 	}
 	return plan, true
 }
 
-// rank orders the candidates by the time and the harm of reading a part.
-func (c *Chooser) rank(e *Engine, p Prompt, candidates []Candidate, partMillis float64) {
+// rank orders the candidates by the time at which they could have read a part.
+func (c *Chooser) rank(e *Engine, p Prompt, candidates []Candidate) {
 	c.order = c.order[:0]
 	for i := range candidates {
 		k := &candidates[i]
-		r := ranked{candidate: k, finish: e.FinishMillis(k.Load, partMillis) + k.PenaltyMillis}
+		l := &k.Load
+		r := ranked{candidate: k, base: e.FinishMillis(*l, 0) + k.PenaltyMillis, slack: e.SlackMillis(*l),
+			harm: harmPerGap * l.GapMillis * float64(l.Writers+l.Waiting)}
 		if !k.Local {
-			r.finish += remoteMillis
-		}
-		if k.Load.Helping >= e.Slots {
-			r.finish += unlimitedMillis
+			r.base += remoteMillis
 		}
-		if slack := e.SlackMillis(k.Load); partMillis > slack {
-			r.harm = harmPerGap * k.Load.GapMillis * float64(k.Load.Writers+k.Load.Waiting)
+		if l.Helping >= e.Slots {
+			r.base += unlimitedMillis
 		}
-		if p.GapMillis > 0 && (k.Load.GapMillis == 0 || k.Load.GapMillis > p.GapMillis) {
+		if p.GapMillis > 0 && (l.GapMillis == 0 || l.GapMillis > p.GapMillis) {
 			r.open = openMillis
 		}
 		if !k.Home {
 			r.open += awayMillis
 		}
-		r.room = k.Load.Writers+k.Load.Waiting < e.Slots && k.Load.Context+p.Tokens+p.Answer <= e.MemoryTokens
+		r.room = l.Writers+l.Waiting < e.Slots && l.Context+p.Tokens+p.Answer <= e.MemoryTokens
 		c.order = append(c.order, r)
 	}
 	slices.SortFunc(c.order, func(a, b ranked) int {
-		return cmp.Or(cmp.Compare(a.finish+a.harm, b.finish+b.harm), a.candidate.Index-b.candidate.Index)
+		if byBase := cmp.Compare(a.base, b.base); byBase != 0 {
+			return byBase
+		}
+		return a.candidate.Index - b.candidate.Index
 	})
 }
 
 // first returns the position of the engine that answers, or -1.
-func (c *Chooser) first() int {
-	best := -1
+func (c *Chooser) first(partMillis float64) int {
+	best, bestPrice := -1, 0.0
 	for i := range c.order {
 		r := &c.order[i]
-		if r.room && (best < 0 || r.firstPrice() < c.order[best].firstPrice()) {
-			best = i
+		if !r.room {
+			continue
+		}
+		if price := r.base*waitShare + r.harmOf(partMillis) + r.open; best < 0 || price < bestPrice {
+			best, bestPrice = i, price
 		}
 	}
 	return best
 }
 
-func (r *ranked) firstPrice() float64 { return r.finish*waitShare + r.harm + r.open }
+// pickHelpers chooses the earliest engines besides first, those without harm
+// before the others.
+func (c *Chooser) pickHelpers(first, helpers int, partMillis float64) {
+	c.chosen = c.chosen[:0]
+	for _, harmed := range [...]bool{false, true} {
+		for i := 0; i < len(c.order) && len(c.chosen) < helpers; i++ {
+			if i != first && (partMillis > c.order[i].slack) == harmed {
+				c.chosen = append(c.chosen, i)
+			}
+		}
+	}
+}
 
-// price returns the expected time to the first event and the price of a plan.
-// The helpers are the earliest engines besides the first.
-func (c *Chooser) price(p Prompt, first, parts int) (finish, price float64) {
+// price returns the expected time to the first event and the price of the
+// plan that consists of first and the chosen helpers.
+func (c *Chooser) price(p Prompt, first int, partMillis float64) (finish, price float64) {
 	r := &c.order[first]
-	finish, price = r.finish, r.open+r.harm
-	for i, helpers := 0, 0; helpers < parts-1; i++ {
-		if i == first {
-			continue
-		}
-		helpers++
-		finish = max(finish, c.order[i].finish)
-		price += c.order[i].harm + helperMillis
+	finish, price = r.base, r.open+r.harmOf(partMillis)
+	for _, i := range c.chosen {
+		finish = max(finish, c.order[i].base)
+		price += c.order[i].harmOf(partMillis) + helperMillis
 	}
+	finish += partMillis
 	return finish, price + p.waitPrice(finish)
 }
 
@@ -199,14 +226,12 @@
 }
 
 // plan lists the chosen engines; it reuses the memory of old.
-func (c *Chooser) plan(first, parts int, old Plan) Plan {
+func (c *Chooser) plan(first int, old Plan, finishMillis float64) Plan {
 	helpers := old.Helpers[:0]
-	for i := 0; len(helpers) < parts-1; i++ {
-		if i != first {
-			helpers = append(helpers, c.order[i].candidate.Index)
-		}
+	for _, i := range c.chosen {
+		helpers = append(helpers, c.order[i].candidate.Index)
 	}
-	return Plan{First: c.order[first].candidate.Index, Helpers: helpers}
+	return Plan{First: c.order[first].candidate.Index, Helpers: helpers, FirstToken: time.Duration(finishMillis * float64(time.Millisecond))}
 }
 
 const (
@@ -215,71 +240,77 @@
 	memoryMarginTokens = 4096
 	// smallestHeldTokens is the least that is worth a reservation.
 	smallestHeldTokens = 8192
+	// smallestSpreadShare is the share of an engine's memory, in percent, from
+	// which a prompt is stored on several engines.
+	smallestSpreadShare = 40
 )
 
 // spread places a prompt whose memory no engine has alone: the first engine
 // stores what it can beside the answer, helpers store the rest in reserved
 // memory. It is used only for prompts that must wait for memory otherwise.
-func (c *Chooser) spread(e *Engine, p Prompt, candidates []Candidate) (plan Plan, ok bool) {
+func (c *Chooser) spread(e *Engine, p Prompt) (plan Plan, ok bool) {
 	if p.Tokens < smallestSpreadShare*e.MemoryTokens/100 {
 		return plan, false
 	}
 	work := PromptWork(p.Tokens)
 	best := -1.0
 	for _, parts := range partCounts[1:] {
-		if parts > len(candidates) {
+		if parts > len(c.order) {
 			break
 		}
-		c.rank(e, p, candidates, e.ReadMillis(work.Part(parts)))
-		first, held := c.store(e, p, parts)
+		partMillis := e.ReadMillis(work.Part(parts))
+		first := c.roomiest(e, p, parts, partMillis)
 		if first < 0 {
 			continue
 		}
-		finish, price := c.price(p, first, parts)
+		c.pickHelpers(first, parts-1, partMillis)
+		held := c.store(e, p, first)
+		if held == nil {
+			continue
+		}
+		finish, price := c.price(p, first, partMillis)
 		if best >= 0 && price >= best {
 			continue
 		}
 		best = price
-		plan = c.plan(first, parts, plan)
+		plan = c.plan(first, plan, finish)
 		plan.Held = held
-		plan.FirstToken = time.Duration(finish * float64(time.Millisecond))
 	}
 	return plan, best >= 0
 }
 
-// smallestSpreadShare is the share of an engine's memory, in percent, from
-// which a prompt is stored on several engines.
-const smallestSpreadShare = 40
+// free returns the memory that an engine can give to a prompt.
+func (c *Chooser) free(e *Engine, i int) int {
+	return e.MemoryTokens - c.order[i].candidate.Load.Context - memoryMarginTokens
+}
 
-// store divides the prompt's memory among the first engines of the order. It
-// returns the position of the answering engine and what each helper stores, or
-// -1 if their memory does not suffice.
-func (c *Chooser) store(e *Engine, p Prompt, parts int) (first int, held []int) {
-	free := func(i int) int { return e.MemoryTokens - c.order[i].candidate.Load.Context - memoryMarginTokens }
-	first = -1
-	for i := range parts {
+// roomiest returns the position of the engine with the most memory among the
+// earliest ones with a slot, or -1.
+func (c *Chooser) roomiest(e *Engine, p Prompt, parts int, partMillis float64) int {
+	c.pickHelpers(-1, parts, partMillis)
+	best := -1
+	for _, i := range c.chosen {
 		l := &c.order[i].candidate.Load
-		if l.Writers+l.Waiting < e.Slots && free(i) > p.Answer && (first < 0 || free(i) > free(first)) {
-			first = i
+		if l.Writers+l.Waiting < e.Slots && c.free(e, i) > p.Answer && (best < 0 || c.free(e, i) > c.free(e, best)) {
+			best = i
 		}
 	}
-	if first < 0 {
-		return -1, nil
-	}
-	rest := p.Tokens - (free(first) - p.Answer)
-	for i := range parts {
-		if i == first {
-			continue
-		}
-		tokens := 0
-		if rest > 0 && free(i) >= smallestHeldTokens {
-			tokens = max(min(rest, free(i)), smallestHeldTokens)
-			rest -= tokens
+	return best
+}
+
+// store divides the prompt's memory among first and the chosen helpers. It
+// returns what each helper stores, or nil if their memory does not suffice.
+func (c *Chooser) store(e *Engine, p Prompt, first int) []int {
+	held := make([]int, len(c.chosen))
+	rest := p.Tokens - (c.free(e, first) - p.Answer)
+	for n, i := range c.chosen {
+		if rest > 0 && c.free(e, i) >= smallestHeldTokens {
+			held[n] = max(min(rest, c.free(e, i)), smallestHeldTokens)
+			rest -= held[n]
 		}
-		held = append(held, tokens)
 	}
 	if rest > 0 {
-		return -1, nil
+		return nil
 	}
-	return first, held
+	return held
 }
--- a/policy/dispatch/plan_test.go
+++ b/policy/dispatch/plan_test.go
@@ -185,7 +185,13 @@
 	is.Equal(b.Load("a", now).Writers, 2)
 	is.Equal(b.Load("a", now).GapMillis, 600.0)
 	is.Equal(b.Load("b", now).Writers, 0)
-	is.Equal(b.Load("a", now.Add(peerLifetime+time.Millisecond)).Writers, 0)
+	b.SetPeer("q", map[string]Load{"a": {Writers: 1, GapMillis: 250}}, true, now)
+	is.Equal(b.Load("a", now), Load{Writers: 3, GapMillis: 250})
+	b.SetPeer("q", map[string]Load{"c": {Waiting: 1}}, true, now.Add(time.Second))
+	is.Equal(b.Load("a", now), Load{Writers: 2, GapMillis: 600})
+	b.Expire(now.Add(peerLifetime + time.Millisecond))
+	is.Equal(b.Load("a", now).Writers, 0)
+	is.Equal(b.Load("c", now).Waiting, 1)
 }
 
 func BenchmarkChoose(b *testing.B) {
