Bound the parts that an engine reads for others; long prompts wait for a good plan

Long prompts got stuck for 10 s and more with an empty engine: an engine reads the newest part first, so old parts starved while new ones came. An engine now gets at most 2 parts at a time, and a long prompt waits here until a plan meets its target or comes near what idle engines would do.

--- a/policy/dispatch/admit.go
+++ b/policy/dispatch/admit.go
@@ -71,3 +71,25 @@
 	allowed += p.TargetMillis * lastBacklogShare * waited
 	return backlogMillis <= allowed
 }
+
+const (
+	// promptStart is the share of the latency target within which a long
+	// prompt should have its first token to start at once, idleFactor times
+	// the time on idle engines for those that cannot; each is stretched by up
+	// to lastStretch while the prompt waits.
+	promptStart = 0.6
+	idleFactor  = 1.7
+	lastStretch = 1.5
+)
+
+// Accepts reports whether a long prompt should start with a plan, or wait for
+// better ones. waited is the share of its waiting time that is over.
+func (e *Engine) Accepts(p Prompt, plan Plan, engines int, waited float64) bool {
+	read := e.ReadMillis(PromptWork(p.Tokens))
+	if read < longReadMillis || p.TargetMillis <= 0 {
+		return true
+	}
+	idle := read/float64(min(engines, MaxHelpers+1)) + e.stepsMillis(1, p.Tokens)
+	limit := max(promptStart*p.TargetMillis, idleFactor*idle) * (1 + lastStretch*waited)
+	return float64(plan.FirstToken.Microseconds())/1000 <= limit
+}
--- a/policy/dispatch/plan.go
+++ b/policy/dispatch/plan.go
@@ -79,6 +79,11 @@
 	FirstToken time.Duration
 }
 
+// maxHelping is the number of parts for other engines that an engine reads at
+// a time. The newest part is read first, so with more of them the older ones
+// would wait for as long as new ones come.
+const maxHelping = 2
+
 // partCounts are the numbers of engines that are tried for one prompt.
 var partCounts = [...]int{1, 2, 3, 4, 6, 8, 11, 14, 17}
 
@@ -100,8 +105,9 @@
 	slack, harm float64
 	// open is the price of answering there.
 	open float64
-	// room says that the engine has a slot and the memory for the answer.
-	room bool
+	// room says that the engine has a slot and the memory for the answer, helps
+	// that it may read a part of another engine's prompt.
+	room, helps bool
 }
 
 // harmOf returns the price of the pauses that a part causes.
@@ -127,7 +133,9 @@
 		if first < 0 {
 			break
 		}
-		c.pickHelpers(first, parts-1, partMillis)
+		if !c.pickHelpers(first, parts-1, partMillis) {
+			break
+		}
 		finish, price := c.price(p, first, partMillis)
 		if best >= 0 && price >= best {
 			continue
@@ -152,9 +160,7 @@
 		if !k.Local {
 			r.base += remoteMillis
 		}
-		if l.Helping >= e.Slots {
-			r.base += unlimitedMillis
-		}
+		r.helps = l.Helping < min(maxHelping, e.Slots)
 		if p.GapMillis > 0 && (l.GapMillis == 0 || l.GapMillis > p.GapMillis) {
 			r.open = openMillis
 		}
@@ -188,16 +194,17 @@
 }
 
 // pickHelpers chooses the earliest engines besides first, those without harm
-// before the others.
-func (c *Chooser) pickHelpers(first, helpers int, partMillis float64) {
+// before the others; false if there are not enough.
+func (c *Chooser) pickHelpers(first, helpers int, partMillis float64) bool {
 	c.chosen = c.chosen[:0]
 	for _, harmed := range [...]bool{false, true} {
 		for i := 0; i < len(c.order) && len(c.chosen) < helpers; i++ {
-			if i != first && (partMillis > c.order[i].slack) == harmed {
+			if i != first && c.order[i].helps && (partMillis > c.order[i].slack) == harmed {
 				c.chosen = append(c.chosen, i)
 			}
 		}
 	}
+	return len(c.chosen) == helpers
 }
 
 // price returns the expected time to the first event and the price of the
@@ -263,7 +270,9 @@
 		if first < 0 {
 			continue
 		}
-		c.pickHelpers(first, parts-1, partMillis)
+		if !c.pickHelpers(first, parts-1, partMillis) {
+			break
+		}
 		held := c.store(e, p, first)
 		if held == nil {
 			continue
@@ -287,7 +296,7 @@
 // roomiest returns the position of the engine with the most memory among the
 // earliest ones with a slot, or -1.
 func (c *Chooser) roomiest(e *Engine, p Prompt, parts int, partMillis float64) int {
-	c.pickHelpers(-1, parts, partMillis)
+	c.pickHelpers(-1, parts, partMillis) // fewer engines are looked at if some may not help
 	best := -1
 	for _, i := range c.chosen {
 		l := &c.order[i].candidate.Load
--- a/policy/dispatch/plan_test.go
+++ b/policy/dispatch/plan_test.go
@@ -157,6 +157,20 @@
 	is.True(e.MayStart(large, 3000, 0)) // a quote waited 1.9 s
 }
 
+// Guards against plans that ask an engine for help that helps as many others
+// as it can; it refuses them.
+func TestEngineHelpsBoundedly(t *testing.T) {
+	is := is.New(t)
+	loads := make([]Load, 6)
+	loads[2].Helping, loads[3].Helping = 16, 16
+	plan, ok := new(Chooser).Choose(testEngine(), review(), candidates(loads...))
+	is.True(ok)
+	is.True(len(plan.Helpers) > 0)
+	for _, i := range plan.Helpers {
+		is.True(i != 2 && i != 3)
+	}
+}
+
 func TestBoardCountsWork(t *testing.T) {
 	is := is.New(t)
 	b, now := NewBoard(), time.Unix(100, 0)
