--- a/policy/dispatch/admit.go
+++ b/policy/dispatch/admit.go
@@ -15,6 +15,10 @@
 	// target from which a prompt is not started while the engines are in
 	// demand: it would make many others late.
 	hugeShare = 0.2
+	// hugeReads times the latency target is the reading time from which a
+	// prompt counts as huge in a fleet of any size: it earns far less for the
+	// time of the engines than others.
+	hugeReads = 5
 	// busyShare is the share of engines with prompts to read from which they
 	// count as in demand.
 	busyShare = 0.35
@@ -42,7 +46,8 @@
 
 // Refuses reports whether a prompt should come back at a calmer time.
 func (d *Demand) Refuses(e *Engine, p Prompt, engines int) bool {
-	return d.share > busyShare && e.ReadMillis(PromptWork(p.Tokens)) > hugeShare*float64(engines)*p.TargetMillis
+	huge := p.TargetMillis * min(hugeReads, hugeShare*float64(engines))
+	return d.share > busyShare && e.ReadMillis(PromptWork(p.Tokens)) > huge
 }
 
 // BacklogMillis returns the mean time that the engines need to read what they
