--- /dev/null
+++ b/gateway/node/listener_test.go
@@ -0,0 +1,96 @@
+package node
+
+import (
+	"io"
+	"net"
+	"net/http"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+)
+
+// serveIdle serves with an idleListener whose limit can change.
+func serveIdle(t *testing.T, limit *atomic.Int64) (*idleListener, string) {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	wrapped := &idleListener{Listener: l, limit: func() time.Duration { return time.Duration(limit.Load()) }, open: map[*idleConn]struct{}{}}
+	server := &http.Server{ConnState: trackState, Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if r.URL.Path == "/slow" {
+			time.Sleep(300 * time.Millisecond)
+		}
+		_, _ = io.WriteString(w, "ok")
+	})}
+	go func() { _ = server.Serve(wrapped) }()
+	t.Cleanup(func() { _ = server.Close() })
+	return wrapped, l.Addr().String()
+}
+
+// request sends one request over a connection and reads its answer.
+func request(t *testing.T, c net.Conn, path string) {
+	t.Helper()
+	_, _ = io.WriteString(c, "GET "+path+" HTTP/1.1\r\nHost: h\r\n\r\n")
+	_ = c.SetReadDeadline(time.Now().Add(2 * time.Second))
+	buffer := make([]byte, 512)
+	if n, err := c.Read(buffer); err != nil || n == 0 {
+		t.Fatalf("no answer: %v", err)
+	}
+}
+
+// closedAfter returns how long the server keeps an idle connection.
+func closedAfter(t *testing.T, c net.Conn) time.Duration {
+	t.Helper()
+	begun := time.Now()
+	_ = c.SetReadDeadline(time.Now().Add(3 * time.Second))
+	_, err := c.Read(make([]byte, 1))
+	if err != io.EOF {
+		t.Fatalf("the connection was not closed: %v", err)
+	}
+	return time.Since(begun)
+}
+
+// Guards against idle connections that keep the limit of an older
+// configuration, and against requests that the limit cuts.
+func TestIdleLimitFollowsTheConfiguration(t *testing.T) {
+	is := is.New(t)
+	var limit atomic.Int64
+	limit.Store(int64(100 * time.Millisecond))
+	_, address := serveIdle(t, &limit)
+	c, err := net.Dial("tcp", address)
+	is.NoErr(err)
+	defer func() { _ = c.Close() }()
+	request(t, c, "/slow")
+	limit.Store(int64(600 * time.Millisecond))
+	request(t, c, "/")
+	took := closedAfter(t, c)
+	is.True(took > 500*time.Millisecond && took < 1500*time.Millisecond)
+}
+
+// Guards against connections that bring requests to a gateway long after it
+// began to stop, and against the loss of a request in progress.
+func TestCloseIdle(t *testing.T) {
+	is := is.New(t)
+	var limit atomic.Int64
+	limit.Store(int64(time.Minute))
+	l, address := serveIdle(t, &limit)
+	idle, err := net.Dial("tcp", address)
+	is.NoErr(err)
+	defer func() { _ = idle.Close() }()
+	request(t, idle, "/")
+	busy, err := net.Dial("tcp", address)
+	is.NoErr(err)
+	defer func() { _ = busy.Close() }()
+	done := make(chan struct{})
+	go func() {
+		request(t, busy, "/slow")
+		close(done)
+	}()
+	time.Sleep(100 * time.Millisecond)
+	l.closeIdle()
+	is.True(closedAfter(t, idle) < time.Second)
+	<-done
+}
--- /dev/null
+++ b/gateway/schedule/schedule_test.go
@@ -0,0 +1,220 @@
+package schedule
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/matryer/is"
+
+	"camphorwick.dev/gateway/registry"
+	"camphorwick.dev/policy/dispatch"
+	"camphorwick.dev/policy/suspect"
+)
+
+// engine has four slots and reads 100 tokens a millisecond.
+func engine() *dispatch.Engine {
+	return &dispatch.Engine{Slots: 4, MemoryTokens: 100_000, ChunkTokens: 2048, StepsPerPass: 10, StepMillis: 1, ReadTokensPerMilli: 100}
+}
+
+// newScheduler returns a scheduler of servers s0, s1 ...
+func newScheduler(servers int) (*Scheduler, *registry.Registry) {
+	r := registry.New(func(registry.Change) {})
+	for i := range servers {
+		r.Put(&registry.Server{ID: fmt.Sprintf("s%d", i), Service: "service", Address: fmt.Sprintf("10.0.0.%d:80", i+1), DataCentre: "dc"})
+	}
+	return New(r, "vm", "dc"), r
+}
+
+func prompt(tokens int) Request {
+	now := time.Now()
+	return Request{Service: "service", Engine: engine(), LatencyTarget: 300 * time.Millisecond, Arrived: now, Deadline: now.Add(10 * time.Second),
+		Prompt: dispatch.Prompt{Tokens: tokens, Answer: 100, TargetMillis: 300, GapMillis: 250}}
+}
+
+// fill takes all slots and returns the assignments.
+func fill(t *testing.T, s *Scheduler, slots int) []*Assignment {
+	t.Helper()
+	var all []*Assignment
+	for range slots {
+		a, err := s.Acquire(context.Background(), prompt(1000))
+		if err != nil {
+			t.Fatal(err)
+		}
+		all = append(all, a)
+	}
+	return all
+}
+
+func TestNoServer(t *testing.T) {
+	is := is.New(t)
+	s, _ := newScheduler(0)
+	_, err := s.Acquire(context.Background(), prompt(100))
+	var none *NoServerError
+	is.True(errors.As(err, &none))
+}
+
+// Guards against a prompt that waits though all engines together cannot store
+// it.
+func TestTooLargeForAllEngines(t *testing.T) {
+	is := is.New(t)
+	s, _ := newScheduler(2)
+	_, err := s.Acquire(context.Background(), prompt(250_000))
+	var large *TooLargeError
+	is.True(errors.As(err, &large))
+}
+
+// Guards against requests beyond the slots of an engine, and against a slot
+// that is not given on when it is free.
+func TestWaitsForASlot(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		s, _ := newScheduler(1)
+		all := fill(t, s, 4)
+		got := make(chan *Assignment)
+		go func() {
+			a, err := s.Acquire(context.Background(), prompt(1000))
+			is.NoErr(err)
+			got <- a
+		}()
+		synctest.Wait()
+		select {
+		case <-got:
+			t.Fatal("assigned without a slot")
+		default:
+		}
+		all[0].End()
+		(<-got).End()
+	})
+}
+
+// Pattern: a burst of short prompts beside waiting long ones. Guards against
+// short prompts that queue behind long ones: the one whose target ends first
+// goes first.
+func TestShortTargetGoesFirst(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		s, _ := newScheduler(1)
+		all := fill(t, s, 4)
+		order := make(chan string, 2)
+		wait := func(name string, target time.Duration) {
+			r := prompt(1000)
+			r.LatencyTarget = target
+			a, err := s.Acquire(context.Background(), r)
+			is.NoErr(err)
+			order <- name
+			a.End()
+		}
+		go wait("long", 3*time.Second)
+		synctest.Wait()
+		go wait("short", 300*time.Millisecond)
+		synctest.Wait()
+		all[0].End()
+		is.Equal(<-order, "short")
+		is.Equal(<-order, "long")
+	})
+}
+
+// Pattern: more requests than can be served in their time. Guards against
+// requests that are held although they can no longer be served.
+func TestRefusesInTime(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		s, _ := newScheduler(1)
+		fill(t, s, 4)
+		begun := time.Now()
+		_, err := s.Acquire(context.Background(), prompt(1000))
+		var overload *OverloadError
+		is.True(errors.As(err, &overload))
+		is.True(overload.RetryAfter > 0)
+		is.True(time.Since(begun) <= 6500*time.Millisecond) // a third of its time is left
+	})
+}
+
+// Guards against the assignment of a request whose caller has gone.
+func TestCallerLeavesTheQueue(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		s, _ := newScheduler(1)
+		all := fill(t, s, 4)
+		ctx, cancel := context.WithCancel(context.Background())
+		result := make(chan error)
+		go func() {
+			_, err := s.Acquire(ctx, prompt(1000))
+			result <- err
+		}()
+		synctest.Wait()
+		cancel()
+		is.True(errors.Is(<-result, context.Canceled))
+		for _, a := range all {
+			a.End()
+		}
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		is.Equal(len(s.waiting), 0)
+		is.Equal(s.board.Own("s0", time.Now()), dispatch.Load{})
+	})
+}
+
+// Guards against requests to servers under suspicion while others are sound,
+// and against refusals when all are suspected.
+func TestAvoidsSuspectedServers(t *testing.T) {
+	is := is.New(t)
+	s, _ := newScheduler(2)
+	r := Request{Service: "service", Arrived: time.Now(), Deadline: time.Now().Add(time.Second)}
+	first, err := s.Acquire(context.Background(), r)
+	is.NoErr(err)
+	first.Observe(suspect.Unreachable)
+	first.End()
+	for range 5 {
+		a, err := s.Acquire(context.Background(), r)
+		is.NoErr(err)
+		is.True(a.Server.ID != first.Server.ID)
+		a.End()
+	}
+	other, err := s.Acquire(context.Background(), Request{Service: "service", Exclude: []string{first.Server.ID}})
+	is.NoErr(err)
+	other.Observe(suspect.Unreachable)
+	_, err = s.Acquire(context.Background(), Request{Service: "service"})
+	is.NoErr(err)
+}
+
+// Guards against a plain service whose servers get unequal work.
+func TestPlainServiceSpreads(t *testing.T) {
+	is := is.New(t)
+	s, _ := newScheduler(3)
+	count := map[string]int{}
+	for range 9 {
+		a, err := s.Acquire(context.Background(), Request{Service: "service"})
+		is.NoErr(err)
+		count[a.Server.ID]++
+	}
+	is.Equal(count, map[string]int{"s0": 3, "s1": 3, "s2": 3})
+}
+
+// Guards against gateways that disagree about who prefers an engine, and
+// against a home in another data centre.
+func TestHomes(t *testing.T) {
+	is := is.New(t)
+	gateways := []Gateway{{"a", "dc-1"}, {"b", "dc-1"}, {"c", "dc-2"}}
+	count := map[string]int{}
+	for i := range 60 {
+		server := &registry.Server{ID: fmt.Sprint("server-", i), DataCentre: fmt.Sprint("dc-", 1+i%3)}
+		owners := 0
+		for _, g := range gateways {
+			h := newHomes(g.VM, g.DataCentre)
+			h.set(gateways)
+			if !h.isHome(server) {
+				continue
+			}
+			owners++
+			count[g.VM]++
+			is.True(server.DataCentre == "dc-3" || g.DataCentre == server.DataCentre)
+		}
+		is.Equal(owners, 1)
+	}
+	is.True(count["a"] > 5 && count["b"] > 5 && count["c"] >= 20)
+}
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -215,6 +215,9 @@
 
 // Parse is Load for data that has been read; path is used in errors.
 func Parse(path string, data []byte) (*Settings, error) {
+	if len(bytes.TrimSpace(data)) == 0 {
+		return nil, &Error{File: path, Field: wholeFile, Value: "(empty)", Allowed: "one JSON object"}
+	}
 	s := &Settings{}
 	decoder := json.NewDecoder(bytes.NewReader(data))
 	decoder.DisallowUnknownFields()
@@ -231,11 +234,18 @@
 	return s, nil
 }
 
+// wholeFile stands for the field of faults that concern the whole file.
+const wholeFile = "(whole file)"
+
 // decodeError names the field of a type error.
 func decodeError(path string, err error) error {
 	var typeError *json.UnmarshalTypeError
 	if errors.As(err, &typeError) {
-		return &Error{File: path, Field: typeError.Field, Value: typeError.Value, Allowed: "a value of type " + typeError.Type.String()}
+		field := typeError.Field
+		if field == "" {
+			field = wholeFile
+		}
+		return &Error{File: path, Field: field, Value: typeError.Value, Allowed: "a value of type " + typeError.Type.String()}
 	}
 	return &Error{File: path, Cause: fmt.Errorf("decode settings: %w", err)}
 }
--- a/settings/settings_test.go
+++ b/settings/settings_test.go
@@ -54,6 +54,49 @@
 	}
 }
 
+const validGateway = `{
+	"vm": "gateway-1", "role": "gateway", "data_centre": "muscat-1",
+	"control_address": "127.0.0.1:7000", "ops_address": "127.0.0.1:7001",
+	"insecure_plaintext": true, "platform": {"url": "http://127.0.0.1:7100"},
+	"gateway": {"callers_address": "127.0.0.1:8000", "memory_mb": 284, "retry_ratio": 0.2, "retry_extra": 100,
+		"retry_window_s": 10, "grace_s": 8}
+}`
+
+func TestGatewaySettings(t *testing.T) {
+	is := is.New(t)
+	s, err := Parse("gateway.json", []byte(validGateway))
+	is.NoErr(err)
+	is.Equal(s.Gateway.RetryExtra, 100.0)
+	for _, tc := range []struct{ name, old, new, field string }{
+		{"no section", `"gateway": {`, `"agent": {}, "ignored": {`, ""},
+		{"bad address", `"127.0.0.1:8000"`, `"8000"`, "gateway.callers_address"},
+		{"no memory", `284`, `0`, "gateway.memory_mb"},
+		{"negative ratio", `"retry_ratio": 0.2`, `"retry_ratio": -1`, "gateway.retry_ratio"},
+		{"no window", `"retry_window_s": 10`, `"retry_window_s": 0`, "gateway.retry_window_s"},
+		{"no grace", `"grace_s": 8`, `"grace_s": 0`, "gateway.grace_s"},
+		{"wrong type", `"retry_extra": 100`, `"retry_extra": "many"`, "gateway.retry_extra"},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			is := is.New(t)
+			_, err := Parse("gateway.json", []byte(strings.Replace(validGateway, tc.old, tc.new, 1)))
+			var fault *Error
+			is.True(errors.As(err, &fault))
+			is.Equal(fault.Field, tc.field)
+		})
+	}
+}
+
+// Guards against faults of the whole file that are reported without a field.
+func TestFaultsOfTheWholeFile(t *testing.T) {
+	for _, content := range []string{"", " \n", "[]", "17"} {
+		is := is.New(t)
+		_, err := Parse("f.json", []byte(content))
+		var fault *Error
+		is.True(errors.As(err, &fault))
+		is.Equal(fault.Field, "(whole file)")
+	}
+}
+
 // Guards against silently ignored settings.
 func TestParseRefusesUnknownFieldsAndTrailingData(t *testing.T) {
 	is := is.New(t)
