--- a/gateway/ingress/exchange.go
+++ b/gateway/ingress/exchange.go
@@ -281,7 +281,11 @@
 		_, err := io.Copy(io.Discard, io.LimitReader(answer.Body, maxBuffered))
 		whole = err == nil
 		x.reason = reasonNotRun
-		a.Observe(suspect.Failure)
+		if helper := a.BlameHelper(m.AtServer); helper != nil {
+			x.excluded[len(x.excluded)-1] = helper.ID // the first server may well do
+		} else {
+			a.Observe(suspect.Failure)
+		}
 		x.log.Info("server refused", "server", a.Server.ID, "status", answer.Status, "at_server", m.AtServer, "misrouted", m.Misrouted)
 		return again, nil
 	}
@@ -399,6 +403,15 @@
 		first = x.firstAt.Sub(x.arrived).Milliseconds()
 	}
 	x.g.Metrics.request(x.r.Context(), status, reason, took)
+	if status < http.StatusBadRequest && x.sends == 1 {
+		write, omitted := x.g.sampler.take(time.Now())
+		if omitted > 0 {
+			x.g.Log.Info("lines of served requests left out", "lines", omitted)
+		}
+		if !write {
+			return
+		}
+	}
 	x.log.Info("request ended", "status", status, "reason", reason, "route", route, "config", version, "account", x.account,
 		"server", x.server, "sends", x.sends, "ran", x.ran, "prompt_tokens", x.meta.PromptTokens,
 		"waited_ms", x.waited.Milliseconds(), "expected_ms", x.expected.Milliseconds(), "helpers", x.helpers,
--- /dev/null
+++ b/gateway/ingress/sample_test.go
@@ -0,0 +1,28 @@
+package ingress
+
+import (
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+)
+
+// Guards against a log that grows with the load, and against lines that are
+// left out without being counted.
+func TestSampler(t *testing.T) {
+	is := is.New(t)
+	s := &sampler{}
+	now := time.Unix(100, 0)
+	written := 0
+	for range 1000 {
+		if write, _ := s.take(now); write {
+			written++
+		}
+	}
+	is.Equal(written, successLinesPerSecond)
+	write, omitted := s.take(now.Add(time.Second))
+	is.True(write)
+	is.Equal(omitted, 1000-successLinesPerSecond)
+	_, omitted = s.take(now.Add(time.Second))
+	is.Equal(omitted, 0)
+}
--- a/gateway/schedule/schedule.go
+++ b/gateway/schedule/schedule.go
@@ -416,6 +416,23 @@
 	}
 }
 
+// BlameHelper records that the request was refused because of the helper at
+// address, and returns its server; nil if no helper has this address.
+func (a *Assignment) BlameHelper(address string) *registry.Server {
+	i := slices.IndexFunc(a.Helpers, func(h *registry.Server) bool { return h.Address == address })
+	if i < 0 {
+		return nil
+	}
+	s, helper := a.scheduler, a.Helpers[i]
+	s.mu.Lock()
+	suspected := s.tracker(a.service).Observe(helper.ID, suspect.Unreachable, time.Now())
+	s.mu.Unlock()
+	if suspected {
+		s.OnSuspect(a.service, helper.ID)
+	}
+	return helper
+}
+
 // End records that the request no longer uses its server.
 func (a *Assignment) End() {
 	s := a.scheduler
--- a/gateway/schedule/schedule_test.go
+++ b/gateway/schedule/schedule_test.go
@@ -182,6 +182,28 @@
 	is.NoErr(err)
 }
 
+// Guards against prompts that ask a dead helper again and again, while the
+// blame falls on the engine that reports it.
+func TestHelperIsBlamed(t *testing.T) {
+	is := is.New(t)
+	s, _ := newScheduler(3)
+	r := prompt(60_000)
+	r.Prompt.TargetMillis = 100
+	a, err := s.Acquire(context.Background(), r)
+	is.NoErr(err)
+	is.True(len(a.Helpers) > 0)
+	dead := a.Helpers[0]
+	is.Equal(a.BlameHelper(a.Server.Address), nil)
+	is.Equal(a.BlameHelper(dead.Address), dead)
+	a.End()
+	b, err := s.Acquire(context.Background(), r)
+	is.NoErr(err)
+	is.True(b.Server.ID != dead.ID)
+	for _, h := range b.Helpers {
+		is.True(h.ID != dead.ID)
+	}
+}
+
 // Guards against a plain service whose servers get unequal work.
 func TestPlainServiceSpreads(t *testing.T) {
 	is := is.New(t)
