--- a/gateway/ingress/ingress.go
+++ b/gateway/ingress/ingress.go
@@ -62,6 +62,7 @@
 	// refuseLong says that new streams could not end before the stop.
 	refuseLong atomic.Bool
 	started    time.Time
+	sampler    sampler
 
 	mu      sync.Mutex
 	budgets map[string]*retry.Window
