--- a/gateway/ingress/ingress.go
+++ b/gateway/ingress/ingress.go
@@ -59,10 +59,10 @@
 	table   atomic.Pointer[routing.Table]
 	active  atomic.Int64
 	closing atomic.Bool
-	// refuseLong says that new streams could not end before the stop.
-	refuseLong atomic.Bool
-	started    time.Time
-	sampler    sampler
+	// stopAt is when a stopping process ends; nil while it takes all requests.
+	stopAt  atomic.Pointer[time.Time]
+	started time.Time
+	sampler sampler
 
 	mu      sync.Mutex
 	budgets map[string]*retry.Window
@@ -108,9 +108,9 @@
 // CloseConnections makes each further answer the last one of its connection.
 func (g *Gateway) CloseConnections() { g.closing.Store(true) }
 
-// RefuseLong refuses new streams from now on, because the process will stop
-// before they could end.
-func (g *Gateway) RefuseLong() { g.refuseLong.Store(true) }
+// RefuseAfter refuses new streams that are not expected to end before the
+// process does.
+func (g *Gateway) RefuseAfter(stop time.Time) { g.stopAt.Store(&stop) }
 
 // ServeHTTP implements http.Handler.
 func (g *Gateway) ServeHTTP(w http.ResponseWriter, r *http.Request) {
@@ -152,7 +152,7 @@
 		}
 		x.account = account.Name
 	}
-	if x.route.Kind == routing.Stream && x.g.refuseLong.Load() {
+	if stop := x.g.stopAt.Load(); stop != nil && x.route.Kind == routing.Stream && x.arrived.Add(x.expectedTime()).After(*stop) {
 		x.refuse(http.StatusServiceUnavailable, "stopping", stoppingRetryAfter)
 		return false
 	}
@@ -160,6 +160,22 @@
 	return x.readBody()
 }
 
+// Expected length of a stream: tokenTime is that of a token on a loaded engine,
+// hintFactor the share by which answers exceed the caller's estimate at times.
+const (
+	tokenTime  = 1300 * time.Microsecond
+	hintFactor = 1.3
+)
+
+// expectedTime returns how long a stream is expected to take.
+func (x *exchange) expectedTime() time.Duration {
+	tokens := float64(x.meta.MaxAnswerTokens)
+	if x.meta.AnswerHint > 0 {
+		tokens = min(tokens, hintFactor*float64(x.meta.AnswerHint))
+	}
+	return 2*x.route.LatencyTarget + time.Duration(tokens*float64(tokenTime))
+}
+
 // timeLeft returns the time that the request has from its arrival.
 func (x *exchange) timeLeft() time.Duration {
 	left := x.meta.TimeLeft
--- a/gateway/node/node.go
+++ b/gateway/node/node.go
@@ -308,7 +308,7 @@
 		if time.Since(begun) < leaveTime {
 			continue
 		}
-		n.gateway.RefuseLong()
+		n.gateway.RefuseAfter(begun.Add(n.options.DrainLimit))
 		callers.closeIdle()
 		if n.gateway.Active() == 0 {
 			break
