--- a/daemon/cmd/camphorwick/gateway.go
+++ b/daemon/cmd/camphorwick/gateway.go
@@ -10,6 +10,9 @@
 	"runtime/debug"
 	"time"
 
+	"go.opentelemetry.io/otel/attribute"
+	"go.opentelemetry.io/otel/metric"
+
 	"camphorwick.dev/gateway/node"
 	"camphorwick.dev/gateway/upstream"
 	"camphorwick.dev/observe"
@@ -38,6 +41,11 @@
 		return fmt.Errorf("parse the platform's URL: %w", err)
 	}
 	store := platform.NewStore(address.Host, upstream.New())
+	calls, err := t.Meter.Int64Counter("gateway.store_calls", metric.WithDescription("Calls to the platform's store, by kind"))
+	if err != nil {
+		return fmt.Errorf("set up metrics: %w", err)
+	}
+	store.OnCall = func(call string) { calls.Add(ctx, 1, metric.WithAttributes(attribute.String("call", call))) }
 	n, err := node.New(gatewayOptions(s, t), node.Protocol{Wire: platform.Wire{}, Store: store, Memory: platform.NewMemory, DecodeConfig: platform.DecodeConfig,
 		DecodeServer: platform.DecodeServer, ConfigKey: platform.ConfigKey, ServersPrefix: platform.ServersPrefix})
 	if err != nil {
--- a/gateway/node/node.go
+++ b/gateway/node/node.go
@@ -110,6 +110,11 @@
 	if err != nil {
 		return nil, fmt.Errorf("set up metrics: %w", err)
 	}
+	dials, err := o.Meter.Int64Counter("gateway.dials", metric.WithDescription("Connections opened to backend servers"))
+	if err != nil {
+		return nil, fmt.Errorf("set up metrics: %w", err)
+	}
+	n.client.OnDial = func() { dials.Add(context.Background(), 1) }
 	n.peers = peers.New(o.VM, n.schedule, o.Log, n.configVersion)
 	n.schedule.OnPlaced = n.peers.Kick
 	n.gateway = ingress.New(ingress.Options{Wire: p.Wire, Scheduler: n.schedule, Client: n.client, Log: o.Log,
