--- a/testbed/fleet/proxy.go
+++ b/testbed/fleet/proxy.go
@@ -5,6 +5,7 @@
 	"context"
 	"encoding/json"
 	"fmt"
+	"sync"
 	"time"
 
 	toxiproxy "github.com/Shopify/toxiproxy/v2"
@@ -15,8 +16,11 @@
 // connections to one address. Up is the direction from the side that
 // connects. Safe for concurrent use.
 type Proxy struct {
-	name  string
-	proxy *toxiproxy.Proxy
+	name    string
+	address string
+	proxy   *toxiproxy.Proxy
+	// mu keeps faults apart that overlap on one proxy.
+	mu sync.Mutex
 }
 
 // Direction restricts a fault to one direction of a connection.
@@ -42,7 +46,8 @@
 
 // proxyTo starts a proxy in front of an address.
 func (f *Fleet) proxyTo(name, upstream string) (*Proxy, error) {
-	p := &Proxy{name: name, proxy: toxiproxy.NewProxy(faultProxies(), name, f.FreeAddress(), upstream)}
+	address := f.FreeAddress()
+	p := &Proxy{name: name, address: address, proxy: toxiproxy.NewProxy(faultProxies(), name, address, upstream)}
 	if err := p.proxy.Start(); err != nil {
 		return nil, &StartError{name, err}
 	}
@@ -53,7 +58,7 @@
 }
 
 // Address is the address to connect to.
-func (p *Proxy) Address() string { return p.proxy.Listen }
+func (p *Proxy) Address() string { return p.address }
 
 // Cut closes all connections and refuses new ones until Heal.
 func (p *Proxy) Cut() error { return p.enable(false) }
@@ -97,7 +102,9 @@
 }
 
 func (p *Proxy) enable(on bool) error {
-	state := toxiproxy.Proxy{Listen: p.proxy.Listen, Upstream: p.proxy.Upstream, Enabled: on}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	state := toxiproxy.Proxy{Listen: p.address, Upstream: p.proxy.Upstream, Enabled: on}
 	if err := p.proxy.Update(&state); err != nil {
 		return fmt.Errorf("switch proxy %s: %w", p.name, err)
 	}
--- a/testbed/gatewaysoak/faults.go
+++ b/testbed/gatewaysoak/faults.go
@@ -72,8 +72,12 @@
 // server, and heals it.
 func proxyFault(apply func(*fleet.Proxy) error, store bool) func(*run, int, time.Duration) error {
 	return func(r *run, pick int, d time.Duration) error {
-		proxy := r.gatewayAt(pick).store
-		if !store {
+		g := r.gatewayAt(pick)
+		proxy := g.store
+		if store {
+			g.storeMu.Lock()
+			defer g.storeMu.Unlock()
+		} else {
 			b := r.servers[pick%len(r.servers)]
 			b.mu.Lock()
 			defer b.mu.Unlock()
--- a/testbed/gatewaysoak/fleet.go
+++ b/testbed/gatewaysoak/fleet.go
@@ -26,6 +26,7 @@
 	ops      string
 	settings string // path
 	store    *fleet.Proxy
+	storeMu  sync.Mutex // taken for the whole of a fault of store
 
 	mu      sync.Mutex // taken for the whole of a stop and start
 	process *fleet.Process
