--- a/policy/dispatch/admit.go
+++ b/policy/dispatch/admit.go
@@ -1,13 +1,15 @@
 package dispatch
 
+import "math"
+
 const (
 	// longReadMillis is the reading time from which a prompt waits for the
 	// backlog of all engines to shrink. Shorter ones hardly add to it.
 	longReadMillis = 400
-	// backlogShare of its latency target is the backlog in which a prompt
-	// starts that reads for no longer than that target; one that reads for
-	// longer needs a backlog that is smaller in proportion.
-	backlogShare = 0.4
+	// calmBacklogMillis is the backlog in which a prompt starts that reads for
+	// up to moderateReadMillis; the longer one reads, the smaller it must be.
+	calmBacklogMillis  = 1000
+	moderateReadMillis = 1000
 	// lastBacklogShare of the target is added by the end of the time that a
 	// prompt may wait.
 	lastBacklogShare = 0.5
@@ -72,7 +74,7 @@
 	if read < longReadMillis || p.TargetMillis <= 0 {
 		return true
 	}
-	allowed := p.TargetMillis * backlogShare * min(1, p.TargetMillis/read)
+	allowed := calmBacklogMillis * math.Sqrt(min(1, moderateReadMillis/read))
 	allowed += p.TargetMillis * lastBacklogShare * waited
 	return backlogMillis <= allowed
 }
