--- a/gateway/schedule/schedule.go
+++ b/gateway/schedule/schedule.go
@@ -305,7 +305,7 @@
 		return nil, nil
 	}
 	plan, ok := s.chooser.Choose(r.Engine, r.Prompt, s.candidates)
-	if !ok || !r.Engine.Accepts(r.Prompt, plan, len(servers), r.waited(now)) {
+	if !ok || !r.Engine.Accepts(r.Prompt, plan, len(servers), min(1, float64(now.Sub(r.Arrived))/float64(max(r.LatencyTarget, 1)))) {
 		return nil, nil
 	}
 	a := &Assignment{scheduler: s, Server: servers[plan.First], Expected: plan.FirstToken, service: r.Service,
--- a/policy/dispatch/plan.go
+++ b/policy/dispatch/plan.go
@@ -82,7 +82,7 @@
 // maxHelping is the number of parts for other engines that an engine reads at
 // a time. The newest part is read first, so with more of them the older ones
 // would wait for as long as new ones come.
-const maxHelping = 2
+const maxHelping = 3
 
 // partCounts are the numbers of engines that are tried for one prompt.
 var partCounts = [...]int{1, 2, 3, 4, 6, 8, 11, 14, 17}
