--- a/fleetconf/editor.go
+++ b/fleetconf/editor.go
@@ -3,11 +3,9 @@
 import (
 	"bytes"
 	"context"
-	"encoding/json"
 	"errors"
 	"fmt"
 	"math/rand/v2"
-	"strings"
 	"time"
 
 	"camphorwick.dev/api/outcome"
@@ -36,71 +34,6 @@
 	cleanupTimeout = 2 * time.Second
 )
 
-// ConflictError says that an item was changed by another edit.
-type ConflictError struct {
-	Item string
-	// Expected and Actual are revisions of the item; 0 means absent.
-	Expected, Actual uint64
-	// Operator and EditID name the other edit; empty if it is no longer in
-	// the head.
-	Operator, EditID string
-}
-
-func (e *ConflictError) Error() string {
-	return fmt.Sprintf("item %q has revision %d, expected %d; last edit %q by operator %q",
-		e.Item, e.Actual, e.Expected, e.EditID, e.Operator)
-}
-
-// ExpiredEditError says that a repeated edit is so old that the head no
-// longer tells whether it was accepted.
-type ExpiredEditError struct {
-	EditID string
-	// Since is the revision that the edit was based on, Oldest the oldest
-	// revision whose edit id the head still holds.
-	Since, Oldest uint64
-}
-
-func (e *ExpiredEditError) Error() string {
-	return fmt.Sprintf("edit %q is based on revision %d; edits before revision %d can no longer be told apart",
-		e.EditID, e.Since, e.Oldest)
-}
-
-// ReusedEditError says that an edit id belongs to another accepted edit.
-type ReusedEditError struct {
-	EditID   string
-	Revision uint64
-}
-
-func (e *ReusedEditError) Error() string {
-	return fmt.Sprintf("the edit id %q belongs to another edit, accepted as revision %d", e.EditID, e.Revision)
-}
-
-// InDoubtError says that the answer to the write of an edit was lost and could
-// not be resolved: the edit may be in force. Submit the same edit again, with
-// Revision set to Since, to learn its state.
-type InDoubtError struct {
-	EditID string
-	Since  uint64
-	Cause  error
-}
-
-func (e *InDoubtError) Error() string {
-	return fmt.Sprintf("edit %q, based on revision %d, may have been accepted: %v", e.EditID, e.Since, e.Cause)
-}
-
-// Unwrap returns the cause.
-func (e *InDoubtError) Unwrap() error { return e.Cause }
-
-// StaleStoreError says that the store holds an older configuration than a
-// live process: it was restored from an old copy.
-type StaleStoreError struct {
-	Head, Known uint64
-}
-
-func (e *StaleStoreError) Error() string {
-	return fmt.Sprintf("the store has revision %d, revision %d is known", e.Head, e.Known)
-}
-
 // Editor commits edits to the store. Safe for concurrent use.
 type Editor struct {
 	storage storage
@@ -157,61 +90,6 @@
 	return &commit{Editor: e, edit: canonical, since: edit.Revision}, nil
 }
 
-// canonicalEdit checks everything that does not depend on other items and
-// encodes the documents anew, so that equal documents have equal bytes.
-func canonicalEdit(edit *wire.Edit) (*wire.Edit, error) {
-	if err := checkName("", "id", edit.GetId()); err != nil {
-		return nil, err
-	}
-	if err := checkName("", "operator", edit.Operator); err != nil {
-		return nil, err
-	}
-	if len(edit.Changes) == 0 {
-		return nil, invalid("", "changes", "the edit changes nothing")
-	}
-	canonical := &wire.Edit{Id: edit.Id, Operator: edit.Operator, UnixMs: edit.UnixMs}
-	seen, size := map[string]bool{}, 0
-	for _, change := range edit.Changes {
-		if seen[change.GetKey()] {
-			return nil, invalid(change.Key, "", "the edit changes the item twice")
-		}
-		seen[change.GetKey()] = true
-		value, err := canonicalValue(change)
-		if err != nil {
-			return nil, err
-		}
-		canonical.Changes = append(canonical.Changes, &wire.ItemChange{
-			Key: change.Key, Value: value, ExpectedRevision: change.ExpectedRevision})
-		size += len(change.Key) + len(value) + itemOverheadBytes
-	}
-	if size > MaxEditBytes {
-		return nil, invalid("", "changes", "the edit has %d bytes, at most %d are allowed", size, MaxEditBytes)
-	}
-	return canonical, nil
-}
-
-func canonicalValue(change *wire.ItemChange) ([]byte, error) {
-	if len(change.GetValue()) == 0 {
-		prefix, name, _ := strings.Cut(change.GetKey(), "/")
-		if !knownKind(prefix + "/") {
-			return nil, invalid(change.GetKey(), "", "the kind of the item is not known")
-		}
-		return nil, checkName(change.GetKey(), "", name)
-	}
-	document, err := ParseItem(change.Key, change.Value)
-	if err != nil {
-		return nil, err
-	}
-	value, err := json.Marshal(document)
-	if err != nil {
-		return nil, invalid(change.Key, "", "cannot be encoded: %v", err)
-	}
-	if len(value) > MaxItemBytes {
-		return nil, invalid(change.Key, "", "the document has %d bytes, at most %d are allowed", len(value), MaxItemBytes)
-	}
-	return value, nil
-}
-
 func (c *commit) run(ctx context.Context) (uint64, error) {
 	var err error
 	for attempt := range commitAttempts {
@@ -325,21 +203,6 @@
 	return 0, false, nil
 }
 
-// sameEdit reports whether accepted is the edit, less the changes that were
-// in force already.
-func sameEdit(edit, accepted *wire.Edit) bool {
-	wanted := map[string][]byte{}
-	for _, change := range edit.Changes {
-		wanted[change.Key] = change.Value
-	}
-	for _, change := range accepted.Changes {
-		if value, ok := wanted[change.Key]; !ok || !bytes.Equal(value, change.Value) {
-			return false
-		}
-	}
-	return edit.Operator == accepted.Operator
-}
-
 // settle decides what the head, which does not hold the edit, says about
 // earlier writes of it. A write in doubt can no longer take effect once the
 // head's store revision has passed the one that it expected; it has not taken
@@ -390,70 +253,6 @@
 	return merged, next, nil
 }
 
-func conflict(head *wire.ConfigHead, change *wire.ItemChange, actual uint64) error {
-	cause := &ConflictError{Item: change.Key, Expected: change.ExpectedRevision, Actual: actual}
-	for _, e := range head.Edits {
-		for _, other := range e.Changes {
-			if other.Key == change.Key {
-				cause.Operator, cause.EditID = e.Operator, e.Id
-			}
-		}
-	}
-	return outcome.Wrap(cause, outcome.EditConflict, "another edit changed the item")
-}
-
-// checkReferences checks the rules between items for the items of an edit.
-func checkReferences(before, after *Config, edit *wire.Edit) error {
-	if after.bytes > MaxSnapshotBytes {
-		return invalid(edit.Changes[0].Key, "", "the configuration would have %d bytes, at most %d are allowed", after.bytes, MaxSnapshotBytes)
-	}
-	for _, change := range edit.Changes {
-		if name, ok := strings.CutPrefix(change.Key, PlanPrefix); ok && len(change.Value) == 0 {
-			if n := after.usersOf(name); n > 0 {
-				return invalid(change.Key, "", "the plan is used by %d accounts", n)
-			}
-		}
-		if account, ok := strings.CutPrefix(change.Key, ClientPrefix); ok && len(change.Value) > 0 {
-			if err := checkClient(before, after, account); err != nil {
-				return err
-			}
-		}
-	}
-	return nil
-}
-
-func checkClient(before, after *Config, account string) error {
-	key := ClientPrefix + account
-	client, _ := after.Client(account)
-	if _, ok := after.Plan(client.Plan); !ok {
-		return invalid(key, "plan", "the plan %q does not exist", client.Plan)
-	}
-	for i, h := range client.KeyHashes {
-		field := fmt.Sprintf("key_hashes[%d]", i)
-		if owner, _ := after.accounts.get(rawHash(h)); owner != account {
-			return invalid(key, field, "the key belongs to the account %q too", owner)
-		}
-		owner, ok := before.accounts.get(rawHash(h))
-		if ok && owner != account && holdsKey(after, owner, h) {
-			return invalid(key, field, "the key belongs to the account %q", owner)
-		}
-	}
-	return nil
-}
-
-func holdsKey(c *Config, account, hash string) bool {
-	client, ok := c.Client(account)
-	if !ok {
-		return false
-	}
-	for _, h := range client.KeyHashes {
-		if h == hash {
-			return true
-		}
-	}
-	return false
-}
-
 // write appends the merged edit to the head by compare-and-swap.
 func (c *commit) write(ctx context.Context, head *wire.ConfigHead, stored uint64, config, next *Config, merged *wire.Edit) (uint64, error) {
 	compacted := len(head.Edits) >= c.headEdits || proto.Size(head) > compactHeadBytes
--- /dev/null
+++ b/gateway/ingress/outcome.go
@@ -0,0 +1,108 @@
+package ingress
+
+import (
+	"errors"
+	"net/http"
+	"strconv"
+	"time"
+
+	"camphorwick.dev/gateway/schedule"
+)
+
+func (x *exchange) notPlaced(err error) {
+	var overload *schedule.OverloadError
+	var none *schedule.NoServerError
+	var large *schedule.TooLargeError
+	switch {
+	case errors.As(err, &overload):
+		x.reason, x.retry = reasonOverload, overload.RetryAfter
+	case errors.As(err, &none):
+		x.reason, x.retry = reasonNoServer, startRetryAfter
+	case errors.As(err, &large):
+		x.reason = reasonTooLarge
+	}
+	x.log.Info("request not placed", "service", x.service, "reason", x.reason, "error", err.Error(), "config", x.table.Version)
+}
+
+// heldAnswer is a whole answer of a server.
+type heldAnswer struct {
+	status int
+	header http.Header
+	body   []byte
+}
+
+// passOn gives a server's answer to the caller unchanged.
+func (x *exchange) passOn(held *heldAnswer) {
+	x.writeHead(held.header)
+	x.w.Header().Set("Content-Length", strconv.Itoa(len(held.body)))
+	x.w.WriteHeader(held.status)
+	x.firstAt = time.Now()
+	if x.r.Method != http.MethodHead {
+		_, _ = x.w.Write(held.body) // a caller that is gone needs no answer
+	}
+	x.finish(held.status, "")
+}
+
+// writeHead copies the headers of a server's answer.
+func (x *exchange) writeHead(from http.Header) {
+	h := x.w.Header()
+	for name, values := range forwardable(from) {
+		h[name] = values
+	}
+	if _, ok := from["Content-Type"]; !ok {
+		h["Content-Type"] = nil
+	}
+	if _, ok := from["Date"]; !ok {
+		h["Date"] = nil
+	}
+}
+
+// fail ends a request that no server has answered.
+func (x *exchange) fail() {
+	switch {
+	case x.begun:
+		x.finish(http.StatusBadGateway, x.reason)
+		panic(http.ErrAbortHandler) // an answer that ends early must not look complete
+	case x.r.Context().Err() != nil:
+		x.finish(statusCallerGone, reasonGone)
+		panic(http.ErrAbortHandler)
+	case x.ran > 0 && x.ctx.Err() != nil:
+		x.answer(http.StatusGatewayTimeout, reasonTimeout)
+	case x.ran > 0:
+		x.answer(http.StatusBadGateway, x.reason)
+	case x.ctx.Err() != nil:
+		x.refuse(http.StatusServiceUnavailable, reasonTimeout, 0)
+	default:
+		x.refuse(http.StatusServiceUnavailable, x.reason, max(x.retry, refusedRetryAfter))
+	}
+}
+
+// finish logs the end of the request.
+func (x *exchange) finish(status int, reason string) {
+	route, version := "", int64(0)
+	if x.route != nil {
+		route = x.route.Name
+	}
+	if x.table != nil {
+		version = x.table.Version
+	}
+	took := time.Since(x.arrived)
+	first := int64(-1)
+	if !x.firstAt.IsZero() {
+		first = x.firstAt.Sub(x.arrived).Milliseconds()
+	}
+	x.g.Metrics.request(x.r.Context(), status, reason, took)
+	if status < http.StatusBadRequest && x.sends == 1 {
+		write, omitted := x.g.sampler.take(time.Now())
+		if omitted > 0 {
+			x.g.Log.Info("lines of served requests left out", "lines", omitted)
+		}
+		if !write {
+			return
+		}
+	}
+	x.log.Info("request ended", "status", status, "reason", reason, "route", route, "config", version, "account", x.account,
+		"server", x.server, "sends", x.sends, "ran", x.ran, "prompt_tokens", x.meta.PromptTokens,
+		"waited_ms", x.waited.Milliseconds(), "expected_ms", x.expected.Milliseconds(), "helpers", x.helpers,
+		"writers", x.load.Writers, "reading_tokens", int(x.load.Reading.Tokens), "first_ms", first, "took_ms", took.Milliseconds())
+}
--- /dev/null
+++ b/gateway/node/handlers.go
@@ -0,0 +1,149 @@
+package node
+
+import (
+	"encoding/json"
+	"net/netip"
+	"strings"
+	"time"
+
+	"camphorwick.dev/gateway/follow"
+	"camphorwick.dev/gateway/registry"
+	"camphorwick.dev/gateway/routing"
+	"camphorwick.dev/gateway/schedule"
+)
+
+// configHandler puts configurations in force.
+type configHandler struct{ node *Node }
+
+// Replace implements follow.Handler.
+func (h *configHandler) Replace(items []follow.Item) {
+	for _, item := range items {
+		h.Change(item)
+	}
+}
+
+// Change implements follow.Handler.
+func (h *configHandler) Change(item follow.Item) {
+	n := h.node
+	if item.Key != n.protocol.ConfigKey || item.Deleted {
+		return
+	}
+	config, err := n.protocol.DecodeConfig(item.Value)
+	if err != nil {
+		n.options.Log.Error("configuration not understood, the last one stays in force", "revision", item.Revision, "error", err.Error())
+		return
+	}
+	if n.gateway.SetTable(routing.NewTable(config)) {
+		n.options.Log.Info("configuration in force", "version", config.Version, "revision", item.Revision, "routes", len(config.Routes))
+	}
+}
+
+// Failed implements follow.Handler.
+func (h *configHandler) Failed(error) {}
+
+// Restored implements follow.Handler.
+func (h *configHandler) Restored() {}
+
+// serverHandler keeps the registry.
+type serverHandler struct{ node *Node }
+
+// Replace implements follow.Handler.
+func (h *serverHandler) Replace(items []follow.Item) {
+	var list []*registry.Server
+	for _, item := range items {
+		if s := h.decode(item); s != nil {
+			list = append(list, s)
+		}
+	}
+	h.node.registry.Replace(list, time.Now())
+}
+
+// Change implements follow.Handler.
+func (h *serverHandler) Change(item follow.Item) {
+	id := strings.TrimPrefix(item.Key, h.node.protocol.ServersPrefix)
+	if item.Deleted {
+		h.node.registry.Remove(id, time.Now())
+		return
+	}
+	if s := h.decode(item); s != nil {
+		h.node.registry.Put(s)
+		return
+	}
+	h.node.registry.Remove(id, time.Now())
+}
+
+func (h *serverHandler) decode(item follow.Item) *registry.Server {
+	s, err := h.node.protocol.DecodeServer(item.Key, item.Value)
+	if err != nil {
+		h.node.options.Log.Warn("entry names no server", "key", item.Key, "revision", item.Revision, "error", err.Error())
+		return nil
+	}
+	return s
+}
+
+// Failed implements follow.Handler.
+func (h *serverHandler) Failed(error) { h.node.registry.StoreFailed(time.Now()) }
+
+// Restored implements follow.Handler.
+func (h *serverHandler) Restored() { h.node.registry.StoreFailed(time.Now()) }
+
+// peerHandler keeps the list of the other gateways.
+type peerHandler struct {
+	node  *Node
+	known map[string]peer // by VM
+}
+
+type peer struct {
+	address    netip.AddrPort
+	dataCentre string
+}
+
+// Replace implements follow.Handler.
+func (h *peerHandler) Replace(items []follow.Item) {
+	clear(h.known)
+	for _, item := range items {
+		h.note(item)
+	}
+	h.publish()
+}
+
+// Change implements follow.Handler.
+func (h *peerHandler) Change(item follow.Item) {
+	h.note(item)
+	h.publish()
+}
+
+func (h *peerHandler) note(item follow.Item) {
+	vm := strings.TrimPrefix(item.Key, peersPrefix)
+	delete(h.known, vm)
+	if item.Deleted || vm == h.node.options.VM {
+		return
+	}
+	var e entry
+	err := json.Unmarshal(item.Value, &e)
+	if err == nil {
+		var address netip.AddrPort
+		if address, err = netip.ParseAddrPort(e.Address); err == nil {
+			h.known[vm] = peer{address: address, dataCentre: e.DataCentre}
+			return
+		}
+	}
+	h.node.options.Log.Warn("entry names no gateway", "key", item.Key, "error", err.Error())
+}
+
+func (h *peerHandler) publish() {
+	addresses := make(map[string]netip.AddrPort, len(h.known))
+	gateways := []schedule.Gateway{{VM: h.node.options.VM, DataCentre: h.node.options.DataCentre}}
+	for vm, p := range h.known {
+		addresses[vm] = p.address
+		gateways = append(gateways, schedule.Gateway{VM: vm, DataCentre: p.dataCentre})
+	}
+	h.node.peers.SetPeers(addresses)
+	h.node.schedule.SetGateways(gateways)
+}
+
+// Failed implements follow.Handler.
+func (h *peerHandler) Failed(error) {}
+
+// Restored implements follow.Handler.
+func (h *peerHandler) Restored() {}
--- /dev/null
+++ b/gateway/schedule/assignment.go
@@ -0,0 +1,72 @@
+package schedule
+
+import (
+	"slices"
+	"time"
+
+	"camphorwick.dev/gateway/registry"
+	"camphorwick.dev/policy/dispatch"
+	"camphorwick.dev/policy/suspect"
+)
+
+// Assignment is the right to send one request to a server. End must be called.
+type Assignment struct {
+	Server  *registry.Server
+	Helpers []*registry.Server
+	// Held are the tokens that each helper stores in reserved memory; nil if
+	// none does.
+	Held []int
+	// Expected is the estimated time to the first token; 0 for plain services.
+	Expected time.Duration
+	// Load is what the server had in work before this request.
+	Load dispatch.Load
+
+	scheduler *Scheduler
+	job       *dispatch.Job
+	service   string
+}
+
+// FirstToken records that the answer has begun.
+func (a *Assignment) FirstToken() {
+	s := a.scheduler
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	a.job.FirstToken()
+}
+
+// Observe records what became of the request at its server.
+func (a *Assignment) Observe(o suspect.Outcome) {
+	s := a.scheduler
+	s.mu.Lock()
+	suspected := s.tracker(a.service).Observe(a.Server.ID, o, time.Now())
+	s.mu.Unlock()
+	if suspected {
+		s.OnSuspect(a.service, a.Server.ID)
+	}
+}
+
+// BlameHelper records that the request was refused because of the helper at
+// address, and returns its server; nil if no helper has this address.
+func (a *Assignment) BlameHelper(address string) *registry.Server {
+	i := slices.IndexFunc(a.Helpers, func(h *registry.Server) bool { return h.Address == address })
+	if i < 0 {
+		return nil
+	}
+	s, helper := a.scheduler, a.Helpers[i]
+	s.mu.Lock()
+	suspected := s.tracker(a.service).Observe(helper.ID, suspect.Unreachable, time.Now())
+	s.mu.Unlock()
+	if suspected {
+		s.OnSuspect(a.service, helper.ID)
+	}
+	return helper
+}
+
+// End records that the request no longer uses its server.
+func (a *Assignment) End() {
+	s := a.scheduler
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	a.job.End()
+	s.drainQueue(time.Now())
+}
--- a/gateway/schedule/schedule.go
+++ b/gateway/schedule/schedule.go
@@ -83,23 +83,6 @@
 	return fmt.Sprintf("%d requests wait, the forecast is %v", e.Waiting, e.Forecast)
 }
 
-// Assignment is the right to send one request to a server. End must be called.
-type Assignment struct {
-	Server  *registry.Server
-	Helpers []*registry.Server
-	// Held are the tokens that each helper stores in reserved memory; nil if
-	// none does.
-	Held []int
-	// Expected is the estimated time to the first token; 0 for plain services.
-	Expected time.Duration
-	// Load is what the server had in work before this request.
-	Load dispatch.Load
-
-	scheduler *Scheduler
-	job       *dispatch.Job
-	service   string
-}
-
 // Scheduler assigns requests. Safe for concurrent use.
 type Scheduler struct {
 	registry   *registry.Registry
@@ -122,16 +105,6 @@
 	OnPlaced func()
 }
 
-type waiter struct {
-	request Request
-	result  chan result
-}
-
-type result struct {
-	assignment *Assignment
-	err        error
-}
-
 // New returns a scheduler of the gateway on a VM in dataCentre.
 func New(r *registry.Registry, vm, dataCentre string) *Scheduler {
 	return &Scheduler{registry: r, dataCentre: dataCentre, homes: newHomes(vm, dataCentre), board: dispatch.NewBoard(),
@@ -167,67 +140,6 @@
 	}
 }
 
-// latestStart returns the time after which it makes no sense to start r.
-func (r *Request) latestStart() time.Time {
-	return r.Arrived.Add(time.Duration(float64(r.Deadline.Sub(r.Arrived)) * (1 - minServeShare)))
-}
-
-// waited returns the share of the time until the latest start that is over.
-func (r *Request) waited(now time.Time) float64 {
-	return float64(now.Sub(r.Arrived)) / float64(max(r.latestStart().Sub(r.Arrived), 1))
-}
-
-// key orders the waiting requests: those that can still meet their target by
-// when it ends, then the others by when they must start.
-func (r *Request) key(now time.Time) time.Time {
-	due := r.Arrived.Add(r.LatencyTarget)
-	if now.Add(r.LatencyTarget / 4).Before(due) {
-		return due
-	}
-	return r.latestStart().Add(lateRank)
-}
-
-// lateRank puts requests that will be late behind those that can be in time.
-const lateRank = time.Hour
-
-// leave takes a waiter out of the queue, or hands out what it was given
-// meanwhile.
-func (s *Scheduler) leave(w *waiter, err error) (*Assignment, error) {
-	s.mu.Lock()
-	i := slices.Index(s.waiting, w)
-	if i >= 0 {
-		s.waiting = slices.Delete(s.waiting, i, i+1)
-	}
-	s.mu.Unlock()
-	if i >= 0 {
-		return nil, err
-	}
-	got := <-w.result
-	if got.assignment != nil {
-		got.assignment.End()
-	}
-	return nil, err
-}
-
-// forecast refuses a request that the queue cannot serve in time. mu is held.
-func (s *Scheduler) forecast(r Request, now time.Time) error {
-	if len(s.waiting) == 0 || s.interval == 0 {
-		return nil
-	}
-	due := r.key(now)
-	ahead := 0
-	for _, w := range s.waiting {
-		if !w.request.key(now).After(due) {
-			ahead++
-		}
-	}
-	wait := time.Duration(ahead) * s.interval
-	if now.Add(wait).Before(r.latestStart()) {
-		return nil
-	}
-	return &OverloadError{Waiting: ahead, Forecast: wait, RetryAfter: min(max(wait/2, minRetryAfter), maxRetryAfter)}
-}
-
 // Run tries waiting requests again from time to time until ctx ends.
 func (s *Scheduler) Run(ctx context.Context) error {
 	ticker := time.NewTicker(retryTick)
@@ -251,38 +163,6 @@
 	}
 }
 
-// drainQueue places the waiting requests that fit now. mu is held.
-func (s *Scheduler) drainQueue(now time.Time) {
-	if len(s.waiting) == 0 {
-		return
-	}
-	slices.SortStableFunc(s.waiting, func(a, b *waiter) int { return a.request.key(now).Compare(b.request.key(now)) })
-	kept := s.waiting[:0]
-	for i, w := range s.waiting {
-		if i >= maxScan {
-			kept = append(kept, w)
-			continue
-		}
-		a, err := s.place(w.request, now)
-		if a == nil && err == nil {
-			kept = append(kept, w)
-			continue
-		}
-		s.observePlacement(now)
-		w.result <- result{assignment: a, err: err}
-	}
-	clear(s.waiting[len(kept):])
-	s.waiting = kept
-}
-
-func (s *Scheduler) observePlacement(now time.Time) {
-	if !s.lastPlaced.IsZero() {
-		gap := min(now.Sub(s.lastPlaced), time.Second)
-		s.interval += time.Duration(float64(gap-s.interval) * rateWeight)
-	}
-	s.lastPlaced = now
-}
-
 // place assigns r if a server can take it now; nil, nil means that it has to
 // wait. mu is held.
 func (s *Scheduler) place(r Request, now time.Time) (*Assignment, error) {
@@ -397,51 +277,6 @@
 	return t
 }
 
-// FirstToken records that the answer has begun.
-func (a *Assignment) FirstToken() {
-	s := a.scheduler
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	a.job.FirstToken()
-}
-
-// Observe records what became of the request at its server.
-func (a *Assignment) Observe(o suspect.Outcome) {
-	s := a.scheduler
-	s.mu.Lock()
-	suspected := s.tracker(a.service).Observe(a.Server.ID, o, time.Now())
-	s.mu.Unlock()
-	if suspected {
-		s.OnSuspect(a.service, a.Server.ID)
-	}
-}
-
-// BlameHelper records that the request was refused because of the helper at
-// address, and returns its server; nil if no helper has this address.
-func (a *Assignment) BlameHelper(address string) *registry.Server {
-	i := slices.IndexFunc(a.Helpers, func(h *registry.Server) bool { return h.Address == address })
-	if i < 0 {
-		return nil
-	}
-	s, helper := a.scheduler, a.Helpers[i]
-	s.mu.Lock()
-	suspected := s.tracker(a.service).Observe(helper.ID, suspect.Unreachable, time.Now())
-	s.mu.Unlock()
-	if suspected {
-		s.OnSuspect(a.service, helper.ID)
-	}
-	return helper
-}
-
-// End records that the request no longer uses its server.
-func (a *Assignment) End() {
-	s := a.scheduler
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	a.job.End()
-	s.drainQueue(time.Now())
-}
-
 // SetGateways replaces the list of the gateways, this one included.
 func (s *Scheduler) SetGateways(gateways []Gateway) {
 	s.mu.Lock()
