Ask the store anew when its watches may be lost

A renewal of the own entry every 2 s now shows that the store was away, after which all watches are asked anew; a peer with a newer configuration does the same for one gateway alone. Ruled out: the order of versions, the proxies (their connections were closed by then).

--- a/gateway/follow/follow.go
+++ b/gateway/follow/follow.go
@@ -7,6 +7,7 @@
 	"errors"
 	"log/slog"
 	"math/rand/v2"
+	"sync"
 	"time"
 )
 
@@ -80,6 +81,33 @@
 	read      bool
 	failing   bool
 	backoff   time.Duration
+
+	mu     sync.Mutex
+	cancel context.CancelFunc // ends the waiting watch; nil while there is none
+}
+
+// Ask ends a waiting watch and asks anew. It is called when there is reason to
+// believe that the watch was lost without a sign. Safe for concurrent use.
+func (f *Follower) Ask() {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.cancel != nil {
+		f.cancel()
+	}
+}
+
+// watch waits for changes until Ask is called.
+func (f *Follower) watch(ctx context.Context) (items []Item, after int64, asked bool, err error) {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	f.mu.Lock()
+	f.cancel = cancel
+	f.mu.Unlock()
+	items, after, err = f.Store.Watch(ctx, f.Prefix, f.after, WatchWait)
+	f.mu.Lock()
+	f.cancel = nil
+	f.mu.Unlock()
+	return items, after, ctx.Err() != nil, err
 }
 
 // Run follows the prefix until ctx ends.
@@ -94,6 +122,9 @@
 			f.succeeded()
 			continue
 		}
+		if errors.Is(err, errAsked) {
+			continue
+		}
 		var compacted *CompactedError
 		if errors.As(err, &compacted) {
 			f.Log.Warn("store history lost, reading again", "prefix", f.Prefix, "after", compacted.After)
@@ -105,6 +136,9 @@
 	return nil
 }
 
+// errAsked says that Ask has ended a watch, which tells nothing of the store.
+var errAsked = errors.New("asked anew")
+
 // step makes one call.
 func (f *Follower) step(ctx context.Context) error {
 	if !f.read {
@@ -121,7 +155,10 @@
 		f.Handler.Replace(items)
 		return nil
 	}
-	items, after, err := f.Store.Watch(ctx, f.Prefix, f.after, WatchWait)
+	items, after, asked, err := f.watch(ctx)
+	if err != nil && asked && ctx.Err() == nil {
+		return errAsked
+	}
 	if err != nil {
 		return err
 	}
--- a/gateway/follow/follow_test.go
+++ b/gateway/follow/follow_test.go
@@ -119,3 +119,46 @@
 	is.Equal(r.events, []string{"failed", "restored", "replace", "failed", "failed", "restored"})
 	is.Equal(s.afters, []int64{4, 6, 6, 6, 7})
 }
+
+// silentStore never answers a watch before it is asked twice.
+type silentStore struct {
+	Store
+	watches chan struct{}
+	asked   int
+}
+
+func (s *silentStore) Range(context.Context, string) ([]Item, int64, error) { return nil, 1, nil }
+
+func (s *silentStore) Watch(ctx context.Context, _ string, _ int64, _ time.Duration) ([]Item, int64, error) {
+	s.asked++
+	if s.asked == 2 {
+		return []Item{{Key: "p/a", Value: []byte("1"), Revision: 2}}, 2, nil
+	}
+	s.watches <- struct{}{}
+	<-ctx.Done()
+	return nil, 0, ctx.Err()
+}
+
+// Guards against a change that is not seen for as long as a watch may wait,
+// because the store has lost the watch without a sign (soak seeds 106 and
+// others: a dropped route was served for seconds).
+func TestAskRestartsALostWatch(t *testing.T) {
+	is := is.New(t)
+	ctx, cancel := context.WithTimeout(context.Background(), 10*time.Second)
+	defer cancel()
+	s := &silentStore{watches: make(chan struct{})}
+	r := &recorder{}
+	f := &Follower{Store: s, Prefix: "p/", Handler: r, Log: slog.New(slog.NewJSONHandler(io.Discard, nil))}
+	f.Ask() // nothing waits yet
+	done := make(chan struct{})
+	go func() {
+		_ = f.Run(ctx)
+		close(done)
+	}()
+	<-s.watches
+	f.Ask()
+	<-s.watches // the third watch: the second has given the change
+	cancel()
+	<-done
+	is.Equal(r.events, []string{"replace", "p/a=1"})
+}
--- a/gateway/node/node.go
+++ b/gateway/node/node.go
@@ -32,12 +32,14 @@
 	// peersPrefix is where the gateways enter themselves in the store.
 	peersPrefix = "gateways/"
 	// leaseTime is how long the entry of a dead gateway stays.
-	leaseTime = 20 * time.Second
-	// renewInterval is the time between renewals of the lease.
-	renewInterval = 6 * time.Second
-	// retryEntry is the time after which a failed write of the entry is tried
+	leaseTime = 12 * time.Second
+	// renewInterval is the time between renewals of the lease. They show that
+	// the store answers, at a tenth of the price of a read: a store that was
+	// silent for as long as it takes to lose a watch has missed one.
+	renewInterval = 2 * time.Second
+	// retryEntry is the time after which a failed call for the entry is made
 	// again.
-	retryEntry = 2 * time.Second
+	retryEntry = 500 * time.Millisecond
 	// gatherServers and gatherPeers are how long changes gather before the
 	// next call. A leaving server may get work for 2 s and more; the list of
 	// peers is a hint.
@@ -94,6 +96,9 @@
 	peers    *peers.Exchange
 	stop     chan struct{}
 	stopOnce sync.Once
+	// followers are set by New and never change; the first one follows the
+	// configuration.
+	followers []*follow.Follower
 }
 
 // New returns a node that does nothing until Run is called. client is used for
@@ -115,6 +120,8 @@
 	}
 	n.client.OnDial = func() { dials.Add(context.Background(), 1) }
 	n.peers = peers.New(o.VM, n.schedule, o.Log, n.configVersion)
+	n.peers.OnNewerConfig = n.askForConfig
+	n.followers = n.newFollowers()
 	n.schedule.OnPlaced = n.peers.Kick
 	n.gateway = ingress.New(ingress.Options{Wire: p.Wire, Scheduler: n.schedule, Client: n.client, Log: o.Log,
 		Reserver: reserve.New(p.Memory(n.client), o.Log), Metrics: metrics,
@@ -195,7 +202,9 @@
 	group.Go(func() error { return n.schedule.Run(ctx) })
 	group.Go(func() error { return n.sweep(ctx) })
 	group.Go(func() error { return n.enter(ctx) })
-	n.followAll(ctx, group)
+	for _, f := range n.followers {
+		group.Go(func() error { return f.Run(ctx) })
+	}
 	group.Go(func() error {
 		defer cancel()
 		return n.drain(ctx, server, callers)
@@ -219,8 +228,9 @@
 	return 0
 }
 
-// followAll follows the configuration, the servers and the other gateways.
-func (n *Node) followAll(ctx context.Context, group *errgroup.Group) {
+// newFollowers returns followers of the configuration, the servers and the
+// other gateways.
+func (n *Node) newFollowers() []*follow.Follower {
 	followers := []*follow.Follower{
 		{Prefix: n.protocol.ConfigKey, Handler: &configHandler{node: n}},
 		{Prefix: n.protocol.ServersPrefix, Handler: &serverHandler{node: n}, Gather: gatherServers},
@@ -228,7 +238,21 @@
 	}
 	for _, f := range followers {
 		f.Store, f.Log = n.protocol.Store, n.options.Log
-		group.Go(func() error { return f.Run(ctx) })
+	}
+	return followers
+}
+
+// askForConfig asks for the configuration because a peer has a newer one.
+func (n *Node) askForConfig(version int64) {
+	n.options.Log.Info("a peer has a newer configuration", "version", version)
+	n.followers[0].Ask()
+}
+
+// askAll asks for everything anew after the store was away: its answers to
+// watches of that time may be lost.
+func (n *Node) askAll() {
+	for _, f := range n.followers {
+		f.Ask()
 	}
 }
 
@@ -250,6 +274,7 @@
 // enter keeps the node's entry for its peers in the store.
 func (n *Node) enter(ctx context.Context) error {
 	lease := int64(0)
+	failing := false
 	for {
 		var err error
 		if lease == 0 {
@@ -263,9 +288,13 @@
 			continue
 		}
 		pause := renewInterval
-		if err != nil {
-			pause = retryEntry
+		switch {
+		case err != nil:
+			pause, failing = retryEntry, true
 			n.options.Log.Debug("own entry not renewed", "error", err.Error())
+		case failing:
+			failing = false
+			n.askAll()
 		}
 		select {
 		case <-ctx.Done():
--- a/gateway/peers/peers.go
+++ b/gateway/peers/peers.go
@@ -43,17 +43,22 @@
 	Log       *slog.Logger
 	// ConfigVersion returns the version in force here.
 	ConfigVersion func() int64
+	// OnNewerConfig is called when a peer has a newer configuration for longer
+	// than changes take to arrive everywhere, at most once in newerInterval.
+	OnNewerConfig func(version int64)
 
 	mu       sync.Mutex
 	peers    map[string]netip.AddrPort
 	synced   bool
 	sequence map[string]uint64
 	kick     chan struct{}
+	newer    time.Time // since when a peer has a newer configuration
 }
 
 // New returns an exchange; Kick may be called from now on.
 func New(vm string, s *schedule.Scheduler, log *slog.Logger, configVersion func() int64) *Exchange {
-	return &Exchange{VM: vm, Scheduler: s, Log: log, ConfigVersion: configVersion, kick: make(chan struct{}, 1), sequence: map[string]uint64{}}
+	return &Exchange{VM: vm, Scheduler: s, Log: log, ConfigVersion: configVersion, kick: make(chan struct{}, 1), sequence: map[string]uint64{},
+		OnNewerConfig: func(int64) {}}
 }
 
 // unknownProcesses is assumed until the other gateways are known: it keeps the
@@ -212,11 +217,31 @@
 	}
 }
 
+// newerInterval is how long a peer may be ahead before its word counts.
+const newerInterval = 500 * time.Millisecond
+
+// compareConfig notices that the own configuration is behind a peer's.
+func (e *Exchange) compareConfig(version int64) {
+	if version <= e.ConfigVersion() {
+		return
+	}
+	now := time.Now()
+	if e.newer.IsZero() || now.Sub(e.newer) > 4*newerInterval {
+		e.newer = now
+		return
+	}
+	if now.Sub(e.newer) > newerInterval {
+		e.newer = time.Time{}
+		e.OnNewerConfig(version)
+	}
+}
+
 func (e *Exchange) take(m *wire.PeerLoads) {
 	if m.GetSequence() <= e.sequence[m.GetVm()] {
 		return
 	}
 	e.sequence[m.GetVm()] = m.GetSequence()
+	e.compareConfig(m.GetConfigVersion())
 	loads := make(map[string]dispatch.Load, len(m.GetLoads()))
 	for _, l := range m.GetLoads() {
 		loads[l.GetServer()] = dispatch.Load{Writers: int(l.GetWriters()), Waiting: int(l.GetWaiting()), Helping: int(l.GetHelping()),
--- a/gateway/peers/peers_test.go
+++ b/gateway/peers/peers_test.go
@@ -68,3 +68,21 @@
 	_, err = sb.Acquire(ctx, request(100*time.Millisecond))
 	is.NoErr(err)
 }
+
+// Guards against a gateway that serves an older configuration for as long as
+// its watch waits, while its peers have a newer one.
+func TestNewerConfigOfAPeer(t *testing.T) {
+	is := is.New(t)
+	e, _, conn := newExchange(t, "a")
+	defer func() { _ = conn.Close() }()
+	var told []int64
+	e.OnNewerConfig = func(version int64) { told = append(told, version) }
+	e.compareConfig(3)
+	e.compareConfig(4) // may be on its way to here
+	is.Equal(len(told), 0)
+	time.Sleep(newerInterval + 10*time.Millisecond)
+	e.compareConfig(4)
+	is.Equal(told, []int64{4})
+	e.compareConfig(4) // asked for a moment ago
+	is.Equal(len(told), 1)
+}
