--- a/gateway/registry/registry.go
+++ b/gateway/registry/registry.go
@@ -10,7 +10,7 @@
 
 // ReturnGrace is how long after an outage of the store a server that vanished
 // from the list may take to come back; the platform states about 2 s.
-const ReturnGrace = 2 * time.Second
+const ReturnGrace = 2400 * time.Millisecond
 
 // Server is one incarnation of a backend server.
 type Server struct {
