Reload test: replace the settings file in one step

The test failed once under the race detector beside the whole suite: a reload read the file between its truncation and its content, logged a refusal, and the test took that line for the one that it waited for. The product refuses half a file and reads it again at the next look.

--- a/daemon/cmd/camphorwick/reload_test.go
+++ b/daemon/cmd/camphorwick/reload_test.go
@@ -26,8 +26,9 @@
 func TestReload(t *testing.T) {
 	is := is.New(t)
 	path := filepath.Join(t.TempDir(), "settings.json")
-	write := func(extra string) {
-		is.NoErr(os.WriteFile(path, []byte(strings.Replace(gatewaySettings, "EXTRA", extra, 1)), 0o600))
+	write := func(extra string) { // in one step, so that no reload sees half of a file
+		is.NoErr(os.WriteFile(path+".new", []byte(strings.Replace(gatewaySettings, "EXTRA", extra, 1)), 0o600))
+		is.NoErr(os.Rename(path+".new", path))
 	}
 	write("100")
 	var mu sync.Mutex
@@ -51,7 +52,7 @@
 		defer mu.Unlock()
 		return log.String()
 	}
-	for !strings.Contains(logged(), "settings refused") {
+	for !strings.Contains(logged(), "gateway.retry_extra") {
 		time.Sleep(time.Millisecond)
 	}
 	write("25") // without a signal
@@ -64,7 +65,7 @@
 	cancel()
 	is.NoErr(<-ended)
 	is.Equal(len(applied), 0)
-	is.True(strings.Contains(logged(), "gateway.retry_extra"))
+	is.True(strings.Contains(logged(), "settings refused"))
 }
 
 type lockedWriter struct {
