--- /dev/null
+++ b/gateway/ingress/operations_test.go
@@ -0,0 +1,100 @@
+package ingress
+
+import (
+	"bufio"
+	"encoding/json"
+	"net"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+)
+
+// linesOf returns the log lines of a request, as docs/OPERATIONS.md finds them
+// by its id.
+func (f *fleet) linesOf(id string) []map[string]any {
+	f.log.mu.Lock()
+	defer f.log.mu.Unlock()
+	var lines []map[string]any
+	for _, text := range strings.Split(f.log.b.String(), "\n") {
+		var line map[string]any
+		if json.Unmarshal([]byte(text), &line) == nil && line["request_id"] == id {
+			lines = append(lines, line)
+		}
+	}
+	return lines
+}
+
+// has reports whether a line has all of the fields.
+func has(line map[string]any, fields map[string]any) bool {
+	for name, want := range fields {
+		if line[name] != want {
+			return false
+		}
+	}
+	return true
+}
+
+// The three cases of docs/OPERATIONS.md: each must lead from the request's id
+// to its cause. Guards against lines or fields that the page names and that
+// are gone.
+func TestOperationsPageLeadsToTheCause(t *testing.T) {
+	hang := func(_ net.Conn, br *bufio.Reader, _ *http.Request) bool {
+		_, err := br.ReadByte()
+		return err == nil
+	}
+	for _, c := range []struct {
+		name    string
+		answers []answer
+		before  func(f *fleet)
+		target  string
+		headers string
+		want    []map[string]any
+	}{
+		{
+			name: "refused under load", answers: []answer{hang}, target: "/stream/", headers: "Tokens: 100\r\nLeft: 300\r\n",
+			before: func(f *fleet) {
+				for range 4 {
+					go func() { _, _, _ = f.call("POST", "/stream/", "Tokens: 100\r\nId: other\r\n", "x") }()
+				}
+				for len(f.requests()) < 4 {
+					time.Sleep(time.Millisecond)
+				}
+			},
+			want: []map[string]any{{"msg": "request not placed", "reason": "overloaded", "service": "service"},
+				{"msg": "request ended", "status": 503.0, "reason": "overloaded", "sends": 0.0, "ran": 0.0}},
+		},
+		{
+			name: "stream broken off", answers: []answer{events(3, false)}, target: "/stream/",
+			want: []map[string]any{{"msg": "stream broken", "server": "s0", "last_event": "3"},
+				{"msg": "request ended", "status": 502.0, "sends": 1.0, "ran": 1.0}},
+		},
+		{
+			name: "order without an answer", answers: []answer{raw("")}, target: "/order/7",
+			want: []map[string]any{{"msg": "send failed", "server": "s0", "sent": true},
+				{"msg": "request ended", "status": 502.0, "reason": "no_answer", "route": "/order/", "config": 1.0, "server": "s0", "ran": 1.0}},
+		},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			is := is.New(t)
+			f := newFleet(t, c.answers...)
+			if c.before != nil {
+				c.before(f)
+			}
+			_, _, _ = f.call("POST", c.target, c.headers, "x") // its failure is the point
+			lines := f.linesOf("r1")
+			for _, want := range c.want {
+				found := false
+				for _, line := range lines {
+					found = found || has(line, want)
+				}
+				if !found {
+					t.Errorf("no line with %v among %v", want, lines)
+				}
+			}
+			is.Equal(lines[len(lines)-1]["msg"], "request ended")
+		})
+	}
+}
