--- a/Makefile
+++ b/Makefile
@@ -3,7 +3,7 @@
 PACKAGES = $$(go list work)
 GOFILES  = $$(git ls-files '*.go' | grep -v '\.pb\.go$$')
 
-.PHONY: all build test check fmt vet lint generate generated wire-names demo bench soak gateway-soak tidy
+.PHONY: all build test check fmt vet lint generate generated wire-names demo bench soak gateway-soak fuzz tidy
 
 all: check test
 
@@ -48,6 +48,12 @@
 gateway-soak: build
 	bin/gatewaysoak -bin bin $(SOAK)
 
+# Fuzzes the decoders of foreign bytes for a few seconds each; the inputs that
+# were kept are run by every `make test`.
+fuzz:
+	go test -run xxx -fuzz FuzzDecode -fuzztime 5s ./platform
+	go test -run xxx -fuzz FuzzEventBuffer -fuzztime 5s ./gateway/ingress
+
 # Fails if names of the platform's protocol stand outside its adapter.
 wire-names:
 	.ci/wire-names
--- a/gateway/ingress/events.go
+++ b/gateway/ingress/events.go
@@ -16,6 +16,9 @@
 // eventBuffer cuts a stream of server-sent events at the ends of events.
 type eventBuffer struct {
 	data []byte
+	// searched is the length of the beginning of data that has no end of an
+	// event, so that a long event is searched once.
+	searched int
 }
 
 // add appends bytes of the stream.
@@ -24,12 +27,15 @@
 // next returns the next whole event with its empty line, or nil. It is valid
 // until the next call of add.
 func (b *eventBuffer) next() []byte {
-	i := bytes.Index(b.data, eventEnd)
+	start := max(b.searched-len(eventEnd)+1, 0)
+	i := bytes.Index(b.data[start:], eventEnd)
 	if i < 0 {
+		b.searched = len(b.data)
 		return nil
 	}
-	event := b.data[:i+len(eventEnd)]
-	b.data = b.data[i+len(eventEnd):]
+	end := start + i + len(eventEnd)
+	event := b.data[:end]
+	b.data, b.searched = b.data[end:], 0
 	return event
 }
 
--- a/gateway/ingress/stream_test.go
+++ b/gateway/ingress/stream_test.go
@@ -146,6 +146,23 @@
 	is.Equal(response.StatusCode, 200)
 }
 
+// Guards against the search of a long event from its beginning for each read:
+// found by the fuzz run, which stood still for seconds.
+func TestLongEventIsSearchedOnce(t *testing.T) {
+	is := is.New(t)
+	var buffer eventBuffer
+	begun := time.Now()
+	for range maxEventBytes {
+		buffer.add([]byte("x"))
+		is.Equal(buffer.next(), nil)
+	}
+	buffer.add([]byte("\n"))
+	is.Equal(buffer.next(), nil)
+	buffer.add([]byte("\n"))
+	is.Equal(len(buffer.next()), maxEventBytes+2)
+	is.True(time.Since(begun) < 5*time.Second)
+}
+
 func FuzzEventBuffer(f *testing.F) {
 	f.Add([]byte("id: 1\ndata: a\n\nid: 2\n"), 3)
 	f.Fuzz(func(t *testing.T, data []byte, cut int) {
