Name the settings variable in the adapter; bound foreign answers after interim ones

The daemon's command line named the platform's environment variable; the check of names covers it now.

--- a/daemon/cmd/camphorwick/main.go
+++ b/daemon/cmd/camphorwick/main.go
@@ -26,6 +26,7 @@
 	"camphorwick.dev/daemon/entry"
 	"camphorwick.dev/daemon/member"
 	"camphorwick.dev/observe"
+	"camphorwick.dev/platform"
 	"camphorwick.dev/settings"
 )
 
@@ -40,7 +41,7 @@
 const shutdownLimit = 5 * time.Second
 
 type runCommand struct {
-	Settings string `short:"s" long:"settings" required:"true" env:"CAMPHORWICK_NODE_FILE" description:"settings file in JSON"`
+	Settings string `short:"s" long:"settings" required:"true" description:"settings file in JSON"`
 }
 
 type checkCommand struct {
@@ -51,9 +52,11 @@
 	parser := flags.NewParser(nil, flags.HelpFlag|flags.PassDoubleDash)
 	parser.Name = "camphorwick"
 	run, check := &runCommand{}, &checkCommand{}
-	must(parser.AddCommand("run", "run the daemon", "Runs the role that the settings file names until SIGTERM, which stops it gracefully.", run))
+	runCmd, err := parser.AddCommand("run", "run the daemon", "Runs the role that the settings file names until SIGTERM, which stops it gracefully.", run)
+	must(runCmd, err)
+	runCmd.FindOptionByLongName("settings").EnvDefaultKey = platform.SettingsVariable
 	must(parser.AddCommand("check-config", "check a settings file", "Checks a settings file and opens no port.", check))
-	_, err := parser.Parse()
+	_, err = parser.Parse()
 	if err == nil {
 		return
 	}
--- a/gateway/upstream/upstream.go
+++ b/gateway/upstream/upstream.go
@@ -178,7 +178,7 @@
 		if r.Belongs == nil || r.Belongs(answer.Header) {
 			return answer, nil
 		}
-		if skipped == maxSkipped {
+		if skipped >= maxSkipped {
 			return nil, errForeignAnswer
 		}
 		if _, err := io.Copy(io.Discard, answer.Body); err != nil {
