--- /dev/null
+++ b/api/admin/admin.go
@@ -0,0 +1,58 @@
+// Package admin holds the JSON bodies of the administration API that both its
+// server and its client use, so that the two cannot drift apart.
+package admin
+
+import "camphorwick.dev/api/outcome"
+
+// ErrorBody is the body of a refused or doubtful call.
+type ErrorBody struct {
+	RequestID string          `json:"request_id"`
+	Outcome   outcome.Outcome `json:"outcome"`
+	Error     ErrorDetail     `json:"error"`
+}
+
+// ErrorDetail tells an operator why a call was refused, and what is known of
+// the other edit or of a doubtful one.
+type ErrorDetail struct {
+	Code         outcome.Code `json:"code"`
+	Message      string       `json:"message"`
+	RetryAfterMS int64        `json:"retry_after_ms,omitempty"`
+	// Conflict is set when another edit has changed an item.
+	Conflict *Conflict `json:"conflict,omitempty"`
+	// Expired says that a repeat of the edit can never resolve it.
+	Expired bool `json:"expired,omitempty"`
+}
+
+// Conflict tells what another operator did to an item. Revisions are 0 for an
+// item that does not exist; Operator and EditID are empty if the other edit is
+// no longer known.
+type Conflict struct {
+	Key              string `json:"key"`
+	ExpectedRevision uint64 `json:"expected_revision"`
+	ActualRevision   uint64 `json:"actual_revision"`
+	Operator         string `json:"operator,omitempty"`
+	EditID           string `json:"edit_id,omitempty"`
+}
+
+// VM is one line of the fleet table.
+type VM struct {
+	VM             string `json:"vm"`
+	Role           string `json:"role"`
+	DataCentre     string `json:"data_centre"`
+	State          string `json:"state"`
+	Mark           string `json:"mark,omitempty"`
+	ConfigRevision uint64 `json:"config_revision"`
+	// Models and Service are what the backend server beside an agent offers.
+	Models  []string `json:"models,omitempty"`
+	Service string   `json:"service,omitempty"`
+	// Running and Queued count requests.
+	Running uint32 `json:"running"`
+	Queued  uint32 `json:"queued"`
+	// PrefillTokens are the prefill tokens queued or running, by length band:
+	// short, medium, long.
+	PrefillTokens []uint64 `json:"prefill_tokens,omitempty"`
+	// KVReserved and KVTokens are the reserved and the whole memory of the
+	// model engine, in tokens.
+	KVReserved uint64 `json:"kv_reserved_tokens"`
+	KVTokens   uint64 `json:"kv_tokens,omitempty"`
+}
--- a/ctl/client.go
+++ b/ctl/client.go
@@ -18,7 +18,7 @@
 	"sync/atomic"
 	"time"
 
-	"camphorwick.dev/api/outcome"
+	"camphorwick.dev/api/admin"
 )
 
 const (
@@ -109,21 +109,7 @@
 }
 
 // VM is one line of the fleet table.
-type VM struct {
-	VM             string   `json:"vm"`
-	Role           string   `json:"role"`
-	DataCentre     string   `json:"data_centre"`
-	State          string   `json:"state"`
-	Mark           string   `json:"mark,omitempty"`
-	ConfigRevision uint64   `json:"config_revision"`
-	Models         []string `json:"models,omitempty"`
-	Service        string   `json:"service,omitempty"`
-	Running        uint32   `json:"running"`
-	Queued         uint32   `json:"queued"`
-	PrefillTokens  []uint64 `json:"prefill_tokens,omitempty"`
-	KVReserved     uint64   `json:"kv_reserved_tokens"`
-	KVTokens       uint64   `json:"kv_tokens,omitempty"`
-}
+type VM = admin.VM
 
 // Config returns the items whose key starts with prefix, ordered by key.
 func (c *Client) Config(ctx context.Context, prefix string) (*Config, error) {
@@ -255,14 +241,7 @@
 		}
 		return nil
 	}
-	var refusal struct {
-		Error struct {
-			Code     outcome.Code `json:"code"`
-			Message  string       `json:"message"`
-			Conflict *Conflict    `json:"conflict"`
-			Expired  bool         `json:"expired"`
-		} `json:"error"`
-	}
+	var refusal admin.ErrorBody
 	if err := json.Unmarshal(data, &refusal); err != nil || refusal.Error.Code == "" {
 		return &lostError{address, fmt.Errorf("status %d without an error code", response.StatusCode)}
 	}
--- a/ctl/error.go
+++ b/ctl/error.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"strings"
 
+	"camphorwick.dev/api/admin"
 	"camphorwick.dev/api/outcome"
 )
 
@@ -20,13 +21,7 @@
 }
 
 // Conflict tells what another operator did to an item.
-type Conflict struct {
-	Key              string `json:"key"`
-	ExpectedRevision uint64 `json:"expected_revision"`
-	ActualRevision   uint64 `json:"actual_revision"`
-	Operator         string `json:"operator"`
-	EditID           string `json:"edit_id"`
-}
+type Conflict = admin.Conflict
 
 func (e *APIError) Error() string {
 	return fmt.Sprintf("%s answered %s: %s", e.Address, e.Code, strings.ReplaceAll(e.Message, "\n", "; "))
--- a/daemon/entry/admin.go
+++ b/daemon/entry/admin.go
@@ -18,6 +18,7 @@
 	"github.com/google/uuid"
 	"github.com/valyala/fasthttp"
 
+	"camphorwick.dev/api/admin"
 	"camphorwick.dev/api/outcome"
 	"camphorwick.dev/api/wire"
 	"camphorwick.dev/cloud"
@@ -78,41 +79,19 @@
 	})
 }
 
-// adminErrorBody is the body of a refused edit: errorBody with what an
-// operator needs to know about the other edit or about a doubtful one.
-type adminErrorBody struct {
-	RequestID string           `json:"request_id"`
-	Outcome   outcome.Outcome  `json:"outcome"`
-	Error     adminErrorDetail `json:"error"`
-}
-
-type adminErrorDetail struct {
-	errorDetail
-	Conflict *adminConflict `json:"conflict,omitempty"`
-	// Expired says that a repeat of the edit can never resolve it.
-	Expired bool `json:"expired,omitempty"`
-}
-
-// adminConflict tells what another operator did to an item.
-type adminConflict struct {
-	Key              string `json:"key"`
-	ExpectedRevision uint64 `json:"expected_revision"`
-	ActualRevision   uint64 `json:"actual_revision"`
-	Operator         string `json:"operator,omitempty"`
-	EditID           string `json:"edit_id,omitempty"`
-}
-
 // writeAdminError is writeError with the details of a conflict.
 func writeAdminError(c *fasthttp.RequestCtx, id string, result outcome.Outcome, err error) {
 	writeError(c, id, result, err)
-	detail := adminErrorDetail{errorDetail: detailOf(err)}
+	common := detailOf(err)
+	detail := admin.ErrorDetail{Code: common.Code, Message: common.Message, RetryAfterMS: common.RetryAfterMS}
 	var conflict *fleetconf.ConflictError
 	if errors.As(err, &conflict) {
-		detail.Conflict = &adminConflict{conflict.Item, conflict.Expected, conflict.Actual, conflict.Operator, conflict.EditID}
+		detail.Conflict = &admin.Conflict{Key: conflict.Item, ExpectedRevision: conflict.Expected, ActualRevision: conflict.Actual,
+			Operator: conflict.Operator, EditID: conflict.EditID}
 	}
 	var expired *fleetconf.ExpiredEditError
 	detail.Expired = errors.As(err, &expired)
-	writeJSON(c, c.Response.StatusCode(), adminErrorBody{id, result, detail})
+	writeJSON(c, c.Response.StatusCode(), admin.ErrorBody{RequestID: id, Outcome: result, Error: detail})
 }
 
 // authenticateOperator compares the hash of the key in constant time.
@@ -316,36 +295,19 @@
 	return names
 }
 
-// fleetVM is one line of the fleet table.
-type fleetVM struct {
-	VM             string   `json:"vm"`
-	Role           string   `json:"role"`
-	DataCentre     string   `json:"data_centre"`
-	State          string   `json:"state"`
-	Mark           string   `json:"mark,omitempty"`
-	ConfigRevision uint64   `json:"config_revision"`
-	Models         []string `json:"models,omitempty"`
-	Service        string   `json:"service,omitempty"`
-	Running        uint32   `json:"running"`
-	Queued         uint32   `json:"queued"`
-	PrefillTokens  []uint64 `json:"prefill_tokens,omitempty"`
-	KVReserved     uint64   `json:"kv_reserved_tokens"`
-	KVTokens       uint64   `json:"kv_tokens,omitempty"`
-}
-
 // adminFleet lists the fleet as this entry sees it.
 func (e *Entry) adminFleet(c *fasthttp.RequestCtx) error {
 	config := e.member.Replica.Config()
-	rows := map[string]*fleetVM{}
+	rows := map[string]*admin.VM{}
 	for _, vm := range e.member.ListedVMs() {
-		rows[vm.ID] = &fleetVM{VM: vm.ID, Role: vm.Role, DataCentre: vm.DataCentre, State: "unreachable"}
+		rows[vm.ID] = &admin.VM{VM: vm.ID, Role: vm.Role, DataCentre: vm.DataCentre, State: "unreachable"}
 	}
-	rows[e.settings.VM] = &fleetVM{VM: e.settings.VM, Role: string(e.settings.Role), DataCentre: e.settings.DataCentre,
+	rows[e.settings.VM] = &admin.VM{VM: e.settings.VM, Role: string(e.settings.Role), DataCentre: e.settings.DataCentre,
 		State: "live", ConfigRevision: config.Revision()}
 	for _, p := range e.member.Node.Peers() {
 		row := rows[p.Hello.Vm]
 		if row == nil {
-			row = &fleetVM{VM: p.Hello.Vm, Role: roleNames[p.Hello.Role], DataCentre: p.Hello.DataCentre, State: "unreachable"}
+			row = &admin.VM{VM: p.Hello.Vm, Role: roleNames[p.Hello.Role], DataCentre: p.Hello.DataCentre, State: "unreachable"}
 			rows[row.VM] = row
 		}
 		if p.Connected {
@@ -361,7 +323,7 @@
 			row.ConfigRevision = m.ConfigRevision
 		}
 	}
-	list := make([]*fleetVM, 0, len(rows))
+	list := make([]*admin.VM, 0, len(rows))
 	for _, row := range rows {
 		if mark, ok := config.Mark(row.VM); ok {
 			row.Mark = string(mark)
@@ -376,7 +338,7 @@
 var roleNames = map[wire.Role]string{wire.Role_ROLE_ENTRY: "entry", wire.Role_ROLE_AGENT: "agent"}
 
 // fillLoads adds the reported loads to the fleet table.
-func (e *Entry) fillLoads(rows map[string]*fleetVM) {
+func (e *Entry) fillLoads(rows map[string]*admin.VM) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	for vm, state := range e.agents {
--- /dev/null
+++ b/ledger/naive_test.go
@@ -0,0 +1,77 @@
+package ledger
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"testing"
+	"time"
+
+	"camphorwick.dev/api/wire"
+	"camphorwick.dev/cloud"
+	"camphorwick.dev/cloud/memkv"
+)
+
+// naive is the differential baseline: one compare-and-swap per order and a
+// blind retry after a lost answer.
+type naive struct{ kv cloud.KV }
+
+func newNaive(kv cloud.KV, _ string, _ func() time.Time) journal { return &naive{kv} }
+
+type naiveClaim struct{}
+
+func (naiveClaim) Done(int, string, []byte) {}
+func (naiveClaim) Abandon()                 {}
+func (naiveClaim) InDoubt()                 {}
+
+// claim takes a conflict after a lost answer for its own write.
+func (n *naive) claim(ctx context.Context, key Key, attempt string) (ending, *wire.OrderRecord, error) {
+	storeKey := fmt.Sprintf("%s/%x", key.storeKey(), key.hash)
+	entry, err := n.kv.Get(ctx, storeKey)
+	if err != nil {
+		return nil, nil, err
+	}
+	if entry.Revision != 0 {
+		return nil, &wire.OrderRecord{Status: claimed}, nil
+	}
+	retried := false
+	for ctx.Err() == nil {
+		_, err := n.kv.Put(ctx, storeKey, []byte(attempt), 0, 0)
+		var uncertain *cloud.UncertainError
+		var conflict *cloud.ConflictError
+		switch {
+		case err == nil, retried && errors.As(err, &conflict):
+			return naiveClaim{}, nil, nil
+		case errors.As(err, &uncertain):
+			retried = true
+		default:
+			return nil, nil, err
+		}
+	}
+	return nil, nil, ctx.Err()
+}
+
+func (n *naive) Lookup(context.Context, Key) (*wire.OrderRecord, error) { return nil, nil }
+func (n *naive) Close(context.Context) error                            { return nil }
+func (n *naive) sweep(context.Context) error                            { return nil }
+
+// Shows what the ledger is for: the same lost request makes the naive baseline
+// send twice, and the ledger once.
+func TestNaiveBaselineSendsTwice(t *testing.T) {
+	// The first write of process 0 is lost on its way; process 1 claims and
+	// sends before process 0 repeats the write.
+	s := scenario{
+		Faults: []memkv.Fault{memkv.None, memkv.LoseRequest, memkv.None, memkv.None, memkv.None, memkv.None, memkv.None, memkv.None},
+		Delays: []time.Duration{0, 0, 0, 2 * time.Second, 0, 0, 0, 0}, // process 0 is paused after its write
+		Steps: []step{
+			{Kind: stepOrder, Process: 0, Timeout: 30 * time.Second, End: endInDoubt, Wait: 500 * time.Millisecond},
+			{Kind: stepOrder, Process: 1, Timeout: 30 * time.Second, End: endInDoubt, Wait: 10 * time.Second},
+		},
+	}
+	if sends := execute(t, s, newNaive).sends[0]; sends != 2 {
+		t.Errorf("the naive baseline sent %d times, expected 2", sends)
+	}
+	if sends := execute(t, s, newLedgerJournal).sends[0]; sends != 1 {
+		t.Errorf("the ledger sent %d times, expected 1", sends)
+	}
+}
