Log callers that left a stream as such

Cause: a stream whose caller had closed its connection ended with status 502 and reason "timeout" in the log, because only the request's context was asked. Ruled out: the route's timeout (requests of different ages ended at once) and lost connections (no line "stream broken"). After: status 499, reason caller_gone; the same for a send without an answer. TestLogOfACallerThatLeftItsStream failed before.

--- a/gateway/ingress/exchange.go
+++ b/gateway/ingress/exchange.go
@@ -248,6 +248,10 @@
 		x.reason = reasonNoAnswer
 		x.ran++
 	}
+	if x.callerGone() {
+		x.log.Info("caller gone before the answer", "server", a.Server.ID, "sent", sent)
+		return giveUp
+	}
 	if x.ctx.Err() != nil {
 		x.log.Info("no answer in time", "server", a.Server.ID, "sent", sent, "error", err.Error())
 		return giveUp
--- a/gateway/ingress/harness_test.go
+++ b/gateway/ingress/harness_test.go
@@ -94,6 +94,28 @@
 	return l.b.Write(p)
 }
 
+func (l *lockedBuffer) String() string {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.b.String()
+}
+
+// waitForLine returns the first log line with the given text; it fails after
+// 2 s without one.
+func (f *fleet) waitForLine(text string) string {
+	f.t.Helper()
+	for range 200 {
+		for line := range strings.Lines(f.log.String()) {
+			if strings.Contains(line, text) {
+				return line
+			}
+		}
+		time.Sleep(10 * time.Millisecond)
+	}
+	f.t.Fatalf("no line with %q in the log", text)
+	return ""
+}
+
 // answer writes the answer to one request; it returns false to end the
 // connection.
 type answer func(c net.Conn, br *bufio.Reader, r *http.Request) bool
--- a/gateway/ingress/outcome.go
+++ b/gateway/ingress/outcome.go
@@ -60,12 +60,12 @@
 // fail ends a request that no server has answered.
 func (x *exchange) fail() {
 	switch {
+	case x.callerGone():
+		x.finish(statusCallerGone, reasonGone)
+		panic(http.ErrAbortHandler)
 	case x.begun:
 		x.finish(http.StatusBadGateway, x.reason)
 		panic(http.ErrAbortHandler) // an answer that ends early must not look complete
-	case x.r.Context().Err() != nil:
-		x.finish(statusCallerGone, reasonGone)
-		panic(http.ErrAbortHandler)
 	case x.ran > 0 && x.ctx.Err() != nil:
 		x.answer(http.StatusGatewayTimeout, reasonTimeout)
 	case x.ran > 0:
@@ -77,6 +77,9 @@
 	}
 }
 
+// callerGone reports whether the caller has closed its connection.
+func (x *exchange) callerGone() bool { return x.r.Context().Err() != nil }
+
 // finish logs the end of the request.
 func (x *exchange) finish(status int, reason string) {
 	route, version := "", int64(0)
--- a/gateway/ingress/stream_test.go
+++ b/gateway/ingress/stream_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"net"
 	"net/http"
+	"strings"
 	"testing"
 	"time"
 
@@ -124,6 +125,27 @@
 	is.True(time.Since(begun) < 800*time.Millisecond)
 }
 
+// Guards against a log that blames the time limit, or a server, when a caller
+// has left in the middle of a silent stream (seen in a burst of reviews).
+func TestLogOfACallerThatLeftItsStream(t *testing.T) {
+	is := is.New(t)
+	f := newFleet(t, func(c net.Conn, br *bufio.Reader, _ *http.Request) bool {
+		_, _ = fmt.Fprint(c, "HTTP/1.1 200 OK\r\nMark: m\r\nTransfer-Encoding: chunked\r\n\r\n")
+		chunk(c, "id: 1\ndata: a\n\n")
+		_, err := br.ReadByte()
+		return err == nil
+	})
+	c, err := net.Dial("tcp", f.address)
+	is.NoErr(err)
+	_, _ = fmt.Fprint(c, "POST /stream/ HTTP/1.1\r\nHost: a.example\r\nId: r1\r\nKey: secret\r\nContent-Length: 1\r\n\r\nx")
+	_, err = bufio.NewReader(c).ReadString('a')
+	is.NoErr(err)
+	_ = c.Close()
+	line := f.waitForLine("request ended")
+	is.True(strings.Contains(line, `"reason":"caller_gone"`))
+	is.True(strings.Contains(line, `"status":499`))
+}
+
 // Guards against streams that a stopping gateway would have to cut, and
 // against the refusal of those that it can still serve: while all gateways are
 // replaced in turn, there may be no other (inc-6315).
