Keep short answers on few engines and long reading off the others' pauses

Every engine that could help read a review had answers in progress; among harmed engines the earliest was taken, so parts of 1.5 to 2 s stood still for eight quotes at once. Callers left after 2.5 s. Ruled out: want of engine time (the reviews of that window needed about half of it), first tokens (16 of 21 in time), the gateways' processors. Change: the first engine is chosen by the price of the wait; a short answer joins the fullest engine; harmed engines are taken by least harm, at twice the price; a long prompt waits a quarter of its time for a plan without harm, and starts at once only if it is read within 0.35 of its target.

--- a/policy/dispatch/admit.go
+++ b/policy/dispatch/admit.go
@@ -84,9 +84,12 @@
 	// prompt should have its first token to start at once, idleFactor times
 	// the time on idle engines for those that cannot; each is stretched by up
 	// to lastStretch while the prompt waits.
-	promptStart = 0.6
+	promptStart = 0.35
 	idleFactor  = 1.7
 	lastStretch = 1.5
+	// harmlessShare of its waiting time is how long a long prompt waits for a
+	// plan that makes no pause of other answers too long.
+	harmlessShare = 0.25
 )
 
 // Accepts reports whether a long prompt should start with a plan, or wait for
@@ -96,6 +99,9 @@
 	if read < longReadMillis || p.TargetMillis <= 0 {
 		return true
 	}
+	if plan.Harm > 0 && waited < harmlessShare {
+		return false
+	}
 	idle := read/float64(min(engines, MaxHelpers+1)) + e.stepsMillis(1, p.Tokens)
 	limit := max(promptStart*p.TargetMillis, idleFactor*idle) * (1 + lastStretch*waited)
 	return float64(plan.FirstToken.Microseconds())/1000 <= limit
--- a/policy/dispatch/plan.go
+++ b/policy/dispatch/plan.go
@@ -22,11 +22,15 @@
 	openMillis = 25
 	// awayMillis is what an engine must gain that another gateway prefers:
 	// gateways choose at the same time, and would all take the same engine.
-	awayMillis = 15
+	awayMillis = 10
+	// joinMillis is what an engine may be slower for each answer there that
+	// allows no longer pauses: the fuller engines with short answers are, the
+	// more of the others read long prompts without harm.
+	joinMillis = 0.7
 	// harmPerGap times the longest pause that an answer allows is the price of
 	// exceeding it, for each answer of the engine: callers of long answers
 	// allow longer pauses.
-	harmPerGap = 1.6
+	harmPerGap = 3.2
 	// waitShare of the wait counts while it is well inside the latency target;
 	// from safeShare of the target on each millisecond counts lateWeight.
 	waitShare  = 0.15
@@ -77,6 +81,8 @@
 	Held []int
 	// FirstToken is the expected time to the first token.
 	FirstToken time.Duration
+	// Harm is the price of the pauses that become too long in other answers.
+	Harm float64
 }
 
 // maxHelping is the number of parts for other engines that an engine reads at
@@ -122,28 +128,29 @@
 // for it now.
 func (c *Chooser) Choose(e *Engine, p Prompt, candidates []Candidate) (plan Plan, ok bool) {
 	c.rank(e, p, candidates)
-	best := -1.0
+	found := false
+	best := 0.0
 	work := PromptWork(p.Tokens)
 	for _, parts := range partCounts {
 		if parts > len(candidates) || parts > 1 && p.Tokens < parts*smallestPartTokens {
 			break
 		}
 		partMillis := e.ReadMillis(work.Part(parts))
-		first := c.first(partMillis)
+		first := c.first(&p, partMillis)
 		if first < 0 {
 			break
 		}
 		if !c.pickHelpers(first, parts-1, partMillis) {
 			break
 		}
-		finish, price := c.price(p, first, partMillis)
-		if best >= 0 && price >= best {
+		k := c.cost(p, first, partMillis)
+		if found && k.price >= best {
 			continue
 		}
-		best = price
-		plan = c.plan(first, plan, finish)
+		found, best = true, k.price
+		plan = c.plan(first, plan, k)
 	}
-	if best < 0 {
+	if !found {
 		return c.spread(e, p)
 	}
 	return plan, true
@@ -164,6 +171,9 @@
 		if p.GapMillis > 0 && (l.GapMillis == 0 || l.GapMillis > p.GapMillis) {
 			r.open = openMillis
 		}
+		if p.GapMillis > 0 && l.GapMillis > 0 && l.GapMillis <= p.GapMillis {
+			r.open -= joinMillis * float64(l.Writers+l.Waiting)
+		}
 		if !k.Home {
 			r.open += awayMillis
 		}
@@ -179,45 +189,77 @@
 }
 
 // first returns the position of the engine that answers, or -1.
-func (c *Chooser) first(partMillis float64) int {
+func (c *Chooser) first(p *Prompt, partMillis float64) int {
 	best, bestPrice := -1, 0.0
 	for i := range c.order {
 		r := &c.order[i]
 		if !r.room {
 			continue
 		}
-		if price := r.base*waitShare + r.harmOf(partMillis) + r.open; best < 0 || price < bestPrice {
+		if price := p.waitPrice(r.base+partMillis) + r.harmOf(partMillis) + r.open; best < 0 || price < bestPrice {
 			best, bestPrice = i, price
 		}
 	}
 	return best
 }
 
-// pickHelpers chooses the earliest engines besides first, those without harm
-// before the others; false if there are not enough.
+// pickHelpers chooses engines besides first: the earliest ones where the part
+// makes no pause too long, then those with the least harm. It reports whether
+// there are enough.
 func (c *Chooser) pickHelpers(first, helpers int, partMillis float64) bool {
 	c.chosen = c.chosen[:0]
-	for _, harmed := range [...]bool{false, true} {
-		for i := 0; i < len(c.order) && len(c.chosen) < helpers; i++ {
-			if i != first && c.order[i].helps && (partMillis > c.order[i].slack) == harmed {
-				c.chosen = append(c.chosen, i)
-			}
+	for i := 0; i < len(c.order) && len(c.chosen) < helpers; i++ {
+		if r := &c.order[i]; i != first && r.helps && r.harmOf(partMillis) == 0 {
+			c.chosen = append(c.chosen, i)
+		}
+	}
+	for len(c.chosen) < helpers {
+		i := c.leastHarmed(first, partMillis)
+		if i < 0 {
+			return false
+		}
+		c.chosen = append(c.chosen, i)
+	}
+	return true
+}
+
+// leastHarmed returns the position of the engine where a part that makes
+// pauses too long does the least harm, or -1. The engines without harm are
+// among the chosen ones.
+func (c *Chooser) leastHarmed(first int, partMillis float64) int {
+	best := -1
+	for i := range c.order {
+		r := &c.order[i]
+		if i == first || !r.helps || r.harmOf(partMillis) == 0 || slices.Contains(c.chosen, i) {
+			continue
+		}
+		if best < 0 || r.harm+r.base < c.order[best].harm+c.order[best].base {
+			best = i
 		}
 	}
-	return len(c.chosen) == helpers
+	return best
+}
+
+// cost is what is expected of a plan, in milliseconds.
+type cost struct {
+	// finish is the time to the first event.
+	finish float64
+	// harm is the price of the pauses that become too long, price the whole.
+	harm, price float64
 }
 
-// price returns the expected time to the first event and the price of the
-// plan that consists of first and the chosen helpers.
-func (c *Chooser) price(p Prompt, first int, partMillis float64) (finish, price float64) {
+// cost returns what the plan that consists of first and the chosen helpers
+// costs.
+func (c *Chooser) cost(p Prompt, first int, partMillis float64) cost {
 	r := &c.order[first]
-	finish, price = r.base, r.open+r.harmOf(partMillis)
+	k := cost{finish: r.base, harm: r.harmOf(partMillis)}
 	for _, i := range c.chosen {
-		finish = max(finish, c.order[i].base)
-		price += c.order[i].harmOf(partMillis) + helperMillis
+		k.finish = max(k.finish, c.order[i].base)
+		k.harm += c.order[i].harmOf(partMillis)
 	}
-	finish += partMillis
-	return finish, price + p.waitPrice(finish)
+	k.finish += partMillis
+	k.price = r.open + k.harm + helperMillis*float64(len(c.chosen)) + p.waitPrice(k.finish)
+	return k
 }
 
 // waitPrice returns the price of a first event after the given time.
@@ -233,12 +275,13 @@
 }
 
 // plan lists the chosen engines; it reuses the memory of old.
-func (c *Chooser) plan(first int, old Plan, finishMillis float64) Plan {
+func (c *Chooser) plan(first int, old Plan, k cost) Plan {
 	helpers := old.Helpers[:0]
 	for _, i := range c.chosen {
 		helpers = append(helpers, c.order[i].candidate.Index)
 	}
-	return Plan{First: c.order[first].candidate.Index, Helpers: helpers, FirstToken: time.Duration(finishMillis * float64(time.Millisecond))}
+	return Plan{First: c.order[first].candidate.Index, Helpers: helpers, Harm: k.harm,
+		FirstToken: time.Duration(k.finish * float64(time.Millisecond))}
 }
 
 const (
@@ -260,7 +303,7 @@
 		return plan, false
 	}
 	work := PromptWork(p.Tokens)
-	best := -1.0
+	best := 0.0
 	for _, parts := range partCounts[1:] {
 		if parts > len(c.order) {
 			break
@@ -277,15 +320,15 @@
 		if held == nil {
 			continue
 		}
-		finish, price := c.price(p, first, partMillis)
-		if best >= 0 && price >= best {
+		k := c.cost(p, first, partMillis)
+		if ok && k.price >= best {
 			continue
 		}
-		best = price
-		plan = c.plan(first, plan, finish)
+		ok, best = true, k.price
+		plan = c.plan(first, plan, k)
 		plan.Held = held
 	}
-	return plan, best >= 0
+	return plan, ok
 }
 
 // free returns the memory that an engine can give to a prompt.
