Property tests of the promises to callers, over all orders of what servers do

Guards against orders that run twice, refusals that are not true, answers mixed from two servers, and streams with doubled or missing events.

--- /dev/null
+++ b/gateway/ingress/property_test.go
@@ -0,0 +1,232 @@
+package ingress
+
+import (
+	"bufio"
+	"fmt"
+	"net"
+	"net/http"
+	"strconv"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"camphorwick.dev/policy/retry"
+)
+
+// lastEvent is the last event of each stream in the property test.
+const lastEvent = 5
+
+// behaviour is how a server treats one send.
+type behaviour struct {
+	name string
+	// mayRun says that the caller cannot exclude that the request ran.
+	mayRun bool
+	// answer plays it; n tells sends apart.
+	answer func(n int) answer
+}
+
+// behaviours are those of a server for requests with a whole answer.
+var behaviours = []behaviour{
+	{"good", true, func(n int) answer { return text(200, answerOf(n)) }},
+	{"late", true, func(n int) answer { return delayed(text(200, answerOf(n))) }},
+	{"refusal", false, func(int) answer { return refusal }},
+	{"late refusal", false, func(int) answer { return delayed(refusal) }},
+	{"error", true, func(n int) answer { return text(500, answerOf(n)) }},
+	{"closed", true, func(int) answer { return raw("") }},
+	{"cut body", true, func(n int) answer {
+		return raw("HTTP/1.1 200 OK\r\nMark: m\r\nContent-Length: 99\r\n\r\n" + answerOf(n))
+	}},
+	{"cut head", true, func(int) answer { return raw("HTTP/1.1 200 OK\r\nMa") }},
+	{"unmarked", true, func(n int) answer { return raw("HTTP/1.1 200 OK\r\nContent-Length: 8\r\n\r\n" + answerOf(n)) }},
+	{"unmarked refusal", true, func(int) answer { return raw("HTTP/1.1 503 X\r\nContent-Length: 0\r\n\r\n") }},
+}
+
+// streamBehaviours are those of a server for streams.
+var streamBehaviours = []behaviour{
+	{"good", true, func(int) answer { return events(lastEvent, true) }},
+	{"late", true, func(int) answer { return delayed(events(lastEvent, true)) }},
+	{"refusal", false, func(int) answer { return refusal }},
+	{"closed", true, func(int) answer { return raw("") }},
+	{"cut before the first event", true, func(int) answer { return events(0, false) }},
+	{"good from the first event on", true, func(int) answer { return fromTheStart(events(lastEvent, true)) }},
+	{"cut after two events", true, func(int) answer { return events(2, false) }},
+	{"unmarked", true, func(int) answer {
+		return raw("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n")
+	}},
+}
+
+func answerOf(n int) string { return fmt.Sprintf("answer %d", n) }
+
+func delayed(a answer) answer {
+	return func(c net.Conn, br *bufio.Reader, r *http.Request) bool {
+		time.Sleep(5 * time.Millisecond)
+		return a(c, br, r)
+	}
+}
+
+// fromTheStart ignores which events the caller has.
+func fromTheStart(a answer) answer {
+	return func(c net.Conn, br *bufio.Reader, r *http.Request) bool {
+		r.Header.Del("Last")
+		return a(c, br, r)
+	}
+}
+
+// script gives each send of a request its behaviour, in the order of arrival.
+type script struct {
+	mu    sync.Mutex
+	steps []behaviour
+	sends int
+}
+
+func (s *script) begin(steps []behaviour) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.steps, s.sends = steps, 0
+}
+
+func (s *script) answer(c net.Conn, br *bufio.Reader, r *http.Request) bool {
+	s.mu.Lock()
+	n := s.sends
+	s.sends++
+	s.mu.Unlock()
+	return s.step(n).answer(n)(c, br, r)
+}
+
+// step returns the behaviour of send n; servers are good when the script is over.
+func (s *script) step(n int) behaviour {
+	if n < len(s.steps) {
+		return s.steps[n]
+	}
+	return s.steps[len(s.steps)-1]
+}
+
+// played returns the sends of the request so far.
+func (s *script) played() []behaviour {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	var out []behaviour
+	for n := range s.sends {
+		out = append(out, s.step(n))
+	}
+	return out
+}
+
+// result is what the caller got.
+type result struct {
+	status     int
+	retryAfter string
+	body       string
+	err        error
+}
+
+// newScriptedFleet starts a gateway with three servers that follow a script,
+// and a budget that allows all repeats.
+func newScriptedFleet(t *testing.T) (*fleet, *script) {
+	s := &script{}
+	f := newFleet(t, s.answer, s.answer, s.answer)
+	f.gateway.Budget = retry.WindowConfig{Span: 10 * time.Second, Ratio: 1, Extra: 1e6}
+	return f, s
+}
+
+func (f *fleet) ask(method, target string) result {
+	response, body, err := f.call(method, target, "", "x")
+	if response == nil {
+		return result{err: err}
+	}
+	return result{status: response.StatusCode, retryAfter: response.Header.Get("Retry-After"), body: body, err: err}
+}
+
+// checkPromises checks what holds for every request: how often it may have
+// run, that refusals are true, and that nothing follows a send after which
+// nothing may follow.
+func checkPromises(t *rapid.T, sends []behaviour, maxRuns int, got result) {
+	runs := 0
+	for _, s := range sends {
+		if s.mayRun {
+			runs++
+		}
+	}
+	if runs > maxRuns {
+		t.Fatalf("%d sends may have run, at most %d are allowed", runs, maxRuns)
+	}
+	if len(sends) > maxSends {
+		t.Fatalf("%d sends", len(sends))
+	}
+	refused := got.status == http.StatusServiceUnavailable || got.status == http.StatusTooManyRequests
+	if refused && runs > 0 {
+		t.Fatalf("refused with %d, but %d sends may have run", got.status, runs)
+	}
+	if refused && got.retryAfter == "" {
+		t.Fatal("a refusal does not say when to return")
+	}
+}
+
+// Guards against orders that run twice, lookups beyond their number of
+// servers, refusals that are not true, and answers that are mixed from two
+// servers or pass for whole when they are not: all orders of what servers do.
+func TestPromisesOfWholeAnswers(t *testing.T) {
+	f, s := newScriptedFleet(t)
+	rapid.Check(t, func(t *rapid.T) {
+		steps := rapid.SliceOfN(rapid.SampledFrom(behaviours), 1, 5).Draw(t, "behaviours")
+		order := rapid.Bool().Draw(t, "order")
+		s.begin(steps)
+		method, target, maxRuns := "GET", "/lookup/", 2
+		if order {
+			method, target, maxRuns = "POST", "/order/", 1
+		}
+		got := f.ask(method, target)
+		sends := s.played()
+		checkPromises(t, sends, maxRuns, got)
+		if got.err != nil {
+			t.Fatalf("the answer is not whole: %v", got.err)
+		}
+		if got.status != http.StatusOK && got.status != http.StatusInternalServerError {
+			return
+		}
+		// A server's own answer is that of one send, whole.
+		n, err := strconv.Atoi(strings.TrimPrefix(got.body, "answer "))
+		if err != nil || n >= len(sends) {
+			t.Fatalf("body %q is no server's answer", got.body)
+		}
+		if name := sends[n].name; got.status == http.StatusOK && name != "good" && name != "late" || got.status != http.StatusOK && name != "error" {
+			t.Fatalf("status %d with the answer of send %d (%s)", got.status, n, name)
+		}
+	})
+}
+
+// Guards against streams with events that are missing, doubled or out of
+// order, against streams that look whole when they are not, and against a
+// second run of those that may run only once.
+func TestPromisesOfStreams(t *testing.T) {
+	f, s := newScriptedFleet(t)
+	rapid.Check(t, func(t *rapid.T) {
+		steps := rapid.SliceOfN(rapid.SampledFrom(streamBehaviours), 1, 5).Draw(t, "behaviours")
+		once := rapid.Bool().Draw(t, "once")
+		s.begin(steps)
+		target, maxRuns := "/stream/", 2
+		if once {
+			target, maxRuns = "/once/", 1
+		}
+		got := f.ask("POST", target)
+		sends := s.played()
+		checkPromises(t, sends, maxRuns, got)
+		if got.status != http.StatusOK {
+			return
+		}
+		whole := wantEvents(1, lastEvent)
+		if got.err == nil && got.body != whole {
+			t.Fatalf("an answer that looks whole has the events %q", got.body)
+		}
+		if !strings.HasPrefix(whole, got.body) {
+			t.Fatalf("events are missing, doubled or mixed: %q (%v)", got.body, got.err)
+		}
+		if last := sends[len(sends)-1].name; got.err != nil && (last == "late" || strings.HasPrefix(last, "good")) {
+			t.Fatalf("the last server was good, but the answer ends early: %v", got.err)
+		}
+	})
+}
+
