--- a/gateway/ingress/property_test.go
+++ b/gateway/ingress/property_test.go
@@ -229,4 +229,3 @@
 		}
 	})
 }
-
