--- a/testbed/fleet/process.go
+++ b/testbed/fleet/process.go
@@ -127,6 +127,9 @@
 // Done is closed when the process has ended.
 func (p *Process) Done() <-chan struct{} { return p.done }
 
+// Err returns how the process ended, nil if it ended well. Done must be closed.
+func (p *Process) Err() error { return p.err }
+
 // Terminate sends SIGTERM and waits for the end. The error is that of the
 // process, or says that it did not end in time.
 func (p *Process) Terminate() error {
--- a/testbed/gatewaysoak/callers.go
+++ b/testbed/gatewaysoak/callers.go
@@ -11,16 +11,20 @@
 	"strings"
 	"time"
 
-	"camphorwick.dev/standin/fleetsim"
+	"camphorwick.dev/platform/fleetsim"
 )
 
 const (
 	host        = "soak.example"
-	tenant      = "hanbit"
+	account     = "hanbit"
 	apiKey      = "soak-key"
 	timeLeft    = 4 * time.Second
 	callerRest  = 20 * time.Millisecond
 	droppedPath = "/dropped/1"
+	// probeTime is how long a probe of a path may take.
+	probeTime = time.Second
+	// promptTokens and answerTokens are the sizes of each stream request.
+	promptTokens, answerTokens = 3000, 200
 )
 
 // kind of a request; it is the first part of the request's id.
@@ -124,17 +128,14 @@
 
 func (c *caller) exchange(id string) (*http.Response, error) {
 	method, target, _ := strings.Cut(lineOf(id), " ")
-	request := fmt.Sprintf("%s %s HTTP/1.1\r\nHost: %s\r\nX-Attempt-Id: %s\r\nX-Api-Key: %s\r\nX-Deadline-Ms: %d\r\nX-Tenant: forged\r\n",
-		method, target, host, id, apiKey, timeLeft.Milliseconds())
+	call := fleetsim.Call{Method: method, Target: target, Host: host, ID: id, Key: apiKey, TimeLeft: timeLeft, ForgedAccount: "forged"}
 	if kindOf(id) == streamKind {
-		request += "X-Model: m\r\nX-Token-Usage: 3000,200\r\n"
+		call.PromptTokens, call.AnswerTokens = promptTokens, answerTokens
 	}
 	if method == http.MethodPost {
-		request += fmt.Sprintf("Content-Length: %d\r\n\r\n%s", len(id), id)
-	} else {
-		request += "\r\n"
+		call.Body = id
 	}
-	if _, err := io.WriteString(c.conn, request); err != nil {
+	if _, err := io.WriteString(c.conn, call.Text()); err != nil {
 		return nil, err
 	}
 	return http.ReadResponse(c.br, &http.Request{Method: method})
@@ -158,7 +159,7 @@
 }
 
 func (c *caller) judgeSuccess(id string, response *http.Response, body string, err error) bool {
-	if response.Header.Get("X-Server-Stamp") == "" {
+	if !fleetsim.Genuine(response.Header) {
 		c.run.violate("request %s: success without the mark of a server", id)
 	}
 	want := fleetsim.Body(id)
@@ -180,8 +181,8 @@
 
 // status sends a GET to a path and returns the status, 0 without an answer.
 func (c *caller) status(g *gateway, path string) int {
-	response, err := http.DefaultClient.Do(&http.Request{Method: http.MethodGet, Host: host, URL: g.url(path),
-		Header: http.Header{"X-Api-Key": {apiKey}, "X-Attempt-Id": {"probe"}, "X-Deadline-Ms": {"1000"}}})
+	probe := fleetsim.Call{ID: "probe", Key: apiKey, TimeLeft: probeTime}
+	response, err := http.DefaultClient.Do(&http.Request{Method: http.MethodGet, Host: host, URL: g.url(path), Header: probe.Header()})
 	if err != nil {
 		return 0
 	}
--- a/testbed/gatewaysoak/faults.go
+++ b/testbed/gatewaysoak/faults.go
@@ -7,7 +7,7 @@
 	"syscall"
 	"time"
 
-	"camphorwick.dev/standin/fleetsim"
+	"camphorwick.dev/platform/fleetsim"
 	"camphorwick.dev/testbed/fleet"
 )
 
@@ -99,7 +99,7 @@
 	defer b.mu.Unlock()
 	old := b.sim
 	if drain {
-		if err := r.register(b, "draining"); err != nil {
+		if err := r.register(b, fleetsim.Draining); err != nil {
 			return err
 		}
 		r.mu.Lock()
@@ -108,12 +108,12 @@
 		time.Sleep(drainBound + d)
 	}
 	old.Crash()
-	r.store.Remove("servers/" + old.ID)
+	r.store.Unregister(old)
 	time.Sleep(d / 4)
 	if err := r.startBackend(b); err != nil {
 		return err
 	}
-	return r.register(b, "ready")
+	return r.register(b, fleetsim.Live)
 }
 
 // injectAll starts faults at random until ctx ends and waits for their ends.
--- a/testbed/gatewaysoak/fleet.go
+++ b/testbed/gatewaysoak/fleet.go
@@ -12,11 +12,24 @@
 	"syscall"
 	"time"
 
+	"camphorwick.dev/platform/fleetsim"
 	"camphorwick.dev/settings"
-	"camphorwick.dev/standin/fleetsim"
 	"camphorwick.dev/testbed/fleet"
 )
 
+const (
+	dataCentre = "dc-1"
+	// streams and orders are the services; only the first has model engines.
+	streams, orders = "streams", "orders"
+	routeTimeout    = 5 * time.Second
+	latencyTarget   = 300 * time.Millisecond
+	eventGap        = 250 * time.Millisecond
+	// versionStep is the distance of two versions of the configuration, which
+	// need not follow each other closely; firstVersion is the first one.
+	versionStep  = 3
+	firstVersion = versionStep
+)
+
 // gateway is a gateway process with the proxy on its way to the store.
 type gateway struct {
 	run      *run
@@ -38,7 +51,7 @@
 	if g.store, err = r.fleet.Proxy("store of "+g.name, storeAddress); err != nil {
 		return nil, err
 	}
-	s := &settings.Settings{VM: g.name, Role: settings.RoleGateway, DataCentre: "dc-1", ControlAddress: r.fleet.FreeAddress(), OpsAddress: g.ops,
+	s := &settings.Settings{VM: g.name, Role: settings.RoleGateway, DataCentre: dataCentre, ControlAddress: r.fleet.FreeAddress(), OpsAddress: g.ops,
 		InsecurePlaintext: true, Platform: settings.Platform{URL: "http://" + g.store.Address()},
 		Gateway: &settings.Gateway{CallersAddress: g.callers, MemoryMB: 256, RetryRatio: 0.2, RetryExtra: 100, RetryWindowSeconds: 10,
 			GraceSeconds: graceTime.Seconds()}}
@@ -74,7 +87,7 @@
 		return
 	}
 	if time.Since(started) > startTime {
-		g.run.violate("%s ended by itself", g.name)
+		g.run.violate("%s ended by itself %v after its start: %v", g.name, time.Since(started), p.Err())
 	}
 	g.run.count("process ended at its start")
 	if err := g.start(); err != nil {
@@ -149,9 +162,9 @@
 // startBackend starts a new incarnation with a new id behind a new proxy.
 func (r *run) startBackend(b *backend) error {
 	b.life++
-	service := "streams"
+	service := streams
 	if b.index >= streamServers {
-		service = "orders"
+		service = orders
 	}
 	b.sim = &fleetsim.Server{ID: fmt.Sprintf("server-%d-%d", b.index, b.life), Service: service, Events: streamEvents, Pause: eventPause,
 		Fault: r.fault, OnRun: r.seen}
@@ -163,8 +176,8 @@
 	return err
 }
 
-func (r *run) register(b *backend, state string) error {
-	return r.store.Write("servers/"+b.sim.ID, b.sim.Entry(b.proxy.Address(), "dc-1", state))
+func (r *run) register(b *backend, state fleetsim.State) error {
+	return r.store.Register(b.sim, b.proxy.Address(), dataCentre, state)
 }
 
 func (r *run) stopServers() {
@@ -177,26 +190,18 @@
 // route that the others drop.
 func (r *run) configure() error {
 	r.mu.Lock()
-	r.version += 3
+	r.version += versionStep
 	version := r.version
 	r.mu.Unlock()
-	route := func(name, service, kind string, more map[string]any) map[string]any {
-		out := map[string]any{"name": name, "host": host, "prefix": "/" + name + "/", "kind": kind, "timeoutMs": 5000, "targetLatencyMs": 300,
-			"priority": 1, "service": service, "maxAttempts": 2}
-		for k, v := range more {
-			out[k] = v
-		}
-		return out
-	}
-	routes := []any{route("order", "orders", "non_idempotent", nil), route("lookup", "orders", "idempotent", nil),
-		route("stream", "streams", "streaming", map[string]any{"resumable": true, "gapTargetMs": 250}),
-		route(fmt.Sprintf("added-%d", version), "orders", "idempotent", nil)}
-	if version == 3 {
-		routes = append(routes, route("dropped", "orders", "idempotent", nil))
-	}
-	engine := map[string]any{"slotCount": 8, "kvCapacity": 100000, "stepCount": 10, "step_ms": 1, "read_per_s": 100000, "chunk": 2048}
-	return r.store.Write("op/config", map[string]any{"version": version, "routeTable": routes,
-		"services": []any{map[string]any{"name": "streams", "maxConns": 100, "engineName": engine}, map[string]any{"name": "orders", "maxConns": 100}},
-		"limits":   map[string]any{"maxHeaderBytes": 16384, "maxBodyBytes": 1 << 20, "headerTimeoutMs": 3000, "idleTimeoutMs": 5000},
-		"tenants":  []any{map[string]any{"name": tenant, "apiKeys": []string{apiKey, fmt.Sprint("other-", version)}}}})
+	route := func(name, service string, kind fleetsim.RouteKind) fleetsim.Route {
+		return fleetsim.Route{Name: name, Host: host, Prefix: "/" + name + "/", Service: service, Kind: kind, Timeout: routeTimeout,
+			LatencyTarget: latencyTarget, EventGap: eventGap, MaxServers: 2}
+	}
+	routes := []fleetsim.Route{route("order", orders, fleetsim.NonIdempotent), route("lookup", orders, fleetsim.Idempotent),
+		route("stream", streams, fleetsim.Streaming), route(fmt.Sprintf("added-%d", version), orders, fleetsim.Idempotent)}
+	if version == firstVersion {
+		routes = append(routes, route("dropped", orders, fleetsim.Idempotent))
+	}
+	return r.store.Configure(fleetsim.Configuration{Version: version, Routes: routes, Engines: []string{streams}, Plain: []string{orders},
+		Accounts: []fleetsim.Account{{Name: account, Keys: []string{apiKey, fmt.Sprint("other-", version)}}}})
 }
--- a/testbed/gatewaysoak/soak.go
+++ b/testbed/gatewaysoak/soak.go
@@ -17,7 +17,7 @@
 
 	"golang.org/x/sync/errgroup"
 
-	"camphorwick.dev/standin/fleetsim"
+	"camphorwick.dev/platform/fleetsim"
 	"camphorwick.dev/testbed/fleet"
 )
 
@@ -125,7 +125,7 @@
 			return err
 		}
 		r.servers = append(r.servers, b)
-		if err := r.register(b, "ready"); err != nil {
+		if err := r.register(b, fleetsim.Live); err != nil {
 			return err
 		}
 	}
@@ -201,8 +201,8 @@
 	if one.Key != "" {
 		r.violate("request %s reached server %s with its key", one.RequestID, one.Server)
 	}
-	if one.Tenant != tenant {
-		r.violate("request %s ran for tenant %q", one.RequestID, one.Tenant)
+	if one.Account != account {
+		r.violate("request %s ran for account %q", one.RequestID, one.Account)
 	}
 	if want := lineOf(one.RequestID); one.Line != want {
 		r.violate("request %s ran as %q, sent as %q", one.RequestID, one.Line, want)
