Pause after a lease that is lost at once; forget deleted keys

Found by reading. A gateway whose new lease the store had lost already wrote its entry again without a pause, and did not stop: priced calls without end. A follower kept the revision of every key that was ever deleted, one for each incarnation of a server. Both have a test that failed before.

--- a/gateway/follow/follow.go
+++ b/gateway/follow/follow.go
@@ -169,6 +169,9 @@
 			continue // older than what the range read has given
 		}
 		f.revisions[item.Key] = item.Revision
+		if item.Deleted {
+			delete(f.revisions, item.Key) // later changes have higher revisions
+		}
 		f.Handler.Change(item)
 	}
 	if len(items) > 0 {
--- a/gateway/follow/follow_test.go
+++ b/gateway/follow/follow_test.go
@@ -162,3 +162,18 @@
 	<-done
 	is.Equal(r.events, []string{"replace", "p/a=1"})
 }
+
+// Guards against memory that grows with every server that ever registered.
+func TestDeletedKeysAreForgotten(t *testing.T) {
+	is := is.New(t)
+	ctx, cancel := context.WithTimeout(context.Background(), 10*time.Second)
+	defer cancel()
+	s := &scriptedStore{
+		ranges:  []reply{{items: []Item{{Key: "p/a", Value: []byte("1"), Revision: 3}}, revision: 5}},
+		watches: []reply{{revision: 7, items: []Item{{Key: "p/b", Value: []byte("2"), Revision: 6}, {Key: "p/a", Deleted: true, Revision: 7}}}},
+		done:    cancel,
+	}
+	f := &Follower{Store: s, Prefix: "p/", Handler: &recorder{}, Log: slog.New(slog.DiscardHandler)}
+	is.NoErr(f.Run(ctx))
+	is.Equal(f.revisions, map[string]int64{"p/b": 6})
+}
--- a/gateway/node/node.go
+++ b/gateway/node/node.go
@@ -140,11 +140,11 @@
 }
 
 func (n *Node) serverChanged(c registry.Change) {
-	n.options.Log.Info("server "+c.What, "server", c.Server.ID, "service", c.Server.Service, "address", c.Server.Address, "server_data_centre", c.Server.DataCentre)
-	switch c.What {
-	case "added", "restarted":
+	n.options.Log.Info("server "+string(c.Event), "server", c.Server.ID, "service", c.Server.Service, "address", c.Server.Address, "server_data_centre", c.Server.DataCentre)
+	switch c.Event {
+	case registry.Added, registry.Restarted:
 		n.schedule.Forget(c.Server.Service, c.Server.ID)
-	case "removed":
+	case registry.Removed:
 		n.schedule.Forget(c.Server.Service, c.Server.ID)
 		n.client.Forget(c.Server.Address)
 	}
@@ -284,11 +284,11 @@
 			lease, err = n.writeEntry(ctx)
 		} else {
 			err = n.protocol.Store.Renew(ctx, lease)
-		}
-		var ended *follow.LeaseError
-		if errors.As(err, &ended) {
-			lease = 0
-			continue
+			var ended *follow.LeaseError
+			if errors.As(err, &ended) {
+				lease = 0
+				continue
+			}
 		}
 		pause := renewInterval
 		switch {
