--- a/api/admin/admin.go
+++ b/api/admin/admin.go
@@ -14,9 +14,7 @@
 // ErrorDetail tells an operator why a call was refused, and what is known of
 // the other edit or of a doubtful one.
 type ErrorDetail struct {
-	Code         outcome.Code `json:"code"`
-	Message      string       `json:"message"`
-	RetryAfterMS int64        `json:"retry_after_ms,omitempty"`
+	outcome.ErrorDetail
 	// Conflict is set when another edit has changed an item.
 	Conflict *Conflict `json:"conflict,omitempty"`
 	// Expired says that a repeat of the edit can never resolve it.
--- a/daemon/entry/admin.go
+++ b/daemon/entry/admin.go
@@ -82,8 +82,7 @@
 // writeAdminError is writeError with the details of a conflict.
 func writeAdminError(c *fasthttp.RequestCtx, id string, result outcome.Outcome, err error) {
 	writeError(c, id, result, err)
-	common := detailOf(err)
-	detail := admin.ErrorDetail{Code: common.Code, Message: common.Message, RetryAfterMS: common.RetryAfterMS}
+	detail := admin.ErrorDetail{ErrorDetail: outcome.DetailOf(err)}
 	var conflict *fleetconf.ConflictError
 	if errors.As(err, &conflict) {
 		detail.Conflict = &admin.Conflict{Key: conflict.Item, ExpectedRevision: conflict.Expected, ActualRevision: conflict.Actual,
--- a/daemon/entry/answer.go
+++ b/daemon/entry/answer.go
@@ -152,15 +152,15 @@
 // endEvent is the data of the last event; it carries the outcome, since the
 // HTTP status was sent before it was known.
 type endEvent struct {
-	RequestID string          `json:"request_id"`
-	Outcome   outcome.Outcome `json:"outcome"`
-	Error     *errorDetail    `json:"error,omitempty"`
+	RequestID string               `json:"request_id"`
+	Outcome   outcome.Outcome      `json:"outcome"`
+	Error     *outcome.ErrorDetail `json:"error,omitempty"`
 }
 
 func (c *completion) writeEnd(w *bufio.Writer, r result) error {
 	end := endEvent{RequestID: c.exchange.requestID, Outcome: r.outcome}
 	if r.err != nil {
-		detail := detailOf(r.err)
+		detail := outcome.DetailOf(r.err)
 		end.Error = &detail
 	} else {
 		data, err := json.Marshal(c.body("", r.end))
--- a/daemon/entry/http.go
+++ b/daemon/entry/http.go
@@ -75,28 +75,6 @@
 	outcome.Cancelled:           499,
 }
 
-// errorBody is the body of every answer that is not completed.
-type errorBody struct {
-	RequestID string          `json:"request_id"`
-	Outcome   outcome.Outcome `json:"outcome"`
-	Error     errorDetail     `json:"error"`
-}
-
-type errorDetail struct {
-	Code         outcome.Code `json:"code"`
-	Message      string       `json:"message"`
-	RetryAfterMS int64        `json:"retry_after_ms,omitempty"`
-}
-
-func detailOf(err error) errorDetail {
-	e := outcome.From(err)
-	message := e.Message
-	if e.Cause != nil {
-		message = fmt.Sprintf("%s: %v", message, e.Cause)
-	}
-	return errorDetail{Code: e.Code, Message: message, RetryAfterMS: e.RetryAfter.Milliseconds()}
-}
-
 // exchange is one request of a caller. Its strings are copies, because
 // fasthttp reuses the memory of a request.
 type exchange struct {
@@ -286,7 +264,7 @@
 }
 
 func writeError(c *fasthttp.RequestCtx, requestID string, o outcome.Outcome, err error) {
-	detail := detailOf(err)
+	detail := outcome.DetailOf(err)
 	status, ok := httpStatus[detail.Code]
 	if !ok {
 		status = http.StatusInternalServerError
@@ -297,7 +275,7 @@
 		seconds := (detail.RetryAfterMS + 999) / 1000
 		c.Response.Header.Set("Retry-After", fmt.Sprint(seconds))
 	}
-	writeJSON(c, status, errorBody{RequestID: requestID, Outcome: o, Error: detail})
+	writeJSON(c, status, outcome.ErrorBody{RequestID: requestID, Outcome: o, Error: detail})
 }
 
 func writeJSON(c *fasthttp.RequestCtx, status int, body any) {
--- a/gateway/ingress/exchange.go
+++ b/gateway/ingress/exchange.go
@@ -182,9 +182,9 @@
 		return unplaced, nil
 	}
 	defer hold.Release()
-	ctx, begun := x.limitUnused(ctx, hold)
+	ctx, answered := x.limitUnused(ctx, hold)
 	answer, err := x.g.Client.Do(ctx, a.Server.Address, x.request(a, hold))
-	begun()
+	answered()
 	if err != nil {
 		return x.noAnswer(ctx, a, err), nil
 	}
@@ -219,8 +219,8 @@
 
 var errHang = errors.New("the server does not answer in several times the latency target")
 
-// unusedMargin is the time before the limit of unused memory at which it is
-// given up: a release may have to be repeated by the end of the lease.
+// unusedMargin is how long before the platform's limit unused memory is given
+// up; its release takes a call to each engine.
 const unusedMargin = 1500 * time.Millisecond
 
 var errUnused = errors.New("reserved memory was not used in its time")
--- a/gateway/ingress/ingress.go
+++ b/gateway/ingress/ingress.go
@@ -29,6 +29,8 @@
 	// defaultTimeLeft applies to requests that state no time on a route that
 	// states none.
 	defaultTimeLeft = 15 * time.Second
+	// defaultBodyBytes bounds a request while the configuration states no limit.
+	defaultBodyBytes = 4 << 20
 	// startRetryAfter is what callers are told while no configuration or no
 	// server is known.
 	startRetryAfter = 500 * time.Millisecond
@@ -186,7 +188,7 @@
 func (x *exchange) readBody() bool {
 	limit := int64(x.table.Limits.BodyBytes)
 	if limit <= 0 {
-		limit = 4 << 20
+		limit = defaultBodyBytes
 	}
 	if x.r.ContentLength > limit {
 		x.refuse(http.StatusRequestEntityTooLarge, "body_too_large", 0)
--- a/gateway/ingress/outcome.go
+++ b/gateway/ingress/outcome.go
@@ -77,8 +77,9 @@
 	}
 }
 
-// callerGone reports whether the caller has closed its connection.
-func (x *exchange) callerGone() bool { return x.r.Context().Err() != nil }
+// callerGone reports whether the caller has closed its connection, or could
+// not be written to.
+func (x *exchange) callerGone() bool { return x.reason == reasonGone || x.r.Context().Err() != nil }
 
 // finish logs the end of the request.
 func (x *exchange) finish(status int, reason string) {
--- a/gateway/peers/peers.go
+++ b/gateway/peers/peers.go
@@ -47,12 +47,16 @@
 	// than changes take to arrive everywhere, at most once in newerInterval.
 	OnNewerConfig func(version int64)
 
-	mu       sync.Mutex
-	peers    map[string]netip.AddrPort
-	synced   bool
+	kick chan struct{}
+
+	// sequence holds the newest message by VM, newer since when a peer has a
+	// newer configuration. Only receive uses them.
 	sequence map[string]uint64
-	kick     chan struct{}
-	newer    time.Time // since when a peer has a newer configuration
+	newer    time.Time
+
+	mu     sync.Mutex
+	peers  map[string]netip.AddrPort
+	synced bool
 }
 
 // New returns an exchange; Kick may be called from now on.
--- a/gateway/registry/registry.go
+++ b/gateway/registry/registry.go
@@ -53,11 +53,23 @@
 	removeAt time.Time
 }
 
+// Event is what happened to a server.
+type Event string
+
+// Events.
+const (
+	Added     Event = "added"
+	Restarted Event = "restarted" // under the same id
+	Draining  Event = "draining"
+	Ready     Event = "ready" // no longer draining
+	Vanished  Event = "vanished"
+	Removed   Event = "removed"
+)
+
 // Change describes a change of what is believed of a server.
 type Change struct {
 	Server *Server
-	// What is added, restarted, draining, ready, vanished or removed.
-	What string
+	Event  Event
 }
 
 // New returns an empty registry; onChange is called for each change, without a
@@ -71,26 +83,26 @@
 	r.mu.Lock()
 	old := r.servers[s.ID]
 	r.servers[s.ID] = &entry{server: s}
-	what := ""
+	var event Event
 	switch {
 	case old == nil:
-		what = "added"
+		event = Added
 	case !old.server.sameIncarnation(s):
-		what = "restarted"
+		event = Restarted
 	case !old.server.Draining && s.Draining:
-		what = "draining"
+		event = Draining
 	case old.server.Draining && !s.Draining:
-		what = "ready"
+		event = Ready
 	}
-	if old != nil && what == "" && old.removeAt.IsZero() {
+	if old != nil && event == "" && old.removeAt.IsZero() {
 		r.servers[s.ID].server = old.server
 		r.mu.Unlock()
 		return
 	}
 	r.rebuild()
 	r.mu.Unlock()
-	if what != "" {
-		r.onChange(Change{Server: s, What: what})
+	if event != "" {
+		r.onChange(Change{Server: s, Event: event})
 	}
 }
 
@@ -102,16 +114,16 @@
 		r.mu.Unlock()
 		return
 	}
-	what := "removed"
+	event := Removed
 	if now.Before(r.unreliableUntil) && !e.server.Draining {
-		what = "vanished"
+		event = Vanished
 		e.removeAt = earlier(r.unreliableUntil, now.Add(maxKept))
 	} else {
 		delete(r.servers, id)
 		r.rebuild()
 	}
 	r.mu.Unlock()
-	r.onChange(Change{Server: e.server, What: what})
+	r.onChange(Change{Server: e.server, Event: event})
 }
 
 // Replace records the whole list, as a fresh read of the store gave it.
@@ -165,7 +177,7 @@
 	}
 	r.mu.Unlock()
 	for _, s := range gone {
-		r.onChange(Change{Server: s, What: "removed"})
+		r.onChange(Change{Server: s, Event: Removed})
 	}
 }
 
--- a/gateway/registry/registry_test.go
+++ b/gateway/registry/registry_test.go
@@ -21,7 +21,7 @@
 
 func newRegistry() (*Registry, *[]string) {
 	changes := &[]string{}
-	return New(func(c Change) { *changes = append(*changes, c.What+" "+c.Server.ID) }), changes
+	return New(func(c Change) { *changes = append(*changes, string(c.Event)+" "+c.Server.ID) }), changes
 }
 
 // Guards against work for a server that is leaving or gone.
--- a/ledger/ledger_test.go
+++ b/ledger/ledger_test.go
@@ -54,13 +54,32 @@
 // closeLedger closes a ledger whose store works.
 func closeLedger(t testing.TB, l *Ledger) {
 	t.Helper()
-	ctx, cancel := context.WithTimeout(t.Context(), time.Minute)
+	ctx, cancel := context.WithTimeout(context.WithoutCancel(t.Context()), time.Minute)
 	defer cancel()
 	if err := l.Close(ctx); err != nil {
 		t.Error(err)
 	}
 }
 
+// newLedger returns a store, a ledger on it that is closed at the end of the
+// test, and a key.
+func newLedger(t testing.TB) (*memkv.Store, *Ledger, Key) {
+	t.Helper()
+	store := memkv.New()
+	l := New(store, "vm-1@1", Config{})
+	t.Cleanup(func() { closeLedger(t, l) })
+	return store, l, mustKey(t, time.Now(), 1)
+}
+
+// newLedgers is newLedger with a second process on the same store.
+func newLedgers(t testing.TB) (store *memkv.Store, a, b *Ledger, key Key) {
+	t.Helper()
+	store, a, key = newLedger(t)
+	b = New(store, "vm-2@1", Config{})
+	t.Cleanup(func() { closeLedger(t, b) })
+	return store, a, b, key
+}
+
 // claimWithin calls Claim with a time limit.
 func claimWithin(t testing.TB, l *Ledger, key Key, limit time.Duration) (*Claim, *wire.OrderRecord, error) {
 	ctx, cancel := context.WithTimeout(t.Context(), limit)
@@ -147,11 +166,7 @@
 func TestClaimAndOutcome(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
-		store := memkv.New()
-		a, b := New(store, "vm-1@1", Config{}), New(store, "vm-2@1", Config{})
-		defer closeLedger(t, a)
-		defer closeLedger(t, b)
-		key := mustKey(t, time.Now(), 1)
+		_, a, b, key := newLedgers(t)
 
 		claim, record, err := a.Claim(t.Context(), key, digest, "attempt-1")
 		is.NoErr(err)
@@ -195,11 +210,7 @@
 func TestAbandonAndInDoubt(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
-		store := memkv.New()
-		a, b := New(store, "vm-1@1", Config{}), New(store, "vm-2@1", Config{})
-		defer closeLedger(t, a)
-		defer closeLedger(t, b)
-		key := mustKey(t, time.Now(), 1)
+		store, a, b, key := newLedgers(t)
 		claim, _, err := a.Claim(t.Context(), key, digest, "1")
 		is.NoErr(err)
 		claim.Abandon()
@@ -343,10 +354,7 @@
 func TestUnreadableValue(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
-		store := memkv.New()
-		l := New(store, "vm-1@1", Config{})
-		defer closeLedger(t, l)
-		key := mustKey(t, time.Now(), 1)
+		store, l, key := newLedger(t)
 		_, err := store.Put(t.Context(), key.storeKey(), []byte{0xff}, 0, 0)
 		is.NoErr(err)
 		claim, _, err := claimWithin(t, l, key, time.Second)
--- a/ledger/limits_test.go
+++ b/ledger/limits_test.go
@@ -120,10 +120,7 @@
 func TestFullShard(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
-		store := memkv.New()
-		l := New(store, "vm-1@1", Config{})
-		defer closeLedger(t, l)
-		key := mustKey(t, time.Now(), 1)
+		store, l, key := newLedger(t)
 		claim, _, err := l.Claim(t.Context(), key, digest, "1")
 		is.NoErr(err)
 		fillShard(t, store, key, claimLimitBytes)
--- a/ledger/uncertain_test.go
+++ b/ledger/uncertain_test.go
@@ -101,10 +101,7 @@
 func TestRepeatedAttemptID(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
-		store := memkv.New()
-		l := New(store, "vm-1@1", Config{})
-		defer closeLedger(t, l)
-		key := mustKey(t, time.Now(), 1)
+		store, l, key := newLedger(t)
 		store.SetFault(func(string) memkv.Fault { return memkv.Hold })
 		_, _, err := claimWithin(t, l, key, time.Millisecond)
 		is.Equal(outcome.CodeOf(err), outcome.StoreUnavailable)
@@ -127,10 +124,7 @@
 func TestAbandonedHereIsKnownHere(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
-		store := memkv.New()
-		l := New(store, "vm-1@1", Config{})
-		defer closeLedger(t, l)
-		key := mustKey(t, time.Now(), 1)
+		store, l, key := newLedger(t)
 		claim, _, err := l.Claim(t.Context(), key, digest, "1")
 		is.NoErr(err)
 		store.SetDown(true)
@@ -222,11 +216,7 @@
 func TestKeyAgeIsCheckedAfterTheClaim(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
-		store := memkv.New()
-		a, b := New(store, "vm-1@1", Config{}), New(store, "vm-2@1", Config{})
-		defer closeLedger(t, a)
-		defer closeLedger(t, b)
-		key := mustKey(t, time.Now(), 1)
+		store, a, b, key := newLedgers(t)
 		sent, _, err := b.Claim(t.Context(), key, digest, "1")
 		is.NoErr(err)
 		sent.Done(200, "", nil)
--- a/policy/dispatch/plan.go
+++ b/policy/dispatch/plan.go
@@ -96,8 +96,10 @@
 // Chooser chooses engines. It reuses its memory; it is not safe for concurrent
 // use.
 type Chooser struct {
-	// order holds the candidates by base, chosen positions in it.
+	// order holds the candidates by base; byHarm holds the positions in it by
+	// the harm of a part that makes pauses too long, chosen those of helpers.
 	order  []ranked
+	byHarm []int
 	chosen []int
 }
 
@@ -156,7 +158,8 @@
 	return plan, true
 }
 
-// rank orders the candidates by the time at which they could have read a part.
+// rank orders the candidates by the time at which they could have read a part,
+// and by the harm of one that is too long.
 func (c *Chooser) rank(e *Engine, p Prompt, candidates []Candidate) {
 	c.order = c.order[:0]
 	for i := range candidates {
@@ -186,6 +189,17 @@
 		}
 		return a.candidate.Index - b.candidate.Index
 	})
+	c.byHarm = c.byHarm[:0]
+	for i := range c.order {
+		c.byHarm = append(c.byHarm, i)
+	}
+	slices.SortFunc(c.byHarm, func(i, j int) int {
+		a, b := &c.order[i], &c.order[j]
+		if byCost := cmp.Compare(a.harm+a.base, b.harm+b.base); byCost != 0 {
+			return byCost
+		}
+		return i - j
+	})
 }
 
 // first returns the position of the engine that answers, or -1.
@@ -213,31 +227,13 @@
 			c.chosen = append(c.chosen, i)
 		}
 	}
-	for len(c.chosen) < helpers {
-		i := c.leastHarmed(first, partMillis)
-		if i < 0 {
-			return false
-		}
-		c.chosen = append(c.chosen, i)
-	}
-	return true
-}
-
-// leastHarmed returns the position of the engine where a part that makes
-// pauses too long does the least harm, or -1. The engines without harm are
-// among the chosen ones.
-func (c *Chooser) leastHarmed(first int, partMillis float64) int {
-	best := -1
-	for i := range c.order {
-		r := &c.order[i]
-		if i == first || !r.helps || r.harmOf(partMillis) == 0 || slices.Contains(c.chosen, i) {
-			continue
-		}
-		if best < 0 || r.harm+r.base < c.order[best].harm+c.order[best].base {
-			best = i
+	for n := 0; n < len(c.byHarm) && len(c.chosen) < helpers; n++ {
+		i := c.byHarm[n]
+		if r := &c.order[i]; i != first && r.helps && r.harmOf(partMillis) > 0 {
+			c.chosen = append(c.chosen, i)
 		}
 	}
-	return best
+	return len(c.chosen) == helpers
 }
 
 // cost is what is expected of a plan, in milliseconds.
