Test bed: a proxy waits for its own address while processes start

Cause of TestOrdersUnderNetworkFaults failing once beside a soak ("bind: address already in use"): between fork and exec a child holds a copy of the closed listener, and vfork returns to the parent before the copy is closed. Reproduced: 12 proxies that break beside four loops that start processes, 240 failures in 15 s. Ruled out: a port handed to another process (3,000 held ports, 8,000 listeners and connections, none hit; four copies of the proxies without starts, none). Holding the fork lock was tried and does not suffice. The proxy now tries again for up to 2 s.

--- a/testbed/fleet/proxy.go
+++ b/testbed/fleet/proxy.go
@@ -4,8 +4,10 @@
 	"bytes"
 	"context"
 	"encoding/json"
+	"errors"
 	"fmt"
 	"sync"
+	"syscall"
 	"time"
 
 	toxiproxy "github.com/Shopify/toxiproxy/v2"
@@ -101,14 +103,28 @@
 	return p.enable(true)
 }
 
+const (
+	// reopenLimit bounds the wait for the own address, reopenPause the time
+	// between tries. A process that is being started holds a copy of a closed
+	// listener until it runs its program.
+	reopenLimit = 2 * time.Second
+	reopenPause = 5 * time.Millisecond
+)
+
+// enable switches the proxy on or off.
 func (p *Proxy) enable(on bool) error {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	state := toxiproxy.Proxy{Listen: p.address, Upstream: p.proxy.Upstream, Enabled: on}
-	if err := p.proxy.Update(&state); err != nil {
-		return fmt.Errorf("switch proxy %s: %w", p.name, err)
+	for begun := time.Now(); ; time.Sleep(reopenPause) {
+		err := p.proxy.Update(&state)
+		if err == nil {
+			return nil
+		}
+		if !errors.Is(err, syscall.EADDRINUSE) || time.Since(begun) > reopenLimit {
+			return fmt.Errorf("switch proxy %s: %w", p.name, err)
+		}
 	}
-	return nil
 }
 
 func (p *Proxy) add(kind string, d Direction, attributes map[string]any) error {
