--- a/gateway/ingress/exchange.go
+++ b/gateway/ingress/exchange.go
@@ -52,15 +52,18 @@
 	excluded []string
 	begun    bool      // the head of the answer was written
 	firstAt  time.Time // when the first byte was written
-	resume   string    // last event that the caller has
-	lastID   int64
-	server   string
-	reason   string        // why the last send did not succeed
-	expected time.Duration // estimate of the last placement
-	helpers  int
-	load     dispatch.Load // of the chosen engine at the last placement
-	waited   time.Duration
-	retry    time.Duration
+	lastAt   time.Time // when the last events of a stream were written
+	// longestPause is the longest time between events of a stream.
+	longestPause time.Duration
+	resume       string // last event that the caller has
+	lastID       int64
+	server       string
+	reason       string        // why the last send did not succeed
+	expected     time.Duration // estimate of the last placement
+	helpers      int
+	load         dispatch.Load // of the chosen engine at the last placement
+	waited       time.Duration
+	retry        time.Duration
 }
 
 // verdict says how to go on after a send.
--- a/gateway/ingress/stream.go
+++ b/gateway/ingress/stream.go
@@ -71,6 +71,9 @@
 	if !wrote {
 		return nil
 	}
+	now := time.Now()
+	x.longestPause = max(x.longestPause, now.Sub(x.lastAt))
+	x.lastAt = now
 	return http.NewResponseController(x.w).Flush()
 }
 
@@ -82,6 +85,7 @@
 	x.begun = true
 	x.w.WriteHeader(http.StatusOK)
 	x.firstAt = time.Now()
+	x.lastAt = x.firstAt
 	x.g.Metrics.firstToken(x.ctx, x.meta.PromptTokens, x.firstAt.Sub(x.arrived))
 }
 
