Crests: serve those that can be in time, know the engines at a start, forget dead peers

Change: the order of the queue leaves 0.6 of the target for serving; the first look at the engines counts in full, and a process asks its peers for all of their work; silent peers are forgotten after 0.5 s; the wait ends with the callers' patience.

--- a/gateway/ingress/exchange.go
+++ b/gateway/ingress/exchange.go
@@ -27,6 +27,12 @@
 	// hangFactor times the latency target is how long an idempotent request
 	// waits for a server if it may go to another.
 	hangFactor = 3
+	// Callers leave a stream that is silent for the longest of minPatience,
+	// patienceTargets latency targets and patiencePauses longest pauses, also
+	// before its first event.
+	minPatience     = 2 * time.Second
+	patienceTargets = 4
+	patiencePauses  = 8
 	// statusCallerGone is logged for callers that went away; it is not sent.
 	statusCallerGone = 499
 )
@@ -200,6 +206,9 @@
 	if s := x.table.Service(x.service); s != nil && x.meta.PromptTokens > 0 {
 		p.Engine = s.Engine
 	}
+	if x.route.Kind == routing.Stream {
+		p.Patience = max(minPatience, patienceTargets*x.route.LatencyTarget, patiencePauses*x.route.EventGapTarget)
+	}
 	answer := x.meta.MaxAnswerTokens
 	if x.meta.AnswerHint > 0 {
 		answer = min(answer, 2*x.meta.AnswerHint)
--- a/gateway/peers/peers.go
+++ b/gateway/peers/peers.go
@@ -10,6 +10,7 @@
 	"math"
 	"net"
 	"net/netip"
+	"slices"
 	"sync"
 	"time"
 
@@ -32,6 +33,11 @@
 	// completeInterval is the time between datagrams that name all servers,
 	// which make up for lost ones.
 	completeInterval = 600 * time.Millisecond
+	// signInterval is the longest silence of a process with work: its peers
+	// take a longer one for its end.
+	signInterval = 2 * changeInterval
+	// askInterval is the shortest time between two questions to a peer.
+	askInterval = 50 * time.Millisecond
 	// maxDatagram bounds what is sent and read.
 	maxDatagram = 60_000
 )
@@ -49,20 +55,24 @@
 
 	kick chan struct{}
 
-	// sequence holds the newest message by VM, newer since when a peer has a
-	// newer configuration. Only receive uses them.
+	// sequence holds the newest message by VM, asked when a peer was asked for
+	// all of its work, newer since when a peer has a newer configuration. Only
+	// receive uses them.
 	sequence map[string]uint64
+	asked    map[string]time.Time
 	newer    time.Time
 
 	mu     sync.Mutex
 	peers  map[string]netip.AddrPort
 	synced bool
+	// askers are peers that want to know all work of this process.
+	askers []netip.AddrPort
 }
 
 // New returns an exchange; Kick may be called from now on.
 func New(vm string, s *schedule.Scheduler, log *slog.Logger, configVersion func() int64) *Exchange {
 	return &Exchange{VM: vm, Scheduler: s, Log: log, ConfigVersion: configVersion, kick: make(chan struct{}, 1), sequence: map[string]uint64{},
-		OnNewerConfig: func(int64) {}}
+		asked: map[string]time.Time{}, OnNewerConfig: func(int64) {}}
 }
 
 // unknownProcesses is assumed until the other gateways are known: it keeps the
@@ -111,7 +121,7 @@
 func (e *Exchange) send(ctx context.Context, conn *net.UDPConn) error {
 	sequence := uint64(time.Now().UnixNano()) // rises over restarts; a clock step costs some datagrams
 	sent := map[string]*wire.ServerLoad{}
-	var completed time.Time
+	var completed, spoke time.Time
 	timer := time.NewTimer(changeInterval)
 	defer timer.Stop()
 	for {
@@ -124,14 +134,21 @@
 		complete := time.Since(completed) >= completeInterval
 		loads := e.loads(sent, complete)
 		targets := e.targets()
-		if complete || len(loads.GetLoads()) > 0 {
+		if complete || len(loads.GetLoads()) > 0 || len(sent) > 0 && time.Since(spoke) >= signInterval {
 			sequence++
 			loads.Sequence = sequence
 			e.broadcast(conn, loads, targets)
+			spoke = time.Now()
 		}
 		if complete {
 			completed = time.Now()
 		}
+		if askers := e.takeAskers(); len(askers) > 0 {
+			whole := e.loads(map[string]*wire.ServerLoad{}, true)
+			sequence++
+			whole.Sequence = sequence
+			e.broadcast(conn, whole, askers)
+		}
 		select {
 		case <-ctx.Done():
 			return nil
@@ -164,6 +181,37 @@
 	return targets
 }
 
+// takeAskers returns the peers that want to know all work of this process.
+func (e *Exchange) takeAskers() []netip.AddrPort {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	askers := e.askers
+	e.askers = nil
+	return askers
+}
+
+// maxAskers bounds the questions that wait for an answer; who is left out hears
+// all work at the end of completeInterval.
+const maxAskers = 64
+
+func (e *Exchange) addAsker(peer netip.AddrPort) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if len(e.askers) < maxAskers && !slices.Contains(e.askers, peer) {
+		e.askers = append(e.askers, peer)
+	}
+}
+
+// ask asks a peer for all of its work.
+func (e *Exchange) ask(conn *net.UDPConn, vm string, peer netip.AddrPort) {
+	now := time.Now()
+	if now.Sub(e.asked[vm]) < askInterval {
+		return
+	}
+	e.asked[vm] = now
+	e.broadcast(conn, &wire.PeerLoads{Vm: e.VM, Asks: true}, []netip.AddrPort{peer})
+}
+
 // loads returns what is in work, or what differs from what was sent last.
 func (e *Exchange) loads(sent map[string]*wire.ServerLoad, complete bool) *wire.PeerLoads {
 	out := &wire.PeerLoads{Vm: e.VM, ConfigVersion: e.ConfigVersion(), Complete: complete}
@@ -204,7 +252,7 @@
 func (e *Exchange) receive(ctx context.Context, conn *net.UDPConn) error {
 	buffer := make([]byte, maxDatagram)
 	for {
-		n, _, err := conn.ReadFromUDPAddrPort(buffer)
+		n, source, err := conn.ReadFromUDPAddrPort(buffer)
 		if ctx.Err() != nil {
 			return nil
 		}
@@ -217,7 +265,13 @@
 			e.Log.Debug("datagram is not a message of a peer", "bytes", n)
 			continue
 		}
-		e.take(message)
+		switch {
+		case message.GetAsks():
+			e.addAsker(source)
+			e.Kick()
+		case !e.take(message):
+			e.ask(conn, message.GetVm(), source)
+		}
 	}
 }
 
@@ -240,9 +294,11 @@
 	}
 }
 
-func (e *Exchange) take(m *wire.PeerLoads) {
+// take records the word of a peer. It returns false if the peer has work that
+// is not known here: this process, or its memory of the peer, is new.
+func (e *Exchange) take(m *wire.PeerLoads) bool {
 	if m.GetSequence() <= e.sequence[m.GetVm()] {
-		return
+		return true
 	}
 	e.sequence[m.GetVm()] = m.GetSequence()
 	e.compareConfig(m.GetConfigVersion())
@@ -252,5 +308,5 @@
 			Context: int(l.GetContextTokens()), GapMillis: float64(l.GetGapMs()),
 			Reading: dispatch.Work{Tokens: float64(l.GetReadingTokens()), MillionPairs: float64(l.GetReadingMillionPairs())}}
 	}
-	e.Scheduler.SetPeer(m.GetVm(), loads, m.GetComplete())
+	return e.Scheduler.SetPeer(m.GetVm(), loads, m.GetComplete())
 }
--- a/gateway/peers/peers_test.go
+++ b/gateway/peers/peers_test.go
@@ -86,3 +86,37 @@
 	e.compareConfig(4) // asked for a moment ago
 	is.Equal(len(told), 1)
 }
+
+// Guards against a gateway that starts at a crest and takes full engines for
+// empty ones until its peers next tell all of their work.
+func TestStartedGatewayAsksForAllWork(t *testing.T) {
+	is := is.New(t)
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	a, sa, connA := newExchange(t, "a")
+	_, _, connB := newExchange(t, "b")
+	addressB := connB.LocalAddr().(*net.UDPAddr).AddrPort()
+	a.SetPeers(map[string]netip.AddrPort{"b": addressB})
+	go func() { _ = a.Run(ctx, connA) }()
+	engine := &dispatch.Engine{Slots: 4, MemoryTokens: 100_000, ChunkTokens: 2048, StepsPerPass: 10, StepMillis: 1, ReadTokensPerMilli: 100}
+	place := func() {
+		now := time.Now()
+		_, err := sa.Acquire(ctx, schedule.Request{Service: "service", Engine: engine, Arrived: now, Deadline: now.Add(10 * time.Second),
+			Prompt: dispatch.Prompt{Tokens: 1000, Answer: 10}})
+		is.NoErr(err)
+	}
+	place()
+	time.Sleep(2 * signInterval) // the first datagram, with all work, is for the former process
+	is.NoErr(connB.Close())
+	conn, err := net.ListenUDP("udp", net.UDPAddrFromAddrPort(addressB))
+	is.NoErr(err)
+	b, sb, unused := newExchange(t, "b")
+	is.NoErr(unused.Close())
+	go func() { _ = b.Run(ctx, conn) }()
+	time.Sleep(3 * signInterval) // far less than completeInterval
+	now := time.Now()
+	got, err := sb.Acquire(ctx, schedule.Request{Service: "service", Engine: engine, Arrived: now, Deadline: now.Add(time.Second),
+		Prompt: dispatch.Prompt{Tokens: 1000, Answer: 10}})
+	is.NoErr(err)
+	is.Equal(got.Load.Writers+got.Load.Waiting, 1)
+}
--- a/gateway/schedule/queue.go
+++ b/gateway/schedule/queue.go
@@ -17,7 +17,11 @@
 
 // latestStart returns the time after which it makes no sense to start r.
 func (r *Request) latestStart() time.Time {
-	return r.Arrived.Add(time.Duration(float64(r.Deadline.Sub(r.Arrived)) * (1 - minServeShare)))
+	wait := time.Duration(float64(r.Deadline.Sub(r.Arrived)) * (1 - minServeShare))
+	if r.Patience > 0 {
+		wait = min(wait, time.Duration(float64(r.Patience)*patienceShare))
+	}
+	return r.Arrived.Add(wait)
 }
 
 // waited returns the share of the time until the latest start that is over.
@@ -25,11 +29,16 @@
 	return float64(now.Sub(r.Arrived)) / float64(max(r.latestStart().Sub(r.Arrived), 1))
 }
 
+// serveShare of its latency target is what a request takes from its placement
+// to its first event on engines that are nearly full: the rest of the pass in
+// progress, its reading, and a pass of its own.
+const serveShare = 0.6
+
 // key orders the waiting requests: those that can still meet their target by
 // when it ends, then the others by when they must start.
 func (r *Request) key(now time.Time) time.Time {
 	due := r.Arrived.Add(r.LatencyTarget)
-	if now.Add(r.LatencyTarget / 4).Before(due) {
+	if now.Add(time.Duration(float64(r.LatencyTarget) * serveShare)).Before(due) {
 		return due
 	}
 	return r.latestStart().Add(lateRank)
--- a/gateway/schedule/schedule.go
+++ b/gateway/schedule/schedule.go
@@ -33,6 +33,9 @@
 	// minServeShare is the share of a request's time that must be left when it
 	// is placed; the rest is what it may wait.
 	minServeShare = 0.35
+	// patienceShare of the caller's patience may pass before a request is
+	// placed; the rest is for its first event.
+	patienceShare = 0.85
 	// rateWeight is the weight of the newest interval between placements in
 	// the forecast of the queue.
 	rateWeight = 0.1
@@ -55,6 +58,9 @@
 	LatencyTarget time.Duration
 	// Arrived is when the request came, Deadline when its time is over.
 	Arrived, Deadline time.Time
+	// Patience is how long the caller waits for the first event; 0 for as long
+	// as there is time.
+	Patience time.Duration
 	// Exclude lists servers that have failed or refused it.
 	Exclude []string
 }
@@ -178,7 +184,11 @@
 	}
 	s.look(servers, now)
 	r.Prompt.LeftMillis = float64(r.Deadline.Sub(now)) / float64(time.Millisecond)
-	if s.demandOf(r.Service).Refuses(r.Engine, r.Prompt, len(servers)) {
+	demand := s.demandOf(r.Service)
+	if !demand.Known() {
+		demand.Observe(s.candidates)
+	}
+	if demand.Refuses(r.Engine, r.Prompt, len(servers)) {
 		return nil, &OverloadError{Forecast: maxRetryAfter, RetryAfter: maxRetryAfter}
 	}
 	if !r.Engine.MayStart(r.Prompt, r.Engine.BacklogMillis(s.candidates), r.waited(now)) {
@@ -298,11 +308,13 @@
 	s.board.Engines(time.Now(), f)
 }
 
-// SetPeer records what a peer has in work, all of it or what has changed.
-func (s *Scheduler) SetPeer(name string, loads map[string]dispatch.Load, complete bool) {
+// SetPeer records what a peer has in work, all of it or what has changed. It
+// reports whether all work of the peer is known now.
+func (s *Scheduler) SetPeer(name string, loads map[string]dispatch.Load, complete bool) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	now := time.Now()
-	s.board.SetPeer(name, loads, complete, now)
+	whole := s.board.SetPeer(name, loads, complete, now)
 	s.drainQueue(now)
+	return whole
 }
--- a/policy/dispatch/admit.go
+++ b/policy/dispatch/admit.go
@@ -30,9 +30,16 @@
 )
 
 // Demand follows how many engines have prompts to read.
-type Demand struct{ share float64 }
+type Demand struct {
+	share float64
+	looks int
+}
+
+// Known reports whether the engines have been looked at.
+func (d *Demand) Known() bool { return d.looks > 0 }
 
-// Observe takes a look at the engines.
+// Observe takes a look at the engines. The first looks count evenly: a process
+// that has just started must not take busy engines for idle ones.
 func (d *Demand) Observe(candidates []Candidate) {
 	if len(candidates) == 0 {
 		return
@@ -43,7 +50,8 @@
 			busy++
 		}
 	}
-	d.share += (float64(busy)/float64(len(candidates)) - d.share) * demandWeight
+	d.looks++
+	d.share += (float64(busy)/float64(len(candidates)) - d.share) * max(demandWeight, 1/float64(d.looks))
 }
 
 // Refuses reports whether a prompt should come back at a calmer time.
--- a/policy/dispatch/board.go
+++ b/policy/dispatch/board.go
@@ -2,10 +2,11 @@
 
 import "time"
 
-// peerLifetime is how long the word of a silent peer counts. A peer sends
-// several times a second, so a silent one has most likely died, and its
-// requests with it.
-const peerLifetime = 2 * time.Second
+// peerLifetime is how long the word of a silent peer counts. A peer with work
+// sends every 120 ms or more often, so a silent one has most likely died, and
+// its requests with it. While it counts, its engines seem full, and callers
+// that come to other gateways instead are crowded on the few others.
+const peerLifetime = 500 * time.Millisecond
 
 // minReadingShare is what counts as unread of a prompt that should have been
 // read by now but has no first token yet.
@@ -19,6 +20,8 @@
 	// peer.
 	engines map[string]*peerEngine
 	peers   map[string]*peerWork
+	// expired is when silent peers were last looked for.
+	expired time.Time
 }
 
 // peerEngine is the work of all peers on one engine.
@@ -36,6 +39,8 @@
 type peerWork struct {
 	engines map[string]bool
 	at      time.Time
+	// whole says that all work of the peer is known, not only changes.
+	whole bool
 }
 
 // NewBoard returns an empty board.
@@ -180,14 +185,15 @@
 }
 
 // SetPeer records what a peer has in work: all of it, or only the engines that
-// have changed.
-func (b *Board) SetPeer(name string, loads map[string]Load, complete bool, now time.Time) {
+// have changed. It reports whether all work of the peer is known now.
+func (b *Board) SetPeer(name string, loads map[string]Load, complete bool, now time.Time) bool {
 	p := b.peers[name]
 	if p == nil {
 		p = &peerWork{engines: map[string]bool{}}
 		b.peers[name] = p
 	}
 	p.at = now
+	p.whole = p.whole || complete
 	if complete {
 		for id := range p.engines {
 			if _, named := loads[id]; !named {
@@ -198,6 +204,7 @@
 	for id, l := range loads {
 		b.setPeerLoad(name, p, id, l)
 	}
+	return p.whole
 }
 
 // setPeerLoad replaces the work of one peer on one engine.
@@ -227,9 +234,16 @@
 	}
 }
 
-// Expire forgets the work of peers that have been silent.
+// Expire forgets the work of peers that have been silent. It has to be called
+// several times within peerLifetime: a longer pause means that this process
+// stood still and could hear nobody, so its peers get their time anew.
 func (b *Board) Expire(now time.Time) {
+	paused := !b.expired.IsZero() && now.Sub(b.expired) > peerLifetime/2
+	b.expired = now
 	for name, p := range b.peers {
+		if paused {
+			p.at = now
+		}
 		if now.Sub(p.at) <= peerLifetime {
 			continue
 		}
--- a/policy/dispatch/plan_test.go
+++ b/policy/dispatch/plan_test.go
@@ -210,6 +210,29 @@
 	is.Equal(b.Load("c", now).Waiting, 1)
 }
 
+// Guards against engines that seem full of the work of a gateway that was
+// killed, and against a process that forgets all peers because it stood still
+// itself.
+func TestBoardForgetsSilentPeersOnly(t *testing.T) {
+	is := is.New(t)
+	b, now := NewBoard(), time.Unix(100, 0)
+	is.True(b.SetPeer("p", map[string]Load{"a": {Writers: 16}}, true, now))
+	for range 5 {
+		now = now.Add(100 * time.Millisecond)
+		b.Expire(now)
+	}
+	is.Equal(b.Load("a", now).Writers, 16)
+	now = now.Add(100 * time.Millisecond)
+	b.Expire(now)
+	is.Equal(b.Load("a", now).Writers, 0)
+
+	is.True(!b.SetPeer("p", map[string]Load{"a": {Writers: 3}}, false, now)) // more may be unknown
+	is.True(b.SetPeer("p", map[string]Load{"a": {Writers: 4}}, true, now))
+	now = now.Add(3 * time.Second) // this process stood still
+	b.Expire(now)
+	is.Equal(b.Load("a", now).Writers, 4)
+}
+
 func BenchmarkChoose(b *testing.B) {
 	e := testEngine()
 	loads := make([]Load, 78)
