--- a/gateway/schedule/schedule.go
+++ b/gateway/schedule/schedule.go
@@ -188,7 +188,7 @@
 	if !demand.Known() {
 		demand.Observe(s.candidates)
 	}
-	if demand.Refuses(r.Engine, r.Prompt, len(servers)) {
+	if demand.Refuses(r.Engine, r.Prompt, s.candidates) {
 		return nil, &OverloadError{Forecast: maxRetryAfter, RetryAfter: maxRetryAfter}
 	}
 	if !r.Engine.MayStart(r.Prompt, r.Engine.BacklogMillis(s.candidates), r.waited(now)) {
--- a/policy/dispatch/admit.go
+++ b/policy/dispatch/admit.go
@@ -24,6 +24,10 @@
 	// busyShare is the share of engines with prompts to read from which they
 	// count as in demand.
 	busyShare = 0.35
+	// lullShare is the share of engines with prompts to read up to which a huge
+	// prompt is let in all the same: the demand of the last seconds outlasts a
+	// burst.
+	lullShare = 0.4
 	// demandWeight is the weight of the newest look in the demand; looks are
 	// made every 100 ms, so it follows the last seconds.
 	demandWeight = 0.05
@@ -44,20 +48,25 @@
 	if len(candidates) == 0 {
 		return
 	}
-	busy := 0
+	d.looks++
+	d.share += (readingShare(candidates) - d.share) * max(demandWeight, 1/float64(d.looks))
+}
+
+// readingShare returns the share of the engines that have prompts to read.
+func readingShare(candidates []Candidate) float64 {
+	reading := 0
 	for i := range candidates {
 		if candidates[i].Load.Reading.Tokens > 0 {
-			busy++
+			reading++
 		}
 	}
-	d.looks++
-	d.share += (float64(busy)/float64(len(candidates)) - d.share) * max(demandWeight, 1/float64(d.looks))
+	return float64(reading) / float64(max(len(candidates), 1))
 }
 
 // Refuses reports whether a prompt should come back at a calmer time.
-func (d *Demand) Refuses(e *Engine, p Prompt, engines int) bool {
-	huge := p.TargetMillis * min(hugeReads, hugeShare*float64(engines))
-	return d.share > busyShare && e.ReadMillis(PromptWork(p.Tokens)) > huge
+func (d *Demand) Refuses(e *Engine, p Prompt, candidates []Candidate) bool {
+	huge := p.TargetMillis * min(hugeReads, hugeShare*float64(len(candidates)))
+	return d.share > busyShare && readingShare(candidates) > lullShare && e.ReadMillis(PromptWork(p.Tokens)) > huge
 }
 
 // BacklogMillis returns the mean time that the engines need to read what they
--- a/policy/dispatch/plan_test.go
+++ b/policy/dispatch/plan_test.go
@@ -136,11 +136,37 @@
 		calm.Observe(candidates(make([]Load, 16)...))
 		busy.Observe(reading)
 	}
-	is.True(!calm.Refuses(e, huge, 16))
-	is.True(busy.Refuses(e, huge, 16))
-	is.True(!busy.Refuses(e, review(), 16))
-	is.True(!busy.Refuses(e, short(), 16))
-	is.True(!busy.Refuses(e, Prompt{Tokens: 330_000, TargetMillis: 3000}, 78)) // a large fleet reads it in time
+	is.True(!calm.Refuses(e, huge, reading))
+	is.True(busy.Refuses(e, huge, reading))
+	is.True(!busy.Refuses(e, review(), reading))
+	is.True(!busy.Refuses(e, short(), reading))
+	fleet := candidates(make([]Load, 78)...)
+	for i := range fleet {
+		fleet[i].Load.Reading = PromptWork(50_000)
+	}
+	is.True(!busy.Refuses(e, Prompt{Tokens: 330_000, TargetMillis: 3000}, fleet)) // a large fleet reads it in time
+}
+
+// Pattern: the last prompt of over 300,000 tokens of a burst of reviews comes
+// back when the burst has just ended. Guards against its second and last
+// refusal while the engines have little to read.
+func TestHugePromptIsTakenInALull(t *testing.T) {
+	is := is.New(t)
+	e := testEngine()
+	huge := Prompt{Tokens: 335_000, TargetMillis: 3000}
+	engines := candidates(make([]Load, 16)...)
+	for i := range engines[:10] {
+		engines[i].Load.Reading = PromptWork(50_000)
+	}
+	var demand Demand
+	for range 100 {
+		demand.Observe(engines)
+	}
+	is.True(demand.Refuses(e, huge, engines))
+	for i := range engines[:4] {
+		engines[i].Load.Reading = Work{}
+	}
+	is.True(!demand.Refuses(e, huge, engines))
 }
 
 // Pattern: reviews arrive faster than the engines read them. Guards against
