--- a/gateway/ingress/exchange.go
+++ b/gateway/ingress/exchange.go
@@ -49,7 +49,7 @@
 	table    *routing.Table
 	route    *routing.Route
 	meta     Meta
-	account  string
+	account  *routing.Account // nil on public routes and without accounts
 	body     []byte
 
 	service  string
@@ -206,6 +206,10 @@
 	if s := x.table.Service(x.service); s != nil && x.meta.PromptTokens > 0 {
 		p.Engine = s.Engine
 	}
+	p.Priority = x.route.Priority
+	if x.account != nil && x.account.Priority != nil {
+		p.Priority = *x.account.Priority
+	}
 	if x.route.Kind == routing.Stream {
 		p.Patience = max(minPatience, patienceTargets*x.route.LatencyTarget, patiencePauses*x.route.EventGapTarget)
 	}
@@ -218,6 +222,14 @@
 	return p
 }
 
+// accountName returns the name of the caller's account, or "".
+func (x *exchange) accountName() string {
+	if x.account == nil {
+		return ""
+	}
+	return x.account.Name
+}
+
 func millis(d time.Duration) float64 { return float64(d) / float64(time.Millisecond) }
 
 // sendContext bounds one send. An idempotent request leaves a server that
@@ -251,7 +263,7 @@
 // request builds the request for the assigned server.
 func (x *exchange) request(a *schedule.Assignment, hold *reserve.Hold) *upstream.Request {
 	h := forwardable(x.r.Header)
-	out := Outbound{ServerID: a.Server.ID, Account: x.account, LastEventID: x.resume, TimeLeft: time.Until(x.deadline)}
+	out := Outbound{ServerID: a.Server.ID, Account: x.accountName(), LastEventID: x.resume, TimeLeft: time.Until(x.deadline)}
 	for i, helper := range a.Helpers {
 		out.Helpers = append(out.Helpers, Helper{Address: helper.Address, Ticket: hold.Ticket(i)})
 	}
--- a/gateway/ingress/ingress.go
+++ b/gateway/ingress/ingress.go
@@ -149,12 +149,11 @@
 		return false
 	}
 	if x.table.NeedsKey(x.route) {
-		account := x.table.Account(x.meta.Key)
-		if account == nil {
+		x.account = x.table.Account(x.meta.Key)
+		if x.account == nil {
 			x.refuse(http.StatusUnauthorized, "unknown_key", 0)
 			return false
 		}
-		x.account = account.Name
 	}
 	if stop := x.g.stopAt.Load(); stop != nil && x.route.Kind == routing.Stream && x.arrived.Add(x.longestTime()).After(*stop) {
 		x.refuse(http.StatusServiceUnavailable, "stopping", stoppingRetryAfter)
--- a/gateway/ingress/ingress_test.go
+++ b/gateway/ingress/ingress_test.go
@@ -280,3 +280,15 @@
 	time.Sleep(100 * time.Millisecond)
 	is.Equal(len(f.requests()), 4)
 }
+
+// Guards against an account whose own priority is not used.
+func TestAccountPriorityBeforeTheRoutes(t *testing.T) {
+	is := is.New(t)
+	own := 0
+	x := &exchange{table: routing.NewTable(&routing.Config{}), route: &routing.Route{Priority: 3}}
+	is.Equal(x.placement().Priority, 3)
+	x.account = &routing.Account{}
+	is.Equal(x.placement().Priority, 3)
+	x.account.Priority = &own
+	is.Equal(x.placement().Priority, 0)
+}
--- a/gateway/ingress/outcome.go
+++ b/gateway/ingress/outcome.go
@@ -105,7 +105,7 @@
 			return
 		}
 	}
-	x.log.Info("request ended", "status", status, "reason", reason, "route", route, "config", version, "account", x.account,
+	x.log.Info("request ended", "status", status, "reason", reason, "route", route, "config", version, "account", x.accountName(),
 		"server", x.server, "sends", x.sends, "ran", x.ran, "prompt_tokens", x.meta.PromptTokens,
 		"waited_ms", x.waited.Milliseconds(), "expected_ms", x.expected.Milliseconds(), "helpers", x.helpers,
 		"writers", x.load.Writers, "reading_tokens", int(x.load.Reading.Tokens), "first_ms", first, "longest_pause_ms", x.longestPause.Milliseconds(), "took_ms", took.Milliseconds())
--- a/gateway/schedule/crest_test.go
+++ b/gateway/schedule/crest_test.go
@@ -55,6 +55,36 @@
 	})
 }
 
+// Pattern: accounts of different priority at a crest. Guards against a priority
+// that is not used, and against one that lets a less urgent request wait for
+// as long as more urgent ones come.
+func TestPriorityBeforeArrivalUpToABound(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		s, _ := newScheduler(1)
+		all := fill(t, s, 4)
+		order := make(chan string, 3)
+		wait := func(name string, priority int) {
+			r := prompt(1000)
+			r.Priority, r.LatencyTarget, r.Prompt.TargetMillis = priority, 3*time.Second, 3000
+			a, err := s.Acquire(context.Background(), r)
+			is.NoErr(err)
+			order <- name
+			a.End()
+		}
+		go wait("low", 2)
+		time.Sleep(100 * time.Millisecond)
+		go wait("high", 1)
+		time.Sleep(rankTime)
+		go wait("later high", 1)
+		synctest.Wait()
+		all[0].End()
+		is.Equal(<-order, "high")
+		is.Equal(<-order, "low")
+		is.Equal(<-order, "later high")
+	})
+}
+
 // Pattern: a gateway is killed at the crest and starts again. Guards against a
 // huge prompt that the new process lets in because it takes the engines for
 // idle: its parts stopped all answers for 0.7 s.
--- a/gateway/schedule/queue.go
+++ b/gateway/schedule/queue.go
@@ -34,14 +34,20 @@
 // progress, its reading, and a pass of its own.
 const serveShare = 0.6
 
+// rankTime is what each rank of priority counts for in the order of the queue.
+// As time it is bounded: a request of low priority waits longer, not for ever.
+const rankTime = 500 * time.Millisecond
+
 // key orders the waiting requests: those that can still meet their target by
-// when it ends, then the others by when they must start.
+// when it ends, then the others by when they must start; a less urgent one
+// counts as one that came later.
 func (r *Request) key(now time.Time) time.Time {
 	due := r.Arrived.Add(r.LatencyTarget)
+	rank := time.Duration(r.Priority) * rankTime
 	if now.Add(time.Duration(float64(r.LatencyTarget) * serveShare)).Before(due) {
-		return due
+		return due.Add(rank)
 	}
-	return r.latestStart().Add(lateRank)
+	return r.latestStart().Add(lateRank + rank)
 }
 
 // lateRank puts requests that will be late behind those that can be in time.
--- a/gateway/schedule/schedule.go
+++ b/gateway/schedule/schedule.go
@@ -61,6 +61,8 @@
 	// Patience is how long the caller waits for the first event; 0 for as long
 	// as there is time.
 	Patience time.Duration
+	// Priority is the rank of the request; 0 is the most urgent.
+	Priority int
 	// Exclude lists servers that have failed or refused it.
 	Exclude []string
 }
