--- a/gateway/ingress/ingress_test.go
+++ b/gateway/ingress/ingress_test.go
@@ -11,6 +11,8 @@
 	"time"
 
 	"github.com/matryer/is"
+
+	"camphorwick.dev/gateway/routing"
 )
 
 // Guards against changes of what the caller sent.
