--- a/testbed/cmd/demo/main.go
+++ b/testbed/cmd/demo/main.go
@@ -5,7 +5,6 @@
 import (
 	"context"
 	"errors"
-	"flag"
 	"fmt"
 	"os"
 	"strings"
@@ -15,6 +14,7 @@
 	"golang.org/x/sync/errgroup"
 
 	"camphorwick.dev/standin/enginesim"
+	"camphorwick.dev/standin/process"
 	"camphorwick.dev/testbed/client"
 	"camphorwick.dev/testbed/fleet"
 )
@@ -30,10 +30,15 @@
 // errWrong marks a result that differs from the expected one.
 var errWrong = errors.New("wrong result")
 
+// options are the flags.
+type options struct {
+	Bin string `long:"bin" default:"bin" description:"folder with the binaries"`
+}
+
 func main() {
-	bin := flag.String("bin", "bin", "folder with the binaries")
-	flag.Parse()
-	if err := run(*bin); err != nil {
+	var o options
+	process.ParseFlags(&o)
+	if err := run(o.Bin); err != nil {
 		fmt.Fprintln(os.Stderr, "demo:", err)
 		os.Exit(1)
 	}
--- a/testbed/cmd/gatewaysoak/main.go
+++ b/testbed/cmd/gatewaysoak/main.go
@@ -4,7 +4,6 @@
 
 import (
 	"context"
-	"flag"
 	"fmt"
 	"io"
 	"os"
@@ -14,22 +13,30 @@
 	"sync/atomic"
 	"time"
 
+	"camphorwick.dev/standin/process"
 	"camphorwick.dev/testbed/gatewaysoak"
 )
 
+// options are the flags.
+type options struct {
+	Bin      string        `long:"bin" default:"bin" description:"folder with the binaries"`
+	Seed     uint64        `long:"seed" description:"first seed; a new one by default"`
+	Seeds    uint64        `long:"seeds" default:"1" description:"number of seeds"`
+	Jobs     uint64        `long:"jobs" default:"1" description:"seeds played at once"`
+	Duration time.Duration `long:"duration" default:"15s" description:"time under load and faults of a seed"`
+	Gateways int           `long:"gateways" default:"3" description:"gateway processes"`
+	Logs     string        `long:"logs" description:"folder for settings and logs, kept at the end; a temporary one by default"`
+	Verbose  bool          `long:"verbose" description:"print each fault"`
+}
+
 func main() {
-	var o gatewaysoak.Options
-	flag.StringVar(&o.Bin, "bin", "bin", "folder with the binaries")
-	first := flag.Uint64("seed", uint64(time.Now().Unix()), "first seed")
-	seeds := flag.Uint64("seeds", 1, "number of seeds")
-	jobs := flag.Uint64("jobs", 1, "seeds played at once")
-	flag.DurationVar(&o.Duration, "duration", 15*time.Second, "time under load and faults of a seed")
-	flag.IntVar(&o.Gateways, "gateways", 3, "gateway processes")
-	logs := flag.String("logs", "", "folder for settings and logs, kept at the end; a temporary one by default")
-	verbose := flag.Bool("verbose", false, "print each fault")
-	flag.Parse()
-	o.Out = io.Discard
-	if *verbose {
+	var f options
+	process.ParseFlags(&f)
+	if f.Seed == 0 {
+		f.Seed = uint64(time.Now().Unix())
+	}
+	o := gatewaysoak.Options{Bin: f.Bin, Duration: f.Duration, Gateways: f.Gateways, Out: io.Discard}
+	if f.Verbose {
 		o.Out = os.Stdout
 	}
 	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt)
@@ -37,17 +44,17 @@
 	var group sync.WaitGroup
 	var bad atomic.Int64
 	next := atomic.Uint64{}
-	for range *jobs {
+	for range f.Jobs {
 		group.Go(func() {
-			for n := next.Add(1); n <= *seeds && ctx.Err() == nil; n = next.Add(1) {
-				if !play(ctx, o, *first+n-1, *logs) {
+			for n := next.Add(1); n <= f.Seeds && ctx.Err() == nil; n = next.Add(1) {
+				if !play(ctx, o, f.Seed+n-1, f.Logs) {
 					bad.Add(1)
 				}
 			}
 		})
 	}
 	group.Wait()
-	fmt.Printf("%d seeds, %d with violations\n", *seeds, bad.Load())
+	fmt.Printf("%d seeds, %d with violations\n", f.Seeds, bad.Load())
 	if bad.Load() > 0 {
 		os.Exit(1)
 	}
--- a/testbed/cmd/load/main.go
+++ b/testbed/cmd/load/main.go
@@ -7,13 +7,13 @@
 import (
 	"bytes"
 	"context"
-	"flag"
 	"fmt"
 	"os"
 	"strconv"
 	"time"
 
 	"camphorwick.dev/api/outcome"
+	"camphorwick.dev/standin/process"
 	"camphorwick.dev/testbed/client"
 	"camphorwick.dev/testbed/fleet"
 	"camphorwick.dev/testbed/load"
@@ -25,31 +25,33 @@
 // clockTick is the unit of processor time in /proc; it is 10 ms on Linux.
 const clockTick = 10 * time.Millisecond
 
+// options are the flags.
 type options struct {
-	bin                       string
-	engines, orders, entries  int
-	plan                      load.Plan
-	engineStepFixed, perToken time.Duration
+	Bin            string        `long:"bin" default:"bin" description:"folder with the binaries"`
+	Engines        int           `long:"engines" default:"25" description:"model engines"`
+	Orders         int           `long:"orders" default:"3" description:"order services"`
+	Entries        int           `long:"entries" default:"3" description:"entries"`
+	Seed           uint64        `long:"seed" default:"1" description:"seed of the arrivals"`
+	Duration       time.Duration `long:"duration" default:"20s" description:"length of each part"`
+	Rate           float64       `long:"rate" default:"20" description:"short requests per second"`
+	Swing          float64       `long:"swing" default:"5" description:"factor of the rate in the middle fifth"`
+	LongRate       float64       `long:"long-rate" default:"0.5" description:"long requests per second"`
+	LongTokens     int           `long:"long-tokens" default:"300000" description:"length of long prompts in tokens"`
+	ShortTokens    int           `long:"short-tokens" default:"4000" description:"longest short prompt in tokens"`
+	AnswerTokens   int           `long:"answer-tokens" default:"32" description:"length of answers in tokens"`
+	StepFixed      time.Duration `long:"step-fixed" default:"10ms" description:"fixed part of an engine step"`
+	StepPerPrefill time.Duration `long:"step-per-prefill" default:"10us" description:"engine time per prefill token"`
+}
+
+// plan returns the load of both parts.
+func (o *options) plan() load.Plan {
+	return load.Plan{Seed: o.Seed, Duration: o.Duration, Rate: o.Rate, Swing: o.Swing, LongRate: o.LongRate, LongTokens: o.LongTokens,
+		ShortTokens: o.ShortTokens, AnswerTokens: o.AnswerTokens, Timeout: 30 * time.Second, LongTimeout: 5 * time.Minute, Model: "standin"}
 }
 
 func main() {
-	o := options{}
-	flag.StringVar(&o.bin, "bin", "bin", "folder with the binaries")
-	flag.IntVar(&o.engines, "engines", 25, "model engines")
-	flag.IntVar(&o.orders, "orders", 3, "order services")
-	flag.IntVar(&o.entries, "entries", 3, "entries")
-	flag.Uint64Var(&o.plan.Seed, "seed", 1, "seed of the arrivals")
-	flag.DurationVar(&o.plan.Duration, "duration", 20*time.Second, "length of each part")
-	flag.Float64Var(&o.plan.Rate, "rate", 20, "short requests per second")
-	flag.Float64Var(&o.plan.Swing, "swing", 5, "factor of the rate in the middle fifth")
-	flag.Float64Var(&o.plan.LongRate, "long-rate", 0.5, "long requests per second")
-	flag.IntVar(&o.plan.LongTokens, "long-tokens", 300_000, "length of long prompts in tokens")
-	flag.IntVar(&o.plan.ShortTokens, "short-tokens", 4_000, "longest short prompt in tokens")
-	flag.IntVar(&o.plan.AnswerTokens, "answer-tokens", 32, "length of answers in tokens")
-	flag.DurationVar(&o.engineStepFixed, "step-fixed", 10*time.Millisecond, "fixed part of an engine step")
-	flag.DurationVar(&o.perToken, "step-per-prefill", 10*time.Microsecond, "engine time per prefill token")
-	flag.Parse()
-	o.plan.Timeout, o.plan.LongTimeout, o.plan.Model = 30*time.Second, 5*time.Minute, "standin"
+	var o options
+	process.ParseFlags(&o)
 	if err := run(o); err != nil {
 		fmt.Fprintln(os.Stderr, "load:", err)
 		os.Exit(1)
@@ -63,9 +65,9 @@
 	}
 	defer func() { _ = os.RemoveAll(dir) }()
 	ctx := context.Background()
-	f, err := fleet.Start(ctx, fleet.Options{Bin: o.bin, Dir: dir, Entries: o.entries, Engines: o.engines, Orders: o.orders,
+	f, err := fleet.Start(ctx, fleet.Options{Bin: o.Bin, Dir: dir, Entries: o.Entries, Engines: o.Engines, Orders: o.Orders,
 		DataCentres: []string{"dc-1", "dc-2", "dc-3"},
-		EngineFlags: []string{"--step-fixed=" + o.engineStepFixed.String(), "--step-per-prefill=" + o.perToken.String()}})
+		EngineFlags: []string{"--step-fixed=" + o.StepFixed.String(), "--step-per-prefill=" + o.StepPerPrefill.String()}})
 	if err != nil {
 		return err
 	}
@@ -75,12 +77,13 @@
 		entries = append(entries, client.New(d.Settings.Entry.CallersAddress, fleet.CallerKey))
 	}
 	fmt.Printf("seed %d, %d engines, %d entries, %v each part, %.0f short requests/s with a swing of %.0f, %.2g long ones/s of %d tokens\n",
-		o.plan.Seed, o.engines, o.entries, o.plan.Duration, o.plan.Rate, o.plan.Swing, o.plan.LongRate, o.plan.LongTokens)
+		o.Seed, o.Engines, o.Entries, o.Duration, o.Rate, o.Swing, o.LongRate, o.LongTokens)
 	idle(f)
-	alone := o.plan
+	plan := o.plan()
+	alone := plan
 	alone.LongRate, alone.Salt = 0, "alone"
 	first := measure(ctx, f, alone, entries, "short prompts alone")
-	second := measure(ctx, f, o.plan, entries, "the same beside long prompts")
+	second := measure(ctx, f, plan, entries, "the same beside long prompts")
 	fmt.Printf("slowdown of short prompts (p95 of the first token): %.2f\n",
 		second.P95(outcome.Short).Seconds()/first.P95(outcome.Short).Seconds())
 	return f.Stop()
--- a/testbed/cmd/slopes/main.go
+++ b/testbed/cmd/slopes/main.go
@@ -5,7 +5,6 @@
 
 import (
 	"context"
-	"flag"
 	"fmt"
 	"log/slog"
 	"net"
@@ -22,6 +21,7 @@
 	"camphorwick.dev/link"
 	"camphorwick.dev/policy/admit"
 	"camphorwick.dev/policy/choose"
+	"camphorwick.dev/standin/process"
 )
 
 const (
@@ -29,15 +29,20 @@
 	measureTime = 20 * time.Second
 )
 
+// options are the flags.
+type options struct {
+	Peers    int `long:"peers" default:"120" description:"agents of one entry"`
+	Accounts int `long:"accounts" default:"7100" description:"client accounts"`
+}
+
 func main() {
-	peers := flag.Int("peers", 120, "agents of one entry")
-	accounts := flag.Int("accounts", 7100, "client accounts")
-	flag.Parse()
-	if err := sessions(*peers); err != nil {
+	var o options
+	process.ParseFlags(&o)
+	if err := sessions(o.Peers); err != nil {
 		fmt.Fprintln(os.Stderr, "slopes:", err)
 		os.Exit(1)
 	}
-	limits(*accounts)
+	limits(o.Accounts)
 }
 
 // handler answers heartbeats with a load of usual size.
--- a/testbed/cmd/soak/main.go
+++ b/testbed/cmd/soak/main.go
@@ -5,26 +5,33 @@
 
 import (
 	"context"
-	"flag"
 	"fmt"
 	"os"
 	"os/signal"
 	"time"
 
+	"camphorwick.dev/standin/process"
 	"camphorwick.dev/testbed/soak"
 )
 
+// options are the flags.
+type options struct {
+	Bin      string        `long:"bin" default:"bin" description:"folder with the binaries"`
+	Seed     uint64        `long:"seed" description:"seed of faults and requests; a new one by default"`
+	Duration time.Duration `long:"duration" default:"2m" description:"time under load and faults"`
+	Callers  int           `long:"callers" default:"12" description:"completions in progress at once"`
+	Orders   int           `long:"orders" default:"6" description:"order keys in progress at once"`
+	Logs     string        `long:"logs" description:"folder for settings and logs, kept at the end; a temporary one by default"`
+}
+
 func main() {
-	var o soak.Options
-	flag.StringVar(&o.Bin, "bin", "bin", "folder with the binaries")
-	flag.Uint64Var(&o.Seed, "seed", uint64(time.Now().UnixNano()), "seed of faults and requests")
-	flag.DurationVar(&o.Duration, "duration", 2*time.Minute, "time under load and faults")
-	flag.IntVar(&o.Callers, "callers", 12, "completions in progress at once")
-	flag.IntVar(&o.Orders, "orders", 6, "order keys in progress at once")
-	logs := flag.String("logs", "", "folder for settings and logs, kept at the end; a temporary one by default")
-	flag.Parse()
-	o.Out = os.Stdout
-	violations, err := run(o, *logs)
+	var f options
+	process.ParseFlags(&f)
+	if f.Seed == 0 {
+		f.Seed = uint64(time.Now().UnixNano())
+	}
+	o := soak.Options{Bin: f.Bin, Seed: f.Seed, Duration: f.Duration, Callers: f.Callers, Orders: f.Orders, Out: os.Stdout}
+	violations, err := run(o, f.Logs)
 	if err != nil {
 		fmt.Fprintln(os.Stderr, "soak:", err)
 		os.Exit(2)
