Gateways tell each other which servers they could not reach

Change: the datagrams name the servers that the sender could not reach. The receiver uses them only when others are clearly worse, unless it has reached them itself within a second; a peer that doubts more than a third of a service is not believed, as its own links are likely at fault. Ruled out: exclusion on a peer's word alone; it would give up sound engines when one gateway is cut off.

--- a/gateway/peers/peers.go
+++ b/gateway/peers/peers.go
@@ -134,7 +134,7 @@
 		complete := time.Since(completed) >= completeInterval
 		loads := e.loads(sent, complete)
 		targets := e.targets()
-		if complete || len(loads.GetLoads()) > 0 || len(sent) > 0 && time.Since(spoke) >= signInterval {
+		if complete || len(loads.GetLoads()) > 0 || len(loads.GetUnreachable()) > 0 || len(sent) > 0 && time.Since(spoke) >= signInterval {
 			sequence++
 			loads.Sequence = sequence
 			e.broadcast(conn, loads, targets)
@@ -236,6 +236,9 @@
 			out.Loads = append(out.Loads, &wire.ServerLoad{Server: id})
 		}
 	}
+	e.Scheduler.Unreachable(func(service, id string, hold time.Duration) {
+		out.Unreachable = append(out.Unreachable, &wire.UnreachableServer{Service: service, Server: id, HoldMs: uint32(hold.Milliseconds())})
+	})
 	return out
 }
 
@@ -308,5 +311,12 @@
 			Context: int(l.GetContextTokens()), GapMillis: float64(l.GetGapMs()),
 			Reading: dispatch.Work{Tokens: float64(l.GetReadingTokens()), MillionPairs: float64(l.GetReadingMillionPairs())}}
 	}
+	if list := m.GetUnreachable(); len(list) > 0 {
+		heard := make([]schedule.Unreachable, 0, len(list))
+		for _, u := range list {
+			heard = append(heard, schedule.Unreachable{Service: u.GetService(), ID: u.GetServer(), Hold: time.Duration(u.GetHoldMs()) * time.Millisecond})
+		}
+		e.Scheduler.Hear(m.GetVm(), heard)
+	}
 	return e.Scheduler.SetPeer(m.GetVm(), loads, m.GetComplete())
 }
--- a/gateway/peers/peers_test.go
+++ b/gateway/peers/peers_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"io"
 	"log/slog"
 	"net"
@@ -14,12 +15,21 @@
 	"camphorwick.dev/gateway/registry"
 	"camphorwick.dev/gateway/schedule"
 	"camphorwick.dev/policy/dispatch"
+	"camphorwick.dev/policy/suspect"
 )
 
 func newExchange(t *testing.T, vm string) (*Exchange, *schedule.Scheduler, *net.UDPConn) {
+	t.Helper()
+	return newExchangeOf(t, vm, 1)
+}
+
+// newExchangeOf returns an exchange of a gateway that knows servers s0, s1 ...
+func newExchangeOf(t *testing.T, vm string, servers int) (*Exchange, *schedule.Scheduler, *net.UDPConn) {
 	t.Helper()
 	r := registry.New(func(registry.Change) {})
-	r.Put(&registry.Server{ID: "s0", Service: "service", DataCentre: "dc"})
+	for i := range servers {
+		r.Put(&registry.Server{ID: fmt.Sprintf("s%d", i), Service: "service", DataCentre: "dc"})
+	}
 	s := schedule.New(r, vm, "dc")
 	e := New(vm, s, slog.New(slog.NewJSONHandler(io.Discard, nil)), func() int64 { return 3 })
 	s.OnPlaced = e.Kick
@@ -120,3 +130,28 @@
 	is.NoErr(err)
 	is.Equal(got.Load.Writers+got.Load.Waiting, 1)
 }
+
+// Guards against a silent server that each gateway has to find by itself.
+func TestPeersHearOfUnreachableServers(t *testing.T) {
+	is := is.New(t)
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	a, sa, connA := newExchangeOf(t, "a", 3)
+	b, sb, connB := newExchangeOf(t, "b", 3)
+	a.SetPeers(map[string]netip.AddrPort{"b": connB.LocalAddr().(*net.UDPAddr).AddrPort()})
+	doubted := make(chan string, 1)
+	sb.OnDoubt = func(peer, service, id string) { doubted <- peer + " " + service + " " + id }
+	now := time.Now()
+	got, err := sa.Acquire(ctx, schedule.Request{Service: "service", Arrived: now, Deadline: now.Add(time.Second)})
+	is.NoErr(err)
+	got.Observe(suspect.Unreachable)
+	got.End()
+	go func() { _ = b.Run(ctx, connB) }()
+	go func() { _ = a.Run(ctx, connA) }()
+	select {
+	case what := <-doubted:
+		is.Equal(what, "a service "+got.Server.ID)
+	case <-time.After(completeInterval):
+		t.Fatal("the peer has not heard of the server")
+	}
+}
--- a/gateway/schedule/schedule.go
+++ b/gateway/schedule/schedule.go
@@ -36,6 +36,11 @@
 	// patienceShare of the caller's patience may pass before a request is
 	// placed; the rest is for its first event.
 	patienceShare = 0.85
+	// doubtMillis is what an engine must be better that a peer cannot reach: a
+	// silent one takes 1.5 s to be noticed. doubtCost is the same for plain
+	// services, in requests.
+	doubtMillis = 1500
+	doubtCost   = 8
 	// rateWeight is the weight of the newest interval between placements in
 	// the forecast of the queue.
 	rateWeight = 0.1
@@ -109,6 +114,9 @@
 	homes      homes
 	// OnSuspect is called when a server starts to be avoided.
 	OnSuspect func(service, id string)
+	// OnDoubt is called, with the lock held, when a peer begins to doubt that a
+	// server can be reached.
+	OnDoubt func(peer, service, id string)
 	// OnPlaced is called, with the lock held, when a prompt was placed.
 	OnPlaced func()
 }
@@ -116,7 +124,8 @@
 // New returns a scheduler of the gateway on a VM in dataCentre.
 func New(r *registry.Registry, vm, dataCentre string) *Scheduler {
 	return &Scheduler{registry: r, dataCentre: dataCentre, homes: newHomes(vm, dataCentre), board: dispatch.NewBoard(),
-		trackers: map[string]*suspect.Tracker{}, demand: map[string]*dispatch.Demand{}, OnSuspect: func(string, string) {}, OnPlaced: func() {}}
+		trackers: map[string]*suspect.Tracker{}, demand: map[string]*dispatch.Demand{}, OnSuspect: func(string, string) {},
+		OnDoubt: func(string, string, string) {}, OnPlaced: func() {}}
 }
 
 // Acquire waits until the request may be sent. The errors are NoServerError,
@@ -184,7 +193,7 @@
 	if need := r.Prompt.Tokens + r.Prompt.Answer; need > r.Engine.MemoryTokens*min(len(servers), dispatch.MaxHelpers+1) {
 		return nil, &TooLargeError{Tokens: need, Memory: r.Engine.MemoryTokens}
 	}
-	s.look(servers, now)
+	s.look(r.Service, servers, now)
 	r.Prompt.LeftMillis = float64(r.Deadline.Sub(now)) / float64(time.Millisecond)
 	demand := s.demandOf(r.Service)
 	if !demand.Known() {
@@ -214,11 +223,16 @@
 }
 
 // look makes the candidates of servers. mu is held.
-func (s *Scheduler) look(servers []*registry.Server, now time.Time) {
+func (s *Scheduler) look(service string, servers []*registry.Server, now time.Time) {
+	tracker := s.tracker(service)
 	s.candidates = s.candidates[:0]
 	for i, server := range servers {
+		penalty := rand.Float64() * tieMillis
+		if tracker.Doubtful(server.ID, now) {
+			penalty += doubtMillis
+		}
 		s.candidates = append(s.candidates, dispatch.Candidate{Index: i, Load: s.board.Load(server.ID, now),
-			Local: server.DataCentre == s.dataCentre, Home: s.homes.isHome(server), PenaltyMillis: rand.Float64() * tieMillis})
+			Local: server.DataCentre == s.dataCentre, Home: s.homes.isHome(server), PenaltyMillis: penalty})
 	}
 }
 
@@ -235,7 +249,7 @@
 // held.
 func (s *Scheduler) observeDemand(now time.Time) {
 	for service, d := range s.demand {
-		s.look(s.registry.Servers(service), now)
+		s.look(service, s.registry.Servers(service), now)
 		d.Observe(s.candidates)
 	}
 }
@@ -264,6 +278,7 @@
 
 // placePlain picks the server with the least in work. mu is held.
 func (s *Scheduler) placePlain(r Request, servers []*registry.Server, now time.Time) *Assignment {
+	tracker := s.tracker(r.Service)
 	var best *registry.Server
 	bestCost := 0
 	for _, server := range servers {
@@ -271,6 +286,9 @@
 		if server.DataCentre != s.dataCentre {
 			cost += remoteCost
 		}
+		if tracker.Doubtful(server.ID, now) {
+			cost += doubtCost
+		}
 		if best == nil || cost < bestCost {
 			best, bestCost = server, cost
 		}
@@ -310,6 +328,46 @@
 	s.board.Engines(time.Now(), f)
 }
 
+// Unreachable calls f for each server that this process could not reach.
+func (s *Scheduler) Unreachable(f func(service, id string, hold time.Duration)) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	now := time.Now()
+	for service, tracker := range s.trackers {
+		tracker.Unreachable(now, func(id string, hold time.Duration) { f(service, id, hold) })
+	}
+}
+
+// Unreachable is a server that a peer could not reach.
+type Unreachable struct {
+	Service, ID string
+	// Hold is how much longer the peer avoids it.
+	Hold time.Duration
+}
+
+// maxHeardShare is the share of a service's servers that a peer may doubt; one
+// that doubts more has most likely lost its own links.
+const maxHeardShare = 0.34
+
+// Hear records which servers a peer could not reach.
+func (s *Scheduler) Hear(peer string, list []Unreachable) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	now := time.Now()
+	counts := map[string]int{}
+	for _, u := range list {
+		counts[u.Service]++
+	}
+	for _, u := range list {
+		if float64(counts[u.Service]) > maxHeardShare*float64(len(s.registry.Servers(u.Service))) {
+			continue
+		}
+		if s.tracker(u.Service).Hear(u.ID, u.Hold, now) {
+			s.OnDoubt(peer, u.Service, u.ID)
+		}
+	}
+}
+
 // SetPeer records what a peer has in work, all of it or what has changed. It
 // reports whether all work of the peer is known now.
 func (s *Scheduler) SetPeer(name string, loads map[string]dispatch.Load, complete bool) bool {
--- a/gateway/schedule/schedule_test.go
+++ b/gateway/schedule/schedule_test.go
@@ -240,3 +240,41 @@
 	}
 	is.True(count["a"] > 5 && count["b"] > 5 && count["c"] >= 20)
 }
+
+// Guards against prompts that are sent, one from each gateway, to an engine that
+// has fallen silent; and against a peer that has lost its own links and makes
+// all others avoid sound engines.
+func TestDoubtOfAPeer(t *testing.T) {
+	is := is.New(t)
+	s, _ := newScheduler(4)
+	doubt := []Unreachable{{Service: "service", ID: "s1", Hold: time.Second}}
+	var told []string
+	s.OnDoubt = func(peer, service, id string) { told = append(told, peer+" "+id) }
+	s.Hear("peer", doubt)
+	is.Equal(told, []string{"peer s1"})
+	for range 12 {
+		a, err := s.Acquire(context.Background(), prompt(1000))
+		is.NoErr(err)
+		is.True(a.Server.ID != "s1")
+	}
+	a, err := s.Acquire(context.Background(), prompt(1000)) // all others are full
+	is.NoErr(err)
+	is.Equal(a.Server.ID, "s1")
+
+	s, _ = newScheduler(4)
+	s.OnDoubt = func(string, string, string) { t.Fatal("half of the servers are doubted") }
+	s.Hear("peer", append(doubt, Unreachable{Service: "service", ID: "s2", Hold: time.Second}))
+}
+
+// Guards against lookups to a plain server that a peer cannot reach.
+func TestDoubtOfAPlainServer(t *testing.T) {
+	is := is.New(t)
+	s, _ := newScheduler(3)
+	s.Hear("peer", []Unreachable{{Service: "service", ID: "s0", Hold: time.Second}})
+	now := time.Now()
+	for range 2 * doubtCost {
+		a, err := s.Acquire(context.Background(), Request{Service: "service", Arrived: now, Deadline: now.Add(time.Second)})
+		is.NoErr(err)
+		is.True(a.Server.ID != "s0")
+	}
+}
--- a/policy/suspect/suspect.go
+++ b/policy/suspect/suspect.go
@@ -21,6 +21,9 @@
 	groupFactor  = 2.5
 	// minOutcomes is how many outcomes a judgement needs.
 	minOutcomes = 4
+	// reachedRecently is how long a success of this process counts for more
+	// than the word of another one, whose own links may be at fault.
+	reachedRecently = time.Second
 )
 
 // Outcome is what became of a request at a server.
@@ -48,6 +51,10 @@
 	outcomes int
 	row      int
 	until    time.Time
+	// unreachable is the end of the time for which the server is avoided
+	// because it could not be reached from here, heard from elsewhere.
+	unreachable, heard time.Time
+	reached            time.Time // the last success
 }
 
 // NewTracker returns a tracker without suspicions.
@@ -56,11 +63,7 @@
 // Observe records an outcome and returns whether the server is avoided from
 // now on that was not before.
 func (t *Tracker) Observe(id string, o Outcome, now time.Time) bool {
-	r := t.servers[id]
-	if r == nil {
-		r = &record{}
-		t.servers[id] = r
-	}
+	r := t.record(id)
 	failed := 0.0
 	if o != Success {
 		failed = 1
@@ -70,6 +73,7 @@
 	t.group += (failed - t.group) * weight / float64(max(len(t.servers), 1))
 	if o == Success {
 		r.row = 0
+		r.reached, r.heard = now, time.Time{}
 		return false
 	}
 	before := now.Before(r.until)
@@ -78,6 +82,7 @@
 	case o == Unreachable:
 		hold := min(firstHold<<min(r.row-1, 8), maxHold)
 		r.hold(now.Add(hold))
+		r.unreachable = r.until
 	case r.outcomes >= minOutcomes && r.share > failingShare && r.share > groupFactor*t.group:
 		r.hold(now.Add(shareHold))
 		r.share = failingShare / 2 // a readmitted server is judged anew
@@ -85,6 +90,15 @@
 	return !before && now.Before(r.until)
 }
 
+func (t *Tracker) record(id string) *record {
+	r := t.servers[id]
+	if r == nil {
+		r = &record{}
+		t.servers[id] = r
+	}
+	return r
+}
+
 func (r *record) hold(until time.Time) {
 	if until.After(r.until) {
 		r.until = until
@@ -97,5 +111,36 @@
 	return r != nil && now.Before(r.until)
 }
 
+// Hear records that another process cannot reach a server and avoids it for
+// hold. It returns whether the server is doubtful from now on that was not
+// before.
+func (t *Tracker) Hear(id string, hold time.Duration, now time.Time) bool {
+	r := t.record(id)
+	if now.Sub(r.reached) < reachedRecently {
+		return false
+	}
+	before := now.Before(r.heard)
+	r.heard = now.Add(min(hold, maxHold))
+	return !before
+}
+
+// Doubtful reports whether another process cannot reach a server. It may be
+// that process whose links are at fault, so such a server is used when others
+// are clearly worse.
+func (t *Tracker) Doubtful(id string, now time.Time) bool {
+	r := t.servers[id]
+	return r != nil && now.Before(r.heard)
+}
+
+// Unreachable calls f for each server that is avoided because this process
+// could not reach it, with the time that is left.
+func (t *Tracker) Unreachable(now time.Time, f func(id string, hold time.Duration)) {
+	for id, r := range t.servers {
+		if hold := r.unreachable.Sub(now); hold > 0 {
+			f(id, hold)
+		}
+	}
+}
+
 // Forget drops what is known of a server.
 func (t *Tracker) Forget(id string) { delete(t.servers, id) }
--- a/policy/suspect/suspect_test.go
+++ b/policy/suspect/suspect_test.go
@@ -55,3 +55,29 @@
 	is.True(!tracker.Avoided("b", now))
 	is.True(!tracker.Avoided("c", now))
 }
+
+// Guards against a server that each process has to find silent by itself, and
+// against the word of a process whose own links are at fault.
+func TestWordOfAnotherProcess(t *testing.T) {
+	is := is.New(t)
+	there, here, now := NewTracker(), NewTracker(), time.Unix(100, 0)
+	there.Observe("silent", Unreachable, now)
+	there.Observe("grey", Failure, now)
+	var told []string
+	there.Unreachable(now, func(id string, hold time.Duration) {
+		told = append(told, id)
+		is.Equal(hold, firstHold)
+		is.True(here.Hear(id, hold, now))
+		is.True(!here.Hear(id, hold, now)) // nothing new
+	})
+	is.Equal(told, []string{"silent"})
+	is.True(here.Doubtful("silent", now))
+	is.True(!here.Avoided("silent", now))
+	is.True(!here.Doubtful("silent", now.Add(firstHold)))
+
+	here.Observe("silent", Success, now)
+	is.True(!here.Doubtful("silent", now))
+	is.True(!here.Hear("silent", firstHold, now.Add(reachedRecently/2)))
+	is.True(here.Hear("silent", firstHold, now.Add(reachedRecently)))
+	here.Unreachable(now, func(string, time.Duration) { t.Fatal("the word of others is not passed on") })
+}
