Gateway soak: judge the end of a process by how it ended, not by when

The process had ended by SIGHUP before its first line, so before it handles signals, which beside such load is more than a second after the start; the pause came before the restart. Change: an end by itself is excused only if SIGHUP ended the process and it had not written a line yet, whenever that is; any other end within the first second is a violation now, too. A fault that meets an ended process leaves its end to the check of ends.

--- a/testbed/gatewaysoak/faults.go
+++ b/testbed/gatewaysoak/faults.go
@@ -2,7 +2,9 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
+	"os"
 	"sync"
 	"syscall"
 	"time"
@@ -141,7 +143,11 @@
 	if f.unsound {
 		r.markUnsound(1)
 	}
-	if err := f.inject(r, pick, d); err != nil {
+	err := f.inject(r, pick, d)
+	switch {
+	case errors.Is(err, os.ErrProcessDone):
+		r.count("process had ended before a fault") // supervise judges its end
+	case err != nil:
 		r.violate("fault %q could not be injected: %w", f.name, err)
 	}
 	if f.unsound {
--- a/testbed/gatewaysoak/fleet.go
+++ b/testbed/gatewaysoak/fleet.go
@@ -3,10 +3,12 @@
 import (
 	"context"
 	"encoding/json"
+	"errors"
 	"fmt"
 	"net/http"
 	"net/url"
 	"os"
+	"os/exec"
 	"path/filepath"
 	"sync"
 	"syscall"
@@ -68,25 +70,36 @@
 
 // start starts the process. mu is held, or nobody else knows the gateway yet.
 func (g *gateway) start() error {
+	logged := g.logged()
 	p, err := g.run.fleet.StartProcess("camphorwick", g.name, []string{"run", "--settings", g.settings})
 	if err != nil {
 		return err
 	}
 	g.process = p
-	go g.supervise(p, time.Now())
+	go g.supervise(p, logged, time.Now())
 	return nil
 }
 
+// logged returns the size of the gateway's log; 0 while there is none.
+func (g *gateway) logged() int64 {
+	info, err := os.Stat(g.run.fleet.LogFile(g.name))
+	if err != nil {
+		return 0
+	}
+	return info.Size()
+}
+
 // supervise starts a process again that ends by itself, as the platform does.
-// Only a signal that comes before the process can handle any excuses that.
-func (g *gateway) supervise(p *fleet.Process, started time.Time) {
+// Only SIGHUP that comes before the process handles signals excuses that, which
+// is before its first line; logged is the size of the log at its start.
+func (g *gateway) supervise(p *fleet.Process, logged int64, started time.Time) {
 	<-p.Done()
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	if g.process != p || g.run.over.Load() {
 		return
 	}
-	if time.Since(started) > startTime {
+	if !endedBy(p.Err(), syscall.SIGHUP) || g.logged() > logged {
 		g.run.violate("%s ended by itself %v after its start: %v", g.name, time.Since(started), p.Err())
 	}
 	g.run.count("process ended at its start")
@@ -95,6 +108,16 @@
 	}
 }
 
+// endedBy reports whether a signal that it did not handle ended a process.
+func endedBy(err error, s syscall.Signal) bool {
+	var exit *exec.ExitError
+	if !errors.As(err, &exit) {
+		return false
+	}
+	status, ok := exit.Sys().(syscall.WaitStatus)
+	return ok && status.Signaled() && status.Signal() == s
+}
+
 func (g *gateway) url(path string) *url.URL {
 	return &url.URL{Scheme: "http", Host: g.callers, Path: path}
 }
--- a/testbed/gatewaysoak/soak.go
+++ b/testbed/gatewaysoak/soak.go
@@ -37,9 +37,6 @@
 	drainBound = 2 * time.Second
 	// calmTime is how long the store and the gateways must have been sound.
 	calmTime = 3 * time.Second
-	// startTime is how long after its start a process may end by a signal that
-	// it does not handle yet.
-	startTime = time.Second
 	// graceTime is the time from SIGTERM to SIGKILL.
 	graceTime = 8 * time.Second
 )
