An answer that goes on elsewhere waits as long as its caller does

The patience counts from the last event now, and the share of the time that is kept for serving does not apply to the rest of an answer. Tests: TestResumedAnswerWaitsForASlot, TestPatienceCountsFromTheLastEvent. Split: what peers say and the placement of a request have files of their own.

--- a/gateway/ingress/exchange.go
+++ b/gateway/ingress/exchange.go
@@ -27,12 +27,6 @@
 	// hangFactor times the latency target is how long an idempotent request
 	// waits for a server if it may go to another.
 	hangFactor = 3
-	// Callers leave a stream that is silent for the longest of minPatience,
-	// patienceTargets latency targets and patiencePauses longest pauses, also
-	// before its first event.
-	minPatience     = 2 * time.Second
-	patienceTargets = 4
-	patiencePauses  = 8
 	// statusCallerGone is logged for callers that went away; it is not sent.
 	statusCallerGone = 499
 )
@@ -200,38 +194,6 @@
 	return x.take(a, answer)
 }
 
-// placement describes the request to the scheduler.
-func (x *exchange) placement() schedule.Request {
-	p := schedule.Request{Service: x.service, LatencyTarget: x.route.LatencyTarget, Arrived: x.arrived, Deadline: x.deadline, Exclude: x.excluded}
-	if s := x.table.Service(x.service); s != nil && x.meta.PromptTokens > 0 {
-		p.Engine = s.Engine
-	}
-	p.Priority = x.route.Priority
-	if x.account != nil && x.account.Priority != nil {
-		p.Priority = *x.account.Priority
-	}
-	if x.route.Kind == routing.Stream {
-		p.Patience = max(minPatience, patienceTargets*x.route.LatencyTarget, patiencePauses*x.route.EventGapTarget)
-	}
-	answer := x.meta.MaxAnswerTokens
-	if x.meta.AnswerHint > 0 {
-		answer = min(answer, 2*x.meta.AnswerHint)
-	}
-	p.Prompt = dispatch.Prompt{Tokens: x.meta.PromptTokens, Answer: answer, TargetMillis: millis(x.route.LatencyTarget),
-		GapMillis: millis(x.route.EventGapTarget)}
-	return p
-}
-
-// accountName returns the name of the caller's account, or "".
-func (x *exchange) accountName() string {
-	if x.account == nil {
-		return ""
-	}
-	return x.account.Name
-}
-
-func millis(d time.Duration) float64 { return float64(d) / float64(time.Millisecond) }
-
 // sendContext bounds one send. An idempotent request leaves a server that
 // hangs while it may still go to another.
 func (x *exchange) sendContext() (context.Context, context.CancelFunc) {
--- a/gateway/ingress/ingress_test.go
+++ b/gateway/ingress/ingress_test.go
@@ -294,3 +294,17 @@
 	x.account.Priority = &own
 	is.Equal(x.placement().Priority, 0)
 }
+
+// Guards against a stream that is given up midway because it was counted from
+// its arrival how long its caller waits for an event.
+func TestPatienceCountsFromTheLastEvent(t *testing.T) {
+	is := is.New(t)
+	now := time.Now()
+	x := &exchange{table: routing.NewTable(&routing.Config{}), arrived: now,
+		route: &routing.Route{Kind: routing.Stream, LatencyTarget: 300 * time.Millisecond, EventGapTarget: 250 * time.Millisecond}}
+	is.Equal(x.placement().Patience, minPatience)
+	is.True(!x.placement().Resumed)
+	x.begun, x.lastAt = true, now.Add(5*time.Second)
+	is.Equal(x.placement().Patience, 7*time.Second)
+	is.True(x.placement().Resumed)
+}
--- /dev/null
+++ b/gateway/ingress/placement.go
@@ -0,0 +1,54 @@
+package ingress
+
+import (
+	"time"
+
+	"camphorwick.dev/gateway/routing"
+	"camphorwick.dev/gateway/schedule"
+	"camphorwick.dev/policy/dispatch"
+)
+
+// Callers leave a stream that is silent for the longest of minPatience,
+// patienceTargets latency targets and patiencePauses longest pauses, also
+// before its first event.
+const (
+	minPatience     = 2 * time.Second
+	patienceTargets = 4
+	patiencePauses  = 8
+)
+
+// placement describes the request to the scheduler.
+func (x *exchange) placement() schedule.Request {
+	p := schedule.Request{Service: x.service, LatencyTarget: x.route.LatencyTarget, Arrived: x.arrived, Deadline: x.deadline, Exclude: x.excluded}
+	if s := x.table.Service(x.service); s != nil && x.meta.PromptTokens > 0 {
+		p.Engine = s.Engine
+	}
+	p.Priority = x.route.Priority
+	if x.account != nil && x.account.Priority != nil {
+		p.Priority = *x.account.Priority
+	}
+	if x.route.Kind == routing.Stream {
+		p.Patience = max(minPatience, patienceTargets*x.route.LatencyTarget, patiencePauses*x.route.EventGapTarget)
+	}
+	if x.begun {
+		p.Resumed = true
+		p.Patience += x.lastAt.Sub(x.arrived)
+	}
+	answer := x.meta.MaxAnswerTokens
+	if x.meta.AnswerHint > 0 {
+		answer = min(answer, 2*x.meta.AnswerHint)
+	}
+	p.Prompt = dispatch.Prompt{Tokens: x.meta.PromptTokens, Answer: answer, TargetMillis: millis(x.route.LatencyTarget),
+		GapMillis: millis(x.route.EventGapTarget)}
+	return p
+}
+
+// accountName returns the name of the caller's account, or "".
+func (x *exchange) accountName() string {
+	if x.account == nil {
+		return ""
+	}
+	return x.account.Name
+}
+
+func millis(d time.Duration) float64 { return float64(d) / float64(time.Millisecond) }
--- a/gateway/schedule/crest_test.go
+++ b/gateway/schedule/crest_test.go
@@ -23,15 +23,9 @@
 		s, _ := newScheduler(1)
 		all := fill(t, s, 4)
 		order := make(chan string, 2)
-		wait := func(name string) {
-			a, err := s.Acquire(context.Background(), prompt(1000))
-			is.NoErr(err)
-			order <- name
-			a.End()
-		}
-		go wait("late")
+		go await(t, s, prompt(1000), "late", order)
 		time.Sleep(150 * time.Millisecond)
-		go wait("in time")
+		go await(t, s, prompt(1000), "in time", order)
 		synctest.Wait()
 		all[0].End()
 		is.Equal(<-order, "in time")
@@ -55,6 +49,27 @@
 	})
 }
 
+// Pattern: an engine falls silent at a crest and its answers go on elsewhere.
+// Guards against the end of an answer that is half written because its time to
+// start is over.
+func TestResumedAnswerWaitsForASlot(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		s, _ := newScheduler(1)
+		all := fill(t, s, 4)
+		r := prompt(1000)
+		time.Sleep(7 * time.Second) // of 10
+		r.Resumed, r.Patience = true, 9*time.Second
+		go func() {
+			time.Sleep(500 * time.Millisecond)
+			all[0].End()
+		}()
+		a, err := s.Acquire(context.Background(), r)
+		is.NoErr(err)
+		a.End()
+	})
+}
+
 // Pattern: accounts of different priority at a crest. Guards against a priority
 // that is not used, and against one that lets a less urgent request wait for
 // as long as more urgent ones come.
@@ -64,19 +79,16 @@
 		s, _ := newScheduler(1)
 		all := fill(t, s, 4)
 		order := make(chan string, 3)
-		wait := func(name string, priority int) {
+		ranked := func(priority int) Request {
 			r := prompt(1000)
 			r.Priority, r.LatencyTarget, r.Prompt.TargetMillis = priority, 3*time.Second, 3000
-			a, err := s.Acquire(context.Background(), r)
-			is.NoErr(err)
-			order <- name
-			a.End()
+			return r
 		}
-		go wait("low", 2)
+		go await(t, s, ranked(2), "low", order)
 		time.Sleep(100 * time.Millisecond)
-		go wait("high", 1)
+		go await(t, s, ranked(1), "high", order)
 		time.Sleep(rankTime)
-		go wait("later high", 1)
+		go await(t, s, ranked(1), "later high", order)
 		synctest.Wait()
 		all[0].End()
 		is.Equal(<-order, "high")
--- /dev/null
+++ b/gateway/schedule/peers.go
@@ -0,0 +1,72 @@
+package schedule
+
+import (
+	"time"
+
+	"camphorwick.dev/policy/dispatch"
+)
+
+const (
+	// doubtMillis is what an engine must be better that a peer cannot reach: a
+	// silent one takes 1.5 s to be noticed. doubtCost is the same for plain
+	// services, in requests.
+	doubtMillis = 1500
+	doubtCost   = 8
+	// maxHeardShare is the share of a service's servers that a peer may doubt;
+	// one that doubts more has most likely lost its own links.
+	maxHeardShare = 0.34
+)
+
+// Own calls f for each server with work of this process.
+func (s *Scheduler) Own(f func(id string, l dispatch.Load)) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.board.Engines(time.Now(), f)
+}
+
+// Unreachable calls f for each server that this process could not reach.
+func (s *Scheduler) Unreachable(f func(service, id string, hold time.Duration)) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	now := time.Now()
+	for service, tracker := range s.trackers {
+		tracker.Unreachable(now, func(id string, hold time.Duration) { f(service, id, hold) })
+	}
+}
+
+// Unreachable is a server that a peer could not reach.
+type Unreachable struct {
+	Service, ID string
+	// Hold is how much longer the peer avoids it.
+	Hold time.Duration
+}
+
+// Hear records which servers a peer could not reach.
+func (s *Scheduler) Hear(peer string, list []Unreachable) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	now := time.Now()
+	counts := map[string]int{}
+	for _, u := range list {
+		counts[u.Service]++
+	}
+	for _, u := range list {
+		if float64(counts[u.Service]) > maxHeardShare*float64(len(s.registry.Servers(u.Service))) {
+			continue
+		}
+		if s.tracker(u.Service).Hear(u.ID, u.Hold, now) {
+			s.OnDoubt(peer, u.Service, u.ID)
+		}
+	}
+}
+
+// SetPeer records what a peer has in work, all of it or what has changed. It
+// reports whether all work of the peer is known now.
+func (s *Scheduler) SetPeer(name string, loads map[string]dispatch.Load, complete bool) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	now := time.Now()
+	whole := s.board.SetPeer(name, loads, complete, now)
+	s.drainQueue(now)
+	return whole
+}
--- a/gateway/schedule/queue.go
+++ b/gateway/schedule/queue.go
@@ -17,7 +17,10 @@
 
 // latestStart returns the time after which it makes no sense to start r.
 func (r *Request) latestStart() time.Time {
-	wait := time.Duration(float64(r.Deadline.Sub(r.Arrived)) * (1 - minServeShare))
+	wait := r.Deadline.Sub(r.Arrived)
+	if !r.Resumed { // what is left of an answer takes less than all of it
+		wait = time.Duration(float64(wait) * (1 - minServeShare))
+	}
 	if r.Patience > 0 {
 		wait = min(wait, time.Duration(float64(r.Patience)*patienceShare))
 	}
--- a/gateway/schedule/schedule.go
+++ b/gateway/schedule/schedule.go
@@ -36,11 +36,6 @@
 	// patienceShare of the caller's patience may pass before a request is
 	// placed; the rest is for its first event.
 	patienceShare = 0.85
-	// doubtMillis is what an engine must be better that a peer cannot reach: a
-	// silent one takes 1.5 s to be noticed. doubtCost is the same for plain
-	// services, in requests.
-	doubtMillis = 1500
-	doubtCost   = 8
 	// rateWeight is the weight of the newest interval between placements in
 	// the forecast of the queue.
 	rateWeight = 0.1
@@ -63,9 +58,11 @@
 	LatencyTarget time.Duration
 	// Arrived is when the request came, Deadline when its time is over.
 	Arrived, Deadline time.Time
-	// Patience is how long the caller waits for the first event; 0 for as long
-	// as there is time.
+	// Patience is how long after Arrived the caller waits for the next event; 0
+	// for as long as there is time.
 	Patience time.Duration
+	// Resumed says that the caller has a part of the answer.
+	Resumed bool
 	// Priority is the rank of the request; 0 is the most urgent.
 	Priority int
 	// Exclude lists servers that have failed or refused it.
@@ -320,61 +317,3 @@
 	defer s.mu.Unlock()
 	s.tracker(service).Forget(id)
 }
-
-// Own calls f for each server with work of this process.
-func (s *Scheduler) Own(f func(id string, l dispatch.Load)) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.board.Engines(time.Now(), f)
-}
-
-// Unreachable calls f for each server that this process could not reach.
-func (s *Scheduler) Unreachable(f func(service, id string, hold time.Duration)) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	now := time.Now()
-	for service, tracker := range s.trackers {
-		tracker.Unreachable(now, func(id string, hold time.Duration) { f(service, id, hold) })
-	}
-}
-
-// Unreachable is a server that a peer could not reach.
-type Unreachable struct {
-	Service, ID string
-	// Hold is how much longer the peer avoids it.
-	Hold time.Duration
-}
-
-// maxHeardShare is the share of a service's servers that a peer may doubt; one
-// that doubts more has most likely lost its own links.
-const maxHeardShare = 0.34
-
-// Hear records which servers a peer could not reach.
-func (s *Scheduler) Hear(peer string, list []Unreachable) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	now := time.Now()
-	counts := map[string]int{}
-	for _, u := range list {
-		counts[u.Service]++
-	}
-	for _, u := range list {
-		if float64(counts[u.Service]) > maxHeardShare*float64(len(s.registry.Servers(u.Service))) {
-			continue
-		}
-		if s.tracker(u.Service).Hear(u.ID, u.Hold, now) {
-			s.OnDoubt(peer, u.Service, u.ID)
-		}
-	}
-}
-
-// SetPeer records what a peer has in work, all of it or what has changed. It
-// reports whether all work of the peer is known now.
-func (s *Scheduler) SetPeer(name string, loads map[string]dispatch.Load, complete bool) bool {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	now := time.Now()
-	whole := s.board.SetPeer(name, loads, complete, now)
-	s.drainQueue(now)
-	return whole
-}
--- a/gateway/schedule/schedule_test.go
+++ b/gateway/schedule/schedule_test.go
@@ -49,6 +49,16 @@
 	return all
 }
 
+// await waits for a server, names the request in order, and ends it.
+func await(t *testing.T, s *Scheduler, r Request, name string, order chan<- string) {
+	a, err := s.Acquire(context.Background(), r)
+	if err != nil {
+		t.Errorf("%s: %v", name, err)
+	}
+	order <- name
+	a.End()
+}
+
 func TestNoServer(t *testing.T) {
 	is := is.New(t)
 	s, _ := newScheduler(0)
@@ -100,17 +110,11 @@
 		s, _ := newScheduler(1)
 		all := fill(t, s, 4)
 		order := make(chan string, 2)
-		wait := func(name string, target time.Duration) {
-			r := prompt(1000)
-			r.LatencyTarget = target
-			a, err := s.Acquire(context.Background(), r)
-			is.NoErr(err)
-			order <- name
-			a.End()
-		}
-		go wait("long", 3*time.Second)
+		long := prompt(1000)
+		long.LatencyTarget = 3 * time.Second
+		go await(t, s, long, "long", order)
 		synctest.Wait()
-		go wait("short", 300*time.Millisecond)
+		go await(t, s, prompt(1000), "short", order)
 		synctest.Wait()
 		all[0].End()
 		is.Equal(<-order, "short")
