A refused prompt's line names what decided it

The line said "0 requests wait, the forecast is 4s" for a prompt that was refused because the engines were in demand. It names the reading time and the shares of reading engines now.

--- a/gateway/schedule/crest_test.go
+++ b/gateway/schedule/crest_test.go
@@ -114,5 +114,8 @@
 		var overload *OverloadError
 		is.True(errors.As(err, &overload))
 		is.Equal(time.Since(r.Arrived), time.Duration(0)) // at once
+		is.True(overload.Refusal != nil)                  // with what decided it
+		is.Equal(overload.Refusal.ReadingShare, 1.0)
+		is.Equal(err.Error(), "the prompt takes 0.9 s to read and 1.00 of the engines read, 1.00 in the last seconds")
 	})
 }
--- a/gateway/schedule/schedule.go
+++ b/gateway/schedule/schedule.go
@@ -87,9 +87,15 @@
 	Waiting    int
 	Forecast   time.Duration
 	RetryAfter time.Duration
+	// Refusal is set if the prompt is too long for engines in demand.
+	Refusal *dispatch.Refusal
 }
 
 func (e *OverloadError) Error() string {
+	if r := e.Refusal; r != nil {
+		return fmt.Sprintf("the prompt takes %.1f s to read and %.2f of the engines read, %.2f in the last seconds",
+			r.ReadMillis/1000, r.ReadingShare, r.MeanShare)
+	}
 	return fmt.Sprintf("%d requests wait, the forecast is %v", e.Waiting, e.Forecast)
 }
 
@@ -196,8 +202,8 @@
 	if !demand.Known() {
 		demand.Observe(s.candidates)
 	}
-	if demand.Refuses(r.Engine, r.Prompt, s.candidates) {
-		return nil, &OverloadError{Forecast: maxRetryAfter, RetryAfter: maxRetryAfter}
+	if refusal := demand.Refuses(r.Engine, r.Prompt, s.candidates); refusal != nil {
+		return nil, &OverloadError{Refusal: refusal, Forecast: maxRetryAfter, RetryAfter: maxRetryAfter}
 	}
 	if !r.Engine.MayStart(r.Prompt, r.Engine.BacklogMillis(s.candidates), r.waited(now)) {
 		return nil, nil
--- a/policy/dispatch/admit.go
+++ b/policy/dispatch/admit.go
@@ -63,10 +63,23 @@
 	return float64(reading) / float64(max(len(candidates), 1))
 }
 
-// Refuses reports whether a prompt should come back at a calmer time.
-func (d *Demand) Refuses(e *Engine, p Prompt, candidates []Candidate) bool {
+// Refusal says why a prompt should come back at a calmer time.
+type Refusal struct {
+	// ReadMillis is what one engine takes to read the prompt.
+	ReadMillis float64
+	// ReadingShare is the share of the engines that have prompts to read, at
+	// that moment and on average over the last seconds.
+	ReadingShare, MeanShare float64
+}
+
+// Refuses returns why a prompt should come back at a calmer time, or nil.
+func (d *Demand) Refuses(e *Engine, p Prompt, candidates []Candidate) *Refusal {
 	huge := p.TargetMillis * min(hugeReads, hugeShare*float64(len(candidates)))
-	return d.share > busyShare && readingShare(candidates) > lullShare && e.ReadMillis(PromptWork(p.Tokens)) > huge
+	read, reading := e.ReadMillis(PromptWork(p.Tokens)), readingShare(candidates)
+	if d.share <= busyShare || reading <= lullShare || read <= huge {
+		return nil
+	}
+	return &Refusal{ReadMillis: read, ReadingShare: reading, MeanShare: d.share}
 }
 
 // BacklogMillis returns the mean time that the engines need to read what they
--- a/policy/dispatch/plan_test.go
+++ b/policy/dispatch/plan_test.go
@@ -136,15 +136,15 @@
 		calm.Observe(candidates(make([]Load, 16)...))
 		busy.Observe(reading)
 	}
-	is.True(!calm.Refuses(e, huge, reading))
-	is.True(busy.Refuses(e, huge, reading))
-	is.True(!busy.Refuses(e, review(), reading))
-	is.True(!busy.Refuses(e, short(), reading))
+	is.Equal(calm.Refuses(e, huge, reading), nil)
+	is.True(busy.Refuses(e, huge, reading) != nil)
+	is.Equal(busy.Refuses(e, review(), reading), nil)
+	is.Equal(busy.Refuses(e, short(), reading), nil)
 	fleet := candidates(make([]Load, 78)...)
 	for i := range fleet {
 		fleet[i].Load.Reading = PromptWork(50_000)
 	}
-	is.True(!busy.Refuses(e, Prompt{Tokens: 330_000, TargetMillis: 3000}, fleet)) // a large fleet reads it in time
+	is.Equal(busy.Refuses(e, Prompt{Tokens: 330_000, TargetMillis: 3000}, fleet), nil) // a large fleet reads it in time
 }
 
 // Pattern: the last prompt of over 300,000 tokens of a burst of reviews comes
@@ -162,11 +162,11 @@
 	for range 100 {
 		demand.Observe(engines)
 	}
-	is.True(demand.Refuses(e, huge, engines))
+	is.True(demand.Refuses(e, huge, engines) != nil)
 	for i := range engines[:4] {
 		engines[i].Load.Reading = Work{}
 	}
-	is.True(!demand.Refuses(e, huge, engines))
+	is.Equal(demand.Refuses(e, huge, engines), nil)
 }
 
 // Pattern: reviews arrive faster than the engines read them. Guards against
