An engine that stays silent far beyond what was expected is doubted

Change: after a second of silence, and three times the expected time, an engine is used only if others are clearly worse, for a second; a first token clears it, since engines in long passes are silent, too. The time limits of a send have a file of their own.

--- a/gateway/ingress/exchange.go
+++ b/gateway/ingress/exchange.go
@@ -24,9 +24,6 @@
 	// maxBuffered is the largest answer that is read whole before the caller
 	// gets its first byte, so that a broken one can be replaced.
 	maxBuffered = 1 << 20
-	// hangFactor times the latency target is how long an idempotent request
-	// waits for a server if it may go to another.
-	hangFactor = 3
 	// statusCallerGone is logged for callers that went away; it is not sent.
 	statusCallerGone = 499
 )
@@ -186,42 +183,16 @@
 	}
 	defer hold.Release()
 	ctx, answered := x.limitUnused(ctx, hold)
+	heard := x.doubtWhenSilent(a)
 	answer, err := x.g.Client.Do(ctx, a.Server.Address, x.request(a, hold))
 	answered()
+	heard()
 	if err != nil {
 		return x.noAnswer(ctx, a, err), nil
 	}
 	return x.take(a, answer)
 }
 
-// sendContext bounds one send. An idempotent request leaves a server that
-// hangs while it may still go to another.
-func (x *exchange) sendContext() (context.Context, context.CancelFunc) {
-	if x.route.Kind == routing.Idempotent && x.route.LatencyTarget > 0 && x.ran+1 < x.route.MaxServers {
-		return context.WithTimeoutCause(x.ctx, hangFactor*x.route.LatencyTarget, errHang)
-	}
-	return context.WithCancel(x.ctx)
-}
-
-var errHang = errors.New("the server does not answer in several times the latency target")
-
-// unusedMargin is how long before the platform's limit unused memory is given
-// up; its release takes a call to each engine.
-const unusedMargin = 1500 * time.Millisecond
-
-var errUnused = errors.New("reserved memory was not used in its time")
-
-// limitUnused ends a send with reserved memory that is not answered before the
-// memory counts as unused. The returned function must be called at the answer.
-func (x *exchange) limitUnused(ctx context.Context, hold *reserve.Hold) (context.Context, func()) {
-	if hold == nil || x.g.UnusedMemory <= unusedMargin {
-		return ctx, func() {}
-	}
-	ctx, cancel := context.WithCancelCause(ctx)
-	timer := time.AfterFunc(x.g.UnusedMemory-unusedMargin, func() { cancel(errUnused) })
-	return ctx, func() { timer.Stop() }
-}
-
 // request builds the request for the assigned server.
 func (x *exchange) request(a *schedule.Assignment, hold *reserve.Hold) *upstream.Request {
 	h := forwardable(x.r.Header)
--- a/gateway/ingress/ingress_test.go
+++ b/gateway/ingress/ingress_test.go
@@ -308,3 +308,28 @@
 	is.Equal(x.placement().Patience, 7*time.Second)
 	is.True(x.placement().Resumed)
 }
+
+// Guards against an engine that stands still and is found only when callers
+// have left: it is doubted after a second of silence.
+func TestSilentEngineIsNoticed(t *testing.T) {
+	is := is.New(t)
+	f := newFleet(t, func(_ net.Conn, br *bufio.Reader, _ *http.Request) bool {
+		_, err := br.ReadByte()
+		return err == nil
+	})
+	go func() { _, _, _ = f.call("POST", "/stream/", "Tokens: 100\r\n", "x") }()
+	noticed := func() bool {
+		for _, line := range f.linesOf("r1") {
+			if has(line, map[string]any{"msg": "server doubted, it is silent", "server": "s0"}) {
+				return true
+			}
+		}
+		return false
+	}
+	time.Sleep(minSilence / 2)
+	is.True(!noticed())
+	for wait := 0; !noticed(); wait++ {
+		is.True(wait < 100)
+		time.Sleep(20 * time.Millisecond)
+	}
+}
--- a/gateway/schedule/assignment.go
+++ b/gateway/schedule/assignment.go
@@ -32,6 +32,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	a.job.FirstToken()
+	s.tracker(a.service).Reach(a.Server.ID, time.Now())
 }
 
 // Observe records what became of the request at its server.
@@ -45,6 +46,19 @@
 	}
 }
 
+// silentHold is how long a server is doubted that is silent for far longer than
+// expected.
+const silentHold = time.Second
+
+// DoubtServer records that the server is silent for far longer than expected.
+// It reports whether the server is doubted from now on that was not before.
+func (a *Assignment) DoubtServer() bool {
+	s := a.scheduler
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.tracker(a.service).Hear(a.Server.ID, silentHold, time.Now())
+}
+
 // BlameHelper records that the request was refused because of the helper at
 // address, and returns its server; nil if no helper has this address.
 func (a *Assignment) BlameHelper(address string) *registry.Server {
--- a/gateway/schedule/schedule_test.go
+++ b/gateway/schedule/schedule_test.go
@@ -282,3 +282,25 @@
 		is.True(a.Server.ID != "s0")
 	}
 }
+
+// Guards against prompts that join an engine that stands still, until their
+// callers leave.
+func TestSilentEngineIsDoubted(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		s, _ := newScheduler(3)
+		silent, err := s.Acquire(context.Background(), prompt(1000))
+		is.NoErr(err)
+		is.True(silent.DoubtServer())
+		is.True(!silent.DoubtServer()) // nothing new
+		for range 4 {
+			a, err := s.Acquire(context.Background(), prompt(1000))
+			is.NoErr(err)
+			is.True(a.Server.ID != silent.Server.ID)
+		}
+		silent.FirstToken() // it was in a long pass
+		is.True(!silent.DoubtServer())
+		time.Sleep(2 * time.Second)
+		is.True(silent.DoubtServer())
+	})
+}
--- a/policy/suspect/suspect.go
+++ b/policy/suspect/suspect.go
@@ -73,7 +73,7 @@
 	t.group += (failed - t.group) * weight / float64(max(len(t.servers), 1))
 	if o == Success {
 		r.row = 0
-		r.reached, r.heard = now, time.Time{}
+		r.reach(now)
 		return false
 	}
 	before := now.Before(r.until)
@@ -90,6 +90,11 @@
 	return !before && now.Before(r.until)
 }
 
+// Reach records a sign of life of a server: it has begun to answer.
+func (t *Tracker) Reach(id string, now time.Time) { t.record(id).reach(now) }
+
+func (r *record) reach(now time.Time) { r.reached, r.heard = now, time.Time{} }
+
 func (t *Tracker) record(id string) *record {
 	r := t.servers[id]
 	if r == nil {
