--- a/policy/dispatch/board.go
+++ b/policy/dispatch/board.go
@@ -2,11 +2,15 @@
 
 import "time"
 
-// peerLifetime is how long the word of a silent peer counts. A peer with work
-// sends every 120 ms or more often, so a silent one has most likely died, and
-// its requests with it. While it counts, its engines seem full, and callers
-// that come to other gateways instead are crowded on the few others.
-const peerLifetime = 500 * time.Millisecond
+// A silent peer counts for peerLifetime and peerLifetimeEach for every peer. A
+// peer with work sends every 120 ms, or every 0.5 ms for each peer if that is
+// longer, so one that is silent for four times as long has most likely died, and
+// its requests with it. While it counts, its engines seem full, and callers that
+// come to other gateways instead are crowded on the few others.
+const (
+	peerLifetime     = 500 * time.Millisecond
+	peerLifetimeEach = 2 * time.Millisecond
+)
 
 // minReadingShare is what counts as unread of a prompt that should have been
 // read by now but has no first token yet.
@@ -240,11 +244,12 @@
 func (b *Board) Expire(now time.Time) {
 	paused := !b.expired.IsZero() && now.Sub(b.expired) > peerLifetime/2
 	b.expired = now
+	lifetime := peerLifetime + time.Duration(len(b.peers))*peerLifetimeEach
 	for name, p := range b.peers {
 		if paused {
 			p.at = now
 		}
-		if now.Sub(p.at) <= peerLifetime {
+		if now.Sub(p.at) <= lifetime {
 			continue
 		}
 		for id := range p.engines {
