--- a/gateway/peers/peers.go
+++ b/gateway/peers/peers.go
@@ -312,9 +312,9 @@
 			Reading: dispatch.Work{Tokens: float64(l.GetReadingTokens()), MillionPairs: float64(l.GetReadingMillionPairs())}}
 	}
 	if list := m.GetUnreachable(); len(list) > 0 {
-		heard := make([]schedule.Unreachable, 0, len(list))
+		heard := make([]schedule.UnreachableServer, 0, len(list))
 		for _, u := range list {
-			heard = append(heard, schedule.Unreachable{Service: u.GetService(), ID: u.GetServer(), Hold: time.Duration(u.GetHoldMs()) * time.Millisecond})
+			heard = append(heard, schedule.UnreachableServer{Service: u.GetService(), ID: u.GetServer(), Hold: time.Duration(u.GetHoldMs()) * time.Millisecond})
 		}
 		e.Scheduler.Hear(m.GetVm(), heard)
 	}
--- a/gateway/schedule/peers.go
+++ b/gateway/schedule/peers.go
@@ -34,15 +34,15 @@
 	}
 }
 
-// Unreachable is a server that a peer could not reach.
-type Unreachable struct {
+// UnreachableServer is a server that a peer could not reach.
+type UnreachableServer struct {
 	Service, ID string
 	// Hold is how much longer the peer avoids it.
 	Hold time.Duration
 }
 
 // Hear records which servers a peer could not reach.
-func (s *Scheduler) Hear(peer string, list []Unreachable) {
+func (s *Scheduler) Hear(peer string, list []UnreachableServer) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	now := time.Now()
--- a/gateway/schedule/schedule_test.go
+++ b/gateway/schedule/schedule_test.go
@@ -251,7 +251,7 @@
 func TestDoubtOfAPeer(t *testing.T) {
 	is := is.New(t)
 	s, _ := newScheduler(4)
-	doubt := []Unreachable{{Service: "service", ID: "s1", Hold: time.Second}}
+	doubt := []UnreachableServer{{Service: "service", ID: "s1", Hold: time.Second}}
 	var told []string
 	s.OnDoubt = func(peer, service, id string) { told = append(told, peer+" "+id) }
 	s.Hear("peer", doubt)
@@ -267,14 +267,14 @@
 
 	s, _ = newScheduler(4)
 	s.OnDoubt = func(string, string, string) { t.Fatal("half of the servers are doubted") }
-	s.Hear("peer", append(doubt, Unreachable{Service: "service", ID: "s2", Hold: time.Second}))
+	s.Hear("peer", append(doubt, UnreachableServer{Service: "service", ID: "s2", Hold: time.Second}))
 }
 
 // Guards against lookups to a plain server that a peer cannot reach.
 func TestDoubtOfAPlainServer(t *testing.T) {
 	is := is.New(t)
 	s, _ := newScheduler(3)
-	s.Hear("peer", []Unreachable{{Service: "service", ID: "s0", Hold: time.Second}})
+	s.Hear("peer", []UnreachableServer{{Service: "service", ID: "s0", Hold: time.Second}})
 	now := time.Now()
 	for range 2 * doubtCost {
 		a, err := s.Acquire(context.Background(), Request{Service: "service", Arrived: now, Deadline: now.Add(time.Second)})
