--- a/policy/dispatch/admit.go
+++ b/policy/dispatch/admit.go
@@ -27,7 +27,7 @@
 	// lullShare is the share of engines with prompts to read up to which a huge
 	// prompt is let in all the same: the demand of the last seconds outlasts a
 	// burst.
-	lullShare = 0.4
+	lullShare = 0.15
 	// demandWeight is the weight of the newest look in the demand; looks are
 	// made every 100 ms, so it follows the last seconds.
 	demandWeight = 0.05
--- a/policy/dispatch/plan_test.go
+++ b/policy/dispatch/plan_test.go
@@ -163,7 +163,7 @@
 		demand.Observe(engines)
 	}
 	is.True(demand.Refuses(e, huge, engines) != nil)
-	for i := range engines[:4] {
+	for i := range engines[:8] { // two still read
 		engines[i].Load.Reading = Work{}
 	}
 	is.Equal(demand.Refuses(e, huge, engines), nil)
