--- a/gateway/ingress/operations_test.go
+++ b/gateway/ingress/operations_test.go
@@ -98,3 +98,15 @@
 		})
 	}
 }
+
+// Guards against a failure that is answered and not logged.
+func TestFailureIsLogged(t *testing.T) {
+	is := is.New(t)
+	f := newFleet(t, raw(""))
+	_, _, err := f.call("POST", "/order/7", "", "x")
+	is.NoErr(err)
+	lines := f.linesOf("r1")
+	is.Equal(len(lines), 2)
+	is.True(has(lines[0], map[string]any{"msg": "send failed", "server": "s0", "sent": true}))
+	is.True(has(lines[1], map[string]any{"msg": "request ended", "status": 502.0, "reason": "no_answer"}))
+}
