Log which side closed the connection of an unanswered request

Connections now record why the gateway closed them. Such a request ends with the reason "connection_closed" in log and metrics, and a line names the cause. "stopped serving" also counts the connections that are not idle, which shows answers that are not written yet. The logic is unchanged.

--- a/gateway/ingress/exchange.go
+++ b/gateway/ingress/exchange.go
@@ -160,6 +160,9 @@
 	reasonMemory       = "memory_not_reserved"
 	reasonTimeout      = "timeout"
 	reasonDisconnected = "caller_gone"
+	// reasonConnectionClosed means that the gateway closed the caller's
+	// connection while the request was in flight.
+	reasonConnectionClosed = "connection_closed"
 )
 
 // send assigns the request to a server, sends it there and forwards the answer.
@@ -227,7 +230,9 @@
 		x.possibleRuns++
 	}
 	if x.callerDisconnected() {
-		x.log.Info("caller disconnected before the answer", "server", a.Server.ID, "sent", sent)
+		if closeCause(x.r.Context()) == "" {
+			x.log.Info("caller disconnected before the answer", "server", a.Server.ID, "sent", sent)
+		}
 		return endUnanswered
 	}
 	if x.ctx.Err() != nil {
--- a/gateway/ingress/outcome.go
+++ b/gateway/ingress/outcome.go
@@ -65,7 +65,7 @@
 func (x *exchange) fail() {
 	switch {
 	case x.callerDisconnected():
-		x.finish(statusCallerDisconnected, reasonDisconnected)
+		x.finish(statusCallerDisconnected, x.disconnectReason())
 		panic(http.ErrAbortHandler)
 	case x.headWritten:
 		x.finish(http.StatusBadGateway, x.reason)
@@ -87,6 +87,17 @@
 	return x.reason == reasonDisconnected || x.r.Context().Err() != nil
 }
 
+// disconnectReason returns the reason of a request that ends unanswered because
+// its connection was closed.
+func (x *exchange) disconnectReason() string {
+	cause := closeCause(x.r.Context())
+	if cause == "" {
+		return reasonDisconnected
+	}
+	x.log.Error("connection closed by the gateway before the answer", "cause", cause, "server", x.server, "ran", x.possibleRuns)
+	return reasonConnectionClosed
+}
+
 // finish records metrics and logs the end of the request. The line of a request
 // that succeeded at the first send may be omitted.
 func (x *exchange) finish(status int, reason string) {
--- a/gateway/node/listener.go
+++ b/gateway/node/listener.go
@@ -7,6 +7,8 @@
 	"sync"
 	"sync/atomic"
 	"time"
+
+	"camphorwick.dev/gateway/ingress"
 )
 
 // idleConn applies the idle timeout of the configuration in force to a
@@ -18,6 +20,15 @@
 	owner       *idleListener
 	idle        atomic.Bool          // no request is in flight
 	idleTimeout func() time.Duration // 0 for none
+	closeCause  atomic.Pointer[string]
+}
+
+// CloseCause implements ingress.Connection.
+func (c *idleConn) CloseCause() string {
+	if cause := c.closeCause.Load(); cause != nil {
+		return *cause
+	}
+	return ""
 }
 
 // SetReadDeadline replaces a cleared deadline by the idle timeout if the
@@ -65,10 +76,41 @@
 	}
 	l.mu.Unlock()
 	for _, c := range idle {
+		c.closeCause.Store(&closeCauseIdle)
 		_ = c.Close()
 	}
 }
 
+// Causes for which a gateway closes the connection of a caller.
+var (
+	closeCauseIdle = "idle connection closed by a stopping gateway"
+	closeCauseStop = "gateway stopped"
+)
+
+// recordStop records that the gateway is about to close all connections and
+// returns the number of those that are not idle.
+func (l *idleListener) recordStop() int {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	busy := 0
+	for c := range l.conns {
+		c.closeCause.CompareAndSwap(nil, &closeCauseStop)
+		if !c.idle.Load() {
+			busy++
+		}
+	}
+	return busy
+}
+
+// connContext is an http.Server.ConnContext that gives requests access to their
+// connection.
+func connContext(ctx context.Context, c net.Conn) context.Context {
+	if wrapped, ok := c.(*idleConn); ok {
+		return ingress.WithConnection(ctx, wrapped)
+	}
+	return ctx
+}
+
 // Accept wraps the next connection, which counts as idle until its first
 // request.
 func (l *idleListener) Accept() (net.Conn, error) {
--- a/gateway/node/node.go
+++ b/gateway/node/node.go
@@ -197,7 +197,7 @@
 	}
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
-	server := &http.Server{Handler: n.gateway, MaxHeaderBytes: maxHeaderBytes, ConnState: trackState,
+	server := &http.Server{Handler: n.gateway, MaxHeaderBytes: maxHeaderBytes, ConnState: trackState, ConnContext: connContext,
 		ErrorLog: slog.NewLogLogger(n.options.Log.Handler(), slog.LevelDebug)}
 	group, ctx := errgroup.WithContext(ctx)
 	callers := &idleListener{Listener: listener, idleTimeout: n.callerIdleTimeout, conns: map[*idleConn]struct{}{}}
@@ -360,6 +360,7 @@
 			break
 		}
 	}
-	n.options.Log.Info("stopped serving", "cut", n.gateway.Active()) // cut: requests broken off
+	// cut: requests broken off; busy_connections: also those whose answer is not written yet
+	n.options.Log.Info("stopped serving", "cut", n.gateway.Active(), "busy_connections", callers.recordStop())
 	return server.Close()
 }
