Close idle connections of a stopping gateway only between requests

Callers saw a connection closed without an answer 2.5 s or more after SIGTERM, although a server had begun to run their request.

Cause: a connection counted as idle until net/http had parsed the head of a request (StateActive). closeIdle, every 25 ms, closed connections whose request was being read, or was about to be read by a goroutine that had been woken: a closed net.Conn keeps its socket until that goroutine has read from it. net/http then served the request on the closed connection, noticed the close, cancelled the request, and the gateway took it for one whose caller had left.

Change: callerConn reads from the socket under a lock that also guards its state. It is idle only after a read between two requests has found nothing, and it is closed only if nothing has arrived since; after that it reads no more. A request is thus either served or not read at all. A new connection is given 500 ms for its first request.

--- /dev/null
+++ b/gateway/node/conn.go
@@ -0,0 +1,158 @@
+package node
+
+import (
+	"errors"
+	"io"
+	"net"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"syscall"
+	"time"
+
+	"golang.org/x/sys/unix"
+)
+
+// callerConn is the connection of a caller. It reads from the socket under a
+// lock, so that closing it while it is idle and reading the first bytes of a
+// request exclude each other: a request is either served to its end or not read
+// at all. net/http reports a request only after it has parsed its head, which is
+// too late for this.
+//
+// It also applies the idle timeout of the configuration in force. net/http has
+// only one timeout per server, which cannot change.
+type callerConn struct {
+	net.Conn
+	socket      syscall.RawConn // of Conn
+	owner       *callerListener
+	idleTimeout func() time.Duration // 0 for none
+	closeCause  atomic.Pointer[string]
+
+	mu sync.Mutex // guards the fields below and is held while bytes are read
+	// betweenRequests is set while net/http has no request of the connection.
+	betweenRequests bool
+	// requestBegun is set if bytes were read since betweenRequests was set.
+	requestBegun bool
+	// idleSince is when a read between two requests found no bytes; zero if the
+	// connection is not idle.
+	idleSince time.Time
+	// reused is set once a request was answered.
+	reused bool
+	// closed is set if no more bytes may be read.
+	closed bool
+}
+
+// Read reads from the socket. It fails with net.ErrClosed once the connection
+// was closed, even if bytes have arrived.
+func (c *callerConn) Read(p []byte) (int, error) {
+	if len(p) == 0 {
+		return 0, nil
+	}
+	n := 0
+	var readErr error
+	err := c.socket.Read(func(fd uintptr) bool {
+		n, readErr = c.tryRead(int(fd), p)
+		return !errors.Is(readErr, unix.EAGAIN)
+	})
+	switch {
+	case err != nil: // the deadline has passed or the connection is closed
+	case readErr != nil:
+		err = readErr
+	case n == 0:
+		return 0, io.EOF
+	default:
+		return n, nil
+	}
+	return 0, &net.OpError{Op: "read", Net: "tcp", Source: c.LocalAddr(), Addr: c.RemoteAddr(), Err: err}
+}
+
+// tryRead reads the bytes that have arrived and records whether the connection
+// is idle.
+func (c *callerConn) tryRead(fd int, p []byte) (int, error) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.closed {
+		return 0, net.ErrClosed
+	}
+	n, err := unix.Read(fd, p)
+	for errors.Is(err, unix.EINTR) {
+		n, err = unix.Read(fd, p)
+	}
+	switch {
+	case n > 0:
+		c.requestBegun, c.idleSince = true, time.Time{}
+	case errors.Is(err, unix.EAGAIN) && c.betweenRequests && !c.requestBegun && c.idleSince.IsZero():
+		c.idleSince = time.Now()
+	}
+	return max(n, 0), err
+}
+
+// closeIfIdle closes the connection with a cause if it has been idle for the
+// given time and no bytes have arrived.
+func (c *callerConn) closeIfIdle(idle time.Duration, cause *string) {
+	c.mu.Lock()
+	if c.idleSince.IsZero() || time.Since(c.idleSince) < idle || c.bytesArrived() {
+		c.mu.Unlock()
+		return
+	}
+	c.closed = true
+	c.mu.Unlock()
+	c.closeCause.CompareAndSwap(nil, cause)
+	_ = c.Close()
+}
+
+// bytesArrived reports whether there are bytes to read. It also returns true if
+// the socket cannot be checked.
+func (c *callerConn) bytesArrived() bool {
+	arrived := true
+	err := c.socket.Control(func(fd uintptr) {
+		var one [1]byte
+		n, _, err := unix.Recvfrom(int(fd), one[:], unix.MSG_PEEK|unix.MSG_DONTWAIT)
+		arrived = err == nil && n > 0
+	})
+	return arrived && err == nil
+}
+
+// wasReused reports whether a request was answered on the connection.
+func (c *callerConn) wasReused() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.reused
+}
+
+// setState records a change of state of net/http.
+func (c *callerConn) setState(state http.ConnState) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.betweenRequests = state == http.StateNew || state == http.StateIdle
+	c.requestBegun, c.idleSince = false, time.Time{}
+	c.reused = c.reused || state == http.StateIdle
+}
+
+// SetReadDeadline replaces a cleared deadline by the idle timeout if the
+// connection is between two requests.
+func (c *callerConn) SetReadDeadline(t time.Time) error {
+	c.mu.Lock()
+	between := c.betweenRequests
+	c.mu.Unlock()
+	if t.IsZero() && between {
+		if idleTimeout := c.idleTimeout(); idleTimeout > 0 {
+			t = time.Now().Add(idleTimeout)
+		}
+	}
+	return c.Conn.SetReadDeadline(t)
+}
+
+// Close also removes the connection from its listener.
+func (c *callerConn) Close() error {
+	c.owner.remove(c)
+	return c.Conn.Close()
+}
+
+// CloseCause implements ingress.Connection.
+func (c *callerConn) CloseCause() string {
+	if cause := c.closeCause.Load(); cause != nil {
+		return *cause
+	}
+	return ""
+}
--- a/gateway/node/drain_test.go
+++ b/gateway/node/drain_test.go
@@ -63,7 +63,7 @@
 
 // recordingServer records the requests that its handler gets.
 type recordingServer struct {
-	listener *idleListener
+	listener *callerListener
 	address  string
 	lastID   atomic.Int64
 	runs     sync.Map // ids of requests
@@ -76,12 +76,12 @@
 		t.Fatal(err)
 	}
 	s := &recordingServer{address: l.Addr().String()}
-	s.listener = &idleListener{Listener: l, idleTimeout: func() time.Duration { return 0 }, conns: map[*idleConn]struct{}{}}
+	s.listener = newCallerListener(l, func() time.Duration { return 0 })
 	server := &http.Server{ConnState: trackState, Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		s.runs.Store(r.Header.Get("Id"), true)
 		_, _ = io.WriteString(w, "ok")
 	})}
-	go func() { _ = server.Serve(s.listener) }()
+	go func() { _ = s.listener.serve(server) }()
 	t.Cleanup(func() { _ = server.Close() })
 	return s
 }
@@ -89,7 +89,7 @@
 // closeIdleUntil closes idle connections again and again until ctx ends.
 func (s *recordingServer) closeIdleUntil(ctx context.Context) {
 	for ctx.Err() == nil {
-		s.listener.closeIdle()
+		s.listener.closeIdle(0)
 		time.Sleep(time.Millisecond)
 	}
 }
@@ -127,9 +127,9 @@
 	n := newTestNode(t, 2*minDrainTime)
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	is.NoErr(err)
-	callers := &idleListener{Listener: slowListener{l}, idleTimeout: n.callerIdleTimeout, conns: map[*idleConn]struct{}{}}
-	server := &http.Server{Handler: n.gateway, ConnState: trackState, ConnContext: connContext}
-	go func() { _ = server.Serve(callers) }()
+	callers := newCallerListener(slowListener{l}, n.callerIdleTimeout)
+	server := n.newServer()
+	go func() { _ = callers.serve(server) }()
 	n.Stop()
 	drained := make(chan error)
 	go func() { drained <- n.drain(t.Context(), server, callers) }()
--- a/gateway/node/listener.go
+++ b/gateway/node/listener.go
@@ -2,145 +2,134 @@
 
 import (
 	"context"
+	"errors"
+	"fmt"
 	"net"
 	"net/http"
 	"sync"
-	"sync/atomic"
+	"syscall"
 	"time"
 
 	"camphorwick.dev/gateway/ingress"
 )
 
-// idleConn applies the idle timeout of the configuration in force to a
-// persistent connection. net/http has only one timeout per server, which cannot
-// change. net/http clears the read deadline when a connection becomes idle; idleConn
-// then sets the deadline of the current timeout instead.
-type idleConn struct {
-	net.Conn
-	owner       *idleListener
-	idle        atomic.Bool          // no request is in flight
+// firstRequestTime is how long a new connection stays open without a request
+// while a gateway stops. Its request is most likely on the way.
+const firstRequestTime = 500 * time.Millisecond
+
+// Causes for which a gateway closes the connection of a caller.
+var (
+	closeCauseIdle = "idle connection closed by a stopping gateway"
+	closeCauseStop = "gateway stopped"
+)
+
+// callerListener wraps accepted connections in callerConn and tracks the open
+// ones.
+//
+// Lock order: callerListener.mu and callerConn.mu are never held together.
+type callerListener struct {
+	net.Listener
 	idleTimeout func() time.Duration // 0 for none
-	closeCause  atomic.Pointer[string]
+	ended       chan struct{}        // closed when serve has returned
+
+	mu    sync.Mutex
+	conns map[*callerConn]struct{}
 }
 
-// CloseCause implements ingress.Connection.
-func (c *idleConn) CloseCause() string {
-	if cause := c.closeCause.Load(); cause != nil {
-		return *cause
-	}
-	return ""
+func newCallerListener(l net.Listener, idleTimeout func() time.Duration) *callerListener {
+	return &callerListener{Listener: l, idleTimeout: idleTimeout, ended: make(chan struct{}), conns: map[*callerConn]struct{}{}}
 }
 
-// SetReadDeadline replaces a cleared deadline by the idle timeout if the
-// connection is idle.
-func (c *idleConn) SetReadDeadline(t time.Time) error {
-	if t.IsZero() && c.idle.Load() {
-		if idleTimeout := c.idleTimeout(); idleTimeout > 0 {
-			t = time.Now().Add(idleTimeout)
-		}
+// serve serves the listener until a stop closes it. It must be called once.
+func (l *callerListener) serve(server *http.Server) error {
+	defer close(l.ended)
+	err := server.Serve(l)
+	if errors.Is(err, http.ErrServerClosed) || errors.Is(err, net.ErrClosed) {
+		return nil
 	}
-	return c.Conn.SetReadDeadline(t)
+	return fmt.Errorf("serve callers: %w", err)
 }
 
-// Close also removes the connection from its listener.
-func (c *idleConn) Close() error {
-	c.owner.remove(c)
-	return c.Conn.Close()
+// Accept wraps the next connection.
+func (l *callerListener) Accept() (net.Conn, error) {
+	c, err := l.Listener.Accept()
+	if err != nil {
+		return nil, err
+	}
+	socket, err := c.(syscall.Conn).SyscallConn()
+	if err != nil {
+		return nil, fmt.Errorf("access the socket of a connection: %w", errors.Join(err, c.Close()))
+	}
+	wrapped := &callerConn{Conn: c, socket: socket, idleTimeout: l.idleTimeout, owner: l}
+	l.mu.Lock()
+	l.conns[wrapped] = struct{}{}
+	l.mu.Unlock()
+	return wrapped, nil
 }
 
-// idleListener wraps accepted connections in idleConn and tracks the open ones.
-type idleListener struct {
-	net.Listener
-	idleTimeout func() time.Duration
-
-	mu    sync.Mutex
-	conns map[*idleConn]struct{}
+// stopAccepting closes the port and waits for serve, so that each connection
+// that was accepted is tracked afterwards.
+func (l *callerListener) stopAccepting() {
+	_ = l.Close() // fails if it was closed before
+	<-l.ended
 }
 
-func (l *idleListener) remove(c *idleConn) {
+func (l *callerListener) remove(c *callerConn) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	delete(l.conns, c)
 }
 
-// closeIdle closes the connections without a request in flight. A request that
-// arrives during the close is not read: its connection is closed without any
-// answer, in which case HTTP lets the caller retry.
-func (l *idleListener) closeIdle() {
+// open returns the open connections.
+func (l *callerListener) open() []*callerConn {
 	l.mu.Lock()
-	var idle []*idleConn
+	defer l.mu.Unlock()
+	list := make([]*callerConn, 0, len(l.conns))
 	for c := range l.conns {
-		if c.idle.Load() {
-			idle = append(idle, c)
-		}
-	}
-	l.mu.Unlock()
-	for _, c := range idle {
-		c.closeCause.Store(&closeCauseIdle)
-		_ = c.Close()
+		list = append(list, c)
 	}
+	return list
 }
 
-// Causes for which a gateway closes the connection of a caller.
-var (
-	closeCauseIdle = "idle connection closed by a stopping gateway"
-	closeCauseStop = "gateway stopped"
-)
+// closeIdle closes the connections between two requests, and new ones that have
+// been without a request for newIdle. A request that arrives at that moment is not
+// read: its connection is reset, in which case HTTP lets the caller retry.
+func (l *callerListener) closeIdle(newIdle time.Duration) {
+	for _, c := range l.open() {
+		idle := newIdle
+		if c.wasReused() {
+			idle = 0
+		}
+		c.closeIfIdle(idle, &closeCauseIdle)
+	}
+}
 
 // recordStop records that the gateway is about to close all connections and
-// returns the number of those that are not idle.
-func (l *idleListener) recordStop() int {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	busy := 0
-	for c := range l.conns {
+// returns their number.
+func (l *callerListener) recordStop() int {
+	list := l.open()
+	for _, c := range list {
 		c.closeCause.CompareAndSwap(nil, &closeCauseStop)
-		if !c.idle.Load() {
-			busy++
-		}
 	}
-	return busy
+	return len(list)
+}
+
+// trackState is an http.Server.ConnState for connections of a callerListener.
+func trackState(c net.Conn, state http.ConnState) {
+	if wrapped, ok := c.(*callerConn); ok {
+		wrapped.setState(state)
+	}
 }
 
 // connContext is an http.Server.ConnContext that gives requests access to their
 // connection.
 func connContext(ctx context.Context, c net.Conn) context.Context {
-	if wrapped, ok := c.(*idleConn); ok {
+	if wrapped, ok := c.(*callerConn); ok {
 		return ingress.WithConnection(ctx, wrapped)
 	}
 	return ctx
 }
 
-// Accept wraps the next connection, which counts as idle until its first
-// request.
-func (l *idleListener) Accept() (net.Conn, error) {
-	c, err := l.Listener.Accept()
-	if err != nil {
-		return nil, err
-	}
-	wrapped := &idleConn{Conn: c, idleTimeout: l.idleTimeout, owner: l}
-	wrapped.idle.Store(true)
-	l.mu.Lock()
-	l.conns[wrapped] = struct{}{}
-	l.mu.Unlock()
-	return wrapped, nil
-}
-
-// trackState is an http.Server.ConnState that records whether a connection is
-// idle.
-func trackState(c net.Conn, state http.ConnState) {
-	wrapped, ok := c.(*idleConn)
-	if !ok {
-		return
-	}
-	switch state {
-	case http.StateNew, http.StateIdle:
-		wrapped.idle.Store(true)
-	default:
-		wrapped.idle.Store(false)
-	}
-}
-
 // listenConfig enables keep-alive probes, which close the connections of
 // unresponsive callers.
 var listenConfig = net.ListenConfig{KeepAliveConfig: net.KeepAliveConfig{Enable: true, Idle: 5 * time.Second, Interval: 2 * time.Second, Count: 3}}
--- a/gateway/node/listener_test.go
+++ b/gateway/node/listener_test.go
@@ -11,21 +11,21 @@
 	"github.com/matryer/is"
 )
 
-// serveIdle serves with an idleListener whose idle timeout can be changed.
-func serveIdle(t *testing.T, idleTimeout *atomic.Int64) (*idleListener, string) {
+// serveIdle serves with a callerListener whose idle timeout can be changed.
+func serveIdle(t *testing.T, idleTimeout *atomic.Int64) (*callerListener, string) {
 	t.Helper()
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		t.Fatal(err)
 	}
-	wrapped := &idleListener{Listener: l, idleTimeout: func() time.Duration { return time.Duration(idleTimeout.Load()) }, conns: map[*idleConn]struct{}{}}
+	wrapped := newCallerListener(l, func() time.Duration { return time.Duration(idleTimeout.Load()) })
 	server := &http.Server{ConnState: trackState, Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		if r.URL.Path == "/slow" {
 			time.Sleep(300 * time.Millisecond)
 		}
 		_, _ = io.WriteString(w, "ok")
 	})}
-	go func() { _ = server.Serve(wrapped) }()
+	go func() { _ = wrapped.serve(server) }()
 	t.Cleanup(func() { _ = server.Close() })
 	return wrapped, l.Addr().String()
 }
@@ -90,7 +90,7 @@
 		close(done)
 	}()
 	time.Sleep(100 * time.Millisecond)
-	l.closeIdle()
+	l.closeIdle(0)
 	is.True(closedAfter(t, idle) < time.Second)
 	<-done // the request in flight was answered
 }
--- a/gateway/node/node.go
+++ b/gateway/node/node.go
@@ -53,13 +53,6 @@
 	// maxHeaderBytes bounds the head of a request; the configuration may state
 	// less.
 	maxHeaderBytes = 64 << 10
-	// minDrainTime is the shortest time for which a stopping gateway continues
-	// to serve: the platform checks its readiness every second and sends it
-	// callers until two checks have failed.
-	minDrainTime = 2500 * time.Millisecond
-	// drainPoll is the time between checks of a stopping gateway for requests in
-	// flight.
-	drainPoll = 25 * time.Millisecond
 )
 
 // Protocol is the adapter to a platform.
@@ -197,17 +190,10 @@
 	}
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
-	server := &http.Server{Handler: n.gateway, MaxHeaderBytes: maxHeaderBytes, ConnState: trackState, ConnContext: connContext,
-		ErrorLog: slog.NewLogLogger(n.options.Log.Handler(), slog.LevelDebug)}
+	server := n.newServer()
 	group, ctx := errgroup.WithContext(ctx)
-	callers := &idleListener{Listener: listener, idleTimeout: n.callerIdleTimeout, conns: map[*idleConn]struct{}{}}
-	group.Go(func() error {
-		err := server.Serve(callers)
-		if errors.Is(err, http.ErrServerClosed) {
-			return nil
-		}
-		return fmt.Errorf("serve callers: %w", err)
-	})
+	callers := newCallerListener(listener, n.callerIdleTimeout)
+	group.Go(func() error { return callers.serve(server) })
 	group.Go(func() error { return n.peers.Run(ctx, datagrams) })
 	group.Go(func() error { return n.schedule.Run(ctx) })
 	group.Go(func() error { return n.sweep(ctx) })
@@ -222,6 +208,12 @@
 	return group.Wait()
 }
 
+// newServer returns the HTTP server for callers.
+func (n *Node) newServer() *http.Server {
+	return &http.Server{Handler: n.gateway, MaxHeaderBytes: maxHeaderBytes, ConnState: trackState, ConnContext: connContext,
+		ErrorLog: slog.NewLogLogger(n.options.Log.Handler(), slog.LevelDebug)}
+}
+
 func listenUDP(address string) (*net.UDPConn, error) {
 	parsed, err := netip.ParseAddrPort(address)
 	if err != nil {
@@ -337,30 +329,3 @@
 	}
 	return lease, nil
 }
-
-// drain waits for Stop and then serves until no request is in flight and
-// minDrainTime has passed, for at most DrainLimit.
-func (n *Node) drain(ctx context.Context, server *http.Server, callers *idleListener) error {
-	select {
-	case <-ctx.Done():
-		return server.Close()
-	case <-n.stop:
-	}
-	begun := time.Now()
-	n.options.Log.Info("stopping", "in_progress", n.gateway.Active())
-	n.gateway.CloseConnections()
-	for time.Since(begun) < n.options.DrainLimit && ctx.Err() == nil {
-		time.Sleep(drainPoll)
-		if time.Since(begun) < minDrainTime {
-			continue
-		}
-		n.gateway.RefuseAfter(begun.Add(n.options.DrainLimit))
-		callers.closeIdle()
-		if n.gateway.Active() == 0 {
-			break
-		}
-	}
-	// cut: requests broken off; busy_connections: also those whose answer is not written yet
-	n.options.Log.Info("stopped serving", "cut", n.gateway.Active(), "busy_connections", callers.recordStop())
-	return server.Close()
-}
