End a stopping gateway only after its connections are closed

The end of the drain was decided by the number of active handlers. net/http writes an answer after its handler has returned, and the gateway closed the connection in between: the caller got no answer to a request that had ended well. The log had shown "stopped serving" with no request cut and a busy connection in 3 of 90 stops. A connection that was accepted while the last check was made could enter as well.

The drain now ends when no connection is open. It then closes the port, waits until the accepting loop has returned, and checks again, so that nothing can enter between the check and the end. At the drain limit it waits up to 400 ms for answers to be written.

--- a/gateway/node/drain.go
+++ b/gateway/node/drain.go
@@ -14,31 +14,63 @@
 	// drainPoll is the time between checks of a stopping gateway for idle
 	// connections.
 	drainPoll = 25 * time.Millisecond
+	// closeTime is how long a gateway at its drain limit waits until answers are
+	// written.
+	closeTime = 400 * time.Millisecond
 )
 
-// drain waits for Stop and then serves until no request is in flight and
-// minDrainTime has passed, for at most DrainLimit.
+// drain waits for Stop and then serves until no connection is open and
+// minDrainTime has passed, for at most DrainLimit. It returns when all
+// connections are closed, at the latest closeTime later.
 func (n *Node) drain(ctx context.Context, server *http.Server, callers *callerListener) error {
 	select {
 	case <-ctx.Done():
-		return server.Close()
+		return n.closeConnections(server, callers)
 	case <-n.stop:
 	}
 	begun := time.Now()
+	limit := begun.Add(n.options.DrainLimit)
 	n.options.Log.Info("stopping", "in_progress", n.gateway.Active())
 	n.gateway.CloseConnections()
-	for time.Since(begun) < n.options.DrainLimit && ctx.Err() == nil {
-		time.Sleep(drainPoll)
-		if time.Since(begun) < minDrainTime {
+	sleepUntil(ctx, begun.Add(minDrainTime))
+	n.gateway.RefuseAfter(limit)
+	n.serveOpenConnections(ctx, callers, limit)
+	return n.closeConnections(server, callers)
+}
+
+// serveOpenConnections closes idle connections until none is open, and then the
+// port. It returns at the limit if requests are still in flight.
+func (n *Node) serveOpenConnections(ctx context.Context, callers *callerListener, limit time.Time) {
+	for time.Now().Before(limit) && ctx.Err() == nil {
+		callers.closeIdle(firstRequestTime)
+		if len(callers.open()) > 0 {
+			time.Sleep(drainPoll)
 			continue
 		}
-		n.gateway.RefuseAfter(begun.Add(n.options.DrainLimit))
-		callers.closeIdle(firstRequestTime)
-		if n.gateway.Active() == 0 {
-			break
+		callers.stopAccepting()
+		if len(callers.open()) == 0 {
+			return
 		}
 	}
-	// cut: requests broken off; open_connections: also those whose answer is not written yet
+}
+
+// closeConnections closes the port, waits until answers are written, and closes
+// all connections.
+func (n *Node) closeConnections(server *http.Server, callers *callerListener) error {
+	callers.stopAccepting()
+	for end := time.Now().Add(closeTime); len(callers.open()) > 0 && time.Now().Before(end); {
+		callers.closeIdle(0)
+		time.Sleep(drainPoll)
+	}
+	// cut: requests that end without an answer; open_connections: also those whose
+	// answer is not written yet or whose request is not complete
 	n.options.Log.Info("stopped serving", "cut", n.gateway.Active(), "open_connections", callers.recordStop())
 	return server.Close()
 }
+
+func sleepUntil(ctx context.Context, t time.Time) {
+	select {
+	case <-ctx.Done():
+	case <-time.After(time.Until(t)):
+	}
+}
