Answer the requests that a stopping gateway can no longer finish

Only streams were refused when their time might not suffice.

At the drain limit all requests in flight are aborted and answered, unless their answer has begun: 503 if no server can have run them, otherwise 504. A place at an engine that becomes free because another request was aborted is not used any more.

In the tests, the harness's server uses the gateway's base context, which Abort needs.

--- a/gateway/ingress/exchange.go
+++ b/gateway/ingress/exchange.go
@@ -108,7 +108,7 @@
 // mayRetry reports whether the request may be sent to another server.
 func (x *exchange) mayRetry(next nextStep) bool {
 	switch {
-	case x.ctx.Err() != nil, x.sends >= maxSends:
+	case x.ctx.Err() != nil, x.aborted(), x.sends >= maxSends:
 		return false
 	case x.possibleRuns > 0 && !x.route.Retryable():
 		return false
@@ -159,6 +159,7 @@
 	reasonTooLarge     = "prompt_too_large"
 	reasonMemory       = "memory_not_reserved"
 	reasonTimeout      = "timeout"
+	reasonStopping     = "stopping"
 	reasonDisconnected = "caller_gone"
 	// reasonConnectionClosed means that the gateway closed the caller's
 	// connection while the request was in flight.
@@ -173,6 +174,9 @@
 		return endUnanswered, nil
 	}
 	defer a.End()
+	if x.aborted() { // the place became free because another request was aborted
+		return endUnanswered, nil
+	}
 	x.sends++
 	x.server = a.Server.ID
 	x.expectedFirstToken, x.helpers, x.load, x.queueWait = a.Expected, len(a.Helpers), a.Load, time.Since(x.arrived)
--- a/gateway/ingress/harness_test.go
+++ b/gateway/ingress/harness_test.go
@@ -142,7 +142,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	server := &http.Server{Handler: f.gateway, ErrorLog: slog.NewLogLogger(log.Handler(), slog.LevelError)}
+	server := &http.Server{Handler: f.gateway, BaseContext: f.gateway.BaseContext, ErrorLog: slog.NewLogLogger(log.Handler(), slog.LevelError)}
 	go func() { _ = server.Serve(l) }()
 	t.Cleanup(func() { _ = server.Close() })
 	f.address = l.Addr().String()
--- a/gateway/ingress/ingress.go
+++ b/gateway/ingress/ingress.go
@@ -12,6 +12,7 @@
 	"errors"
 	"io"
 	"log/slog"
+	"net"
 	"net/http"
 	"strconv"
 	"sync"
@@ -65,9 +66,12 @@
 	table            atomic.Pointer[routing.Table]
 	active           atomic.Int64 // requests in flight
 	closeConnections atomic.Bool  // each connection is closed after its next answer
-	// stopAt is when a stopping gateway ends; nil while all streams are
+	// stopAt is when a stopping gateway ends; nil while all requests are
 	// accepted.
-	stopAt      atomic.Pointer[time.Time]
+	stopAt atomic.Pointer[time.Time]
+	// requests is the context of all requests, which Abort ends.
+	requests    context.Context
+	abort       context.CancelCauseFunc
 	started     time.Time
 	lineLimiter lineLimiter
 
@@ -78,7 +82,9 @@
 // New returns a gateway without configuration. It refuses all requests until
 // SetTable is called.
 func New(o Options) *Gateway {
-	return &Gateway{Options: o, budgets: map[string]*retry.Window{}, started: time.Now()}
+	g := &Gateway{Options: o, budgets: map[string]*retry.Window{}, started: time.Now()}
+	g.requests, g.abort = context.WithCancelCause(context.Background())
+	return g
 }
 
 // SetTable puts a configuration in force if its version is newer than that of
@@ -116,9 +122,18 @@
 // CloseConnections makes the gateway close each connection after its next answer.
 func (g *Gateway) CloseConnections() { g.closeConnections.Store(true) }
 
-// RefuseAfter makes the gateway refuse new streams that may last beyond stop.
+// RefuseAfter makes the gateway refuse new requests that may last beyond stop,
+// unless their callers may retry them.
 func (g *Gateway) RefuseAfter(stop time.Time) { g.stopAt.Store(&stop) }
 
+// BaseContext is an http.Server.BaseContext. Abort ends the requests of servers
+// that use it.
+func (g *Gateway) BaseContext(net.Listener) context.Context { return g.requests }
+
+// Abort ends all requests in flight, which are answered unless their answer has
+// begun: with 503 if they have not run, otherwise with 504.
+func (g *Gateway) Abort() { g.abort(errStopping) }
+
 // ServeHTTP implements http.Handler.
 func (g *Gateway) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	g.active.Add(1)
@@ -137,7 +152,10 @@
 	x.run()
 }
 
-var errTimeout = errors.New("request deadline exceeded")
+var (
+	errTimeout  = errors.New("request deadline exceeded")
+	errStopping = errors.New("the gateway stops")
+)
 
 // admit determines the route and the account and reads the body. It returns
 // false if the request is not allowed, which it has then answered.
@@ -158,14 +176,30 @@
 			return false
 		}
 	}
-	if stop := x.g.stopAt.Load(); stop != nil && x.route.Kind == routing.Stream && x.arrived.Add(x.maxStreamTime()).After(*stop) {
-		x.refuse(http.StatusServiceUnavailable, "stopping", stoppingRetryAfter)
+	if stop := x.g.stopAt.Load(); stop != nil && x.arrived.Add(x.timeToEnd()).After(*stop) {
+		x.refuse(http.StatusServiceUnavailable, reasonStopping, stoppingRetryAfter)
 		return false
 	}
 	x.deadline = x.arrived.Add(x.timeLeft())
 	return x.readBody()
 }
 
+// timeToEnd returns how much time a stopping gateway must have left to accept
+// the request. An idempotent request needs none: if it is aborted, its caller may
+// retry it.
+func (x *exchange) timeToEnd() time.Duration {
+	switch x.route.Kind {
+	case routing.Idempotent:
+		return 0
+	case routing.Stream:
+		return x.maxStreamTime()
+	}
+	if x.route.LatencyTarget > 0 {
+		return min(x.timeLeft(), hangFactor*x.route.LatencyTarget)
+	}
+	return x.timeLeft()
+}
+
 // loadedTokenTime is the time per answer token on an engine under load.
 const loadedTokenTime = 1300 * time.Microsecond
 
--- a/gateway/ingress/outcome.go
+++ b/gateway/ingress/outcome.go
@@ -70,10 +70,12 @@
 	case x.headWritten:
 		x.finish(http.StatusBadGateway, x.reason)
 		panic(http.ErrAbortHandler) // a partial answer must not look complete
-	case x.possibleRuns > 0 && x.ctx.Err() != nil:
-		x.respond(http.StatusGatewayTimeout, reasonTimeout)
+	case x.possibleRuns > 0 && (x.aborted() || x.ctx.Err() != nil):
+		x.respond(http.StatusGatewayTimeout, x.endReason())
 	case x.possibleRuns > 0:
 		x.respond(http.StatusBadGateway, x.reason)
+	case x.aborted():
+		x.refuse(http.StatusServiceUnavailable, reasonStopping, stoppingRetryAfter)
 	case x.ctx.Err() != nil:
 		x.refuse(http.StatusServiceUnavailable, reasonTimeout, 0)
 	default:
@@ -84,7 +86,20 @@
 // callerDisconnected reports whether the caller has closed its connection or
 // could not be written to.
 func (x *exchange) callerDisconnected() bool {
-	return x.reason == reasonDisconnected || x.r.Context().Err() != nil
+	return x.reason == reasonDisconnected || x.r.Context().Err() != nil && !x.aborted()
+}
+
+// aborted reports whether the request ends because the gateway stops. The
+// contexts of the requests end one after the other, so this does not look at them.
+func (x *exchange) aborted() bool { return x.g.requests.Err() != nil }
+
+// endReason returns why the context of the request has ended, if the caller is
+// still there.
+func (x *exchange) endReason() string {
+	if x.aborted() {
+		return reasonStopping
+	}
+	return reasonTimeout
 }
 
 // disconnectReason returns the reason of a request that ends unanswered because
--- a/gateway/ingress/stream.go
+++ b/gateway/ingress/stream.go
@@ -108,7 +108,7 @@
 func (x *exchange) handleBrokenStream(a *schedule.Assignment, err error) nextStep {
 	x.reason = reasonBroken
 	if x.ctx.Err() != nil {
-		x.reason = reasonTimeout
+		x.reason = x.endReason()
 		return endUnanswered
 	}
 	a.Observe(suspect.Failure)
--- a/gateway/node/drain.go
+++ b/gateway/node/drain.go
@@ -14,14 +14,15 @@
 	// drainPoll is the time between checks of a stopping gateway for idle
 	// connections.
 	drainPoll = 25 * time.Millisecond
-	// closeTime is how long a gateway at its drain limit waits until answers are
-	// written.
-	closeTime = 400 * time.Millisecond
+	// abortTime is how long a gateway that has aborted its requests waits until
+	// their answers are written.
+	abortTime = 400 * time.Millisecond
 )
 
 // drain waits for Stop and then serves until no connection is open and
-// minDrainTime has passed, for at most DrainLimit. It returns when all
-// connections are closed, at the latest closeTime later.
+// minDrainTime has passed, for at most DrainLimit. Requests that are still in
+// flight are then answered as aborted. It returns when all connections are
+// closed, at the latest abortTime later.
 func (n *Node) drain(ctx context.Context, server *http.Server, callers *callerListener) error {
 	select {
 	case <-ctx.Done():
@@ -54,17 +55,19 @@
 	}
 }
 
-// closeConnections closes the port, waits until answers are written, and closes
-// all connections.
+// closeConnections closes the port, aborts the requests in flight, waits until
+// they are answered, and closes all connections.
 func (n *Node) closeConnections(server *http.Server, callers *callerListener) error {
 	callers.stopAccepting()
-	for end := time.Now().Add(closeTime); len(callers.open()) > 0 && time.Now().Before(end); {
+	aborted := n.gateway.Active()
+	n.gateway.Abort()
+	for end := time.Now().Add(abortTime); len(callers.open()) > 0 && time.Now().Before(end); {
 		callers.closeIdle(0)
 		time.Sleep(drainPoll)
 	}
 	// cut: requests that end without an answer; open_connections: also those whose
 	// answer is not written yet or whose request is not complete
-	n.options.Log.Info("stopped serving", "cut", n.gateway.Active(), "open_connections", callers.recordStop())
+	n.options.Log.Info("stopped serving", "aborted", aborted, "cut", n.gateway.Active(), "open_connections", callers.recordStop())
 	return server.Close()
 }
 
--- a/gateway/node/node.go
+++ b/gateway/node/node.go
@@ -211,7 +211,7 @@
 // newServer returns the HTTP server for callers.
 func (n *Node) newServer() *http.Server {
 	return &http.Server{Handler: n.gateway, MaxHeaderBytes: maxHeaderBytes, ConnState: trackState, ConnContext: connContext,
-		ErrorLog: slog.NewLogLogger(n.options.Log.Handler(), slog.LevelDebug)}
+		BaseContext: n.gateway.BaseContext, ErrorLog: slog.NewLogLogger(n.options.Log.Handler(), slog.LevelDebug)}
 }
 
 func listenUDP(address string) (*net.UDPConn, error) {
