A stop stays within a grace time below the minimum drain time

Since the drain waits for open connections, it waited minDrainTime (2.5 s) even if DrainLimit is shorter, so a process with a short grace time would have been killed with requests in flight.

--- a/gateway/node/drain.go
+++ b/gateway/node/drain.go
@@ -19,10 +19,10 @@
 	abortTime = 400 * time.Millisecond
 )
 
-// drain waits for Stop and then serves until no connection is open and
-// minDrainTime has passed, for at most DrainLimit. Requests that are still in
-// flight are then answered as aborted. It returns when all connections are
-// closed, at the latest abortTime later.
+// drain waits for Stop and then serves for minDrainTime and until no connection
+// is open, but at most for DrainLimit. Requests that are still in flight are then
+// answered as aborted. It returns when all connections are closed, at the latest
+// abortTime later.
 func (n *Node) drain(ctx context.Context, server *http.Server, callers *callerListener) error {
 	select {
 	case <-ctx.Done():
@@ -33,7 +33,7 @@
 	limit := begun.Add(n.options.DrainLimit)
 	n.options.Log.Info("stopping", "in_progress", n.gateway.Active())
 	n.gateway.CloseConnections()
-	sleepUntil(ctx, begun.Add(minDrainTime))
+	sleepUntil(ctx, begun.Add(min(minDrainTime, n.options.DrainLimit)))
 	n.gateway.RefuseAfter(limit)
 	n.serveOpenConnections(ctx, callers, limit)
 	return n.closeConnections(server, callers)
--- a/gateway/node/drain_test.go
+++ b/gateway/node/drain_test.go
@@ -179,6 +179,25 @@
 	is.NoErr(<-ended)
 }
 
+// Guards against a stop that lasts longer than a grace time below minDrainTime:
+// the process is killed and its requests end without an answer.
+func TestStopEndsWithinAShortGraceTime(t *testing.T) {
+	is := is.New(t)
+	n := newTestNode(t, 300*time.Millisecond)
+	n.gateway.SetTable(orderTable())
+	n.registry.Replace([]*registry.Server{{ID: "s0", Service: "orders", Address: hangingServer(t), DataCentre: "dc", Slots: 4}}, time.Now())
+	ended := make(chan error)
+	go func() { ended <- n.Run(t.Context()) }()
+	statuses := make(chan int)
+	go func() { statuses <- send(t, n.options.Callers, "r1") }()
+	time.Sleep(200 * time.Millisecond)
+	begun := time.Now()
+	n.Stop()
+	is.Equal(<-statuses, http.StatusGatewayTimeout)
+	is.NoErr(<-ended)
+	is.True(time.Since(begun) < 300*time.Millisecond+abortTime+time.Second)
+}
+
 // send sends an order over a new connection and returns the status of the
 // answer; it fails the test and returns 0 if there is none.
 func send(t *testing.T, address, id string) int {
