A repeated SIGTERM no longer cuts requests in flight

What callers saw: a request in flight at a gateway, an entry or an agent ended without an answer as soon as its process got SIGTERM a second time, although the time for a graceful stop had not passed. Stops of one VM may overlap, so two SIGTERMs within one grace time are planned work.

Cause: runRole counted SIGTERM and SIGINT alike and cancelled the role's context at the second signal. The comment of the package signals, which drops signals beyond its capacity because stop is idempotent, already stated otherwise.

Fix: SIGTERM and SIGINT have channels of their own. Every one of them calls Stop, which has an effect once; only a second SIGINT, which an operator sends at a terminal, aborts. Separate channels also keep many SIGTERMs from displacing a SIGINT.

--- a/daemon/cmd/camphorwick/main.go
+++ b/daemon/cmd/camphorwick/main.go
@@ -6,6 +6,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"log/slog"
 	"net"
 	"net/url"
 	"os"
@@ -97,7 +98,7 @@
 
 // Execute implements flags.Commander.
 func (c *runCommand) Execute([]string) error {
-	p := processSignals{stop: signals.Stop, reload: signals.Reload}
+	p := processSignals{terminate: signals.Terminate, interrupt: signals.Interrupt, reload: signals.Reload}
 	s, err := settings.Load(c.Settings)
 	if err != nil {
 		return err
@@ -123,7 +124,7 @@
 
 // processSignals holds the channels of the signals that a daemon handles.
 type processSignals struct {
-	stop, reload chan os.Signal
+	terminate, interrupt, reload chan os.Signal
 }
 
 // role is the common interface of all roles.
@@ -174,17 +175,11 @@
 }
 
 // runRole runs a role together with its health and metrics server and stops it
-// on a signal. A second signal aborts in-flight work.
+// on a signal.
 func runRole(ctx context.Context, p processSignals, t *observe.Telemetry, r role, run func(context.Context) error, ops net.Listener, reload reloader) error {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
-	go func() {
-		<-p.stop
-		r.Stop()
-		<-p.stop
-		t.Log.Warn("second signal, aborting in-flight work")
-		cancel()
-	}()
+	go stopOnSignals(ctx, p, t.Log, r, cancel)
 	group, groupCtx := errgroup.WithContext(ctx)
 	group.Go(func() error { return t.ServeOps(groupCtx, ops, r.Ready) })
 	group.Go(func() error { return watchSettings(groupCtx, p.reload, reload) })
@@ -198,6 +193,30 @@
 	return err
 }
 
+// stopOnSignals stops r gracefully on SIGTERM or SIGINT, until ctx ends. A repeated
+// SIGTERM changes nothing, because several stops of a VM may overlap. The second
+// SIGINT, which is sent by an operator at a terminal, aborts in-flight work.
+func stopOnSignals(ctx context.Context, p processSignals, log *slog.Logger, r role, abort func()) {
+	interrupts := 0
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-p.terminate:
+			log.Info("stop requested", "signal", "SIGTERM")
+		case <-p.interrupt:
+			log.Info("stop requested", "signal", "SIGINT")
+			interrupts++
+		}
+		if interrupts > 1 {
+			log.Warn("second SIGINT, aborting in-flight work")
+			abort()
+			return
+		}
+		r.Stop()
+	}
+}
+
 func agentDeps(s *settings.Settings, kv cloud.KV, vms cloud.VMList, t *observe.Telemetry) (agent.Deps, error) {
 	deps := agent.Deps{KV: kv, VMs: vms, Telemetry: t}
 	if s.Agent.Engine != nil {
--- a/daemon/signals/signals.go
+++ b/daemon/signals/signals.go
@@ -11,17 +11,20 @@
 )
 
 // Channels of received signals. Signals that exceed their capacity are dropped;
-// this is safe, because reload and stop are idempotent.
+// this is safe, because reload and stop are idempotent and no more than two
+// interrupts have an effect.
 var (
 	// Reload receives SIGHUP.
 	Reload = notify(syscall.SIGHUP)
-	// Stop receives SIGTERM and SIGINT.
-	Stop = notify(syscall.SIGTERM, syscall.SIGINT)
+	// Terminate receives SIGTERM.
+	Terminate = notify(syscall.SIGTERM)
+	// Interrupt receives SIGINT.
+	Interrupt = notify(syscall.SIGINT)
 )
 
-func notify(list ...os.Signal) chan os.Signal {
+func notify(s os.Signal) chan os.Signal {
 	c := make(chan os.Signal, 2)
-	signal.Notify(c, list...)
+	signal.Notify(c, s)
 	return c
 }
 
@@ -29,5 +32,6 @@
 // that do not run a server.
 func RestoreDefaults() {
 	signal.Stop(Reload)
-	signal.Stop(Stop)
+	signal.Stop(Terminate)
+	signal.Stop(Interrupt)
 }
