A changed settings file is compared and parsed from one read

What operators saw: settings that were in the file were never applied, until the file changed again or the process restarted. No request ended without an answer because of it.

Cause: a reload read the file twice, once to compare it with the last content and once to parse it. If the file was written between the two reads, or a part of it at the second one, the first content counted as the last one although another was refused. The watch also took what it read at its start for the settings in force, so a change between the start of the process and that read was lost.

Fix: one read, whose content is compared and parsed.

A part of a file was never applied: it is not valid JSON.

--- a/daemon/cmd/camphorwick/gateway.go
+++ b/daemon/cmd/camphorwick/gateway.go
@@ -34,8 +34,9 @@
 	bytesPerMB       = 1 << 20
 )
 
-// serveGateway runs the gateway role until it has stopped.
-func serveGateway(ctx context.Context, p processSignals, path string, s *settings.Settings, t *observe.Telemetry) error {
+// serveGateway runs the gateway role until it has stopped. reload reloads s and
+// does not apply settings yet.
+func serveGateway(ctx context.Context, p processSignals, reload reloader, s *settings.Settings, t *observe.Telemetry) error {
 	debug.SetMemoryLimit(int64(float64(s.Gateway.MemoryMB) * memoryLimitShare * bytesPerMB))
 	address, err := url.Parse(s.Platform.URL)
 	if err != nil {
@@ -56,7 +57,7 @@
 	if err != nil {
 		return fmt.Errorf("open the port of health and metrics: %w", err)
 	}
-	reload := reloader{log: t.Log, path: path, apply: func(s *settings.Settings) { n.SetBudget(retryBudget(s.Gateway)) }}
+	reload.apply = func(s *settings.Settings) { n.SetBudget(retryBudget(s.Gateway)) }
 	return runRole(ctx, p, t, n, n.Run, ops, reload)
 }
 
--- a/daemon/cmd/camphorwick/main.go
+++ b/daemon/cmd/camphorwick/main.go
@@ -99,7 +99,11 @@
 // Execute implements flags.Commander.
 func (c *runCommand) Execute([]string) error {
 	p := processSignals{terminate: signals.Terminate, interrupt: signals.Interrupt, reload: signals.Reload}
-	s, err := settings.Load(c.Settings)
+	data, err := settings.Read(c.Settings)
+	if err != nil {
+		return err
+	}
+	s, err := settings.Parse(c.Settings, data)
 	if err != nil {
 		return err
 	}
@@ -110,7 +114,7 @@
 		return fmt.Errorf("set up telemetry: %w", err)
 	}
 	if s.Role == settings.RoleGateway {
-		err = serveGateway(ctx, p, c.Settings, s, telemetry)
+		err = serveGateway(ctx, p, reloader{log: telemetry.Log, path: c.Settings, lastData: data}, s, telemetry)
 	} else {
 		err = serve(ctx, p, s, telemetry)
 	}
--- a/daemon/cmd/camphorwick/reload.go
+++ b/daemon/cmd/camphorwick/reload.go
@@ -23,7 +23,7 @@
 	// apply applies the settings that may change at run time; nil if the role
 	// has none.
 	apply    func(*settings.Settings)
-	lastData []byte // content of the file at the last read
+	lastData []byte // content of the file at the last read; at first that of the settings in force
 }
 
 // watchSettings reloads the settings on SIGHUP and when the file has changed,
@@ -32,9 +32,6 @@
 func watchSettings(ctx context.Context, signals <-chan os.Signal, r reloader) error {
 	ticker := time.NewTicker(settingsPollInterval)
 	defer ticker.Stop()
-	if r.apply != nil {
-		r.lastData, _ = os.ReadFile(r.path) // the settings in force; a later change of the file is detected below
-	}
 	for {
 		select {
 		case <-ctx.Done():
@@ -53,7 +50,7 @@
 	if r.apply == nil {
 		return
 	}
-	data, err := os.ReadFile(r.path)
+	data, err := settings.Read(r.path)
 	if err != nil {
 		r.log.Error("settings not read, the last ones stay in force", "error", err.Error())
 		return
@@ -62,7 +59,7 @@
 		return
 	}
 	r.lastData = data
-	s, err := settings.Load(r.path)
+	s, err := settings.Parse(r.path, data)
 	if err != nil {
 		r.log.Error("settings refused, the last ones stay in force", "error", err.Error())
 		return
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -214,11 +214,20 @@
 // Load reads a settings file, applies defaults and validates it. Errors are
 // *Error.
 func Load(path string) (*Settings, error) {
+	data, err := Read(path)
+	if err != nil {
+		return nil, err
+	}
+	return Parse(path, data)
+}
+
+// Read returns the content of a settings file for Parse. Errors are *Error.
+func Read(path string) ([]byte, error) {
 	data, err := os.ReadFile(path)
 	if err != nil {
 		return nil, &Error{File: path, Cause: fmt.Errorf("read settings: %w", err)}
 	}
-	return Parse(path, data)
+	return data, nil
 }
 
 // Parse is like Load for the content of a file; path is used in errors.
