Times in a gateway's settings that cannot be used are refused

What callers would see: with a retry window below 20 ns or above 292 years, every request of a gateway ends without an answer. Both pass the check of the settings, also at a reload.

Cause: the window is divided into 20 slots. A shorter one panics with "integer divide by zero" and one that overflows time.Duration with "index out of range [-4]", in each request; net/http then closes the connection. A grace time that overflows makes a stop cut everything at once.

Fix: the settings bound both times.

No such file was seen in use.

--- a/settings/check.go
+++ b/settings/check.go
@@ -22,6 +22,10 @@
 	maxModelsPerEngine = 1000
 	minMemoryMB        = 32
 	maxMemoryMB        = 1 << 20
+	// minRetryWindowSeconds and maxSeconds keep a time within the range of
+	// time.Duration, also after it is divided into the slots of a window.
+	minRetryWindowSeconds = 0.1
+	maxSeconds            = 24 * 60 * 60
 )
 
 // sha256HexLength is the length of a SHA-256 hash in hex digits.
@@ -118,8 +122,9 @@
 	c.between("gateway.memory_mb", g.MemoryMB, minMemoryMB, maxMemoryMB)
 	c.positive("gateway.retry_ratio", g.RetryRatio)
 	c.positive("gateway.retry_extra", g.RetryExtra)
-	c.positive("gateway.retry_window_s", g.RetryWindowSeconds)
+	c.betweenSeconds("gateway.retry_window_s", g.RetryWindowSeconds, minRetryWindowSeconds, maxSeconds)
 	c.positive("gateway.grace_s", g.GraceSeconds)
+	c.betweenSeconds("gateway.grace_s", g.GraceSeconds, 0, maxSeconds)
 	c.between("gateway.unused_memory_ms", g.UnusedMemoryMillis, 0, maxTimeoutMillis)
 }
 
@@ -129,6 +134,13 @@
 	}
 }
 
+// betweenSeconds checks a number of seconds with an optional fraction.
+func (c *checker) betweenSeconds(field string, value, low, high float64) {
+	if value < low || value > high {
+		c.fail(field, strconv.FormatFloat(value, 'g', -1, 64), fmt.Sprintf("%g to %g", low, high))
+	}
+}
+
 func (e *Entry) check(c *checker) {
 	c.address("entry.callers_address", e.CallersAddress)
 	c.address("entry.admin_address", e.AdminAddress)
