A process outlives the reader of its log

What callers saw: all requests of a process ended without an answer when the reader of its standard output or standard error ended, for instance while the platform replaces its log collector.

Cause: a write to a pipe without a reader raises SIGPIPE, and the Go runtime terminates the process for writes to descriptors 1 and 2.

Fix: the package signals ignores SIGPIPE. Other commands keep the default.

The stand-in of the store in these tests no longer waits for calls that it holds.

--- a/daemon/signals/signals.go
+++ b/daemon/signals/signals.go
@@ -1,5 +1,5 @@
 // Package signals starts to catch the signals of a daemon during package
-// initialization. Before that, SIGHUP terminates the process, and a deployment
+// initialization, and ignores SIGPIPE. Before that, SIGHUP terminates the process, and a deployment
 // may send one just after a start. Keep the imports of this package few: Go
 // initializes a package without dependencies before the large libraries.
 package signals
@@ -22,6 +22,10 @@
 	Interrupt = notify(syscall.SIGINT)
 )
 
+// Without this, a write to the log after its reader has ended terminates the
+// process.
+func init() { signal.Ignore(syscall.SIGPIPE) }
+
 func notify(s os.Signal) chan os.Signal {
 	c := make(chan os.Signal, 2)
 	signal.Notify(c, s)
@@ -34,4 +38,5 @@
 	signal.Stop(Reload)
 	signal.Stop(Terminate)
 	signal.Stop(Interrupt)
+	signal.Reset(syscall.SIGPIPE)
 }
--- a/testbed/e2e/signals_test.go
+++ b/testbed/e2e/signals_test.go
@@ -8,6 +8,7 @@
 	"net/http"
 	"net/http/httptest"
 	"os"
+	"os/exec"
 	"path/filepath"
 	"strings"
 	"syscall"
@@ -104,8 +105,7 @@
 	t.Cleanup(func() {
 		f.Kill()
 		g.server.Crash()
-		store.CloseClientConnections()
-		store.Close()
+		_ = store.Listener.Close() // Close would wait for the calls that an unresponsive store holds
 		if t.Failed() {
 			printLogs(t, dir)
 		}
@@ -312,3 +312,31 @@
 	g.signal(syscall.SIGTERM)
 	g.awaitExit(gatewayGrace)
 }
+
+// Guards against a process that SIGPIPE terminates because the reader of its log
+// has ended, for instance while the platform replaces its log collector.
+func TestLogReaderEnds(t *testing.T) {
+	is := is.New(t)
+	g := newGatewayFleet(t)
+	reader, writer, err := os.Pipe()
+	is.NoErr(err)
+	cmd := exec.Command(filepath.Join(binaries, "camphorwick"), "run", "--settings", g.file)
+	cmd.Stdout = writer
+	is.NoErr(cmd.Start())
+	is.NoErr(writer.Close())
+	exited := make(chan error, 1)
+	go func() { exited <- cmd.Wait() }()
+	defer func() { _ = cmd.Process.Kill() }()
+	g.awaitReady()
+	g.stream(func() {
+		is.NoErr(reader.Close())
+		is.NoErr(cmd.Process.Signal(syscall.SIGHUP)) // is logged
+	})
+	is.NoErr(cmd.Process.Signal(syscall.SIGTERM))
+	select {
+	case err := <-exited:
+		is.NoErr(err)
+	case <-time.After(gatewayGrace):
+		t.Fatal("the gateway did not exit")
+	}
+}
