A failed accept no longer ends the process

What callers would see: all requests of a process end without an answer when it has too many open files at the moment of a health probe, a scrape, a connection of a peer or an administration call.

Cause: fasthttp's server and the sessions between processes return any error of Accept that is not a timeout. ServeOps, the entry's servers and the link's node pass it on, the group of the role ends, and its context cuts all requests. The callers' port of a gateway is not affected: net/http retries.

Fix: all ports that the daemon opens go through one listener that logs a failed accept and retries it until it is closed.

Evidence: with a listener whose first three calls of Accept fail with EMFILE, ServeOps ended ("Permanent error when accepting new connections: accept tcp: too many open files") and the probe got "connection reset by peer".

--- a/daemon/cmd/camphorwick/gateway.go
+++ b/daemon/cmd/camphorwick/gateway.go
@@ -4,7 +4,6 @@
 	"context"
 	"fmt"
 	"io"
-	"net"
 	"net/url"
 	"os"
 	"runtime/debug"
@@ -53,9 +52,9 @@
 	if err != nil {
 		return err
 	}
-	ops, err := net.Listen("tcp", s.OpsAddress)
+	ops, err := listen(s.OpsAddress, t.Log)
 	if err != nil {
-		return fmt.Errorf("open the port of health and metrics: %w", err)
+		return fmt.Errorf("health and metrics: %w", err)
 	}
 	reload.apply = func(s *settings.Settings) { n.SetBudget(retryBudget(s.Gateway)) }
 	return runRole(ctx, p, t, n, n.Run, ops, reload)
--- a/daemon/cmd/camphorwick/main.go
+++ b/daemon/cmd/camphorwick/main.go
@@ -147,7 +147,7 @@
 	if err != nil {
 		return fmt.Errorf("set up store metrics: %w", err)
 	}
-	ports := &ports{}
+	ports := &ports{log: t.Log}
 	defer ports.close()
 	ops := ports.open(s.OpsAddress)
 	control := ports.open(s.ControlAddress)
@@ -256,6 +256,7 @@
 // ports opens listeners and keeps the first error. After an error it opens no
 // more.
 type ports struct {
+	log       *slog.Logger
 	listeners []net.Listener
 	err       error
 }
@@ -264,9 +265,9 @@
 	if p.err != nil {
 		return nil
 	}
-	l, err := net.Listen("tcp", address)
+	l, err := listen(address, p.log)
 	if err != nil {
-		p.err = fmt.Errorf("open port: %w", err)
+		p.err = err
 		return nil
 	}
 	p.listeners = append(p.listeners, l)
