--- a/daemon/cmd/camphorwick/main.go
+++ b/daemon/cmd/camphorwick/main.go
@@ -6,6 +6,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"log/slog"
 	"net"
 	"net/url"
 	"os"
@@ -97,8 +98,12 @@
 
 // Execute implements flags.Commander.
 func (c *runCommand) Execute([]string) error {
-	p := processSignals{stop: signals.Stop, reload: signals.Reload}
-	s, err := settings.Load(c.Settings)
+	p := processSignals{terminate: signals.Terminate, interrupt: signals.Interrupt, reload: signals.Reload}
+	data, err := settings.Read(c.Settings)
+	if err != nil {
+		return err
+	}
+	s, err := settings.Parse(c.Settings, data)
 	if err != nil {
 		return err
 	}
@@ -109,7 +114,7 @@
 		return fmt.Errorf("set up telemetry: %w", err)
 	}
 	if s.Role == settings.RoleGateway {
-		err = serveGateway(ctx, p, c.Settings, s, telemetry)
+		err = serveGateway(ctx, p, reloader{log: telemetry.Log, path: c.Settings, role: s.Role, lastData: data}, s, telemetry)
 	} else {
 		err = serve(ctx, p, s, telemetry)
 	}
@@ -123,7 +128,7 @@
 
 // processSignals holds the channels of the signals that a daemon handles.
 type processSignals struct {
-	stop, reload chan os.Signal
+	terminate, interrupt, reload chan os.Signal
 }
 
 // role is the common interface of all roles.
@@ -142,7 +147,7 @@
 	if err != nil {
 		return fmt.Errorf("set up store metrics: %w", err)
 	}
-	ports := &ports{}
+	ports := &ports{log: t.Log}
 	defer ports.close()
 	ops := ports.open(s.OpsAddress)
 	control := ports.open(s.ControlAddress)
@@ -174,17 +179,11 @@
 }
 
 // runRole runs a role together with its health and metrics server and stops it
-// on a signal. A second signal aborts in-flight work.
+// on a signal.
 func runRole(ctx context.Context, p processSignals, t *observe.Telemetry, r role, run func(context.Context) error, ops net.Listener, reload reloader) error {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
-	go func() {
-		<-p.stop
-		r.Stop()
-		<-p.stop
-		t.Log.Warn("second signal, aborting in-flight work")
-		cancel()
-	}()
+	go stopOnSignals(ctx, p, t.Log, r, cancel)
 	group, groupCtx := errgroup.WithContext(ctx)
 	group.Go(func() error { return t.ServeOps(groupCtx, ops, r.Ready) })
 	group.Go(func() error { return watchSettings(groupCtx, p.reload, reload) })
@@ -198,6 +197,30 @@
 	return err
 }
 
+// stopOnSignals stops r gracefully on SIGTERM or SIGINT, until ctx ends. A repeated
+// SIGTERM changes nothing, because several stops of a VM may overlap. The second
+// SIGINT, which is sent by an operator at a terminal, aborts in-flight work.
+func stopOnSignals(ctx context.Context, p processSignals, log *slog.Logger, r role, abort func()) {
+	interrupts := 0
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-p.terminate:
+			log.Info("stop requested", "signal", "SIGTERM")
+		case <-p.interrupt:
+			log.Info("stop requested", "signal", "SIGINT")
+			interrupts++
+		}
+		if interrupts > 1 {
+			log.Warn("second SIGINT, aborting in-flight work")
+			abort()
+			return
+		}
+		r.Stop()
+	}
+}
+
 func agentDeps(s *settings.Settings, kv cloud.KV, vms cloud.VMList, t *observe.Telemetry) (agent.Deps, error) {
 	deps := agent.Deps{KV: kv, VMs: vms, Telemetry: t}
 	if s.Agent.Engine != nil {
@@ -233,6 +256,7 @@
 // ports opens listeners and keeps the first error. After an error it opens no
 // more.
 type ports struct {
+	log       *slog.Logger
 	listeners []net.Listener
 	err       error
 }
@@ -241,9 +265,9 @@
 	if p.err != nil {
 		return nil
 	}
-	l, err := net.Listen("tcp", address)
+	l, err := listen(address, p.log)
 	if err != nil {
-		p.err = fmt.Errorf("open port: %w", err)
+		p.err = err
 		return nil
 	}
 	p.listeners = append(p.listeners, l)
--- a/daemon/cmd/camphorwick/reload.go
+++ b/daemon/cmd/camphorwick/reload.go
@@ -20,10 +20,11 @@
 type reloader struct {
 	log  *slog.Logger
 	path string
+	role settings.Role // role of the process, which cannot change at run time
 	// apply applies the settings that may change at run time; nil if the role
 	// has none.
 	apply    func(*settings.Settings)
-	lastData []byte // content of the file at the last read
+	lastData []byte // content of the file at the last read; at first that of the settings in force
 }
 
 // watchSettings reloads the settings on SIGHUP and when the file has changed,
@@ -32,9 +33,6 @@
 func watchSettings(ctx context.Context, signals <-chan os.Signal, r reloader) error {
 	ticker := time.NewTicker(settingsPollInterval)
 	defer ticker.Stop()
-	if r.apply != nil {
-		r.lastData, _ = os.ReadFile(r.path) // the settings in force; a later change of the file is detected below
-	}
 	for {
 		select {
 		case <-ctx.Done():
@@ -53,7 +51,7 @@
 	if r.apply == nil {
 		return
 	}
-	data, err := os.ReadFile(r.path)
+	data, err := settings.Read(r.path)
 	if err != nil {
 		r.log.Error("settings not read, the last ones stay in force", "error", err.Error())
 		return
@@ -62,7 +60,7 @@
 		return
 	}
 	r.lastData = data
-	s, err := settings.Load(r.path)
+	s, err := r.parse(data)
 	if err != nil {
 		r.log.Error("settings refused, the last ones stay in force", "error", err.Error())
 		return
@@ -70,3 +68,16 @@
 	r.apply(s)
 	r.log.Info("settings reloaded", "file", r.path)
 }
+
+// parse returns the settings of a file with the given content. Those of another
+// role are an error.
+func (r *reloader) parse(data []byte) (*settings.Settings, error) {
+	s, err := settings.Parse(r.path, data)
+	if err != nil {
+		return nil, err
+	}
+	if s.Role != r.role {
+		return nil, &settings.Error{File: r.path, Field: "role", Value: string(s.Role), Allowed: string(r.role) + " until the process is restarted"}
+	}
+	return s, nil
+}
--- a/daemon/signals/signals.go
+++ b/daemon/signals/signals.go
@@ -1,5 +1,5 @@
 // Package signals starts to catch the signals of a daemon during package
-// initialization. Before that, SIGHUP terminates the process, and a deployment
+// initialization, and ignores SIGPIPE. Before that, SIGHUP terminates the process, and a deployment
 // may send one just after a start. Keep the imports of this package few: Go
 // initializes a package without dependencies before the large libraries.
 package signals
@@ -11,17 +11,24 @@
 )
 
 // Channels of received signals. Signals that exceed their capacity are dropped;
-// this is safe, because reload and stop are idempotent.
+// this is safe, because reload and stop are idempotent and no more than two
+// interrupts have an effect.
 var (
 	// Reload receives SIGHUP.
 	Reload = notify(syscall.SIGHUP)
-	// Stop receives SIGTERM and SIGINT.
-	Stop = notify(syscall.SIGTERM, syscall.SIGINT)
+	// Terminate receives SIGTERM.
+	Terminate = notify(syscall.SIGTERM)
+	// Interrupt receives SIGINT.
+	Interrupt = notify(syscall.SIGINT)
 )
 
-func notify(list ...os.Signal) chan os.Signal {
+// Without this, a write to the log after its reader has ended terminates the
+// process.
+func init() { signal.Ignore(syscall.SIGPIPE) }
+
+func notify(s os.Signal) chan os.Signal {
 	c := make(chan os.Signal, 2)
-	signal.Notify(c, list...)
+	signal.Notify(c, s)
 	return c
 }
 
@@ -29,5 +36,7 @@
 // that do not run a server.
 func RestoreDefaults() {
 	signal.Stop(Reload)
-	signal.Stop(Stop)
+	signal.Stop(Terminate)
+	signal.Stop(Interrupt)
+	signal.Reset(syscall.SIGPIPE)
 }
