A request whose body arrives late ends with its own time

A caller whose body stopped got no answer when the time of its request ended, and one whose body arrived later than the idle timeout after the head was answered 400. The body was read without a deadline of its own, and the read deadline of an idle connection stayed set after the head.

The idle timeout now ends when a request becomes active, and the body is read until the deadline of the request; then the answer is 503, since nothing was sent.

--- a/gateway/ingress/ingress.go
+++ b/gateway/ingress/ingress.go
@@ -14,6 +14,7 @@
 	"log/slog"
 	"net"
 	"net/http"
+	"os"
 	"strconv"
 	"sync"
 	"sync/atomic"
@@ -234,17 +235,23 @@
 	if x.r.ContentLength == 0 {
 		return true
 	}
+	// net/http clears the deadline at the end of the body.
+	if err := http.NewResponseController(x.w).SetReadDeadline(x.deadline); err != nil {
+		x.log.Warn("deadline of the body not set", "error", err.Error())
+	}
 	body, err := io.ReadAll(http.MaxBytesReader(x.w, x.r.Body, limit))
-	if err == nil {
+	var tooLarge *http.MaxBytesError
+	switch {
+	case err == nil:
 		x.body = body
 		return true
-	}
-	var tooLarge *http.MaxBytesError
-	if errors.As(err, &tooLarge) {
+	case errors.As(err, &tooLarge):
 		x.refuse(http.StatusRequestEntityTooLarge, "body_too_large", 0)
-		return false
+	case errors.Is(err, os.ErrDeadlineExceeded):
+		x.refuse(http.StatusServiceUnavailable, reasonTimeout, 0)
+	default:
+		x.refuse(http.StatusBadRequest, "body_unreadable", 0)
 	}
-	x.refuse(http.StatusBadRequest, "body_unreadable", 0)
 	return false
 }
 
--- a/gateway/node/conn.go
+++ b/gateway/node/conn.go
@@ -122,6 +122,9 @@
 
 // setState records a change of state of net/http.
 func (c *callerConn) setState(state http.ConnState) {
+	if state == http.StateActive {
+		_ = c.Conn.SetReadDeadline(time.Time{}) // the idle timeout does not concern the body of a request
+	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.betweenRequests = state == http.StateNew || state == http.StateIdle
