Sessions of removed targets end after their streams

What callers saw: in a fleet with subsets (over 64 agents), a change of the VM list moves sessions between entries. The sessions that an entry gave up were closed at once. A call in flight on them ended as failed, an order as unknown, although the entry and the agent both ran; a completion was started again on another server.

Cause: Node.SetTargets cancelled the diallers of a target that is no longer wanted, and with them its sessions and all open streams.

Fix: such a target is retired. Its peer stops being usable, so that nothing new is opened, but stays alive, so that the streams go on. The diallers are stopped when no stream is open. A target that is wanted again in the meantime keeps its sessions. A change of the address still closes the sessions at once, because it stands for another process.

--- a/link/node.go
+++ b/link/node.go
@@ -110,6 +110,9 @@
 type targetState struct {
 	Target
 	stop context.CancelFunc
+	// retired is set for a target that is no longer wanted and whose streams have
+	// not ended.
+	retired bool
 }
 
 // NewNode returns a Node that is started by Run.
@@ -144,7 +147,9 @@
 	return err
 }
 
-// SetTargets replaces the set of processes to maintain sessions with.
+// SetTargets replaces the set of processes to maintain sessions with. A process
+// that is no longer in the set gets no new streams; its sessions are closed when
+// the open streams have ended.
 func (n *Node) SetTargets(targets []Target) {
 	n.mu.Lock()
 	defer n.mu.Unlock()
@@ -153,11 +158,14 @@
 		wanted[t.VM] = t
 	}
 	for vm, state := range n.targets {
-		if t, ok := wanted[vm]; !ok || t != state.Target {
-			if state.stop != nil {
-				state.stop()
-			}
-			delete(n.targets, vm)
+		t, ok := wanted[vm]
+		switch {
+		case !ok:
+			n.retireTarget(state)
+		case t == state.Target:
+			n.reuseTarget(state)
+		default:
+			n.stopTarget(state)
 		}
 	}
 	for vm, t := range wanted {
@@ -176,6 +184,9 @@
 	if n.ended {
 		return
 	}
+	if p := n.peers[vm]; p != nil {
+		p.setRetired(false)
+	}
 	ctx, stop := context.WithCancel(n.ctx)
 	n.targets[vm] = targetState{Target: t, stop: stop}
 	n.group.Go(func() error { return n.maintainSession(ctx, t, wire.SessionKind_SESSION_KIND_CONTROL) })
@@ -194,10 +205,13 @@
 	}
 	p.mu.Lock()
 	session, lost, usable := p.data, p.lost, p.usable
-	p.mu.Unlock()
 	if session == nil || !usable {
+		p.mu.Unlock()
 		return nil, nil, &Error{Kind: Unreachable, Peer: vm, Cause: errNoSession}
 	}
+	session.opening.Add(1)
+	p.mu.Unlock()
+	defer session.opening.Add(-1)
 	ctx, cancel := WithCancelOnLoss(ctx, lost)
 	defer cancel()
 	stream, err := session.openContext(ctx)
--- a/link/node_test.go
+++ b/link/node_test.go
@@ -96,14 +96,27 @@
 }
 
 func startNode(t *testing.T, vm string, role wire.Role, epoch uint64, client, server *tls.Config) *testNode {
+	t.Helper()
+	r := newRecorder()
+	return runNode(t, Config{Handler: r, ClientTLS: client, ServerTLS: server}, vm, role, epoch, r)
+}
+
+// startNodeWithHandler starts a node without transport security whose handler
+// extends a recorder.
+func startNodeWithHandler(t *testing.T, vm string, role wire.Role, epoch uint64, handler Handler, r *recorder) *testNode {
+	t.Helper()
+	return runNode(t, Config{Handler: handler}, vm, role, epoch, r)
+}
+
+func runNode(t *testing.T, config Config, vm string, role wire.Role, epoch uint64, r *recorder) *testNode {
 	t.Helper()
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		t.Fatal(err)
 	}
-	r := newRecorder()
-	node := NewNode(Config{Handler: r, Log: slog.New(slog.DiscardHandler), ClientTLS: client, ServerTLS: server,
-		Self: func() *wire.Hello { return &wire.Hello{Vm: vm, Role: role, DataCentre: "dc-1", Epoch: epoch} }})
+	config.Log = slog.New(slog.DiscardHandler)
+	config.Self = func() *wire.Hello { return &wire.Hello{Vm: vm, Role: role, DataCentre: "dc-1", Epoch: epoch} }
+	node := NewNode(config)
 	ctx, cancel := context.WithCancel(context.Background())
 	done := make(chan struct{})
 	go func() {
--- a/link/peer.go
+++ b/link/peer.go
@@ -21,8 +21,14 @@
 	lastHeard time.Time
 	// interval is the heartbeat interval that the peer has announced.
 	interval time.Duration
-	usable   bool
-	// lost is cancelled when the peer stops being usable.
+	// alive is set while the peer has its sessions and recent heartbeats.
+	alive bool
+	// usable is set while new streams may be opened: the peer is alive and not
+	// retired.
+	usable bool
+	// retired is set while the peer is no longer a target.
+	retired bool
+	// lost is cancelled when the peer stops being alive.
 	lost   context.Context
 	cancel context.CancelFunc
 	// sendNow triggers an immediate heartbeat in sendLoop; capacity 1.
@@ -95,23 +101,25 @@
 	n.updateUsable(p)
 }
 
-// updateUsable recomputes whether a peer is usable and reports a change to the
-// handler. A peer is usable while it has a control session and recent
-// heartbeats; an agent also needs a data session.
+// updateUsable recomputes whether a peer is alive and usable, and reports a change
+// of usable to the handler. A peer is alive while it has a control session and
+// recent heartbeats; an agent also needs a data session. The streams of a peer
+// that is alive but not usable go on.
 func (n *Node) updateUsable(p *peer) {
 	p.notifyMu.Lock()
 	defer p.notifyMu.Unlock()
 	p.mu.Lock()
-	usable := p.control != nil && time.Since(p.lastHeard) < missedHeartbeats*p.interval
+	alive := p.control != nil && time.Since(p.lastHeard) < missedHeartbeats*p.interval
 	if p.hello.Role == wire.Role_ROLE_AGENT {
-		usable = usable && p.data != nil
+		alive = alive && p.data != nil
 	}
-	changed, hello := usable != p.usable, p.hello
-	p.usable = usable
-	if changed && !usable {
+	if p.alive && !alive {
 		p.cancel()
 		p.lost, p.cancel = context.WithCancel(context.Background())
 	}
+	usable := alive && !p.retired
+	changed, hello := usable != p.usable, p.hello
+	p.alive, p.usable = alive, usable
 	p.mu.Unlock()
 	if changed {
 		n.config.Handler.PeerChanged(hello, usable)
--- a/link/session.go
+++ b/link/session.go
@@ -39,8 +39,14 @@
 type Session struct {
 	Peer *wire.Hello
 	mux  *yamux.Session
+	// opening counts calls of Node.Open that have chosen this session and whose
+	// stream may not be counted by mux yet.
+	opening atomic.Int64
 }
 
+// inUse reports whether the session has streams that not both sides have closed.
+func (s *Session) inUse() bool { return s.opening.Load() > 0 || s.mux.NumStreams() > 0 }
+
 // Open starts a stream. Errors are *Error of kind Unreachable: nothing was
 // sent.
 func (s *Session) Open() (*Stream, error) {
