An agent that ends lets the entries close its data sessions

What callers saw: at the planned stop of an agent that is 150 ms away from its entries, every call that was on its way ended as failed (idempotent) or unknown (an order), though the agent had not run it.

Cause: an agent without work closed its sessions 200 ms after the report that it drains. A stream that an entry opened before it had the report, a refusal that was not counted as work and an answer that was still in transit were cut. The entry cannot know that such a call did not run.

Fix: only the entry knows which streams it has just opened, so it closes the data session. The heartbeat has a new field, closing. An entry that reads it opens no more streams and closes the session when the open ones have ended; the agent serves streams until then, for at most 6 s, and refuses new data sessions. Entries without the field are waited for 6 s, then the agent ends as before.

--- a/daemon/agent/agent.go
+++ b/daemon/agent/agent.go
@@ -178,6 +178,7 @@
 	case <-a.stop:
 		a.startDrain("stop requested")
 		a.awaitIdle(ctx)
+		a.closeDataSessions(ctx)
 		a.awaitLastHeartbeat(ctx)
 	}
 	if a.ledger == nil {
@@ -200,6 +201,21 @@
 	a.member.Node.SendHeartbeats()
 }
 
+// closeTimeout bounds the wait for entries to close their data sessions. An entry
+// closes its session when its last query, which may take 5 s, has ended.
+const closeTimeout = 6 * time.Second
+
+// closeDataSessions waits until the entries have got the answers and refusals of
+// all streams that they have opened.
+func (a *Agent) closeDataSessions(ctx context.Context) {
+	ctx, cancel := context.WithTimeout(ctx, closeTimeout)
+	defer cancel()
+	a.member.Node.CloseDataSessions(ctx)
+	if ctx.Err() != nil {
+		a.log.Warn("sessions are closed although an entry may have open streams", "cause", context.Cause(ctx).Error())
+	}
+}
+
 // lastHeartbeatTime is how long an agent without work stays connected at the
 // end of a drain, so that its last heartbeat confirms the mark that stopped it.
 const lastHeartbeatTime = 200 * time.Millisecond
--- a/link/close_test.go
+++ b/link/close_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"sync"
 	"testing"
 	"time"
@@ -74,6 +75,76 @@
 	eventually(t, 5*time.Second, "sessions are closed", func() bool { return !entry.Peers()[0].Connected })
 }
 
+// Guards against streams that are cut because an agent ends while the entry opens
+// them: each must be answered or fail with Unreachable, which says that nothing
+// was sent.
+func TestCloseDataSessionsCutsNoStream(t *testing.T) {
+	is := is.New(t)
+	agent := startNode(t, "agent", wire.Role_ROLE_AGENT, 1, nil, nil)
+	entry := startNode(t, "entry", wire.Role_ROLE_ENTRY, 1, nil, nil)
+	entry.setTarget("agent", agent.address)
+	eventually(t, 5*time.Second, "agent is usable", func() bool { return entry.isUsable("agent") })
+	var group sync.WaitGroup
+	for range 8 {
+		group.Go(func() {
+			err := roundTripsUntilError(entry, "agent")
+			var linkError *Error
+			if !errors.As(err, &linkError) || linkError.Kind != Unreachable {
+				t.Errorf("a stream was cut: %v", err)
+			}
+		})
+	}
+	time.Sleep(100 * time.Millisecond) // time for streams
+	ctx, cancel := context.WithTimeout(context.Background(), 5*time.Second)
+	defer cancel()
+	agent.CloseDataSessions(ctx)
+	is.NoErr(ctx.Err())
+	agent.stop()
+	group.Wait()
+}
+
+func roundTripsUntilError(n *testNode, vm string) error {
+	for {
+		if _, err := roundTrip(n, vm, []byte("primer")); err != nil {
+			return err
+		}
+	}
+}
+
+// Guards against a wait for data sessions that ends before the last stream has
+// been answered, and against new streams during the wait.
+func TestCloseDataSessionsWaitsForStreams(t *testing.T) {
+	is := is.New(t)
+	handler := newHoldingHandler()
+	agent := startNodeWithHandler(t, "agent", wire.Role_ROLE_AGENT, 1, handler, handler.recorder)
+	t.Cleanup(handler.answer)
+	entry := startNode(t, "entry", wire.Role_ROLE_ENTRY, 1, nil, nil)
+	entry.setTarget("agent", agent.address)
+	eventually(t, 5*time.Second, "agent is usable", func() bool { return entry.isUsable("agent") })
+	stream, _ := holdStream(t, entry, handler)
+	closed := make(chan struct{})
+	go func() {
+		defer close(closed)
+		agent.CloseDataSessions(context.Background())
+	}()
+	eventually(t, time.Second, "agent gets no new streams", func() bool { return !entry.isUsable("agent") })
+	select {
+	case <-closed:
+		t.Fatal("the sessions were closed before the answer")
+	case <-time.After(200 * time.Millisecond):
+	}
+	handler.answer()
+	is.NoErr(stream.Read(&wire.AgentMessage{}))
+	stream.Close()
+	select {
+	case <-closed:
+	case <-time.After(5 * time.Second):
+		t.Fatal("the session was not closed after the last stream")
+	}
+	time.Sleep(3 * minRedialDelay) // time to dial again
+	is.True(!entry.isUsable("agent"))
+}
+
 // Guards against a target that stays unusable because it was removed and added
 // again while a stream was open.
 func TestRemovedTargetIsAddedAgain(t *testing.T) {
--- a/link/control.go
+++ b/link/control.go
@@ -46,6 +46,7 @@
 		heartbeat := n.config.Handler.Heartbeat(session.Peer)
 		interval := max(n.interval(), p.announcedInterval())
 		heartbeat.Sequence, heartbeat.IntervalMs = sequence, uint32(interval.Milliseconds())
+		heartbeat.Closing = n.closing.Load()
 		if stream.Write(&wire.ControlMessage{Body: &wire.ControlMessage_Heartbeat{Heartbeat: heartbeat}}) != nil {
 			return
 		}
@@ -140,6 +141,9 @@
 			peerRevision.Store(body.Heartbeat.ConfigRevision)
 			n.config.Handler.HeartbeatReceived(stream.Peer, body.Heartbeat)
 			n.updateUsable(p)
+			if body.Heartbeat.Closing {
+				n.peerCloses(p)
+			}
 		case *wire.ControlMessage_Config:
 			n.config.Handler.ConfigReceived(stream.Peer, body.Config)
 		}
--- a/link/node.go
+++ b/link/node.go
@@ -9,6 +9,7 @@
 	"math/rand/v2"
 	"net"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"golang.org/x/sync/errgroup"
@@ -105,6 +106,9 @@
 	ctx     context.Context
 	// ended is set before Run returns; no dialler is started afterwards.
 	ended bool
+
+	// closing is set by CloseDataSessions.
+	closing atomic.Bool
 }
 
 type targetState struct {
@@ -323,7 +327,11 @@
 func (n *Node) serveConn(ctx context.Context, conn net.Conn) {
 	stop := context.AfterFunc(ctx, func() { _ = conn.Close() })
 	defer stop()
-	session, err := acceptSession(conn, n.config.ServerTLS, n.hello)
+	session, err := acceptSession(conn, n.config.ServerTLS, n.acceptHello)
+	if errors.Is(err, errClosing) {
+		n.config.Log.Debug("connection refused", "remote", conn.RemoteAddr().String(), "error", err.Error())
+		return
+	}
 	if err != nil {
 		n.config.Log.Warn("connection refused", "remote", conn.RemoteAddr().String(), "error", err.Error())
 		return
@@ -332,12 +340,21 @@
 	n.runSession(ctx, session, false)
 }
 
-// hello returns this process's Hello for a session kind, or nil if the kind is
-// unknown.
-func (n *Node) hello(kind wire.SessionKind) *wire.Hello {
-	if kind != wire.SessionKind_SESSION_KIND_CONTROL && kind != wire.SessionKind_SESSION_KIND_DATA {
-		return nil
+// acceptHello returns this process's Hello for a session kind that a peer
+// requests, or an error if the kind is unknown or this process is closing its
+// sessions.
+func (n *Node) acceptHello(kind wire.SessionKind) (*wire.Hello, error) {
+	switch {
+	case kind != wire.SessionKind_SESSION_KIND_CONTROL && kind != wire.SessionKind_SESSION_KIND_DATA:
+		return nil, errSessionKind
+	case kind == wire.SessionKind_SESSION_KIND_DATA && n.closing.Load():
+		return nil, errClosing
 	}
+	return n.hello(kind), nil
+}
+
+// hello returns this process's Hello for a session kind.
+func (n *Node) hello(kind wire.SessionKind) *wire.Hello {
 	h := n.config.Self()
 	h.Kind = kind
 	h.ProtocolVersion = ProtocolVersion
--- a/link/peer.go
+++ b/link/peer.go
@@ -23,11 +23,13 @@
 	interval time.Duration
 	// alive is set while the peer has its sessions and recent heartbeats.
 	alive bool
-	// usable is set while new streams may be opened: the peer is alive and not
-	// retired.
+	// usable is set while new streams may be opened: the peer is alive and neither
+	// retired nor closing.
 	usable bool
 	// retired is set while the peer is no longer a target.
 	retired bool
+	// closing is set if the process of the peer has announced its end.
+	closing bool
 	// lost is cancelled when the peer stops being alive.
 	lost   context.Context
 	cancel context.CancelFunc
@@ -76,6 +78,7 @@
 			old = append(old, p.data)
 		}
 		p.control, p.data = nil, nil
+		p.closing = false
 	}
 	slot := &p.data
 	if session.Peer.Kind == wire.SessionKind_SESSION_KIND_CONTROL {
@@ -117,7 +120,7 @@
 		p.cancel()
 		p.lost, p.cancel = context.WithCancel(context.Background())
 	}
-	usable := alive && !p.retired
+	usable := alive && !p.retired && !p.closing
 	changed, hello := usable != p.usable, p.hello
 	p.alive, p.usable = alive, usable
 	p.mu.Unlock()
--- a/link/session.go
+++ b/link/session.go
@@ -246,8 +246,8 @@
 }
 
 // acceptSession answers the Hello of a connection. hello returns this process's
-// Hello for the session kind that the peer requests, or nil to refuse it.
-func acceptSession(conn net.Conn, config *tls.Config, hello func(wire.SessionKind) *wire.Hello) (*Session, error) {
+// Hello for the session kind that the peer requests, or an error to refuse it.
+func acceptSession(conn net.Conn, config *tls.Config, hello func(wire.SessionKind) (*wire.Hello, error)) (*Session, error) {
 	address := conn.RemoteAddr().String()
 	if config != nil {
 		conn = tls.Server(conn, config)
@@ -283,16 +283,16 @@
 	return peer, nil
 }
 
-func acceptHandshake(conn net.Conn, hello func(wire.SessionKind) *wire.Hello) (*wire.Hello, error) {
+func acceptHandshake(conn net.Conn, hello func(wire.SessionKind) (*wire.Hello, error)) (*wire.Hello, error) {
 	_ = conn.SetDeadline(time.Now().Add(handshakeTimeout))
 	defer func() { _ = conn.SetDeadline(time.Time{}) }()
 	peer, err := readHello(conn)
 	if err != nil {
 		return nil, err
 	}
-	self := hello(peer.Kind)
-	if self == nil {
-		return nil, errSessionKind
+	self, err := hello(peer.Kind)
+	if err != nil {
+		return nil, err
 	}
 	return peer, writeMessage(conn, self)
 }
