A stopping agent refuses work even if its mark is removed meanwhile

What callers would see: an agent that gets SIGTERM at the moment at which the mark of its VM is removed may accept work until it ends, and the end cuts it. It was not seen in a fleet.

Cause: resume checked that the process is not stopping and then cleared draining. If Stop came between the two, the stopping process reported that it accepts work, and nothing set draining again.

Fix: work is refused if the VM is marked or Stop was called, whatever the order of the two. All checks and the load report use this.

--- a/daemon/agent/agent.go
+++ b/daemon/agent/agent.go
@@ -67,6 +67,8 @@
 	// capacity limits them.
 	callSlots chan struct{}
 
+	// draining is set while the VM is marked and from the start of a stop on;
+	// refusesWork tells whether work is refused.
 	draining atomic.Bool
 	// stop is closed when the agent should drain and exit.
 	stop     chan struct{}
@@ -126,7 +128,7 @@
 
 // Ready returns nil if the agent accepts work.
 func (a *Agent) Ready() error {
-	if a.draining.Load() {
+	if a.refusesWork() {
 		return outcome.New(outcome.Draining, "VM %s is being drained", a.settings.VM)
 	}
 	if a.engine != nil && a.info.Load() == nil {
@@ -320,6 +322,11 @@
 	}
 }
 
+// refusesWork reports whether new work is refused: the VM is marked or the process
+// is stopping. Stop is read by itself, because resume may clear draining while
+// Stop is called.
+func (a *Agent) refusesWork() bool { return a.draining.Load() || a.stopping() }
+
 // resume makes the agent accept work again after a drain, unless the process is
 // stopping.
 func (a *Agent) resume() {
@@ -359,7 +366,7 @@
 
 // load returns the load to report.
 func (a *Agent) load() *wire.Load {
-	load := &wire.Load{Draining: a.draining.Load()}
+	load := &wire.Load{Draining: a.refusesWork()}
 	if a.engine == nil {
 		load.Running = uint32(a.active.Load())
 		return load
--- a/daemon/agent/completion.go
+++ b/daemon/agent/completion.go
@@ -70,7 +70,7 @@
 	defer a.mu.Unlock()
 	// The drain state is read under the lock that guards the maps, so that a
 	// drain that finds no active work cannot miss this request.
-	if a.draining.Load() {
+	if a.refusesWork() {
 		return nil, outcome.New(outcome.Draining, "VM %s is being drained", a.settings.VM)
 	}
 	if err := a.queue.Push(now, r.job); err != nil {
--- a/daemon/agent/order.go
+++ b/daemon/agent/order.go
@@ -62,7 +62,7 @@
 	// The call is counted before the drain state is read, so that a drain that
 	// finds no active call cannot miss this one.
 	a.active.Add(1)
-	if a.draining.Load() {
+	if a.refusesWork() {
 		a.active.Add(-1)
 		return outcome.New(outcome.Draining, "VM %s is being drained", a.settings.VM)
 	}
--- a/daemon/agent/placement.go
+++ b/daemon/agent/placement.go
@@ -113,7 +113,7 @@
 	if a.engine == nil || c.Model == "" || c.Kind == wire.PlaceKind_PLACE_KIND_UNSPECIFIED {
 		return refusePlace(wire.PlaceStatus_PLACE_STATUS_REFUSED, "VM %s cannot carry out this command", a.settings.VM)
 	}
-	if a.draining.Load() {
+	if a.refusesWork() {
 		return refusePlace(wire.PlaceStatus_PLACE_STATUS_DRAINING, "VM %s is being drained", a.settings.VM)
 	}
 	if err := a.checkFencingToken(ctx, c); err != nil {
@@ -182,7 +182,7 @@
 	switch {
 	case ctx.Err() != nil || !time.Now().Before(deadline):
 		return refusePlace(wire.PlaceStatus_PLACE_STATUS_EXPIRED, "the command came after the end of the lease")
-	case a.draining.Load():
+	case a.refusesWork():
 		return refusePlace(wire.PlaceStatus_PLACE_STATUS_DRAINING, "VM %s is being drained", a.settings.VM)
 	}
 	if err := a.checkHighestFencingToken(c); err != nil {
