A drain cannot miss a segment that was just accepted

What callers would see: a part of a prompt that exceeds one engine may be accepted at the moment at which its agent stops, and be cut by the end of the process. It was not seen in a fleet.

Cause: the drain read the count of active work without the lock under which a request is checked and counted, and then the number of held answers under the lock. Completions were found by the second read. Segments have no held answer: one that was between the check and the count was missed.

Fix: both are read under the lock.

--- a/daemon/agent/agent.go
+++ b/daemon/agent/agent.go
@@ -238,7 +238,7 @@
 	timeout, cancelled := time.After(a.settings.DrainLimit()), false
 	ticker := time.NewTicker(drainPollInterval)
 	defer ticker.Stop()
-	for a.active.Load() > 0 || a.heldAnswers() > 0 {
+	for !a.isIdle() {
 		select {
 		case <-ctx.Done():
 			return
--- a/daemon/agent/completion.go
+++ b/daemon/agent/completion.go
@@ -220,11 +220,13 @@
 	}
 }
 
-// heldAnswers returns the number of answers that can still be fetched.
-func (a *Agent) heldAnswers() int {
+// isIdle reports whether no work is left and no answer can still be fetched.
+// enqueue reads the drain state and counts its request under the same lock, so a
+// request that was accepted before the drain is not missed.
+func (a *Agent) isIdle() bool {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	return len(a.requests)
+	return a.active.Load() == 0 && len(a.requests) == 0
 }
 
 // cancelAll cancels all jobs and removes all answers.
