Test that marks under load lose no request

TestMarksUnderLoad sets and removes the mark leaving of an engine's and of an order server's agent every 150 ms, while 16 callers send completions, orders and idempotent calls.

--- a/testbed/e2e/agentstop_test.go
+++ b/testbed/e2e/agentstop_test.go
@@ -117,3 +117,60 @@
 	is.Equal(a.Outcome, "completed")
 	is.Equal(a.Text, expected(text, 250))
 }
+
+// markChanges is the number of times that TestMarksUnderLoad sets and removes
+// the marks, markInterval the time between two changes.
+const (
+	markChanges  = 12
+	markInterval = 150 * time.Millisecond
+)
+
+// Guards against requests that are lost when the marks of their servers are set
+// and removed while they enter the queue: each must be answered or refused.
+func TestMarksUnderLoad(t *testing.T) {
+	t.Parallel()
+	is := is.New(t)
+	ctx, f := start(t, fleet.Options{Entries: 2, Engines: 2, Orders: 2})
+	loadCtx, stop := context.WithCancel(ctx)
+	counter := &callCounter{results: map[string]int{}}
+	var group sync.WaitGroup
+	for worker := range 8 {
+		group.Go(func() { counter.sendCalls(loadCtx, caller(f, worker%2), worker%4 == 3) })
+		group.Go(func() {
+			for loadCtx.Err() == nil {
+				counter.add(completeAtReadyEntry(ctx, f, worker))
+			}
+		})
+	}
+	for i := range markChanges {
+		for _, vm := range []string{f.Agents[i%2].Settings.VM, f.Agents[2+i%2].Settings.VM} {
+			is.NoErr(changeMark(f, vm, object{"state": "leaving"}))
+		}
+		time.Sleep(markInterval)
+		for _, vm := range []string{f.Agents[i%2].Settings.VM, f.Agents[2+i%2].Settings.VM} {
+			is.NoErr(changeMark(f, vm, nil))
+		}
+		time.Sleep(markInterval)
+	}
+	stop()
+	group.Wait()
+	t.Logf("results: %v", counter.results)
+	is.True(counter.results["completed"] > 50)
+	for result := range counter.results {
+		if result != "completed" && !strings.HasPrefix(result, "not_run ") {
+			t.Errorf("%d requests ended as %q", counter.results[result], result)
+		}
+	}
+	awaitMemoryFreed(t, f, 5*time.Second)
+	is.NoErr(f.Stop())
+}
+
+// changeMark sets the mark of a VM, or removes it if mark is nil.
+func changeMark(f *fleet.Fleet, vm string, mark any) error {
+	revision, err := f.ItemRevision(f.Entries[0], "mark/"+vm)
+	if err != nil {
+		return err
+	}
+	_, err = f.Edit(f.Entries[0], fleet.Change{Key: "mark/" + vm, Value: mark, ExpectedRevision: revision})
+	return err
+}
