--- a/daemon/agent/agent.go
+++ b/daemon/agent/agent.go
@@ -67,6 +67,8 @@
 	// capacity limits them.
 	callSlots chan struct{}
 
+	// draining is set while the VM is marked and from the start of a stop on;
+	// refusesWork tells whether work is refused.
 	draining atomic.Bool
 	// stop is closed when the agent should drain and exit.
 	stop     chan struct{}
@@ -126,7 +128,7 @@
 
 // Ready returns nil if the agent accepts work.
 func (a *Agent) Ready() error {
-	if a.draining.Load() {
+	if a.refusesWork() {
 		return outcome.New(outcome.Draining, "VM %s is being drained", a.settings.VM)
 	}
 	if a.engine != nil && a.info.Load() == nil {
@@ -178,6 +180,7 @@
 	case <-a.stop:
 		a.startDrain("stop requested")
 		a.awaitIdle(ctx)
+		a.closeDataSessions(ctx)
 		a.awaitLastHeartbeat(ctx)
 	}
 	if a.ledger == nil {
@@ -200,6 +203,21 @@
 	a.member.Node.SendHeartbeats()
 }
 
+// closeTimeout bounds the wait for entries to close their data sessions. An entry
+// closes its session when its last query, which may take 5 s, has ended.
+const closeTimeout = 6 * time.Second
+
+// closeDataSessions waits until the entries have got the answers and refusals of
+// all streams that they have opened.
+func (a *Agent) closeDataSessions(ctx context.Context) {
+	ctx, cancel := context.WithTimeout(ctx, closeTimeout)
+	defer cancel()
+	a.member.Node.CloseDataSessions(ctx)
+	if ctx.Err() != nil {
+		a.log.Warn("sessions are closed although an entry may have open streams", "cause", context.Cause(ctx).Error())
+	}
+}
+
 // lastHeartbeatTime is how long an agent without work stays connected at the
 // end of a drain, so that its last heartbeat confirms the mark that stopped it.
 const lastHeartbeatTime = 200 * time.Millisecond
@@ -220,7 +238,7 @@
 	timeout, cancelled := time.After(a.settings.DrainLimit()), false
 	ticker := time.NewTicker(drainPollInterval)
 	defer ticker.Stop()
-	for a.active.Load() > 0 || a.heldAnswers() > 0 {
+	for !a.isIdle() {
 		select {
 		case <-ctx.Done():
 			return
@@ -304,6 +322,11 @@
 	}
 }
 
+// refusesWork reports whether new work is refused: the VM is marked or the process
+// is stopping. Stop is read by itself, because resume may clear draining while
+// Stop is called.
+func (a *Agent) refusesWork() bool { return a.draining.Load() || a.stopping() }
+
 // resume makes the agent accept work again after a drain, unless the process is
 // stopping.
 func (a *Agent) resume() {
@@ -343,7 +366,7 @@
 
 // load returns the load to report.
 func (a *Agent) load() *wire.Load {
-	load := &wire.Load{Draining: a.draining.Load()}
+	load := &wire.Load{Draining: a.refusesWork()}
 	if a.engine == nil {
 		load.Running = uint32(a.active.Load())
 		return load
--- a/daemon/agent/completion.go
+++ b/daemon/agent/completion.go
@@ -70,7 +70,7 @@
 	defer a.mu.Unlock()
 	// The drain state is read under the lock that guards the maps, so that a
 	// drain that finds no active work cannot miss this request.
-	if a.draining.Load() {
+	if a.refusesWork() {
 		return nil, outcome.New(outcome.Draining, "VM %s is being drained", a.settings.VM)
 	}
 	if err := a.queue.Push(now, r.job); err != nil {
@@ -220,11 +220,13 @@
 	}
 }
 
-// heldAnswers returns the number of answers that can still be fetched.
-func (a *Agent) heldAnswers() int {
+// isIdle reports whether no work is left and no answer can still be fetched.
+// enqueue reads the drain state and counts its request under the same lock, so a
+// request that was accepted before the drain is not missed.
+func (a *Agent) isIdle() bool {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	return len(a.requests)
+	return a.active.Load() == 0 && len(a.requests) == 0
 }
 
 // cancelAll cancels all jobs and removes all answers.
--- a/link/node.go
+++ b/link/node.go
@@ -9,6 +9,7 @@
 	"math/rand/v2"
 	"net"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"golang.org/x/sync/errgroup"
@@ -105,11 +106,17 @@
 	ctx     context.Context
 	// ended is set before Run returns; no dialler is started afterwards.
 	ended bool
+
+	// closing is set by CloseDataSessions.
+	closing atomic.Bool
 }
 
 type targetState struct {
 	Target
 	stop context.CancelFunc
+	// retired is set for a target that is no longer wanted and whose streams have
+	// not ended.
+	retired bool
 }
 
 // NewNode returns a Node that is started by Run.
@@ -144,7 +151,9 @@
 	return err
 }
 
-// SetTargets replaces the set of processes to maintain sessions with.
+// SetTargets replaces the set of processes to maintain sessions with. A process
+// that is no longer in the set gets no new streams; its sessions are closed when
+// the open streams have ended.
 func (n *Node) SetTargets(targets []Target) {
 	n.mu.Lock()
 	defer n.mu.Unlock()
@@ -153,11 +162,14 @@
 		wanted[t.VM] = t
 	}
 	for vm, state := range n.targets {
-		if t, ok := wanted[vm]; !ok || t != state.Target {
-			if state.stop != nil {
-				state.stop()
-			}
-			delete(n.targets, vm)
+		t, ok := wanted[vm]
+		switch {
+		case !ok:
+			n.retireTarget(state)
+		case t == state.Target:
+			n.reuseTarget(state)
+		default:
+			n.stopTarget(state)
 		}
 	}
 	for vm, t := range wanted {
@@ -176,6 +188,9 @@
 	if n.ended {
 		return
 	}
+	if p := n.peers[vm]; p != nil {
+		p.setRetired(false)
+	}
 	ctx, stop := context.WithCancel(n.ctx)
 	n.targets[vm] = targetState{Target: t, stop: stop}
 	n.group.Go(func() error { return n.maintainSession(ctx, t, wire.SessionKind_SESSION_KIND_CONTROL) })
@@ -194,10 +209,13 @@
 	}
 	p.mu.Lock()
 	session, lost, usable := p.data, p.lost, p.usable
-	p.mu.Unlock()
 	if session == nil || !usable {
+		p.mu.Unlock()
 		return nil, nil, &Error{Kind: Unreachable, Peer: vm, Cause: errNoSession}
 	}
+	session.opening.Add(1)
+	p.mu.Unlock()
+	defer session.opening.Add(-1)
 	ctx, cancel := WithCancelOnLoss(ctx, lost)
 	defer cancel()
 	stream, err := session.openContext(ctx)
@@ -309,7 +327,11 @@
 func (n *Node) serveConn(ctx context.Context, conn net.Conn) {
 	stop := context.AfterFunc(ctx, func() { _ = conn.Close() })
 	defer stop()
-	session, err := acceptSession(conn, n.config.ServerTLS, n.hello)
+	session, err := acceptSession(conn, n.config.ServerTLS, n.acceptHello)
+	if errors.Is(err, errClosing) {
+		n.config.Log.Debug("connection refused", "remote", conn.RemoteAddr().String(), "error", err.Error())
+		return
+	}
 	if err != nil {
 		n.config.Log.Warn("connection refused", "remote", conn.RemoteAddr().String(), "error", err.Error())
 		return
@@ -318,12 +340,21 @@
 	n.runSession(ctx, session, false)
 }
 
-// hello returns this process's Hello for a session kind, or nil if the kind is
-// unknown.
-func (n *Node) hello(kind wire.SessionKind) *wire.Hello {
-	if kind != wire.SessionKind_SESSION_KIND_CONTROL && kind != wire.SessionKind_SESSION_KIND_DATA {
-		return nil
+// acceptHello returns this process's Hello for a session kind that a peer
+// requests, or an error if the kind is unknown or this process is closing its
+// sessions.
+func (n *Node) acceptHello(kind wire.SessionKind) (*wire.Hello, error) {
+	switch {
+	case kind != wire.SessionKind_SESSION_KIND_CONTROL && kind != wire.SessionKind_SESSION_KIND_DATA:
+		return nil, errSessionKind
+	case kind == wire.SessionKind_SESSION_KIND_DATA && n.closing.Load():
+		return nil, errClosing
 	}
+	return n.hello(kind), nil
+}
+
+// hello returns this process's Hello for a session kind.
+func (n *Node) hello(kind wire.SessionKind) *wire.Hello {
 	h := n.config.Self()
 	h.Kind = kind
 	h.ProtocolVersion = ProtocolVersion
