A connection that leads to another server is closed

What callers saw: requests were refused with 503 although servers were free, while servers were replaced at the same address. None ended without an answer.

Cause: a connection on which a request was in flight when its server was removed is put back after Client.Forget. The next request for the new server at the address uses it and is answered that it is meant for another server. That connection was kept again, as the most recently used one, so that request after request was refused and the new server was ejected for it.

Fix: a connection on which a misrouted request was refused is closed, so the next request opens a new one, to the server that now has the address.

--- a/gateway/ingress/exchange.go
+++ b/gateway/ingress/exchange.go
@@ -257,7 +257,7 @@
 	m := x.g.Wire.DecodeAnswer(answer.Status, answer.Header)
 	if m.NotRun {
 		_, err := io.Copy(io.Discard, io.LimitReader(answer.Body, maxBuffered))
-		complete = err == nil
+		complete = err == nil && !m.Misrouted // a misrouted connection leads to another server
 		x.reason = reasonNotRun
 		if helper := a.RecordHelperFailure(m.AtServer); helper != nil {
 			x.excluded[len(x.excluded)-1] = helper.ID // instead of the primary engine, which may still succeed
--- a/gateway/ingress/harness_test.go
+++ b/gateway/ingress/harness_test.go
@@ -52,7 +52,8 @@
 }
 
 func (testWire) DecodeAnswer(status int, h http.Header) AnswerMeta {
-	return AnswerMeta{RequestID: h.Get("Id"), Signed: h.Get("Mark") != "", NotRun: h.Get("Not-Run") != ""}
+	return AnswerMeta{RequestID: h.Get("Id"), Signed: h.Get("Mark") != "", NotRun: h.Get("Not-Run") != "",
+		Misrouted: h.Get("Misrouted") != ""}
 }
 
 // noMemory is a reserve.EngineMemory that refuses all reservations.
