A stopping entry closes connections after their next answer

What callers saw: requests on open connections to an entry ended without an answer when the entry stopped.

Cause: a stopping entry is unready for 2 s and keeps serving, but left its connections open until fasthttp's shutdown closed those that counted as idle. A connection whose next request has been sent but not been read yet counts as idle.

Fix: while an entry drains, each answer carries "Connection: close", so that connections in use are gone when the port is closed. Left over is a request on a connection that was not used for longer than unready_ms and that is sent at the moment of the shutdown; HTTP lets callers retry such a request.

--- a/daemon/entry/http.go
+++ b/daemon/entry/http.go
@@ -159,6 +159,11 @@
 // handleCaller routes one request of a caller.
 func (e *Entry) handleCaller(ctx context.Context, c *fasthttp.RequestCtx) {
 	setResponseDeadline(c, time.Now().Add(time.Duration(e.settings.Entry.MaxTimeoutMillis)*time.Millisecond))
+	if e.draining.Load() {
+		// Callers leave after their next answer, before the port is closed: a request
+		// that is sent on an open connection at that moment gets no answer.
+		c.SetConnectionClose()
+	}
 	path := string(c.Path())
 	switch path {
 	case "/healthz":
