Read a request that arrives as its connection reaches the idle timeout

A read that waits ends at its deadline without looking for bytes that have arrived meanwhile. A request that arrived at the idle timeout of its connection was not read, and its connection was reset: the caller had to retry it. It had not run.

The bytes are now read, and the timeout starts again.

--- a/gateway/node/conn.go
+++ b/gateway/node/conn.go
@@ -5,6 +5,7 @@
 	"io"
 	"net"
 	"net/http"
+	"os"
 	"sync"
 	"sync/atomic"
 	"syscall"
@@ -48,22 +49,47 @@
 	if len(p) == 0 {
 		return 0, nil
 	}
-	n := 0
-	var readErr error
-	err := c.socket.Read(func(fd uintptr) bool {
-		n, readErr = c.tryRead(int(fd), p)
-		return !errors.Is(readErr, unix.EAGAIN)
-	})
+	n, err := c.readOnArrival(p)
+	if errors.Is(err, os.ErrDeadlineExceeded) && c.isBetweenRequests() {
+		n, err = c.readArrived(p, err)
+	}
 	switch {
-	case err != nil: // the deadline has passed or the connection is closed
-	case readErr != nil:
-		err = readErr
+	case err != nil:
+		return 0, &net.OpError{Op: "read", Net: "tcp", Source: c.LocalAddr(), Addr: c.RemoteAddr(), Err: err}
 	case n == 0:
 		return 0, io.EOF
-	default:
-		return n, nil
 	}
-	return 0, &net.OpError{Op: "read", Net: "tcp", Source: c.LocalAddr(), Addr: c.RemoteAddr(), Err: err}
+	return n, nil
+}
+
+// readOnArrival waits for bytes and reads them.
+func (c *callerConn) readOnArrival(p []byte) (n int, err error) {
+	waitErr := c.socket.Read(func(fd uintptr) bool {
+		n, err = c.tryRead(int(fd), p)
+		return !errors.Is(err, unix.EAGAIN)
+	})
+	var op *net.OpError
+	switch {
+	case waitErr == nil:
+		return n, err
+	case errors.As(waitErr, &op):
+		return 0, op.Err // the deadline has passed or the connection is closed
+	}
+	return 0, waitErr
+}
+
+// readArrived reads the bytes that have arrived when the idle timeout was
+// reached, which the wait does not notice, and restarts the timeout. It returns
+// timeout if there are none.
+func (c *callerConn) readArrived(p []byte, timeout error) (n int, err error) {
+	controlErr := c.socket.Control(func(fd uintptr) { n, err = c.tryRead(int(fd), p) })
+	switch {
+	case controlErr != nil, errors.Is(err, unix.EAGAIN):
+		return 0, timeout
+	case err != nil:
+		return 0, err
+	}
+	return n, c.SetReadDeadline(time.Time{})
 }
 
 // tryRead reads the bytes that have arrived and records whether the connection
@@ -113,6 +139,13 @@
 	return arrived && err == nil
 }
 
+// isBetweenRequests reports whether net/http has no request of the connection.
+func (c *callerConn) isBetweenRequests() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.betweenRequests
+}
+
 // wasReused reports whether a request was answered on the connection.
 func (c *callerConn) wasReused() bool {
 	c.mu.Lock()
@@ -135,10 +168,7 @@
 // SetReadDeadline replaces a cleared deadline by the idle timeout if the
 // connection is between two requests.
 func (c *callerConn) SetReadDeadline(t time.Time) error {
-	c.mu.Lock()
-	between := c.betweenRequests
-	c.mu.Unlock()
-	if t.IsZero() && between {
+	if t.IsZero() && c.isBetweenRequests() {
 		if idleTimeout := c.idleTimeout(); idleTimeout > 0 {
 			t = time.Now().Add(idleTimeout)
 		}
--- a/gateway/node/listener_test.go
+++ b/gateway/node/listener_test.go
@@ -94,3 +94,33 @@
 	is.True(closedAfter(t, idle) < time.Second)
 	<-done // the request in flight was answered
 }
+
+// Guards against a request that arrives when its connection reaches the idle
+// timeout, and whose connection is then reset.
+func TestRequestThatArrivesAtTheIdleTimeoutIsRead(t *testing.T) {
+	is := is.New(t)
+	tcp, err := net.Listen("tcp", "127.0.0.1:0")
+	is.NoErr(err)
+	defer func() { _ = tcp.Close() }()
+	l := newCallerListener(tcp, func() time.Duration { return time.Minute })
+	caller, err := net.Dial("tcp", tcp.Addr().String())
+	is.NoErr(err)
+	defer func() { _ = caller.Close() }()
+	c, err := l.Accept()
+	is.NoErr(err)
+	defer func() { _ = c.Close() }()
+	trackState(c, http.StateNew)
+	_, err = io.WriteString(caller, "GET")
+	is.NoErr(err)
+	time.Sleep(20 * time.Millisecond) // the bytes arrive
+	is.NoErr(c.SetReadDeadline(time.Now()))
+	buffer := make([]byte, 8)
+	n, err := c.Read(buffer)
+	is.NoErr(err)
+	is.Equal(string(buffer[:n]), "GET")
+	_, err = io.WriteString(caller, " /") // the deadline is that of the idle timeout again
+	is.NoErr(err)
+	n, err = c.Read(buffer)
+	is.NoErr(err)
+	is.Equal(string(buffer[:n]), " /")
+}
