A stopping entry answers the requests that enter it

Callers that keep their connections open lost requests when an entry stopped: a request that was sent completely got neither an answer nor a refusal.

Cause: after unready_ms, ShutdownWithContext of fasthttp closed each idle connection at once. Until then, no answer had announced the close, so callers went on using their connections, and a request that had arrived but whose goroutine had not run yet was dropped. A connection was also closed without announcement after an answer whose handler had started before the stop. Closing the listener reset the connections that waited to be accepted.

Now all answers from the stop on say "Connection: close". After unready_ms, a listener of the entry accepts the connections that already wait, closes, and lets connections end by themselves: after an announced close, or when they have been idle for 1 s and a last read that does not block finds nothing. Requests that arrive before that are served. fasthttp's own shutdown is not used any more.

What remains is the time between a system call that finds nothing and the next one that closes; a server cannot avoid it in HTTP/1.1.

--- a/daemon/entry/entry.go
+++ b/daemon/entry/entry.go
@@ -42,7 +42,7 @@
 
 // Listeners holds the open listeners of an Entry. They are opened before the
 // Entry is created, so that an address in use is reported before anything
-// starts.
+// starts. Callers and Admin must be of type *net.TCPListener.
 type Listeners struct {
 	Control, Callers, Admin net.Listener
 }
@@ -112,10 +112,21 @@
 	return e, nil
 }
 
-// Stop starts a graceful stop: readiness fails, then the callers' listener
-// closes, in-flight requests finish, and Run returns.
+// Stop starts a graceful stop: readiness fails and answers announce that their
+// connection will be closed, then the callers' listener closes, in-flight
+// requests finish, and Run returns.
 func (e *Entry) Stop() { e.stopOnce.Do(func() { close(e.stop) }) }
 
+// stopping reports whether Stop was called.
+func (e *Entry) stopping() bool {
+	select {
+	case <-e.stop:
+		return true
+	default:
+		return false
+	}
+}
+
 // Ready returns nil if the platform's load balancer may send callers here.
 func (e *Entry) Ready() error {
 	switch {
@@ -134,26 +145,22 @@
 func (e *Entry) Run(ctx context.Context, l Listeners) error {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
+	callers, callersErr := newDrainListener(l.Callers)
+	admin, adminErr := newDrainListener(l.Admin)
+	if err := errors.Join(callersErr, adminErr); err != nil {
+		return fmt.Errorf("run entry: %w", err)
+	}
 	group, groupCtx := errgroup.WithContext(ctx)
-	callers, admin := e.callersServer(groupCtx), e.adminServer(groupCtx)
 	group.Go(func() error { return e.member.Run(groupCtx, l.Control) })
 	if e.placementState != nil {
 		group.Go(func() error { return e.placementState.planner.Run(groupCtx) })
 	}
-	group.Go(func() error { return serve(callers, l.Callers, "callers' API") })
-	group.Go(func() error { return serve(admin, l.Admin, "administration API") })
+	group.Go(func() error { return serve(e.callersServer(groupCtx), callers, "callers' API") })
+	group.Go(func() error { return serve(e.adminServer(groupCtx), admin, "administration API") })
 	group.Go(func() error {
 		defer cancel()
 		e.awaitStop(groupCtx)
-		shutdownCtx, cancelShutdown := context.WithTimeout(ctx, e.settings.DrainLimit())
-		defer cancelShutdown()
-		err := callers.ShutdownWithContext(shutdownCtx)
-		_ = admin.ShutdownWithContext(shutdownCtx)
-		e.log.Info("drain finished")
-		if err != nil && ctx.Err() == nil {
-			return fmt.Errorf("stop the callers' API: %w", err)
-		}
-		return nil
+		return e.drain(ctx, callers, admin)
 	})
 	if err := group.Wait(); err != nil && !errors.Is(err, context.Canceled) {
 		return fmt.Errorf("run entry: %w", err)
@@ -177,6 +184,32 @@
 	}
 }
 
+var errUnanswered = errors.New("connections were closed before their requests were answered")
+
+// drain waits until the requests in flight have been answered, for at most the
+// drain limit.
+func (e *Entry) drain(ctx context.Context, servers ...*drainListener) error {
+	limit, cancel := context.WithTimeout(ctx, e.settings.DrainLimit())
+	defer cancel()
+	for _, s := range servers {
+		s.drain()
+	}
+	if open := awaitAllClosed(limit, servers); open > 0 && ctx.Err() == nil {
+		return fmt.Errorf("stop %d connections: %w", open, errUnanswered)
+	}
+	e.log.Info("drain finished")
+	return nil
+}
+
+// awaitAllClosed waits until all connections of the servers are closed, or
+// returns the number of open ones when ctx ends.
+func awaitAllClosed(ctx context.Context, servers []*drainListener) (open int) {
+	for _, s := range servers {
+		open += s.awaitClosed(ctx)
+	}
+	return open
+}
+
 // hooks implements member.Hooks for an Entry.
 type hooks Entry
 
--- a/daemon/entry/http.go
+++ b/daemon/entry/http.go
@@ -100,8 +100,11 @@
 		Handler: func(c *fasthttp.RequestCtx) {
 			handler(c)
 			discardBody(c, int64(maxBody)*discardFactor)
+			if e.stopping() {
+				c.SetConnectionClose()
+			}
 		},
-		Concurrency: maxConcurrency, CloseOnShutdown: true, NoDefaultServerHeader: true,
+		Concurrency: maxConcurrency, ConnState: trackState, NoDefaultServerHeader: true,
 		ErrorHandler: func(c *fasthttp.RequestCtx, err error) {
 			writeError(c, uuid.NewString(), outcome.NotRun, outcome.Wrap(err, outcome.InvalidRequest, "the request cannot be read"))
 		},
