An entry tells callers why it cancels their requests, and waits for the answers

At the drain limit and after a second SIGTERM, callers were told "cancelled" with status 499, as if they had cancelled the request themselves, and nothing made the process wait until the answers were written. At the drain limit the process also ended with status 1.

Cause: the requests used the context of the group that runs the entry. Its end has no cause, it ends the sessions with the agents at the same time, and Run returned without waiting for the answers.

Requests now have a context of their own. At the limit, after a second signal, or when a part of the entry fails, it is cancelled with the cause "draining"; the sessions stay until the answers are written, for at most 2 s, and the agents get the cancellations. Run only returns an error if an answer could not be written.

--- a/daemon/entry/entry.go
+++ b/daemon/entry/entry.go
@@ -140,27 +140,33 @@
 	return nil
 }
 
-// Run serves until Stop is called or ctx ends. Cancelling ctx aborts in-flight
-// requests.
+// Run serves until Stop is called or ctx ends. When ctx ends or the drain limit
+// is over, the requests in flight are cancelled, and their callers get outcomes.
 func (e *Entry) Run(ctx context.Context, l Listeners) error {
-	ctx, cancel := context.WithCancel(ctx)
+	// The requests and what they need do not end with ctx, so that each request
+	// can be answered.
+	background, cancel := context.WithCancel(context.WithoutCancel(ctx))
 	defer cancel()
+	requests, abort := context.WithCancelCause(background)
+	defer abort(nil)
 	callers, callersErr := newDrainListener(l.Callers)
 	admin, adminErr := newDrainListener(l.Admin)
 	if err := errors.Join(callersErr, adminErr); err != nil {
 		return fmt.Errorf("run entry: %w", err)
 	}
-	group, groupCtx := errgroup.WithContext(ctx)
+	group, groupCtx := errgroup.WithContext(background)
 	group.Go(func() error { return e.member.Run(groupCtx, l.Control) })
 	if e.placementState != nil {
 		group.Go(func() error { return e.placementState.planner.Run(groupCtx) })
 	}
-	group.Go(func() error { return serve(e.callersServer(groupCtx), callers, "callers' API") })
-	group.Go(func() error { return serve(e.adminServer(groupCtx), admin, "administration API") })
+	group.Go(func() error { return serve(e.callersServer(requests), callers, "callers' API") })
+	group.Go(func() error { return serve(e.adminServer(requests), admin, "administration API") })
 	group.Go(func() error {
 		defer cancel()
-		e.awaitStop(groupCtx)
-		return e.drain(ctx, callers, admin)
+		ctx, stop := mergeCancel(ctx, groupCtx)
+		defer stop()
+		e.awaitStop(ctx)
+		return e.drain(ctx, abort, callers, admin)
 	})
 	if err := group.Wait(); err != nil && !errors.Is(err, context.Canceled) {
 		return fmt.Errorf("run entry: %w", err)
@@ -168,6 +174,16 @@
 	return nil
 }
 
+// mergeCancel returns a copy of ctx that also ends when other ends.
+func mergeCancel(ctx, other context.Context) (context.Context, context.CancelFunc) {
+	ctx, cancel := context.WithCancel(ctx)
+	stop := context.AfterFunc(other, cancel)
+	return ctx, func() {
+		stop()
+		cancel()
+	}
+}
+
 // awaitStop waits for Stop and then gives the load balancer time to notice
 // that the entry is not ready.
 func (e *Entry) awaitStop(ctx context.Context) {
@@ -184,18 +200,32 @@
 	}
 }
 
+// answerTimeout bounds the time to write the answers of cancelled requests at
+// the end of a stop.
+const answerTimeout = 2 * time.Second
+
 var errUnanswered = errors.New("connections were closed before their requests were answered")
 
-// drain waits until the requests in flight have been answered, for at most the
-// drain limit.
-func (e *Entry) drain(ctx context.Context, servers ...*drainListener) error {
+// drain waits until the requests in flight have been answered. When the drain
+// limit is over or ctx ends, it cancels them.
+func (e *Entry) drain(ctx context.Context, abort context.CancelCauseFunc, servers ...*drainListener) error {
 	limit, cancel := context.WithTimeout(ctx, e.settings.DrainLimit())
 	defer cancel()
 	for _, s := range servers {
 		s.drain()
 	}
-	if open := awaitAllClosed(limit, servers); open > 0 && ctx.Err() == nil {
-		return fmt.Errorf("stop %d connections: %w", open, errUnanswered)
+	if open := awaitAllClosed(limit, servers); open > 0 {
+		cause := outcome.New(outcome.Draining, "the drain limit of VM %s is over", e.settings.VM)
+		if ctx.Err() != nil {
+			cause = outcome.New(outcome.Draining, "VM %s stops at once", e.settings.VM)
+		}
+		e.log.Warn("requests cancelled", "connections", open, "reason", cause.Message)
+		abort(cause)
+		answerCtx, cancelAnswers := context.WithTimeout(context.WithoutCancel(ctx), answerTimeout)
+		defer cancelAnswers()
+		if open := awaitAllClosed(answerCtx, servers); open > 0 {
+			return fmt.Errorf("stop %d connections: %w", open, errUnanswered)
+		}
 	}
 	e.log.Info("drain finished")
 	return nil
--- a/testbed/e2e/stop_test.go
+++ b/testbed/e2e/stop_test.go
@@ -10,11 +10,13 @@
 	"net/http"
 	"strings"
 	"sync"
+	"syscall"
 	"testing"
 	"time"
 
 	"github.com/matryer/is"
 
+	"camphorwick.dev/settings"
 	"camphorwick.dev/testbed/fleet"
 	"camphorwick.dev/testbed/history"
 )
@@ -47,6 +49,16 @@
 	body    string
 }
 
+// outcome returns the outcome in the header, the body or the last event.
+func (a rawAnswer) outcome() string {
+	for _, o := range []string{"completed", "not_run", "failed", "unknown"} {
+		if strings.Contains(a.body, `"outcome":"`+o+`"`) {
+			return o
+		}
+	}
+	return ""
+}
+
 // exchangeRaw sends a request and reads the complete response. sent reports
 // whether the whole request was written.
 func exchangeRaw(conn net.Conn, reader *bufio.Reader, request string) (a rawAnswer, sent bool, err error) {
@@ -140,3 +152,72 @@
 	is.True(counts.answered > 100)
 	is.Equal(len(counts.lost), 0)
 }
+
+// Guards against requests in flight that end without an outcome, or with the
+// statement that their caller cancelled them, when an entry is at its drain limit
+// or gets a second SIGTERM.
+func TestCancelledRequestsGetOutcomes(t *testing.T) {
+	for _, tc := range []struct {
+		name              string
+		drainLimitSeconds int
+		secondSignal      bool
+	}{{"drain limit", 1, false}, {"second signal", 60, true}} {
+		t.Run(tc.name, func(t *testing.T) {
+			is := is.New(t)
+			_, f := start(t, fleet.Options{Entries: 1, Engines: 1, Orders: 1, EngineFlags: slowEngine,
+				Adjust: func(s *settings.Settings) {
+					if s.Entry != nil {
+						s.DrainLimitSeconds = tc.drainLimitSeconds
+					}
+				}})
+			is.NoErr(serviceFaults(f, object{"latency_ms": 20_000}))
+			d := f.Entries[0]
+			var requests []cancelledRequest
+			var callers sync.WaitGroup
+			for range 40 {
+				order, _ := rawOrder()
+				requests = append(requests, cancelledRequest{name: "streamed", text: rawCompletion(4000, true), outcome: "failed"},
+					cancelledRequest{name: "buffered", text: rawCompletion(4000, false), outcome: "failed"},
+					cancelledRequest{name: "order", text: order, outcome: "unknown"})
+			}
+			for i := range requests {
+				callers.Go(func() { requests[i].send(d.Settings.Entry.CallersAddress) })
+			}
+			time.Sleep(time.Second)
+			is.NoErr(d.Signal(syscall.SIGTERM))
+			if tc.secondSignal {
+				time.Sleep(500 * time.Millisecond)
+				is.NoErr(d.Signal(syscall.SIGTERM))
+			}
+			callers.Wait()
+			<-d.Done()
+			wrong := 0
+			for _, r := range requests {
+				if r.err != nil || r.answer.outcome() != r.outcome || !strings.Contains(r.answer.body, `"code":"draining"`) {
+					wrong++
+					t.Logf("%s: status %d, outcome %q, error %v, end %q", r.name, r.answer.status, r.answer.outcome(), r.err, r.answer.body[max(0, len(r.answer.body)-150):])
+				}
+			}
+			is.Equal(wrong, 0)
+			is.NoErr(d.Err())
+		})
+	}
+}
+
+// cancelledRequest is a request that an entry cancels, with the outcome that its
+// caller must get.
+type cancelledRequest struct {
+	name, text, outcome string
+	answer              rawAnswer
+	err                 error
+}
+
+func (r *cancelledRequest) send(address string) {
+	conn, err := net.Dial("tcp", address)
+	if err != nil {
+		r.err = err
+		return
+	}
+	defer conn.Close()
+	r.answer, _, r.err = exchangeRaw(conn, bufio.NewReader(conn), r.text)
+}
