An entry is not ready from the stop on

The balancer could be told that a stopping entry is ready and send callers to it until its listener closed.

Cause: Stop and a change of the configuration wrote the same flag. Between Stop and the goroutine that handles it, and when a change that was checked before Stop is applied after it (for instance the removal of this VM's mark), the flag said that the entry is not being drained, in the second case until its end.

TestStoppingEntryIsNotReady fails without the change (no "draining" after Stop). Readiness now looks at the mark "leaving" and at Stop separately, and nothing takes back the latter.

--- a/daemon/entry/entry.go
+++ b/daemon/entry/entry.go
@@ -58,7 +58,7 @@
 	budget         *retry.Budget
 	placementState *placementState
 
-	draining atomic.Bool
+	leaving  atomic.Bool   // this VM is marked as leaving
 	stop     chan struct{} // closed by Stop
 	stopOnce sync.Once
 	// liveEntries is the number of live entries, including this one; the
@@ -127,10 +127,13 @@
 	}
 }
 
+// draining reports whether new callers should go to other entries.
+func (e *Entry) draining() bool { return e.leaving.Load() || e.stopping() }
+
 // Ready returns nil if the platform's load balancer may send callers here.
 func (e *Entry) Ready() error {
 	switch {
-	case e.draining.Load():
+	case e.draining():
 		return outcome.New(outcome.Draining, "VM %s is being drained", e.settings.VM)
 	case e.member.Replica.Revision() == 0:
 		return outcome.New(outcome.NoServer, "no configuration has been received")
@@ -192,7 +195,6 @@
 		return
 	case <-e.stop:
 	}
-	e.draining.Store(true)
 	e.log.Info("drain started")
 	select {
 	case <-ctx.Done():
@@ -253,17 +255,10 @@
 // excludes marked agents from new work.
 func (h *hooks) ConfigChanged(config *fleetconf.Config) {
 	e := (*Entry)(h)
-	switch state, _ := config.Mark(e.settings.VM); state {
-	case fleetconf.Leaving:
-		e.draining.Store(true)
-	case fleetconf.Stopping:
+	state, _ := config.Mark(e.settings.VM)
+	e.leaving.Store(state == fleetconf.Leaving)
+	if state == fleetconf.Stopping {
 		e.Stop()
-	default:
-		select {
-		case <-e.stop:
-		default:
-			e.draining.Store(false)
-		}
 	}
 	e.mu.Lock()
 	defer e.mu.Unlock()
--- a/daemon/entry/listener_test.go
+++ b/daemon/entry/listener_test.go
@@ -8,6 +8,8 @@
 
 	"github.com/matryer/is"
 	"github.com/valyala/fasthttp"
+
+	"camphorwick.dev/api/outcome"
 )
 
 // listen returns a listener that drains, and a function that opens a connection
@@ -105,3 +107,13 @@
 	is.NoErr(err)
 	is.Equal(n, 1)
 }
+
+// Guards against a stopping entry that reports that it is ready, because the
+// removal of its mark arrives after Stop.
+func TestStoppingEntryIsNotReady(t *testing.T) {
+	is := is.New(t)
+	e := startEntry(t)
+	e.Stop()
+	(*hooks)(e).ConfigChanged(e.member.Replica.Config())
+	is.Equal(outcome.CodeOf(e.Ready()), outcome.Draining)
+}
--- a/daemon/entry/placement.go
+++ b/daemon/entry/placement.go
@@ -122,7 +122,7 @@
 // plan or does not know all agents yet.
 func (f *fleetAdapter) View(now time.Time) (place.View, bool) {
 	e := (*Entry)(f)
-	if e.draining.Load() || !slices.Contains(e.planners(), e.settings.VM) {
+	if e.draining() || !slices.Contains(e.planners(), e.settings.VM) {
 		return place.View{}, false
 	}
 	config := e.member.Replica.Config()
