The write deadline of an answer ends with the answer

A caller that keeps its connection could lose a request without an answer: if the deadline of the last answer, plus 10 s, had passed, the "100 Continue" for a request with "Expect: 100-continue" could not be written, and the entry closed the connection. The refusal of a malformed request was lost in the same way.

Cause: the deadline was set on the connection, where it stayed until the handler of the next request replaced it. fasthttp writes both before it calls the handler.

TestWriteDeadlineEndsWithItsAnswer fails without the change (the connection is closed). Set through the request's context, fasthttp removes the deadline after the answer; TestCallerThatDoesNotReadIsDisconnected still holds.

--- a/daemon/entry/http.go
+++ b/daemon/entry/http.go
@@ -200,9 +200,9 @@
 
 // setResponseDeadline makes writes to the caller fail from answerGrace after the
 // deadline on, which closes the connection. Otherwise, a caller that does not
-// read its answer would block a drain.
+// read its answer would block a drain. The deadline ends with the answer.
 func setResponseDeadline(c *fasthttp.RequestCtx, deadline time.Time) {
-	_ = c.Conn().SetWriteDeadline(deadline.Add(answerGrace))
+	_ = c.SetWriteDeadline(deadline.Add(answerGrace))
 }
 
 func (e *Entry) serveReady(c *fasthttp.RequestCtx) {
--- a/daemon/entry/listener_test.go
+++ b/daemon/entry/listener_test.go
@@ -1,8 +1,10 @@
 package entry
 
 import (
+	"bufio"
 	"io"
 	"net"
+	"net/http"
 	"testing"
 	"time"
 
@@ -117,3 +119,34 @@
 	(*hooks)(e).ConfigChanged(e.member.Replica.Config())
 	is.Equal(outcome.CodeOf(e.Ready()), outcome.Draining)
 }
+
+// Guards against a request without an answer on a connection that has been open
+// for longer than the deadline of its last answer: the "100 Continue" could not
+// be written.
+func TestWriteDeadlineEndsWithItsAnswer(t *testing.T) {
+	is := is.New(t)
+	server := &fasthttp.Server{StreamRequestBody: true, Handler: func(c *fasthttp.RequestCtx) {
+		setResponseDeadline(c, time.Now().Add(100*time.Millisecond-answerGrace)) // writes fail after 100 ms
+		c.SetBodyString("ok")
+	}}
+	l, dial := listen(t)
+	served := make(chan error, 1)
+	go func() { served <- server.Serve(l) }()
+	conn := dial()
+	reader := bufio.NewReader(conn)
+	_, err := io.WriteString(conn, "GET / HTTP/1.1\r\nHost: entry\r\n\r\n")
+	is.NoErr(err)
+	response, err := http.ReadResponse(reader, nil)
+	is.NoErr(err)
+	_, err = io.ReadAll(response.Body)
+	is.NoErr(err)
+	time.Sleep(200 * time.Millisecond)
+	_, err = io.WriteString(conn, "POST / HTTP/1.1\r\nHost: entry\r\nExpect: 100-continue\r\nContent-Length: 1\r\n\r\n")
+	is.NoErr(err)
+	response, err = http.ReadResponse(reader, nil)
+	is.NoErr(err)
+	is.Equal(response.StatusCode, http.StatusContinue)
+	_ = conn.Close()
+	l.drain()
+	is.NoErr(<-served)
+}
