Known failure: requests are cut when their agent is reassigned

A change of the VM list can assign an agent to other entries (policy/subset, with more than 64 agents and more than 4 entries in a data centre). The entry then closes its sessions to the agent with the streams of the requests in flight: a completion is started again elsewhere, an order ends as "unknown". So the planned stop of one entry cuts requests at others.

The fix belongs into link.Node.SetTargets: a dropped target gets no new streams, and its data session is closed when the last stream has ended.

--- a/daemon/entry/limits_test.go
+++ b/daemon/entry/limits_test.go
@@ -293,3 +293,30 @@
 	is.NoErr(server.Shutdown())
 	is.NoErr(<-served)
 }
+
+// Guards against requests that are cut because their agent is assigned to other
+// entries: a change of the VM list must not end the streams of a session.
+func TestReassignedAgentFinishesItsRequests(t *testing.T) {
+	is := is.New(t)
+	started := make(chan struct{})
+	agent := &fakeAgent{serve: func(s *link.Stream, h *wire.StreamHeader) {
+		sendAccepted(s, h.GetSubmit().AttemptId)
+		close(started)
+		time.Sleep(500 * time.Millisecond)
+		sendTokens(s, h.GetSubmit().AttemptId, 0, "a", "b")
+		_ = s.Write(&wire.AgentMessage{Body: &wire.AgentMessage_End{End: &wire.End{AttemptId: h.GetSubmit().AttemptId,
+			Outcome: wire.Outcome_OUTCOME_COMPLETED, CompletionTokens: 2, FinishReason: "length"}}})
+	}}
+	e := startEntry(t, agent)
+	ctx, request := newCompletion(t, e, "p", 2*time.Second)
+	a := newAnswer()
+	go func() {
+		<-started
+		e.member.Node.SetTargets(nil)
+	}()
+	go e.runCompletion(ctx, request, a)
+	a.delivered <- true
+	<-a.done
+	is.NoErr(a.result.err)
+	is.Equal(a.result.outcome, outcome.Completed)
+}
