--- a/daemon/cmd/camphorwick/gateway.go
+++ b/daemon/cmd/camphorwick/gateway.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"io"
+	"net"
 	"net/url"
 	"os"
 	"runtime/debug"
@@ -52,9 +53,9 @@
 	if err != nil {
 		return err
 	}
-	ops, err := listen(s.OpsAddress, t.Log)
+	ops, err := net.Listen("tcp", s.OpsAddress)
 	if err != nil {
-		return fmt.Errorf("health and metrics: %w", err)
+		return fmt.Errorf("open the port of health and metrics: %w", err)
 	}
 	reload.apply = func(s *settings.Settings) { n.SetBudget(retryBudget(s.Gateway)) }
 	return runRole(ctx, p, t, n, n.Run, ops, reload)
--- a/daemon/cmd/camphorwick/main.go
+++ b/daemon/cmd/camphorwick/main.go
@@ -23,6 +23,7 @@
 	"camphorwick.dev/cloud/httpkv"
 	"camphorwick.dev/daemon/agent"
 	"camphorwick.dev/daemon/entry"
+	"camphorwick.dev/daemon/listen"
 	"camphorwick.dev/daemon/member"
 	"camphorwick.dev/daemon/signals"
 	"camphorwick.dev/observe"
@@ -147,7 +148,7 @@
 	if err != nil {
 		return fmt.Errorf("set up store metrics: %w", err)
 	}
-	ports := &ports{log: t.Log}
+	ports := &ports{}
 	defer ports.close()
 	ops := ports.open(s.OpsAddress)
 	control := ports.open(s.ControlAddress)
@@ -170,7 +171,7 @@
 		if err != nil {
 			return err
 		}
-		r, run = a, func(ctx context.Context) error { return a.Run(ctx, control) }
+		r, run = a, func(ctx context.Context) error { return a.Run(ctx, listen.Retry(control, t.Log)) }
 	}
 	if ports.err != nil {
 		return ports.err
@@ -185,7 +186,7 @@
 	defer cancel()
 	go stopOnSignals(ctx, p, t.Log, r, cancel)
 	group, groupCtx := errgroup.WithContext(ctx)
-	group.Go(func() error { return t.ServeOps(groupCtx, ops, r.Ready) })
+	group.Go(func() error { return t.ServeOps(groupCtx, listen.Retry(ops, t.Log), r.Ready) })
 	group.Go(func() error { return watchSettings(groupCtx, p.reload, reload) })
 	group.Go(func() error {
 		defer cancel()
@@ -256,7 +257,6 @@
 // ports opens listeners and keeps the first error. After an error it opens no
 // more.
 type ports struct {
-	log       *slog.Logger
 	listeners []net.Listener
 	err       error
 }
@@ -265,9 +265,9 @@
 	if p.err != nil {
 		return nil
 	}
-	l, err := listen(address, p.log)
+	l, err := net.Listen("tcp", address)
 	if err != nil {
-		p.err = err
+		p.err = fmt.Errorf("open port: %w", err)
 		return nil
 	}
 	p.listeners = append(p.listeners, l)
--- a/daemon/entry/entry.go
+++ b/daemon/entry/entry.go
@@ -22,6 +22,7 @@
 	"camphorwick.dev/api/outcome"
 	"camphorwick.dev/api/wire"
 	"camphorwick.dev/cloud"
+	"camphorwick.dev/daemon/listen"
 	"camphorwick.dev/daemon/member"
 	"camphorwick.dev/fleetconf"
 	"camphorwick.dev/link"
@@ -42,7 +43,7 @@
 
 // Listeners holds the open listeners of an Entry. They are opened before the
 // Entry is created, so that an address in use is reported before anything
-// starts.
+// starts. Callers and Admin must be of type *net.TCPListener.
 type Listeners struct {
 	Control, Callers, Admin net.Listener
 }
@@ -58,7 +59,7 @@
 	budget         *retry.Budget
 	placementState *placementState
 
-	draining atomic.Bool
+	leaving  atomic.Bool   // this VM is marked as leaving
 	stop     chan struct{} // closed by Stop
 	stopOnce sync.Once
 	// liveEntries is the number of live entries, including this one; the
@@ -112,14 +113,28 @@
 	return e, nil
 }
 
-// Stop starts a graceful stop: readiness fails, then the callers' listener
-// closes, in-flight requests finish, and Run returns.
+// Stop starts a graceful stop: readiness fails and answers announce that their
+// connection will be closed, then the callers' listener closes, in-flight
+// requests finish, and Run returns.
 func (e *Entry) Stop() { e.stopOnce.Do(func() { close(e.stop) }) }
 
+// stopping reports whether Stop was called.
+func (e *Entry) stopping() bool {
+	select {
+	case <-e.stop:
+		return true
+	default:
+		return false
+	}
+}
+
+// draining reports whether new callers should go to other entries.
+func (e *Entry) draining() bool { return e.leaving.Load() || e.stopping() }
+
 // Ready returns nil if the platform's load balancer may send callers here.
 func (e *Entry) Ready() error {
 	switch {
-	case e.draining.Load():
+	case e.draining():
 		return outcome.New(outcome.Draining, "VM %s is being drained", e.settings.VM)
 	case e.member.Replica.Revision() == 0:
 		return outcome.New(outcome.NoServer, "no configuration has been received")
@@ -129,31 +144,33 @@
 	return nil
 }
 
-// Run serves until Stop is called or ctx ends. Cancelling ctx aborts in-flight
-// requests.
+// Run serves until Stop is called or ctx ends. When ctx ends or the drain limit
+// is over, the requests in flight are cancelled, and their callers get outcomes.
 func (e *Entry) Run(ctx context.Context, l Listeners) error {
-	ctx, cancel := context.WithCancel(ctx)
+	// The requests and what they need do not end with ctx, so that each request
+	// can be answered.
+	background, cancel := context.WithCancel(context.WithoutCancel(ctx))
 	defer cancel()
-	group, groupCtx := errgroup.WithContext(ctx)
-	callers, admin := e.callersServer(groupCtx), e.adminServer(groupCtx)
-	group.Go(func() error { return e.member.Run(groupCtx, l.Control) })
+	requests, abort := context.WithCancelCause(background)
+	defer abort(nil)
+	callers, callersErr := newDrainListener(l.Callers)
+	admin, adminErr := newDrainListener(l.Admin)
+	if err := errors.Join(callersErr, adminErr); err != nil {
+		return fmt.Errorf("run entry: %w", err)
+	}
+	group, groupCtx := errgroup.WithContext(background)
+	group.Go(func() error { return e.member.Run(groupCtx, listen.Retry(l.Control, e.log)) })
 	if e.placementState != nil {
 		group.Go(func() error { return e.placementState.planner.Run(groupCtx) })
 	}
-	group.Go(func() error { return serve(callers, l.Callers, "callers' API") })
-	group.Go(func() error { return serve(admin, l.Admin, "administration API") })
+	group.Go(func() error { return serve(e.callersServer(requests), listen.Retry(callers, e.log), "callers' API") })
+	group.Go(func() error { return serve(e.adminServer(requests), listen.Retry(admin, e.log), "administration API") })
 	group.Go(func() error {
 		defer cancel()
-		e.awaitStop(groupCtx)
-		shutdownCtx, cancelShutdown := context.WithTimeout(ctx, e.settings.DrainLimit())
-		defer cancelShutdown()
-		err := callers.ShutdownWithContext(shutdownCtx)
-		_ = admin.ShutdownWithContext(shutdownCtx)
-		e.log.Info("drain finished")
-		if err != nil && ctx.Err() == nil {
-			return fmt.Errorf("stop the callers' API: %w", err)
-		}
-		return nil
+		ctx, stop := mergeCancel(ctx, groupCtx)
+		defer stop()
+		e.awaitStop(ctx)
+		return e.drain(ctx, abort, callers, admin)
 	})
 	if err := group.Wait(); err != nil && !errors.Is(err, context.Canceled) {
 		return fmt.Errorf("run entry: %w", err)
@@ -161,6 +178,16 @@
 	return nil
 }
 
+// mergeCancel returns a copy of ctx that also ends when other ends.
+func mergeCancel(ctx, other context.Context) (context.Context, context.CancelFunc) {
+	ctx, cancel := context.WithCancel(ctx)
+	stop := context.AfterFunc(other, cancel)
+	return ctx, func() {
+		stop()
+		cancel()
+	}
+}
+
 // awaitStop waits for Stop and then gives the load balancer time to notice
 // that the entry is not ready.
 func (e *Entry) awaitStop(ctx context.Context) {
@@ -169,7 +196,6 @@
 		return
 	case <-e.stop:
 	}
-	e.draining.Store(true)
 	e.log.Info("drain started")
 	select {
 	case <-ctx.Done():
@@ -177,6 +203,46 @@
 	}
 }
 
+// answerTimeout bounds the time to write the answers of cancelled requests at
+// the end of a stop.
+const answerTimeout = 2 * time.Second
+
+var errUnanswered = errors.New("connections were closed before their requests were answered")
+
+// drain waits until the requests in flight have been answered. When the drain
+// limit is over or ctx ends, it cancels them.
+func (e *Entry) drain(ctx context.Context, abort context.CancelCauseFunc, servers ...*drainListener) error {
+	limit, cancel := context.WithTimeout(ctx, e.settings.DrainLimit())
+	defer cancel()
+	for _, s := range servers {
+		s.drain()
+	}
+	if open := awaitAllClosed(limit, servers); open > 0 {
+		cause := outcome.New(outcome.Draining, "the drain limit of VM %s is over", e.settings.VM)
+		if ctx.Err() != nil {
+			cause = outcome.New(outcome.Draining, "VM %s stops at once", e.settings.VM)
+		}
+		e.log.Warn("requests cancelled", "connections", open, "reason", cause.Message)
+		abort(cause)
+		answerCtx, cancelAnswers := context.WithTimeout(context.WithoutCancel(ctx), answerTimeout)
+		defer cancelAnswers()
+		if open := awaitAllClosed(answerCtx, servers); open > 0 {
+			return fmt.Errorf("stop %d connections: %w", open, errUnanswered)
+		}
+	}
+	e.log.Info("drain finished")
+	return nil
+}
+
+// awaitAllClosed waits until all connections of the servers are closed, or
+// returns the number of open ones when ctx ends.
+func awaitAllClosed(ctx context.Context, servers []*drainListener) (open int) {
+	for _, s := range servers {
+		open += s.awaitClosed(ctx)
+	}
+	return open
+}
+
 // hooks implements member.Hooks for an Entry.
 type hooks Entry
 
@@ -190,17 +256,10 @@
 // excludes marked agents from new work.
 func (h *hooks) ConfigChanged(config *fleetconf.Config) {
 	e := (*Entry)(h)
-	switch state, _ := config.Mark(e.settings.VM); state {
-	case fleetconf.Leaving:
-		e.draining.Store(true)
-	case fleetconf.Stopping:
+	state, _ := config.Mark(e.settings.VM)
+	e.leaving.Store(state == fleetconf.Leaving)
+	if state == fleetconf.Stopping {
 		e.Stop()
-	default:
-		select {
-		case <-e.stop:
-		default:
-			e.draining.Store(false)
-		}
 	}
 	e.mu.Lock()
 	defer e.mu.Unlock()
--- a/daemon/entry/http.go
+++ b/daemon/entry/http.go
@@ -100,8 +100,11 @@
 		Handler: func(c *fasthttp.RequestCtx) {
 			handler(c)
 			discardBody(c, int64(maxBody)*discardFactor)
+			if e.draining() {
+				c.SetConnectionClose()
+			}
 		},
-		Concurrency: maxConcurrency, CloseOnShutdown: true, NoDefaultServerHeader: true,
+		Concurrency: maxConcurrency, ConnState: trackState, NoDefaultServerHeader: true,
 		ErrorHandler: func(c *fasthttp.RequestCtx, err error) {
 			writeError(c, uuid.NewString(), outcome.NotRun, outcome.Wrap(err, outcome.InvalidRequest, "the request cannot be read"))
 		},
@@ -159,11 +162,6 @@
 // handleCaller routes one request of a caller.
 func (e *Entry) handleCaller(ctx context.Context, c *fasthttp.RequestCtx) {
 	setResponseDeadline(c, time.Now().Add(time.Duration(e.settings.Entry.MaxTimeoutMillis)*time.Millisecond))
-	if e.draining.Load() {
-		// Callers leave after their next answer, before the port is closed: a request
-		// that is sent on an open connection at that moment gets no answer.
-		c.SetConnectionClose()
-	}
 	path := string(c.Path())
 	switch path {
 	case "/healthz":
@@ -202,9 +200,9 @@
 
 // setResponseDeadline makes writes to the caller fail from answerGrace after the
 // deadline on, which closes the connection. Otherwise, a caller that does not
-// read its answer would block a drain.
+// read its answer would block a drain. The deadline ends with the answer.
 func setResponseDeadline(c *fasthttp.RequestCtx, deadline time.Time) {
-	_ = c.Conn().SetWriteDeadline(deadline.Add(answerGrace))
+	_ = c.SetWriteDeadline(deadline.Add(answerGrace))
 }
 
 func (e *Entry) serveReady(c *fasthttp.RequestCtx) {
--- a/daemon/cmd/camphorwick/listen_test.go
+++ b/daemon/listen/listen_test.go
@@ -1,4 +1,4 @@
-package main
+package listen
 
 import (
 	"context"
@@ -33,14 +33,12 @@
 // ends the process and with it all requests of callers.
 func TestFailedAcceptDoesNotEndTheProcess(t *testing.T) {
 	is := is.New(t)
-	log := slog.New(slog.DiscardHandler)
-	ports := &ports{log: log}
-	defer ports.close()
-	l := ports.open("127.0.0.1:0")
-	is.NoErr(ports.err)
-	failing := &exhaustedListener{Listener: l.(*retryListener).Listener}
+	tcp, err := net.Listen("tcp", "127.0.0.1:0")
+	is.NoErr(err)
+	defer func() { _ = tcp.Close() }()
+	failing := &exhaustedListener{Listener: tcp}
 	failing.failures.Store(3)
-	l.(*retryListener).Listener = failing
+	l := Retry(failing, slog.New(slog.DiscardHandler))
 	telemetry, err := observe.New(t.Context(), observe.Options{LogLevel: "error", Log: t.Output()})
 	is.NoErr(err)
 	ctx, cancel := context.WithCancel(t.Context())
