Announce the close of a connection when its answer begins

A stopping gateway sends "Connection: close", but decided so when a request began. The answer to a request that was in flight at SIGTERM let its caller send the next one on the connection, which closeIdle closes within 25 ms: a request on its way at that moment is reset without an answer.

The header is now set when the head of the answer is written.

--- a/gateway/ingress/ingress.go
+++ b/gateway/ingress/ingress.go
@@ -139,9 +139,6 @@
 func (g *Gateway) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	g.active.Add(1)
 	defer g.active.Add(-1)
-	if g.closeConnections.Load() {
-		w.Header().Set("Connection", "close")
-	}
 	x := &exchange{g: g, w: w, r: r, arrived: time.Now(), table: g.table.Load(), meta: g.Wire.DecodeRequest(r.Header)}
 	x.log = g.Log.With("request_id", x.meta.ID)
 	if !x.admit() {
@@ -269,10 +266,19 @@
 	h := x.w.Header()
 	h["Content-Type"] = nil
 	h.Set("Content-Length", "0")
-	x.w.WriteHeader(status)
+	x.writeHead(status)
 	x.finish(status, reason)
 }
 
+// writeHead writes the head of the answer. It checks only now whether the
+// connection is to be closed, because a stop may have begun after the request.
+func (x *exchange) writeHead(status int) {
+	if x.g.closeConnections.Load() {
+		x.w.Header().Set("Connection", "close")
+	}
+	x.w.WriteHeader(status)
+}
+
 // budget returns the retry budget of a service. mu is held.
 func (g *Gateway) budget(service string) *retry.Window {
 	b := g.budgets[service]
--- a/gateway/ingress/outcome.go
+++ b/gateway/ingress/outcome.go
@@ -36,7 +36,7 @@
 func (x *exchange) forwardAnswer(answer *serverAnswer) {
 	x.copyHeaders(answer.header)
 	x.w.Header().Set("Content-Length", strconv.Itoa(len(answer.body)))
-	x.w.WriteHeader(answer.status)
+	x.writeHead(answer.status)
 	x.firstByteAt = time.Now()
 	if x.r.Method != http.MethodHead {
 		_, _ = x.w.Write(answer.body) // the caller may have disconnected
--- a/gateway/ingress/stopping_test.go
+++ b/gateway/ingress/stopping_test.go
@@ -98,3 +98,28 @@
 	is.True(err != nil)
 	is.Equal(body, wantEvents(1, 1))
 }
+
+// Guards against an answer of a stopping gateway that lets its caller reuse a
+// connection that is about to be closed, because its request began before the stop.
+func TestAnswerToARequestBegunBeforeTheStopClosesItsConnection(t *testing.T) {
+	for _, c := range []struct{ name, method, target string }{
+		{"order", "POST", "/order/"},
+		{"stream", "POST", "/stream/"},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			is := is.New(t)
+			var f *fleet
+			f = newFleet(t, func(conn net.Conn, br *bufio.Reader, r *http.Request) bool {
+				f.gateway.CloseConnections()
+				if c.name == "stream" {
+					return events(2, true)(conn, br, r)
+				}
+				return text(200, "ok")(conn, br, r)
+			})
+			response, _, err := f.call(c.method, c.target, "", "x")
+			is.NoErr(err)
+			is.Equal(response.StatusCode, http.StatusOK)
+			is.True(response.Close)
+		})
+	}
+}
--- a/gateway/ingress/stream.go
+++ b/gateway/ingress/stream.go
@@ -84,7 +84,7 @@
 		return
 	}
 	x.headWritten = true
-	x.w.WriteHeader(http.StatusOK)
+	x.writeHead(http.StatusOK)
 	x.firstByteAt = time.Now()
 	x.lastEventsAt = x.firstByteAt
 	x.g.Metrics.recordFirstToken(x.ctx, x.meta.PromptTokens, x.firstByteAt.Sub(x.arrived))
