Refuse requests at the drain limit whose body is incomplete

Abort ended the contexts of requests, but not the read of a body. A request whose body was still on its way was cut without an answer when the connections were closed 400 ms later.

Abort now ends the read, and the request is refused as not run.

--- a/gateway/ingress/ingress.go
+++ b/gateway/ingress/ingress.go
@@ -236,6 +236,8 @@
 	if err := http.NewResponseController(x.w).SetReadDeadline(x.deadline); err != nil {
 		x.log.Warn("deadline of the body not set", "error", err.Error())
 	}
+	stop := context.AfterFunc(x.g.requests, x.stopReading)
+	defer stop()
 	body, err := io.ReadAll(http.MaxBytesReader(x.w, x.r.Body, limit))
 	var tooLarge *http.MaxBytesError
 	switch {
@@ -244,6 +246,8 @@
 		return true
 	case errors.As(err, &tooLarge):
 		x.refuse(http.StatusRequestEntityTooLarge, "body_too_large", 0)
+	case x.aborted():
+		x.refuse(http.StatusServiceUnavailable, reasonStopping, stoppingRetryAfter)
 	case errors.Is(err, os.ErrDeadlineExceeded):
 		x.refuse(http.StatusServiceUnavailable, reasonTimeout, 0)
 	default:
@@ -252,6 +256,13 @@
 	return false
 }
 
+// stopReading ends a read of the body.
+func (x *exchange) stopReading() {
+	if err := http.NewResponseController(x.w).SetReadDeadline(time.Now()); err != nil {
+		x.log.Debug("read of the body not ended", "error", err.Error())
+	}
+}
+
 // refuse answers a request that has not run and never will.
 func (x *exchange) refuse(status int, reason string, retryAfter time.Duration) {
 	h := x.w.Header()
--- a/gateway/ingress/stopping_test.go
+++ b/gateway/ingress/stopping_test.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"fmt"
+	"io"
 	"net"
 	"net/http"
 	"testing"
@@ -123,3 +124,20 @@
 		})
 	}
 }
+
+// Guards against a request whose body is still on its way when its gateway ends:
+// its connection was closed without an answer.
+func TestRequestWithoutItsWholeBodyIsRefusedAtAbort(t *testing.T) {
+	is := is.New(t)
+	f := newFleet(t, text(200, "ok"))
+	c, err := net.Dial("tcp", f.address)
+	is.NoErr(err)
+	defer func() { _ = c.Close() }()
+	_, _ = io.WriteString(c, "POST /order/ HTTP/1.1\r\nHost: a.example\r\nKey: secret\r\nId: r1\r\nContent-Length: 2\r\n\r\nx")
+	time.AfterFunc(100*time.Millisecond, f.gateway.Abort)
+	_ = c.SetDeadline(time.Now().Add(2 * time.Second))
+	response, err := http.ReadResponse(bufio.NewReader(c), nil)
+	is.NoErr(err)
+	is.Equal(response.StatusCode, http.StatusServiceUnavailable)
+	is.Equal(len(f.requests()), 0)
+}
