Accept waiting connections before the port is closed

Closing a port resets the connections that the kernel has accepted and the process has not. On a busy machine the accepting loop may not have run since such a connection was opened; the request that its caller has already sent is then lost without an answer.

stopAccepting now waits, at most 100 ms, until the accept queue is empty. A connection that is opened between the last check and the close is still reset; the two are adjacent system calls.

--- a/gateway/node/drain_test.go
+++ b/gateway/node/drain_test.go
@@ -9,6 +9,8 @@
 	"log/slog"
 	"net"
 	"net/http"
+	"net/netip"
+	"os"
 	"runtime"
 	"strconv"
 	"sync"
@@ -18,6 +20,7 @@
 
 	"github.com/matryer/is"
 	"go.opentelemetry.io/otel/metric/noop"
+	"golang.org/x/sys/unix"
 
 	"camphorwick.dev/gateway/follow"
 	"camphorwick.dev/gateway/ingress"
@@ -310,3 +313,50 @@
 	<-ctx.Done()
 	return 0, errSilent
 }
+
+// Guards against requests on connections that the kernel has accepted and the
+// gateway has not: closing the port resets them without an answer.
+func TestRequestsInTheAcceptQueueAreAnswered(t *testing.T) {
+	defer runtime.GOMAXPROCS(runtime.GOMAXPROCS(1))
+	const rounds = 100
+	unanswered := 0
+	for range rounds {
+		s := newRecordingServer(t)
+		time.Sleep(time.Millisecond) // the accepting loop waits
+		c := sendBlocking(t, s.address, "GET / HTTP/1.1\r\nHost: h\r\nId: 1\r\n\r\n")
+		s.listener.stopAccepting()
+		_ = c.SetDeadline(time.Now().Add(answerTimeout))
+		if _, err := http.ReadResponse(bufio.NewReader(c), nil); err != nil {
+			unanswered++
+		}
+		_ = c.Close()
+	}
+	if unanswered > 0 {
+		t.Errorf("%d of %d requests were not answered", unanswered, rounds)
+	}
+}
+
+// sendBlocking connects and sends without a pause in which another goroutine could
+// run, as a caller does while the gateway waits for a processor.
+func sendBlocking(t *testing.T, address, request string) net.Conn {
+	t.Helper()
+	parsed := netip.MustParseAddrPort(address)
+	fd, err := unix.Socket(unix.AF_INET, unix.SOCK_STREAM|unix.SOCK_CLOEXEC, 0)
+	if err != nil {
+		t.Fatal(err)
+	}
+	file := os.NewFile(uintptr(fd), address)
+	defer func() { _ = file.Close() }()
+	err = unix.Connect(fd, &unix.SockaddrInet4{Port: int(parsed.Port()), Addr: parsed.Addr().As4()})
+	if err == nil {
+		_, err = unix.Write(fd, []byte(request))
+	}
+	if err != nil {
+		t.Fatal(err)
+	}
+	c, err := net.FileConn(file)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return c
+}
--- a/gateway/node/listener.go
+++ b/gateway/node/listener.go
@@ -10,6 +10,8 @@
 	"syscall"
 	"time"
 
+	"golang.org/x/sys/unix"
+
 	"camphorwick.dev/gateway/ingress"
 )
 
@@ -17,6 +19,9 @@
 // while a gateway stops. Its request is most likely on the way.
 const firstRequestTime = 500 * time.Millisecond
 
+// acceptQueueTime bounds the wait for the accept queue before the port is closed.
+const acceptQueueTime = 100 * time.Millisecond
+
 // Causes for which a gateway closes the connection of a caller.
 var (
 	closeCauseIdle = "idle connection closed by a stopping gateway"
@@ -68,12 +73,36 @@
 }
 
 // stopAccepting closes the port and waits for serve, so that each connection
-// that was accepted is tracked afterwards.
+// that was accepted is tracked afterwards. Closing the port resets the connections
+// in its accept queue, so it first waits until serve has accepted them.
 func (l *callerListener) stopAccepting() {
+	for end := time.Now().Add(acceptQueueTime); l.acceptQueueLength() > 0 && time.Now().Before(end); {
+		time.Sleep(time.Millisecond)
+	}
 	_ = l.Close() // fails if it was closed before
 	<-l.ended
 }
 
+// acceptQueueLength returns the number of connections that the kernel has accepted
+// and serve has not; 0 if it is not known or the port is closed.
+func (l *callerListener) acceptQueueLength() int {
+	listener, ok := l.Listener.(syscall.Conn)
+	if !ok {
+		return 0
+	}
+	socket, err := listener.SyscallConn()
+	if err != nil {
+		return 0
+	}
+	length := 0
+	_ = socket.Control(func(fd uintptr) { // fails if the port is closed
+		if info, err := unix.GetsockoptTCPInfo(int(fd), unix.IPPROTO_TCP, unix.TCP_INFO); err == nil {
+			length = int(info.Unacked) // of a listening socket: the length of the queue
+		}
+	})
+	return length
+}
+
 func (l *callerListener) remove(c *callerConn) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
