Abort requests at the drain limit before the port is closed

After an error such as "too many open files" net/http waits up to a second before it accepts again, and only then notices a closed port. The drain waited for this before it aborted the requests in flight, up to 7.2 + 1.0 s after SIGTERM; SIGKILL comes after 8 s.

The requests are now aborted first.

--- a/gateway/node/drain.go
+++ b/gateway/node/drain.go
@@ -55,13 +55,15 @@
 	}
 }
 
-// closeConnections closes the port, aborts the requests in flight, waits until
-// they are answered, and closes all connections.
+// closeConnections aborts the requests in flight, closes the port, waits until the
+// requests are answered, and closes all connections. It aborts first because
+// net/http may take a second to notice that the port is closed.
 func (n *Node) closeConnections(server *http.Server, callers *callerListener) error {
-	callers.stopAccepting()
 	aborted := n.gateway.Active()
 	n.gateway.Abort()
-	for end := time.Now().Add(abortTime); len(callers.open()) > 0 && time.Now().Before(end); {
+	end := time.Now().Add(abortTime)
+	callers.stopAccepting()
+	for len(callers.open()) > 0 && time.Now().Before(end) {
 		callers.closeIdle(0)
 		time.Sleep(drainPoll)
 	}
--- a/gateway/node/drain_test.go
+++ b/gateway/node/drain_test.go
@@ -15,6 +15,7 @@
 	"strconv"
 	"sync"
 	"sync/atomic"
+	"syscall"
 	"testing"
 	"time"
 
@@ -360,3 +361,62 @@
 	}
 	return c
 }
+
+// Guards against requests in flight at the drain limit that are answered too late,
+// because the accepting loop waits after an error and the abort waited for it.
+func TestAbortDoesNotWaitForRetriesOfAccept(t *testing.T) {
+	is := is.New(t)
+	n := newTestNode(t, minDrainTime+100*time.Millisecond)
+	n.gateway.SetTable(orderTable())
+	n.registry.Replace([]*registry.Server{{ID: "s0", Service: "orders", Address: hangingServer(t), DataCentre: "dc", Slots: 4}}, time.Now())
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	is.NoErr(err)
+	exhausted := &exhaustedListener{Listener: l, closed: make(chan struct{})}
+	callers := newCallerListener(exhausted, n.callerIdleTimeout)
+	server := n.newServer()
+	go func() { _ = callers.serve(server) }()
+	var status int
+	var answered time.Time
+	var caller sync.WaitGroup
+	caller.Go(func() {
+		status = send(t, l.Addr().String(), "r1")
+		answered = time.Now()
+	})
+	time.Sleep(50 * time.Millisecond)
+	exhausted.exhausted.Store(true)
+	last, err := net.Dial("tcp", l.Addr().String()) // ends the call of Accept that is waiting
+	is.NoErr(err)
+	defer func() { _ = last.Close() }()
+	n.Stop()
+	limit := time.Now().Add(n.options.DrainLimit)
+	is.NoErr(n.drain(t.Context(), server, callers))
+	caller.Wait()
+	is.Equal(status, http.StatusGatewayTimeout)
+	is.True(answered.Sub(limit) < abortTime)
+}
+
+// exhaustedListener fails to accept as long as the process has no free
+// descriptors.
+type exhaustedListener struct {
+	net.Listener
+	exhausted atomic.Bool
+	closeOnce sync.Once
+	closed    chan struct{}
+}
+
+func (l *exhaustedListener) Accept() (net.Conn, error) {
+	select {
+	case <-l.closed:
+		return nil, net.ErrClosed
+	default:
+	}
+	if l.exhausted.Load() {
+		return nil, &net.OpError{Op: "accept", Net: "tcp", Err: syscall.EMFILE}
+	}
+	return l.Listener.Accept()
+}
+
+func (l *exhaustedListener) Close() error {
+	l.closeOnce.Do(func() { close(l.closed) })
+	return l.Listener.Close()
+}
