Wait for the first requests of new connections at the drain limit

At its drain limit a gateway closed connections that had been opened just before at the first read that found nothing. Their requests, already on the way, were reset without an answer.

--- a/gateway/node/drain.go
+++ b/gateway/node/drain.go
@@ -64,7 +64,7 @@
 	end := time.Now().Add(abortTime)
 	callers.stopAccepting()
 	for len(callers.open()) > 0 && time.Now().Before(end) {
-		callers.closeIdle(0)
+		callers.closeIdle(firstRequestTime)
 		time.Sleep(drainPoll)
 	}
 	// cut: requests that end without an answer; open_connections: also those whose
--- a/gateway/node/drain_test.go
+++ b/gateway/node/drain_test.go
@@ -420,3 +420,29 @@
 	l.closeOnce.Do(func() { close(l.closed) })
 	return l.Listener.Close()
 }
+
+// Guards against the request of a connection that was opened just before the
+// drain limit: the connection was closed before the request arrived.
+func TestConnectionOpenedAtTheDrainLimitIsAnswered(t *testing.T) {
+	is := is.New(t)
+	n := newTestNode(t, minDrainTime+300*time.Millisecond)
+	ended := make(chan error)
+	go func() { ended <- n.Run(t.Context()) }()
+	stuck, err := dialRetrying(n.options.Callers)
+	is.NoErr(err)
+	defer func() { _ = stuck.Close() }()
+	_, _ = io.WriteString(stuck, "POST") // the head never ends
+	n.Stop()
+	limit := time.Now().Add(n.options.DrainLimit)
+	time.Sleep(time.Until(limit) - 10*time.Millisecond)
+	c, err := net.Dial("tcp", n.options.Callers)
+	is.NoErr(err)
+	defer func() { _ = c.Close() }()
+	time.Sleep(100 * time.Millisecond)
+	_ = c.SetDeadline(time.Now().Add(answerTimeout))
+	_, _ = fmt.Fprintf(c, "POST /order/ HTTP/1.1\r\nHost: a.example\r\nId: r1\r\nContent-Length: 1\r\n\r\nx")
+	response, err := http.ReadResponse(bufio.NewReader(c), nil)
+	is.NoErr(err)
+	is.Equal(response.StatusCode, http.StatusServiceUnavailable)
+	is.NoErr(<-ended)
+}
