Soak of gateways under planned work only

The soak of gateways mixed such work with crashes, under which a request may end unanswered, and therefore counted "no answer" as nothing.

With -planned (Options.Planned) the soak draws from another list of faults: SIGTERM with a restart, also of several gateways at once or in a row and a second time to a process that is stopping; SIGHUP with a changed settings file; series of configurations with other timeouts, weights and routes; servers that drain and are replaced. Callers keep connections until the gateway closes them, leave some idle for up to four fifths of the idle timeout, return to stopping gateways, send some requests in two pieces and some without a pause. Servers run requests for up to 800 ms, and every other gateway has GOMAXPROCS=1. An unanswered request is a violation if a server ran it, if its answer had begun, or if it was sent 200 ms before the connection ended; the violation names request, gateway, process, times since each SIGTERM and the server. In both modes an exit with an error after SIGTERM is a violation as well.

--- a/Makefile
+++ b/Makefile
@@ -45,6 +45,8 @@
 # Runs gateways under random faults in front of stand-ins for the users'
 # platform, once per seed; see bin/gatewaysoak -h for the flags.
 # Example: make gateway-soak SOAK='-seed 100 -seeds 50 -jobs 4'
+# With -planned there is only planned work: stops, reloads, changes of the
+# configuration and drains, under which each request must get an answer.
 gateway-soak: build
 	bin/gatewaysoak -bin bin $(SOAK)
 
--- a/testbed/cmd/gatewaysoak/main.go
+++ b/testbed/cmd/gatewaysoak/main.go
@@ -26,6 +26,8 @@
 	Jobs     uint64        `long:"jobs" default:"1" description:"seeds played at once"`
 	Duration time.Duration `long:"duration" default:"15s" description:"time under load and faults of a seed"`
 	Gateways int           `long:"gateways" default:"3" description:"gateway processes"`
+	Callers  int           `long:"callers" description:"callers; by default 12, or 40 with -planned"`
+	Planned  bool          `long:"planned" description:"planned work only: stops, reloads, changes of the configuration and drains; each request must get an answer"`
 	Logs     string        `long:"logs" description:"folder for settings and logs, kept at the end; a temporary one by default"`
 	Verbose  bool          `long:"verbose" description:"print each fault"`
 }
@@ -36,7 +38,8 @@
 	if flagValues.Seed == 0 {
 		flagValues.Seed = uint64(time.Now().Unix())
 	}
-	o := gatewaysoak.Options{Bin: flagValues.Bin, Duration: flagValues.Duration, Gateways: flagValues.Gateways, Out: io.Discard}
+	o := gatewaysoak.Options{Bin: flagValues.Bin, Duration: flagValues.Duration, Gateways: flagValues.Gateways, Callers: flagValues.Callers,
+		Planned: flagValues.Planned, Out: io.Discard}
 	if flagValues.Verbose {
 		o.Out = os.Stdout
 	}
--- a/testbed/fleet/process.go
+++ b/testbed/fleet/process.go
@@ -65,9 +65,11 @@
 }
 
 // StartProcess starts a process whose standard output goes to its log file. Unlike
-// StartStandin, it does not wait for an address.
-func (f *Fleet) StartProcess(binary, name string, args []string) (*Process, error) {
+// StartStandin, it does not wait for an address. environment, as KEY=value, is added
+// to the environment of this process.
+func (f *Fleet) StartProcess(binary, name string, args []string, environment ...string) (*Process, error) {
 	cmd := exec.Command(filepath.Join(f.Options.Bin, binary), args...)
+	cmd.Env = append(os.Environ(), environment...)
 	log, err := os.OpenFile(f.LogFile(name), os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o644)
 	if err != nil {
 		return nil, &StartError{name, err}
--- a/testbed/gatewaysoak/faults.go
+++ b/testbed/gatewaysoak/faults.go
@@ -40,7 +40,7 @@
 		g := r.gatewayAt(pick)
 		g.mu.Lock()
 		defer g.mu.Unlock()
-		return g.process.Signal(syscall.SIGHUP)
+		return g.process.Load().Signal(syscall.SIGHUP)
 	}},
 	{"store busy", true, storeFault(fleetsim.Busy)},
 	{"store resets", true, storeFault(fleetsim.Reset)},
@@ -121,13 +121,22 @@
 	return r.register(b, fleetsim.Live)
 }
 
+// faultList returns the faults of the run.
+func (r *run) faultList() []fault {
+	if r.options.Planned {
+		return plannedFaults
+	}
+	return faults
+}
+
 // injectFaults starts random faults until ctx ends and waits for all of them.
 func (r *run) injectFaults(ctx context.Context) {
 	var group sync.WaitGroup
 	defer group.Wait()
+	list := r.faultList()
 	for ctx.Err() == nil {
 		r.mu.Lock()
-		f := faults[r.random.IntN(len(faults))]
+		f := list[r.random.IntN(len(list))]
 		pick := r.random.IntN(1 << 16)
 		d := time.Duration(r.random.Int64N(int64(maxFaultDuration)))
 		gap := time.Duration(r.random.Int64N(int64(2 * meanFaultInterval)))
--- a/testbed/gatewaysoak/fleet.go
+++ b/testbed/gatewaysoak/fleet.go
@@ -10,7 +10,9 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"slices"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -26,13 +28,17 @@
 	dataCentre = "dc-1"
 	// streamService and orderService are the services; only the first has model engines.
 	streamService, orderService = "streams", "orders"
-	routeTimeout                = 5 * time.Second
-	latencyTarget               = 300 * time.Millisecond
-	eventGapLimit               = 250 * time.Millisecond
+	// secondOrderService gets a part of the orders under planned work.
+	secondOrderService = "orders-2"
+	routeTimeout       = 5 * time.Second
+	latencyTarget      = 300 * time.Millisecond
+	eventGapLimit      = 250 * time.Millisecond
 	// versionStep is the increment of the configuration version. It is above 1,
 	// so that gateways must accept versions that do not follow each other directly.
 	versionStep  = 3
 	firstVersion = versionStep
+	// baseRetryExtra is the retry budget of the first settings.
+	baseRetryExtra = 100
 )
 
 // gateway is a gateway process with the proxy between it and the platform's
@@ -43,12 +49,38 @@
 	name           string
 	callersAddress string
 	opsAddress     string
+	control        string       // address of the port for peers
 	settings       string       // name of the settings file
+	settingsMu     sync.Mutex   // held while the settings file is replaced
 	store          *fleet.Proxy // the proxy in front of run.store
 	storeMu        sync.Mutex   // held during a fault of the proxy, so that its faults do not overlap
 
-	mu      sync.Mutex // guards process; held while it is ended, replaced or paused
-	process *fleet.Process
+	mu      sync.Mutex // held while the process is ended, replaced or paused
+	process atomic.Pointer[instance]
+}
+
+// instance is one process of a gateway.
+type instance struct {
+	*fleet.Process
+	mu         sync.Mutex
+	terminated []time.Time
+}
+
+// Signal sends a signal and records the time of SIGTERM.
+func (i *instance) Signal(s syscall.Signal) error {
+	if s == syscall.SIGTERM {
+		i.mu.Lock()
+		i.terminated = append(i.terminated, time.Now())
+		i.mu.Unlock()
+	}
+	return i.Process.Signal(s)
+}
+
+// terms returns the times at which SIGTERM was sent.
+func (i *instance) terms() []time.Time {
+	i.mu.Lock()
+	defer i.mu.Unlock()
+	return slices.Clone(i.terminated)
 }
 
 func (r *run) newGateway(i int, storeAddress string) (*gateway, error) {
@@ -57,34 +89,57 @@
 	if g.store, err = r.fleet.Proxy("store of "+g.name, storeAddress); err != nil {
 		return nil, err
 	}
-	s := &settings.Settings{VM: g.name, Role: settings.RoleGateway, DataCentre: dataCentre, ControlAddress: r.fleet.ReserveAddress(), OpsAddress: g.opsAddress,
+	g.control = r.fleet.ReserveAddress()
+	g.settings = filepath.Join(r.options.Dir, g.name+".json")
+	if err := g.writeSettings(baseRetryExtra); err != nil {
+		return nil, err
+	}
+	return g, g.start()
+}
+
+// writeSettings replaces the settings file by one with the given retry budget.
+func (g *gateway) writeSettings(retryExtra float64) error {
+	s := &settings.Settings{VM: g.name, Role: settings.RoleGateway, DataCentre: dataCentre, ControlAddress: g.control, OpsAddress: g.opsAddress,
 		InsecurePlaintext: true, Platform: settings.Platform{URL: "http://" + g.store.Address()},
-		Gateway: &settings.Gateway{CallersAddress: g.callersAddress, MemoryMB: 256, RetryRatio: 0.2, RetryExtra: 100, RetryWindowSeconds: 10,
+		Gateway: &settings.Gateway{CallersAddress: g.callersAddress, MemoryMB: 256, RetryRatio: 0.2, RetryExtra: retryExtra, RetryWindowSeconds: 10,
 			GraceSeconds: graceTime.Seconds()}}
 	data, err := json.Marshal(s)
 	if err != nil {
-		return nil, fmt.Errorf("encode settings: %w", err)
+		return fmt.Errorf("encode settings: %w", err)
 	}
-	g.settings = filepath.Join(r.options.Dir, g.name+".json")
-	if err := os.WriteFile(g.settings, data, 0o600); err != nil {
-		return nil, fmt.Errorf("write settings: %w", err)
+	g.settingsMu.Lock()
+	defer g.settingsMu.Unlock()
+	if err := os.WriteFile(g.settings+".new", data, 0o600); err != nil {
+		return fmt.Errorf("write settings: %w", err)
 	}
-	return g, g.start()
+	if err := os.Rename(g.settings+".new", g.settings); err != nil {
+		return fmt.Errorf("replace settings: %w", err)
+	}
+	return nil
 }
 
 // start starts the process. mu must be held, unless no other goroutine has the
 // gateway yet.
 func (g *gateway) start() error {
 	logSize := g.logSize()
-	p, err := g.run.fleet.StartProcess("camphorwick", g.name, []string{"run", "--settings", g.settings})
+	p, err := g.run.fleet.StartProcess("camphorwick", g.name, []string{"run", "--settings", g.settings}, g.environment()...)
 	if err != nil {
 		return err
 	}
-	g.process = p
+	g.process.Store(&instance{Process: p})
 	go g.supervise(p, logSize, time.Now())
 	return nil
 }
 
+// environment limits every other gateway to one thread of Go code under planned
+// work, so that requests wait within the process while it closes connections.
+func (g *gateway) environment() []string {
+	if g.run.options.Planned && g.index%2 == 1 {
+		return []string{"GOMAXPROCS=1"}
+	}
+	return nil
+}
+
 // logSize returns the size of the gateway's log file, 0 if it does not exist.
 func (g *gateway) logSize() int64 {
 	info, err := os.Stat(g.run.fleet.LogFile(g.name))
@@ -103,7 +158,7 @@
 	<-p.Done()
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	if g.process != p || g.run.stopping.Load() {
+	if g.process.Load().Process != p || g.run.stopping.Load() {
 		return
 	}
 	if !terminatedBy(p.Err(), syscall.SIGHUP) || g.logSize() > logSize {
@@ -127,6 +182,12 @@
 	return ok && status.Signaled() && status.Signal() == s
 }
 
+// terminatedAtStart reports whether a signal terminated a process that does not handle
+// signals yet.
+func terminatedAtStart(err error) bool {
+	return terminatedBy(err, syscall.SIGTERM) || terminatedBy(err, syscall.SIGHUP)
+}
+
 func (g *gateway) url(path string) *url.URL {
 	return &url.URL{Scheme: "http", Host: g.callersAddress, Path: path}
 }
@@ -154,15 +215,25 @@
 func (g *gateway) restart(s syscall.Signal) error {
 	g.mu.Lock()
 	defer g.mu.Unlock()
+	return g.restartLocked(s)
+}
+
+// restartLocked is restart for a caller that holds mu.
+func (g *gateway) restartLocked(s syscall.Signal) error {
 	signalled := time.Now()
-	if err := g.process.Signal(s); err != nil {
+	p := g.process.Load()
+	if err := p.Signal(s); err != nil {
 		return err
 	}
 	select {
-	case <-g.process.Done():
+	case <-p.Done():
 	case <-time.After(graceTime + time.Second):
 		g.run.addViolation("%s had not exited %v after the signal %q", g.name, time.Since(signalled), s)
-		g.process.KillNow()
+		p.KillNow()
+		return g.start()
+	}
+	if s == syscall.SIGTERM && p.Err() != nil && !terminatedAtStart(p.Err()) {
+		g.run.addViolation("%s ended with %w after SIGTERM", g.name, p.Err())
 	}
 	return g.start()
 }
@@ -171,11 +242,12 @@
 func (g *gateway) pause(d time.Duration) error {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	if err := g.process.Signal(syscall.SIGSTOP); err != nil {
+	p := g.process.Load()
+	if err := p.Signal(syscall.SIGSTOP); err != nil {
 		return err
 	}
 	time.Sleep(d)
-	return g.process.Signal(syscall.SIGCONT)
+	return p.Signal(syscall.SIGCONT)
 }
 
 // server is a simulated backend server with the proxy in front of it.
@@ -196,12 +268,11 @@
 // id, as on the platform, and a new proxy for the new address.
 func (r *run) startServer(b *server) error {
 	b.starts++
-	service := streamService
-	if b.index >= streamServers {
-		service = orderService
-	}
-	b.sim = &fleetsim.Server{ID: fmt.Sprintf("server-%d-%d", b.index, b.starts), Service: service, Events: streamEvents, EventInterval: eventPause,
+	b.sim = &fleetsim.Server{ID: fmt.Sprintf("server-%d-%d", b.index, b.starts), Service: serviceOf(b.index), Events: streamEvents, EventInterval: eventPause,
 		Fault: r.chooseFault, OnRun: r.recordRun}
+	if r.options.Planned {
+		b.sim.RunTime = r.runTime
+	}
 	if err := b.sim.Start(); err != nil {
 		return err
 	}
@@ -210,6 +281,18 @@
 	return err
 }
 
+// serviceOf returns the service of the server with an index.
+func serviceOf(index int) string {
+	switch {
+	case index < streamServers:
+		return streamService
+	case index < streamServers+orderServers:
+		return orderService
+	default:
+		return secondOrderService
+	}
+}
+
 func (r *run) register(b *server, state fleetsim.State) error {
 	return r.store.Register(b.sim, b.proxy.Address(), dataCentre, state)
 }
@@ -228,15 +311,23 @@
 	r.version += versionStep
 	version := r.version
 	r.mu.Unlock()
-	route := func(name, service string, kind fleetsim.RouteKind) fleetsim.Route {
-		return fleetsim.Route{Name: name, Host: host, Prefix: "/" + name + "/", Service: service, Kind: kind, Timeout: routeTimeout,
+	v := r.nextVariation()
+	route := func(name string, kind fleetsim.RouteKind) fleetsim.Route {
+		out := fleetsim.Route{Name: name, Host: host, Prefix: "/" + name + "/", Service: orderService, Targets: v.targets, Kind: kind, Timeout: v.routeTimeout,
 			LatencyTarget: latencyTarget, EventGap: eventGapLimit, MaxServers: 2}
+		if kind == fleetsim.Streaming {
+			out.Service, out.Targets = streamService, nil
+		}
+		return out
 	}
-	routes := []fleetsim.Route{route("order", orderService, fleetsim.NonIdempotent), route("lookup", orderService, fleetsim.Idempotent),
-		route("stream", streamService, fleetsim.Streaming), route(fmt.Sprintf("added-%d", version), orderService, fleetsim.Idempotent)}
+	routes := []fleetsim.Route{route("order", fleetsim.NonIdempotent), route("lookup", fleetsim.Idempotent),
+		route("stream", fleetsim.Streaming), route(fmt.Sprintf("added-%d", version), fleetsim.Idempotent)}
 	if version == firstVersion {
-		routes = append(routes, route("dropped", orderService, fleetsim.Idempotent))
+		routes = append(routes, route("dropped", fleetsim.Idempotent))
+	}
+	if v.extraRoute {
+		routes = append(routes, route(string(extraKind), fleetsim.NonIdempotent))
 	}
-	return r.store.Configure(fleetsim.Configuration{Version: version, Routes: routes, Engines: []string{streamService}, Plain: []string{orderService},
-		Accounts: []fleetsim.Account{{Name: account, Keys: []string{apiKey, fmt.Sprint("other-", version)}}}})
+	return r.store.Configure(fleetsim.Configuration{Version: version, Routes: routes, Engines: []string{streamService}, Plain: []string{orderService, secondOrderService},
+		HeaderTimeout: v.headerTimeout, IdleTimeout: v.idleTimeout, Accounts: []fleetsim.Account{{Name: account, Keys: []string{apiKey, fmt.Sprint("other-", version)}}}})
 }
--- a/testbed/gatewaysoak/soak.go
+++ b/testbed/gatewaysoak/soak.go
@@ -26,9 +26,13 @@
 const (
 	streamServers = 4
 	orderServers  = 3
-	callerCount   = 12
-	streamEvents  = 12
-	eventPause    = 15 * time.Millisecond
+	// secondOrderServers is the number of servers of secondOrderService, which only
+	// planned work has.
+	secondOrderServers = 2
+	defaultCallers     = 12
+	plannedCallers     = 40
+	streamEvents       = 12
+	eventPause         = 15 * time.Millisecond
 	// serverFaultShare is the share of requests to which servers apply a fault
 	// while faults are injected.
 	serverFaultShare = 0.06
@@ -54,6 +58,12 @@
 	// Duration is the time under load and faults, without the final checks.
 	Duration time.Duration
 	Gateways int
+	// Callers is the number of callers; the default is 12, and 40 for planned work,
+	// which keeps the processes busy.
+	Callers int
+	// Planned restricts the faults to planned work, under which each request must
+	// get an answer or a refusal.
+	Planned bool
 	// Out gets a line for each fault.
 	Out io.Writer
 }
@@ -89,6 +99,10 @@
 	lastDrainDelay   time.Time
 	random           *rand.Rand
 	drainAcked       map[string]time.Time // acknowledgement of the store by server
+	unanswered       []unanswered         // under planned work
+	idleTimeouts     []idleTimeoutChange  // under planned work, in the order of time
+
+	seriesMu sync.Mutex // held during a series of configurations, before mu
 }
 
 // Run runs the fleet under load and faults and returns the report. It returns
@@ -121,7 +135,7 @@
 
 // start starts the servers, writes the configuration and starts the gateways.
 func (r *run) start(ctx context.Context, storeAddress string) error {
-	for i := range streamServers + orderServers {
+	for i := range r.serverCount() {
 		b, err := r.newServer(i)
 		if err != nil {
 			return err
@@ -149,15 +163,33 @@
 	return nil
 }
 
+func (r *run) serverCount() int {
+	if r.options.Planned {
+		return streamServers + orderServers + secondOrderServers
+	}
+	return streamServers + orderServers
+}
+
+func (r *run) callerCount() int {
+	switch {
+	case r.options.Callers > 0:
+		return r.options.Callers
+	case r.options.Planned:
+		return plannedCallers
+	default:
+		return defaultCallers
+	}
+}
+
 // load runs callers and faults for the duration, then ends all faults.
 func (r *run) load(ctx context.Context) {
 	loadCtx, stopLoad := context.WithTimeout(ctx, r.options.Duration+settleTime)
 	defer stopLoad()
 	faultCtx, stopFaults := context.WithTimeout(ctx, r.options.Duration)
 	defer stopFaults()
-	r.setFaults(true)
+	r.setFaults(!r.options.Planned)
 	group := &errgroup.Group{}
-	for i := range callerCount {
+	for i := range r.callerCount() {
 		group.Go(func() error {
 			r.newCaller(i).loop(loadCtx)
 			return nil
@@ -224,12 +256,13 @@
 // check compares all runs with the answers that callers got, and sends further
 // requests to each gateway.
 func (r *run) check(ctx context.Context) {
+	r.checkUnanswered()
 	r.mu.Lock()
 	for id, runs := range r.runs {
-		if kindOf(id) == orderKind && len(runs) > 1 {
+		if kindOf(id).runsOnce() && len(runs) > 1 {
 			r.report.Violations = append(r.report.Violations, fmt.Errorf("order %s ran %d times", id, len(runs)))
 		}
-		if status, reported := r.reportedNotRun[id]; reported && kindOf(id) == orderKind {
+		if status, reported := r.reportedNotRun[id]; reported && kindOf(id).runsOnce() {
 			r.report.Violations = append(r.report.Violations, fmt.Errorf("order %s was answered %d and ran", id, status))
 		}
 	}
