--- a/testbed/gatewaysoak/fleet.go
+++ b/testbed/gatewaysoak/fleet.go
@@ -271,7 +271,7 @@
 	b.sim = &fleetsim.Server{ID: fmt.Sprintf("server-%d-%d", b.index, b.starts), Service: serviceOf(b.index), Events: streamEvents, EventInterval: eventPause,
 		Fault: r.chooseFault, OnRun: r.recordRun}
 	if r.options.Planned {
-		b.sim.RunTime = r.runTime
+		b.sim.RunTime = r.runTimes(b.sim.Service)
 	}
 	if err := b.sim.Start(); err != nil {
 		return err
--- a/testbed/gatewaysoak/planned.go
+++ b/testbed/gatewaysoak/planned.go
@@ -149,17 +149,32 @@
 	return shortest * 4 / 5
 }
 
-// runTime returns how long a server runs a request under planned work: mostly
-// milliseconds, sometimes most of a second.
-func (r *run) runTime() time.Duration {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	switch n := r.random.Float64(); {
-	case n < 0.7:
-		return time.Duration(r.random.Int64N(int64(20 * time.Millisecond)))
-	case n < 0.95:
-		return time.Duration(r.random.Int64N(int64(150 * time.Millisecond)))
-	default:
-		return time.Duration(r.random.Int64N(int64(800 * time.Millisecond)))
+// Longest times for which servers run requests under planned work. A stopping gateway
+// accepts a stream if two latency targets and the time of its events are left, and an
+// order if three latency targets are left. Requests end within these times, with a
+// margin for a busy machine.
+const (
+	maxStreamRunTime = latencyTarget * 3 / 2
+	maxOrderRunTime  = latencyTarget * 5 / 2
+)
+
+// runTimes returns a function that returns how long a server of a service runs a
+// request: mostly milliseconds, sometimes up to the longest time of the service.
+func (r *run) runTimes(service string) func() time.Duration {
+	longest := maxOrderRunTime
+	if service == streamService {
+		longest = maxStreamRunTime
+	}
+	return func() time.Duration {
+		r.mu.Lock()
+		defer r.mu.Unlock()
+		bound := longest
+		switch n := r.random.Float64(); {
+		case n < 0.7:
+			bound = 20 * time.Millisecond
+		case n < 0.95:
+			bound = 150 * time.Millisecond
+		}
+		return time.Duration(r.random.Int64N(int64(bound)))
 	}
 }
