A stopping gateway refuses requests that waited too long for a server

Callers got a stream that was cut after its first events. A stopping gateway checks at the arrival of a request whether the time to its end suffices, but not after the request has waited for a place at a server. A stream that arrived in time, waited for up to 1.7 s and was sent just before the drain limit was cut there.

The check is now repeated when a place is free, before the first send: the request is refused, truthfully as not run.

--- a/gateway/ingress/exchange.go
+++ b/gateway/ingress/exchange.go
@@ -177,6 +177,10 @@
 	if x.aborted() { // the place became free because another request was aborted
 		return endUnanswered, nil
 	}
+	if x.possibleRuns == 0 && x.mayOutlastGateway() { // it has waited for the place too long
+		x.refuse(http.StatusServiceUnavailable, reasonStopping, stoppingRetryAfter)
+		return answered, nil
+	}
 	x.sends++
 	x.server = a.Server.ID
 	x.expectedFirstToken, x.helpers, x.load, x.queueWait = a.Expected, len(a.Helpers), a.Load, time.Since(x.arrived)
--- a/gateway/ingress/ingress.go
+++ b/gateway/ingress/ingress.go
@@ -177,16 +177,23 @@
 			return false
 		}
 	}
-	if stop := x.g.stopAt.Load(); stop != nil && x.arrived.Add(x.timeToEnd()).After(*stop) {
+	x.deadline = x.arrived.Add(x.timeLeft())
+	if x.mayOutlastGateway() {
 		x.refuse(http.StatusServiceUnavailable, reasonStopping, stoppingRetryAfter)
 		return false
 	}
-	x.deadline = x.arrived.Add(x.timeLeft())
 	return x.readBody()
 }
 
-// timeToEnd returns how much time a stopping gateway must have left to accept
-// the request. An idempotent request needs none: if it is aborted, its caller may
+// mayOutlastGateway reports whether the gateway may stop before the end of the
+// request if a server gets it now.
+func (x *exchange) mayOutlastGateway() bool {
+	stop := x.g.stopAt.Load()
+	return stop != nil && time.Now().Add(x.timeToEnd()).After(*stop)
+}
+
+// timeToEnd returns how much time a stopping gateway must have left to accept the
+// request, or to send it to a server after it has waited for a place. An idempotent request needs none: if it is aborted, its caller may
 // retry it.
 func (x *exchange) timeToEnd() time.Duration {
 	switch x.route.Kind {
@@ -196,9 +203,9 @@
 		return x.maxStreamTime()
 	}
 	if x.route.LatencyTarget > 0 {
-		return min(x.timeLeft(), hangFactor*x.route.LatencyTarget)
+		return min(time.Until(x.deadline), hangFactor*x.route.LatencyTarget)
 	}
-	return x.timeLeft()
+	return time.Until(x.deadline)
 }
 
 // loadedTokenTime is the time per answer token on an engine under load.
--- a/gateway/ingress/stopping_test.go
+++ b/gateway/ingress/stopping_test.go
@@ -98,3 +98,34 @@
 	is.True(err != nil)
 	is.Equal(body, wantEvents(1, 1))
 }
+
+// Guards against a stream that waits for an engine until the gateway has too little
+// time left, is sent nevertheless and is cut after its first events.
+func TestStoppingGatewayRefusesStreamsThatWaitedTooLong(t *testing.T) {
+	is := is.New(t)
+	f := newFleet(t, func(c net.Conn, _ *bufio.Reader, _ *http.Request) bool {
+		time.Sleep(500 * time.Millisecond)
+		_, _ = fmt.Fprint(c, "HTTP/1.1 200 OK\r\nMark: m\r\nTransfer-Encoding: chunked\r\n\r\n")
+		chunk(c, "id: 1\ndata: e1\n\n")
+		_, err := fmt.Fprint(c, "0\r\n\r\n")
+		return err == nil
+	})
+	f.gateway.RefuseAfter(time.Now().Add(time.Second)) // a stream may take 730 ms
+	statuses := make(chan int)
+	for id := range 5 { // one more than the engine has slots
+		go func() {
+			response, _, err := f.call("POST", "/stream/", fmt.Sprintf("Id: r%d\r\nTokens: 100\r\n", id), "x")
+			if err != nil {
+				statuses <- 0
+				return
+			}
+			statuses <- response.StatusCode
+		}()
+	}
+	count := map[int]int{}
+	for range 5 {
+		count[<-statuses]++
+	}
+	is.Equal(count, map[int]int{http.StatusOK: 4, http.StatusServiceUnavailable: 1})
+	is.Equal(len(f.requests()), 4)
+}
