--- a/testbed/gatewaysoak/soak.go
+++ b/testbed/gatewaysoak/soak.go
@@ -39,6 +39,8 @@
 	// settleTime is how long callers go on after the last fault, so that requests
 	// end and gateways recover.
 	settleTime = 6 * time.Second
+	// startTime bounds the time until all gateways are ready for the first time.
+	startTime = 30 * time.Second
 	// drainBound is how long a draining server may still get requests after
 	// the store acknowledged the drain, as the platform requires. It is checked
 	// only while the store and the gateways are healthy.
@@ -155,8 +157,10 @@
 		}
 		r.gateways = append(r.gateways, g)
 	}
+	readyCtx, cancel := context.WithTimeout(ctx, startTime)
+	defer cancel()
 	for _, g := range r.gateways {
-		if err := g.awaitReady(ctx); err != nil {
+		if err := g.awaitReady(readyCtx); err != nil {
 			return err
 		}
 	}
