Give every connection half a second before a stopping gateway closes it as idle

New connections had this time, reused ones were closed at the first read that found nothing. The caller of a stream that began before SIGTERM may send its next request as soon as the stream ends, which is after the answers that announce the close. One rule now holds for both, and the cause of a close is a string under the lock of the connection. All tests of gateway/node and gateway/ingress pass with the race detector.

--- a/gateway/ingress/ingress.go
+++ b/gateway/ingress/ingress.go
@@ -190,8 +190,8 @@
 }
 
 // timeToEnd returns how much time a stopping gateway must have left to accept the
-// request, or to send it to a server after it has waited for a place. An idempotent request needs none: if it is aborted, its caller may
-// retry it.
+// request, or to send it after it has waited for a place. An idempotent request
+// needs none: if it is aborted, its caller may retry it.
 func (x *exchange) timeToEnd() time.Duration {
 	switch x.route.Kind {
 	case routing.Idempotent:
--- a/gateway/node/conn.go
+++ b/gateway/node/conn.go
@@ -7,7 +7,6 @@
 	"net/http"
 	"os"
 	"sync"
-	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -16,9 +15,9 @@
 
 // callerConn is the connection of a caller. It reads from the socket under a
 // lock, so that closing it while it is idle and reading the first bytes of a
-// request exclude each other: a request is either served to its end or not read
-// at all. net/http reports a request only after it has parsed its head, which is
-// too late for this.
+// request exclude each other: no request is read from a connection that is closed
+// as idle. net/http reports a request only after it has parsed its head, which is too
+// late for this.
 //
 // It also applies the idle timeout of the configuration in force. net/http has
 // only one timeout per server, which cannot change.
@@ -27,7 +26,6 @@
 	socket      syscall.RawConn // of Conn
 	owner       *callerListener
 	idleTimeout func() time.Duration // 0 for none
-	closeCause  atomic.Pointer[string]
 
 	mu sync.Mutex // guards the fields below and is held while bytes are read
 	// betweenRequests is set while net/http has no request of the connection.
@@ -37,10 +35,9 @@
 	// idleSince is when a read between two requests found no bytes; zero if the
 	// connection is not idle.
 	idleSince time.Time
-	// reused is set once a request was answered.
-	reused bool
 	// closed is set if no more bytes may be read.
-	closed bool
+	closed     bool
+	closeCause string // why the gateway closes the connection; the first one counts
 }
 
 // Read reads from the socket. It fails with net.ErrClosed once the connection
@@ -113,20 +110,28 @@
 	return max(n, 0), err
 }
 
-// closeIfIdle closes the connection with a cause if it has been idle for the
-// given time and no bytes have arrived.
-func (c *callerConn) closeIfIdle(idle time.Duration, cause *string) {
+// closeIfIdle closes the connection if it has been idle for minIdle and no bytes
+// have arrived.
+func (c *callerConn) closeIfIdle(minIdle time.Duration, cause string) {
 	c.mu.Lock()
-	if c.idleSince.IsZero() || time.Since(c.idleSince) < idle || c.bytesArrived() {
+	if c.idleSince.IsZero() || time.Since(c.idleSince) < minIdle || c.bytesArrived() {
 		c.mu.Unlock()
 		return
 	}
 	c.closed = true
 	c.mu.Unlock()
-	c.closeCause.CompareAndSwap(nil, cause)
+	c.recordCloseCause(cause)
 	_ = c.Close()
 }
 
+func (c *callerConn) recordCloseCause(cause string) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.closeCause == "" {
+		c.closeCause = cause
+	}
+}
+
 // bytesArrived reports whether there are bytes to read. It also returns true if
 // the socket cannot be checked.
 func (c *callerConn) bytesArrived() bool {
@@ -146,13 +151,6 @@
 	return c.betweenRequests
 }
 
-// wasReused reports whether a request was answered on the connection.
-func (c *callerConn) wasReused() bool {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	return c.reused
-}
-
 // setState records a change of state of net/http.
 func (c *callerConn) setState(state http.ConnState) {
 	if state == http.StateActive {
@@ -162,7 +160,6 @@
 	defer c.mu.Unlock()
 	c.betweenRequests = state == http.StateNew || state == http.StateIdle
 	c.requestBegun, c.idleSince = false, time.Time{}
-	c.reused = c.reused || state == http.StateIdle
 }
 
 // SetReadDeadline replaces a cleared deadline by the idle timeout if the
@@ -184,8 +181,7 @@
 
 // CloseCause implements ingress.Connection.
 func (c *callerConn) CloseCause() string {
-	if cause := c.closeCause.Load(); cause != nil {
-		return *cause
-	}
-	return ""
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.closeCause
 }
--- a/gateway/node/drain.go
+++ b/gateway/node/drain.go
@@ -43,7 +43,7 @@
 // port. It returns at the limit if requests are still in flight.
 func (n *Node) serveOpenConnections(ctx context.Context, callers *callerListener, limit time.Time) {
 	for time.Now().Before(limit) && ctx.Err() == nil {
-		callers.closeIdle(firstRequestTime)
+		callers.closeIdle(minIdleTime)
 		if len(callers.open()) > 0 {
 			time.Sleep(drainPoll)
 			continue
@@ -64,7 +64,7 @@
 	end := time.Now().Add(abortTime)
 	callers.stopAccepting()
 	for len(callers.open()) > 0 && time.Now().Before(end) {
-		callers.closeIdle(firstRequestTime)
+		callers.closeIdle(minIdleTime)
 		time.Sleep(drainPoll)
 	}
 	// cut: requests that end without an answer; open_connections: also those whose
--- a/gateway/node/listener.go
+++ b/gateway/node/listener.go
@@ -15,15 +15,16 @@
 	"camphorwick.dev/gateway/ingress"
 )
 
-// firstRequestTime is how long a new connection stays open without a request
-// while a gateway stops. Its request is most likely on the way.
-const firstRequestTime = 500 * time.Millisecond
+// minIdleTime is how long a connection must have been idle before a stopping
+// gateway closes it. The request of a new connection is most likely on the way, and
+// so is the next one of a caller whose last answer did not announce the close.
+const minIdleTime = 500 * time.Millisecond
 
 // acceptQueueTime bounds the wait for the accept queue before the port is closed.
 const acceptQueueTime = 100 * time.Millisecond
 
 // Causes for which a gateway closes the connection of a caller.
-var (
+const (
 	closeCauseIdle = "idle connection closed by a stopping gateway"
 	closeCauseStop = "gateway stopped"
 )
@@ -120,16 +121,11 @@
 	return list
 }
 
-// closeIdle closes the connections between two requests, and new ones that have
-// been without a request for newIdle. A request that arrives at that moment is not
-// read: its connection is reset, in which case HTTP lets the caller retry.
-func (l *callerListener) closeIdle(newIdle time.Duration) {
+// closeIdle closes the connections that have been between two requests for
+// minIdle. A request that arrives at that moment is not read and has not run.
+func (l *callerListener) closeIdle(minIdle time.Duration) {
 	for _, c := range l.open() {
-		idle := newIdle
-		if c.wasReused() {
-			idle = 0
-		}
-		c.closeIfIdle(idle, &closeCauseIdle)
+		c.closeIfIdle(minIdle, closeCauseIdle)
 	}
 }
 
@@ -138,7 +134,7 @@
 func (l *callerListener) recordStop() int {
 	list := l.open()
 	for _, c := range list {
-		c.closeCause.CompareAndSwap(nil, &closeCauseStop)
+		c.recordCloseCause(closeCauseStop)
 	}
 	return len(list)
 }
