--- a/daemon/signals/signals.go
+++ b/daemon/signals/signals.go
@@ -1,7 +1,8 @@
 // Package signals starts to catch the signals of a daemon during package
-// initialization, and ignores SIGPIPE. Before that, SIGHUP terminates the process, and a deployment
-// may send one just after a start. Keep the imports of this package few: Go
-// initializes a package without dependencies before the large libraries.
+// initialization, and ignores SIGPIPE. Before that, SIGHUP terminates the process,
+// and a deployment may send one just after a start. Keep the imports of this
+// package few: Go initializes a package without dependencies before the large
+// libraries.
 package signals
 
 import (
