Log and count how each answer of a server ended

That line and those of broken streams and answers now have framing (length, chunks, close), ending (whole, inside_event, before_first_event, broken_off, too_long) and the number of whole events; gateway.answers counts answers by framing and ending. What callers get is unchanged.

TestEndOfAnAnswerIsLogged: nine answers, the last line names each one's ending.

--- /dev/null
+++ b/gateway/ingress/ending.go
@@ -0,0 +1,45 @@
+package ingress
+
+import (
+	"log/slog"
+
+	"camphorwick.dev/gateway/upstream"
+)
+
+// ending is how a server's answer ended.
+type ending string
+
+const (
+	// endingWhole is an answer that ends where its framing says. A stream also
+	// ends between two events.
+	endingWhole ending = "whole"
+	// endingInEvent is a stream that ends inside an event.
+	endingInEvent ending = "inside_event"
+	// endingNoEvent is a stream that ends with its connection before its first
+	// event.
+	endingNoEvent ending = "before_first_event"
+	// endingBroken is an answer that breaks off: the connection was closed before
+	// the end that the framing states, or was reset.
+	endingBroken ending = "broken_off"
+	// endingTooLong is an answer or event that exceeds the size limit.
+	endingTooLong ending = "too_long"
+)
+
+// answerEnd describes the end of a server's answer in logs and metrics.
+type answerEnd struct {
+	framing upstream.Framing // empty if no answer was read
+	ending  ending
+	events  int // complete events of a stream
+}
+
+// attrs returns the fields of a log line about the end. A group without a name
+// adds its fields to the line itself.
+func (e answerEnd) attrs() slog.Attr {
+	return slog.Group("", "framing", string(e.framing), "ending", string(e.ending), "events", e.events)
+}
+
+// recordEnd records the end of a server's answer.
+func (x *exchange) recordEnd(e answerEnd) {
+	x.end = e
+	x.g.Metrics.countAnswer(x.ctx, e)
+}
--- a/gateway/ingress/events.go
+++ b/gateway/ingress/events.go
@@ -19,6 +19,8 @@
 	// searched is the length of the prefix of data that contains no end of an
 	// event, so that a long event is searched only once.
 	searched int
+	// count is the number of events that next has returned.
+	count int
 }
 
 // add appends bytes of the stream.
@@ -36,6 +38,7 @@
 	end := start + i + len(eventEnd)
 	event := b.data[:end]
 	b.data, b.searched = b.data[end:], 0
+	b.count++
 	return event
 }
 
--- a/gateway/ingress/exchange.go
+++ b/gateway/ingress/exchange.go
@@ -57,6 +57,7 @@
 	resumeAfter        string        // ID of the last event that the caller has received
 	lastNumericID      int64         // resumeAfter as a number
 	server             string        // server of the last send
+	end                answerEnd     // end of the answer to the last send; zero if none was read
 	reason             string        // why the last send did not succeed
 	expectedFirstToken time.Duration // estimate at the last placement
 	helpers            int           // number of helpers at the last placement
@@ -182,7 +183,7 @@
 		return answered, nil
 	}
 	x.sends++
-	x.server = a.Server.ID
+	x.server, x.end = a.Server.ID, answerEnd{}
 	x.expectedFirstToken, x.helpers, x.load, x.queueWait = a.Expected, len(a.Helpers), a.Load, time.Since(x.arrived)
 	x.excluded = append(x.excluded, a.Server.ID)
 	x.g.Metrics.recordQueueWait(x.ctx, time.Since(x.arrived))
@@ -297,12 +298,14 @@
 	body, err := io.ReadAll(io.LimitReader(answer.Body, maxBuffered+1))
 	if err != nil || len(body) > maxBuffered {
 		x.reason = reasonBroken
+		x.recordEnd(answerEnd{framing: answer.Framing, ending: bufferedEnding(err)})
 		if x.ctx.Err() == nil {
 			a.Observe(suspect.Failure)
-			x.log.Warn("answer broken", "server", a.Server.ID, "bytes", len(body), "error", errorText(err))
+			x.log.Warn("answer broken", "server", a.Server.ID, "bytes", len(body), x.end.attrs(), "error", errorText(err))
 		}
 		return tryOtherServer, nil
 	}
+	x.recordEnd(answerEnd{framing: answer.Framing, ending: endingWhole})
 	*complete = true
 	received := &serverAnswer{status: answer.Status, header: answer.Header, body: body}
 	if answer.Status >= http.StatusInternalServerError {
@@ -315,6 +318,15 @@
 	return answered, nil
 }
 
+// bufferedEnding returns the ending of an answer that could not be buffered; err
+// is nil if it is too long.
+func bufferedEnding(err error) ending {
+	if err == nil {
+		return endingTooLong
+	}
+	return endingBroken
+}
+
 func errorText(err error) string {
 	if err == nil {
 		return "answer exceeds the size limit" // maxBuffered
--- a/gateway/ingress/metrics.go
+++ b/gateway/ingress/metrics.go
@@ -21,6 +21,7 @@
 	requests       metric.Int64Counter
 	retries        metric.Int64Counter
 	budgetRefusals metric.Int64Counter
+	answers        metric.Int64Counter
 	duration       metric.Float64Histogram
 	queueWait      metric.Float64Histogram
 	firstTokens    metric.Float64Histogram
@@ -28,7 +29,7 @@
 
 // NewMetrics registers the metrics.
 func NewMetrics(m metric.Meter) (*Metrics, error) {
-	var errs [6]error
+	var errs [7]error
 	out := &Metrics{}
 	out.requests, errs[0] = m.Int64Counter("gateway.requests", metric.WithDescription("Requests by status and reason"))
 	out.retries, errs[1] = m.Int64Counter("gateway.repeats", metric.WithDescription("Requests sent to a further server, by reason"))
@@ -36,6 +37,7 @@
 	out.duration, errs[3] = m.Float64Histogram("gateway.duration", metric.WithUnit("s"))
 	out.queueWait, errs[4] = m.Float64Histogram("gateway.queue_wait", metric.WithUnit("s"), metric.WithDescription("Time until a request is sent to a server"))
 	out.firstTokens, errs[5] = m.Float64Histogram("gateway.first_token", metric.WithUnit("s"), metric.WithDescription("Time to the first event by length of the prompt"))
+	out.answers, errs[6] = m.Int64Counter("gateway.answers", metric.WithDescription("Answers of servers by framing and by how they ended"))
 	return out, errors.Join(errs[:]...)
 }
 
@@ -49,6 +51,11 @@
 	c.Add(context.Background(), 1, metric.WithAttributes(attribute.String("reason", reason)))
 }
 
+func (m *Metrics) countAnswer(ctx context.Context, e answerEnd) {
+	set := metric.WithAttributes(attribute.String("framing", string(e.framing)), attribute.String("ending", string(e.ending)))
+	m.answers.Add(ctx, 1, set)
+}
+
 func (m *Metrics) recordQueueWait(ctx context.Context, d time.Duration) {
 	m.queueWait.Record(ctx, d.Seconds())
 }
--- a/gateway/ingress/operations_test.go
+++ b/gateway/ingress/operations_test.go
@@ -110,3 +110,37 @@
 	is.True(has(lines[0], map[string]any{"msg": "send failed", "server": "s0", "sent": true}))
 	is.True(has(lines[1], map[string]any{"msg": "request ended", "status": 502.0, "reason": "no_answer"}))
 }
+
+// Guards against an answer that ended early without a trace in the logs: the last
+// line must say how the answer was framed, how it ended and after how many events.
+func TestEndOfAnAnswerIsLogged(t *testing.T) {
+	const unframed = "HTTP/1.1 200 OK\r\nMark: m\r\n\r\n"
+	const chunked = "HTTP/1.1 200 OK\r\nMark: m\r\nTransfer-Encoding: chunked\r\n\r\n"
+	const event = "id: 1\ndata: a\n\n"
+	for _, c := range []struct {
+		name, target, answer string
+		framing, ending      string
+		events               float64
+	}{
+		{"unframed, inside an event", "/once/", unframed + event + "id: 2\nda", "close", "inside_event", 1},
+		{"unframed, inside the first event", "/once/", unframed + "id: 1\nda", "close", "inside_event", 0},
+		{"unframed, no event", "/once/", unframed, "close", "before_first_event", 0},
+		{"unframed, whole", "/once/", unframed + event, "close", "whole", 1},
+		{"chunked, inside an event", "/once/", chunked + "8\r\nid: 1\nda\r\n0\r\n\r\n", "chunks", "inside_event", 0},
+		{"chunked, no last chunk", "/once/", chunked + "f\r\n" + event + "\r\n", "chunks", "broken_off", 1},
+		{"cut order", "/order/7", "HTTP/1.1 200 OK\r\nMark: m\r\nContent-Length: 9\r\n\r\nhalf", "length", "broken_off", 0},
+		{"unframed order", "/order/7", unframed + "ok", "close", "whole", 0},
+		{"no answer", "/order/7", "", "", "", 0},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			f := newFleet(t, raw(c.answer))
+			_, _, _ = f.call("POST", c.target, "", "x")
+			f.waitForLine("request ended")
+			lines := f.linesOf("r1")
+			want := map[string]any{"framing": c.framing, "ending": c.ending, "events": c.events}
+			if got := lines[len(lines)-1]; !has(got, want) {
+				t.Errorf("%v, want %v", got, want)
+			}
+		})
+	}
+}
--- a/gateway/ingress/stream.go
+++ b/gateway/ingress/stream.go
@@ -38,14 +38,17 @@
 				return endUnanswered
 			}
 			if len(events.rest()) > maxEventBytes {
+				x.recordEnd(answerEnd{answer.Framing, endingTooLong, events.count})
 				return x.handleBrokenStream(a, errEventTooLong)
 			}
 		}
 		switch {
 		case err == nil:
 		case errors.Is(err, io.EOF):
+			x.recordEnd(answerEnd{answer.Framing, streamEnding(answer.Framing, &events), events.count})
 			return x.endStream(a, &events)
 		default:
+			x.recordEnd(answerEnd{answer.Framing, endingBroken, events.count})
 			return x.handleBrokenStream(a, err)
 		}
 	}
@@ -90,6 +93,17 @@
 	x.g.Metrics.recordFirstToken(x.ctx, x.meta.PromptTokens, x.firstByteAt.Sub(x.arrived))
 }
 
+// streamEnding returns how a stream ended whose body was read to its end.
+func streamEnding(framing upstream.Framing, events *eventBuffer) ending {
+	switch {
+	case len(events.rest()) > 0:
+		return endingInEvent
+	case framing == upstream.FramedByClose && events.count == 0:
+		return endingNoEvent
+	}
+	return endingWhole
+}
+
 // endStream completes an answer whose end the server has marked.
 func (x *exchange) endStream(a *schedule.Assignment, events *eventBuffer) nextStep {
 	a.Observe(suspect.Success)
@@ -112,6 +126,6 @@
 		return endUnanswered
 	}
 	a.Observe(suspect.Failure)
-	x.log.Warn("stream broken", "server", a.Server.ID, "last_event", x.resumeAfter, "error", err.Error())
+	x.log.Warn("stream broken", "server", a.Server.ID, "last_event", x.resumeAfter, x.end.attrs(), "error", err.Error())
 	return tryOtherServer
 }
--- a/gateway/upstream/upstream.go
+++ b/gateway/upstream/upstream.go
@@ -103,13 +103,35 @@
 	IsAnswer func(http.Header) bool
 }
 
+// Framing is how an answer marks the end of its body.
+type Framing string
+
+// The framings of HTTP/1.1.
+const (
+	// FramedByLength is a body whose length is stated or follows from the status.
+	FramedByLength Framing = "length"
+	FramedByChunks Framing = "chunks"
+	// FramedByClose is a body that ends with its connection.
+	FramedByClose Framing = "close"
+)
+
+// framingOf returns the framing of an answer.
+func framingOf(answer *http.Response) Framing {
+	switch {
+	case len(answer.TransferEncoding) > 0:
+		return FramedByChunks
+	case answer.ContentLength >= 0:
+		return FramedByLength
+	}
+	return FramedByClose
+}
+
 // Response is the answer of a server. Close must be called.
 type Response struct {
-	Status int
-	Header http.Header
-	// Length is the length of the body; -1 if not stated.
-	Length int64
-	Body   io.Reader
+	Status  int
+	Header  http.Header
+	Framing Framing
+	Body    io.Reader
 
 	client    *Client
 	conn      *conn
@@ -138,7 +160,7 @@
 	if err != nil {
 		return nil, cn.fail(ctx, stop, err)
 	}
-	return &Response{Status: answer.StatusCode, Header: answer.Header, Length: answer.ContentLength, Body: answer.Body,
+	return &Response{Status: answer.StatusCode, Header: answer.Header, Framing: framingOf(answer), Body: answer.Body,
 		client: c, conn: cn, answer: answer, written: written, stop: stop}, nil
 }
 
