Failing test: a stream that breaks off inside an event looks complete

TestStreamCutInsideAnEventDoesNotLookComplete ends a stream in good order after each of its bytes: without a length and with the connection, or in chunks with a last chunk; both line endings, on a route that may be resumed and on one that may not. TestUnframedStreamResumesOnAnotherServer lets a second server go on.

--- /dev/null
+++ b/gateway/ingress/ending_test.go
@@ -0,0 +1,109 @@
+package ingress
+
+import (
+	"fmt"
+	"net/http"
+	"strings"
+	"testing"
+
+	"github.com/matryer/is"
+)
+
+const (
+	unframedHead = "HTTP/1.1 200 OK\r\nMark: m\r\nContent-Type: text/event-stream\r\n\r\n"
+	chunkedHead  = "HTTP/1.1 200 OK\r\nMark: m\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n"
+)
+
+// lineEndings are the line endings that the events of a stream may have.
+var lineEndings = map[string]string{"LF": "\n", "CRLF": "\r\n"}
+
+// cutStream is a stream that a server ends early, in good order.
+type cutStream struct {
+	name    string
+	answer  string // bytes of the answer
+	whole   bool   // the end of the stream cannot be told from the end of a whole one
+	forward string // the events that the caller gets
+}
+
+// cutStreams returns the given events, cut after each byte: without a length and
+// ended by the end of the connection, and in chunks with a last chunk.
+func cutStreams(events []string) []cutStream {
+	var out []cutStream
+	body := strings.Join(events, "")
+	for n := range len(body) {
+		complete := ""
+		for _, e := range events {
+			if len(complete)+len(e) <= n {
+				complete += e
+			}
+		}
+		boundary := len(complete) == n
+		out = append(out, cutStream{fmt.Sprintf("unframed, %d bytes", n), unframedHead + body[:n], boundary && n > 0, complete})
+		if n > 0 {
+			out = append(out, cutStream{fmt.Sprintf("last chunk after %d bytes", n),
+				fmt.Sprintf("%s%x\r\n%s\r\n0\r\n\r\n", chunkedHead, n, body[:n]), boundary, complete})
+		}
+	}
+	return out
+}
+
+// withLineEnding returns events with another line ending than "\n".
+func withLineEnding(ending string, events ...string) []string {
+	out := make([]string, len(events))
+	for i, e := range events {
+		out[i] = strings.ReplaceAll(e, "\n", ending)
+	}
+	return out
+}
+
+// Guards against a stream that its server breaks off inside an event, or before
+// the first one, and that looks complete to the caller: the server's connection
+// ends in good order, and the answer has no length or has a last chunk.
+func TestStreamCutInsideAnEventDoesNotLookComplete(t *testing.T) {
+	for name, ending := range lineEndings {
+		for _, target := range []string{"/once/", "/stream/"} {
+			t.Run(name+target, func(t *testing.T) {
+				checkCutStreams(t, target, cutStreams(withLineEnding(ending, "id: 1\ndata: a\n\n", ": x\nid: 2\ndata: b\ndata: c\n\n")))
+			})
+		}
+	}
+}
+
+func checkCutStreams(t *testing.T, target string, streams []cutStream) {
+	t.Helper()
+	for _, s := range streams {
+		f := newFleet(t, raw(s.answer))
+		response, body, err := f.call("POST", target, "", "x")
+		switch {
+		case response == nil:
+			t.Errorf("%s: no answer: %v", s.name, err)
+		case s.forward == "" && response.StatusCode == http.StatusOK:
+			t.Errorf("%s: status 200 with body %q, error %v", s.name, body, err)
+		case s.forward != "" && body != s.forward:
+			t.Errorf("%s: body %q, want %q", s.name, body, s.forward)
+		case s.forward != "" && (err == nil) != s.whole:
+			t.Errorf("%s: looks whole: %t, want %t", s.name, err == nil, s.whole)
+		}
+	}
+}
+
+// Guards against missing, doubled or partial events if a stream without a length
+// breaks off inside an event and another server resumes it.
+func TestUnframedStreamResumesOnAnotherServer(t *testing.T) {
+	for cut := range len(wantEvents(3, 3)) {
+		body := wantEvents(1, 2) + wantEvents(3, 3)[:cut]
+		if cut == 0 {
+			body = "" // between two events, the end cannot be told from a break
+		}
+		t.Run(fmt.Sprintf("%d bytes", len(body)), func(t *testing.T) {
+			is := is.New(t)
+			either := firstThen(raw(unframedHead+body), events(5, true))
+			f := newFleet(t, either, either)
+			response, got, err := f.call("POST", "/stream/", "", "x")
+			is.NoErr(err)
+			is.Equal(response.StatusCode, http.StatusOK)
+			is.Equal(got, wantEvents(1, 5))
+			is.Equal(len(f.requests()), 2)
+		})
+	}
+}
