A stream that ends inside an event has been broken off

Cause: relay took the end of the body for the end of the stream. A stream without a length ends with its connection, and the kernel of a server that crashes may close it in good order; endStream then wrote the rest of its buffer, an event without its empty line, and completed the answer with a last chunk. The same happened for a last chunk inside an event.

Fix: the last event decides. A stream is whole if its body ends after the empty line of an event; without a length or chunks it also needs one event from this server, comments aside. All other ends count as broken, so that the stream is resumed elsewhere, answered 502 before the first event, or closed without a last chunk.

--- a/gateway/ingress/ending_test.go
+++ b/gateway/ingress/ending_test.go
@@ -107,3 +107,14 @@
 		})
 	}
 }
+
+// Guards against a stream without a length that sent only comments and looks
+// complete when its connection ends.
+func TestCommentsAreNoEvents(t *testing.T) {
+	for _, ending := range lineEndings {
+		is := is.New(t)
+		f := newFleet(t, raw(unframedHead+": waiting"+ending+ending))
+		_, _, err := f.call("POST", "/once/", "", "x")
+		is.True(err != nil)
+	}
+}
--- a/gateway/ingress/stream.go
+++ b/gateway/ingress/stream.go
@@ -14,7 +14,13 @@
 
 const relayBuffer = 4 << 10
 
-var errEventTooLong = errors.New("stream event exceeds the size limit")
+// Reasons for which a stream counts as broken although its connection was read
+// without an error.
+var (
+	errEventTooLong = errors.New("stream event exceeds the size limit")
+	errCutInEvent   = errors.New("the stream ends inside an event")
+	errNoEvent      = errors.New("the connection ends before the first event")
+)
 
 // relay forwards the complete events of a stream, so that another server can
 // resume it after the last of them if it ends early.
@@ -45,8 +51,7 @@
 		switch {
 		case err == nil:
 		case errors.Is(err, io.EOF):
-			x.recordEnd(answerEnd{answer.Framing, streamEnding(answer.Framing, &events), events.count})
-			return x.endStream(a, &events)
+			return x.endStream(a, answer.Framing, &events)
 		default:
 			x.recordEnd(answerEnd{answer.Framing, endingBroken, events.count})
 			return x.handleBrokenStream(a, err)
@@ -104,16 +109,18 @@
 	return endingWhole
 }
 
-// endStream completes an answer whose end the server has marked.
-func (x *exchange) endStream(a *schedule.Assignment, events *eventBuffer) nextStep {
+// endStream completes the answer if the stream is whole. The end of the body does
+// not show that: a server that fails may end its connection in good order.
+func (x *exchange) endStream(a *schedule.Assignment, framing upstream.Framing, events *eventBuffer) nextStep {
+	x.recordEnd(answerEnd{framing, streamEnding(framing, events), events.count})
+	switch x.end.ending {
+	case endingInEvent:
+		return x.handleBrokenStream(a, errCutInEvent)
+	case endingNoEvent:
+		return x.handleBrokenStream(a, errNoEvent)
+	}
 	a.Observe(suspect.Success)
 	x.writeStreamHead()
-	if rest := events.rest(); len(rest) > 0 { // an event without its empty line
-		if _, err := x.w.Write(rest); err != nil {
-			x.reason = reasonDisconnected
-			return endUnanswered
-		}
-	}
 	x.finish(http.StatusOK, "")
 	return answered
 }
