An error answer of another server does not end a resumed stream

Cause: handleBuffered forwarded every answer below 500, whether or not the head of the caller's answer was written, so the error answer of the server that should have resumed the stream was appended to its events, and the answer ended with a last chunk.

Fix: once the head is written, such an answer counts as a failure of the send: another server may be tried, and if none is left the stream ends visibly broken. The line 'stream not resumed' names the server and the status.

--- a/gateway/ingress/ending_test.go
+++ b/gateway/ingress/ending_test.go
@@ -118,3 +118,19 @@
 		is.True(err != nil)
 	}
 }
+
+// Guards against another server's error answer that is appended to the events of
+// a stream and ends it as if it were complete.
+func TestErrorAnswerDoesNotEndAResumedStream(t *testing.T) {
+	for _, status := range []int{301, 404, 429, 500} {
+		t.Run(fmt.Sprint(status), func(t *testing.T) {
+			is := is.New(t)
+			either := firstThen(events(3, false), text(status, "an error"))
+			f := newFleet(t, either, either)
+			_, body, err := f.call("POST", "/stream/", "", "x")
+			is.True(err != nil)
+			is.Equal(body, wantEvents(1, 3))
+			is.Equal(len(f.requests()), 2)
+		})
+	}
+}
--- a/gateway/ingress/exchange.go
+++ b/gateway/ingress/exchange.go
@@ -308,10 +308,15 @@
 	x.recordEnd(answerEnd{framing: answer.Framing, ending: endingWhole})
 	*complete = true
 	received := &serverAnswer{status: answer.Status, header: answer.Header, body: body}
-	if answer.Status >= http.StatusInternalServerError {
+	switch {
+	case answer.Status >= http.StatusInternalServerError:
 		a.Observe(suspect.Failure)
 		x.reason = reasonServerError
 		return failureHeld, received
+	case x.headWritten: // the events of a stream cannot be followed by another answer
+		x.reason = reasonServerError
+		x.log.Warn("stream not resumed", "server", a.Server.ID, "status", answer.Status, "last_event", x.resumeAfter)
+		return tryOtherServer, nil
 	}
 	a.Observe(suspect.Success)
 	x.forwardAnswer(received)
