A failure of the gateway carries no header of a server

Cause: relay copied a server's headers into the caller's answer before the first event, and nothing took them out when that server failed.

Fix: the headers are copied when the head is written, that is, with the first event or the whole answer of that server.

--- a/gateway/ingress/ending_test.go
+++ b/gateway/ingress/ending_test.go
@@ -134,3 +134,45 @@
 		})
 	}
 }
+
+// Guards against headers of a server on an answer of the gateway itself: the
+// server began a stream and broke it off before the first event.
+func TestFailureHasNoHeaderOfAServer(t *testing.T) {
+	for name, answer := range map[string]string{
+		"unframed, no event":         unframedHead,
+		"unframed, half an event":    unframedHead + "id: 1\nda",
+		"chunked, no last chunk":     chunkedHead,
+		"chunked, half an event":     chunkedHead + "8\r\nid: 1\nda\r\n",
+		"length, half an event":      "HTTP/1.1 200 OK\r\nMark: m\r\nContent-Type: text/event-stream\r\nContent-Length: 99\r\n\r\nid: 1\nda",
+		"chunked, damaged chunk":     chunkedHead + "zz\r\n",
+		"last chunk inside an event": chunkedHead + "8\r\nid: 1\nda\r\n0\r\n\r\n",
+	} {
+		for _, target := range []string{"/once/", "/stream/"} {
+			t.Run(name+target, func(t *testing.T) {
+				is := is.New(t)
+				f := newFleet(t, raw(answer), raw(answer))
+				response, body, err := f.call("POST", target, "", "x")
+				is.NoErr(err)
+				is.Equal(response.StatusCode, http.StatusBadGateway)
+				is.Equal(body, "")
+				for _, header := range []string{"Mark", "Id", "Content-Type"} {
+					is.Equal(response.Header.Values(header), nil)
+				}
+			})
+		}
+	}
+}
+
+// Guards against headers of a server that broke off before its first event, on the
+// stream of the server that took its place.
+func TestResumedStreamHasTheHeadersOfItsServer(t *testing.T) {
+	is := is.New(t)
+	first := "HTTP/1.1 200 OK\r\nMark: first\r\nWarning: first\r\nTransfer-Encoding: chunked\r\n\r\n"
+	either := firstThen(raw(first), events(2, true))
+	f := newFleet(t, either, either)
+	response, body, err := f.call("POST", "/stream/", "", "x")
+	is.NoErr(err)
+	is.Equal(body, wantEvents(1, 2))
+	is.Equal(response.Header.Get("Mark"), "m")
+	is.Equal(response.Header.Values("Warning"), nil)
+}
--- a/gateway/ingress/stream.go
+++ b/gateway/ingress/stream.go
@@ -25,9 +25,6 @@
 // relay forwards the complete events of a stream, so that another server can
 // resume it after the last of them if it ends early.
 func (x *exchange) relay(a *schedule.Assignment, answer *upstream.Response) nextStep {
-	if !x.headWritten {
-		x.copyHeaders(answer.Header)
-	}
 	var events eventBuffer
 	buffer := make([]byte, relayBuffer) // bytes of one read from the server
 	started := false
@@ -39,7 +36,7 @@
 				a.RecordFirstToken()
 			}
 			events.add(buffer[:n])
-			if writeErr := x.forwardEvents(&events); writeErr != nil {
+			if writeErr := x.forwardEvents(answer.Header, &events); writeErr != nil {
 				x.reason = reasonDisconnected
 				return endUnanswered
 			}
@@ -51,7 +48,7 @@
 		switch {
 		case err == nil:
 		case errors.Is(err, io.EOF):
-			return x.endStream(a, answer.Framing, &events)
+			return x.endStream(a, answer, &events)
 		default:
 			x.recordEnd(answerEnd{answer.Framing, endingBroken, events.count})
 			return x.handleBrokenStream(a, err)
@@ -60,8 +57,9 @@
 }
 
 // forwardEvents writes the complete events of the buffer, without those that the
-// caller already has, and flushes once.
-func (x *exchange) forwardEvents(events *eventBuffer) error {
+// caller already has, and flushes once. The head of the answer, if it is not
+// written, has the server's header.
+func (x *exchange) forwardEvents(header http.Header, events *eventBuffer) error {
 	wrote := false
 	for event := events.next(); event != nil; event = events.next() {
 		if id, ok := eventID(event); ok {
@@ -71,7 +69,7 @@
 			x.lastNumericID = id
 			x.resumeAfter = strconv.FormatInt(id, 10)
 		}
-		x.writeStreamHead()
+		x.writeStreamHead(header)
 		if _, err := x.w.Write(event); err != nil {
 			return err
 		}
@@ -86,11 +84,14 @@
 	return http.NewResponseController(x.w).Flush()
 }
 
-// writeStreamHead writes the head of the answer before the first event.
-func (x *exchange) writeStreamHead() {
+// writeStreamHead writes the head of the answer before the first event. Until then
+// nothing of a server's header is kept: it may break off, and its header must not
+// be on the answer of the gateway or of another server.
+func (x *exchange) writeStreamHead(header http.Header) {
 	if x.headWritten {
 		return
 	}
+	x.copyHeaders(header)
 	x.headWritten = true
 	x.writeHead(http.StatusOK)
 	x.firstByteAt = time.Now()
@@ -111,8 +112,8 @@
 
 // endStream completes the answer if the stream is whole. The end of the body does
 // not show that: a server that fails may end its connection in good order.
-func (x *exchange) endStream(a *schedule.Assignment, framing upstream.Framing, events *eventBuffer) nextStep {
-	x.recordEnd(answerEnd{framing, streamEnding(framing, events), events.count})
+func (x *exchange) endStream(a *schedule.Assignment, answer *upstream.Response, events *eventBuffer) nextStep {
+	x.recordEnd(answerEnd{answer.Framing, streamEnding(answer.Framing, events), events.count})
 	switch x.end.ending {
 	case endingInEvent:
 		return x.handleBrokenStream(a, errCutInEvent)
@@ -120,7 +121,7 @@
 		return x.handleBrokenStream(a, errNoEvent)
 	}
 	a.Observe(suspect.Success)
-	x.writeStreamHead()
+	x.writeStreamHead(answer.Header)
 	x.finish(http.StatusOK, "")
 	return answered
 }
