Forward the status of a stream

Callers saw 200 in place of another 2xx status of a server's stream: writeStreamHead wrote 200 whatever the server had answered. It now writes the status of the server whose answer begins the stream. TestStatusOfAStreamIsForwarded (201, 204) failed before.

--- a/gateway/ingress/ending_test.go
+++ b/gateway/ingress/ending_test.go
@@ -176,3 +176,17 @@
 	is.Equal(response.Header.Get("Mark"), "m")
 	is.Equal(response.Header.Values("Warning"), nil)
 }
+
+// Guards against a stream whose 2xx status is replaced by 200.
+func TestStatusOfAStreamIsForwarded(t *testing.T) {
+	for status, answer := range map[int]string{
+		http.StatusCreated:   "HTTP/1.1 201 X\r\nMark: m\r\n\r\n" + wantEvents(1, 2),
+		http.StatusNoContent: "HTTP/1.1 204 X\r\nMark: m\r\n\r\n",
+	} {
+		is := is.New(t)
+		f := newFleet(t, raw(answer))
+		response, _, err := f.call("POST", "/stream/", "", "x")
+		is.NoErr(err)
+		is.Equal(response.StatusCode, status)
+	}
+}
--- a/gateway/ingress/exchange.go
+++ b/gateway/ingress/exchange.go
@@ -49,7 +49,8 @@
 	sends        int
 	possibleRuns int       // sends after which the request may have run
 	excluded     []string  // servers that must not get the request again
-	headWritten  bool      // the head of the answer was written
+	headWritten  bool      // the head of a stream was written
+	status       int       // status of a stream whose head was written
 	firstByteAt  time.Time // when the first byte was written
 	lastEventsAt time.Time // when the last events of a stream were written
 	// longestEventGap is the longest time between events of a stream.
--- a/gateway/ingress/stream.go
+++ b/gateway/ingress/stream.go
@@ -36,7 +36,7 @@
 				a.RecordFirstToken()
 			}
 			events.add(buffer[:n])
-			if writeErr := x.forwardEvents(answer.Header, &events); writeErr != nil {
+			if writeErr := x.forwardEvents(answer, &events); writeErr != nil {
 				x.reason = reasonDisconnected
 				return endUnanswered
 			}
@@ -58,8 +58,8 @@
 
 // forwardEvents writes the complete events of the buffer, without those that the
 // caller already has, and flushes once. The head of the answer, if it is not
-// written, has the server's header.
-func (x *exchange) forwardEvents(header http.Header, events *eventBuffer) error {
+// written, is that of the server's answer.
+func (x *exchange) forwardEvents(answer *upstream.Response, events *eventBuffer) error {
 	wrote := false
 	for event := events.next(); event != nil; event = events.next() {
 		if id, ok := eventID(event); ok {
@@ -69,7 +69,7 @@
 			x.lastNumericID = id
 			x.resumeAfter = strconv.FormatInt(id, 10)
 		}
-		x.writeStreamHead(header)
+		x.writeStreamHead(answer)
 		if _, err := x.w.Write(event); err != nil {
 			return err
 		}
@@ -87,13 +87,14 @@
 // writeStreamHead writes the head of the answer before the first event. Until then
 // nothing of a server's header is kept: it may break off, and its header must not
 // be on the answer of the gateway or of another server.
-func (x *exchange) writeStreamHead(header http.Header) {
+func (x *exchange) writeStreamHead(answer *upstream.Response) {
 	if x.headWritten {
 		return
 	}
-	x.copyHeaders(header)
+	x.copyHeaders(answer.Header)
 	x.headWritten = true
-	x.writeHead(http.StatusOK)
+	x.status = answer.Status
+	x.writeHead(answer.Status)
 	x.firstByteAt = time.Now()
 	x.lastEventsAt = x.firstByteAt
 	x.g.Metrics.recordFirstToken(x.ctx, x.meta.PromptTokens, x.firstByteAt.Sub(x.arrived))
@@ -121,8 +122,8 @@
 		return x.handleBrokenStream(a, errNoEvent)
 	}
 	a.Observe(suspect.Success)
-	x.writeStreamHead(answer.Header)
-	x.finish(http.StatusOK, "")
+	x.writeStreamHead(answer)
+	x.finish(x.status, "")
 	return answered
 }
 
