Do not resume a stream after events without an id

Callers of a stream whose server broke off after events without a numeric id got these events twice: the next server resumes after the last id that it was told, or starts anew (ORDER, pieces of two runs). The users' servers number all events, so no play shows it; it came up while listing the ways in which a stream can end.

Fix: events without an id that follow the last event with one are remembered, and a stream that breaks off there ends visibly broken. Comments do not count.

TestStreamIsNotResumedAfterEventsWithoutID: three of five cases failed before.

--- a/gateway/ingress/ending_test.go
+++ b/gateway/ingress/ending_test.go
@@ -190,3 +190,31 @@
 		is.Equal(response.StatusCode, status)
 	}
 }
+
+// Guards against events that the caller gets twice: those after the last event
+// with an id are sent again by the server that resumes the stream.
+func TestStreamIsNotResumedAfterEventsWithoutID(t *testing.T) {
+	for name, c := range map[string]struct {
+		body    string // of the server that breaks off
+		resumed bool
+	}{
+		"no ids":             {"data: a\n\ndata: b\n\nda", false},
+		"last one has none":  {wantEvents(1, 1) + "data: b\n\nda", false},
+		"id is not a number": {"id: x\ndata: a\n\nda", false},
+		"id after it":        {"data: a\n\n" + wantEvents(2, 2) + "da", true},
+		"only comments":      {wantEvents(1, 2) + ": waiting\n\nda", true},
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			either := firstThen(raw(unframedHead+c.body), events(5, true))
+			f := newFleet(t, either, either)
+			_, body, err := f.call("POST", "/stream/", "", "x")
+			is.Equal(err == nil, c.resumed)
+			forwarded := strings.TrimSuffix(c.body, "da")
+			if c.resumed {
+				forwarded += wantEvents(3, 5)
+			}
+			is.Equal(body, forwarded)
+		})
+	}
+}
--- a/gateway/ingress/events.go
+++ b/gateway/ingress/events.go
@@ -44,7 +44,7 @@
 		if isEmptyLine(line) {
 			return b.take(end)
 		}
-		b.hasField = b.hasField || line[0] != ':'
+		b.hasField = b.hasField || isField(line)
 		b.line, b.searched = end, end
 	}
 }
@@ -61,9 +61,22 @@
 
 func isEmptyLine(line []byte) bool { return line[0] == '\n' || len(line) == 2 && line[0] == '\r' }
 
+// isField reports whether a line is neither empty nor a comment.
+func isField(line []byte) bool { return !isEmptyLine(line) && line[0] != ':' }
+
 // rest returns the bytes after the last complete event.
 func (b *eventBuffer) rest() []byte { return b.data }
 
+// hasField reports whether an event has a field; comments have none.
+func hasField(event []byte) bool {
+	for line := range bytes.Lines(event) {
+		if isField(line) {
+			return true
+		}
+	}
+	return false
+}
+
 // eventID returns the numeric id of an event; it returns false if the event has
 // none.
 func eventID(event []byte) (int64, bool) {
--- a/gateway/ingress/exchange.go
+++ b/gateway/ingress/exchange.go
@@ -57,6 +57,7 @@
 	longestEventGap    time.Duration
 	resumeAfter        string        // ID of the last event that the caller has received
 	lastNumericID      int64         // resumeAfter as a number
+	eventsWithoutID    bool          // the caller has received events without an ID after that event
 	server             string        // server of the last send
 	end                answerEnd     // end of the answer to the last send; zero if none was read
 	reason             string        // why the last send did not succeed
@@ -116,6 +117,9 @@
 		return false
 	case x.possibleRuns >= x.route.MaxServers:
 		return false
+	case x.eventsWithoutID: // another server would send them again
+		x.log.Warn("stream cannot be resumed, its last events have no id", "last_event", x.resumeAfter)
+		return false
 	}
 	if next == placeAgain { // the server has not failed, so it is not excluded
 		x.excluded = x.excluded[:len(x.excluded)-1]
--- a/gateway/ingress/stream.go
+++ b/gateway/ingress/stream.go
@@ -68,6 +68,9 @@
 			}
 			x.lastNumericID = id
 			x.resumeAfter = strconv.FormatInt(id, 10)
+			x.eventsWithoutID = false
+		} else if hasField(event) {
+			x.eventsWithoutID = true
 		}
 		x.writeStreamHead(answer)
 		if _, err := x.w.Write(event); err != nil {
