Reuse a connection only after the end of its last answer

The answer of one request could begin with the rest of another one's: a refusal longer than 1 MiB, or an answer of the store longer than 8 MiB, was read up to a limit without an error, which counted as its end, and the connection was kept.

Cause: the end of a limited reader was taken for the end of the answer. That no bytes are waiting in the buffer or the socket does not show the end either, they may be on their way.

Fix: the response itself records whether its body was read to the end; Close keeps the connection only then.

TestPartlyReadAnswerEndsItsConnection failed before: the second request got bytes of the first answer.

--- a/gateway/upstream/upstream.go
+++ b/gateway/upstream/upstream.go
@@ -136,6 +136,7 @@
 	client    *Client
 	conn      *conn
 	answer    *http.Response
+	body      bodyReader   // Body
 	written   <-chan error // result of a write in the background; nil if there is none
 	stop      func() bool  // keeps the context of the request from closing conn; false if it has ended
 	closeOnce sync.Once
@@ -160,8 +161,23 @@
 	if err != nil {
 		return nil, cn.fail(ctx, stop, err)
 	}
-	return &Response{Status: answer.StatusCode, Header: answer.Header, Framing: framingOf(answer), Body: answer.Body,
-		client: c, conn: cn, answer: answer, written: written, stop: stop}, nil
+	response := &Response{Status: answer.StatusCode, Header: answer.Header, Framing: framingOf(answer),
+		client: c, conn: cn, answer: answer, body: bodyReader{from: answer.Body}, written: written, stop: stop}
+	response.Body = &response.body
+	return response, nil
+}
+
+// bodyReader reads a body and records whether its end was reached, which the end of
+// a reader with a limit does not show.
+type bodyReader struct {
+	from  io.Reader
+	ended bool
+}
+
+func (b *bodyReader) Read(p []byte) (int, error) {
+	n, err := b.from.Read(p)
+	b.ended = b.ended || errors.Is(err, io.EOF)
+	return n, err
 }
 
 func (cn *conn) fail(ctx context.Context, stop func() bool, err error) error {
@@ -217,13 +233,13 @@
 // belongs to another request, too.
 var errForeignAnswer = errors.New("all answers received belong to other requests")
 
-// Close keeps the connection for further requests if complete is set, which
-// means that the answer was read to its end, and if the connection can be used
-// again. Otherwise it closes the connection.
-func (r *Response) Close(complete bool) {
+// Close keeps the connection for further requests if reuse is set, the answer was
+// read to its end, and the connection can be used again. Otherwise it closes the
+// connection.
+func (r *Response) Close(reuse bool) {
 	r.closeOnce.Do(func() {
 		stillOpen := r.stop()
-		if !complete || !stillOpen || r.answer.Close || r.conn.br.Buffered() > 0 || !r.requestWritten() {
+		if !reuse || !r.body.ended || !stillOpen || r.answer.Close || r.conn.br.Buffered() > 0 || !r.requestWritten() {
 			_ = r.conn.Close()
 			return
 		}
--- a/gateway/upstream/upstream_test.go
+++ b/gateway/upstream/upstream_test.go
@@ -281,3 +281,36 @@
 	client.Sweep(time.Now().Add(defaultIdleTimeout + time.Second))
 	is.Equal(len(client.idle), 0)
 }
+
+// Guards against reuse of a connection on which the rest of an answer is still to
+// be read: the next request would get it as its answer.
+func TestPartlyReadAnswerEndsItsConnection(t *testing.T) {
+	is := is.New(t)
+	rest := "HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nwrong"
+	first := "HTTP/1.1 200 OK\r\nContent-Length: 64\r\n\r\nbegin"
+	address, connections := serve(t, func(n int, c net.Conn, br *bufio.Reader) {
+		for i := 1; ; i++ {
+			if _, _, err := readRequest(br); err != nil {
+				return
+			}
+			switch {
+			case n > 1:
+				_, _ = io.WriteString(c, "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok")
+			case i == 1:
+				_, _ = io.WriteString(c, first)
+			default: // the rest of the first answer
+				_, _ = io.WriteString(c, rest+strings.Repeat(" ", 64))
+			}
+		}
+	})
+	client := New()
+	answer, err := client.Do(context.Background(), address, get("1"))
+	is.NoErr(err)
+	_, err = io.ReadAll(io.LimitReader(answer.Body, 5))
+	is.NoErr(err)
+	answer.Close(true) // the reader's limit was reached without an error
+	body, err := fetch(client, address, get("2"))
+	is.NoErr(err)
+	is.Equal(body, "ok")
+	is.Equal(connections.Load(), int32(2))
+}
