Reset the connection of an HTTP/1.0 caller whose stream broke off

An HTTP/1.1 caller sees that the last chunk is missing, so its connection is closed as before; a reset could lose events that are still on their way.

--- a/gateway/ingress/connection_test.go
+++ b/gateway/ingress/connection_test.go
@@ -16,7 +16,8 @@
 // closedConnection is a connection that the gateway has closed.
 type closedConnection struct{}
 
-func (closedConnection) CloseCause() string { return "idle" }
+func (closedConnection) CloseCause() string  { return "idle" }
+func (closedConnection) ResetOnClose() error { return nil }
 
 // Guards against a request that the gateway itself broke off and that its log
 // and metrics count as one whose caller left.
--- a/gateway/ingress/ending_test.go
+++ b/gateway/ingress/ending_test.go
@@ -1,10 +1,15 @@
 package ingress
 
 import (
+	"errors"
 	"fmt"
+	"io"
+	"net"
 	"net/http"
 	"strings"
+	"syscall"
 	"testing"
+	"time"
 
 	"github.com/matryer/is"
 )
@@ -218,3 +223,28 @@
 		})
 	}
 }
+
+// Guards against a broken-off stream that looks complete to an HTTP/1.0 caller,
+// whose answer has no chunks and ends with its connection.
+func TestBrokenStreamIsResetForHTTP10(t *testing.T) {
+	for name, c := range map[string]struct {
+		answer answer
+		err    error
+	}{
+		"broken": {events(3, false), syscall.ECONNRESET},
+		"whole":  {events(3, true), nil},
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			f := newFleet(t, c.answer)
+			conn, err := net.Dial("tcp", f.address)
+			is.NoErr(err)
+			defer func() { _ = conn.Close() }()
+			_ = conn.SetDeadline(time.Now().Add(10 * time.Second))
+			_, err = io.WriteString(conn, "POST /once/ HTTP/1.0\r\nHost: a.example\r\nKey: secret\r\nId: r1\r\nContent-Length: 1\r\n\r\nx")
+			is.NoErr(err)
+			_, err = io.ReadAll(conn)
+			is.True(errors.Is(err, c.err))
+		})
+	}
+}
--- a/gateway/ingress/harness_test.go
+++ b/gateway/ingress/harness_test.go
@@ -143,13 +143,23 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	server := &http.Server{Handler: f.gateway, BaseContext: f.gateway.BaseContext, ErrorLog: slog.NewLogLogger(log.Handler(), slog.LevelError)}
+	server := &http.Server{Handler: f.gateway, BaseContext: f.gateway.BaseContext, ConnContext: withTestConnection, ErrorLog: slog.NewLogLogger(log.Handler(), slog.LevelError)}
 	go func() { _ = server.Serve(l) }()
 	t.Cleanup(func() { _ = server.Close() })
 	f.address = l.Addr().String()
 	return f
 }
 
+// testConnection is the Connection of a caller of a fleet.
+type testConnection struct{ net.Conn }
+
+func (testConnection) CloseCause() string    { return "" }
+func (c testConnection) ResetOnClose() error { return c.Conn.(*net.TCPConn).SetLinger(0) }
+
+func withTestConnection(ctx context.Context, c net.Conn) context.Context {
+	return WithConnection(ctx, testConnection{c})
+}
+
 func testTable() *routing.Table {
 	route := func(prefix string, kind routing.Kind, resumable bool) routing.Route {
 		return routing.Route{Name: prefix, Host: "a.example", Prefix: prefix, Kind: kind, Resumable: resumable, Timeout: 2 * time.Second,
--- a/gateway/ingress/outcome.go
+++ b/gateway/ingress/outcome.go
@@ -69,6 +69,7 @@
 		panic(http.ErrAbortHandler)
 	case x.headWritten:
 		x.finish(http.StatusBadGateway, x.reason)
+		x.markBroken()
 		panic(http.ErrAbortHandler) // a partial answer must not look complete
 	case x.possibleRuns > 0 && (x.aborted() || x.ctx.Err() != nil):
 		x.respond(http.StatusGatewayTimeout, x.endReason())
--- a/gateway/node/conn.go
+++ b/gateway/node/conn.go
@@ -185,3 +185,14 @@
 	defer c.mu.Unlock()
 	return c.closeCause
 }
+
+// ResetOnClose implements ingress.Connection.
+func (c *callerConn) ResetOnClose() error {
+	tcp, ok := c.Conn.(*net.TCPConn)
+	if !ok {
+		return errNoTCP
+	}
+	return tcp.SetLinger(0)
+}
+
+var errNoTCP = errors.New("not a TCP connection")
