An engine's event counts once its empty line has arrived

An agent took a stream as complete that its engine had broken off one or two bytes before the end of the final event, in each of six framings.

readEvents now delivers an event at its empty line, and a line needs its line end.

--- /dev/null
+++ b/backend/enginehttp/ending_test.go
@@ -0,0 +1,108 @@
+package enginehttp
+
+import (
+	"bufio"
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"camphorwick.dev/backend"
+)
+
+// serveOnce answers every request with the given bytes and closes its connection in
+// good order.
+func serveOnce(t *testing.T, answer string) *Client {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = l.Close() })
+	go func() {
+		for {
+			c, err := l.Accept()
+			if err != nil {
+				return
+			}
+			go func() {
+				defer func() { _ = c.Close() }()
+				r, err := http.ReadRequest(bufio.NewReader(c))
+				if err != nil {
+					return
+				}
+				_, _ = io.Copy(io.Discard, r.Body)
+				_, _ = io.WriteString(c, answer)
+			}()
+		}
+	}()
+	return New(l.Addr().String())
+}
+
+// framings returns an answer with the given body, cut after n bytes of it, in each
+// framing.
+func framings(body string, n int) map[string]string {
+	const head = "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n"
+	return map[string]string{
+		"length":            fmt.Sprintf("%sContent-Length: %d\r\n\r\n%s", head, len(body), body[:n]),
+		"chunk":             fmt.Sprintf("%sTransfer-Encoding: chunked\r\n\r\n%x\r\n%s", head, len(body), body[:n]),
+		"no last chunk":     fmt.Sprintf("%sTransfer-Encoding: chunked\r\n\r\n%s", head, chunkOf(body[:n])),
+		"last chunk":        fmt.Sprintf("%sTransfer-Encoding: chunked\r\n\r\n%s0\r\n\r\n", head, chunkOf(body[:n])),
+		"last chunk is cut": fmt.Sprintf("%sTransfer-Encoding: chunked\r\n\r\n%s0\r\n", head, chunkOf(body[:n])),
+		"unframed":          head + "\r\n" + body[:n],
+	}
+}
+
+func chunkOf(s string) string {
+	if s == "" {
+		return ""
+	}
+	return fmt.Sprintf("%x\r\n%s\r\n", len(s), s)
+}
+
+// Guards against a stream that an engine breaks off and that ends like a complete
+// one, whatever the framing and the byte at which it ends.
+func TestCutStreamIsBroken(t *testing.T) {
+	const body = "data: {\"texts\":[\"a\"]}\n\ndata: {\"texts\":[\"b\"],\"final\":true,\"finish_reason\":\"stop\"}\n\n"
+	finalEvent := strings.LastIndex(body, "data: ")
+	for n := range len(body) {
+		for name, answer := range framings(body, n) {
+			stream, err := serveOnce(t, answer).Attach(context.Background(), "s", 0)
+			if err != nil {
+				t.Fatal(err)
+			}
+			texts, err := readTexts(stream)
+			_ = stream.Close()
+			var engineErr *backend.EngineError
+			if !errors.As(err, &engineErr) || engineErr.Kind != backend.EngineBroken {
+				t.Errorf("%s, %d bytes: texts %q, error %v", name, n, texts, err)
+			}
+			if n <= finalEvent && strings.Contains(texts, "b") {
+				t.Errorf("%s, %d bytes: texts %q", name, n, texts)
+			}
+		}
+	}
+}
+
+// readTexts reads a stream to its end. The error is nil if it ends with the final
+// chunk.
+func readTexts(stream backend.Stream) (string, error) {
+	ctx, cancel := context.WithTimeout(context.Background(), 5*time.Second)
+	defer cancel()
+	var texts strings.Builder
+	for {
+		chunk, err := stream.Next(ctx)
+		if err != nil {
+			return texts.String(), err
+		}
+		texts.WriteString(strings.Join(chunk.Texts, ""))
+		if chunk.Final {
+			return texts.String(), nil
+		}
+	}
+}
--- a/backend/enginehttp/stream.go
+++ b/backend/enginehttp/stream.go
@@ -54,21 +54,28 @@
 	return s
 }
 
-// readEvents delivers events until the final chunk, an error or Close.
+// readEvents delivers events until the final chunk, an error or Close. An event
+// counts only once its empty line has arrived: the engine may break off inside it.
 func (s *stream) readEvents() {
 	defer close(s.items)
 	defer s.exchange.close()
 	lines := bufio.NewScanner(s.exchange.body())
 	lines.Buffer(make([]byte, 0, readBufferBytes), maxLineBytes)
+	lines.Split(scanCompleteLines)
+	var next *item // of the event that has begun
 	for lines.Scan() {
-		data, ok := bytes.CutPrefix(lines.Bytes(), []byte("data: "))
-		if !ok {
-			continue // comment, event id or empty line
+		if data, ok := bytes.CutPrefix(lines.Bytes(), []byte("data: ")); ok {
+			parsed := parseChunk(data)
+			next = &parsed
+			continue
+		}
+		if len(lines.Bytes()) > 0 || next == nil {
+			continue // comment, event id, or the empty line of an event without data
 		}
-		next := parseChunk(data)
-		if !s.deliver(next) || next.err != nil || next.chunk.Final {
+		if !s.deliver(*next) || next.err != nil || next.chunk.Final {
 			return
 		}
+		next = nil
 	}
 	err := lines.Err()
 	if err == nil {
@@ -77,6 +84,15 @@
 	s.deliver(item{err: brokenError("the stream broke", err)})
 }
 
+// scanCompleteLines is a bufio.SplitFunc like bufio.ScanLines, but without a last
+// line that has no line end.
+func scanCompleteLines(data []byte, atEOF bool) (advance int, token []byte, err error) {
+	if atEOF && bytes.IndexByte(data, '\n') < 0 {
+		return len(data), nil, nil
+	}
+	return bufio.ScanLines(data, atEOF)
+}
+
 // deliver hands an item to Next. It returns false after Close.
 func (s *stream) deliver(next item) bool {
 	select {
