Refuse an exported state that ends with its connection

An agent took a part of an engine's exported state for the whole one if the answer had neither a length nor chunks and its connection was closed in good order. The next engine would have continued from a damaged cache, and callers would have got a wrong text. The JSON answers of engines are not concerned: a cut one is not valid.

Our stand-in sends a length, so no other test showed it.

--- a/backend/enginehttp/client.go
+++ b/backend/enginehttp/client.go
@@ -39,6 +39,9 @@
 	// readBufferBytes bounds a response header. It is also the initial size of
 	// the buffer for a line of a stream, which grows up to maxLineBytes.
 	readBufferBytes = 16 << 10
+	// identityLength is what fasthttp returns as the length of a body that ends with
+	// its connection.
+	identityLength = -2
 )
 
 // Client is a model engine at an address. It implements backend.Engine and is
@@ -73,9 +76,18 @@
 	return err
 }
 
-// Export implements backend.Engine.
+// Export implements backend.Engine. A state that ends with its connection is
+// refused: unlike the JSON answers, it does not show whether it is whole.
 func (c *Client) Export(ctx context.Context, streamID string) ([]byte, error) {
-	return c.call(ctx, fasthttp.MethodPost, "/v1/export", url.Values{"id": {streamID}}, nil)
+	x := c.newExchange(fasthttp.MethodPost, "/v1/export", url.Values{"id": {streamID}})
+	state, err := c.run(ctx, x, nil)
+	if err != nil {
+		return nil, err
+	}
+	if x.response.Header.ContentLength() == identityLength {
+		return nil, brokenError("the exported state has neither a length nor chunks", nil)
+	}
+	return state, nil
 }
 
 // Load implements backend.Engine.
@@ -179,9 +191,13 @@
 
 // call makes a call and returns the body of its answer.
 func (c *Client) call(ctx context.Context, method, path string, query url.Values, body []byte) ([]byte, error) {
+	return c.run(ctx, c.newExchange(method, path, query), body)
+}
+
+// run sends the request of a call, reads the body of its answer and closes x.
+func (c *Client) run(ctx context.Context, x *exchange, body []byte) ([]byte, error) {
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
-	x := c.newExchange(method, path, query)
 	defer x.close()
 	x.request.SetBodyRaw(body)
 	if err := x.do(ctx); err != nil {
--- a/backend/enginehttp/ending_test.go
+++ b/backend/enginehttp/ending_test.go
@@ -12,6 +12,8 @@
 	"testing"
 	"time"
 
+	"github.com/matryer/is"
+
 	"camphorwick.dev/backend"
 )
 
@@ -106,3 +108,22 @@
 		}
 	}
 }
+
+// Guards against an exported state that is cut and passes for the whole one: the
+// engine that imports it would continue from a damaged cache.
+func TestCutExportIsBroken(t *testing.T) {
+	const state = "state of the engine"
+	for n := range len(state) {
+		for name, answer := range framings(state, n) {
+			if name == "last chunk" {
+				continue // the engine itself says that this is its whole answer
+			}
+			t.Run(fmt.Sprintf("%s, %d bytes", name, n), func(t *testing.T) {
+				is := is.New(t)
+				got, err := serveOnce(t, answer).Export(context.Background(), "s")
+				is.True(err != nil) // a cut state was accepted
+				is.Equal(len(got), 0)
+			})
+		}
+	}
+}
