Soak: servers end their answers in more ways, stamps are checked

The servers of the gateway's soak answer without a length, and break off in the head, before the first event, inside an event without a length, and inside an event with a last chunk. Under planned work they answer without a length only, which is proper. The callers check that a stamp comes with a server's status alone, and that its server ran the request.

A stream without a length that a proxy cuts between two events cannot be told from a whole one; such answers are counted and not violations.

--- a/testbed/gatewaysoak/callers.go
+++ b/testbed/gatewaysoak/callers.go
@@ -263,6 +263,7 @@
 func (c *caller) checkAnswer(id string, response *http.Response, body string, err error) bool {
 	k := kindOf(id)
 	c.run.count(fmt.Sprintf("%s %d", k, response.StatusCode))
+	c.checkStamp(id, response)
 	switch response.StatusCode {
 	case http.StatusOK:
 		return c.checkSuccess(id, response, body, err)
@@ -287,10 +288,20 @@
 	c.run.reportedNotRun[id] = status
 }
 
-func (c *caller) checkSuccess(id string, response *http.Response, body string, err error) bool {
-	if !fleetsim.HasServerStamp(response.Header) {
-		c.run.addViolation("request %s: success response without the marker of a server", id)
+// checkStamp checks that an answer has the stamp of a server if and only if a server
+// gave it, which are the statuses 200 and 500, and that this server ran the request.
+func (c *caller) checkStamp(id string, response *http.Response) {
+	stamp := fleetsim.ServerStamp(response.Header)
+	fromServer := response.StatusCode == http.StatusOK || response.StatusCode == http.StatusInternalServerError
+	switch {
+	case fromServer && !c.run.ranAt(id, stamp):
+		c.run.addViolation("request %s: status %d with the stamp %q of a server that did not run it", id, response.StatusCode, stamp)
+	case !fromServer && stamp != "":
+		c.run.addViolation("request %s: status %d of the gateway with the stamp of server %s", id, response.StatusCode, stamp)
 	}
+}
+
+func (c *caller) checkSuccess(id string, response *http.Response, body string, err error) bool {
 	want := fleetsim.Body(id)
 	if kindOf(id) == streamKind {
 		var events strings.Builder
@@ -300,6 +311,8 @@
 		want = events.String()
 	}
 	switch {
+	case err == nil && body != want && kindOf(id) == streamKind && c.run.ranUnframed(id) && fleetsim.IsEventPrefix(body, streamEvents):
+		c.run.count("stream without a length ended between events") // a fault of the connection, which nothing shows
 	case err == nil && body != want:
 		c.run.addViolation("request %s: complete answer %q, expected %q", id, body, want)
 	case err != nil && !strings.HasPrefix(want, body):
--- a/testbed/gatewaysoak/soak.go
+++ b/testbed/gatewaysoak/soak.go
@@ -12,6 +12,7 @@
 	"math/rand/v2"
 	"net"
 	"net/http"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -247,11 +248,34 @@
 	}
 }
 
-// chooseFault returns the fault that a server applies to its next request.
+// ranAt reports whether a server has run the request with an id.
+func (r *run) ranAt(id, server string) bool {
+	return r.hasRun(id, func(execution fleetsim.Run) bool { return execution.Server == server })
+}
+
+// ranUnframed reports whether a run of the request with an id had an answer without
+// a length or chunks.
+func (r *run) ranUnframed(id string) bool {
+	return r.hasRun(id, func(execution fleetsim.Run) bool { return execution.Unframed })
+}
+
+func (r *run) hasRun(id string, matches func(fleetsim.Run) bool) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return slices.ContainsFunc(r.runs[id], matches)
+}
+
+// chooseFault returns the fault that a server applies to its next request. Under
+// planned work answers without a length are the only ones, because they are proper.
 func (r *run) chooseFault() fleetsim.Fault {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if !r.faultsOn || r.random.Float64() >= serverFaultShare {
+	switch {
+	case r.random.Float64() >= serverFaultShare:
+		return fleetsim.NoFault
+	case r.options.Planned:
+		return fleetsim.Unframed
+	case !r.faultsOn:
 		return fleetsim.NoFault
 	}
 	return fleetsim.Fault(1 + r.random.IntN(fleetsim.FaultCount-1))
