--- a/gateway/ingress/exchange.go
+++ b/gateway/ingress/exchange.go
@@ -317,6 +317,7 @@
 	case answer.Status >= http.StatusInternalServerError:
 		a.Observe(suspect.Failure)
 		x.reason = reasonServerError
+		x.log.Info("server error", "server", a.Server.ID, "status", answer.Status)
 		return failureHeld, received
 	case x.headWritten: // the events of a stream cannot be followed by another answer
 		x.reason = reasonServerError
--- a/gateway/ingress/operations_test.go
+++ b/gateway/ingress/operations_test.go
@@ -38,7 +38,7 @@
 }
 
 // Guards against log lines or fields that docs/OPERATIONS.md names and that no
-// longer exist: in each of its three cases, the lines found by the request's ID
+// longer exist: in each of its cases, the lines found by the request's ID
 // must lead to the cause.
 func TestOperationsPageLeadsToTheCause(t *testing.T) {
 	hang := func(_ net.Conn, br *bufio.Reader, _ *http.Request) bool {
@@ -71,6 +71,11 @@
 			want: []map[string]any{{"msg": "stream broken", "server": "s0", "last_event": "3"},
 				{"msg": "request ended", "status": 502.0, "sends": 1.0, "ran": 1.0}},
 		},
+		{
+			name: "answer that ended early", answers: []answer{raw(unframedHead + wantEvents(1, 3) + "id: 4\nda")}, target: "/once/",
+			want: []map[string]any{{"msg": "stream broken", "server": "s0", "last_event": "3", "framing": "close", "ending": "inside_event", "events": 3.0},
+				{"msg": "request ended", "status": 502.0, "reason": "answer_broken", "sends": 1.0, "framing": "close", "ending": "inside_event"}},
+		},
 		{
 			name: "order without an answer", answers: []answer{raw("")}, target: "/order/7",
 			want: []map[string]any{{"msg": "send failed", "server": "s0", "sent": true},
