Refuse a stored value that ends with its connection

A reader of the platform's store took a part of a value for the whole one if the answer had neither a length nor chunks and its connection was closed in good order. Values are decoded from bytes that do not show their own end, an order claim among them.

httpcall records whether the end of the connection was read, which a successful call does only for such an answer, and refuses it if Options.Framed is set; httpkv sets it. Plain services may answer without a length, so servicehttp does not.

TestUnframedValueIsRefused failed before; the stand-in sends a length, so no other test showed it.

--- a/cloud/httpcall/httpcall.go
+++ b/cloud/httpcall/httpcall.go
@@ -9,6 +9,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"io"
 	"net"
 	"sync"
 	"sync/atomic"
@@ -44,6 +45,9 @@
 	// MaxResponseBytes bounds a response body; 0 means
 	// DefaultMaxResponseBytes.
 	MaxResponseBytes int
+	// Framed refuses responses with neither a length nor chunks. The connection of
+	// such a response is its only end, so a cut one may look complete.
+	Framed bool
 }
 
 // Error reports that no complete response was received. Sent is false only if no
@@ -64,6 +68,10 @@
 // Unwrap returns the cause.
 func (e *Error) Unwrap() error { return e.Cause }
 
+// ErrUnframed is the cause of the error of a call whose response has neither a length
+// nor chunks, if Options.Framed is set.
+var ErrUnframed = errors.New("the response ends with its connection")
+
 // ErrClosed is the cause of the error of a call after Close.
 var ErrClosed = errors.New("client is closed")
 
@@ -150,8 +158,10 @@
 // therefore be closed when the call's context ends, and all bytes written to it
 // belong to that call.
 type slot struct {
-	http *fasthttp.HostClient
-	sent atomic.Bool // whether the current call has written any byte
+	http   *fasthttp.HostClient
+	framed bool        // as in Options
+	sent   atomic.Bool // whether the current call has written any byte
+	ended  atomic.Bool // whether the current call has read the end of its connection
 
 	mu   sync.Mutex
 	ctx  context.Context // of the current call
@@ -159,7 +169,7 @@
 }
 
 func newSlot(o Options) *slot {
-	s := &slot{}
+	s := &slot{framed: o.Framed}
 	s.http = &fasthttp.HostClient{
 		Addr:                      o.Address,
 		Dial:                      s.dial,
@@ -179,6 +189,9 @@
 	stop := context.AfterFunc(ctx, s.abort)
 	err := s.http.Do(req, resp)
 	stop()
+	if err == nil && s.framed && s.ended.Load() { // only such a response is read to the end of its connection
+		err = ErrUnframed
+	}
 	if err == nil {
 		return nil
 	}
@@ -196,6 +209,7 @@
 	conn := s.conn
 	s.mu.Unlock()
 	s.sent.Store(false)
+	s.ended.Store(false)
 	if conn != nil && !reusable(conn) {
 		s.http.CloseIdleConnections()
 	}
@@ -220,7 +234,7 @@
 	if err != nil {
 		return nil, err
 	}
-	conn := &trackedConn{Conn: tcp, sent: &s.sent}
+	conn := &trackedConn{Conn: tcp, sent: &s.sent, ended: &s.ended}
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.conn = conn
@@ -231,10 +245,20 @@
 	return conn, nil
 }
 
-// trackedConn records whether any byte was written.
+// trackedConn records whether any byte was written and whether the end of the
+// connection was read.
 type trackedConn struct {
 	net.Conn
-	sent *atomic.Bool
+	sent, ended *atomic.Bool
+}
+
+// Read implements net.Conn.
+func (c *trackedConn) Read(p []byte) (int, error) {
+	n, err := c.Conn.Read(p)
+	if errors.Is(err, io.EOF) {
+		c.ended.Store(true)
+	}
+	return n, err
 }
 
 // Write implements net.Conn.
--- a/cloud/httpkv/httpkv.go
+++ b/cloud/httpkv/httpkv.go
@@ -68,6 +68,7 @@
 	}
 	return &Client{options: o, http: httpcall.New(httpcall.Options{
 		Address: o.Address, MaxConnections: o.MaxConnections, MaxResponseBytes: maxResponseBytes,
+		Framed: true, // a part of a value could be decoded as another value
 	})}
 }
 
