--- a/backend/enginehttp/ending_test.go
+++ b/backend/enginehttp/ending_test.go
@@ -1,13 +1,9 @@
 package enginehttp
 
 import (
-	"bufio"
 	"context"
 	"errors"
 	"fmt"
-	"io"
-	"net"
-	"net/http"
 	"strings"
 	"testing"
 	"time"
@@ -15,35 +11,20 @@
 	"github.com/matryer/is"
 
 	"camphorwick.dev/backend"
+	"camphorwick.dev/standin/rawanswer"
 )
 
-// serveOnce answers every request with the given bytes and closes its connection in
-// good order.
-func serveOnce(t *testing.T, answer string) *Client {
+// engineOf returns a client of an engine that answers every call with the given bytes
+// and closes its connection in good order.
+func engineOf(t *testing.T, answer string) *Client {
 	t.Helper()
-	l, err := net.Listen("tcp", "127.0.0.1:0")
+	server := &rawanswer.Server{Answer: answer}
+	address, err := server.Start()
 	if err != nil {
 		t.Fatal(err)
 	}
-	t.Cleanup(func() { _ = l.Close() })
-	go func() {
-		for {
-			c, err := l.Accept()
-			if err != nil {
-				return
-			}
-			go func() {
-				defer func() { _ = c.Close() }()
-				r, err := http.ReadRequest(bufio.NewReader(c))
-				if err != nil {
-					return
-				}
-				_, _ = io.Copy(io.Discard, r.Body)
-				_, _ = io.WriteString(c, answer)
-			}()
-		}
-	}()
-	return New(l.Addr().String())
+	t.Cleanup(server.Close)
+	return New(address)
 }
 
 // framings returns an answer with the given body, cut after n bytes of it, in each
@@ -74,7 +55,7 @@
 	finalEvent := strings.LastIndex(body, "data: ")
 	for n := range len(body) {
 		for name, answer := range framings(body, n) {
-			stream, err := serveOnce(t, answer).Attach(context.Background(), "s", 0)
+			stream, err := engineOf(t, answer).Attach(context.Background(), "s", 0)
 			if err != nil {
 				t.Fatal(err)
 			}
@@ -120,7 +101,7 @@
 			}
 			t.Run(fmt.Sprintf("%s, %d bytes", name, n), func(t *testing.T) {
 				is := is.New(t)
-				got, err := serveOnce(t, answer).Export(context.Background(), "s")
+				got, err := engineOf(t, answer).Export(context.Background(), "s")
 				is.True(err != nil) // a cut state was accepted
 				is.Equal(len(got), 0)
 			})
--- a/backend/servicehttp/ending_test.go
+++ b/backend/servicehttp/ending_test.go
@@ -1,47 +1,24 @@
 package servicehttp
 
 import (
-	"bufio"
 	"context"
 	"fmt"
-	"io"
-	"net"
-	"net/http"
 	"testing"
 
 	"github.com/matryer/is"
+
+	"camphorwick.dev/standin/rawanswer"
 )
 
-// serveAnswer answers every request with the given bytes and closes its connection,
-// in good order or with a reset.
-func serveAnswer(t *testing.T, answer string, reset bool) *Service {
+// serviceOf returns a client of a service that gives the same answer to every call.
+func serviceOf(t *testing.T, server *rawanswer.Server) *Service {
 	t.Helper()
-	l, err := net.Listen("tcp", "127.0.0.1:0")
+	address, err := server.Start()
 	if err != nil {
 		t.Fatal(err)
 	}
-	t.Cleanup(func() { _ = l.Close() })
-	go func() {
-		for {
-			c, err := l.Accept()
-			if err != nil {
-				return
-			}
-			go func() {
-				defer func() { _ = c.Close() }()
-				r, err := http.ReadRequest(bufio.NewReader(c))
-				if err != nil {
-					return
-				}
-				_, _ = io.Copy(io.Discard, r.Body)
-				_, _ = io.WriteString(c, answer)
-				if reset {
-					_ = c.(*net.TCPConn).SetLinger(0)
-				}
-			}()
-		}
-	}()
-	s := New(Options{Address: l.Addr().String()})
+	t.Cleanup(server.Close)
+	s := New(Options{Address: address})
 	t.Cleanup(s.Close)
 	return s
 }
@@ -65,7 +42,7 @@
 	} {
 		t.Run(name, func(t *testing.T) {
 			for n := c.from; n < len(c.whole); n++ {
-				reply, err := serveAnswer(t, c.whole[:n], c.reset).Call(context.Background(), order)
+				reply, err := serviceOf(t, &rawanswer.Server{Answer: c.whole[:n], Reset: c.reset}).Call(context.Background(), order)
 				if err == nil {
 					t.Errorf("%d bytes: reply %d %q", n, reply.Status, reply.Body)
 				} else if notSent(t, err) {
@@ -80,7 +57,7 @@
 // was closed in good order, which is how such an answer ends.
 func TestUnframedAnswerIsAReply(t *testing.T) {
 	is := is.New(t)
-	reply, err := serveAnswer(t, "HTTP/1.1 200 OK\r\n\r\nbooked", false).Call(context.Background(), order)
+	reply, err := serviceOf(t, &rawanswer.Server{Answer: "HTTP/1.1 200 OK\r\n\r\nbooked"}).Call(context.Background(), order)
 	is.NoErr(err)
 	is.Equal(string(reply.Body), "booked")
 }
--- a/cloud/httpkv/ending_test.go
+++ b/cloud/httpkv/ending_test.go
@@ -1,12 +1,8 @@
 package httpkv
 
 import (
-	"bufio"
 	"context"
 	"errors"
-	"io"
-	"net"
-	"net/http"
 	"testing"
 	"time"
 
@@ -14,32 +10,20 @@
 
 	"camphorwick.dev/cloud"
 	"camphorwick.dev/cloud/httpcall"
+	"camphorwick.dev/standin/rawanswer"
 )
 
 // clientOf returns a client of a platform that answers every call with the given
 // bytes and closes its connection in good order.
 func clientOf(t *testing.T, answer string) *Client {
 	t.Helper()
-	l, err := net.Listen("tcp", "127.0.0.1:0")
+	server := &rawanswer.Server{Answer: answer}
+	address, err := server.Start()
 	if err != nil {
 		t.Fatal(err)
 	}
-	t.Cleanup(func() { _ = l.Close() })
-	go func() {
-		for {
-			c, err := l.Accept()
-			if err != nil {
-				return
-			}
-			go func() {
-				defer func() { _ = c.Close() }()
-				if _, err := http.ReadRequest(bufio.NewReader(c)); err == nil {
-					_, _ = io.WriteString(c, answer)
-				}
-			}()
-		}
-	}()
-	client := New(Options{Address: l.Addr().String(), CallTimeout: 2 * time.Second})
+	t.Cleanup(server.Close)
+	client := New(Options{Address: address, CallTimeout: 2 * time.Second})
 	t.Cleanup(client.Close)
 	return client
 }
--- /dev/null
+++ b/standin/rawanswer/rawanswer.go
@@ -0,0 +1,61 @@
+// Package rawanswer is a stand-in for an HTTP server whose answers end in unusual
+// ways: it sends given bytes and closes the connection.
+package rawanswer
+
+import (
+	"bufio"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+)
+
+// Server answers the first request of each connection.
+type Server struct {
+	// Answer holds the bytes of the answer, which need not be complete or valid.
+	Answer string
+	// Reset makes the server reset the connection after the answer. Otherwise it
+	// closes it in good order.
+	Reset bool
+
+	listener net.Listener
+}
+
+// Start serves on a free port of the loopback interface until Close is called. It
+// returns the address as host:port.
+func (s *Server) Start() (address string, err error) {
+	s.listener, err = net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return "", fmt.Errorf("start server of raw answers: %w", err)
+	}
+	go s.accept()
+	return s.listener.Addr().String(), nil
+}
+
+// Close closes the port. Answers in progress are not interrupted.
+func (s *Server) Close() { _ = s.listener.Close() }
+
+func (s *Server) accept() {
+	for {
+		c, err := s.listener.Accept()
+		if err != nil {
+			return
+		}
+		go s.serve(c)
+	}
+}
+
+func (s *Server) serve(c net.Conn) {
+	defer func() { _ = c.Close() }()
+	r, err := http.ReadRequest(bufio.NewReader(c))
+	if err != nil {
+		return
+	}
+	if _, err := io.Copy(io.Discard, r.Body); err != nil {
+		return
+	}
+	_, _ = io.WriteString(c, s.Answer) // the client may have gone
+	if tcp, ok := c.(*net.TCPConn); ok && s.Reset {
+		_ = tcp.SetLinger(0)
+	}
+}
