Do not wait for the rest of a refusal

Callers saw: a request that a server had refused in a head (not run) was held until its deadline and then answered 503, if the body of the refusal did not end. Another server was not asked.

Cause: handleAnswer read the body of a refusal to its end, which only serves to use the connection again. The head of a refusal says all that is acted on. The model of the property tests had the same error: it expected the request to run out of time.

Change: Response.Discard waits 50 ms for the rest; the connection is closed if it does not come. The model takes a refusal for known by its head.

--- a/gateway/ingress/ending_test.go
+++ b/gateway/ingress/ending_test.go
@@ -1,6 +1,7 @@
 package ingress
 
 import (
+	"bufio"
 	"errors"
 	"fmt"
 	"io"
@@ -259,3 +260,30 @@
 	is.Equal(response.StatusCode, http.StatusOK)
 	is.Equal(response.Header.Get("Mark"), "m")
 }
+
+// Guards against a request that waits until its deadline for the rest of a refusal,
+// although the head says that another server may get it.
+func TestRefusalWithoutEndIsRetried(t *testing.T) {
+	for name, head := range map[string]string{
+		"length":   "Content-Length: 9\r\n",
+		"chunks":   "Transfer-Encoding: chunked\r\n",
+		"unframed": "",
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			unended := func(c net.Conn, br *bufio.Reader, _ *http.Request) bool {
+				_, _ = io.WriteString(c, "HTTP/1.1 503 X\r\nNot-Run: 1\r\n"+head+"\r\n")
+				_, _ = br.ReadByte() // ends when the gateway closes the connection
+				return false
+			}
+			either := firstThen(unended, text(http.StatusOK, "served"))
+			f := newFleet(t, either, either)
+			started := time.Now()
+			response, body, err := f.call("POST", "/order/", "", "x")
+			is.NoErr(err)
+			is.Equal(response.StatusCode, http.StatusOK)
+			is.Equal(body, "served")
+			is.True(time.Since(started) < time.Second) // the route's timeout is 2 s
+		})
+	}
+}
--- a/gateway/ingress/exchange.go
+++ b/gateway/ingress/exchange.go
@@ -25,6 +25,10 @@
 	// maxBuffered is the largest answer that is buffered before the caller
 	// receives its first byte, so that a broken answer can be replaced.
 	maxBuffered = 1 << 20
+	// refusalBodyTime is how long the body of a refusal is awaited, so that its
+	// connection can be used again. It mostly arrives together with the head, which
+	// says all that matters.
+	refusalBodyTime = 50 * time.Millisecond
 	// statusCallerDisconnected is logged when the caller has disconnected; it
 	// is never sent.
 	statusCallerDisconnected = 499
@@ -270,8 +274,8 @@
 	defer func() { answer.Close(complete) }()
 	m := x.g.Wire.DecodeAnswer(answer.Status, answer.Header)
 	if m.NotRun {
-		_, err := io.Copy(io.Discard, io.LimitReader(answer.Body, maxBuffered))
-		complete = err == nil && !m.Misrouted // a misrouted connection leads to another server
+		ended := answer.Discard(maxBuffered, refusalBodyTime)
+		complete = ended && !m.Misrouted // a misrouted connection leads to another server
 		x.reason = reasonNotRun
 		if helper := a.RecordHelperFailure(m.AtServer); helper != nil {
 			x.excluded[len(x.excluded)-1] = helper.ID // instead of the primary engine, which may still succeed
--- a/gateway/ingress/model_test.go
+++ b/gateway/ingress/model_test.go
@@ -241,8 +241,8 @@
 	for n := range answers {
 		a := &answers[n]
 		e := a.encode(after, stream)
-		// An answer without a stamp is not read beyond its head.
-		unread := a.cut >= e.headEnd && !a.stamped && !a.refusal
+		// A refusal and an answer without a stamp are known by their heads.
+		unread := a.cut >= e.headEnd && (!a.stamped || a.refusal)
 		o.timeUp = a.end == endSilence && !a.framedWhole(e) && !unread
 		switch {
 		case a.cut >= e.headEnd && a.refusal: // has not run
--- a/gateway/upstream/upstream.go
+++ b/gateway/upstream/upstream.go
@@ -247,6 +247,15 @@
 	})
 }
 
+// Discard reads the rest of the body, at most limit bytes of it and no longer than
+// wait. It reports whether the answer was read to its end.
+func (r *Response) Discard(limit int64, wait time.Duration) bool {
+	_ = r.conn.SetReadDeadline(time.Now().Add(wait)) // fails if the connection is closed, as the read then does
+	_, _ = io.Copy(io.Discard, io.LimitReader(r.Body, limit))
+	_ = r.conn.SetReadDeadline(time.Time{})
+	return r.body.ended
+}
+
 // requestWritten reports whether the complete request was written.
 func (r *Response) requestWritten() bool {
 	if r.written == nil {
