Refuse an exported state that is empty

Callers saw: a completion that was paused for shorter work could end as complete after the text that it had so far.

Cause: Export took an answer with an empty body for the state of a stream. The agent then started the stream again with neither a state nor a prompt nor a number of tokens, and an engine that ends such a stream at once completed the answer. Found by reading: an answer without a byte was taken for a whole one.

Change: Export fails with an empty state, so the agent reads the prompt and the tokens so far again, as after any failed export.

--- a/backend/backend.go
+++ b/backend/backend.go
@@ -104,7 +104,7 @@
 	// error.
 	Cancel(ctx context.Context, streamID string) error
 	// Export stops a stream, frees its KV memory and returns the state that
-	// Completion.State continues from.
+	// Completion.State continues from, which is never empty.
 	Export(ctx context.Context, streamID string) ([]byte, error)
 	Load(ctx context.Context) (LoadReport, error)
 	// Events returns the cache events after the sequence number.
--- a/backend/enginehttp/client.go
+++ b/backend/enginehttp/client.go
@@ -77,7 +77,8 @@
 }
 
 // Export implements backend.Engine. A state that ends with its connection is
-// refused: unlike the JSON answers, it does not show whether it is whole.
+// refused: unlike the JSON answers, it does not show whether it is whole. So is an
+// empty one, because a stream that starts without a state starts from its prompt.
 func (c *Client) Export(ctx context.Context, streamID string) ([]byte, error) {
 	x := c.newExchange(fasthttp.MethodPost, "/v1/export", url.Values{"id": {streamID}})
 	state, err := c.run(ctx, x, nil)
@@ -87,6 +88,9 @@
 	if x.response.Header.ContentLength() == identityLength {
 		return nil, brokenError("the exported state has neither a length nor chunks", nil)
 	}
+	if len(state) == 0 {
+		return nil, brokenError("the exported state is empty", nil)
+	}
 	return state, nil
 }
 
--- a/backend/enginehttp/ending_test.go
+++ b/backend/enginehttp/ending_test.go
@@ -108,3 +108,20 @@
 		}
 	}
 }
+
+// Guards against an exported state without a byte that passes for a whole one: the
+// stream that continues from it has neither a state nor a prompt.
+func TestEmptyExportIsBroken(t *testing.T) {
+	for name, answer := range map[string]string{
+		"length": "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n",
+		"chunks": "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n",
+		"none":   "HTTP/1.1 204 No Content\r\n\r\n",
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			_, err := engineOf(t, answer).Export(context.Background(), "s")
+			var engineErr *backend.EngineError
+			is.True(errors.As(err, &engineErr) && engineErr.Kind == backend.EngineBroken)
+		})
+	}
+}
