A segment without a state is a failed attempt

Callers saw: a completion over several engines could end as complete without any text, if an agent sent the empty state of a segment.

Cause: awaitSegment marks a failure by a state that is nil, and an empty state is decoded as nil, beside the zero value of the result, which means completed. The entry took the absence of bytes for the end of the answer.

Change: an empty state fails the attempt, and another one follows.

Measured: TestSegmentWithoutStateFails failed before (verdict completed) and passes.

--- a/daemon/entry/group.go
+++ b/daemon/entry/group.go
@@ -39,7 +39,10 @@
 	messages chan *wire.AgentMessage
 }
 
-var errGroupRefused = errors.New("an engine of the group refused")
+var (
+	errGroupRefused = errors.New("an engine of the group refused")
+	errNoState      = errors.New("the state of the segment is empty")
+)
 
 // needsGroup reports whether a completion exceeds the KV cache of every single
 // engine.
@@ -280,8 +283,10 @@
 		switch {
 		case !ok:
 			return failedAttempt(m.vm, errStreamEnded), nil
-		case message.GetSegment() != nil:
+		case len(message.GetSegment().GetState()) > 0:
 			return attemptResult{}, message.GetSegment().State
+		case message.GetSegment() != nil:
+			return failedAttempt(m.vm, errNoState), nil
 		}
 		return attemptResult{verdict: attemptFailed, err: fromWire(message.GetEnd().GetError())}, nil
 	}
