Refuse a request whose body is cut by the end of its connection

Callers saw: an order of more than 8 KiB whose connection ended while its body was being sent was passed on with the part that had arrived, and ran.

Cause: fasthttp's stream of a request body with a length reports the end of the connection like the end of the body (it is strict with bodies of responses only), and readBody took it for that. The first 8 KiB are read by the library itself, which does check them, so short bodies were right.

Change: readBody compares the bytes read with the stated length.

Measured: TestCutBodyIsRefused failed before for 8192, 8193, 16384 and 22999 of 23000 bytes with a length, and passes. Bodies in chunks were right.

--- a/daemon/entry/http.go
+++ b/daemon/entry/http.go
@@ -125,8 +125,12 @@
 	if _, err := body.ReadFrom(io.LimitReader(stream, int64(limit)+1)); err != nil {
 		return outcome.Wrap(err, outcome.InvalidRequest, "the body cannot be read")
 	}
-	if body.Len() > limit {
+	stated := c.Request.Header.ContentLength() // negative in chunks
+	switch {
+	case body.Len() > limit:
 		return outcome.New(outcome.InvalidRequest, "the body exceeds %d bytes", limit)
+	case body.Len() < stated: // fasthttp reports the end of the connection as that of the body
+		return outcome.New(outcome.InvalidRequest, "the body ends after %d of %d bytes", body.Len(), stated)
 	}
 	_ = c.Request.CloseBodyStream()
 	c.Request.SetBodyRaw(body.Bytes())
--- /dev/null
+++ b/daemon/entry/http_test.go
@@ -0,0 +1,77 @@
+package entry
+
+import (
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"github.com/valyala/fasthttp"
+)
+
+// maxTestBody is the largest body that the server of readBodyOf accepts.
+const maxTestBody = 64 << 10
+
+// readBodyOf returns what readBody makes of a request whose connection ends after
+// the given bytes. The error is errNotHandled if the server refused the request
+// before its handler.
+func readBodyOf(t *testing.T, request string) (body string, err error) {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	err = errNotHandled
+	server := (&Entry{stop: make(chan struct{})}).newServer("test", maxTestBody, func(c *fasthttp.RequestCtx) {
+		err = readBody(c, maxTestBody)
+		if err == nil {
+			body = string(c.PostBody())
+		}
+	})
+	served := make(chan struct{})
+	go func() {
+		_ = server.Serve(l)
+		close(served)
+	}()
+	conn, dialErr := net.Dial("tcp", l.Addr().String())
+	if dialErr != nil {
+		t.Fatal(dialErr)
+	}
+	_, _ = io.WriteString(conn, request)
+	_ = conn.(*net.TCPConn).CloseWrite()
+	_ = conn.SetReadDeadline(time.Now().Add(5 * time.Second))
+	_, _ = io.Copy(io.Discard, conn) // until the server has answered and closed the connection
+	_ = conn.Close()
+	_ = server.Shutdown()
+	<-served
+	return body, err
+}
+
+var errNotHandled = errors.New("the handler was not called")
+
+// Guards against an order that is sent on with a part of its body, because the
+// connection of the caller ended in it. The server reads the first 8 KiB itself.
+func TestCutBodyIsRefused(t *testing.T) {
+	order := strings.Repeat("3 buckles and a strap. ", 1000)
+	head := func(framing string) string {
+		return "POST /v1/services/s/ HTTP/1.1\r\nHost: a\r\n" + framing + "\r\n\r\n"
+	}
+	for _, n := range []int{0, 1, 8<<10 - 1, 8 << 10, 8<<10 + 1, 16 << 10, len(order) - 1} {
+		for name, request := range map[string]string{
+			"length": head(fmt.Sprintf("Content-Length: %d", len(order))) + order[:n],
+			"chunk":  head("Transfer-Encoding: chunked") + fmt.Sprintf("%x\r\n%s", len(order), order[:n]),
+		} {
+			if body, err := readBodyOf(t, request); err == nil {
+				t.Errorf("%s: %d of %d bytes were accepted as %d", name, n, len(order), len(body))
+			}
+		}
+	}
+	is := is.New(t)
+	body, err := readBodyOf(t, head(fmt.Sprintf("Content-Length: %d", len(order)))+order)
+	is.NoErr(err)
+	is.Equal(body, order)
+}
