Test that a large exported state with a length cannot be cut

The HTTP library reads the first 8 KiB of a body apart from the rest, and treats a cut body of a request as whole after them.

--- a/backend/enginehttp/ending_test.go
+++ b/backend/enginehttp/ending_test.go
@@ -109,6 +109,19 @@
 	}
 }
 
+// Guards against a large state with a length that is cut and passes for the whole
+// one. The HTTP library reads the first 8 KiB of a body in another way than the rest.
+func TestCutLargeExportIsBroken(t *testing.T) {
+	state := strings.Repeat("state ", 10_000)
+	for _, n := range []int{1, 8<<10 - 1, 8 << 10, 8<<10 + 1, 32 << 10, len(state) - 1} {
+		for _, name := range []string{"length", "chunk"} {
+			if _, err := engineOf(t, framings(state, n)[name]).Export(context.Background(), "s"); err == nil {
+				t.Errorf("%s: %d of %d bytes were accepted", name, n, len(state))
+			}
+		}
+	}
+}
+
 // Guards against an exported state without a byte that passes for a whole one: the
 // stream that continues from it has neither a state nor a prompt.
 func TestEmptyExportIsBroken(t *testing.T) {
