Log a kept answer with the server that gave it

Operators saw: the line `request ended` of a request whose error answer had been kept while another server failed named that other server, without an ending.

Cause: the server and the ending of the last send were logged, also when the answer of an earlier send was forwarded.

Change: a kept answer carries its server and its ending.

Measured: TestKeptAnswerIsLoggedWithItsServer failed before (server s1 in place of s0, no ending) and passes.

--- a/gateway/ingress/exchange.go
+++ b/gateway/ingress/exchange.go
@@ -316,7 +316,7 @@
 	}
 	x.recordEnd(answerEnd{framing: answer.Framing, ending: endingWhole})
 	*complete = true
-	received := &serverAnswer{status: answer.Status, header: answer.Header, body: body}
+	received := &serverAnswer{server: a.Server.ID, end: x.end, status: answer.Status, header: answer.Header, body: body}
 	switch {
 	case answer.Status >= http.StatusInternalServerError:
 		a.Observe(suspect.Failure)
--- a/gateway/ingress/operations_test.go
+++ b/gateway/ingress/operations_test.go
@@ -116,6 +116,23 @@
 	is.True(has(lines[1], map[string]any{"msg": "request ended", "status": 502.0, "reason": "no_answer"}))
 }
 
+// Guards against a line that names another server than the one whose answer the
+// caller has: the error answer of the first server is kept while a second one fails.
+func TestKeptAnswerIsLoggedWithItsServer(t *testing.T) {
+	is := is.New(t)
+	either := firstThen(text(http.StatusInternalServerError, "an error"), raw(unframedHead[:20]))
+	f := newFleet(t, either, either)
+	response, _, err := f.call("GET", "/lookup/", "", "")
+	is.NoErr(err)
+	is.Equal(response.StatusCode, http.StatusInternalServerError)
+	f.waitForLine("request ended")
+	lines, first := f.linesOf("r1"), f.requests()[0].server
+	want := map[string]any{"status": 500.0, "server": first, "framing": "length", "ending": "whole", "sends": 2.0}
+	if got := lines[len(lines)-1]; !has(got, want) {
+		t.Errorf("%v, want %v", got, want)
+	}
+}
+
 // Guards against an answer that ended early without a trace in the logs: the last
 // line must say how the answer was framed, how it ended and after how many events.
 func TestEndOfAnAnswerIsLogged(t *testing.T) {
--- a/gateway/ingress/outcome.go
+++ b/gateway/ingress/outcome.go
@@ -27,6 +27,8 @@
 // serverAnswer is a complete answer of a server. An error answer is kept while
 // another server is tried, and forwarded if no server succeeds.
 type serverAnswer struct {
+	server string // ID
+	end    answerEnd
 	status int
 	header http.Header
 	body   []byte
@@ -41,6 +43,7 @@
 	if x.r.Method != http.MethodHead {
 		_, _ = x.w.Write(answer.body) // the caller may have disconnected
 	}
+	x.server, x.end = answer.server, answer.end // not those of a send after it
 	x.finish(answer.status, "")
 }
 
