An answer without a length is not whole if its server is gone

Callers saw: a stream with neither a length nor chunks whose server crashed between two events, and a part of such a plain answer, came as complete.

Cause: the kernel of a crashed process closes its connections in good order if nothing is left to be read there.

Change: before such an answer counts as whole, the gateway looks whether its server still accepts connections. A process that has crashed refuses them. The connection is kept for the next request, in place of the one that has ended. Without an answer within 150 ms the answer counts as whole, as before. A stream that may be resumed goes on at another server; the ending is logged and counted as server_gone.

Not covered: a server that fails, ends a stream in good order between two events and goes on running; one that restarts within that time.

--- a/gateway/ingress/ending.go
+++ b/gateway/ingress/ending.go
@@ -18,6 +18,9 @@
 	// endingNoEvent is a stream that ends with its connection before its first
 	// event.
 	endingNoEvent ending = "before_first_event"
+	// endingServerGone is an answer that ends with its connection, a stream between two
+	// events, while its server accepts no more connections.
+	endingServerGone ending = "server_gone"
 	// endingBroken is an answer that breaks off: the connection was closed before
 	// the end that the framing states, or was reset.
 	endingBroken ending = "broken_off"
--- a/gateway/ingress/ending_test.go
+++ b/gateway/ingress/ending_test.go
@@ -114,6 +114,49 @@
 	}
 }
 
+// Guards against a stream without a length that looks complete although its server
+// crashed between two events: the kernel closes the connection in good order.
+func TestCrashBetweenEventsDoesNotLookComplete(t *testing.T) {
+	for target, want := range map[string]string{"/once/": wantEvents(1, 2), "/stream/": wantEvents(1, 5)} {
+		t.Run(target, func(t *testing.T) {
+			is := is.New(t)
+			var f *fleet
+			crash := func(c net.Conn, _ *bufio.Reader, r *http.Request) bool {
+				_, _ = io.WriteString(c, unframedHead+wantEvents(1, 2))
+				f.closePort(r.Header.Get("Server"))
+				return false
+			}
+			either := firstThen(crash, events(5, true))
+			f = newFleet(t, either, either)
+			_, body, err := f.call("POST", target, "", "x")
+			is.Equal(body, want)
+			is.Equal(err == nil, target == "/stream/")
+		})
+	}
+}
+
+// Guards against a part of a plain answer without a length that looks complete
+// because its server crashed and the kernel closed the connection in good order.
+func TestCrashInAPlainAnswerDoesNotLookComplete(t *testing.T) {
+	for target, want := range map[string]int{"/order/": http.StatusBadGateway, "/lookup/": http.StatusOK} {
+		t.Run(target, func(t *testing.T) {
+			is := is.New(t)
+			var f *fleet
+			crash := func(c net.Conn, _ *bufio.Reader, r *http.Request) bool {
+				_, _ = io.WriteString(c, "HTTP/1.1 200 OK\r\nMark: m\r\n\r\nhalf of")
+				f.closePort(r.Header.Get("Server"))
+				return false
+			}
+			either := firstThen(crash, text(http.StatusOK, "half of it"))
+			f = newFleet(t, either, either)
+			response, body, err := f.call("POST", target, "", "x")
+			is.NoErr(err)
+			is.Equal(response.StatusCode, want)
+			is.True(body != "half of")
+		})
+	}
+}
+
 // Guards against a stream without a length that sent only comments and looks
 // complete when its connection ends.
 func TestCommentsAreNoEvents(t *testing.T) {
--- a/gateway/ingress/exchange.go
+++ b/gateway/ingress/exchange.go
@@ -304,17 +304,16 @@
 // a server error, because another server may still succeed. It sets complete if
 // the answer was read to its end.
 func (x *exchange) handleBuffered(a *schedule.Assignment, answer *upstream.Response, complete *bool) (nextStep, *serverAnswer) {
-	body, err := io.ReadAll(io.LimitReader(answer.Body, maxBuffered+1))
-	if err != nil || len(body) > maxBuffered {
+	body, err := x.readBuffered(a, answer)
+	x.recordEnd(answerEnd{framing: answer.Framing, ending: bufferedEnding(err)})
+	if err != nil {
 		x.reason = reasonBroken
-		x.recordEnd(answerEnd{framing: answer.Framing, ending: bufferedEnding(err)})
 		if x.ctx.Err() == nil {
 			a.Observe(suspect.Failure)
-			x.log.Warn("answer broken", "server", a.Server.ID, "bytes", len(body), x.end.attrs(), "error", errorText(err))
+			x.log.Warn("answer broken", "server", a.Server.ID, "bytes", len(body), x.end.attrs(), "error", err.Error())
 		}
 		return tryOtherServer, nil
 	}
-	x.recordEnd(answerEnd{framing: answer.Framing, ending: endingWhole})
 	*complete = true
 	received := &serverAnswer{server: a.Server.ID, end: x.end, status: answer.Status, header: answer.Header, body: body}
 	switch {
@@ -333,18 +332,33 @@
 	return answered, nil
 }
 
-// bufferedEnding returns the ending of an answer that could not be buffered; err
-// is nil if it is too long.
-func bufferedEnding(err error) ending {
-	if err == nil {
-		return endingTooLong
+// errAnswerTooLong means that an answer exceeds maxBuffered.
+var errAnswerTooLong = errors.New("answer exceeds the size limit")
+
+// readBuffered reads the body of an answer that is forwarded as a whole. With an
+// error it returns the part that has arrived.
+func (x *exchange) readBuffered(a *schedule.Assignment, answer *upstream.Response) ([]byte, error) {
+	body, err := io.ReadAll(io.LimitReader(answer.Body, maxBuffered+1))
+	switch {
+	case err != nil:
+		return body, err
+	case len(body) > maxBuffered:
+		return body, errAnswerTooLong
+	case x.endsWithServer(a, answer.Framing):
+		return body, errServerGone
 	}
-	return endingBroken
+	return body, nil
 }
 
-func errorText(err error) string {
-	if err == nil {
-		return "answer exceeds the size limit" // maxBuffered
+// bufferedEnding returns the ending of an answer that readBuffered has read.
+func bufferedEnding(err error) ending {
+	switch {
+	case err == nil:
+		return endingWhole
+	case errors.Is(err, errAnswerTooLong):
+		return endingTooLong
+	case errors.Is(err, errServerGone):
+		return endingServerGone
 	}
-	return err.Error()
+	return endingBroken
 }
--- a/gateway/ingress/harness_test.go
+++ b/gateway/ingress/harness_test.go
@@ -83,9 +83,10 @@
 	registry *registry.Registry
 	servers  []registry.Server // as registered at the start
 
-	mu    sync.Mutex
-	seen  []seen
-	conns []net.Conn // of the servers
+	mu        sync.Mutex
+	seen      []seen
+	conns     []net.Conn              // of the servers
+	listeners map[string]net.Listener // by server
 }
 
 type lockedBuffer struct {
@@ -135,7 +136,7 @@
 
 // newFleet starts a gateway and servers s0, s1 ... that answer as given.
 func newFleet(t tester, answers ...answer) *fleet {
-	f := &fleet{t: t, log: &lockedBuffer{}, registry: registry.New(func(registry.Change) {})}
+	f := &fleet{t: t, log: &lockedBuffer{}, registry: registry.New(func(registry.Change) {}), listeners: map[string]net.Listener{}}
 	for i, a := range answers {
 		id := "s" + strconv.Itoa(i)
 		f.servers = append(f.servers, registry.Server{ID: id, Service: "service", Address: f.startServer(id, a), DataCentre: "dc", Slots: 4})
@@ -248,6 +249,9 @@
 		_ = l.Close()
 		f.closeConns()
 	})
+	f.mu.Lock()
+	f.listeners[id] = l
+	f.mu.Unlock()
 	go func() {
 		for {
 			c, err := l.Accept()
@@ -263,6 +267,13 @@
 	return l.Addr().String()
 }
 
+// closePort makes a server accept no more connections, as if its process had ended.
+func (f *fleet) closePort(server string) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	_ = f.listeners[server].Close()
+}
+
 func (f *fleet) closeConns() {
 	f.mu.Lock()
 	defer f.mu.Unlock()
--- a/gateway/ingress/stream.go
+++ b/gateway/ingress/stream.go
@@ -20,6 +20,7 @@
 	errEventTooLong = errors.New("stream event exceeds the size limit")
 	errCutInEvent   = errors.New("the stream ends inside an event")
 	errNoEvent      = errors.New("the connection ends before the first event")
+	errServerGone   = errors.New("the connection ends and the server refuses another one")
 )
 
 // relay forwards the complete events of a stream, so that another server can
@@ -103,13 +104,22 @@
 	x.g.Metrics.recordFirstToken(x.ctx, x.meta.PromptTokens, x.firstByteAt.Sub(x.arrived))
 }
 
+// endsWithServer reports whether an answer that has ended with its connection may
+// have been cut by a crash of its server. The framing cannot tell, so it looks
+// whether the server still accepts connections.
+func (x *exchange) endsWithServer(a *schedule.Assignment, framing upstream.Framing) bool {
+	return framing == upstream.FramedByClose && x.g.Client.Refuses(x.ctx, a.Server.Address)
+}
+
 // streamEnding returns how a stream ended whose body was read to its end.
-func streamEnding(framing upstream.Framing, events *eventBuffer) ending {
+func (x *exchange) streamEnding(a *schedule.Assignment, framing upstream.Framing, events *eventBuffer) ending {
 	switch {
 	case len(events.rest()) > 0:
 		return endingInEvent
 	case framing == upstream.FramedByClose && events.count == 0:
 		return endingNoEvent
+	case x.endsWithServer(a, framing):
+		return endingServerGone
 	}
 	return endingWhole
 }
@@ -117,12 +127,14 @@
 // endStream completes the answer if the stream is whole. The end of the body does
 // not show that: a server that fails may end its connection in good order.
 func (x *exchange) endStream(a *schedule.Assignment, answer *upstream.Response, events *eventBuffer) nextStep {
-	x.recordEnd(answerEnd{answer.Framing, streamEnding(answer.Framing, events), events.count})
+	x.recordEnd(answerEnd{answer.Framing, x.streamEnding(a, answer.Framing, events), events.count})
 	switch x.end.ending {
 	case endingInEvent:
 		return x.handleBrokenStream(a, errCutInEvent)
 	case endingNoEvent:
 		return x.handleBrokenStream(a, errNoEvent)
+	case endingServerGone:
+		return x.handleBrokenStream(a, errServerGone)
 	}
 	a.Observe(suspect.Success)
 	x.writeStreamHead(answer)
--- a/gateway/upstream/upstream.go
+++ b/gateway/upstream/upstream.go
@@ -41,6 +41,8 @@
 	// the request.
 	largeRequest = 16 << 10
 	readBuffer   = 4 << 10
+	// probeTimeout bounds Refuses, which delays the end of an answer.
+	probeTimeout = 150 * time.Millisecond
 	// maxSkipped bounds the answers to other requests that are skipped before
 	// the expected one. Interim answers count as well.
 	maxSkipped = 2
@@ -280,6 +282,20 @@
 	return &conn{Conn: nc, br: bufio.NewReaderSize(nc, readBuffer), address: address}, nil
 }
 
+// Refuses reports whether the server at address refuses a connection, as after the
+// end of its process. It returns false if that is not known. A connection that it
+// opens is kept for the next request.
+func (c *Client) Refuses(ctx context.Context, address string) bool {
+	ctx, cancel := context.WithTimeout(ctx, probeTimeout)
+	defer cancel()
+	cn, err := c.dial(ctx, address)
+	if err != nil {
+		return errors.Is(err, unix.ECONNREFUSED)
+	}
+	c.putIdle(cn, nil)
+	return false
+}
+
 // takeIdle returns an idle connection that is still usable, or nil.
 func (c *Client) takeIdle(address string, atMostOnce bool) *conn {
 	now := time.Now()
--- a/gateway/upstream/upstream_test.go
+++ b/gateway/upstream/upstream_test.go
@@ -314,3 +314,22 @@
 	is.Equal(body, "ok")
 	is.Equal(connections.Load(), int32(2))
 }
+
+// Guards against a server that runs and counts as gone, against the reverse, and
+// against a connection for each look at a server.
+func TestRefuses(t *testing.T) {
+	is := is.New(t)
+	address, connections := serve(t, answering("HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok"))
+	client := New()
+	is.True(!client.Refuses(context.Background(), address))
+	_, err := fetch(client, address, get("1"))
+	is.NoErr(err)
+	is.Equal(connections.Load(), int32(1))
+	ended, cancel := context.WithCancel(context.Background())
+	cancel()
+	is.True(!client.Refuses(ended, address)) // not known
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	is.NoErr(err)
+	is.NoErr(l.Close())
+	is.True(client.Refuses(context.Background(), l.Addr().String()))
+}
