An entry is ready once it has sessions with its agents

Callers saw: a request sent to a restarted entry at its first successful readiness probe could be refused with not_run, no_server.

Cause: Ready looked at the configuration, the store and the peers, but not at the sessions with agents, which open a little later.

--- a/daemon/entry/entry.go
+++ b/daemon/entry/entry.go
@@ -59,6 +59,7 @@
 	budget         *retry.Budget
 	placementState *placementState
 
+	startup  startup
 	leaving  atomic.Bool   // this VM is marked as leaving
 	stop     chan struct{} // closed by Stop
 	stopOnce sync.Once
@@ -98,6 +99,7 @@
 		budget: retry.New(retry.Config{}), table: choose.New(choose.Config{Seed: uint64(time.Now().UnixNano())}),
 		limiter: admit.NewLimiter(), shedder: admit.NewShedder(admit.ShedConfig{}), agents: map[string]*agentState{}}
 	e.liveEntries.Store(1)
+	e.startup.log = e.log
 	m, err := member.New(s, d.Telemetry.Log, d.KV, d.VMs, (*hooks)(e))
 	if err != nil {
 		return nil, err
@@ -140,6 +142,8 @@
 		return outcome.New(outcome.NoServer, "no configuration has been received")
 	case e.member.Isolated():
 		return outcome.New(outcome.NoServer, "neither the store nor any peer can be reached")
+	case !e.hasAgents():
+		return outcome.New(outcome.NoServer, "not all sessions with agents are open yet")
 	}
 	return nil
 }
--- a/daemon/member/member.go
+++ b/daemon/member/member.go
@@ -69,7 +69,10 @@
 	// nanoseconds.
 	lastStoreContact atomic.Int64
 	vms              atomic.Pointer[[]cloud.VM]
-	started          time.Time
+	// agentTargets are the agents that this process keeps sessions with; nil until the
+	// VM list was read for the first time.
+	agentTargets atomic.Pointer[[]string]
+	started      time.Time
 }
 
 // New returns a member that does nothing until Run.
@@ -159,6 +162,7 @@
 		if err == nil {
 			m.RecordStoreContact()
 			m.setVMs(append(vms, m.settingsPeers()...))
+			m.setAgentTargets()
 		} else if ctx.Err() == nil {
 			m.Log.Warn("VM list cannot be read", "error", err.Error())
 		}
@@ -202,6 +206,29 @@
 	m.hooks.VMsChanged(vms)
 }
 
+// setAgentTargets records the agents of the current list that this process keeps
+// sessions with.
+func (m *Member) setAgentTargets() {
+	vms := m.ListedVMs()
+	chosen := m.choosePeers(vms)
+	agents := []string{}
+	for _, vm := range vms {
+		if vm.Role != string(settings.RoleEntry) && chosen[vm.ID] {
+			agents = append(agents, vm.ID)
+		}
+	}
+	m.agentTargets.Store(&agents)
+}
+
+// AgentTargets returns the agents that this process keeps sessions with. ok is false
+// until the VM list was read.
+func (m *Member) AgentTargets() (vms []string, ok bool) {
+	if targets := m.agentTargets.Load(); targets != nil {
+		return *targets, true
+	}
+	return nil, false
+}
+
 // uniqueVMs returns the list without duplicates; the first item of each VM
 // stays.
 func uniqueVMs(vms []cloud.VM) []cloud.VM {
--- a/testbed/e2e/failure_test.go
+++ b/testbed/e2e/failure_test.go
@@ -232,6 +232,23 @@
 	is.NoErr(f.Stop())
 }
 
+// Guards against an entry that answers its readiness probe before it has sessions with
+// agents: the first caller after a restart was refused for want of a server.
+func TestRestartedEntryServesAtOnce(t *testing.T) {
+	const restarts = 20
+	is := is.New(t)
+	ctx, f := start(t, fleet.Options{Entries: 1, Engines: 3})
+	d, outcomes := f.Entries[0], map[string]int{}
+	for i := range restarts {
+		d.KillNow()
+		<-d.Done()
+		is.NoErr(f.StartDaemon(d))
+		outcomes[completeAtReadyEntry(ctx, f, i)]++
+	}
+	is.Equal(outcomes, map[string]int{"completed": restarts})
+	is.NoErr(f.Stop())
+}
+
 // completeAtReadyEntry sends a completion to a ready entry, as the load balancer of
 // the platform does. It returns "completed", or a text that says what went wrong.
 func completeAtReadyEntry(ctx context.Context, f *fleet.Fleet, i int) string {
