413 only for a body that is too long

Callers saw: status 413 for each body that the entry could not read, also one that arrived too late or had a broken chunk.

Change: a body over the limit is 413, one that does not arrive in time 504 with deadline_exceeded, any other that cannot be read 400.

--- a/daemon/entry/http.go
+++ b/daemon/entry/http.go
@@ -9,6 +9,7 @@
 	"io"
 	"net"
 	"net/http"
+	"os"
 	"regexp"
 	"strings"
 	"time"
@@ -123,12 +124,12 @@
 		body.Grow(n + bytes.MinRead)
 	}
 	if _, err := body.ReadFrom(io.LimitReader(stream, int64(limit)+1)); err != nil {
-		return outcome.Wrap(err, outcome.InvalidRequest, "the body cannot be read")
+		return bodyError(err)
 	}
 	stated := c.Request.Header.ContentLength() // negative in chunks
 	switch {
 	case body.Len() > limit:
-		return outcome.New(outcome.InvalidRequest, "the body exceeds %d bytes", limit)
+		return outcome.Wrap(errBodyTooLong, outcome.InvalidRequest, "the body exceeds %d bytes", limit)
 	case body.Len() < stated: // fasthttp reports the end of the connection as that of the body
 		return outcome.New(outcome.InvalidRequest, "the body ends after %d of %d bytes", body.Len(), stated)
 	}
@@ -137,6 +138,17 @@
 	return nil
 }
 
+// errBodyTooLong is the cause of the error of a body that exceeds the limit.
+var errBodyTooLong = errors.New("body too long")
+
+// bodyError returns the error of a request whose body could not be read.
+func bodyError(err error) error {
+	if errors.Is(err, os.ErrDeadlineExceeded) {
+		return outcome.Wrap(err, outcome.DeadlineExceeded, "the body did not arrive in time")
+	}
+	return outcome.Wrap(err, outcome.InvalidRequest, "the body cannot be read")
+}
+
 // discardBody discards up to limit bytes of a body that its handler has not
 // read. It closes the connection if more is left.
 func discardBody(c *fasthttp.RequestCtx, limit int64) {
@@ -182,7 +194,6 @@
 	}
 	if err := readBody(c, e.settings.Entry.MaxBodyBytes); err != nil {
 		x.refuse(err)
-		c.SetStatusCode(http.StatusRequestEntityTooLarge)
 		return
 	}
 	method := string(c.Method())
@@ -279,7 +290,10 @@
 func writeError(c *fasthttp.RequestCtx, requestID string, o outcome.Outcome, err error) {
 	detail := outcome.DetailOf(err)
 	status, ok := httpStatus[detail.Code]
-	if !ok {
+	switch {
+	case errors.Is(err, errBodyTooLong):
+		status = http.StatusRequestEntityTooLarge
+	case !ok:
 		status = http.StatusInternalServerError
 	}
 	c.Response.Header.Set(headerRequestID, requestID)
--- a/daemon/entry/http_test.go
+++ b/daemon/entry/http_test.go
@@ -5,12 +5,16 @@
 	"fmt"
 	"io"
 	"net"
+	"net/http"
+	"os"
 	"strings"
 	"testing"
 	"time"
 
 	"github.com/matryer/is"
 	"github.com/valyala/fasthttp"
+
+	"camphorwick.dev/api/outcome"
 )
 
 // maxTestBody is the largest body that the server of readBodyOf accepts.
@@ -75,3 +79,24 @@
 	is.NoErr(err)
 	is.Equal(body, order)
 }
+
+// Guards against 413 for a body that is not too long but could not be read.
+func TestStatusOfUnreadableBody(t *testing.T) {
+	for name, c := range map[string]struct {
+		err    error
+		status int
+		code   outcome.Code
+	}{
+		"too long":     {outcome.Wrap(errBodyTooLong, outcome.InvalidRequest, "the body exceeds 1 bytes"), http.StatusRequestEntityTooLarge, outcome.InvalidRequest},
+		"late":         {bodyError(fmt.Errorf("read: %w", os.ErrDeadlineExceeded)), http.StatusGatewayTimeout, outcome.DeadlineExceeded},
+		"broken chunk": {bodyError(io.ErrUnexpectedEOF), http.StatusBadRequest, outcome.InvalidRequest},
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			var ctx fasthttp.RequestCtx
+			writeError(&ctx, "r", outcome.NotRun, c.err)
+			is.Equal(ctx.Response.StatusCode(), c.status)
+			is.Equal(outcome.CodeOf(c.err), c.code)
+		})
+	}
+}
