Stand-ins of engines and order services end their answers in more ways

The order service can cut its answer in the body or send it without a length, as the end of its connection; half of the streams that an engine breaks off end inside an event.

Measured: servicehttp TestBrokenConnections with a cut answer and TestCallsAfterUnframedAnswers pass without a change of the client.

--- a/backend/servicehttp/ending_test.go
+++ b/backend/servicehttp/ending_test.go
@@ -2,11 +2,14 @@
 
 import (
 	"context"
+	"encoding/json"
 	"fmt"
 	"testing"
 
 	"github.com/matryer/is"
 
+	"camphorwick.dev/standin/faults"
+	"camphorwick.dev/standin/ordersim"
 	"camphorwick.dev/standin/rawanswer"
 )
 
@@ -53,6 +56,24 @@
 	}
 }
 
+// Guards against a client that reuses the connection of an answer without a length,
+// or keeps a part of it for the next call.
+func TestCallsAfterUnframedAnswers(t *testing.T) {
+	is, ctx := is.New(t), context.Background()
+	address, runs := start(t, withRules(faults.Rule{Fault: faults.Unframed, Count: 2}))
+	s := New(Options{Address: address})
+	defer s.Close()
+	for n := range 4 {
+		call := order
+		call.OrderKey = fmt.Sprint(n)
+		reply, err := s.Call(ctx, call)
+		is.NoErr(err)
+		var result ordersim.Result
+		is.NoErr(json.Unmarshal(reply.Body, &result))
+		is.Equal(runs().Keys[call.OrderKey], 1)
+	}
+}
+
 // Guards against an answer without a length that is refused although its connection
 // was closed in good order, which is how such an answer ends.
 func TestUnframedAnswerIsAReply(t *testing.T) {
--- a/backend/servicehttp/servicehttp_test.go
+++ b/backend/servicehttp/servicehttp_test.go
@@ -99,7 +99,7 @@
 // that may have run. By default fasthttp's client would retry GET and PUT.
 func TestBrokenConnections(t *testing.T) {
 	for _, method := range []string{"GET", "PUT", "POST"} {
-		for fault, ran := range map[faults.Kind]int{faults.LoseRequest: 0, faults.LoseAnswer: 1} {
+		for fault, ran := range map[faults.Kind]int{faults.LoseRequest: 0, faults.LoseAnswer: 1, faults.CutAnswer: 1} {
 			is, ctx := is.New(t), context.Background()
 			address, runs := start(t, withRules(faults.Rule{Fault: fault, Skip: 1, Count: 1}))
 			s := New(Options{Address: address})
--- a/standin/enginesim/server.go
+++ b/standin/enginesim/server.go
@@ -170,8 +170,14 @@
 	ctx.Response.ImmediateHeaderFlush = true
 	ctx.SetBodyStreamWriter(func(w *bufio.Writer) {
 		err := s.writeEvents(w, attachment)
-		if failure := (*Error)(nil); errors.As(err, &failure) && failure.Kind == KindNotFound {
+		failure := (*Error)(nil)
+		switch {
+		case !errors.As(err, &failure):
+		case failure.Kind == KindNotFound:
 			err = writeFailure(w, failure)
+		case failure.Kind == KindBroken && attachment.Offset()%2 == 1: // half of the streams break inside an event
+			_, _ = w.WriteString(partOfEvent)
+			_ = w.Flush()
 		}
 		if err != nil {
 			attachment.Detach()
@@ -180,6 +186,9 @@
 	})
 }
 
+// partOfEvent is what a broken stream may end with.
+const partOfEvent = "id: 1\ndata: {\"texts\":[\"wrong\"],"
+
 // writeEvents writes a stream to its end. It returns an error if the caller has
 // not received the complete stream.
 func (s *Server) writeEvents(w *bufio.Writer, attachment *Stream) error {
--- a/standin/faults/faults.go
+++ b/standin/faults/faults.go
@@ -24,6 +24,11 @@
 	LoseRequest Kind = "lose_request"
 	// LoseAnswer executes the call and closes the connection.
 	LoseAnswer Kind = "lose_answer"
+	// CutAnswer executes the call and closes the connection in the answer.
+	CutAnswer Kind = "cut_answer"
+	// Unframed executes the call; the answer has no length and ends with its
+	// connection.
+	Unframed Kind = "unframed"
 	// Hold closes the connection and executes the call when the held calls are
 	// released.
 	Hold Kind = "hold"
--- a/standin/ordersim/ordersim.go
+++ b/standin/ordersim/ordersim.go
@@ -8,6 +8,8 @@
 	"crypto/sha256"
 	"encoding/hex"
 	"encoding/json"
+	"fmt"
+	"io"
 	"net"
 	"sync"
 	"time"
@@ -26,8 +28,9 @@
 )
 
 // supportedFaults: Refuse answers 503 without a run, LoseRequest breaks the
-// connection before the run, LoseAnswer breaks it after the run.
-var supportedFaults = []faults.Kind{faults.Refuse, faults.LoseRequest, faults.LoseAnswer}
+// connection before the run, LoseAnswer breaks it after the run, CutAnswer in the
+// middle of the answer's body. Unframed is a proper answer.
+var supportedFaults = []faults.Kind{faults.Refuse, faults.LoseRequest, faults.LoseAnswer, faults.CutAnswer, faults.Unframed}
 
 // Settings is the body of PUT /faults. The plan is replaced as a whole; the
 // other fields stay as they are if absent. In rules, the operation is the
@@ -128,8 +131,14 @@
 		return
 	}
 	s.handleOrder(ctx, key)
-	if decision.Fault == faults.LoseAnswer {
+	body := string(ctx.Response.Body())
+	switch decision.Fault {
+	case faults.LoseAnswer:
 		dropConnection(ctx)
+	case faults.CutAnswer:
+		closeAfter(ctx, fmt.Sprintf("Content-Length: %d\r\n", len(body)), body[:len(body)/2])
+	case faults.Unframed:
+		closeAfter(ctx, "", body)
 	}
 }
 
@@ -225,7 +234,21 @@
 }
 
 // dropConnection closes the connection without an answer.
-func dropConnection(ctx *fasthttp.RequestCtx) {
+func dropConnection(ctx *fasthttp.RequestCtx) { hijack(ctx, "") }
+
+// closeAfter closes the connection after an answer with the given body; framing is
+// the header that states the length of the body, or empty.
+func closeAfter(ctx *fasthttp.RequestCtx, framing, body string) {
+	h := &ctx.Response.Header
+	hijack(ctx, fmt.Sprintf("HTTP/1.1 %d X\r\nContent-Type: %s\r\n%s: %s\r\n%s\r\n%s",
+		ctx.Response.StatusCode(), h.ContentType(), headerOrder, h.Peek(headerOrder), framing, body))
+}
+
+// hijack sends the given bytes in place of the response and closes the connection.
+func hijack(ctx *fasthttp.RequestCtx, bytes string) {
 	ctx.HijackSetNoResponse(true)
-	ctx.Hijack(func(c net.Conn) { _ = c.Close() })
+	ctx.Hijack(func(c net.Conn) {
+		_, _ = io.WriteString(c, bytes) // the client may have gone
+		_ = c.Close()
+	})
 }
