Interim answers do not count as answers to other requests

Callers saw: 502 for a request that a server had answered, if interim answers (1xx) and a late answer to an earlier request came before the answer.

Cause: both counted towards the two answers that a connection skips.

Change: interim answers have a bound of their own, 16, since a failing server may send them without end.

Measured: TestInterimAnswersAreNotSkippedAnswers failed before ("all answers received belong to other requests") and passes; TestInterimAnswersAreBounded.

--- a/gateway/upstream/upstream.go
+++ b/gateway/upstream/upstream.go
@@ -44,8 +44,11 @@
 	// probeTimeout bounds Refuses, which delays the end of an answer.
 	probeTimeout = 150 * time.Millisecond
 	// maxSkipped bounds the answers to other requests that are skipped before
-	// the expected one. Interim answers count as well.
+	// the expected one.
 	maxSkipped = 2
+	// maxInterim bounds the interim answers (1xx), which a failing server may send
+	// without end.
+	maxInterim = 16
 )
 
 // Error says why there is no answer.
@@ -211,12 +214,15 @@
 // requests.
 func (cn *conn) receive(r *Request) (*http.Response, error) {
 	request := &http.Request{Method: r.Method}
-	for skipped := 0; ; skipped++ {
+	for skipped, interim := 0, 0; ; {
 		answer, err := http.ReadResponse(cn.br, request)
 		if err != nil {
 			return nil, err
 		}
-		if answer.StatusCode < http.StatusOK { // an interim answer
+		if answer.StatusCode < http.StatusOK {
+			if interim++; interim > maxInterim {
+				return nil, errTooManyInterim
+			}
 			continue
 		}
 		if r.IsAnswer == nil || r.IsAnswer(answer.Header) {
@@ -225,15 +231,19 @@
 		if skipped >= maxSkipped {
 			return nil, errForeignAnswer
 		}
+		skipped++
 		if _, err := io.Copy(io.Discard, answer.Body); err != nil {
 			return nil, err
 		}
 	}
 }
 
-// errForeignAnswer means that maxSkipped answers were skipped and the next one
-// belongs to another request, too.
-var errForeignAnswer = errors.New("all answers received belong to other requests")
+var (
+	// errForeignAnswer means that maxSkipped answers were skipped and the next one
+	// belongs to another request, too.
+	errForeignAnswer  = errors.New("all answers received belong to other requests")
+	errTooManyInterim = errors.New("too many interim answers")
+)
 
 // Close keeps the connection for further requests if reuse is set, the answer was
 // read to its end, and the connection can be used again. Otherwise it closes the
--- a/gateway/upstream/upstream_test.go
+++ b/gateway/upstream/upstream_test.go
@@ -333,3 +333,25 @@
 	is.NoErr(l.Close())
 	is.True(client.Refuses(context.Background(), l.Addr().String()))
 }
+
+// Guards against interim answers that count as answers to other requests: after two of
+// them, a late answer to an earlier request ended the next one.
+func TestInterimAnswersAreNotSkippedAnswers(t *testing.T) {
+	is := is.New(t)
+	interim := strings.Repeat("HTTP/1.1 103 Early Hints\r\nLink: </x>\r\n\r\n", maxSkipped+1)
+	address, _ := serve(t, answering(interim+"HTTP/1.1 200 OK\r\nId: 0\r\nContent-Length: 5\r\n\r\nwrong"+
+		"HTTP/1.1 200 OK\r\nId: 1\r\nContent-Length: 2\r\n\r\nok"))
+	request := get("1")
+	request.IsAnswer = func(h http.Header) bool { return h.Get("Id") == "1" }
+	body, err := fetch(New(), address, request)
+	is.NoErr(err)
+	is.Equal(body, "ok")
+}
+
+// Guards against a request that reads interim answers without end.
+func TestInterimAnswersAreBounded(t *testing.T) {
+	is := is.New(t)
+	address, _ := serve(t, answering(strings.Repeat("HTTP/1.1 100 Continue\r\n\r\n", maxInterim+1)))
+	_, err := fetch(New(), address, get("1"))
+	is.True(errors.Is(err, errTooManyInterim))
+}
