One rule for agents that may get work

Callers saw: a request for a placed model was sent on, and refused, although the backend servers of all agents with the model were down, in place of waiting until the model can be served.

Cause: three places had a rule of their own; modelUsable did not look at BackendDown.

Change: agentState.mayGetWork serves all three.

Measured: TestModelOfDownBackendIsNotUsable failed before and passes.

--- a/daemon/entry/entry.go
+++ b/daemon/entry/entry.go
@@ -93,6 +93,12 @@
 	return s.hello.GetBackend().GetModels()
 }
 
+// mayGetWork reports whether the agent may get new work.
+func (s *agentState) mayGetWork(config *fleetconf.Config) bool {
+	_, marked := config.Mark(s.hello.Vm)
+	return s.usable && !marked && !s.load.GetDraining() && !s.load.GetBackendDown()
+}
+
 // New returns an entry that does nothing until Run.
 func New(s *settings.Settings, d Deps) (*Entry, error) {
 	e := &Entry{settings: s, log: d.Telemetry.Log, telemetry: d.Telemetry, stop: make(chan struct{}),
@@ -360,7 +366,5 @@
 
 // updateUsable sets in the table whether an agent may get work; e.mu is held.
 func (e *Entry) updateUsable(vm string, config *fleetconf.Config) {
-	state := e.agents[vm]
-	_, marked := config.Mark(vm)
-	e.table.SetUsable(vm, state.usable && !marked && !state.load.GetDraining() && !state.load.GetBackendDown())
+	e.table.SetUsable(vm, e.agents[vm].mayGetWork(config))
 }
--- a/daemon/entry/group.go
+++ b/daemon/entry/group.go
@@ -121,8 +121,7 @@
 	defer e.mu.Unlock()
 	var list []candidate
 	for vm, state := range e.agents {
-		_, marked := config.Mark(vm)
-		if !state.usable || marked || state.load.GetDraining() || state.load.GetBackendDown() || !slices.Contains(state.models(), model) {
+		if !state.mayGetWork(config) || !slices.Contains(state.models(), model) {
 			continue
 		}
 		list = append(list, candidate{vm, int(state.hello.Backend.KvTokens), state.load.GetKvReservedTokens()})
--- a/daemon/entry/placement.go
+++ b/daemon/entry/placement.go
@@ -305,11 +305,8 @@
 	config := e.member.Replica.Config()
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	for vm, state := range e.agents {
-		if !state.usable || state.load.GetDraining() || !slices.Contains(state.models(), model) {
-			continue
-		}
-		if _, marked := config.Mark(vm); !marked {
+	for _, state := range e.agents {
+		if state.mayGetWork(config) && slices.Contains(state.models(), model) {
 			return true
 		}
 	}
--- a/daemon/entry/placement_test.go
+++ b/daemon/entry/placement_test.go
@@ -42,3 +42,15 @@
 	is.True(s.placeEngine(now.Add(agentGracePeriod), false).Blocked)
 	is.True(s.placeEngine(now.Add(agentGracePeriod+time.Second), false).Draining)
 }
+
+// Guards against a request for a model that is sent on although the backend servers
+// of all agents with the model are down, in place of waiting for another one.
+func TestModelOfDownBackendIsNotUsable(t *testing.T) {
+	is := is.New(t)
+	e := startEntry(t)
+	state := &agentState{hello: &wire.Hello{Vm: "agent-1"}, load: &wire.Load{Models: []string{"m"}}, usable: true}
+	e.agents["agent-1"] = state
+	is.True(e.modelUsable("m"))
+	state.load.BackendDown = true
+	is.True(!e.modelUsable("m"))
+}
