Messages of other attempts are ignored

A late not_run or accepted of an earlier attempt would have counted for the present one, so that a request that may have run could be reported as not run.

Cause: handleMessage compared the attempt of tokens and ends only.

Change: it looks at the attempt of each message first. Each attempt has a stream of its own today, so the case needs a faulty agent.

Measured: TestMessagesOfOtherAttemptsAreIgnored failed before and passes.

--- a/daemon/entry/run.go
+++ b/daemon/entry/run.go
@@ -403,10 +403,13 @@
 }
 
 // handleMessage processes one message; final is true if the attempt has ended.
-// Tokens and ends of other attempts are ignored. If the agent reports that this
+// Messages of other attempts are ignored. If the agent reports that this
 // attempt did not run, only earlierMayHaveRun decides whether the request may
 // have run.
 func (e *Entry) handleMessage(ctx context.Context, r *run, vm, attempt string, m *wire.AgentMessage, earlierMayHaveRun bool) (got attemptResult, final bool) {
+	if attemptOf(m) != attempt {
+		return attemptResult{}, false
+	}
 	switch body := m.Body.(type) {
 	case *wire.AgentMessage_NotRun:
 		r.mayHaveRun = earlierMayHaveRun
@@ -419,17 +422,29 @@
 		}
 		r.accept()
 	case *wire.AgentMessage_Tokens:
-		if body.Tokens.AttemptId == attempt {
-			return e.emitTokens(ctx, r, vm, body.Tokens)
-		}
+		return e.emitTokens(ctx, r, vm, body.Tokens)
 	case *wire.AgentMessage_End:
-		if body.End.AttemptId == attempt {
-			return attemptResultOf(r, vm, body.End, earlierMayHaveRun), true
-		}
+		return attemptResultOf(r, vm, body.End, earlierMayHaveRun), true
 	}
 	return attemptResult{}, false
 }
 
+// attemptOf returns the attempt that a message belongs to; empty for a message that no
+// attempt of a completion has.
+func attemptOf(m *wire.AgentMessage) string {
+	switch body := m.Body.(type) {
+	case *wire.AgentMessage_NotRun:
+		return body.NotRun.GetAttemptId()
+	case *wire.AgentMessage_Accepted:
+		return body.Accepted.GetAttemptId()
+	case *wire.AgentMessage_Tokens:
+		return body.Tokens.GetAttemptId()
+	case *wire.AgentMessage_End:
+		return body.End.GetAttemptId()
+	}
+	return ""
+}
+
 // emitTokens passes tokens on to the caller, each exactly once and in order.
 func (e *Entry) emitTokens(ctx context.Context, r *run, vm string, t *wire.Tokens) (attemptResult, bool) {
 	have := uint32(len(r.emitted))
--- a/daemon/entry/run_test.go
+++ b/daemon/entry/run_test.go
@@ -83,3 +83,25 @@
 	is.Equal(len(e.agents), 2)
 	is.True(e.agents["gone"] == nil)
 }
+
+// Guards against a late message of an earlier attempt that ends or accepts a later one:
+// the request would count as not run although it may have.
+func TestMessagesOfOtherAttemptsAreIgnored(t *testing.T) {
+	is := is.New(t)
+	e, r := newRun(t)
+	r.mayHaveRun = true
+	for _, m := range []*wire.AgentMessage{
+		{Body: &wire.AgentMessage_NotRun{NotRun: &wire.NotRun{AttemptId: "old"}}},
+		{Body: &wire.AgentMessage_Accepted{Accepted: &wire.Accepted{AttemptId: "old"}}},
+		{Body: &wire.AgentMessage_End{End: &wire.End{AttemptId: "old", Outcome: wire.Outcome_OUTCOME_COMPLETED}}},
+	} {
+		_, final := e.handleMessage(context.Background(), r, "vm", "a", m, false)
+		is.True(!final)
+	}
+	is.True(r.mayHaveRun)
+	is.True(!r.accepted)
+	got, final := e.handleMessage(context.Background(), r, "vm", "a",
+		&wire.AgentMessage{Body: &wire.AgentMessage_NotRun{NotRun: &wire.NotRun{AttemptId: "a"}}}, false)
+	is.True(final)
+	is.Equal(got.verdict, attemptNotRun)
+}
