Half of a pipelined request is not closed as idle

Callers saw: a stopping gateway closed a connection on which the first part of a request had been read together with the request before it. Nothing had run, and the caller had to retry.

Cause: net/http had the part in its buffer, so no byte was read after the last request, and the connection counted as idle.

Change: net/http sets one read deadline to wait for the next request and another one when it has its first bytes. The second one marks the request as begun.

--- a/gateway/node/conn.go
+++ b/gateway/node/conn.go
@@ -30,8 +30,12 @@
 	mu sync.Mutex // guards the fields below and is held while bytes are read
 	// betweenRequests is set while net/http has no request of the connection.
 	betweenRequests bool
-	// requestBegun is set if bytes were read since betweenRequests was set.
+	// requestBegun is set if bytes of the next request were read, also together with
+	// the request before it.
 	requestBegun bool
+	// deadlinesSinceIdle counts the read deadlines that net/http has set since the
+	// last request ended.
+	deadlinesSinceIdle int
 	// idleSince is when a read between two requests found no bytes; zero if the
 	// connection is not idle.
 	idleSince time.Time
@@ -159,12 +163,28 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.betweenRequests = state == http.StateNew || state == http.StateIdle
-	c.requestBegun, c.idleSince = false, time.Time{}
+	c.requestBegun, c.idleSince, c.deadlinesSinceIdle = false, time.Time{}, 0
+}
+
+// noticeBegun records that net/http has the first bytes of the next request. It sets
+// one deadline to wait for them and another one when it has them, which may be at once
+// if they were read together with the request before.
+func (c *callerConn) noticeBegun() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if !c.betweenRequests {
+		return
+	}
+	c.deadlinesSinceIdle++
+	if c.deadlinesSinceIdle > 1 {
+		c.requestBegun, c.idleSince = true, time.Time{}
+	}
 }
 
 // SetReadDeadline replaces a cleared deadline by the idle timeout if the
 // connection is between two requests.
 func (c *callerConn) SetReadDeadline(t time.Time) error {
+	c.noticeBegun()
 	if t.IsZero() && c.isBetweenRequests() {
 		if idleTimeout := c.idleTimeout(); idleTimeout > 0 {
 			t = time.Now().Add(idleTimeout)
