Send each call of a plain service on a connection of its own

Callers saw: an order completed with the answer to the order before it, and the answer was recorded, although the order had not run.

The agent reused connections to its plain service, fasthttp drops what follows an answer in its buffer without a word, and nothing in a plain answer names its call.

Why this works: an answer that comes late finds its connection closed. A call costs one more round trip to a service that is on the same VM or network segment.

The standing soak gets the fault, and its history checks that the answer to an order is whole and its own.

--- a/backend/servicehttp/ending_test.go
+++ b/backend/servicehttp/ending_test.go
@@ -82,3 +82,22 @@
 	is.NoErr(err)
 	is.Equal(string(reply.Body), "booked")
 }
+
+// Guards against an order that gets the answer to the order before it, which the
+// service sends once more when it has the next order on the connection.
+func TestSecondAnswerIsNotForTheNextOrder(t *testing.T) {
+	is, ctx := is.New(t), context.Background()
+	address, runs := start(t, withRules(faults.Rule{Fault: faults.SecondAnswer, Count: 2}))
+	s := New(Options{Address: address})
+	defer s.Close()
+	for n := range 4 {
+		call := order
+		call.OrderKey, call.Path = fmt.Sprint(n), fmt.Sprintf("/%d", n)
+		reply, err := s.Call(ctx, call)
+		is.NoErr(err)
+		var result ordersim.Result
+		is.NoErr(json.Unmarshal(reply.Body, &result))
+		is.Equal(result.Path, call.Path)
+		is.Equal(runs().Keys[call.OrderKey], 1)
+	}
+}
--- a/backend/servicehttp/servicehttp.go
+++ b/backend/servicehttp/servicehttp.go
@@ -49,11 +49,11 @@
 // New returns a service that connects on first use.
 func New(o Options) *Service {
 	return &Service{token: o.Token, http: httpcall.New(httpcall.Options{
-		Address: o.Address, MaxConnections: o.MaxConnections, MaxResponseBytes: o.MaxReplyBytes,
+		Address: o.Address, MaxConnections: o.MaxConnections, MaxResponseBytes: o.MaxReplyBytes, OneCallPerConnection: true,
 	})}
 }
 
-// Close closes idle connections. Further calls return an error with NotSent.
+// Close makes further calls return an error with NotSent.
 func (s *Service) Close() { s.http.Close() }
 
 // Call implements backend.Service. Every complete HTTP answer, whatever its
--- a/backend/servicehttp/servicehttp_test.go
+++ b/backend/servicehttp/servicehttp_test.go
@@ -104,7 +104,7 @@
 			address, runs := start(t, withRules(faults.Rule{Fault: fault, Skip: 1, Count: 1}))
 			s := New(Options{Address: address})
 			call := backend.Call{Method: method, Path: "/", OrderKey: "first"}
-			_, err := s.Call(ctx, call) // leaves a pooled connection
+			_, err := s.Call(ctx, call)
 			is.NoErr(err)
 			call.OrderKey = "second"
 			_, err = s.Call(ctx, call)
@@ -141,8 +141,8 @@
 }
 
 // Guards against an error without NotSent for an order of which no byte was
-// written: nothing listens, the server has closed the idle connection, or the
-// method or path is invalid.
+// written: the server has closed its port and the connection of the last call, or
+// the method or path is invalid.
 func TestNotSent(t *testing.T) {
 	is, ctx := is.New(t), context.Background()
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
@@ -161,7 +161,6 @@
 	_, err = s.Call(ctx, order)
 	is.NoErr(err)
 	time.Sleep(20 * time.Millisecond) // until the close arrives
-	// First with the closed idle connection, then without one.
 	for range 2 {
 		_, err = s.Call(ctx, order)
 		is.True(notSent(t, err))
--- a/cloud/httpcall/httpcall.go
+++ b/cloud/httpcall/httpcall.go
@@ -48,6 +48,10 @@
 	// Framed refuses responses with neither a length nor chunks. The connection of
 	// such a response is its only end, so a cut one may look complete.
 	Framed bool
+	// OneCallPerConnection closes each connection after its call. A server that
+	// sends an answer twice would otherwise answer the next call with it, and
+	// nothing in a plain answer names its call.
+	OneCallPerConnection bool
 }
 
 // Error reports that no complete response was received. Sent is false only if no
@@ -160,6 +164,7 @@
 type slot struct {
 	http   *fasthttp.HostClient
 	framed bool        // as in Options
+	single bool        // OneCallPerConnection of Options
 	sent   atomic.Bool // whether the current call has written any byte
 	ended  atomic.Bool // whether the current call has read the end of its connection
 
@@ -169,7 +174,7 @@
 }
 
 func newSlot(o Options) *slot {
-	s := &slot{framed: o.Framed}
+	s := &slot{framed: o.Framed, single: o.OneCallPerConnection}
 	s.http = &fasthttp.HostClient{
 		Addr:                      o.Address,
 		Dial:                      s.dial,
@@ -186,6 +191,9 @@
 
 func (s *slot) do(ctx context.Context, req *fasthttp.Request, resp *fasthttp.Response) error {
 	s.prepare(ctx)
+	if s.single {
+		req.SetConnectionClose()
+	}
 	stop := context.AfterFunc(ctx, s.abort)
 	err := s.http.Do(req, resp)
 	stop()
--- a/standin/faults/faults.go
+++ b/standin/faults/faults.go
@@ -29,6 +29,9 @@
 	// Unframed executes the call; the answer has no length and ends with its
 	// connection.
 	Unframed Kind = "unframed"
+	// SecondAnswer executes the call; the answer comes once more in place of the
+	// answer to the next call on the connection, which is not executed.
+	SecondAnswer Kind = "second_answer"
 	// Hold closes the connection and executes the call when the held calls are
 	// released.
 	Hold Kind = "hold"
--- a/standin/ordersim/ordersim.go
+++ b/standin/ordersim/ordersim.go
@@ -29,8 +29,9 @@
 
 // supportedFaults: Refuse answers 503 without a run, LoseRequest breaks the
 // connection before the run, LoseAnswer breaks it after the run, CutAnswer in the
-// middle of the answer's body. Unframed is a proper answer.
-var supportedFaults = []faults.Kind{faults.Refuse, faults.LoseRequest, faults.LoseAnswer, faults.CutAnswer, faults.Unframed}
+// middle of the answer's body. Unframed is a proper answer, and SecondAnswer begins
+// with one.
+var supportedFaults = []faults.Kind{faults.Refuse, faults.LoseRequest, faults.LoseAnswer, faults.CutAnswer, faults.Unframed, faults.SecondAnswer}
 
 // Settings is the body of PUT /faults. The plan is replaced as a whole; the
 // other fields stay as they are if absent. In rules, the operation is the
@@ -132,13 +133,17 @@
 	}
 	s.handleOrder(ctx, key)
 	body := string(ctx.Response.Body())
+	length := fmt.Sprintf("Content-Length: %d\r\n", len(body))
 	switch decision.Fault {
 	case faults.LoseAnswer:
 		dropConnection(ctx)
 	case faults.CutAnswer:
-		closeAfter(ctx, fmt.Sprintf("Content-Length: %d\r\n", len(body)), body[:len(body)/2])
+		closeAfter(ctx, answer(ctx, length, body[:len(body)/2]))
 	case faults.Unframed:
-		closeAfter(ctx, "", body)
+		closeAfter(ctx, answer(ctx, "", body))
+	case faults.SecondAnswer:
+		whole := answer(ctx, length, body)
+		closeAfter(ctx, whole, whole)
 	}
 }
 
@@ -234,21 +239,29 @@
 }
 
 // dropConnection closes the connection without an answer.
-func dropConnection(ctx *fasthttp.RequestCtx) { hijack(ctx, "") }
+func dropConnection(ctx *fasthttp.RequestCtx) { closeAfter(ctx) }
 
-// closeAfter closes the connection after an answer with the given body; framing is
-// the header that states the length of the body, or empty.
-func closeAfter(ctx *fasthttp.RequestCtx, framing, body string) {
+// answer returns the bytes of an answer with the given body; framing is the header
+// that states the length of the body, or empty.
+func answer(ctx *fasthttp.RequestCtx, framing, body string) string {
 	h := &ctx.Response.Header
-	hijack(ctx, fmt.Sprintf("HTTP/1.1 %d X\r\nContent-Type: %s\r\n%s: %s\r\n%s\r\n%s",
-		ctx.Response.StatusCode(), h.ContentType(), headerOrder, h.Peek(headerOrder), framing, body))
+	return fmt.Sprintf("HTTP/1.1 %d X\r\nContent-Type: %s\r\n%s: %s\r\n%s\r\n%s",
+		ctx.Response.StatusCode(), h.ContentType(), headerOrder, h.Peek(headerOrder), framing, body)
 }
 
-// hijack sends the given bytes in place of the response and closes the connection.
-func hijack(ctx *fasthttp.RequestCtx, bytes string) {
+// closeAfter closes the connection after the given answers, each but the first of
+// which follows a further request.
+func closeAfter(ctx *fasthttp.RequestCtx, answers ...string) {
 	ctx.HijackSetNoResponse(true)
 	ctx.Hijack(func(c net.Conn) {
-		_, _ = io.WriteString(c, bytes) // the client may have gone
-		_ = c.Close()
+		defer func() { _ = c.Close() }()
+		for n, text := range answers {
+			if n > 0 {
+				if _, err := c.Read(make([]byte, 1)); err != nil {
+					return // the client makes no further request
+				}
+			}
+			_, _ = io.WriteString(c, text) // the client may have gone
+		}
 	})
 }
--- a/testbed/history/orders.go
+++ b/testbed/history/orders.go
@@ -6,6 +6,8 @@
 
 import (
 	"context"
+	"crypto/sha256"
+	"encoding/hex"
 	"encoding/json"
 	"fmt"
 	"math"
@@ -17,6 +19,7 @@
 	"github.com/anishathalye/porcupine"
 	"github.com/google/uuid"
 
+	"camphorwick.dev/standin/ordersim"
 	"camphorwick.dev/testbed/client"
 	"camphorwick.dev/testbed/fleet"
 )
@@ -84,6 +87,7 @@
 	operations []porcupine.Operation
 	answers    map[string]int // by kind of operation and outcome
 	lateness   time.Duration  // longest time from the deadline of an order to its answer, 0 if none was late
+	foreign    []string       // keys of orders with an answer that is cut or belongs to another order
 }
 
 // NewOrders returns an Orders without recorded operations.
@@ -124,6 +128,18 @@
 	if err == nil {
 		h.lateness = max(h.lateness, a.Duration-timeout)
 	}
+	if out.outcome == "completed" && a.Status == http.StatusOK && !isAnswerTo(key, a.Text) {
+		h.foreign = append(h.foreign, key)
+	}
+}
+
+// isAnswerTo reports whether text is the whole answer of the service to the order
+// with this key. The key is also the body of the order, which the answer names by
+// its hash.
+func isAnswerTo(key, text string) bool {
+	var result ordersim.Result
+	sum := sha256.Sum256([]byte(key))
+	return json.Unmarshal([]byte(text), &result) == nil && result.OrderHash == hex.EncodeToString(sum[:])
 }
 
 // Query queries the outcome of an order at an entry. ok is false if the query
@@ -242,6 +258,9 @@
 	}
 	h.mu.Lock()
 	defer h.mu.Unlock()
+	if len(h.foreign) > 0 {
+		violations = append(violations, violation("%d orders got an answer that is cut or belongs to another order: %s", len(h.foreign), h.foreign))
+	}
 	if h.lateness > MaxLateness {
 		violations = append(violations, violation("an order was answered %v after its deadline", h.lateness))
 	}
--- a/testbed/soak/faults.go
+++ b/testbed/soak/faults.go
@@ -96,8 +96,8 @@
 	{"store slow", storeFault(jsonObject{"latency_ms": 500})},
 	{"service connection broken before and after the run", serviceFault(jsonObject{"latency_ms": 20, "rules": []jsonObject{
 		{"fault": "lose_request", "probability": 0.3}, {"fault": "lose_answer", "probability": 0.3}}})},
-	{"service answers cut or without a length", serviceFault(jsonObject{"rules": []jsonObject{
-		{"fault": "cut_answer", "probability": 0.3}, {"fault": "unframed", "probability": 0.5}}})},
+	{"service answers cut, without a length or sent twice", serviceFault(jsonObject{"rules": []jsonObject{
+		{"fault": "cut_answer", "probability": 0.3}, {"fault": "unframed", "probability": 0.5}, {"fault": "second_answer", "probability": 0.5}}})},
 	{"service slow", serviceFault(jsonObject{"latency_ms": 700})},
 	{"engine hangs", engineFault(jsonObject{"hang": true}, jsonObject{"hang": false})},
 	{"engine refuses", engineFault(jsonObject{"fail_starts": true}, jsonObject{"fail_starts": false})},
