An order's answer without a length is not whole if its service is gone

Callers saw: an order completed with a part of its answer, which was recorded as the whole one, if the service crashed while it sent an answer with neither a length nor chunks.

Cause: the kernel closes the connections of a process that ends in good order, and the client took this for the end of the answer.

Why this works: at the end of such an answer the client looks whether the service still accepts connections. If it refuses them, the call has an unknown outcome. A service that closes its connection in the middle and goes on running cannot be told from one that has finished.

--- a/backend/servicehttp/ending_test.go
+++ b/backend/servicehttp/ending_test.go
@@ -101,3 +101,12 @@
 		is.Equal(runs().Keys[call.OrderKey], 1)
 	}
 }
+
+// Guards against a part of an answer without a length that is recorded as the whole
+// one: the service crashed, and the kernel closed its connection in good order.
+func TestCrashInAnUnframedAnswerIsNoReply(t *testing.T) {
+	is := is.New(t)
+	_, err := serviceOf(t, &rawanswer.Server{Answer: "HTTP/1.1 200 OK\r\n\r\nboo", Crash: true}).Call(context.Background(), order)
+	is.True(err != nil)
+	is.True(!notSent(t, err))
+}
--- a/cloud/httpcall/httpcall.go
+++ b/cloud/httpcall/httpcall.go
@@ -28,6 +28,8 @@
 	dialTimeout = 2 * time.Second
 	// idleTimeout is shorter than the usual idle timeout of servers.
 	idleTimeout = 5 * time.Second
+	// probeTimeout bounds the check whether a server is still there.
+	probeTimeout = 150 * time.Millisecond
 	// maxConnsPerSlot bounds the connections of a slot, the type below that
 	// serves one call at a time. A slot uses one connection. A second one is
 	// allowed because fasthttp still counts an idle connection for a short time
@@ -76,6 +78,11 @@
 // nor chunks, if Options.Framed is set.
 var ErrUnframed = errors.New("the response ends with its connection")
 
+// ErrServerGone is the cause of the error of a call whose response has neither a
+// length nor chunks, if the server refuses connections at its end: a crash may have
+// cut it.
+var ErrServerGone = errors.New("the response ends with its connection and the server refuses another one")
+
 // ErrClosed is the cause of the error of a call after Close.
 var ErrClosed = errors.New("client is closed")
 
@@ -197,8 +204,8 @@
 	stop := context.AfterFunc(ctx, s.abort)
 	err := s.http.Do(req, resp)
 	stop()
-	if err == nil && s.framed && s.ended.Load() { // only such a response is read to the end of its connection
-		err = ErrUnframed
+	if err == nil && s.ended.Load() { // only a response with neither a length nor chunks is read to the end of its connection
+		err = s.checkUnframed(ctx)
 	}
 	if err == nil {
 		return nil
@@ -209,6 +216,25 @@
 	return &Error{Sent: s.sent.Load(), Cause: err}
 }
 
+// checkUnframed returns an error if a response that ended with its connection must
+// not be taken for a whole one.
+func (s *slot) checkUnframed(ctx context.Context) error {
+	if s.framed {
+		return ErrUnframed
+	}
+	ctx, cancel := context.WithTimeout(ctx, probeTimeout)
+	defer cancel()
+	var dialer net.Dialer
+	conn, err := dialer.DialContext(ctx, "tcp", s.http.Addr)
+	if errors.Is(err, syscall.ECONNREFUSED) {
+		return ErrServerGone
+	}
+	if err == nil {
+		_ = conn.Close()
+	}
+	return nil
+}
+
 // prepare sets the context of the next call. It closes an idle connection that
 // the server has closed: a call written to it would fail with Sent set.
 func (s *slot) prepare(ctx context.Context) {
--- a/standin/rawanswer/rawanswer.go
+++ b/standin/rawanswer/rawanswer.go
@@ -17,6 +17,9 @@
 	// Reset makes the server reset the connection after the answer. Otherwise it
 	// closes it in good order.
 	Reset bool
+	// Crash makes the server close its port before it ends the connection, as the
+	// end of its process does.
+	Crash bool
 
 	listener net.Listener
 }
@@ -55,6 +58,9 @@
 		return
 	}
 	_, _ = io.WriteString(c, s.Answer) // the client may have gone
+	if s.Crash {
+		s.Close()
+	}
 	if tcp, ok := c.(*net.TCPConn); ok && s.Reset {
 		_ = tcp.SetLinger(0)
 	}
