A repeated order whose answer was not kept does not look complete

The limit of a buffer was taken for the end of an answer.

Why this works: the agent states it as an error beside the outcome completed, and the entry answers 410 with answer_not_recorded, which says that the order has run and with which status. The recorded state has body_omitted.

--- a/api/outcome/outcome.go
+++ b/api/outcome/outcome.go
@@ -35,7 +35,8 @@
 // expected after its deadline. Orders are non-idempotent requests to a plain
 // service: OrderInDoubt means that the order may have run, KeyExpired that the
 // time in its key is too far from now, KeyConflict that its key was used for
-// another request. Edits are changes of the configuration: EditConflict means
+// another request, AnswerNotRecorded that it ran before and its answer was too
+// long to be kept. Edits are changes of the configuration: EditConflict means
 // that another edit has changed the same item, EditInDoubt that the edit may have
 // been accepted.
 const (
@@ -58,6 +59,7 @@
 	OrderInProgress     Code = "order_in_progress"
 	KeyExpired          Code = "key_expired"
 	KeyConflict         Code = "key_conflict"
+	AnswerNotRecorded   Code = "answer_not_recorded"
 	EditConflict        Code = "edit_conflict"
 	EditInDoubt         Code = "edit_in_doubt"
 	Cancelled           Code = "cancelled"
--- a/daemon/agent/order.go
+++ b/daemon/agent/order.go
@@ -197,6 +197,11 @@
 		return &wire.ServiceResponse{Outcome: wire.Outcome_OUTCOME_UNKNOWN, Recorded: true,
 			Error: toWire(outcome.New(outcome.OrderInDoubt, "the order was claimed by %s and its outcome is not recorded", r.Claimant))}
 	}
-	return &wire.ServiceResponse{Outcome: wire.Outcome_OUTCOME_COMPLETED, Status: r.HttpStatus,
+	response := &wire.ServiceResponse{Outcome: wire.Outcome_OUTCOME_COMPLETED, Status: r.HttpStatus,
 		ContentType: r.ContentType, Body: r.Body, Recorded: true}
+	if r.BodyOmitted {
+		response.Error = toWire(outcome.New(outcome.AnswerNotRecorded,
+			"the order has run with status %d, and its answer was too long to be recorded", r.HttpStatus))
+	}
+	return response
 }
--- a/daemon/entry/http.go
+++ b/daemon/entry/http.go
@@ -65,6 +65,7 @@
 	outcome.KeyConflict:         http.StatusConflict,
 	outcome.EditConflict:        http.StatusConflict,
 	outcome.OrderInProgress:     http.StatusConflict,
+	outcome.AnswerNotRecorded:   http.StatusGone,
 	outcome.RateLimited:         http.StatusTooManyRequests,
 	outcome.Overloaded:          http.StatusServiceUnavailable,
 	outcome.Draining:            http.StatusServiceUnavailable,
@@ -274,8 +275,8 @@
 // refuse responds to a request that did not run.
 func (x *exchange) refuse(err error) { x.fail(outcome.NotRun, err) }
 
-// fail responds to a request that did not complete and ends its span; o is the
-// outcome that the caller gets.
+// fail responds to a request without an answer to forward and ends its span; o is
+// the outcome that the caller gets.
 func (x *exchange) fail(o outcome.Outcome, err error) {
 	writeError(x.http, x.requestID, o, err)
 	x.end(o)
--- a/daemon/entry/service.go
+++ b/daemon/entry/service.go
@@ -212,15 +212,15 @@
 // writeResponse sends the service's answer, or an error, to the caller.
 func (x *exchange) writeResponse(r *wire.ServiceResponse) {
 	o := outcomes[r.Outcome]
-	if o != outcome.Completed {
+	h := &x.http.Response.Header
+	if r.Recorded && o == outcome.Completed {
+		h.Set(headerRecorded, "true")
+	}
+	if o != outcome.Completed || r.Error != nil { // a completed order has an error if its answer was not recorded
 		x.fail(o, fromWire(r.Error))
 		return
 	}
-	h := &x.http.Response.Header
 	h.Set(headerOutcome, string(o))
-	if r.Recorded {
-		h.Set(headerRecorded, "true")
-	}
 	h.SetContentType(r.ContentType)
 	x.http.SetStatusCode(int(r.Status))
 	x.http.SetBody(r.Body)
@@ -244,6 +244,8 @@
 	State  string `json:"state"`
 	Status uint32 `json:"http_status,omitempty"`
 	Body   string `json:"body,omitempty"`
+	// BodyOmitted is set if the answer was too long to be recorded.
+	BodyOmitted bool `json:"body_omitted,omitempty"`
 }
 
 // serveOrderQuery answers with the recorded state of an order of the account.
@@ -284,6 +286,7 @@
 	case wire.OrderStatus_ORDER_STATUS_DONE:
 		answer.State, answer.Outcome = "done", outcome.Completed
 		answer.Status, answer.Body = state.Record.HttpStatus, string(state.Record.Body)
+		answer.BodyOmitted = state.Record.BodyOmitted
 	default:
 		answer.State = "claimed"
 	}
--- a/testbed/e2e/service_test.go
+++ b/testbed/e2e/service_test.go
@@ -2,11 +2,13 @@
 
 import (
 	"net/http"
+	"strings"
 	"testing"
 
 	"github.com/matryer/is"
 
 	"camphorwick.dev/testbed/fleet"
+	"camphorwick.dev/testbed/history"
 )
 
 // Guards against idempotent calls that fail when one server loses all GET requests
@@ -40,3 +42,29 @@
 	}
 	is.True(limited >= 8) // the bucket of a plan with 1 call per second holds 2 calls (admit.burstSeconds), so at most 2 of the 10 pass at once
 }
+
+// longAnswer is more bytes of an answer than the order journal records.
+const longAnswer = 3000
+
+// Guards against an empty answer that looks complete: the answer of an order was too
+// long to be recorded, and the order is sent again with the same key.
+func TestUnrecordedAnswerDoesNotLookComplete(t *testing.T) {
+	is := is.New(t)
+	ctx, f := start(t, fleet.Options{Entries: 1, Orders: 1})
+	path := "/v1/services/orders/" + strings.Repeat("c", longAnswer) // the service repeats the path in its answer
+	key := history.NewKey()
+	first, err := caller(f, 0).Order(ctx, path, key, nil)
+	is.NoErr(err)
+	is.Equal(first.Status, http.StatusOK)
+	is.True(len(first.Text) > longAnswer)
+	second, err := caller(f, 0).Order(ctx, path, key, nil)
+	is.NoErr(err)
+	is.True(second.Recorded)
+	is.Equal(second.Status, http.StatusGone)
+	is.Equal(second.Outcome, "completed")
+	is.Equal(second.Code, "answer_not_recorded")
+	query, err := caller(f, 0).Call(ctx, http.MethodGet, "/v1/orders/"+key, nil, nil)
+	is.NoErr(err)
+	is.True(strings.Contains(query.Text, `"body_omitted":true`))
+	is.NoErr(f.Stop())
+}
