Do not use the state of a stream that broke during its export

Callers saw: a completed answer in which tokens were missing.

Cause: a paused completion goes on from the state that the engine exported. The agent took any end of the stream for the end by the export; if the connection broke meanwhile, the state was ahead of the last token that had arrived, and the tokens between them were lost. The number of tokens at the end is the agent's own count, so it did not show.

Why this works: the engine ends an exported stream with an event that says so, after all its tokens (docs/protocols/engine.md). Without this event the state is dropped, and the prompt with the tokens so far gets a new prefill.

The fake engine of the tests now ends an exported or cancelled stream as engines do; before, it broke the connection in this case too.

--- a/daemon/agent/runner.go
+++ b/daemon/agent/runner.go
@@ -188,7 +188,7 @@
 	chunk, paused, err := a.stream(ctx, r, streamID, grant.Priority)
 	if paused {
 		if r.state == nil {
-			// The export failed, so the stream still holds the engine's memory.
+			// Without a usable state, the stream may still hold the engine's memory.
 			a.cancelStream(streamID)
 		}
 		a.requeue(r)
@@ -218,6 +218,11 @@
 			if r.ctx.Err() == nil {
 				paused = a.awaitExport(r, exported)
 			}
+			if paused && !endedByEngine(err) {
+				// The state may contain tokens that were lost with the connection.
+				a.log.Warn("stream broke during its export, the prompt needs a new prefill", "request_id", r.submit.RequestId, "error", err.Error())
+				r.state = nil
+			}
 			closeAsync(stream)
 			return chunk, paused, fmt.Errorf("read engine stream: %w", err)
 		}
@@ -233,6 +238,13 @@
 	}
 }
 
+// endedByEngine reports whether a stream ended because the engine stated that it
+// has cancelled or exported it. All tokens have arrived then.
+func endedByEngine(err error) bool {
+	var failure *backend.EngineError
+	return errors.As(err, &failure) && failure.Kind == backend.EngineNotFound
+}
+
 // closeAsync closes an unfinished stream without waiting for the engine, because
 // an engine that hangs must not delay the result of a request. The queue keeps
 // the KV reservation until cancelStream returns.
--- a/daemon/agent/runner_test.go
+++ b/daemon/agent/runner_test.go
@@ -42,8 +42,25 @@
 type fakeStream struct {
 	engine  *fakeEngine
 	id      string
+	state   []byte // with which it was started
 	chunks  chan backend.Chunk
-	dropped chan struct{} // closed when the engine drops the stream
+	dropped chan struct{} // closed when the stream has ended
+	cause   error         // of the end of the stream; set before dropped is closed
+}
+
+// Ends of a stream: the engine states that it has cancelled or exported the stream,
+// or the connection breaks.
+var (
+	errDropped = &backend.EngineError{Kind: backend.EngineNotFound, Message: "cancelled or exported"}
+	errBroken  = &backend.EngineError{Kind: backend.EngineBroken, Message: "gone", Cause: io.EOF}
+)
+
+// end ends a stream that has not ended; the engine's mu is held.
+func (s *fakeStream) end(cause error) {
+	if s.cause == nil {
+		s.cause = cause
+		close(s.dropped)
+	}
 }
 
 func (e *fakeEngine) Info(context.Context) (backend.EngineInfo, error) {
@@ -55,7 +72,7 @@
 func (e *fakeEngine) Start(_ context.Context, c backend.Completion) (backend.Stream, error) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	s := &fakeStream{engine: e, id: c.StreamID, chunks: make(chan backend.Chunk, 16), dropped: make(chan struct{})}
+	s := &fakeStream{engine: e, id: c.StreamID, state: c.State, chunks: make(chan backend.Chunk, 16), dropped: make(chan struct{})}
 	e.streams[c.StreamID] = s
 	e.started = append(e.started, c.StreamID)
 	return s, nil
@@ -88,7 +105,7 @@
 // drop removes a stream; e.mu is held.
 func (e *fakeEngine) drop(id string) {
 	if s := e.streams[id]; s != nil {
-		close(s.dropped)
+		s.end(errDropped)
 		delete(e.streams, id)
 	}
 }
@@ -123,7 +140,7 @@
 	case c := <-s.chunks:
 		return c, nil
 	case <-s.dropped:
-		return backend.Chunk{}, &backend.EngineError{Kind: backend.EngineBroken, Message: "gone", Cause: io.EOF}
+		return backend.Chunk{}, s.cause
 	case <-ctx.Done():
 		return backend.Chunk{}, ctx.Err()
 	}
@@ -227,7 +244,7 @@
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	if s := e.streams[id]; s != nil {
-		close(s.dropped)
+		s.end(errBroken)
 		e.streams[id] = &fakeStream{engine: e, id: id, dropped: make(chan struct{})}
 	}
 }
@@ -252,6 +269,36 @@
 	})
 }
 
+// Guards against tokens that are missing from an answer that looks complete: the
+// connection of a stream broke while the engine exported it, so the state may
+// contain tokens that did not arrive.
+func TestStateOfABrokenStreamIsNotUsed(t *testing.T) {
+	for name, cause := range map[string]error{"exported": errDropped, "broken": errBroken} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				is := is.New(t)
+				e := &fakeEngine{kvTokens: 205_000}
+				e.export = func(id string) error {
+					e.streams[id].end(cause)
+					return nil
+				}
+				a, stop := runAgent(t, e)
+				defer stop()
+				long, _ := startPreemption(t, a, e)
+				if short := e.stream("short"); short != nil { // whichever of the two the queue starts first
+					short.chunks <- backend.Chunk{Texts: []string{"s"}, Final: true}
+				}
+				time.Sleep(time.Minute)
+				resumed := e.stream("long.2")
+				is.Equal(len(resumed.state) > 0, name == "exported") // otherwise the prompt gets a new prefill
+				resumed.chunks <- backend.Chunk{Texts: []string{"b"}, Final: true, FinishReason: "stop"}
+				synctest.Wait()
+				is.Equal(long.result().Outcome, wire.Outcome_OUTCOME_COMPLETED)
+			})
+		})
+	}
+}
+
 // Guards against a new engine stream for an answer that already has all its
 // tokens, because it was paused between the last token and the end. Here the
 // answer of "long" has 1 token, and the 1,100 tokens that "short" needs do not
