--- a/daemon/entry/http_test.go
+++ b/daemon/entry/http_test.go
@@ -80,6 +80,24 @@
 	is.Equal(body, order)
 }
 
+// Guards against an order that is sent on with a part of its body, because the
+// connection of the caller ended at a byte between two chunks.
+func TestCutChunkedBodyIsRefused(t *testing.T) {
+	const head = "POST /v1/services/s/ HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: chunked\r\n\r\n"
+	for _, first := range []string{"3 buckles", strings.Repeat("3 buckles and a strap. ", 1000)} {
+		chunks := fmt.Sprintf("%x\r\n%s\r\n7\r\n a belt\r\n0\r\n\r\n", len(first), first)
+		for n := len(first); n < len(chunks); n++ {
+			if body, err := readBodyOf(t, head+chunks[:n]); err == nil {
+				t.Errorf("%d of %d bytes of chunks were accepted as a body of %d bytes", n, len(chunks), len(body))
+			}
+		}
+		is := is.New(t)
+		body, err := readBodyOf(t, head+chunks)
+		is.NoErr(err)
+		is.Equal(body, first+" a belt")
+	}
+}
+
 // Guards against 413 for a body that is not too long but could not be read.
 func TestStatusOfUnreadableBody(t *testing.T) {
 	for name, c := range map[string]struct {
