Do not forward a promise that a server has not given

Callers would see: 408, 429 or 503 for an order, or a stream that may not be resumed, that may have run. These statuses promise that it has not, so the caller sends it again.

Cause: the gateway forwarded such a status of a server unchanged, also if the answer did not state that the request has not run. The users' pages say that no other answer states it. The model of answers had only 503, and always stated.

Why this works: the caller of a request that may run only once gets 502, which promises nothing, and no server gets it again. Requests that may run more than once are handled as before.

--- a/gateway/ingress/ending_test.go
+++ b/gateway/ingress/ending_test.go
@@ -330,3 +330,20 @@
 		})
 	}
 }
+
+// Guards against an order that may have run and whose caller is told that it has not:
+// a server answers with the status of a refusal and does not state that it is one.
+func TestPromiseThatIsNotStatedIsNotForwarded(t *testing.T) {
+	for _, status := range []int{http.StatusRequestTimeout, http.StatusTooManyRequests, http.StatusServiceUnavailable} {
+		for target, want := range map[string]int{"/order/": http.StatusBadGateway, "/once/": http.StatusBadGateway, "/lookup/": status, "/stream/": status} {
+			t.Run(fmt.Sprint(status, target), func(t *testing.T) {
+				is := is.New(t)
+				f := newFleet(t, text(status, "busy"))
+				response, _, err := f.call("POST", target, "", "x")
+				is.NoErr(err)
+				is.Equal(response.StatusCode, want)
+				is.Equal(response.Header.Get("Mark") != "", want == status)
+			})
+		}
+	}
+}
--- a/gateway/ingress/exchange.go
+++ b/gateway/ingress/exchange.go
@@ -162,6 +162,7 @@
 	reasonNoAnswer     = "no_answer"
 	reasonNotRun       = "server_refused"
 	reasonNotGenuine   = "answer_not_genuine"
+	reasonNotStated    = "refusal_not_stated"
 	reasonServerError  = "server_error"
 	reasonBroken       = "answer_broken"
 	reasonOverload     = "overloaded"
@@ -292,6 +293,12 @@
 		x.log.Warn("answer not genuine", "server", a.Server.ID, "status", answer.Status)
 		return tryOtherServer, nil
 	}
+	if !x.route.Retryable() && guaranteesNotRun(answer.Status) {
+		x.reason = reasonNotStated
+		a.Observe(suspect.Failure)
+		x.log.Warn("refusal not stated", "server", a.Server.ID, "status", answer.Status)
+		return tryOtherServer, nil
+	}
 	if x.route.Kind == routing.Stream && answer.Status < http.StatusMultipleChoices {
 		next := x.relay(a, answer)
 		complete = next == answered
--- a/gateway/ingress/model_test.go
+++ b/gateway/ingress/model_test.go
@@ -78,7 +78,7 @@
 
 func drawAnswer(t *rapid.T, send int, stream bool) modelAnswer {
 	label := func(name string) string { return fmt.Sprintf("%s %d", name, send) }
-	a := modelAnswer{send: send, status: rapid.SampledFrom([]int{200, 200, 200, 200, 200, 200, 201, 404, 500, 503}).Draw(t, label("status")),
+	a := modelAnswer{send: send, status: rapid.SampledFrom([]int{200, 200, 200, 200, 200, 200, 200, 201, 404, 408, 429, 500, 503}).Draw(t, label("status")),
 		stamped:  rapid.IntRange(0, 9).Draw(t, label("stamped")) > 0,
 		named:    rapid.Bool().Draw(t, label("named")),
 		interim:  rapid.IntRange(0, 4).Draw(t, label("interim")) == 0,
@@ -91,7 +91,7 @@
 		chunk:    rapid.IntRange(1, 40).Draw(t, label("chunk")),
 		leave:    rapid.SampledFrom([]leave{leaveNot, leaveNot, leaveDraining, leaveRemoved}).Draw(t, label("leave")),
 	}
-	a.refusal = a.status == http.StatusServiceUnavailable
+	a.refusal = isPromise(a.status) && rapid.IntRange(0, 2).Draw(t, label("refusal")) > 0
 	if rapid.IntRange(0, 2).Draw(t, label("note")) == 0 {
 		a.note = rapid.IntRange(1, lastEvent).Draw(t, label("note after"))
 	}
@@ -232,6 +232,16 @@
 	return a.cut >= len(e.bytes)
 }
 
+// isPromise reports whether a status tells callers that their request has not run
+// and never will.
+func isPromise(status int) bool {
+	switch status {
+	case http.StatusRequestTimeout, http.StatusMisdirectedRequest, http.StatusTooManyRequests, http.StatusServiceUnavailable:
+		return true
+	}
+	return false
+}
+
 // outcome is what the caller must see.
 type outcome struct {
 	status int // 0: the gateway fails the request
@@ -255,12 +265,13 @@
 		a := &answers[n]
 		e := a.encode(after, stream)
 		o.sends = n + 1
-		// A refusal and an answer without a stamp are known by their heads.
-		unread := a.cut >= e.headEnd && (!a.stamped || a.refusal)
+		// A refusal, an answer without a stamp and a false promise are known by their
+		// heads.
+		unread := a.cut >= e.headEnd && (!a.stamped || a.refusal || !repeatable && isPromise(a.status))
 		o.timeUp = a.end == endSilence && !a.framedWhole(e) && !unread
 		switch {
 		case a.cut >= e.headEnd && a.refusal: // has not run
-		case a.cut < e.headEnd, !a.stamped:
+		case a.cut < e.headEnd, !a.stamped, !repeatable && isPromise(a.status): // may have run
 			o.runs++
 		case stream && a.status < http.StatusMultipleChoices:
 			o.runs++
--- a/gateway/ingress/outcome.go
+++ b/gateway/ingress/outcome.go
@@ -47,6 +47,17 @@
 	x.finish(answer.status, "")
 }
 
+// guaranteesNotRun reports whether a status tells the caller that its request has
+// not run and never will. A server that answers with it must also state that, or
+// the request may have run.
+func guaranteesNotRun(status int) bool {
+	switch status {
+	case http.StatusRequestTimeout, http.StatusMisdirectedRequest, http.StatusTooManyRequests, http.StatusServiceUnavailable:
+		return true
+	}
+	return false
+}
+
 // copyHeaders copies the forwardable headers of a server's answer to the answer
 // for the caller. A nil value keeps net/http from adding a header of its own.
 func (x *exchange) copyHeaders(from http.Header) {
--- a/gateway/ingress/property_test.go
+++ b/gateway/ingress/property_test.go
@@ -222,13 +222,7 @@
 	err      error // the answer is visibly incomplete
 }
 
-func (c caller) refused() bool {
-	switch c.response.StatusCode {
-	case http.StatusServiceUnavailable, http.StatusTooManyRequests, http.StatusRequestTimeout, http.StatusMisdirectedRequest:
-		return true
-	}
-	return false
-}
+func (c caller) refused() bool { return isPromise(c.response.StatusCode) }
 
 // check compares the answer with the expected one.
 func (c caller) check(t *rapid.T, want outcome) {
