Report every data race of every process of a test fleet

Operators of the tests saw: a test failed because an entry had a data race, and the report was in the part of the log that is not printed. A race of a process that was killed, or whose exit status no test looks at, was not seen at all.

Change: the race detector of each process writes its reports to files of their own (GORACE log_path), so that no log line stands between theirs. Each test with a fleet, and both soaks, fail with the whole report of each race.

--- a/testbed/e2e/e2e_test.go
+++ b/testbed/e2e/e2e_test.go
@@ -65,6 +65,7 @@
 	t.Cleanup(func() {
 		cancel()
 		f.Kill()
+		reportRaces(t, f)
 		if t.Failed() {
 			printLogs(t, o.Dir)
 		}
@@ -72,6 +73,14 @@
 	return ctx, f
 }
 
+// reportRaces fails the test if a process of the fleet had a data race.
+func reportRaces(t *testing.T, f *fleet.Fleet) {
+	t.Helper()
+	for _, err := range f.Races() {
+		t.Error(err)
+	}
+}
+
 func printLogs(t *testing.T, dir string) {
 	files, _ := filepath.Glob(filepath.Join(dir, "*.log"))
 	for _, file := range files {
--- a/testbed/e2e/signals_test.go
+++ b/testbed/e2e/signals_test.go
@@ -104,6 +104,7 @@
 	g.writeSettings(g.settings)
 	t.Cleanup(func() {
 		f.Kill()
+		reportRaces(t, f)
 		g.server.Crash()
 		_ = store.Listener.Close() // Close would wait for the calls that an unresponsive store holds
 		if t.Failed() {
--- a/testbed/fleet/process.go
+++ b/testbed/fleet/process.go
@@ -86,6 +86,7 @@
 		return nil, &StartError{name, err}
 	}
 	cmd.Stderr = log
+	cmd.Env = append(cmd.Environ(), f.raceEnvironment(name))
 	cmd.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
 	if err := startOnOneThread(cmd); err != nil {
 		_ = log.Close()
--- a/testbed/gatewaysoak/soak.go
+++ b/testbed/gatewaysoak/soak.go
@@ -133,6 +133,9 @@
 	defer r.crashServers()
 	r.load(ctx)
 	r.check(ctx)
+	for _, err := range f.Races() {
+		r.addViolation("%w", err)
+	}
 	return &r.report, nil
 }
 
--- a/testbed/soak/soak.go
+++ b/testbed/soak/soak.go
@@ -190,6 +190,7 @@
 	if err := r.fleet.Stop(); err != nil {
 		r.addViolations(&history.Violation{Text: fmt.Sprintf("stop the fleet gracefully: %v", err)})
 	}
+	r.addViolations(r.fleet.Races()...)
 	return nil
 }
 
