A failed attempt of a group counts against its agent

Callers saw: an agent that fails in groups was still preferred for other prompts; and a completion of a group that had all its tokens, but not the end, was tried again with no token left to generate, and could not end as complete.

Cause: the attempts of groups had no part for failures, unlike those of single agents.

Change: recordFailure serves both. The failed agent of a group is counted if it is known; a lost session makes its agent unusable anyhow.

Measured: TestFailureInAGroupIsCounted fails in all three cases if the results do not name the agent; TestLostEndOfACompleteAnswer.

--- a/daemon/entry/group.go
+++ b/daemon/entry/group.go
@@ -164,6 +164,10 @@
 			if !pause(ctx, retryPause*time.Duration(r.attempts)) {
 				return r.failure(context.Cause(ctx)), nil
 			}
+		case attemptFailed:
+			if end := e.recordFailure(r, last.vm); end != nil {
+				return result{outcome: outcome.Completed, end: end}, nil
+			}
 		}
 		if err := e.awaitRetry(ctx, r, last, emitted); err != nil {
 			return r.failure(err), nil
@@ -270,6 +274,13 @@
 	return failedAttempt("", errGroupRefused)
 }
 
+// failed returns the result of an attempt that failed at this member.
+func (m *groupMember) failed(err error) attemptResult {
+	got := failedAttempt(m.vm, err)
+	got.vm = m.vm
+	return got
+}
+
 // awaitSegment waits for the state of a segment. The state is nil if the attempt
 // failed.
 func awaitSegment(ctx, lost context.Context, m *groupMember) (attemptResult, []byte) {
@@ -281,13 +292,13 @@
 	case message, ok := <-m.messages:
 		switch {
 		case !ok:
-			return failedAttempt(m.vm, errStreamEnded), nil
+			return m.failed(errStreamEnded), nil
 		case len(message.GetSegment().GetState()) > 0:
 			return attemptResult{}, message.GetSegment().State
 		case message.GetSegment() != nil:
-			return failedAttempt(m.vm, errNoState), nil
+			return m.failed(errNoState), nil
 		}
-		return attemptResult{verdict: attemptFailed, err: fromWire(message.GetEnd().GetError())}, nil
+		return attemptResult{verdict: attemptFailed, vm: m.vm, err: fromWire(message.GetEnd().GetError())}, nil
 	}
 }
 
@@ -301,9 +312,10 @@
 			return failedAttempt(m.vm, errSuspected)
 		case message, ok := <-m.messages:
 			if !ok {
-				return failedAttempt(m.vm, errStreamEnded)
+				return m.failed(errStreamEnded)
 			}
 			if got, final := e.handleMessage(ctx, r, m.vm, m.attempt, message, earlierMayHaveRun); final {
+				got.vm = m.vm
 				return got
 			}
 		}
--- a/daemon/entry/run.go
+++ b/daemon/entry/run.go
@@ -93,6 +93,7 @@
 // attemptResult is the result of one attempt.
 type attemptResult struct {
 	verdict verdict
+	vm      string // of the agent of a group that failed; empty if it is not known
 	end     *wire.End
 	err     error
 	stream  *link.Stream // non-nil and open if the end must be acknowledged
@@ -170,9 +171,8 @@
 			r.excluded[vm] = true
 			r.refusal = last.err
 		case attemptFailed:
-			e.agentFailed(vm)
-			if len(r.emitted) >= r.max { // only the end of the answer was lost
-				return result{outcome: outcome.Completed, end: r.endAtMaxTokens()}, nil
+			if end := e.recordFailure(r, vm); end != nil {
+				return result{outcome: outcome.Completed, end: end}, nil
 			}
 			r.excluded = map[string]bool{vm: true}
 		}
@@ -273,6 +273,18 @@
 	}
 }
 
+// recordFailure counts a failed attempt against its agent, if that is known. If only
+// the end of the answer was lost with the agent, it returns the end, otherwise nil.
+func (e *Entry) recordFailure(r *run, vm string) *wire.End {
+	if vm != "" {
+		e.agentFailed(vm)
+	}
+	if len(r.emitted) < r.max {
+		return nil
+	}
+	return r.endAtMaxTokens()
+}
+
 func (e *Entry) agentFailed(vm string) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
