Count each refusal of an entry in the metrics

Operators saw: camphorwick_requests_total lacked refusals of service calls with invalid headers, of unknown keys, bodies, paths and event ids.

Cause: each place that refused had to count as well, and most did not.

Change: Entry.refuse counts and answers.

--- a/daemon/entry/completion.go
+++ b/daemon/entry/completion.go
@@ -51,15 +51,13 @@
 func (e *Entry) serveCompletion(x *exchange) {
 	c, err := e.parseCompletion(x)
 	if err != nil {
-		e.metrics.refused(err)
-		x.refuse(err)
+		e.refuse(x, err)
 		return
 	}
 	setResponseDeadline(x.http, c.deadline)
 	release, err := e.admit(c)
 	if err != nil {
-		e.metrics.refused(err)
-		x.refuse(err)
+		e.refuse(x, err)
 		return
 	}
 	e.budget.Request(time.Now())
--- a/daemon/entry/http.go
+++ b/daemon/entry/http.go
@@ -190,11 +190,11 @@
 	}
 	x := e.beginExchange(ctx, c)
 	if err := e.authenticate(x); err != nil {
-		x.refuse(err)
+		e.refuse(x, err)
 		return
 	}
 	if err := readBody(c, e.settings.Entry.MaxBodyBytes); err != nil {
-		x.refuse(err)
+		e.refuse(x, err)
 		return
 	}
 	method := string(c.Method())
@@ -210,7 +210,7 @@
 	case strings.HasPrefix(path, "/v1/services/"):
 		e.serveService(x, method, strings.TrimPrefix(path, "/v1/services/"))
 	default:
-		x.refuse(outcome.New(outcome.NotFound, "%s %s does not exist", method, path))
+		e.refuse(x, outcome.New(outcome.NotFound, "%s %s does not exist", method, path))
 	}
 }
 
@@ -272,8 +272,11 @@
 	return nil
 }
 
-// refuse responds to a request that did not run.
-func (x *exchange) refuse(err error) { x.fail(outcome.NotRun, err) }
+// refuse counts a request that did not run and responds to it.
+func (e *Entry) refuse(x *exchange, err error) {
+	e.metrics.refused(err)
+	x.fail(outcome.NotRun, err)
+}
 
 // fail responds to a request without an answer to forward and ends its span; o is
 // the outcome that the caller gets.
--- a/daemon/entry/resume.go
+++ b/daemon/entry/resume.go
@@ -19,12 +19,12 @@
 // without it, all agents are asked and the answer starts at token 0.
 func (e *Entry) serveResume(x *exchange, id string) {
 	if !requestIDPattern.MatchString(id) {
-		x.refuse(outcome.New(outcome.InvalidRequest, "%q is not a request id", id))
+		e.refuse(x, outcome.New(outcome.InvalidRequest, "%q is not a request id", id))
 		return
 	}
 	vm, offset, err := parseEventID(string(x.http.Request.Header.Peek("Last-Event-ID")))
 	if err != nil {
-		x.refuse(err)
+		e.refuse(x, err)
 		return
 	}
 	x.requestID = id
--- a/daemon/entry/service.go
+++ b/daemon/entry/service.go
@@ -40,13 +40,12 @@
 func (e *Entry) serveService(x *exchange, method, rest string) {
 	c, err := e.parseCall(x, method, rest)
 	if err != nil {
-		x.refuse(err)
+		e.refuse(x, err)
 		return
 	}
 	release, err := e.applyLimits(x, 0)
 	if err != nil {
-		e.metrics.refused(err)
-		x.refuse(err)
+		e.refuse(x, err)
 		return
 	}
 	defer release()
@@ -257,12 +256,12 @@
 		service = x.plan.Services[0].Name
 	}
 	if _, ok := x.plan.Service(service); !ok {
-		x.refuse(outcome.New(outcome.UnknownService, "the plan includes no service %q", service))
+		e.refuse(x, outcome.New(outcome.UnknownService, "the plan includes no service %q", service))
 		return
 	}
 	state, err := e.queryOrder(x, service, key)
 	if err != nil {
-		x.refuse(err)
+		e.refuse(x, err)
 		return
 	}
 	answer := newOrderAnswer(key, service, state)
--- a/testbed/e2e/e2e_test.go
+++ b/testbed/e2e/e2e_test.go
@@ -172,7 +172,8 @@
 }
 
 // Guards against refusals of invalid requests with the wrong status, code or
-// outcome, and against refused requests that hold memory of an engine.
+// outcome, against refusals that the metrics do not count, and against refused
+// requests that hold memory of an engine.
 func TestBadRequests(t *testing.T) {
 	ctx, f := start(t, fleet.Options{Entries: 1, Engines: 1, Orders: 1})
 	c := caller(f, 0)
@@ -212,8 +213,10 @@
 			is.True(a.RequestID != "")
 		})
 	}
+	is := is.New(t)
+	is.Equal(sumOfMetric(t, f.Entries[0], "camphorwick_requests_total", `outcome="not_run"`), len(cases))
 	awaitMemoryFreed(t, f, time.Second)
-	is.New(t).NoErr(f.Stop())
+	is.NoErr(f.Stop())
 }
 
 func jsonNumber(n uint64) string { return fmt.Sprint(n) }
--- a/testbed/e2e/observe_test.go
+++ b/testbed/e2e/observe_test.go
@@ -6,6 +6,7 @@
 	"io"
 	"net/http"
 	"os"
+	"strconv"
 	"strings"
 	"testing"
 	"time"
@@ -88,3 +89,20 @@
 	}
 	return string(data)
 }
+
+// sumOfMetric returns the sum of a counter over all label values that contain label.
+func sumOfMetric(t *testing.T, d *fleet.Daemon, name, label string) int {
+	t.Helper()
+	sum := 0
+	for line := range strings.Lines(scrapeMetrics(t, d)) {
+		if !strings.HasPrefix(line, name+"{") || !strings.Contains(line, label) {
+			continue
+		}
+		value, err := strconv.Atoi(strings.TrimSpace(line[strings.LastIndex(line, " "):]))
+		if err != nil {
+			t.Fatalf("value of %q: %v", line, err)
+		}
+		sum += value
+	}
+	return sum
+}
