Use a shorter cached prefix if no agent of the longer one may be picked

Callers saw: a first token later than necessary. If the longest cached prefix of a prompt was only at agents of another model, or at agents that were not usable or had refused the request, no cached prefix counted at all.

Cause: the search stopped at the longest prefix that any agent had reported.

Measured: TestShorterCachedPrefix failed in its three cases ("a != b") and passes.

--- a/policy/choose/choose_test.go
+++ b/policy/choose/choose_test.go
@@ -179,6 +179,35 @@
 	is.Equal(len(table.prefixAgents), 0)
 }
 
+// Guards against a cached prefix that is ignored because a longer one is cached only
+// by agents that cannot take the request: of another model, not usable or excluded.
+func TestShorterCachedPrefix(t *testing.T) {
+	for name, c := range map[string]struct {
+		agent  Agent
+		usable bool
+		vm     string // excluded
+	}{
+		"other model": {Agent{VM: "c", Models: []string{"other"}}, true, ""},
+		"not usable":  {Agent{VM: "c", Models: []string{"m"}}, false, ""},
+		"excluded":    {Agent{VM: "c", Models: []string{"m"}}, true, "c"},
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			table := twoAgents()
+			c.agent.DataCentre, c.agent.KVTokens, c.agent.PrefillTokensPerSecond = "dc1", 450_000, 10_000
+			table.Upsert(c.agent)
+			table.SetUsable("c", c.usable)
+			table.CachedPrefixes("b", []uint64{7})
+			table.CachedPrefixes("c", []uint64{7, 8})
+			request := Request{Model: "m", Tokens: 4_000, DataCentre: "dc1", Prefixes: []uint64{7, 8},
+				Exclude: func(vm string) bool { return vm == c.vm }}
+			vm, expected, _ := table.Pick(start, request)
+			is.Equal(vm, "b")
+			is.Equal(expected, time.Duration(4_000-prefixBlockTokens)*100*time.Microsecond)
+		})
+	}
+}
+
 // Guards against short requests that wait for memory on an engine whose memory
 // long requests have filled, and against requests that are refused because the
 // only agent reports full memory.
--- a/policy/choose/pick.go
+++ b/policy/choose/pick.go
@@ -54,20 +54,19 @@
 	return best.agent.VM, best.expected, true
 }
 
-// considerPrefixAgents considers the agents of the longest prefix of the prompt
-// that any agent has reported as cached.
+// considerPrefixAgents considers the agents that have reported a prefix of the prompt
+// as cached: those of the longest prefix for which one of them may be picked.
 func (t *Table) considerPrefixAgents(now time.Time, request *Request, dcIndex int, best *candidate) {
 	for i := len(request.Prefixes) - 1; i >= 0; i-- {
-		prefixAgents := t.prefixAgents[request.Prefixes[i]]
-		if len(prefixAgents) == 0 {
-			continue
-		}
-		for _, a := range prefixAgents {
-			if a.serves(request.Model) {
-				t.consider(now, a, request, dcIndex, (i+1)*prefixBlockTokens, best)
+		found := false
+		for _, a := range t.prefixAgents[request.Prefixes[i]] {
+			if a.serves(request.Model) && t.consider(now, a, request, dcIndex, (i+1)*prefixBlockTokens, best) {
+				found = true
 			}
 		}
-		return
+		if found {
+			return
+		}
 	}
 }
 
@@ -112,17 +111,20 @@
 	}
 }
 
-func (t *Table) consider(now time.Time, a *agent, request *Request, dcIndex, cachedTokens int, best *candidate) {
+// consider makes an agent the best candidate if it is better than the present one.
+// It returns false if the agent may not be picked.
+func (t *Table) consider(now time.Time, a *agent, request *Request, dcIndex, cachedTokens int, best *candidate) bool {
 	if !a.usable || now.Before(a.holdDownUntil) || request.Tokens > a.KVTokens {
-		return
+		return false
 	}
 	if request.Exclude != nil && request.Exclude(a.VM) {
-		return
+		return false
 	}
 	c := t.estimate(now, a, request, dcIndex, cachedTokens)
 	if best.agent == nil || c.expected < best.expected || (c.expected == best.expected && c.agent.outstanding < best.agent.outstanding) {
 		*best = c
 	}
+	return true
 }
 
 // estimate computes the expected time to first token on an agent that has cached
