Streams of plain servers count as work until they end

Callers saw: new streams went to a server of a plain service that already sent many, beside idle ones.

Cause: the choice compared the requests in prefill, which a stream leaves at its first event.

Measured: TestStreamsOfPlainServersCountToTheirEnd failed before (10 streams on one of two servers) and passes (5 on each).

The refusal of a prompt under load no longer carries the longest Retry-After as its expected wait; nothing read it.

--- a/gateway/schedule/schedule.go
+++ b/gateway/schedule/schedule.go
@@ -97,7 +97,7 @@
 	// RetryAfter is the delay after which the caller may send the request again.
 	RetryAfter time.Duration
 	// Refusal is set if the prompt was refused because it is too long for
-	// engines under load. Waiting and Wait say nothing then.
+	// engines under load. Waiting and Wait are 0 then.
 	Refusal *dispatch.Refusal
 }
 
@@ -216,7 +216,7 @@
 		utilization.Observe(s.candidates)
 	}
 	if refusal := utilization.CheckRefusal(r.Engine, r.Prompt, s.candidates); refusal != nil {
-		return nil, &OverloadError{Refusal: refusal, Wait: maxRetryAfter, RetryAfter: maxRetryAfter}
+		return nil, &OverloadError{Refusal: refusal, RetryAfter: maxRetryAfter}
 	}
 	if !r.Engine.MayStart(r.Prompt, r.Engine.BacklogMillis(s.candidates), r.waitedShare(now)) {
 		return nil, nil
@@ -302,9 +302,10 @@
 	var best *registry.Server
 	bestCost := 0
 	for _, server := range servers {
-		// Requests of plain services count as prefilling until they end (streams
-		// until the first event), so this is the number of requests in flight.
-		cost := s.loadTracker.Load(server.ID, now).Prefilling
+		// Streams count as decoding from the first event on, all other requests of
+		// plain services as prefilling until they end.
+		load := s.loadTracker.Load(server.ID, now)
+		cost := load.Prefilling + load.Decoding
 		if server.DataCentre != s.dataCentre {
 			cost += remoteCost
 		}
--- a/gateway/schedule/schedule_test.go
+++ b/gateway/schedule/schedule_test.go
@@ -80,6 +80,23 @@
 	is.True(errors.As(err, &large))
 }
 
+// Guards against further streams for a plain server that already sends some, while
+// another server is idle: a stream is work until it ends, not until its first event.
+func TestStreamsOfPlainServersCountToTheirEnd(t *testing.T) {
+	is := is.New(t)
+	s, _ := newScheduler(2)
+	r := prompt(0)
+	r.Engine = nil
+	byServer := map[string]int{}
+	for range 10 {
+		a, err := s.Acquire(context.Background(), r)
+		is.NoErr(err)
+		a.RecordFirstToken()
+		byServer[a.Server.ID]++
+	}
+	is.Equal(byServer, map[string]int{"s0": 5, "s1": 5})
+}
+
 // Guards against an engine that gets more requests than it has slots, and
 // against a free slot that is not assigned to a waiting request.
 func TestWaitsForASlot(t *testing.T) {
