A server that was reached is not reported as unreachable

Callers saw: peers avoided a server for up to 4 s after this gateway had reached it again.

Cause: a success did not end the report, which lasted as long as the ejection. The ejection itself goes on, as is usual for outlier detection; the doc comment of Observe says why.

Measured: TestReachedServerIsNotReportedToPeers failed before (1 report after the success) and passes.

--- a/policy/suspect/suspect.go
+++ b/policy/suspect/suspect.go
@@ -59,7 +59,7 @@
 	consecutiveFailures int
 	ejectedUntil        time.Time
 	// unreachableUntil is the end of the latest ejection of a server that this
-	// process could not reach. suspectedUntil is the time until which the latest
+	// process could not reach and has not reached since. suspectedUntil is the time until which the latest
 	// report of a peer counts.
 	unreachableUntil, suspectedUntil time.Time
 	lastReached                      time.Time // last time that the server answered
@@ -69,7 +69,9 @@
 func NewTracker() *Tracker { return &Tracker{servers: map[string]*record{}} }
 
 // Observe records the result of an attempt. It returns whether the server is
-// ejected because of it and was not ejected before.
+// ejected because of it and was not ejected before. A success ends the count of
+// consecutive failures and the reports to peers, but not an ejection, which lasts
+// its time: requests of a partly failing server succeed now and then.
 func (t *Tracker) Observe(id string, o AttemptResult, now time.Time) bool {
 	r := t.record(id)
 	failed := 0.0
@@ -104,7 +106,9 @@
 // MarkReachable records that a server has begun to answer.
 func (t *Tracker) MarkReachable(id string, now time.Time) { t.record(id).markReachable(now) }
 
-func (r *record) markReachable(now time.Time) { r.lastReached, r.suspectedUntil = now, time.Time{} }
+func (r *record) markReachable(now time.Time) {
+	r.lastReached, r.suspectedUntil, r.unreachableUntil = now, time.Time{}, time.Time{}
+}
 
 func (t *Tracker) record(id string) *record {
 	r := t.servers[id]
@@ -149,7 +153,8 @@
 }
 
 // Unreachable calls f for each server that is ejected because this process
-// could not reach it, with the remaining time of the ejection.
+// could not reach it, and that it has not reached since, with the remaining time
+// of the ejection.
 func (t *Tracker) Unreachable(now time.Time, f func(id string, remaining time.Duration)) {
 	for id, r := range t.servers {
 		if remaining := r.unreachableUntil.Sub(now); remaining > 0 {
--- a/policy/suspect/suspect_test.go
+++ b/policy/suspect/suspect_test.go
@@ -84,3 +84,21 @@
 	is.True(local.ReportUnreachable("silent", firstEjection, now.Add(recentContact)))
 	local.Unreachable(now, func(string, time.Duration) { t.Fatal("reports of peers must not be forwarded") })
 }
+
+// Guards against a server that peers are told to be unreachable although this process
+// has reached it since. Its ejection goes on: one success does not show that a server
+// works that has failed so often.
+func TestReachedServerIsNotReportedToPeers(t *testing.T) {
+	is := is.New(t)
+	tracker, now := NewTracker(), time.Unix(100, 0)
+	reported := func() (n int) {
+		tracker.Unreachable(now, func(string, time.Duration) { n++ })
+		return n
+	}
+	tracker.Observe("a", Unreachable, now)
+	is.Equal(reported(), 1)
+	tracker.Observe("a", Success, now)
+	is.Equal(reported(), 0)
+	is.True(tracker.Ejected("a", now))
+	is.True(!tracker.Ejected("a", now.Add(firstEjection)))
+}
