Loads of a restarted gateway count although its clock was set back

Callers saw: after a gateway restarted with its clock set back, its peers ignored its loads until the clock passed the former start, and sent prompts to engines that it had filled.

Cause: the sequence numbers of two processes of a VM were compared, and they begin with the time of the start.

Change: each datagram carries a random number of its process; sequence numbers are compared within one process only. Earlier builds ignore the field, and their own datagrams are compared as before.

Measured: TestLoadsAfterARestartWithTheClockSetBack failed before and passes.

A datagram that is too large and one that cannot be encoded have log lines of their own now, with the reason.

--- a/gateway/peers/peers.go
+++ b/gateway/peers/peers.go
@@ -9,6 +9,7 @@
 	"errors"
 	"log/slog"
 	"math"
+	"math/rand/v2"
 	"net"
 	"net/netip"
 	"slices"
@@ -57,11 +58,12 @@
 	// newerConfigDelay, and at most once in that time.
 	OnNewerConfig func(version int64)
 
-	wake chan struct{} // triggers a datagram
+	process uint64        // random number of this process
+	wake    chan struct{} // triggers a datagram
 
 	// The following fields are used only by receive.
 
-	lastSequence    map[string]uint64    // sequence number of the newest message, by VM
+	newest          map[string]messageID // the newest message, by VM
 	lastSyncRequest map[string]time.Time // by VM
 	newerSince      time.Time            // when a newer configuration was first seen at a peer; zero if none was
 
@@ -73,9 +75,13 @@
 	syncRequesters []netip.AddrPort
 }
 
+// messageID orders the messages of a process. The sequence numbers of two processes
+// of a VM cannot be compared, because the clock may be set back between them.
+type messageID struct{ process, sequence uint64 }
+
 // New returns an exchange. SendSoon may be called before Run.
 func New(vm string, s *schedule.Scheduler, log *slog.Logger, configVersion func() int64) *Exchange {
-	return &Exchange{VM: vm, Scheduler: s, Log: log, ConfigVersion: configVersion, wake: make(chan struct{}, 1), lastSequence: map[string]uint64{},
+	return &Exchange{VM: vm, Scheduler: s, Log: log, ConfigVersion: configVersion, process: rand.Uint64(), wake: make(chan struct{}, 1), newest: map[string]messageID{},
 		lastSyncRequest: map[string]time.Time{}, OnNewerConfig: func(int64) {}}
 }
 
@@ -126,8 +132,8 @@
 }
 
 func (e *Exchange) send(ctx context.Context, conn *net.UDPConn) error {
-	// The sequence increases across restarts; if the clock was set back, peers
-	// ignore some datagrams.
+	// Peers of earlier builds compare the sequence alone, so it increases across
+	// restarts as long as the clock is not set back.
 	sequence := uint64(time.Now().UnixNano())
 	sent := map[string]*wire.ServerLoad{} // the last loads sent, by server
 	var lastComplete, lastSent time.Time
@@ -169,8 +175,12 @@
 
 func (e *Exchange) sendTo(conn *net.UDPConn, loads *wire.PeerLoads, targets []netip.AddrPort) {
 	body, err := proto.Marshal(loads)
-	if err != nil || len(body) > maxDatagram {
-		e.Log.Error("datagram too large or not encodable, not sent", "bytes", len(body))
+	if err != nil {
+		e.Log.Error("datagram not encoded", "servers", len(loads.GetLoads()), "error", err.Error())
+		return
+	}
+	if len(body) > maxDatagram {
+		e.Log.Error("datagram too large, not sent", "servers", len(loads.GetLoads()), "bytes", len(body), "limit", maxDatagram)
 		return
 	}
 	for _, target := range targets {
@@ -226,7 +236,7 @@
 // that differ from sent, and records them in sent. It adds the servers that this
 // process cannot reach.
 func (e *Exchange) loads(sent map[string]*wire.ServerLoad, complete bool) *wire.PeerLoads {
-	out := &wire.PeerLoads{Vm: e.VM, ConfigVersion: e.ConfigVersion(), Complete: complete}
+	out := &wire.PeerLoads{Vm: e.VM, Process: e.process, ConfigVersion: e.ConfigVersion(), Complete: complete}
 	active := map[string]bool{}
 	e.Scheduler.OwnLoads(func(id string, l dispatch.Load) {
 		active[id] = true
@@ -319,10 +329,11 @@
 // not known because this process has started or has dropped the loads of the
 // peer.
 func (e *Exchange) handleLoads(m *wire.PeerLoads) bool {
-	if m.GetSequence() <= e.lastSequence[m.GetVm()] { // a late or duplicate datagram is ignored
-		return true
+	id := messageID{m.GetProcess(), m.GetSequence()}
+	if last := e.newest[m.GetVm()]; id.process == last.process && id.sequence <= last.sequence {
+		return true // a late or duplicate datagram is ignored
 	}
-	e.lastSequence[m.GetVm()] = m.GetSequence()
+	e.newest[m.GetVm()] = id
 	e.compareConfig(m.GetConfigVersion())
 	loads := make(map[string]dispatch.Load, len(m.GetLoads()))
 	for _, l := range m.GetLoads() {
--- a/gateway/peers/peers_test.go
+++ b/gateway/peers/peers_test.go
@@ -12,6 +12,7 @@
 
 	"github.com/matryer/is"
 
+	"camphorwick.dev/api/wire"
 	"camphorwick.dev/gateway/registry"
 	"camphorwick.dev/gateway/schedule"
 	"camphorwick.dev/policy/dispatch"
@@ -158,3 +159,25 @@
 		t.Fatal("the peer does not suspect the server")
 	}
 }
+
+// Guards against the loads of a restarted gateway that its peers ignore until its
+// clock, which was set back, has caught up; and against late datagrams that count.
+func TestLoadsAfterARestartWithTheClockSetBack(t *testing.T) {
+	is := is.New(t)
+	e, s, conn := newExchange(t, "a")
+	defer func() { _ = conn.Close() }()
+	for _, m := range []*wire.PeerLoads{
+		{Process: 1, Sequence: 1000, Loads: []*wire.ServerLoad{{Server: "s0", Writers: 3}}},
+		{Process: 2, Sequence: 10, Loads: []*wire.ServerLoad{{Server: "s0", Writers: 1}}},
+		{Process: 2, Sequence: 9, Loads: []*wire.ServerLoad{{Server: "s0", Writers: 2}}},
+	} {
+		m.Vm, m.Complete = "b", true
+		e.handleLoads(m)
+	}
+	engine := &dispatch.Engine{Slots: 4, MemoryTokens: 100_000, ChunkTokens: 2048, StepsPerPass: 10, StepMillis: 1, PrefillTokensPerMilli: 100}
+	now := time.Now()
+	got, err := s.Acquire(context.Background(), schedule.Request{Service: "service", Engine: engine, Arrived: now, Deadline: now.Add(time.Second),
+		Prompt: dispatch.Prompt{Tokens: 1000, AnswerTokens: 10}})
+	is.NoErr(err)
+	is.Equal(got.Load.Decoding, 1)
+}
