A refused placement command says why its confirmation is missing

Operators saw: "no confirmation came" with the status EXPIRED, whatever the cause.

Change: the reason has the error of the read; a message that is no confirmation gets the status REFUSED. EXPIRED without a confirmation is right: wire.proto defines it so. The prefix of the lease keys stands in one place.

Measured: TestMissingConfirmationIsExplained fails in both cases without the change and passes.

--- a/daemon/agent/placement.go
+++ b/daemon/agent/placement.go
@@ -13,11 +13,9 @@
 
 	"camphorwick.dev/api/wire"
 	"camphorwick.dev/backend"
+	"camphorwick.dev/daemon/placement"
 )
 
-// leaseKeyPrefix is the prefix of the lease keys of planners.
-const leaseKeyPrefix = "placement/"
-
 const (
 	// storeCallTimeout bounds the check of a fencing token in the store.
 	storeCallTimeout = 2 * time.Second
@@ -129,8 +127,11 @@
 	}
 	s.SetReadDeadline(offered.Add(offerTimeout))
 	message := &wire.EntryMessage{}
-	if err := s.Read(message); err != nil || message.GetPlace() == nil {
-		return refusePlace(wire.PlaceStatus_PLACE_STATUS_EXPIRED, "no confirmation came")
+	if err := s.Read(message); err != nil {
+		return refusePlace(wire.PlaceStatus_PLACE_STATUS_EXPIRED, "no confirmation came: %v", err)
+	}
+	if message.GetPlace() == nil {
+		return refusePlace(wire.PlaceStatus_PLACE_STATUS_REFUSED, "the answer to the offer is no confirmation: %T", message.Body)
 	}
 	return a.executeCommand(ctx, c, offered.Add(time.Duration(message.GetPlace().RemainingMs)*time.Millisecond))
 }
@@ -144,7 +145,7 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, storeCallTimeout)
 	defer cancel()
-	current, err := a.member.KV.Get(ctx, leaseKeyPrefix+c.Model)
+	current, err := a.member.KV.Get(ctx, placement.KeyPrefix+c.Model)
 	if err != nil {
 		return refusePlace(wire.PlaceStatus_PLACE_STATUS_STORE_UNAVAILABLE, "the token cannot be checked: %v", err)
 	}
--- a/daemon/agent/placement_test.go
+++ b/daemon/agent/placement_test.go
@@ -7,6 +7,7 @@
 	"log/slog"
 	"math/rand/v2"
 	"slices"
+	"strings"
 	"sync"
 	"testing"
 	"testing/synctest"
@@ -135,7 +136,7 @@
 			return sendCommand(a, fencingToken-1, time.Second, 0)
 		}, wire.PlaceStatus_PLACE_STATUS_FENCED},
 		{"no lease", func(a *Agent, s *memkv.Store, fencingToken uint64) wire.PlaceStatus {
-			_ = s.Delete(context.Background(), leaseKeyPrefix+"b", fencingToken)
+			_ = s.Delete(context.Background(), placement.KeyPrefix+"b", fencingToken)
 			return sendCommand(a, fencingToken, time.Second, 0)
 		}, wire.PlaceStatus_PLACE_STATUS_FENCED},
 		{"a late confirmation", func(a *Agent, s *memkv.Store, fencingToken uint64) wire.PlaceStatus {
@@ -144,7 +145,7 @@
 		{"a newer token between offer and confirmation", func(a *Agent, s *memkv.Store, fencingToken uint64) wire.PlaceStatus {
 			go func() {
 				time.Sleep(time.Second)
-				next, _ := s.Put(context.Background(), leaseKeyPrefix+"b", nil, fencingToken, 0)
+				next, _ := s.Put(context.Background(), placement.KeyPrefix+"b", nil, fencingToken, 0)
 				sendCommand(a, next, time.Minute, 0)
 			}()
 			return sendCommand(a, fencingToken, time.Minute, 2*time.Second)
@@ -170,7 +171,7 @@
 				// Makes the revision of the lease key higher than 1, so that an older one exists.
 				_, err := store.Put(t.Context(), "other", nil, 0, 0)
 				is.NoErr(err)
-				fencingToken, err := store.Put(t.Context(), leaseKeyPrefix+"b", nil, 0, 0)
+				fencingToken, err := store.Put(t.Context(), placement.KeyPrefix+"b", nil, 0, 0)
 				is.NoErr(err)
 				commands := 0
 				engine := &checkedEngine{vm: "vm-1", models: map[string]string{"a": ""}, check: func(string, backend.Command) { commands++ }}
@@ -233,7 +234,7 @@
 
 // check verifies the fencing token of a command that reached an engine.
 func (sim *simulation) check(vm string, o backend.Command) {
-	current, err := sim.store.Get(context.Background(), leaseKeyPrefix+o.Model)
+	current, err := sim.store.Get(context.Background(), placement.KeyPrefix+o.Model)
 	sim.mu.Lock()
 	defer sim.mu.Unlock()
 	if err == nil && current.Revision != o.Fencing {
@@ -479,3 +480,35 @@
 	}
 	return sim.violation
 }
+
+// Guards against a refusal that does not say why no confirmation came, or that says
+// that a lease has ended although the planner sent something else.
+func TestMissingConfirmationIsExplained(t *testing.T) {
+	for name, c := range map[string]struct {
+		answer *wire.EntryMessage // nil: the planner closes the stream
+		want   wire.PlaceStatus
+		reason string
+	}{
+		"closed":          {nil, wire.PlaceStatus_PLACE_STATUS_EXPIRED, "no message"},
+		"another message": {&wire.EntryMessage{Body: &wire.EntryMessage_Cancel{Cancel: &wire.Cancel{}}}, wire.PlaceStatus_PLACE_STATUS_REFUSED, "EntryMessage_Cancel"},
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			store := memkv.New()
+			fencingToken, err := store.Put(t.Context(), placement.KeyPrefix+"b", nil, 0, 0)
+			is.NoErr(err)
+			a := testAgent("vm", store, &checkedEngine{})
+			p := newPipe()
+			go a.servePlace(context.Background(), p, &wire.PlaceCommand{Kind: wire.PlaceKind_PLACE_KIND_LOAD, Model: "b", Version: "1", FencingToken: fencingToken})
+			is.True((<-p.toPlanner).(*wire.AgentMessage).GetPlaceOffer() != nil)
+			if c.answer == nil {
+				close(p.closed)
+			} else {
+				p.toAgent <- c.answer
+			}
+			result := (<-p.toPlanner).(*wire.AgentMessage).GetPlaceResult()
+			is.Equal(result.GetStatus(), c.want)
+			is.True(strings.Contains(result.GetMessage(), c.reason))
+		})
+	}
+}
