Refuse an order at once if the store takes no call before its deadline

Callers saw: during a rate limit of the store, a claim or a query waited to the end of its time and was then refused, without Retry-After.

Cause: only the caller's deadline ended the wait, although the store had stated how long it takes no calls.

Measured: TestClaimIsRefusedDuringALongRateLimit fails without the check and passes. TestOverload needs claims that wait, so its store states no delay now; its checks and bounds are as before.

--- a/ledger/ledger.go
+++ b/ledger/ledger.go
@@ -165,7 +165,7 @@
 	if err := l.checkClaim(ctx, key, requestDigest, attemptID); err != nil {
 		return nil, nil, err
 	}
-	op, record, err := l.startClaim(key, requestDigest, attemptID)
+	op, record, err := l.startClaim(ctx, key, requestDigest, attemptID)
 	if op == nil {
 		return nil, record, err
 	}
@@ -209,13 +209,13 @@
 	return outcome.Wrap(cause, outcome.StoreUnavailable, "the order journal did not answer in time")
 }
 
-func (l *Ledger) startClaim(key Key, digest []byte, attemptID string) (*operation, *wire.OrderRecord, error) {
+func (l *Ledger) startClaim(ctx context.Context, key Key, digest []byte, attemptID string) (*operation, *wire.OrderRecord, error) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	if current := l.inFlight[key.hash]; current != nil {
 		return nil, current.copyRecord(), current.refusal(digest)
 	}
-	if err := l.admit(); err != nil {
+	if err := l.admit(ctx); err != nil {
 		return nil, nil, err
 	}
 	if l.unwritten >= l.cfg.MaxUnwritten {
@@ -235,15 +235,19 @@
 	return op, nil, nil
 }
 
-// admit rejects new operations while closing or with too many of them waiting.
-// mu is held.
-func (l *Ledger) admit() error {
+// admit rejects new operations while closing, with too many of them waiting, or if
+// the store takes no call before ctx ends. mu is held.
+func (l *Ledger) admit(ctx context.Context) error {
 	if l.closing {
 		return outcome.New(outcome.Draining, "the order journal is closing")
 	}
 	if l.waiting >= l.cfg.MaxWaiting {
 		return outcome.New(outcome.Overloaded, "%d orders wait for the store", l.waiting)
 	}
+	if deadline, ok := ctx.Deadline(); ok && deadline.Before(l.rateLimitedUntil) {
+		delay := time.Until(l.rateLimitedUntil)
+		return outcome.New(outcome.StoreUnavailable, "the store limits the rate of calls for %v", delay.Round(time.Millisecond)).WithRetryAfter(delay)
+	}
 	return nil
 }
 
@@ -327,7 +331,7 @@
 		defer l.mu.Unlock()
 		return current.copyRecord(), nil
 	}
-	if err := l.admit(); err != nil {
+	if err := l.admit(ctx); err != nil {
 		l.mu.Unlock()
 		return nil, err
 	}
--- a/ledger/limits_test.go
+++ b/ledger/limits_test.go
@@ -66,6 +66,39 @@
 	})
 }
 
+// Guards against a claim that waits to the end of its time although the platform has
+// stated that it takes no call before.
+func TestClaimIsRefusedDuringALongRateLimit(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		kv := &limitedKV{Store: memkv.New()}
+		kv.limitFor(3 * time.Second)
+		l := New(kv, "vm-1@1", Config{MaxCalls: 1})
+		defer closeLedger(t, l)
+		granted := make(chan *Claim)
+		go func() { // waits, because the rate limit is not known yet
+			claim, _, _ := claimWithin(t, l, mustKey(t, time.Now(), 1), 10*time.Second)
+			granted <- claim
+		}()
+		synctest.Wait()
+		started := time.Now()
+		for n, call := range map[int]func(context.Context, Key) error{
+			2: func(ctx context.Context, key Key) error { _, _, err := l.Claim(ctx, key, digest, "attempt"); return err },
+			3: func(ctx context.Context, key Key) error { _, err := l.Lookup(ctx, key); return err },
+		} {
+			ctx, cancel := context.WithTimeout(t.Context(), 2*time.Second)
+			defer cancel()
+			err := call(ctx, mustKey(t, time.Now(), n))
+			is.Equal(outcome.CodeOf(err), outcome.StoreUnavailable)
+			is.True(outcome.From(err).RetryAfter >= 3*time.Second)
+		}
+		is.Equal(time.Since(started), time.Duration(0))
+		claim := <-granted
+		is.True(claim != nil)
+		claim.InDoubt()
+	})
+}
+
 // Guards against one store call per new claim while the platform limits the
 // rate without stating a retry delay.
 func TestRateLimitWithoutDelay(t *testing.T) {
@@ -99,7 +132,7 @@
 func TestOverload(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
-		kv := &limitedKV{Store: memkv.New()}
+		kv := &limitedKV{Store: memkv.New(), omitRetryAfter: true} // claims wait if the delay is not known
 		l := New(kv, "vm-1@1", Config{MaxWaiting: 2, MaxUnwritten: 1})
 		defer closeLedger(t, l)
 		now := time.Now()
--- a/ledger/sweep.go
+++ b/ledger/sweep.go
@@ -46,6 +46,7 @@
 			continue
 		}
 		if deleted++; deleted > l.cfg.SweepLimit {
+			l.cfg.Logger.Info("order journal sweep reached its limit, the rest is left for the next sweep", "deleted", l.cfg.SweepLimit)
 			return nil
 		}
 		if err := l.deleteValue(ctx, storeKey); err != nil {
