The order of unloads does not depend on a map

Operators saw: with several models that no plan allows, decisions on the same view unloaded different ones.

Cause: removeForbidden ranged over a map.

Measured: TestOrderOfUnloads failed before ("[d b] != [b c]") and passes with 50 decisions.

--- a/policy/place/change.go
+++ b/policy/place/change.go
@@ -1,6 +1,10 @@
 package place
 
-import "strings"
+import (
+	"maps"
+	"slices"
+	"strings"
+)
 
 // modelToUnload returns the model that an engine can unload to make room for
 // another one, or "". Models that no plan allows go first, then those without
@@ -143,8 +147,8 @@
 // removeForbidden unloads models that no plan allows, from one engine per model
 // and decision. The last model of an engine stays.
 func (r *decision) removeForbidden() {
-	for name, m := range r.models {
-		if m.Allowed {
+	for _, name := range slices.Sorted(maps.Keys(r.models)) {
+		if r.models[name].Allowed {
 			continue
 		}
 		for _, e := range r.hosts(name) {
--- a/policy/place/place_test.go
+++ b/policy/place/place_test.go
@@ -149,6 +149,21 @@
 	return left
 }
 
+// Guards against unloads that depend on the order of a map: two planners with the same
+// view, or one that decides again, would choose different models.
+func TestOrderOfUnloads(t *testing.T) {
+	is := is.New(t)
+	view := View{Models: []Model{{Name: "a", Allowed: true}, {Name: "b"}, {Name: "c"}, {Name: "d"}},
+		Engines: []Engine{engineOf("e1", "dc-1", "a", "b", "c", "d"), engineOf("e2", "dc-1", "a", "b", "c", "d")}}
+	for range 50 {
+		var models []string
+		for _, c := range New(Config{}).Decide(start, view) {
+			models = append(models, c.Model)
+		}
+		is.Equal(models, []string{"b", "c"}) // one command per engine
+	}
+}
+
 // Guards against decisions that break a limit under some demand: too many loads
 // in progress, too many models on an engine, an engine that unloads its only
 // model in use, or repeated loads. It also guards against commands that do not
