Test: a lost request of an edit is written again

TestLostResponsesAndOutages queued a lost request that no write met, because the edit before it was found in the head. Each fault has an edit of its own now, and the number of writes is checked.

--- a/fleetconf/editor_test.go
+++ b/fleetconf/editor_test.go
@@ -142,19 +142,29 @@
 		is.Equal(outcome.CodeOf(err), outcome.StoreUnavailable)
 		store.SetDown(false)
 
-		// Commit has to find the edit in the head after the first lost response.
-		faults := []memkv.Fault{memkv.LoseAnswer, memkv.LoseRequest}
-		store.SetFault(func(string) memkv.Fault {
-			if len(faults) == 0 {
-				return memkv.None
-			}
-			next := faults[0]
-			faults = faults[1:]
-			return next
-		})
-		revision, err := editor.Commit(t.Context(), edit("a", gold()))
-		is.NoErr(err)
-		is.Equal(revision, uint64(1))
+		// After a lost response, Commit has to find the edit in the head; after a lost
+		// request, it has to write it again.
+		for i, c := range []struct {
+			fault  memkv.Fault
+			edit   *wire.Edit
+			writes int
+		}{
+			{memkv.LoseAnswer, edit("a", gold()), 1},
+			{memkv.LoseRequest, edit("a2", change("mark/other", `{"state":"leaving"}`, 0)), 2},
+		} {
+			writes := 0
+			store.SetFault(func(string) memkv.Fault {
+				writes++
+				if writes > 1 {
+					return memkv.None
+				}
+				return c.fault
+			})
+			revision, err := editor.Commit(t.Context(), c.edit)
+			is.NoErr(err)
+			is.Equal(revision, uint64(i+1))
+			is.Equal(writes, c.writes)
+		}
 
 		// The write takes effect, but its response is lost and the store is down
 		// when the head is read again.
@@ -171,9 +181,9 @@
 		store.SetDown(false)
 		store.SetFault(nil)
 		second.Revision = inDoubt.Since // required when an edit is submitted again
-		revision, err = editor.Commit(t.Context(), second)
+		revision, err := editor.Commit(t.Context(), second)
 		is.NoErr(err)
-		is.Equal(revision, uint64(2))
+		is.Equal(revision, uint64(3))
 	})
 }
 
