Faults of all calls in the in-memory store

Delete, List, Grant, Renew and Revoke ignored their context, and faults applied to Put only, so no test saw a failed List or Renew. SetFault selects the fault of each call now; SetPutFault is the former SetFault, under which all tests are as before.

--- a/cloud/memkv/memkv.go
+++ b/cloud/memkv/memkv.go
@@ -1,5 +1,5 @@
 // Package memkv is an in-memory cloud.KV for tests. It simulates outages, lost
-// requests, lost responses to writes that took effect, and delayed writes that
+// requests, lost responses to calls that took effect, and delayed writes that
 // take effect after their caller has given up.
 package memkv
 
@@ -19,19 +19,37 @@
 	errLost   = errors.New("injected message loss")
 )
 
-// Fault is a failure that is injected into one Put.
+// Operation is a kind of call.
+type Operation string
+
+// Operations. Get, List and Watch read, the others write.
+const (
+	Get    Operation = "get"
+	List   Operation = "list"
+	Watch  Operation = "watch"
+	Put    Operation = "put"
+	Delete Operation = "delete"
+	Grant  Operation = "grant"
+	Renew  Operation = "renew"
+	Revoke Operation = "revoke"
+)
+
+func (o Operation) reads() bool { return o == Get || o == List || o == Watch }
+
+// Fault is a failure that is injected into one call. A write that meets one returns
+// an UncertainError, a read an UnavailableError.
 type Fault int
 
-// Faults of a Put.
+// Faults of a call.
 const (
-	// None performs the write normally.
+	// None performs the call normally.
 	None Fault = iota
-	// LoseAnswer performs the write and returns an UncertainError.
+	// LoseAnswer performs the call.
 	LoseAnswer
-	// LoseRequest drops the write and returns an UncertainError.
+	// LoseRequest drops the call.
 	LoseRequest
-	// Hold returns an UncertainError immediately. ReleaseHeld applies the write
-	// if its expected revision still matches then.
+	// Hold drops a read. A write returns immediately and is performed by
+	// ReleaseHeld, with its checks made then.
 	Hold
 )
 
@@ -51,7 +69,7 @@
 	lastLease  cloud.LeaseID
 	changed    chan struct{} // closed and replaced on each change
 	down       bool
-	fault      func(key string) Fault
+	fault      func(o Operation, key string) Fault
 	heldWrites []func() // applied by ReleaseHeld
 	calls      Calls
 }
@@ -82,14 +100,29 @@
 	s.notify()
 }
 
-// SetFault installs a function that selects the fault of each Put; nil means no
-// faults. The function is called with the store locked.
-func (s *Store) SetFault(fault func(key string) Fault) {
+// SetFault installs a function that selects the fault of each call; nil means no
+// faults. The key is empty for calls about leases, and the prefix for List. The
+// function is called with the store locked.
+func (s *Store) SetFault(fault func(o Operation, key string) Fault) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.fault = fault
 }
 
+// SetPutFault is SetFault with faults of Put only.
+func (s *Store) SetPutFault(fault func(key string) Fault) {
+	if fault == nil {
+		s.SetFault(nil)
+		return
+	}
+	s.SetFault(func(o Operation, key string) Fault {
+		if o != Put {
+			return None
+		}
+		return fault(key)
+	})
+}
+
 // ReleaseHeld applies the writes delayed by Hold.
 func (s *Store) ReleaseHeld() {
 	s.mu.Lock()
@@ -119,56 +152,78 @@
 }
 
 // Get implements cloud.KV.
-func (s *Store) Get(ctx context.Context, key string) (cloud.Record, error) {
-	if err := ctx.Err(); err != nil {
-		return cloud.Record{}, err
-	}
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.calls.Reads++
-	if s.down {
-		return cloud.Record{}, &cloud.UnavailableError{Operation: "get " + key, Cause: errOutage}
-	}
-	s.expireLeases()
-	return s.records[key].Record, nil
+func (s *Store) Get(ctx context.Context, key string) (found cloud.Record, err error) {
+	err = s.call(ctx, Get, key, func() error {
+		found = s.records[key].Record
+		return nil
+	})
+	return found, err
 }
 
 // Put implements cloud.KV.
 func (s *Store) Put(ctx context.Context, key string, value []byte, expected uint64, lease cloud.LeaseID) (uint64, error) {
+	value = append([]byte(nil), value...)
+	var revision uint64 // not read after a fault: a held write sets it later
+	err := s.call(ctx, Put, key, func() (err error) {
+		revision, err = s.applyPut(key, value, expected, lease)
+		return err
+	})
+	if err != nil {
+		return 0, err
+	}
+	return revision, nil
+}
+
+// call performs a call about a key with the fault that is selected for it.
+func (s *Store) call(ctx context.Context, o Operation, key string, perform func() error) error {
+	operation := strings.TrimSpace(string(o) + " " + key)
 	if err := ctx.Err(); err != nil {
-		return 0, &cloud.UnavailableError{Operation: "put " + key, Cause: err}
+		if o.reads() {
+			return err
+		}
+		return &cloud.UnavailableError{Operation: operation, Cause: err}
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.calls.Writes++
+	s.count(o)
 	if s.down {
-		return 0, &cloud.UnavailableError{Operation: "put " + key, Cause: errOutage}
+		return &cloud.UnavailableError{Operation: operation, Cause: errOutage}
 	}
-	value = append([]byte(nil), value...)
-	uncertain := &cloud.UncertainError{Operation: "put " + key, Cause: errLost}
-	switch s.nextFault(key) {
-	case LoseAnswer:
-		_, _ = s.applyPut(key, value, expected, lease)
-		return 0, uncertain
-	case LoseRequest:
-		return 0, uncertain
-	case Hold:
-		s.heldWrites = append(s.heldWrites, func() { _, _ = s.applyPut(key, value, expected, lease) })
-		return 0, uncertain
+	s.expireLeases()
+	fault := None
+	if s.fault != nil {
+		fault = s.fault(o, key)
 	}
-	return s.applyPut(key, value, expected, lease)
+	switch {
+	case fault == None:
+		return perform()
+	case o.reads():
+		return &cloud.UnavailableError{Operation: operation, Cause: errLost}
+	case fault == LoseAnswer:
+		_ = perform()
+	case fault == Hold:
+		s.heldWrites = append(s.heldWrites, func() {
+			s.expireLeases()
+			_ = perform()
+		})
+	}
+	return &cloud.UncertainError{Operation: operation, Cause: errLost}
 }
 
-func (s *Store) nextFault(key string) Fault {
-	if s.fault == nil {
-		return None
+// count counts a call; the caller holds s.mu.
+func (s *Store) count(o Operation) {
+	switch {
+	case o == Watch:
+		s.calls.Watches++
+	case o.reads():
+		s.calls.Reads++
+	default:
+		s.calls.Writes++
 	}
-	return s.fault(key)
 }
 
 // applyPut performs a write; the caller holds s.mu.
 func (s *Store) applyPut(key string, value []byte, expected uint64, lease cloud.LeaseID) (uint64, error) {
-	s.expireLeases()
 	if len(value) > cloud.MaxValueBytes {
 		return 0, &cloud.TooLargeError{Key: key, Size: len(value)}
 	}
@@ -190,45 +245,35 @@
 
 // Delete implements cloud.KV.
 func (s *Store) Delete(ctx context.Context, key string, expected uint64) error {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.calls.Writes++
-	if s.down {
-		return &cloud.UnavailableError{Operation: "delete " + key, Cause: errOutage}
-	}
-	s.expireLeases()
-	if actual := s.records[key].Revision; actual != expected {
-		return &cloud.ConflictError{Key: key, Expected: expected, Actual: actual}
-	}
-	delete(s.records, key)
-	s.notify()
-	return nil
+	return s.call(ctx, Delete, key, func() error {
+		if actual := s.records[key].Revision; actual != expected {
+			return &cloud.ConflictError{Key: key, Expected: expected, Actual: actual}
+		}
+		delete(s.records, key)
+		s.notify()
+		return nil
+	})
 }
 
 // List implements cloud.KV.
-func (s *Store) List(ctx context.Context, prefix string) ([]string, error) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.calls.Reads++
-	if s.down {
-		return nil, &cloud.UnavailableError{Operation: "list " + prefix, Cause: errOutage}
-	}
-	s.expireLeases()
-	var keys []string
-	for key := range s.records {
-		if strings.HasPrefix(key, prefix) {
-			keys = append(keys, key)
+func (s *Store) List(ctx context.Context, prefix string) (keys []string, err error) {
+	err = s.call(ctx, List, prefix, func() error {
+		for key := range s.records {
+			if strings.HasPrefix(key, prefix) {
+				keys = append(keys, key)
+			}
 		}
-	}
-	sort.Strings(keys)
-	return keys, nil
+		sort.Strings(keys)
+		return nil
+	})
+	return keys, err
 }
 
-// Watch implements cloud.KV.
+// Watch implements cloud.KV. A fault ends it at its start.
 func (s *Store) Watch(ctx context.Context, key string, after uint64) (cloud.Record, error) {
-	s.mu.Lock()
-	s.calls.Watches++
-	s.mu.Unlock()
+	if err := s.call(ctx, Watch, key, func() error { return nil }); err != nil {
+		return cloud.Record{}, err
+	}
 	for {
 		s.mu.Lock()
 		s.expireLeases()
@@ -250,44 +295,37 @@
 
 // Grant implements cloud.KV.
 func (s *Store) Grant(ctx context.Context, ttl time.Duration) (cloud.LeaseID, error) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.calls.Writes++
-	if s.down {
-		return 0, &cloud.UnavailableError{Operation: "grant", Cause: errOutage}
+	var id cloud.LeaseID // as in Put
+	err := s.call(ctx, Grant, "", func() error {
+		s.lastLease++
+		id = s.lastLease
+		s.ttls[id] = ttl
+		s.leases[id] = time.Now().Add(ttl)
+		return nil
+	})
+	if err != nil {
+		return 0, err
 	}
-	s.lastLease++
-	s.ttls[s.lastLease] = ttl
-	s.leases[s.lastLease] = time.Now().Add(ttl)
-	return s.lastLease, nil
+	return id, nil
 }
 
 // Renew implements cloud.KV.
 func (s *Store) Renew(ctx context.Context, id cloud.LeaseID) error {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.calls.Writes++
-	if s.down {
-		return &cloud.UnavailableError{Operation: "renew", Cause: errOutage}
-	}
-	s.expireLeases()
-	if _, ok := s.leases[id]; !ok {
-		return &cloud.LeaseError{ID: id}
-	}
-	s.leases[id] = time.Now().Add(s.ttls[id])
-	return nil
+	return s.call(ctx, Renew, "", func() error {
+		if _, ok := s.leases[id]; !ok {
+			return &cloud.LeaseError{ID: id}
+		}
+		s.leases[id] = time.Now().Add(s.ttls[id])
+		return nil
+	})
 }
 
 // Revoke implements cloud.KV.
 func (s *Store) Revoke(ctx context.Context, id cloud.LeaseID) error {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.calls.Writes++
-	if s.down {
-		return &cloud.UnavailableError{Operation: "revoke", Cause: errOutage}
-	}
-	s.endLease(id)
-	return nil
+	return s.call(ctx, Revoke, "", func() error {
+		s.endLease(id)
+		return nil
+	})
 }
 
 // expireLeases ends the leases whose TTL has passed; the caller holds s.mu.
--- a/daemon/placement/placement_test.go
+++ b/daemon/placement/placement_test.go
@@ -35,12 +35,12 @@
 			synctest.Test(t, func(t *testing.T) {
 				is := is.New(t)
 				store := memkv.New()
-				store.SetFault(func(string) memkv.Fault { return tc.fault })
+				store.SetPutFault(func(string) memkv.Fault { return tc.fault })
 				// The names are those of two planners.
 				first, second := &leases{store, "one", ttl}, &leases{store, "two", ttl}
 				l, err := first.acquire(t.Context(), "m")
 				is.Equal(err == nil, tc.held)
-				store.SetFault(nil)
+				store.SetPutFault(nil)
 				store.ReleaseHeld()
 				current, readErr := store.Get(t.Context(), KeyPrefix+"m")
 				is.NoErr(readErr)
--- a/fleetconf/editor_test.go
+++ b/fleetconf/editor_test.go
@@ -153,7 +153,7 @@
 			{memkv.LoseRequest, edit("a2", change("mark/other", `{"state":"leaving"}`, 0)), 2},
 		} {
 			writes := 0
-			store.SetFault(func(string) memkv.Fault {
+			store.SetPutFault(func(string) memkv.Fault {
 				writes++
 				if writes > 1 {
 					return memkv.None
@@ -170,7 +170,7 @@
 		// when the head is read again.
 		kv := &downAfterWrite{Store: store}
 		editor = NewEditor(kv, NewReplica())
-		store.SetFault(func(string) memkv.Fault { return memkv.LoseAnswer })
+		store.SetPutFault(func(string) memkv.Fault { return memkv.LoseAnswer })
 		second := edit("b", change("mark/vm", `{"state":"leaving"}`, 0))
 		_, err = editor.Commit(t.Context(), second)
 		var inDoubt *InDoubtError
@@ -179,7 +179,7 @@
 		is.Equal(inDoubt.EditID, "b")
 
 		store.SetDown(false)
-		store.SetFault(nil)
+		store.SetPutFault(nil)
 		second.Revision = inDoubt.Since // required when an edit is submitted again
 		revision, err := editor.Commit(t.Context(), second)
 		is.NoErr(err)
@@ -418,13 +418,13 @@
 func TestHeldWriteStaysInDoubt(t *testing.T) {
 	is := is.New(t)
 	store := memkv.New()
-	store.SetFault(func(string) memkv.Fault { return memkv.Hold })
+	store.SetPutFault(func(string) memkv.Fault { return memkv.Hold })
 	e := edit("a", gold())
 	_, err := NewEditor(&secondWriteFails{Store: store}, NewReplica()).Commit(t.Context(), e)
 	var inDoubt *InDoubtError
 	is.True(errors.As(err, &inDoubt))
 	store.SetDown(false)
-	store.SetFault(nil)
+	store.SetPutFault(nil)
 	store.ReleaseHeld()
 	e.Revision = inDoubt.Since
 	revision, err := NewEditor(store, NewReplica()).Commit(t.Context(), e)
--- a/ledger/ledger_test.go
+++ b/ledger/ledger_test.go
@@ -108,7 +108,7 @@
 // faultOnce applies a fault to the next write only.
 func faultOnce(store *memkv.Store, fault memkv.Fault) {
 	used := false
-	store.SetFault(func(string) memkv.Fault {
+	store.SetPutFault(func(string) memkv.Fault {
 		if used {
 			return memkv.None
 		}
--- a/ledger/property_test.go
+++ b/ledger/property_test.go
@@ -204,7 +204,7 @@
 
 func (r *execution) injectFaults() {
 	n := 0
-	r.kv.SetFault(func(string) memkv.Fault {
+	r.kv.SetPutFault(func(string) memkv.Fault {
 		n++
 		return r.Faults[n%len(r.Faults)]
 	})
@@ -327,7 +327,7 @@
 // claimed.
 func (r *execution) checkRecovery(ctx context.Context) {
 	r.orders.Wait()
-	r.kv.SetFault(nil)
+	r.kv.SetPutFault(nil)
 	r.kv.mu.Lock()
 	r.kv.delays = nil
 	r.kv.mu.Unlock()
--- a/ledger/uncertain_test.go
+++ b/ledger/uncertain_test.go
@@ -51,7 +51,7 @@
 				defer closeLedger(t, a)
 				defer closeLedger(t, b)
 				key := mustKey(t, time.Now(), 1)
-				store.SetFault(func(string) memkv.Fault { return memkv.Hold })
+				store.SetPutFault(func(string) memkv.Fault { return memkv.Hold })
 				claim, _, err := claimWithin(t, a, key, time.Second)
 				is.True(claim == nil)
 				is.Equal(outcome.CodeOf(err), outcome.StoreUnavailable)
@@ -60,7 +60,7 @@
 					store.ReleaseHeld()
 				}
 				time.Sleep(time.Minute)
-				store.SetFault(nil)
+				store.SetPutFault(nil)
 				store.SetDown(false)
 				time.Sleep(time.Minute) // time for marking the record as abandoned
 				if writeTakesEffect == "after the store is back" {
@@ -107,13 +107,13 @@
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
 		store, l, key := newLedger(t)
-		store.SetFault(func(string) memkv.Fault { return memkv.Hold })
+		store.SetPutFault(func(string) memkv.Fault { return memkv.Hold })
 		_, _, err := claimWithin(t, l, key, time.Millisecond) // the first attempt, whose write is held
 		is.Equal(outcome.CodeOf(err), outcome.StoreUnavailable)
 		store.SetDown(true)
 		time.Sleep(time.Second)
 		store.ReleaseHeld()
-		store.SetFault(nil)
+		store.SetPutFault(nil)
 		store.SetDown(false)
 		claim, _, err := claimWithin(t, l, key, time.Second)
 		is.NoErr(err)
@@ -179,7 +179,7 @@
 				store := memkv.New()
 				l := New(store, "vm-1@1", Config{MaxBackoff: time.Minute, Logger: slog.New(slog.DiscardHandler)})
 				defer closeLedger(t, l)
-				store.SetFault(func(string) memkv.Fault { return fault })
+				store.SetPutFault(func(string) memkv.Fault { return fault })
 				claim, _, _ := claimWithin(t, l, mustKey(t, time.Now(), 1), time.Second)
 				store.SetDown(true)
 				is.Equal(claim != nil, fault == memkv.None)
@@ -188,7 +188,7 @@
 				}
 				time.Sleep(KeyLifetime + 2*DeletionMargin) // the rest of the hour and the margin take at most 2 h
 				store.Restore(nil)                         // empties the store, as the sweep of another process would
-				store.SetFault(nil)
+				store.SetPutFault(nil)
 				store.SetDown(false)
 				time.Sleep(2 * time.Minute) // more than MaxBackoff
 				keys, err := store.List(t.Context(), storePrefix)
@@ -206,7 +206,7 @@
 		is := is.New(t)
 		store := memkv.New()
 		l := New(store, "vm-1@1", Config{Logger: slog.New(slog.DiscardHandler)})
-		store.SetFault(func(string) memkv.Fault { return memkv.Hold })
+		store.SetPutFault(func(string) memkv.Fault { return memkv.Hold })
 		ended := make(chan error)
 		go func() {
 			_, _, err := claimWithin(t, l, mustKey(t, time.Now(), 1), time.Hour)
