--- a/daemon/agent/placement_test.go
+++ b/daemon/agent/placement_test.go
@@ -438,18 +438,18 @@
 	case 3:
 		sim.store.SetDown(false)
 	case 4:
-		sim.store.SetPutFault(func(string) memkv.Fault { return memkv.LoseAnswer })
+		sim.store.SetFault(func(memkv.Operation, string) memkv.Fault { return memkv.LoseAnswer })
 	case 5:
-		sim.store.SetPutFault(func(string) memkv.Fault { return memkv.Hold })
+		sim.store.SetFault(func(memkv.Operation, string) memkv.Fault { return memkv.Hold })
 	case 6:
 		sim.store.ReleaseHeld()
-		sim.store.SetPutFault(nil)
+		sim.store.SetFault(nil)
 	}
 }
 
 func (sim *simulation) endFaults() {
 	sim.store.SetDown(false)
-	sim.store.SetPutFault(nil)
+	sim.store.SetFault(nil)
 	sim.store.ReleaseHeld()
 	sim.mu.Lock()
 	defer sim.mu.Unlock()
--- a/fleetconf/property_test.go
+++ b/fleetconf/property_test.go
@@ -147,7 +147,7 @@
 	for i := range f.processes {
 		f.startProcess(i)
 	}
-	f.store.SetPutFault(func(key string) memkv.Fault {
+	f.store.SetFault(func(memkv.Operation, string) memkv.Fault {
 		f.mu.Lock()
 		defer f.mu.Unlock()
 		if len(f.faults) == 0 {
--- a/ledger/limits_test.go
+++ b/ledger/limits_test.go
@@ -83,7 +83,10 @@
 		synctest.Wait()
 		started := time.Now()
 		for n, call := range map[int]func(context.Context, Key) error{
-			2: func(ctx context.Context, key Key) error { _, _, err := l.Claim(ctx, key, digest, "attempt"); return err },
+			2: func(ctx context.Context, key Key) error {
+				_, _, err := l.Claim(ctx, key, digest, "attempt")
+				return err
+			},
 			3: func(ctx context.Context, key Key) error { _, err := l.Lookup(ctx, key); return err },
 		} {
 			ctx, cancel := context.WithTimeout(t.Context(), 2*time.Second)
--- a/ledger/property_test.go
+++ b/ledger/property_test.go
@@ -90,6 +90,9 @@
 	// Faults are those of successive writes: write n, counted from 1, gets
 	// Faults[n % len(Faults)].
 	Faults []memkv.Fault
+	// OtherFaults are those of successive other calls, in the same way; empty for
+	// none.
+	OtherFaults []memkv.Fault
 	// Delays are those before and after successive store calls. After the last
 	// element the first one follows.
 	Delays []time.Duration
@@ -115,7 +118,9 @@
 	return scenario{
 		Steps:  rapid.SliceOfN(oneStep, 4, 24).Draw(t, "steps"),
 		Faults: rapid.SliceOfN(fault, 1, 12).Draw(t, "faults"),
-		Delays: rapid.SliceOfN(duration, 1, 8).Draw(t, "delays"),
+
+		OtherFaults: rapid.SliceOfN(fault, 0, 12).Draw(t, "faults of other calls"),
+		Delays:      rapid.SliceOfN(duration, 1, 8).Draw(t, "delays"),
 	}
 }
 
@@ -203,10 +208,17 @@
 }
 
 func (r *execution) injectFaults() {
-	n := 0
-	r.kv.SetPutFault(func(string) memkv.Fault {
-		n++
-		return r.Faults[n%len(r.Faults)]
+	writes, others := 0, 0
+	r.kv.SetFault(func(o memkv.Operation, _ string) memkv.Fault {
+		switch {
+		case o == memkv.Put:
+			writes++
+			return r.Faults[writes%len(r.Faults)]
+		case len(r.OtherFaults) > 0:
+			others++
+			return r.OtherFaults[others%len(r.OtherFaults)]
+		}
+		return memkv.None
 	})
 }
 
@@ -327,7 +339,7 @@
 // claimed.
 func (r *execution) checkRecovery(ctx context.Context) {
 	r.orders.Wait()
-	r.kv.SetPutFault(nil)
+	r.kv.SetFault(nil)
 	r.kv.mu.Lock()
 	r.kv.delays = nil
 	r.kv.mu.Unlock()
