--- a/daemon/entry/entry.go
+++ b/daemon/entry/entry.go
@@ -115,6 +115,7 @@
 		e.placementState = e.newPlacementState(s.Entry.Placement, d)
 	}
 	e.editor = fleetconf.NewEditor(d.KV, m.Replica)
+	e.editor.Log = e.log
 	if e.metrics, err = newMetrics(d.Telemetry.Meter); err != nil {
 		return nil, fmt.Errorf("set up metrics: %w", err)
 	}
--- a/fleetconf/editor.go
+++ b/fleetconf/editor.go
@@ -5,6 +5,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"log/slog"
 	"math/rand/v2"
 	"time"
 
@@ -39,6 +40,10 @@
 
 // Editor commits edits to the store. It is safe for concurrent use.
 type Editor struct {
+	// Log receives failures that do not concern an edit; by default they are not
+	// logged.
+	Log *slog.Logger
+
 	storage storage
 	replica *Replica
 	// headEdits is the number of edits in the head at which a snapshot is written,
@@ -50,7 +55,7 @@
 // NewEditor returns an editor that commits edits on top of the replica and
 // updates it.
 func NewEditor(kv cloud.KV, replica *Replica) *Editor {
-	return &Editor{storage: storage{kv}, replica: replica, headEdits: MaxHeadEdits, keptEdits: keptHeadEdits}
+	return &Editor{Log: slog.New(slog.DiscardHandler), storage: storage{kv}, replica: replica, headEdits: MaxHeadEdits, keptEdits: keptHeadEdits}
 }
 
 // Commit adds an edit to the configuration and returns its revision, or the
@@ -339,5 +344,7 @@
 func (c *commit) deleteOldSnapshots(ctx context.Context, previousBase uint64) {
 	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), cleanupTimeout)
 	defer cancel()
-	c.storage.deleteSnapshots(ctx, previousBase)
+	if err := c.storage.deleteSnapshots(ctx, previousBase); err != nil {
+		c.Log.Warn("old snapshots not deleted, this is tried again after the next snapshot", "before_revision", previousBase, "error", err.Error())
+	}
 }
--- a/fleetconf/editor_test.go
+++ b/fleetconf/editor_test.go
@@ -1,10 +1,12 @@
 package fleetconf
 
 import (
+	"bytes"
 	"context"
 	"encoding/json"
 	"errors"
 	"fmt"
+	"log/slog"
 	"strings"
 	"testing"
 	"testing/synctest"
@@ -257,6 +259,33 @@
 	is.True(proto.Equal(fresh.Config().Snapshot(), editor.replica.Config().Snapshot()))
 }
 
+// Guards against old snapshots that stay in the store without a trace in the log: a
+// call of their deletion fails. The next deletion must remove them all the same.
+func TestFailedDeletionOfSnapshots(t *testing.T) {
+	for _, failing := range []memkv.Operation{memkv.List, memkv.Get, memkv.Delete} {
+		t.Run(string(failing), func(t *testing.T) {
+			is := is.New(t)
+			store := memkv.New()
+			var log bytes.Buffer
+			editor := NewEditor(store, NewReplica())
+			editor.Log = slog.New(slog.NewTextHandler(&log, nil))
+			store.SetFault(func(o memkv.Operation, key string) memkv.Fault {
+				if o == failing && strings.HasPrefix(key, SnapshotPrefix) {
+					return memkv.LoseRequest
+				}
+				return memkv.None
+			})
+			toggleMark(is, t.Context(), editor, 4*MaxHeadEdits)
+			is.True(strings.Contains(log.String(), "old snapshots not deleted"))
+			store.SetFault(nil)
+			toggleMark(is, t.Context(), editor, MaxHeadEdits)
+			keys, err := store.List(t.Context(), SnapshotPrefix)
+			is.NoErr(err)
+			is.True(len(keys) <= 2)
+		})
+	}
+}
+
 // Guards against large edits that make the head exceed the value limit of the
 // store, and against a configuration that does not fit in a control message.
 func TestSizeLimits(t *testing.T) {
--- a/fleetconf/storage.go
+++ b/fleetconf/storage.go
@@ -205,22 +205,26 @@
 }
 
 // deleteSnapshots deletes the snapshots of revisions below firstKept. A process that
-// is still reading one finds a chunk missing and reads the head again. Errors are
-// ignored, because the deletion is retried after the next snapshot.
-func (s storage) deleteSnapshots(ctx context.Context, firstKept uint64) {
+// is still reading one finds a chunk missing and reads the head again. What could
+// not be deleted is tried again after the next snapshot.
+func (s storage) deleteSnapshots(ctx context.Context, firstKept uint64) error {
 	keys, err := s.kv.List(ctx, SnapshotPrefix)
 	if err != nil {
-		return
+		return fmt.Errorf("list snapshots: %w", err)
 	}
+	var errs []error
 	for _, key := range keys {
 		number, _, _ := strings.Cut(strings.TrimPrefix(key, SnapshotPrefix), "/")
 		if revision, err := strconv.ParseUint(number, 10, 64); err != nil || revision >= firstKept {
 			continue
 		}
 		record, err := s.kv.Get(ctx, key)
+		if err == nil && record.Revision > 0 { // otherwise another editor has deleted it
+			err = s.kv.Delete(ctx, key, record.Revision)
+		}
 		if err != nil {
-			return
+			errs = append(errs, fmt.Errorf("delete snapshot %q: %w", key, err))
 		}
-		_ = s.kv.Delete(ctx, key, record.Revision)
 	}
+	return errors.Join(errs...)
 }
