--- a/backend/backend.go
+++ b/backend/backend.go
@@ -138,7 +138,10 @@
 }
 
 func (e *EngineError) Error() string {
-	return fmt.Sprintf("engine %s: %s", e.Kind, e.Message)
+	if e.Cause == nil {
+		return fmt.Sprintf("engine %s: %s", e.Kind, e.Message)
+	}
+	return fmt.Sprintf("engine %s: %s: %v", e.Kind, e.Message, e.Cause)
 }
 
 // Unwrap returns the cause.
@@ -174,10 +177,7 @@
 }
 
 func (e *ServiceError) Error() string {
-	if e.NotSent {
-		return fmt.Sprintf("call was not sent: %v", e.Cause)
-	}
-	return fmt.Sprintf("call may have run: %v", e.Cause)
+	return fmt.Sprintf("call service: %v", e.Cause) // the cause says whether the call was sent
 }
 
 // Unwrap returns the cause.
