--- a/standin/cmd/standin-engine/main.go
+++ b/standin/cmd/standin-engine/main.go
@@ -16,6 +16,7 @@
 	"github.com/jessevdk/go-flags"
 
 	"camphorwick.dev/standin/enginesim"
+	"camphorwick.dev/standin/process"
 )
 
 // options are the flags; enginesim.Config documents the values.
@@ -68,7 +69,7 @@
 
 func main() {
 	var o options
-	if _, err := flags.NewParser(&o, flags.Default).ParseArgs(longFlags(os.Args[1:])); err != nil {
+	if _, err := flags.NewParser(&o, flags.Default).ParseArgs(process.LongFlags(os.Args[1:])); err != nil {
 		if flags.WroteHelp(err) {
 			return
 		}
@@ -80,19 +81,6 @@
 	}
 }
 
-// longFlags turns -name into --name, since go-flags reads "-address" as a group
-// of one-letter flags. The program has none but -h.
-func longFlags(args []string) []string {
-	long := make([]string, 0, len(args))
-	for _, a := range args {
-		if len(a) > 2 && a[0] == '-' && a[1] != '-' && (a[1] < '0' || a[1] > '9') {
-			a = "-" + a
-		}
-		long = append(long, a)
-	}
-	return long
-}
-
 // run serves until SIGTERM or SIGINT.
 func run(o options) error {
 	stop := make(chan os.Signal, 1)
--- a/standin/process/process.go
+++ b/standin/process/process.go
@@ -11,7 +11,6 @@
 	"net"
 	"os"
 	"os/signal"
-	"strings"
 	"syscall"
 	"time"
 
@@ -46,7 +45,7 @@
 // (exit code 0) and on an error (exit code 2).
 func ParseFlags(options any) {
 	parser := flags.NewParser(options, flags.HelpFlag)
-	rest, err := parser.ParseArgs(longFlags(os.Args[1:]))
+	rest, err := parser.ParseArgs(LongFlags(os.Args[1:]))
 	if err == nil && len(rest) > 0 {
 		err = fmt.Errorf("unexpected arguments %q", rest)
 	}
@@ -61,11 +60,12 @@
 	os.Exit(2)
 }
 
-// longFlags turns -name into --name, which is the form that go-flags expects.
-func longFlags(arguments []string) []string {
+// LongFlags turns -name into --name, which is the form that go-flags expects: it
+// reads "-address" as a group of one-letter flags. Negative numbers stay as they are.
+func LongFlags(arguments []string) []string {
 	out := make([]string, len(arguments))
 	for i, a := range arguments {
-		if len(a) > 2 && a[0] == '-' && !strings.HasPrefix(a, "--") {
+		if len(a) > 2 && a[0] == '-' && a[1] != '-' && (a[1] < '0' || a[1] > '9') {
 			a = "-" + a
 		}
 		out[i] = a
@@ -101,7 +101,7 @@
 		go func() { failed <- servers[i].Serve(listener) }()
 	}
 	if err := writeReady(out, serviceListener.Addr(), faultsListener.Addr()); err != nil {
-		return err
+		return errors.Join(err, shutdown(servers))
 	}
 	select {
 	case err := <-failed:
--- a/standin/process/process_test.go
+++ b/standin/process/process_test.go
@@ -7,9 +7,9 @@
 )
 
 // Guards against long flags with one dash that are read as groups of one-letter
-// flags.
+// flags, and against negative numbers that are read as flags.
 func TestLongFlags(t *testing.T) {
 	is := is.New(t)
-	is.Equal(longFlags([]string{"-address", "127.0.0.1:0", "--seed=1", "-h", "-"}),
-		[]string{"--address", "127.0.0.1:0", "--seed=1", "-h", "-"})
+	is.Equal(LongFlags([]string{"-address", "127.0.0.1:0", "--seed=1", "-h", "-", "-limit", "-12"}),
+		[]string{"--address", "127.0.0.1:0", "--seed=1", "-h", "-", "--limit", "-12"})
 }
--- a/testbed/cmd/slopes/main.go
+++ b/testbed/cmd/slopes/main.go
@@ -18,7 +18,6 @@
 	"golang.org/x/sync/errgroup"
 
 	"camphorwick.dev/api/wire"
-	"camphorwick.dev/fleetconf"
 	"camphorwick.dev/link"
 	"camphorwick.dev/policy/admit"
 	"camphorwick.dev/policy/choose"
@@ -163,7 +162,6 @@
 	fmt.Printf("%d accounts: %d bytes in the limiter for each account, %v to admit a first request\n", accounts, (memory()-before)/accounts, spent/time.Duration(accounts))
 	runtime.KeepAlive(limiter)
 	before = memory()
-	replica := fleetconf.NewReplica() // an entry holds one replica too; its memory, while empty, is part of the figure for the agent table
 	table := choose.New(choose.Config{Seed: 1})
 	const agents = 1200
 	for i := range agents {
@@ -171,7 +169,6 @@
 	}
 	fmt.Printf("table of agents: %d bytes per agent\n", (memory()-before)/agents)
 	runtime.KeepAlive(table)
-	runtime.KeepAlive(replica)
 }
 
 // memory returns the bytes of heap and stacks in use after a collection.
--- a/testbed/e2e/failure_test.go
+++ b/testbed/e2e/failure_test.go
@@ -255,11 +255,13 @@
 	for try := range 200 {
 		d := f.Entries[(i+try)%len(f.Entries)]
 		response, err := http.Get("http://" + d.Settings.OpsAddress + "/readyz")
+		if err == nil {
+			_ = response.Body.Close()
+		}
 		if err != nil || response.StatusCode != http.StatusOK {
 			time.Sleep(5 * time.Millisecond)
 			continue
 		}
-		_ = response.Body.Close()
 		c := client.New(d.Settings.Entry.CallersAddress, fleet.CallerKey)
 		defer c.HTTP.CloseIdleConnections()
 		text := prompt("rolling", 400)
--- a/testbed/fleet/fleet.go
+++ b/testbed/fleet/fleet.go
@@ -87,6 +87,7 @@
 	mu          sync.Mutex
 	processes   []*Process
 	portSockets []int // descriptors of the sockets that reserve ports
+	portErr     error // of ReserveAddress
 	proxies     []*Proxy
 }
 
--- a/testbed/fleet/port.go
+++ b/testbed/fleet/port.go
@@ -1,21 +1,23 @@
 package fleet
 
 import (
+	"errors"
 	"fmt"
 	"syscall"
 )
 
 // ReserveAddress returns a loopback address whose port is reserved for listeners of
-// this fleet until Kill. Without the reservation, an outgoing connection of
+// this fleet until Kill. If that fails, the next process of the fleet is not started. Without the reservation, an outgoing connection of
 // another process could take the port of a proxy that stops listening for a time
 // (see Proxy.Cut); the proxy then could not listen again.
 func (f *Fleet) ReserveAddress() string {
 	socket, port, err := reservePort()
-	if err != nil {
-		return "127.0.0.1:1" // the error shows when a process listens there: port 1 is refused to users other than root
-	}
 	f.mu.Lock()
 	defer f.mu.Unlock()
+	if err != nil {
+		f.portErr = err // ends the start of the next process
+		return ""
+	}
 	f.portSockets = append(f.portSockets, socket)
 	return fmt.Sprintf("127.0.0.1:%d", port)
 }
@@ -36,13 +38,18 @@
 		bound, err = syscall.Getsockname(socket)
 	}
 	address, ok := bound.(*syscall.SockaddrInet4)
-	if err != nil || !ok {
+	if err == nil && !ok {
+		err = fmt.Errorf("%w: %T", errNoIPv4Address, bound)
+	}
+	if err != nil {
 		_ = syscall.Close(socket)
-		return 0, 0, fmt.Errorf("bind a socket to a free loopback port, or read its IPv4 address: %w", err)
+		return 0, 0, fmt.Errorf("bind a socket to a free loopback port: %w", err)
 	}
 	return socket, address.Port, nil
 }
 
+var errNoIPv4Address = errors.New("the address of the socket is not an IPv4 address")
+
 // releasePorts closes the sockets that reserve ports.
 func (f *Fleet) releasePorts() {
 	f.mu.Lock()
--- a/testbed/fleet/process.go
+++ b/testbed/fleet/process.go
@@ -81,6 +81,12 @@
 
 // launch starts a command with its standard error in a log file.
 func (f *Fleet) launch(name string, cmd *exec.Cmd) (*Process, error) {
+	f.mu.Lock()
+	portErr := f.portErr
+	f.mu.Unlock()
+	if portErr != nil {
+		return nil, &StartError{name, portErr}
+	}
 	log, err := os.OpenFile(f.LogFile(name), os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o644)
 	if err != nil {
 		return nil, &StartError{name, err}
--- a/testbed/soak/faults.go
+++ b/testbed/soak/faults.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"maps"
 	"math/rand/v2"
 	"net/http"
 	"syscall"
@@ -197,22 +198,27 @@
 }
 
 // The following functions return the begin function of a fault of the store, or of
-// a random service, engine, agent or entry. The highest bit of each seed is cleared,
-// so that the seed also fits into a signed integer.
+// a random service, engine, agent or entry.
+
+// withSeed returns a copy of a fault plan with a random seed. The plan itself belongs
+// to all runs of the process.
+func withSeed(faultsBody jsonObject, random *rand.Rand) jsonObject {
+	out := maps.Clone(faultsBody)
+	out["seed"] = random.Uint64()
+	return out
+}
 
 func storeFault(faultsBody jsonObject) func(*run, *rand.Rand) (func() error, error) {
 	return func(r *run, random *rand.Rand) (func() error, error) {
-		faultsBody["seed"] = random.Uint64() >> 1
-		return func() error { return endStoreFaults(r.fleet) }, r.fleet.Faults(r.fleet.Platform, http.MethodPut, "/faults", faultsBody)
+		return func() error { return endStoreFaults(r.fleet) }, r.fleet.Faults(r.fleet.Platform, http.MethodPut, "/faults", withSeed(faultsBody, random))
 	}
 }
 
 func serviceFault(faultsBody jsonObject) func(*run, *rand.Rand) (func() error, error) {
 	return func(r *run, random *rand.Rand) (func() error, error) {
 		p := r.fleet.Orders[random.IntN(len(r.fleet.Orders))]
-		faultsBody["seed"] = random.Uint64() >> 1
 		return func() error { return r.fleet.Faults(p, http.MethodDelete, "/faults", nil) },
-			r.fleet.Faults(p, http.MethodPut, "/faults", faultsBody)
+			r.fleet.Faults(p, http.MethodPut, "/faults", withSeed(faultsBody, random))
 	}
 }
 
