A cached or exported prompt does not make a long request urgent

Callers saw: short prompts waited behind a long one that had been preempted for them, and behind a long one whose prompt was cached.

Cause: the queue took memory less prefill for the length of the answer.

Change: a job states the longest rest of its answer.

Measured: TestPreemptedRequestWaitsForTheShortOne and TestCachedPromptTakesNoTime failed before and pass. Requests of the simulation are prefilled again after a preemption, so the rule is the same there; its tests pass.

--- a/daemon/agent/completion.go
+++ b/daemon/agent/completion.go
@@ -46,7 +46,7 @@
 	tokens := int(submit.PromptTokens)
 	r := newRequest(context.WithoutCancel(ctx), submit, now)
 	r.job = queue.Job{ID: submit.AttemptId, Account: submit.ClientAccount, Weight: int(submit.Weight),
-		Band: outcome.BandOf(tokens), PrefillTokens: a.uncachedTokens(submit), KVTokens: tokens + int(submit.MaxTokens),
+		Band: outcome.BandOf(tokens), PrefillTokens: a.uncachedTokens(submit), KVTokens: tokens + int(submit.MaxTokens), AnswerTokens: int(submit.MaxTokens),
 		Arrived: now, Deadline: r.deadline}
 	r.attach()
 	_, r.queueSpan = a.span(r, "queue")
--- a/daemon/agent/runner.go
+++ b/daemon/agent/runner.go
@@ -345,6 +345,7 @@
 	if r.state != nil {
 		job.PrefillTokens = 1 // the exported state replaces the prefill
 	}
+	job.AnswerTokens = int(r.submit.MaxTokens) - len(r.emitted())
 	a.queue.Requeue(now, job)
 	a.mu.Unlock()
 	a.metrics.preempted(r)
--- a/daemon/agent/runner_test.go
+++ b/daemon/agent/runner_test.go
@@ -299,6 +299,26 @@
 	}
 }
 
+// Guards against short work that waits although a long request was preempted for it:
+// the long one, whose state was exported, goes on at once.
+func TestPreemptedRequestWaitsForTheShortOne(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		e := &fakeEngine{kvTokens: 205_000}
+		a, stop := runAgent(t, e)
+		defer stop()
+		long, _ := startPreemption(t, a, e)
+		is.True(e.stream("short") != nil)
+		is.True(e.stream("long") == nil)
+		e.stream("short").chunks <- backend.Chunk{Texts: []string{"s"}, Final: true}
+		time.Sleep(time.Minute)
+		is.Equal(string(e.stream("long.2").state), "state")
+		e.stream("long.2").chunks <- backend.Chunk{Texts: []string{"b"}, Final: true, FinishReason: "stop"}
+		synctest.Wait()
+		is.Equal(long.emitted(), []string{"a", "b"})
+	})
+}
+
 // Guards against a new engine stream for an answer that already has all its
 // tokens, because it was paused between the last token and the end. Here the
 // answer of "long" has 1 token, and the 1,100 tokens that "short" needs do not
--- a/daemon/agent/segment.go
+++ b/daemon/agent/segment.go
@@ -73,7 +73,7 @@
 		lost: make(chan struct{}), run: make(chan *wire.SegmentRun, 1)}
 	r.granted = func(g queue.Grant) { seg.granted <- g }
 	r.job = queue.Job{ID: reserve.AttemptId, Account: reserve.ClientAccount, Weight: int(reserve.Weight), Band: outcome.Long,
-		PrefillTokens: int(reserve.SegmentTokens), KVTokens: int(reserve.SegmentTokens + reserve.MaxTokens),
+		PrefillTokens: int(reserve.SegmentTokens), KVTokens: int(reserve.SegmentTokens + reserve.MaxTokens), AnswerTokens: int(reserve.MaxTokens),
 		Arrived: now, Deadline: r.deadline, Preemptions: neverPreempted}
 	if _, err := a.enqueue(r, now); err != nil {
 		r.cancel(nil)
--- a/policy/internal/sim/server.go
+++ b/policy/internal/sim/server.go
@@ -191,7 +191,7 @@
 func (p *policyQueue) push(now time.Time, a *attempt) error {
 	r := a.request
 	err := p.queue.Push(now, queue.Job{ID: a.key, Account: p.account(r), Weight: 1, Band: r.band, PrefillTokens: a.prefill,
-		KVTokens: a.prefill + a.answer, Arrived: now, Deadline: epoch.Add(r.deadline)})
+		KVTokens: a.prefill + a.answer, AnswerTokens: a.answer, Arrived: now, Deadline: epoch.Add(r.deadline)})
 	if err == nil {
 		p.attempts[a.key] = a
 	}
@@ -232,7 +232,7 @@
 		// The emitted tokens move from the answer to the prefill, so the memory
 		// stays the same.
 		p.queue.Requeue(now, queue.Job{ID: id, Account: p.account(r), Weight: 1, Band: r.band,
-			PrefillTokens: a.prefill + a.emitted, KVTokens: a.prefill + a.answer, Arrived: now, Deadline: epoch.Add(r.deadline)})
+			PrefillTokens: a.prefill + a.emitted, KVTokens: a.prefill + a.answer, AnswerTokens: a.answer - a.emitted, Arrived: now, Deadline: epoch.Add(r.deadline)})
 		list = append(list, a)
 	}
 	return list
--- a/policy/queue/property_test.go
+++ b/policy/queue/property_test.go
@@ -26,9 +26,10 @@
 
 func drawJob(t *rapid.T, id int, now time.Time) Job {
 	tokens := rapid.SampledFrom([]int{1_000, 5_000, 8_000, 30_000, 90_000, 150_000, 400_000, 900_000}).Draw(t, "tokens")
+	answer := rapid.IntRange(1, 4_000).Draw(t, "answer")
 	return Job{ID: fmt.Sprint(id), Account: rapid.SampledFrom([]string{"a", "b", "c"}).Draw(t, "account"),
 		Weight: rapid.IntRange(0, 3).Draw(t, "weight"), Band: outcome.BandOf(tokens), PrefillTokens: tokens,
-		KVTokens: tokens + rapid.IntRange(1, 4_000).Draw(t, "answer"), Arrived: now,
+		KVTokens: tokens + answer, AnswerTokens: answer, Arrived: now,
 		Deadline: now.Add(time.Duration(rapid.IntRange(1, 300).Draw(t, "seconds")) * time.Second)}
 }
 
@@ -143,7 +144,7 @@
 		runTime := time.Duration(rapid.IntRange(1, 20).Draw(t, "hold")) * time.Second // at most defaultDrainTime
 		ends := map[time.Time][]string{}
 		for i := 0; now.Before(long.Deadline); i++ {
-			_ = q.Push(now, Job{ID: fmt.Sprint(i), Band: outcome.BandOf(size), PrefillTokens: size, KVTokens: size + 500,
+			_ = q.Push(now, Job{ID: fmt.Sprint(i), Band: outcome.BandOf(size), PrefillTokens: size, KVTokens: size + 500, AnswerTokens: 500,
 				Arrived: now, Deadline: now.Add(time.Hour)}) // may be refused, which is part of the load
 			for g, ok := q.Next(now); ok; g, ok = q.Next(now) {
 				if g.ID == "long" {
--- a/policy/queue/queue.go
+++ b/policy/queue/queue.go
@@ -37,8 +37,12 @@
 	// KVTokens is the KV-cache memory to reserve in tokens, for the prompt and the
 	// longest possible answer.
 	KVTokens int
-	Arrived  time.Time
-	Deadline time.Time
+	// AnswerTokens is the longest possible rest of the answer in tokens. It is not
+	// KVTokens less PrefillTokens: a cached prefix, or the state of a preempted job,
+	// takes memory but no time.
+	AnswerTokens int
+	Arrived      time.Time
+	Deadline     time.Time
 	// Preemptions is the number of times that the job was preempted. Requeue
 	// increments it.
 	Preemptions int
@@ -446,6 +450,6 @@
 // serviceTime returns the expected time from the start of the job to its end: the
 // prefill, which takes longer if jobs of higher priority arrive, and the answer.
 func (q *Queue) serviceTime(job Job) time.Duration {
-	answer := time.Duration(max(job.KVTokens-job.PrefillTokens, 0)) * q.config.TokenTime
+	answer := time.Duration(max(job.AnswerTokens, 0)) * q.config.TokenTime
 	return time.Duration(float64(q.prefillTime(job.PrefillTokens))*q.config.UrgencyFactor) + answer
 }
--- a/policy/queue/queue_test.go
+++ b/policy/queue/queue_test.go
@@ -13,7 +13,7 @@
 
 func job(id string, tokens int, timeout time.Duration) Job {
 	// An answer of 100 tokens is added to the prompt.
-	return Job{ID: id, Account: "a", Band: outcome.BandOf(tokens), PrefillTokens: tokens, KVTokens: tokens + 100,
+	return Job{ID: id, Account: "a", Band: outcome.BandOf(tokens), PrefillTokens: tokens, KVTokens: tokens + 100, AnswerTokens: 100,
 		Arrived: start, Deadline: start.Add(timeout)}
 }
 
@@ -79,3 +79,17 @@
 	q.Finish(now.Add(time.Minute), "cancelled") // without a first token
 	is.Equal(q.PrefillSpeed(), 10_000)
 }
+
+// Guards against a long job that counts as urgent at once because most of its prompt
+// is cached or its state was exported, so that short jobs wait behind it.
+func TestCachedPromptTakesNoTime(t *testing.T) {
+	is := is.New(t)
+	q := New(Config{KVTokens: 405_000})
+	long := job("long", 400_000, time.Hour)
+	long.PrefillTokens = 1
+	is.NoErr(q.Push(start, long))
+	is.NoErr(q.Push(start, job("short", 8_000, time.Hour)))
+	g, ok := q.Next(start)
+	is.True(ok)
+	is.Equal(g.ID, "short")
+}
