The last answer of a leaving server is whole

Callers saw: 502 for an order that had been answered, and a stream closed without its last chunk, if the answer had no length and its server, which was draining or removed, ended its process right after it.

Cause: a refused connection at the end of such an answer counted as a crash, also for a server that was to end.

Evidence: TestLastAnswerOfALeavingServerIsWhole failed in its six cases and passes, with the tests of gateway/ingress, schedule and registry under the race detector.

Why this works: a server that leaves serves on and then exits, so a refused connection shows nothing there. What it cuts inside an event, or resets, is broken as before; a server that crashes while it leaves, between two events, cannot be told from one that has finished.

--- a/gateway/ingress/ending_test.go
+++ b/gateway/ingress/ending_test.go
@@ -157,6 +157,32 @@
 	}
 }
 
+// Guards against a whole answer without a length that counts as broken off because its
+// server, which was leaving, ended its process after it.
+func TestLastAnswerOfALeavingServerIsWhole(t *testing.T) {
+	for _, how := range []leave{leaveDraining, leaveRemoved} {
+		for target, body := range map[string]string{"/order/": "done", "/once/": wantEvents(1, 2), "/stream/": wantEvents(1, 2)} {
+			t.Run(string(how)+target, func(t *testing.T) {
+				is := is.New(t)
+				var f *fleet
+				last := func(c net.Conn, _ *bufio.Reader, r *http.Request) bool {
+					server := r.Header.Get("Server")
+					f.leave(server, how)
+					_, _ = io.WriteString(c, unframedHead+body)
+					f.closePort(server)
+					return false
+				}
+				f = newFleet(t, last, last)
+				response, got, err := f.call("POST", target, "", "x")
+				is.NoErr(err)
+				is.Equal(response.StatusCode, http.StatusOK)
+				is.Equal(got, body)
+				is.Equal(len(f.requests()), 1)
+			})
+		}
+	}
+}
+
 // Guards against a stream without a length that sent only comments and looks
 // complete when its connection ends.
 func TestCommentsAreNoEvents(t *testing.T) {
--- a/gateway/ingress/stream.go
+++ b/gateway/ingress/stream.go
@@ -106,9 +106,10 @@
 
 // endsWithServer reports whether an answer that has ended with its connection may
 // have been cut by a crash of its server. The framing cannot tell, so it looks
-// whether the server still accepts connections.
+// whether the server still accepts connections. A server that leaves ends its
+// process after its last answers, so for it that shows nothing.
 func (x *exchange) endsWithServer(a *schedule.Assignment, framing upstream.Framing) bool {
-	return framing == upstream.FramedByClose && x.g.Client.Refuses(x.ctx, a.Server.Address)
+	return framing == upstream.FramedByClose && !a.ServerLeaves() && x.g.Client.Refuses(x.ctx, a.Server.Address)
 }
 
 // streamEnding returns how a stream ended whose body was read to its end.
--- a/gateway/registry/registry.go
+++ b/gateway/registry/registry.go
@@ -206,6 +206,15 @@
 	return r.services[service]
 }
 
+// Leaving reports whether a server is draining or was removed, so that its process
+// may end as planned. One that has restarted is not leaving.
+func (r *Registry) Leaving(s *Server) bool {
+	r.mu.RLock()
+	defer r.mu.RUnlock()
+	e := r.servers[s.ID]
+	return e == nil || e.server.sameIncarnation(s) && e.server.Draining
+}
+
 // Synced reports whether the list has been read at least once.
 func (r *Registry) Synced() bool {
 	r.mu.RLock()
--- a/gateway/registry/registry_test.go
+++ b/gateway/registry/registry_test.go
@@ -101,3 +101,19 @@
 	r.Put(restarted)
 	is.Equal(*changes, []string{"added a", "restarted a"})
 }
+
+// Guards against a crash that is taken for a planned end: a restarted server is not
+// leaving, whatever its new process does.
+func TestLeavingServers(t *testing.T) {
+	is := is.New(t)
+	r := New(func(Change) {})
+	first := &Server{ID: "a", Service: "service", Address: "10.0.0.1:80", Started: 1}
+	r.Put(first)
+	is.True(!r.Leaving(first))
+	r.Put(&Server{ID: "a", Service: "service", Address: "10.0.0.1:80", Started: 1, Draining: true})
+	is.True(r.Leaving(first))
+	r.Put(&Server{ID: "a", Service: "service", Address: "10.0.0.1:80", Started: 2, Draining: true})
+	is.True(!r.Leaving(first))
+	r.Remove("a", time.Now())
+	is.True(r.Leaving(first))
+}
--- a/gateway/schedule/assignment.go
+++ b/gateway/schedule/assignment.go
@@ -37,6 +37,9 @@
 	s.tracker(a.service).MarkReachable(a.Server.ID, time.Now())
 }
 
+// ServerLeaves reports whether the process of the server may end as planned.
+func (a *Assignment) ServerLeaves() bool { return a.scheduler.registry.Leaving(a.Server) }
+
 // Observe records the result of the attempt at its server. The server is ejected
 // if its attempts fail too often.
 func (a *Assignment) Observe(r suspect.AttemptResult) {
