--- a/gateway/upstream/upstream.go
+++ b/gateway/upstream/upstream.go
@@ -12,8 +12,6 @@
 	"io"
 	"net"
 	"net/http"
-	"strconv"
-	"strings"
 	"sync"
 	"time"
 
@@ -23,16 +21,6 @@
 const (
 	// dialTimeout bounds a dial within or between the data centres of one region.
 	dialTimeout = time.Second
-	// defaultIdleTimeout is how long an idle connection is kept if the server
-	// states no timeout.
-	defaultIdleTimeout = 4 * time.Second
-	// idleMargin is subtracted from the stated timeout, so that the server does
-	// not close the connection while a request is on its way.
-	idleMargin = 700 * time.Millisecond
-	// maxIdleAtMostOnce is the longest idle time of a connection for a request
-	// that must not be retried, because a server may drop an idle connection
-	// without notice.
-	maxIdleAtMostOnce = time.Second
 	// ackTimeout is the time after which a connection is closed if the server
 	// has not acknowledged sent data.
 	ackTimeout = 1500 * time.Millisecond
@@ -108,45 +96,6 @@
 	IsAnswer func(http.Header) bool
 }
 
-// Framing is how an answer marks the end of its body.
-type Framing string
-
-// The framings of HTTP/1.1.
-const (
-	// FramedByLength is a body whose length is stated or follows from the status.
-	FramedByLength Framing = "length"
-	FramedByChunks Framing = "chunks"
-	// FramedByClose is a body that ends with its connection.
-	FramedByClose Framing = "close"
-)
-
-// framingOf returns the framing of an answer.
-func framingOf(answer *http.Response) Framing {
-	switch {
-	case len(answer.TransferEncoding) > 0:
-		return FramedByChunks
-	case answer.ContentLength >= 0, answer.Request.Method == http.MethodHead:
-		return FramedByLength
-	}
-	return FramedByClose
-}
-
-// Response is the answer of a server. Close must be called.
-type Response struct {
-	Status  int
-	Header  http.Header
-	Framing Framing
-	Body    io.Reader
-
-	client    *Client
-	conn      *conn
-	answer    *http.Response
-	body      bodyReader   // Body
-	written   <-chan error // result of a write in the background; nil if there is none
-	stop      func() bool  // keeps the context of the request from closing conn; false if it has ended
-	closeOnce sync.Once
-}
-
 // Do sends r to address. When ctx ends, the connection is closed, so that the
 // server stops. The error is an *Error.
 func (c *Client) Do(ctx context.Context, address string, r *Request) (*Response, error) {
@@ -172,19 +121,6 @@
 	return response, nil
 }
 
-// bodyReader reads a body and records whether its end was reached, which the end of
-// a reader with a limit does not show.
-type bodyReader struct {
-	from  io.Reader
-	ended bool
-}
-
-func (b *bodyReader) Read(p []byte) (int, error) {
-	n, err := b.from.Read(p)
-	b.ended = b.ended || errors.Is(err, io.EOF)
-	return n, err
-}
-
 func (cn *conn) fail(ctx context.Context, stop func() bool, err error) error {
 	stop()
 	_ = cn.Close()
@@ -245,42 +181,6 @@
 	errTooManyInterim = errors.New("too many interim answers")
 )
 
-// Close keeps the connection for further requests if reuse is set, the answer was
-// read to its end, and the connection can be used again. Otherwise it closes the
-// connection.
-func (r *Response) Close(reuse bool) {
-	r.closeOnce.Do(func() {
-		stillOpen := r.stop()
-		if !reuse || !r.body.ended || !stillOpen || r.answer.Close || r.conn.br.Buffered() > 0 || !r.requestWritten() {
-			_ = r.conn.Close()
-			return
-		}
-		r.client.putIdle(r.conn, r.answer.Header)
-	})
-}
-
-// Discard reads the rest of the body, at most limit bytes of it and no longer than
-// wait. It reports whether the answer was read to its end.
-func (r *Response) Discard(limit int64, wait time.Duration) bool {
-	_ = r.conn.SetReadDeadline(time.Now().Add(wait)) // fails if the connection is closed, as the read then does
-	_, _ = io.Copy(io.Discard, io.LimitReader(r.Body, limit))
-	_ = r.conn.SetReadDeadline(time.Time{})
-	return r.body.ended
-}
-
-// requestWritten reports whether the complete request was written.
-func (r *Response) requestWritten() bool {
-	if r.written == nil {
-		return true
-	}
-	select {
-	case err := <-r.written:
-		return err == nil
-	default:
-		return false
-	}
-}
-
 func (c *Client) dial(ctx context.Context, address string) (*conn, error) {
 	if c.OnDial != nil {
 		c.OnDial()
@@ -305,112 +205,3 @@
 	c.putIdle(cn, nil)
 	return false
 }
-
-// takeIdle returns an idle connection that is still usable, or nil.
-func (c *Client) takeIdle(address string, atMostOnce bool) *conn {
-	now := time.Now()
-	for {
-		c.mu.Lock()
-		list := c.idle[address]
-		if len(list) == 0 {
-			c.mu.Unlock()
-			return nil
-		}
-		cn := list[len(list)-1]
-		list[len(list)-1] = nil
-		c.idle[address] = list[:len(list)-1]
-		c.mu.Unlock()
-		if now.Before(cn.expires) && !(atMostOnce && now.Sub(cn.idleSince) > maxIdleAtMostOnce) && !Unusable(cn.Conn) {
-			return cn
-		}
-		_ = cn.Close()
-	}
-}
-
-func (c *Client) putIdle(cn *conn, h http.Header) {
-	idleTimeout := defaultIdleTimeout
-	if stated, ok := keepAliveTimeout(h); ok {
-		idleTimeout = stated - idleMargin
-	}
-	if idleTimeout <= 0 {
-		_ = cn.Close()
-		return
-	}
-	cn.idleSince = time.Now()
-	cn.expires = cn.idleSince.Add(idleTimeout)
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	c.idle[cn.address] = append(c.idle[cn.address], cn)
-}
-
-// keepAliveTimeout returns the timeout parameter of a Keep-Alive header.
-func keepAliveTimeout(h http.Header) (time.Duration, bool) {
-	for _, field := range strings.Split(h.Get("Keep-Alive"), ",") {
-		name, value, _ := strings.Cut(strings.TrimSpace(field), "=")
-		if !strings.EqualFold(name, "timeout") {
-			continue
-		}
-		seconds, err := strconv.Atoi(value)
-		if err == nil && seconds >= 0 {
-			return time.Duration(seconds) * time.Second, true
-		}
-	}
-	return 0, false
-}
-
-// Sweep closes the connections whose idle timeout has passed.
-func (c *Client) Sweep(now time.Time) {
-	c.mu.Lock()
-	var expired []*conn
-	for address, list := range c.idle {
-		kept := list[:0]
-		for _, cn := range list {
-			if now.Before(cn.expires) {
-				kept = append(kept, cn)
-			} else {
-				expired = append(expired, cn)
-			}
-		}
-		clear(list[len(kept):])
-		if len(kept) == 0 {
-			delete(c.idle, address)
-		} else {
-			c.idle[address] = kept
-		}
-	}
-	c.mu.Unlock()
-	for _, cn := range expired {
-		_ = cn.Close()
-	}
-}
-
-// Forget closes the idle connections to address.
-func (c *Client) Forget(address string) {
-	c.mu.Lock()
-	list := c.idle[address]
-	delete(c.idle, address)
-	c.mu.Unlock()
-	for _, cn := range list {
-		_ = cn.Close()
-	}
-}
-
-// Unusable reports whether an idle connection must not be used, because it has
-// unexpected data, was closed, or cannot be checked.
-func Unusable(nc net.Conn) bool {
-	tcp, ok := nc.(*net.TCPConn)
-	if !ok {
-		return true
-	}
-	raw, err := tcp.SyscallConn()
-	if err != nil {
-		return true
-	}
-	empty := false // the connection is open and there is nothing to read
-	err = raw.Control(func(fd uintptr) {
-		var one [1]byte
-		_, _, err := unix.Recvfrom(int(fd), one[:], unix.MSG_PEEK|unix.MSG_DONTWAIT)
-		empty = errors.Is(err, unix.EAGAIN)
-	})
-	return err != nil || !empty
-}
