The benchmark of the relay does not depend on the close of connections

Its server closed each connection after the answer, without saying so, and the next request could meet the close: beside load the benchmark ended with 502.

--- a/gateway/ingress/relay_bench_test.go
+++ b/gateway/ingress/relay_bench_test.go
@@ -1,7 +1,10 @@
 package ingress
 
 import (
+	"bufio"
 	"fmt"
+	"io"
+	"net"
 	"net/http"
 	"strings"
 	"testing"
@@ -18,7 +21,10 @@
 		fmt.Fprintf(&body, "id: %d\ndata: %s\n\n", id+1, strings.Repeat("x", 50))
 	}
 	answer := fmt.Sprintf("HTTP/1.1 200 OK\r\nMark: m\r\nContent-Length: %d\r\n\r\n%s", body.Len(), body.String())
-	f := newFleet(b, raw(answer))
+	f := newFleet(b, func(c net.Conn, _ *bufio.Reader, _ *http.Request) bool {
+		_, err := io.WriteString(c, answer)
+		return err == nil
+	})
 	b.ReportAllocs()
 	for b.Loop() {
 		response, _, err := f.call(http.MethodPost, "/stream/", "", "x")
