Refusals of servers have a function of their own

handleAnswer decides by the recorded end of the answer whether its connection is used again; the pointer that handleBuffered set is gone.

--- a/gateway/ingress/exchange.go
+++ b/gateway/ingress/exchange.go
@@ -271,21 +271,11 @@
 // handleAnswer checks the head of an answer and forwards the answer if it is
 // valid.
 func (x *exchange) handleAnswer(a *schedule.Assignment, answer *upstream.Response) (nextStep, *serverAnswer) {
-	complete := false
-	defer func() { answer.Close(complete) }()
 	m := x.g.Wire.DecodeAnswer(answer.Status, answer.Header)
 	if m.NotRun {
-		ended := answer.Discard(maxBuffered, refusalBodyTime)
-		complete = ended && !m.Misrouted // a misrouted connection leads to another server
-		x.reason = reasonNotRun
-		if helper := a.RecordHelperFailure(m.AtServer); helper != nil {
-			x.excluded[len(x.excluded)-1] = helper.ID // instead of the primary engine, which may still succeed
-		} else {
-			a.Observe(suspect.Failure)
-		}
-		x.log.Info("server refused", "server", a.Server.ID, "status", answer.Status, "at_server", m.AtServer, "misrouted", m.Misrouted)
-		return tryOtherServer, nil
+		return x.handleRefusal(a, answer, m), nil
 	}
+	defer func() { answer.Close(x.end.ending == endingWhole) }()
 	x.possibleRuns++
 	if !m.Signed || answer.Header.Get("Content-Encoding") != "" {
 		x.reason = reasonNotGenuine
@@ -300,17 +290,29 @@
 		return tryOtherServer, nil
 	}
 	if x.route.Kind == routing.Stream && answer.Status < http.StatusMultipleChoices {
-		next := x.relay(a, answer)
-		complete = next == answered
-		return next, nil
+		return x.relay(a, answer), nil
+	}
+	return x.handleBuffered(a, answer)
+}
+
+// handleRefusal records that a server has not run the request, or that it could not
+// because of a helper.
+func (x *exchange) handleRefusal(a *schedule.Assignment, answer *upstream.Response, m AnswerMeta) nextStep {
+	ended := answer.Discard(maxBuffered, refusalBodyTime)
+	answer.Close(ended && !m.Misrouted) // a misrouted connection leads to another server
+	x.reason = reasonNotRun
+	if helper := a.RecordHelperFailure(m.AtServer); helper != nil {
+		x.excluded[len(x.excluded)-1] = helper.ID // instead of the primary engine, which may still succeed
+	} else {
+		a.Observe(suspect.Failure)
 	}
-	return x.handleBuffered(a, answer, &complete)
+	x.log.Info("server refused", "server", a.Server.ID, "status", answer.Status, "at_server", m.AtServer, "misrouted", m.Misrouted)
+	return tryOtherServer
 }
 
 // handleBuffered reads a complete answer and forwards it, or returns it if it is
-// a server error, because another server may still succeed. It sets complete if
-// the answer was read to its end.
-func (x *exchange) handleBuffered(a *schedule.Assignment, answer *upstream.Response, complete *bool) (nextStep, *serverAnswer) {
+// a server error, because another server may still succeed.
+func (x *exchange) handleBuffered(a *schedule.Assignment, answer *upstream.Response) (nextStep, *serverAnswer) {
 	body, err := x.readBuffered(a, answer)
 	x.recordEnd(answerEnd{framing: answer.Framing, ending: bufferedEnding(err)})
 	if err != nil {
@@ -321,7 +323,6 @@
 		}
 		return tryOtherServer, nil
 	}
-	*complete = true
 	received := &serverAnswer{server: a.Server.ID, end: x.end, status: answer.Status, header: answer.Header, body: body}
 	switch {
 	case answer.Status >= http.StatusInternalServerError:
