--- a/backend/enginehttp/ending_test.go
+++ b/backend/enginehttp/ending_test.go
@@ -18,13 +18,7 @@
 // and closes its connection in good order.
 func engineOf(t *testing.T, answer string) *Client {
 	t.Helper()
-	server := &rawanswer.Server{Answer: answer}
-	address, err := server.Start()
-	if err != nil {
-		t.Fatal(err)
-	}
-	t.Cleanup(server.Close)
-	return New(address)
+	return New((&rawanswer.Server{Answer: answer}).StartFor(t))
 }
 
 // framings returns an answer with the given body, cut after n bytes of it, in each
--- a/backend/servicehttp/ending_test.go
+++ b/backend/servicehttp/ending_test.go
@@ -16,12 +16,7 @@
 // serviceOf returns a client of a service that gives the same answer to every call.
 func serviceOf(t *testing.T, server *rawanswer.Server) *Service {
 	t.Helper()
-	address, err := server.Start()
-	if err != nil {
-		t.Fatal(err)
-	}
-	t.Cleanup(server.Close)
-	s := New(Options{Address: address})
+	s := New(Options{Address: server.StartFor(t)})
 	t.Cleanup(s.Close)
 	return s
 }
@@ -58,18 +53,28 @@
 
 // Guards against a client that reuses the connection of an answer without a length,
 // or keeps a part of it for the next call.
-func TestCallsAfterUnframedAnswers(t *testing.T) {
+func TestCallsAfterUnframedAnswers(t *testing.T) { checkReplies(t, faults.Unframed) }
+
+// Guards against an order that gets the answer to the order before it, which the
+// service sends once more when it has the next order on the connection.
+func TestSecondAnswerIsNotForTheNextOrder(t *testing.T) { checkReplies(t, faults.SecondAnswer) }
+
+// checkReplies checks that each of four orders runs and gets its own reply, though the
+// service answers the first two with a fault.
+func checkReplies(t *testing.T, fault faults.Kind) {
+	t.Helper()
 	is, ctx := is.New(t), context.Background()
-	address, runs := start(t, withRules(faults.Rule{Fault: faults.Unframed, Count: 2}))
+	address, runs := start(t, withRules(faults.Rule{Fault: fault, Count: 2}))
 	s := New(Options{Address: address})
 	defer s.Close()
 	for n := range 4 {
 		call := order
-		call.OrderKey = fmt.Sprint(n)
+		call.OrderKey, call.Path = fmt.Sprint(n), fmt.Sprintf("/%d", n)
 		reply, err := s.Call(ctx, call)
 		is.NoErr(err)
 		var result ordersim.Result
 		is.NoErr(json.Unmarshal(reply.Body, &result))
+		is.Equal(result.Path, call.Path)
 		is.Equal(runs().Keys[call.OrderKey], 1)
 	}
 }
@@ -83,25 +88,6 @@
 	is.Equal(string(reply.Body), "booked")
 }
 
-// Guards against an order that gets the answer to the order before it, which the
-// service sends once more when it has the next order on the connection.
-func TestSecondAnswerIsNotForTheNextOrder(t *testing.T) {
-	is, ctx := is.New(t), context.Background()
-	address, runs := start(t, withRules(faults.Rule{Fault: faults.SecondAnswer, Count: 2}))
-	s := New(Options{Address: address})
-	defer s.Close()
-	for n := range 4 {
-		call := order
-		call.OrderKey, call.Path = fmt.Sprint(n), fmt.Sprintf("/%d", n)
-		reply, err := s.Call(ctx, call)
-		is.NoErr(err)
-		var result ordersim.Result
-		is.NoErr(json.Unmarshal(reply.Body, &result))
-		is.Equal(result.Path, call.Path)
-		is.Equal(runs().Keys[call.OrderKey], 1)
-	}
-}
-
 // Guards against a part of an answer without a length that is recorded as the whole
 // one: the service crashed, and the kernel closed its connection in good order.
 func TestCrashInAnUnframedAnswerIsNoReply(t *testing.T) {
--- a/cloud/httpkv/ending_test.go
+++ b/cloud/httpkv/ending_test.go
@@ -17,13 +17,7 @@
 // bytes and closes its connection in good order.
 func clientOf(t *testing.T, answer string) *Client {
 	t.Helper()
-	server := &rawanswer.Server{Answer: answer}
-	address, err := server.Start()
-	if err != nil {
-		t.Fatal(err)
-	}
-	t.Cleanup(server.Close)
-	client := New(Options{Address: address, CallTimeout: 2 * time.Second})
+	client := New(Options{Address: (&rawanswer.Server{Answer: answer}).StartFor(t), CallTimeout: 2 * time.Second})
 	t.Cleanup(client.Close)
 	return client
 }
--- a/standin/rawanswer/rawanswer.go
+++ b/standin/rawanswer/rawanswer.go
@@ -8,6 +8,7 @@
 	"io"
 	"net"
 	"net/http"
+	"testing"
 )
 
 // Server answers the first request of each connection.
@@ -35,6 +36,18 @@
 	return s.listener.Addr().String(), nil
 }
 
+// StartFor is Start until the end of a test, which it fails if the server cannot be
+// started.
+func (s *Server) StartFor(t testing.TB) (address string) {
+	t.Helper()
+	address, err := s.Start()
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(s.Close)
+	return address
+}
+
 // Close closes the port. Answers in progress are not interrupted.
 func (s *Server) Close() { _ = s.listener.Close() }
 
