Cancel streams of the engine that no job has

Callers saw: prompts waited or were refused, because an engine held memory for nobody; with 30,000 of 60,000 tokens, half of it.

Cause: an engine that was unresponsive may process the start of a stream after the cancellation that followed it. docs/protocols/engine.md says that the agent therefore compares the streams of the engine with its own; it did so only at its own start. A prefilled segment is held until it is cancelled.

TestStreamStartedAfterItsCancellationIsFreed fails without the comparison.

--- a/daemon/agent/agent.go
+++ b/daemon/agent/agent.go
@@ -151,6 +151,7 @@
 	group.Go(func() error { return a.member.Run(groupCtx, listener) })
 	if a.engine != nil {
 		group.Go(func() error { return a.dispatch(groupCtx) })
+		group.Go(func() error { return a.freeLostStreams(groupCtx) })
 		group.Go(func() error { return a.followCache(groupCtx) })
 		group.Go(func() error { return a.followModels(groupCtx) })
 	} else {
--- a/daemon/agent/runner_test.go
+++ b/daemon/agent/runner_test.go
@@ -67,7 +67,13 @@
 	return backend.EngineInfo{Models: []string{"m"}, KVTokens: e.kvTokens, PrefillTokensPerSecond: 1_000_000, StepTokens: 10_000}, nil
 }
 
-func (e *fakeEngine) Streams(context.Context) ([]backend.StreamInfo, error) { return nil, nil }
+func (e *fakeEngine) Streams(context.Context) ([]backend.StreamInfo, error) {
+	var list []backend.StreamInfo
+	for _, id := range e.heldStreams() {
+		list = append(list, backend.StreamInfo{StreamID: id})
+	}
+	return list, nil
+}
 
 func (e *fakeEngine) Start(_ context.Context, c backend.Completion) (backend.Stream, error) {
 	e.mu.Lock()
@@ -168,6 +174,7 @@
 	}
 	ctx, cancel := context.WithCancel(context.Background())
 	go func() { _ = a.dispatch(ctx) }()
+	go func() { _ = a.freeLostStreams(ctx) }()
 	return a, func() { cancel(); synctest.Wait() }
 }
 
@@ -249,6 +256,24 @@
 	}
 }
 
+// Guards against memory that is lost for good: the engine processes the start of a
+// stream after the cancellation that followed it.
+func TestStreamStartedAfterItsCancellationIsFreed(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		e := &fakeEngine{kvTokens: 205_000}
+		a, stop := runAgent(t, e)
+		defer stop()
+		accept(t, a, newSubmit("running", 1_000, 10, time.Hour))
+		for _, id := range []string{"ended.1", "ended.segment", "unknown"} {
+			_, err := e.Start(t.Context(), backend.Completion{StreamID: id})
+			is.NoErr(err)
+		}
+		time.Sleep(2*streamCheckInterval + time.Second)
+		is.Equal(e.heldStreams(), []string{"running.1"})
+	})
+}
+
 // Guards against short work that waits for the end of a long stream because the
 // export of that stream failed and it continued to run.
 func TestFailedExportCancelsTheStream(t *testing.T) {
