--- a/daemon/cmd/camphorwick/gateway.go
+++ b/daemon/cmd/camphorwick/gateway.go
@@ -43,11 +43,9 @@
 		return fmt.Errorf("parse the platform's URL: %w", err)
 	}
 	store := platform.NewStore(address.Host, upstream.New())
-	calls, err := t.Meter.Int64Counter("gateway.store_calls", metric.WithDescription("Calls to the platform's store, by kind"))
-	if err != nil {
+	if err := countStoreCalls(ctx, store, t.Meter); err != nil {
 		return fmt.Errorf("set up metrics: %w", err)
 	}
-	store.OnCall = func(call string) { calls.Add(ctx, 1, metric.WithAttributes(attribute.String("call", call))) }
 	n, err := node.New(gatewayOptions(s, t), node.Protocol{Wire: platform.Wire{}, Store: store, EngineMemory: platform.NewEngineMemory, DecodeConfig: platform.DecodeConfig,
 		DecodeServer: platform.DecodeServer, ConfigKey: platform.ConfigKey, ServersPrefix: platform.ServersPrefix})
 	if err != nil {
@@ -61,6 +59,23 @@
 	return runRole(ctx, p, t, n, n.Run, ops, reload)
 }
 
+// countStoreCalls registers the metrics of the calls to the store.
+func countStoreCalls(ctx context.Context, store *platform.Store, meter metric.Meter) error {
+	calls, err := meter.Int64Counter("gateway.store_calls", metric.WithDescription("Calls to the platform's store, by kind"))
+	if err != nil {
+		return err
+	}
+	received, err := meter.Int64Counter("gateway.store_answer", metric.WithUnit("By"), metric.WithDescription("Bytes of answers of the platform's store, by kind of call and by whether the answer was read to its end"))
+	if err != nil {
+		return err
+	}
+	store.OnCall = func(call string) { calls.Add(ctx, 1, metric.WithAttributes(attribute.String("call", call))) }
+	store.OnAnswer = func(call string, bytes int, complete bool) {
+		received.Add(ctx, int64(bytes), metric.WithAttributes(attribute.String("call", call), attribute.Bool("complete", complete)))
+	}
+	return nil
+}
+
 func gatewayOptions(s *settings.Settings, t *observe.Telemetry) node.Options {
 	g := s.Gateway
 	return node.Options{VM: s.VM, DataCentre: s.DataCentre, Callers: g.CallersAddress, Peers: s.ControlAddress,
--- a/gateway/follow/follow.go
+++ b/gateway/follow/follow.go
@@ -163,8 +163,10 @@
 		f.Handler.Replace(items)
 		return nil
 	}
+	started := time.Now()
 	items, after, restarted, err := f.watch(ctx)
 	if err != nil && restarted && ctx.Err() == nil {
+		f.Log.Info("watch given up", "prefix", f.Prefix, "after", f.after, "took_ms", time.Since(started).Milliseconds(), "error", err.Error())
 		return errWatchRestarted
 	}
 	if err != nil {
