Catch up by the newest state, not by the missed changes

Cause: a watch returns every version since its revision in full. A process that was cut off asked for all of them, and on a slow link they took longer to arrive than new ones to be written, so that it fell behind further or stayed behind. The same holds for one answer of more than 8 MB: it failed each time.

Change: after a failed call the prefix is read, which costs one value. The configuration is also read while changes arrive faster than a watch can follow (ReadAfter), with a pause as long as the last read, until a read brings nothing new. Of several values of a key in one answer only the last one is handled; a store that drops its history at once is not called without a pause.

Callers saw 404 and 401 for routes and keys that had been added. Evidence: the lines 'watch given up' of an answer that grows from 0.4 to 1.2 MB and never ends.

The check of TestContinuesAfterAnOutage follows: it now demands a read after a failure, and that an unchanged prefix is not handled again.

--- a/gateway/follow/convergence_test.go
+++ b/gateway/follow/convergence_test.go
@@ -78,7 +78,7 @@
 	return []Item{s.item(n)}, n, nil
 }
 
-func (s *storeOverLink) Watch(ctx context.Context, _ string, after int64, wait time.Duration) ([]Item, int64, error) {
+func (s *storeOverLink) Watch(ctx context.Context, _ string, after int64, wait time.Duration, answered func()) ([]Item, int64, error) {
 	n := after
 	for end := time.Now().Add(wait); n <= after; n = s.newest(time.Now()) {
 		if time.Now().After(end) {
@@ -88,6 +88,7 @@
 			return nil, 0, err
 		}
 	}
+	answered()
 	var items []Item
 	for next := after + 1; next <= n; next++ {
 		if err := s.wait(ctx, s.transfer); err != nil {
@@ -127,7 +128,7 @@
 	s.started = time.Now()
 	ctx, cancel := context.WithCancel(t.Context())
 	h := &newestHandler{}
-	f := &Follower{Store: s, Prefix: "p", Handler: h, Log: slog.New(slog.DiscardHandler)}
+	f := &Follower{Store: s, Prefix: "p", Handler: h, Log: slog.New(slog.DiscardHandler), ReadAfter: 150 * time.Millisecond}
 	var group sync.WaitGroup
 	group.Go(func() { _ = f.Run(ctx) })
 	group.Go(func() {
@@ -195,3 +196,35 @@
 		}
 	}
 }
+
+// compactingStore drops its history faster than its prefix can be read.
+type compactingStore struct {
+	Store
+	calls atomic.Int64
+}
+
+func (s *compactingStore) Range(context.Context, string) ([]Item, int64, error) {
+	return []Item{{Key: "p", Value: []byte("1"), Revision: s.calls.Add(1)}}, 1, nil
+}
+
+func (s *compactingStore) Watch(context.Context, string, int64, time.Duration, func()) ([]Item, int64, error) {
+	s.calls.Add(1)
+	return nil, 0, &CompactedError{After: 1}
+}
+
+// Guards against calls without a pause, which the platform charges, to a store that
+// never has the history of a watch.
+func TestCompactedHistoryIsNotReadWithoutAPause(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := &compactingStore{}
+		f := &Follower{Store: s, Prefix: "p", Handler: &recorder{}, Log: slog.New(slog.DiscardHandler)}
+		ctx, cancel := context.WithTimeout(t.Context(), 3*time.Second)
+		defer cancel()
+		if err := f.Run(ctx); err != nil {
+			t.Fatal(err)
+		}
+		if calls := s.calls.Load(); calls > 50 {
+			t.Errorf("%d calls in 3 s", calls)
+		}
+	})
+}
--- a/gateway/follow/follow.go
+++ b/gateway/follow/follow.go
@@ -1,12 +1,19 @@
-// Package follow tracks prefixes of the platform's store: it reads the keys of a
-// prefix once, then watches the prefix for changes, and reads it again if the
-// store no longer has the changes to be watched.
+// Package follow keeps a process up to date with prefixes of the platform's store.
+//
+// A Follower either reads the keys of its prefix or watches the prefix for changes
+// after a revision. A watch returns every change since that revision, so that its
+// cost grows with the time that was missed; a read costs the newest state, however
+// much was missed. A follower therefore watches only from a state that is recent. It
+// reads at the start, after each failed call and if the store no longer has the history.
+// If ReadAfter is set, it goes on to read after a change that took long to arrive, until
+// a read brings no change.
 package follow
 
 import (
 	"context"
 	"errors"
 	"log/slog"
+	"maps"
 	"math/rand/v2"
 	"sync"
 	"time"
@@ -19,6 +26,9 @@
 	// platform charges for calls, including refused ones.
 	minBackoff = 150 * time.Millisecond
 	maxBackoff = 900 * time.Millisecond
+	// maxReadPause bounds the pause between two reads of a prefix that changes all
+	// the time.
+	maxReadPause = 250 * time.Millisecond
 )
 
 // Item is a key of the store, or its deletion.
@@ -34,10 +44,11 @@
 	// Range returns the items of a prefix and the revision at which the read
 	// began.
 	Range(ctx context.Context, prefix string) (items []Item, revision int64, err error)
-	// Watch waits for changes after a revision and returns them with the
-	// revision to continue from. CompactedError means that the store no longer
-	// has the changes after that revision.
-	Watch(ctx context.Context, prefix string, after int64, wait time.Duration) ([]Item, int64, error)
+	// Watch waits for changes after a revision and returns them, oldest first, with
+	// the revision to continue from. It calls answered when the answer begins to
+	// arrive. CompactedError means that the store no longer has the changes after
+	// that revision.
+	Watch(ctx context.Context, prefix string, after int64, wait time.Duration, answered func()) ([]Item, int64, error)
 	// Grant creates a lease.
 	Grant(ctx context.Context, ttl time.Duration) (lease int64, err error)
 	// Renew extends a lease. LeaseError means that it has ended.
@@ -79,10 +90,19 @@
 	// BatchDelay is the time between a change and the next call, so that several
 	// changes arrive by a single call.
 	BatchDelay time.Duration
+	// ReadAfter is the age of the known state from which the prefix is read after a
+	// change, in place of watching it from there; 0 for no limit. It is for prefixes
+	// of a few large values, of which a watch returns each one that was replaced.
+	ReadAfter time.Duration
 
 	revisions map[string]int64 // newest revision seen, by key
 	after     int64            // revision from which to watch
-	loaded    bool             // the prefix was read
+	loaded    bool             // the prefix was read at least once
+	mustRead  bool             // the next call is a read
+	changing  bool             // the last call brought a change
+	wasRead   bool             // the last call was a read
+	compacted bool             // the last watch found no history
+	currentAt time.Time        // the known state was the newest one at this time or later
 	failing   bool             // the last call failed
 	backoff   time.Duration    // the delay after the last failed call was random, from half of this to all of it
 
@@ -109,7 +129,7 @@
 	f.mu.Lock()
 	f.cancel = cancel
 	f.mu.Unlock()
-	items, after, err = f.Store.Watch(ctx, f.Prefix, f.after, WatchWait)
+	items, after, err = f.Store.Watch(ctx, f.Prefix, f.after, WatchWait, func() { f.currentAt = time.Now() })
 	f.mu.Lock()
 	f.cancel = nil
 	f.mu.Unlock()
@@ -118,26 +138,22 @@
 
 // Run follows the prefix until ctx ends.
 func (f *Follower) Run(ctx context.Context) error {
-	f.revisions = map[string]int64{}
+	f.revisions, f.mustRead = map[string]int64{}, true
 	for ctx.Err() == nil {
 		err := f.callStore(ctx)
 		if ctx.Err() != nil {
 			break
 		}
-		if err == nil {
-			f.handleSuccess()
-			continue
-		}
-		if errors.Is(err, errWatchRestarted) {
-			continue
-		}
 		var compacted *CompactedError
-		if errors.As(err, &compacted) {
+		switch {
+		case err == nil, errors.Is(err, errWatchRestarted):
+		case errors.As(err, &compacted):
 			f.Log.Warn("store history compacted, reading the prefix again", "prefix", f.Prefix, "after", compacted.After)
-			f.loaded = false
-			continue
+			f.handleCompaction(ctx)
+		default:
+			f.mustRead = true
+			f.handleFailure(ctx, err)
 		}
-		f.handleFailure(ctx, err)
 	}
 	return nil
 }
@@ -146,23 +162,51 @@
 // failure of the store.
 var errWatchRestarted = errors.New("watch restarted")
 
-// callStore makes one call to the store, a range read or a watch, and passes its
-// result to the handler.
+// callStore makes one call to the store, a read or a watch, and passes its result to
+// the handler.
 func (f *Follower) callStore(ctx context.Context) error {
-	if !f.loaded {
-		items, revision, err := f.Store.Range(ctx, f.Prefix)
-		if err != nil {
-			return err
-		}
-		f.revisions = make(map[string]int64, len(items))
-		for _, item := range items {
-			f.revisions[item.Key] = item.Revision
-		}
-		f.after, f.loaded = revision, true
-		f.handleSuccess()
+	if f.mustRead {
+		return f.read(ctx)
+	}
+	if f.behind() {
+		sleep(ctx, min(time.Since(f.currentAt), maxReadPause)) // leaves the link and the processor to requests
+		return f.read(ctx)
+	}
+	return f.watchChanges(ctx)
+}
+
+// behind reports whether there may be further changes that a watch would return one by
+// one: a read brought a change, or a change took long to arrive or to be handled.
+func (f *Follower) behind() bool {
+	if f.ReadAfter == 0 || !f.changing {
+		return false
+	}
+	return f.wasRead || time.Since(f.currentAt) > f.ReadAfter
+}
+
+// read reads the prefix and passes it to the handler if it has changed.
+func (f *Follower) read(ctx context.Context) error {
+	started := time.Now()
+	items, revision, err := f.Store.Range(ctx, f.Prefix)
+	if err != nil {
+		return err
+	}
+	revisions := make(map[string]int64, len(items))
+	for _, item := range items {
+		revisions[item.Key] = item.Revision
+	}
+	f.changing = !f.loaded || !maps.Equal(revisions, f.revisions)
+	f.revisions, f.after, f.currentAt = revisions, revision, started
+	f.loaded, f.mustRead, f.wasRead = true, false, true
+	f.handleSuccess()
+	if f.changing {
 		f.Handler.Replace(items)
-		return nil
 	}
+	return nil
+}
+
+// watchChanges waits for changes and passes them to the handler.
+func (f *Follower) watchChanges(ctx context.Context) error {
 	started := time.Now()
 	items, after, restarted, err := f.watch(ctx)
 	if err != nil && restarted && ctx.Err() == nil {
@@ -174,22 +218,44 @@
 	}
 	f.handleSuccess()
 	f.after = max(after, f.after)
-	for _, item := range items {
-		if item.Revision <= f.revisions[item.Key] {
-			continue // older than the result of the range read
-		}
-		f.revisions[item.Key] = item.Revision
-		if item.Deleted {
-			delete(f.revisions, item.Key) // later changes have higher revisions, so this one need not be kept
-		}
-		f.Handler.Change(item)
+	f.changing, f.wasRead, f.compacted = len(items) > 0, false, false
+	for _, item := range newestItems(items) {
+		f.change(item)
 	}
-	if len(items) > 0 {
+	if f.changing {
 		sleep(ctx, f.BatchDelay)
 	}
 	return nil
 }
 
+// newestItems returns the last item of each key, in the order of items.
+func newestItems(items []Item) []Item {
+	last := make(map[string]int, len(items))
+	for i, item := range items {
+		last[item.Key] = i
+	}
+	newest := make([]Item, 0, len(last))
+	for i, item := range items {
+		if last[item.Key] == i {
+			newest = append(newest, item)
+		}
+	}
+	return newest
+}
+
+// change passes a change to the handler, unless it is older than the result of a
+// read.
+func (f *Follower) change(item Item) {
+	if item.Revision <= f.revisions[item.Key] {
+		return
+	}
+	f.revisions[item.Key] = item.Revision
+	if item.Deleted {
+		delete(f.revisions, item.Key) // later changes have higher revisions, so this one need not be kept
+	}
+	f.Handler.Change(item)
+}
+
 // sleep waits for d or until ctx ends.
 func sleep(ctx context.Context, d time.Duration) {
 	if d <= 0 {
@@ -201,6 +267,16 @@
 	}
 }
 
+// handleCompaction makes the next call a read. A store that drops its history faster
+// than the prefix can be read must not be called without a pause.
+func (f *Follower) handleCompaction(ctx context.Context) {
+	f.mustRead = true
+	if f.compacted {
+		sleep(ctx, minBackoff)
+	}
+	f.compacted = true
+}
+
 func (f *Follower) handleSuccess() {
 	f.backoff = 0
 	if f.failing {
--- a/gateway/follow/follow_test.go
+++ b/gateway/follow/follow_test.go
@@ -37,7 +37,7 @@
 	return r.items, r.revision, r.err
 }
 
-func (s *scriptedStore) Watch(ctx context.Context, _ string, after int64, _ time.Duration) ([]Item, int64, error) {
+func (s *scriptedStore) Watch(ctx context.Context, _ string, after int64, _ time.Duration, _ func()) ([]Item, int64, error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.afters = append(s.afters, after)
@@ -108,18 +108,19 @@
 	is.Equal(run(t, s).events, []string{"replace", " p/a=new", "p/b=x", "p/a=deleted"})
 }
 
-// Guards against an outage that is not reported, and against a watch that
-// restarts from a wrong revision after it.
+// Guards against an outage that is not reported, against a watch that restarts from
+// a wrong revision after it, and against an unchanged prefix that is handled again.
 func TestContinuesAfterAnOutage(t *testing.T) {
 	is := is.New(t)
 	failure := errors.New("reset")
+	changed := []Item{{Key: "p/a", Value: []byte("1"), Revision: 9}}
 	s := &scriptedStore{
-		ranges:  []reply{{err: failure}, {revision: 4}},
-		watches: []reply{{revision: 6}, {err: failure}, {err: failure}, {revision: 7}},
+		ranges:  []reply{{err: failure}, {revision: 4}, {err: failure}, {revision: 7}, {items: changed, revision: 9}},
+		watches: []reply{{revision: 6}, {err: failure}, {revision: 8}, {err: failure}, {revision: 10}},
 	}
 	r := run(t, s)
-	is.Equal(r.events, []string{"failed", "restored", "replace", "failed", "failed", "restored"})
-	is.Equal(s.afters, []int64{4, 6, 6, 6, 7})
+	is.Equal(r.events, []string{"failed", "restored", "replace", "failed", "failed", "restored", "failed", "restored", "replace", " p/a=1"})
+	is.Equal(s.afters, []int64{4, 6, 7, 8, 9, 10})
 }
 
 // watchLosingStore answers Range and the second watch. Other watches block until
@@ -132,7 +133,7 @@
 
 func (s *watchLosingStore) Range(context.Context, string) ([]Item, int64, error) { return nil, 1, nil }
 
-func (s *watchLosingStore) Watch(ctx context.Context, _ string, _ int64, _ time.Duration) ([]Item, int64, error) {
+func (s *watchLosingStore) Watch(ctx context.Context, _ string, _ int64, _ time.Duration, _ func()) ([]Item, int64, error) {
 	s.watchCalls++
 	if s.watchCalls == 2 {
 		return []Item{{Key: "p/a", Value: []byte("1"), Revision: 2}}, 2, nil
@@ -180,3 +181,15 @@
 	is.NoErr(f.Run(ctx))
 	is.Equal(f.revisions, map[string]int64{"p/b": 6})
 }
+
+// Guards against time that is spent on values which a later change of the same answer
+// replaces.
+func TestReplacedValuesAreNotHandled(t *testing.T) {
+	is := is.New(t)
+	s := &scriptedStore{
+		ranges: []reply{{revision: 1}},
+		watches: []reply{{revision: 5, items: []Item{{Key: "p/a", Value: []byte("1"), Revision: 2}, {Key: "p/b", Value: []byte("1"), Revision: 3},
+			{Key: "p/a", Value: []byte("2"), Revision: 4}, {Key: "p/b", Deleted: true, Revision: 5}}}},
+	}
+	is.Equal(run(t, s).events, []string{"replace", "p/a=2", "p/b=deleted"})
+}
--- a/gateway/node/node.go
+++ b/gateway/node/node.go
@@ -47,6 +47,10 @@
 	// the list of peers is only a hint.
 	serverBatchDelay = 200 * time.Millisecond
 	peerBatchDelay   = 2 * time.Second
+	// configReadAfter is the age of the configuration from which it is read in place
+	// of watched after a change. It is below the time between two changes of a fast
+	// series, 0.2 s, so that a watch returns one version.
+	configReadAfter = 150 * time.Millisecond
 	// sweepInterval is the time between sweeps of idle connections and missing
 	// servers.
 	sweepInterval = 250 * time.Millisecond
@@ -232,7 +236,7 @@
 // other gateways.
 func (n *Node) newFollowers() []*follow.Follower {
 	followers := []*follow.Follower{
-		{Prefix: n.protocol.ConfigKey, Handler: &configHandler{node: n}},
+		{Prefix: n.protocol.ConfigKey, Handler: &configHandler{node: n}, ReadAfter: configReadAfter},
 		{Prefix: n.protocol.ServersPrefix, Handler: &serverHandler{node: n}, BatchDelay: serverBatchDelay},
 		{Prefix: peersPrefix, Handler: &peerHandler{node: n, known: map[string]peer{}}, BatchDelay: peerBatchDelay},
 	}
