Reports of peers do not give up a read or an answer that arrives

Cause: a process that hears of a newer configuration from a peer, or whose registration is renewed after an outage, restarted its watches. If the answer of a watch took longer than the time to the next report, 0.5 s, it was closed and begun again from the same revision, for as long as the store kept its history.

Change: Refresh ends only a watch that waits for its answer, and the follower then reads the prefix, which nothing interrupts. So each report leads to a call that ends.

Callers saw 404 and 401 for routes and keys that had been added, for up to 20 s.

--- a/gateway/follow/convergence_test.go
+++ b/gateway/follow/convergence_test.go
@@ -135,7 +135,7 @@
 		for reportEvery > 0 && ctx.Err() == nil {
 			time.Sleep(reportEvery)
 			if h.inForce.Load() < s.newest(time.Now()) {
-				f.RestartWatch()
+				f.Refresh()
 			}
 		}
 	})
--- a/gateway/follow/follow.go
+++ b/gateway/follow/follow.go
@@ -15,7 +15,6 @@
 	"log/slog"
 	"maps"
 	"math/rand/v2"
-	"sync"
 	"time"
 )
 
@@ -45,8 +44,8 @@
 	// began.
 	Range(ctx context.Context, prefix string) (items []Item, revision int64, err error)
 	// Watch waits for changes after a revision and returns them, oldest first, with
-	// the revision to continue from. It calls answered when the answer begins to
-	// arrive. CompactedError means that the store no longer has the changes after
+	// the revision to continue from. It calls answered, from the same goroutine, when
+	// the answer begins to arrive. CompactedError means that the store no longer has the changes after
 	// that revision.
 	Watch(ctx context.Context, prefix string, after int64, wait time.Duration, answered func()) ([]Item, int64, error)
 	// Grant creates a lease.
@@ -106,35 +105,14 @@
 	failing   bool             // the last call failed
 	backoff   time.Duration    // the delay after the last failed call was random, from half of this to all of it
 
-	mu     sync.Mutex
-	cancel context.CancelFunc // ends the current watch; nil if there is none
+	refresh refreshRequest
 }
 
-// RestartWatch ends the current watch and starts another. It is called if the
-// store may have lost the watch without an error. It is safe for concurrent
-// use.
-func (f *Follower) RestartWatch() {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	if f.cancel != nil {
-		f.cancel()
-	}
-}
-
-// watch waits for changes or RestartWatch. after is the revision to continue
-// from.
-func (f *Follower) watch(ctx context.Context) (items []Item, after int64, restarted bool, err error) {
-	ctx, cancel := context.WithCancel(ctx)
-	defer cancel()
-	f.mu.Lock()
-	f.cancel = cancel
-	f.mu.Unlock()
-	items, after, err = f.Store.Watch(ctx, f.Prefix, f.after, WatchWait, func() { f.currentAt = time.Now() })
-	f.mu.Lock()
-	f.cancel = nil
-	f.mu.Unlock()
-	return items, after, ctx.Err() != nil, err
-}
+// Refresh makes the follower read the prefix, because the store may have lost its watch
+// without an error. A watch that still waits for its answer is given up. A call whose
+// answer is arriving, and a read, are not: a process that is behind would otherwise
+// begin them again and again. Refresh is safe for concurrent use.
+func (f *Follower) Refresh() { f.refresh.request() }
 
 // Run follows the prefix until ctx ends.
 func (f *Follower) Run(ctx context.Context) error {
@@ -146,7 +124,7 @@
 		}
 		var compacted *CompactedError
 		switch {
-		case err == nil, errors.Is(err, errWatchRestarted):
+		case err == nil, errors.Is(err, errInterrupted):
 		case errors.As(err, &compacted):
 			f.Log.Warn("store history compacted, reading the prefix again", "prefix", f.Prefix, "after", compacted.After)
 			f.handleCompaction(ctx)
@@ -158,21 +136,21 @@
 	return nil
 }
 
-// errWatchRestarted means that RestartWatch has ended a watch, which is not a
-// failure of the store.
-var errWatchRestarted = errors.New("watch restarted")
+// errInterrupted means that Refresh has ended a watch, which is not a failure of the
+// store.
+var errInterrupted = errors.New("watch interrupted")
 
 // callStore makes one call to the store, a read or a watch, and passes its result to
 // the handler.
 func (f *Follower) callStore(ctx context.Context) error {
-	if f.mustRead {
+	if f.mustRead || f.refresh.pending() {
 		return f.read(ctx)
 	}
 	if f.behind() {
 		sleep(ctx, min(time.Since(f.currentAt), maxReadPause)) // leaves the link and the processor to requests
 		return f.read(ctx)
 	}
-	return f.watchChanges(ctx)
+	return f.watch(ctx)
 }
 
 // behind reports whether there may be further changes that a watch would return one by
@@ -186,6 +164,8 @@
 
 // read reads the prefix and passes it to the handler if it has changed.
 func (f *Follower) read(ctx context.Context) error {
+	f.refresh.clear()
+	f.mustRead = true // until the read succeeds
 	started := time.Now()
 	items, revision, err := f.Store.Range(ctx, f.Prefix)
 	if err != nil {
@@ -205,13 +185,19 @@
 	return nil
 }
 
-// watchChanges waits for changes and passes them to the handler.
-func (f *Follower) watchChanges(ctx context.Context) error {
+// watch waits for changes and passes them to the handler.
+func (f *Follower) watch(ctx context.Context) error {
+	waitCtx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	if !f.refresh.startWait(cancel) {
+		return nil
+	}
 	started := time.Now()
-	items, after, restarted, err := f.watch(ctx)
-	if err != nil && restarted && ctx.Err() == nil {
+	items, after, err := f.Store.Watch(waitCtx, f.Prefix, f.after, WatchWait, f.handleAnswer)
+	f.refresh.endWait()
+	if err != nil && waitCtx.Err() != nil && ctx.Err() == nil {
 		f.Log.Info("watch given up", "prefix", f.Prefix, "after", f.after, "took_ms", time.Since(started).Milliseconds(), "error", err.Error())
-		return errWatchRestarted
+		return errInterrupted
 	}
 	if err != nil {
 		return err
@@ -228,6 +214,12 @@
 	return nil
 }
 
+// handleAnswer records that the answer to a watch begins to arrive.
+func (f *Follower) handleAnswer() {
+	f.currentAt = time.Now()
+	f.refresh.endWait()
+}
+
 // newestItems returns the last item of each key, in the order of items.
 func newestItems(items []Item) []Item {
 	last := make(map[string]int, len(items))
--- a/gateway/follow/follow_test.go
+++ b/gateway/follow/follow_test.go
@@ -146,21 +146,21 @@
 // Guards against a change that is not seen until a watch ends because the store
 // has lost the watch without an error: a deleted route was then served for
 // seconds.
-func TestRestartWatchReplacesALostWatch(t *testing.T) {
+func TestRefreshReplacesALostWatch(t *testing.T) {
 	is := is.New(t)
 	ctx, cancel := context.WithTimeout(context.Background(), 10*time.Second)
 	defer cancel()
 	s := &watchLosingStore{watches: make(chan struct{})}
 	r := &recorder{}
 	f := &Follower{Store: s, Prefix: "p/", Handler: r, Log: slog.New(slog.NewJSONHandler(io.Discard, nil))}
-	f.RestartWatch() // no watch is active yet
+	f.Refresh() // no watch is active yet
 	done := make(chan struct{})
 	go func() {
 		_ = f.Run(ctx)
 		close(done)
 	}()
 	<-s.watches
-	f.RestartWatch()
+	f.Refresh()
 	<-s.watches // the third watch: the second returned the change
 	cancel()
 	<-done
--- /dev/null
+++ b/gateway/follow/refresh.go
@@ -0,0 +1,55 @@
+package follow
+
+import (
+	"context"
+	"sync"
+)
+
+// refreshRequest records that a prefix is to be read, and ends the watch that waits
+// meanwhile. It is safe for concurrent use.
+type refreshRequest struct {
+	mu        sync.Mutex
+	requested bool               // since the last read began
+	interrupt context.CancelFunc // ends the watch that waits for its answer; nil if none does
+}
+
+func (r *refreshRequest) request() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.requested = true
+	if r.interrupt != nil {
+		r.interrupt()
+	}
+}
+
+func (r *refreshRequest) pending() bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.requested
+}
+
+// clear is called when a read begins.
+func (r *refreshRequest) clear() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.requested = false
+}
+
+// startWait records that a watch waits for its answer. It returns false if the prefix
+// is to be read instead.
+func (r *refreshRequest) startWait(interrupt context.CancelFunc) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.requested {
+		return false
+	}
+	r.interrupt = interrupt
+	return true
+}
+
+// endWait records that the answer to the watch arrives or that the watch has ended.
+func (r *refreshRequest) endWait() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.interrupt = nil
+}
--- a/gateway/node/node.go
+++ b/gateway/node/node.go
@@ -124,7 +124,7 @@
 	}
 	n.client.OnDial = func() { dials.Add(context.Background(), 1) }
 	n.peers = peers.New(o.VM, n.schedule, o.Log, n.configVersion)
-	n.peers.OnNewerConfig = n.restartConfigWatch
+	n.peers.OnNewerConfig = n.refreshConfig
 	n.followers = n.newFollowers()
 	n.schedule.OnPlaced = n.peers.SendSoon
 	n.gateway = ingress.New(ingress.Options{Wire: p.Wire, Scheduler: n.schedule, Client: n.client, Log: o.Log,
@@ -246,18 +246,17 @@
 	return followers
 }
 
-// restartConfigWatch restarts the watch of the configuration because a peer has
-// a newer one.
-func (n *Node) restartConfigWatch(version int64) {
+// refreshConfig reads the configuration because a peer has a newer one.
+func (n *Node) refreshConfig(version int64) {
 	n.options.Log.Info("a peer has a newer configuration", "version", version)
-	n.followers[0].RestartWatch()
+	n.followers[0].Refresh()
 }
 
-// restartWatches restarts all watches after an outage of the store, in which it
-// may have lost them without an error.
-func (n *Node) restartWatches() {
+// refreshAll reads all prefixes after an outage of the store, in which it may have lost
+// the watches without an error.
+func (n *Node) refreshAll() {
 	for _, f := range n.followers {
-		f.RestartWatch()
+		f.Refresh()
 	}
 }
 
@@ -277,7 +276,7 @@
 }
 
 // maintainRegistration registers the node in the store for its peers and renews
-// the lease. After an outage of the store it restarts all watches.
+// the lease. After an outage of the store it refreshes all followers.
 func (n *Node) maintainRegistration(ctx context.Context) error {
 	lease := int64(0)
 	failing := false
@@ -300,7 +299,7 @@
 			n.options.Log.Debug("own registration not renewed", "error", err.Error())
 		case failing:
 			failing = false
-			n.restartWatches()
+			n.refreshAll()
 		}
 		select {
 		case <-ctx.Done():
