A process counts as behind only while it lacks the version that a peer had

Cause: the first report of a newer version started a time, and any newer version 0.5 to 2 s later counted as the same lag, although the first one had arrived meanwhile.

Change: configLag, in gateway/node, keeps the version that is missing here. The time ends when it is in force. The rule leaves gateway/peers, which now only passes on versions. The end of a lag is logged; gauges show the version in force and the lag.

--- a/gateway/node/node.go
+++ b/gateway/node/node.go
@@ -101,6 +101,7 @@
 	// followers are set by New and never change. The first one follows the
 	// configuration.
 	followers []*follow.Follower
+	configLag *configLag
 }
 
 // New returns a node that makes no connections until Run is called.
@@ -124,8 +125,12 @@
 	}
 	n.client.OnDial = func() { dials.Add(context.Background(), 1) }
 	n.peers = peers.New(o.VM, n.schedule, o.Log, n.configVersion)
-	n.peers.OnNewerConfig = n.refreshConfig
 	n.followers = n.newFollowers()
+	n.configLag = &configLag{log: o.Log, inForce: n.configVersion, refresh: n.followers[0].Refresh}
+	if err := n.configLag.registerMetrics(o.Meter); err != nil {
+		return nil, fmt.Errorf("set up metrics: %w", err)
+	}
+	n.peers.OnPeerConfig = func(version int64) { n.configLag.observe(version, time.Now()) }
 	n.schedule.OnPlaced = n.peers.SendSoon
 	n.gateway = ingress.New(ingress.Options{Wire: p.Wire, Scheduler: n.schedule, Client: n.client, Log: o.Log,
 		Reserver: reserve.New(p.EngineMemory(n.client), o.Log), Metrics: metrics,
@@ -246,12 +251,6 @@
 	return followers
 }
 
-// refreshConfig reads the configuration because a peer has a newer one.
-func (n *Node) refreshConfig(version int64) {
-	n.options.Log.Info("a peer has a newer configuration", "version", version)
-	n.followers[0].Refresh()
-}
-
 // refreshAll reads all prefixes after an outage of the store, in which it may have lost
 // the watches without an error.
 func (n *Node) refreshAll() {
--- a/gateway/peers/peers.go
+++ b/gateway/peers/peers.go
@@ -54,9 +54,9 @@
 	Log       *slog.Logger
 	// ConfigVersion returns the configuration version in force in this process.
 	ConfigVersion func() int64
-	// OnNewerConfig is called when peers have had a newer configuration for
-	// newerConfigDelay, and at most once in that time.
-	OnNewerConfig func(version int64)
+	// OnPeerConfig is called with the configuration version in force at a peer, for
+	// each of its messages; never concurrently.
+	OnPeerConfig func(version int64)
 
 	process uint64        // random number of this process
 	wake    chan struct{} // triggers a datagram
@@ -65,7 +65,6 @@
 
 	newest          map[string]messageID // the newest message, by VM
 	lastSyncRequest map[string]time.Time // by VM
-	newerSince      time.Time            // when a newer configuration was first seen at a peer; zero if none was
 
 	mu         sync.Mutex
 	peers      map[string]netip.AddrPort // by VM, without this process
@@ -82,7 +81,7 @@
 // New returns an exchange. SendSoon may be called before Run.
 func New(vm string, s *schedule.Scheduler, log *slog.Logger, configVersion func() int64) *Exchange {
 	return &Exchange{VM: vm, Scheduler: s, Log: log, ConfigVersion: configVersion, process: rand.Uint64(), wake: make(chan struct{}, 1), newest: map[string]messageID{},
-		lastSyncRequest: map[string]time.Time{}, OnNewerConfig: func(int64) {}}
+		lastSyncRequest: map[string]time.Time{}, OnPeerConfig: func(int64) {}}
 }
 
 // assumedProcesses is the number of gateways assumed until the list is known.
@@ -301,29 +300,6 @@
 	}
 }
 
-// newerConfigDelay is how long peers must have had a newer configuration before
-// it is reported. A change normally reaches all gateways in less time.
-const newerConfigDelay = 500 * time.Millisecond
-
-// compareConfig detects that a peer has a newer configuration than this
-// process.
-func (e *Exchange) compareConfig(version int64) {
-	if version <= e.ConfigVersion() {
-		return
-	}
-	now := time.Now()
-	// If newerSince is that old, it most likely belongs to an earlier change
-	// that has since arrived here, and this is another change.
-	if e.newerSince.IsZero() || now.Sub(e.newerSince) > 4*newerConfigDelay {
-		e.newerSince = now
-		return
-	}
-	if now.Sub(e.newerSince) > newerConfigDelay {
-		e.newerSince = time.Time{}
-		e.OnNewerConfig(version)
-	}
-}
-
 // handleLoads records the loads of a peer. It returns false if a complete
 // message must be requested: m has only the changed loads, and the others are
 // not known because this process has started or has dropped the loads of the
@@ -334,7 +310,7 @@
 		return true // a late or duplicate datagram is ignored
 	}
 	e.newest[m.GetVm()] = id
-	e.compareConfig(m.GetConfigVersion())
+	e.OnPeerConfig(m.GetConfigVersion())
 	loads := make(map[string]dispatch.Load, len(m.GetLoads()))
 	for _, l := range m.GetLoads() {
 		loads[l.GetServer()] = dispatch.Load{Decoding: int(l.GetWriters()), Prefilling: int(l.GetWaiting()), Helping: int(l.GetHelping()),
