A refusal counts only with the ID of its request

Report: a faulty server wrote an earlier refusal once more on a kept connection. It can happen here: without an ID it was taken for the answer to the next request on that connection. An order ran and was sent to a second server, or its caller was told that it had not run.

Cause: an answer without an ID counted as that to any request. The users' pages say that servers repeat the ID; only the 400 to a request without one has none.

Change: on a kept connection an answer counts only with the ID of the request, and others are skipped. On a new connection a refusal without it is not believed; the request counts as one that may have run.

The model of answers and the servers of tests state the ID as the pages say; TestRefusalWithoutEndIsRetried names its request.

--- a/gateway/ingress/ending_test.go
+++ b/gateway/ingress/ending_test.go
@@ -341,7 +341,7 @@
 		t.Run(name, func(t *testing.T) {
 			is := is.New(t)
 			unended := func(c net.Conn, br *bufio.Reader, _ *http.Request) bool {
-				_, _ = io.WriteString(c, "HTTP/1.1 503 X\r\nNot-Run: 1\r\n"+head+"\r\n")
+				_, _ = io.WriteString(c, "HTTP/1.1 503 X\r\nNot-Run: 1\r\nId: r1\r\n"+head+"\r\n")
 				_, _ = br.ReadByte() // ends when the gateway closes the connection
 				return false
 			}
--- a/gateway/ingress/exchange.go
+++ b/gateway/ingress/exchange.go
@@ -233,10 +233,15 @@
 	_ = h.Write(&head) // a write to a bytes.Buffer never fails
 	head.WriteString("\r\n")
 	return &upstream.Request{Method: x.r.Method, Head: head.Bytes(), Body: x.body, AtMostOnce: !x.route.Retryable(),
-		IsAnswer: func(h http.Header) bool {
-			id := x.g.Wire.DecodeAnswer(0, h).RequestID
-			return id == "" || id == x.meta.ID
-		}}
+		IsAnswer: x.isAnswer}
+}
+
+// isAnswer reports whether an answer may be that to the request. Servers repeat the ID of
+// a request in its answer. Without it, an answer on a kept connection may be that to an
+// earlier request, sent once more.
+func (x *exchange) isAnswer(h http.Header, kept bool) bool {
+	id := x.g.Wire.DecodeAnswer(0, h).RequestID
+	return id == x.meta.ID || id == "" && !kept
 }
 
 // handleNoAnswer records a send without an answer and decides what to do next.
@@ -272,12 +277,12 @@
 // valid.
 func (x *exchange) handleAnswer(a *schedule.Assignment, answer *upstream.Response) (nextStep, *serverAnswer) {
 	m := x.g.Wire.DecodeAnswer(answer.Status, answer.Header)
-	if m.NotRun {
+	if m.NotRun && m.RequestID == x.meta.ID {
 		return x.handleRefusal(a, answer, m), nil
 	}
 	defer func() { answer.Close(x.end.ending == endingWhole) }()
 	x.possibleRuns++
-	if !m.Signed || answer.Header.Get("Content-Encoding") != "" {
+	if !m.Signed || m.NotRun || answer.Header.Get("Content-Encoding") != "" {
 		x.reason = reasonNotGenuine
 		a.Observe(suspect.Failure)
 		x.log.Warn("answer not genuine", "server", a.Server.ID, "status", answer.Status)
@@ -299,9 +304,12 @@
 // because of a helper.
 func (x *exchange) handleRefusal(a *schedule.Assignment, answer *upstream.Response, m AnswerMeta) nextStep {
 	ended := answer.Discard(maxBuffered, refusalBodyTime)
-	answer.Close(ended && !m.Misrouted) // a misrouted connection leads to another server
 	x.reason = reasonNotRun
-	if helper := a.RecordHelperFailure(m.AtServer); helper != nil {
+	helper := a.RecordHelperFailure(m.AtServer)
+	// A misrouted connection leads to another server. After the failure of a helper this
+	// server may get the request again, and the refusal sent once more would have its ID.
+	answer.Close(ended && !m.Misrouted && helper == nil)
+	if helper != nil {
 		x.excluded[len(x.excluded)-1] = helper.ID // instead of the primary engine, which may still succeed
 	} else {
 		a.Observe(suspect.Failure)
--- a/gateway/ingress/harness_test.go
+++ b/gateway/ingress/harness_test.go
@@ -383,7 +383,7 @@
 // event last, and then ends the stream or breaks it off within the next event.
 func events(last int, complete bool) answer {
 	return func(c net.Conn, _ *bufio.Reader, r *http.Request) bool {
-		_, _ = io.WriteString(c, "HTTP/1.1 200 OK\r\nMark: m\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n")
+		_, _ = fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nMark: m\r\nId: %s\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n", r.Header.Get("Id"))
 		first, _ := strconv.Atoi(r.Header.Get("Last"))
 		for id := first + 1; id <= last; id++ {
 			chunk(c, fmt.Sprintf("id: %d\ndata: e%d\n\n", id, id))
--- a/gateway/ingress/model_test.go
+++ b/gateway/ingress/model_test.go
@@ -270,8 +270,8 @@
 		unread := a.cut >= e.headEnd && (!a.stamped || a.refusal || !repeatable && isPromise(a.status))
 		o.timeUp = a.end == endSilence && !a.framedWhole(e) && !unread
 		switch {
-		case a.cut >= e.headEnd && a.refusal: // has not run
-		case a.cut < e.headEnd, !a.stamped, !repeatable && isPromise(a.status): // may have run
+		case a.cut >= e.headEnd && a.refusal && a.named: // has not run
+		case a.cut < e.headEnd, !a.stamped, a.refusal, !repeatable && isPromise(a.status): // may have run
 			o.runs++
 		case stream && a.status < http.StatusMultipleChoices:
 			o.runs++
--- a/gateway/upstream/response.go
+++ b/gateway/upstream/response.go
@@ -70,6 +70,7 @@
 			_ = r.conn.Close()
 			return
 		}
+		r.conn.kept = true
 		r.client.putIdle(r.conn, r.answer.Header)
 	})
 }
--- a/gateway/upstream/upstream.go
+++ b/gateway/upstream/upstream.go
@@ -81,6 +81,7 @@
 	address   string
 	expires   time.Time // end of the idle timeout
 	idleSince time.Time
+	kept      bool // the connection has carried a request
 }
 
 // Request is a serialized request.
@@ -91,9 +92,10 @@
 	// AtMostOnce is set if the request must not be sent again once it may have
 	// run.
 	AtMostOnce bool
-	// IsAnswer reports whether an answer with these headers belongs to this
-	// request.
-	IsAnswer func(http.Header) bool
+	// IsAnswer reports whether an answer with these headers belongs to this request.
+	// kept is set if the connection has carried earlier requests, whose answers a
+	// failing server may repeat.
+	IsAnswer func(h http.Header, kept bool) bool
 }
 
 // Do sends r to address. When ctx ends, the connection is closed, so that the
@@ -161,7 +163,7 @@
 			}
 			continue
 		}
-		if r.IsAnswer == nil || r.IsAnswer(answer.Header) {
+		if r.IsAnswer == nil || r.IsAnswer(answer.Header, cn.kept) {
 			return answer, nil
 		}
 		if skipped >= maxSkipped {
--- a/gateway/upstream/upstream_test.go
+++ b/gateway/upstream/upstream_test.go
@@ -55,7 +55,7 @@
 
 func get(id string) *Request {
 	return &Request{Method: http.MethodGet, Head: []byte("GET /x HTTP/1.1\r\nHost: h\r\nId: " + id + "\r\n\r\n"),
-		IsAnswer: func(h http.Header) bool { return h.Get("Id") == "" || h.Get("Id") == id }}
+		IsAnswer: func(h http.Header, _ bool) bool { return h.Get("Id") == "" || h.Get("Id") == id }}
 }
 
 // fetch sends one request and returns the body. The connection is kept if the
@@ -342,7 +342,7 @@
 	address, _ := serve(t, answering(interim+"HTTP/1.1 200 OK\r\nId: 0\r\nContent-Length: 5\r\n\r\nwrong"+
 		"HTTP/1.1 200 OK\r\nId: 1\r\nContent-Length: 2\r\n\r\nok"))
 	request := get("1")
-	request.IsAnswer = func(h http.Header) bool { return h.Get("Id") == "1" }
+	request.IsAnswer = func(h http.Header, _ bool) bool { return h.Get("Id") == "1" }
 	body, err := fetch(New(), address, request)
 	is.NoErr(err)
 	is.Equal(body, "ok")
