Test: the error of the next server is not in a stream that had begun

Report: a stream broke off, the next server answered with an error, and its text or head was in the stream, or the stream looked complete. It cannot happen in the gateway: TestErrorOfTheNextServerIsNotInTheStream has 297 answers (9 statuses, with the stamp, stated as a refusal, with neither; by length, chunks and close; text, events, a head, nothing), and passes.

--- a/gateway/ingress/ending_test.go
+++ b/gateway/ingress/ending_test.go
@@ -373,3 +373,45 @@
 		}
 	}
 }
+
+// errorAnswers are answers of a server that does not serve the rest of a stream, by
+// status, framing and body; some bodies look like events.
+func errorAnswers() map[string]string {
+	bodies := map[string]string{"text": "out of memory", "events": "id: 4\ndata: error\n\n", "head": "HTTP/1.1 500 X\r\n\r\n", "empty": ""}
+	out := map[string]string{}
+	for _, status := range []int{301, 400, 404, 408, 421, 429, 500, 503, 504} {
+		for shape, body := range bodies {
+			for _, mark := range []string{"Mark: other", "Not-Run: 1", "Unmarked: 1"} {
+				head := fmt.Sprintf("HTTP/1.1 %d X\r\n%s\r\nId: r1\r\nContent-Type: text/event-stream\r\n", status, mark)
+				name := fmt.Sprintf("%d %s %s", status, shape, mark)
+				out[name+" length"] = fmt.Sprintf("%sContent-Length: %d\r\n\r\n%s", head, len(body), body)
+				out[name+" close"] = head + "\r\n" + body
+				if body != "" {
+					out[name+" chunks"] = fmt.Sprintf("%sTransfer-Encoding: chunked\r\n\r\n%x\r\n%s\r\n0\r\n\r\n", head, len(body), body)
+				}
+			}
+		}
+	}
+	return out
+}
+
+// Guards against an error answer, or a part of it, in the middle of a stream that had
+// begun, and against a stream that looks complete after it: the second of two servers
+// answers the rest with an error.
+func TestErrorOfTheNextServerIsNotInTheStream(t *testing.T) {
+	for name, answer := range errorAnswers() {
+		either := firstThen(events(3, false), raw(answer))
+		f := newFleet(t, either, either)
+		response, body, err := f.call("POST", "/stream/", "", "x")
+		switch {
+		case response == nil || response.StatusCode != http.StatusOK:
+			t.Errorf("%s: the stream did not begin: %v", name, err)
+		case err == nil:
+			t.Errorf("%s: the stream looks complete", name)
+		case body != wantEvents(1, 3):
+			t.Errorf("%s: the caller has %q", name, body)
+		case response.Header.Get("Mark") != "m":
+			t.Errorf("%s: the stamp is %q", name, response.Header.Get("Mark"))
+		}
+	}
+}
