One VM that cannot be read does not hide the others of its list

The list of VMs was decoded as a whole, so that one odd entry stopped entries from following it for as long as it was there; they kept the last list. TestOddVMDisturbsNoOther failed before.

--- a/cloud/httpkv/httpkv.go
+++ b/cloud/httpkv/httpkv.go
@@ -9,6 +9,7 @@
 	"encoding/json"
 	"errors"
 	"fmt"
+	"log/slog"
 	"strconv"
 	"time"
 
@@ -39,6 +40,8 @@
 	// MaxConnections bounds the concurrent calls, including waiting watches;
 	// 0 means httpcall.DefaultMaxConnections.
 	MaxConnections int
+	// Log receives a line for each VM of a list that cannot be read; nil for none.
+	Log *slog.Logger
 }
 
 // Client implements cloud.KV, cloud.VMList and cloud.WeightStore.
@@ -66,6 +69,9 @@
 	if o.WatchWait == 0 {
 		o.WatchWait = DefaultWatchWait
 	}
+	if o.Log == nil {
+		o.Log = slog.New(slog.DiscardHandler)
+	}
 	return &Client{options: o, http: httpcall.New(httpcall.Options{
 		Address: o.Address, MaxConnections: o.MaxConnections, MaxResponseBytes: maxResponseBytes,
 		Framed: true, // a part of a value could be decoded as another value
@@ -191,17 +197,29 @@
 	return err
 }
 
-// VMs implements cloud.VMList.
+// VMs implements cloud.VMList. A VM that cannot be decoded is left out, so that the
+// others of its list stay known.
 func (c *Client) VMs(ctx context.Context) ([]cloud.VM, error) {
 	r, err := c.call(ctx, request{operation: "list VMs", method: fasthttp.MethodGet, path: pathVMs})
 	if err != nil {
 		return nil, err
 	}
 	var result struct {
-		VMs []cloud.VM `json:"vms"`
+		VMs []json.RawMessage `json:"vms"`
 	}
-	err = r.decode(&result)
-	return result.VMs, err
+	if err := r.decode(&result); err != nil {
+		return nil, err
+	}
+	vms := make([]cloud.VM, 0, len(result.VMs))
+	for i, data := range result.VMs {
+		var vm cloud.VM
+		if err := json.Unmarshal(data, &vm); err != nil {
+			c.options.Log.Warn("VM of the list not decoded", "index", i, "error", err.Error())
+			continue
+		}
+		vms = append(vms, vm)
+	}
+	return vms, nil
 }
 
 // Reserve implements cloud.WeightStore.
--- a/cloud/httpkv/httpkv_test.go
+++ b/cloud/httpkv/httpkv_test.go
@@ -7,6 +7,9 @@
 	"errors"
 	"io"
 	"net"
+	"net/http"
+	"net/http/httptest"
+	"strings"
 	"sync"
 	"testing"
 	"time"
@@ -375,3 +378,18 @@
 	is.NoErr(err)
 	is.Equal(len(record.Value), writers*increments)
 }
+
+// Guards against a process that stops following the list of VMs because of one entry in
+// it that cannot be read.
+func TestOddVMDisturbsNoOther(t *testing.T) {
+	is := is.New(t)
+	deep := strings.Repeat("[", 9_000) + strings.Repeat("]", 9_000)
+	list := `{"vms":[{"id":"a","role":"agent"},{"id":7},{"id":"b","address":` + deep + `},[],"x",1e400,{"id":"c","role":"entry"}]}`
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) { _, _ = io.WriteString(w, list) }))
+	defer server.Close()
+	c := New(Options{Address: strings.TrimPrefix(server.URL, "http://")})
+	defer c.Close()
+	vms, err := c.VMs(t.Context())
+	is.NoErr(err)
+	is.Equal(vms, []cloud.VM{{ID: "a", Role: "agent"}, {ID: "c", Role: "entry"}})
+}
--- a/daemon/cmd/camphorwick/main.go
+++ b/daemon/cmd/camphorwick/main.go
@@ -142,7 +142,7 @@
 // stopped.
 func serve(ctx context.Context, p processSignals, s *settings.Settings, t *observe.Telemetry) error {
 	store := httpkv.New(httpkv.Options{Address: hostOf(s.Platform.URL),
-		CallTimeout: time.Duration(s.Platform.TimeoutMillis) * time.Millisecond})
+		CallTimeout: time.Duration(s.Platform.TimeoutMillis) * time.Millisecond, Log: t.Log})
 	defer store.Close()
 	kv, err := member.MeterKV(store, t.Meter)
 	if err != nil {
