A peer whose message is arriving is not unresponsive

A large configuration over a slow link takes longer than the 3 s after which a peer is suspected and the 9 s after which its sessions are closed; on a slower link the message would begin again on each new session. A frame of up to 1 MB also had to be written within 10 s.

Change: each part of a message counts, and messages are written in frames of 32 KB.

Found by reading.

--- a/link/control.go
+++ b/link/control.go
@@ -125,16 +125,22 @@
 	return p.interval
 }
 
+func (p *peer) recordHeard() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.lastHeard = time.Now()
+}
+
 // receiveLoop handles the messages of the peer until the stream ends.
 func (n *Node) receiveLoop(p *peer, stream *Stream, peerRevision *atomic.Uint64) {
+	// A part of a message counts as well: on a slow link a large configuration takes
+	// longer than an unresponsive peer may be silent.
+	stream.onReceive = p.recordHeard
 	for {
 		message := &wire.ControlMessage{}
 		if err := stream.Read(message); err != nil {
 			return
 		}
-		p.mu.Lock()
-		p.lastHeard = time.Now()
-		p.mu.Unlock()
 		switch body := message.Body.(type) {
 		case *wire.ControlMessage_Heartbeat:
 			p.setAnnouncedInterval(body.Heartbeat.IntervalMs)
--- a/link/frame.go
+++ b/link/frame.go
@@ -19,15 +19,28 @@
 	MaxDataBytes    = 16 << 20
 )
 
-// writeMessage writes a length-delimited message with a single Write, which
-// yamux sends as one frame.
+// maxFrameBytes bounds a write, which yamux sends as one frame. Its receiver sees the
+// bytes of a frame at its end, and its sender waits for writeTimeout at most, so that a
+// frame has to pass the slowest link in a short time.
+const maxFrameBytes = 32 << 10
+
+// writeMessage writes a length-delimited message.
 func writeMessage(w io.Writer, m proto.Message) error {
 	buffer, err := encodeMessage(m)
 	if err != nil {
 		return err
 	}
-	if _, err := w.Write(buffer); err != nil {
-		return fmt.Errorf("write message: %w", err)
+	return writeFrames(w, buffer)
+}
+
+// writeFrames writes an encoded message in frames of at most maxFrameBytes.
+func writeFrames(w io.Writer, buffer []byte) error {
+	for len(buffer) > 0 {
+		frame := buffer[:min(len(buffer), maxFrameBytes)]
+		if _, err := w.Write(frame); err != nil {
+			return fmt.Errorf("write message: %w", err)
+		}
+		buffer = buffer[len(frame):]
 	}
 	return nil
 }
