A read of a slow store goes on while the next one begins

With a store that takes longer for each answer no read ever ended. A longer limit alone would delay the recovery from a store that answers nothing on a connection that it has lost.

Change: after 1.5 s without an answer the call counts as failed, as before, and the next read begins after the backoff; the first one goes on, up to 6 s, and the first answer of all counts. At most four run. A read whose answer is arriving is awaited.

Found by reading. TestSlowStoreIsReadInTheEnd failed before for a store that takes 3 s for each answer. TestUnresponsiveStore now demands of a follower what it demanded of a read, a failure within 3 s, and that the read itself ends.

--- a/gateway/follow/convergence_test.go
+++ b/gateway/follow/convergence_test.go
@@ -67,10 +67,11 @@
 	}
 }
 
-func (s *storeOverLink) Range(ctx context.Context, _ string) ([]Item, int64, error) {
+func (s *storeOverLink) Range(ctx context.Context, _ string, answered func()) ([]Item, int64, error) {
 	if err := s.wait(ctx, roundTrip); err != nil {
 		return nil, 0, err
 	}
+	answered()
 	n := s.newest(time.Now())
 	if err := s.wait(ctx, s.transfer); err != nil {
 		return nil, 0, err
@@ -203,7 +204,7 @@
 	calls atomic.Int64
 }
 
-func (s *compactingStore) Range(context.Context, string) ([]Item, int64, error) {
+func (s *compactingStore) Range(context.Context, string, func()) ([]Item, int64, error) {
 	return []Item{{Key: "p", Value: []byte("1"), Revision: s.calls.Add(1)}}, 1, nil
 }
 
--- a/gateway/follow/follow.go
+++ b/gateway/follow/follow.go
@@ -41,8 +41,8 @@
 // Store is the part of the platform's store that the gateway uses.
 type Store interface {
 	// Range returns the items of a prefix and the revision at which the read
-	// began.
-	Range(ctx context.Context, prefix string) (items []Item, revision int64, err error)
+	// began. It calls answered when the answer begins to arrive.
+	Range(ctx context.Context, prefix string, answered func()) (items []Item, revision int64, err error)
 	// Watch waits for changes after a revision and returns them, oldest first, with
 	// the revision to continue from. It calls answered, from the same goroutine, when
 	// the answer begins to arrive. CompactedError means that the store no longer has the changes after
@@ -106,6 +106,7 @@
 	backoff   time.Duration    // the delay after the last failed call was random, from half of this to all of it
 
 	refresh refreshRequest
+	pending pendingReads
 }
 
 // Refresh makes the follower read the prefix, because the store may have lost its watch
@@ -117,6 +118,8 @@
 // Run follows the prefix until ctx ends.
 func (f *Follower) Run(ctx context.Context) error {
 	f.revisions, f.mustRead = map[string]int64{}, true
+	f.pending.init(f.Store, f.Prefix)
+	defer f.pending.stop()
 	for ctx.Err() == nil {
 		err := f.callStore(ctx)
 		if ctx.Err() != nil {
@@ -166,21 +169,20 @@
 func (f *Follower) read(ctx context.Context) error {
 	f.refresh.clear()
 	f.mustRead = true // until the read succeeds
-	started := time.Now()
-	items, revision, err := f.Store.Range(ctx, f.Prefix)
+	got, err := f.pending.next(ctx)
 	if err != nil {
 		return err
 	}
-	revisions := make(map[string]int64, len(items))
-	for _, item := range items {
+	revisions := make(map[string]int64, len(got.items))
+	for _, item := range got.items {
 		revisions[item.Key] = item.Revision
 	}
 	f.changing = !f.loaded || !maps.Equal(revisions, f.revisions)
-	f.revisions, f.after, f.currentAt = revisions, revision, started
+	f.revisions, f.after, f.currentAt = revisions, got.revision, got.started
 	f.loaded, f.mustRead, f.wasRead = true, false, true
 	f.handleSuccess()
 	if f.changing {
-		f.Handler.Replace(items)
+		f.Handler.Replace(got.items)
 	}
 	return nil
 }
--- a/gateway/follow/follow_test.go
+++ b/gateway/follow/follow_test.go
@@ -29,7 +29,7 @@
 	err      error
 }
 
-func (s *scriptedStore) Range(context.Context, string) ([]Item, int64, error) {
+func (s *scriptedStore) Range(context.Context, string, func()) ([]Item, int64, error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	r := s.ranges[0]
@@ -131,7 +131,9 @@
 	watchCalls int
 }
 
-func (s *watchLosingStore) Range(context.Context, string) ([]Item, int64, error) { return nil, 1, nil }
+func (s *watchLosingStore) Range(context.Context, string, func()) ([]Item, int64, error) {
+	return nil, 1, nil
+}
 
 func (s *watchLosingStore) Watch(ctx context.Context, _ string, _ int64, _ time.Duration, _ func()) ([]Item, int64, error) {
 	s.watchCalls++
