A gateway whose registration is lost registers again

If a write that got no answer is carried out seconds later, it replaces the registration with one that ends with the earlier lease. The gateway renewed the later lease without an error, and its peers did not know it until it restarted: they did not send it their loads and versions, and divided the retry budget without it.

Change: the list of gateways, which each gateway follows, also tells it whether it is in it. The registration has a file of its own.

TestLostRegistrationIsWrittenAgain fails without the change.

--- a/gateway/node/handlers.go
+++ b/gateway/node/handlers.go
@@ -95,6 +95,7 @@
 type peerHandler struct {
 	node  *Node
 	known map[string]peer // by VM
+	self  bool            // this gateway is listed
 }
 
 type peer struct {
@@ -105,22 +106,34 @@
 // Replace replaces the list of gateways.
 func (h *peerHandler) Replace(items []follow.Item) {
 	clear(h.known)
+	wasListed := h.self
+	h.self = false
 	for _, item := range items {
 		h.update(item)
 	}
+	if wasListed && !h.self {
+		h.node.reportRegistrationLost()
+	}
 	h.publish()
 }
 
 // Change adds, updates or removes one gateway.
 func (h *peerHandler) Change(item follow.Item) {
 	h.update(item)
+	if item.Deleted && strings.TrimPrefix(item.Key, peersPrefix) == h.node.options.VM {
+		h.node.reportRegistrationLost()
+	}
 	h.publish()
 }
 
 func (h *peerHandler) update(item follow.Item) {
 	vm := strings.TrimPrefix(item.Key, peersPrefix)
 	delete(h.known, vm)
-	if item.Deleted || vm == h.node.options.VM {
+	if vm == h.node.options.VM {
+		h.self = !item.Deleted
+		return
+	}
+	if item.Deleted {
 		return
 	}
 	var e registration
--- a/gateway/node/node.go
+++ b/gateway/node/node.go
@@ -4,7 +4,6 @@
 
 import (
 	"context"
-	"encoding/json"
 	"errors"
 	"fmt"
 	"log/slog"
@@ -32,15 +31,6 @@
 	// peersPrefix is the prefix of the keys in the store under which gateways
 	// register, followed by the VM.
 	peersPrefix = "gateways/"
-	// leaseTime is how long the registration of a dead gateway remains.
-	leaseTime = 12 * time.Second
-	// renewInterval is the time between renewals of the lease. A renewal also
-	// checks that the store answers, at a tenth of the price of a read: an
-	// outage that lasts long enough to lose a watch makes a renewal fail.
-	renewInterval = 2 * time.Second
-	// registrationRetryInterval is the delay before a failed registration or
-	// renewal is retried.
-	registrationRetryInterval = 500 * time.Millisecond
 	// serverBatchDelay and peerBatchDelay are how long changes are collected
 	// before the next call. The platform allows requests to a server for 2 s
 	// after it has left, so changes of servers must be seen within that time;
@@ -102,11 +92,14 @@
 	// configuration.
 	followers []*follow.Follower
 	configLag *configLag
+	// registrationLost receives when the store no longer lists this gateway; its
+	// capacity is 1.
+	registrationLost chan struct{}
 }
 
 // New returns a node that makes no connections until Run is called.
 func New(o Options, p Protocol) (*Node, error) {
-	n := &Node{options: o, protocol: p, client: upstream.New(), stop: make(chan struct{})}
+	n := &Node{options: o, protocol: p, client: upstream.New(), stop: make(chan struct{}), registrationLost: make(chan struct{}, 1)}
 	n.registry = registry.New(n.serverChanged)
 	n.schedule = schedule.New(n.registry, o.VM, o.DataCentre)
 	n.schedule.OnPeerSuspect = func(peer, service, id string) {
@@ -273,58 +266,3 @@
 		}
 	}
 }
-
-// maintainRegistration registers the node in the store for its peers and renews
-// the lease. After an outage of the store it refreshes all followers.
-func (n *Node) maintainRegistration(ctx context.Context) error {
-	lease := int64(0)
-	failing := false
-	for {
-		var err error
-		if lease == 0 {
-			lease, err = n.register(ctx)
-		} else {
-			err = n.protocol.Store.Renew(ctx, lease)
-			var ended *follow.LeaseError
-			if errors.As(err, &ended) {
-				lease = 0
-				continue
-			}
-		}
-		pause := renewInterval
-		switch {
-		case err != nil:
-			pause, failing = registrationRetryInterval, true
-			n.options.Log.Debug("own registration not renewed", "error", err.Error())
-		case failing:
-			failing = false
-			n.refreshAll()
-		}
-		select {
-		case <-ctx.Done():
-			return nil
-		case <-time.After(pause):
-		}
-	}
-}
-
-// registration is the value under which a gateway is registered in the store.
-type registration struct {
-	Address    string `json:"address"` // address of the port for peers
-	DataCentre string `json:"data_centre"`
-}
-
-func (n *Node) register(ctx context.Context) (int64, error) {
-	value, err := json.Marshal(registration{Address: n.options.Peers, DataCentre: n.options.DataCentre})
-	if err != nil {
-		return 0, fmt.Errorf("encode own registration: %w", err)
-	}
-	lease, err := n.protocol.Store.Grant(ctx, leaseTime)
-	if err != nil {
-		return 0, err
-	}
-	if err := n.protocol.Store.Put(ctx, peersPrefix+n.options.VM, value, lease); err != nil {
-		return 0, err
-	}
-	return lease, nil
-}
--- /dev/null
+++ b/gateway/node/registration.go
@@ -0,0 +1,101 @@
+package node
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"time"
+
+	"camphorwick.dev/gateway/follow"
+)
+
+const (
+	// leaseTime is how long the registration of a dead gateway remains.
+	leaseTime = 12 * time.Second
+	// renewInterval is the time between renewals of the lease. A renewal also
+	// checks that the store answers, at a tenth of the price of a read: an
+	// outage that lasts long enough to lose a watch makes a renewal fail.
+	renewInterval = 2 * time.Second
+	// registrationRetryInterval is the delay before a failed registration or
+	// renewal is retried.
+	registrationRetryInterval = 500 * time.Millisecond
+)
+
+// registration is the value under which a gateway is registered in the store.
+type registration struct {
+	Address    string `json:"address"` // address of the port for peers
+	DataCentre string `json:"data_centre"`
+}
+
+// maintainRegistration registers the node in the store for its peers and renews the
+// lease. It registers again if the registration is lost although the lease has not ended:
+// a write of an earlier lease that the store carries out late replaces it, and ends with
+// that lease. After an outage of the store it refreshes all followers.
+func (n *Node) maintainRegistration(ctx context.Context) error {
+	lease := int64(0)
+	failing := false
+	for {
+		var err error
+		if lease == 0 {
+			lease, err = n.register(ctx)
+		} else {
+			err = n.protocol.Store.Renew(ctx, lease)
+			var ended *follow.LeaseError
+			if errors.As(err, &ended) {
+				lease = 0
+				continue
+			}
+		}
+		pause := renewInterval
+		switch {
+		case err != nil:
+			pause, failing = registrationRetryInterval, true
+			n.options.Log.Debug("own registration not renewed", "error", err.Error())
+		case failing:
+			failing = false
+			n.refreshAll()
+		}
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-time.After(pause):
+		}
+		if n.takeRegistrationLost() && lease != 0 {
+			n.options.Log.Warn("own registration lost, registering again")
+			lease = 0
+		}
+	}
+}
+
+// reportRegistrationLost makes maintainRegistration register again. It never blocks.
+func (n *Node) reportRegistrationLost() {
+	select {
+	case n.registrationLost <- struct{}{}:
+	default:
+	}
+}
+
+func (n *Node) takeRegistrationLost() bool {
+	select {
+	case <-n.registrationLost:
+		return true
+	default:
+		return false
+	}
+}
+
+func (n *Node) register(ctx context.Context) (int64, error) {
+	value, err := json.Marshal(registration{Address: n.options.Peers, DataCentre: n.options.DataCentre})
+	if err != nil {
+		return 0, fmt.Errorf("encode own registration: %w", err)
+	}
+	lease, err := n.protocol.Store.Grant(ctx, leaseTime)
+	if err != nil {
+		return 0, err
+	}
+	if err := n.protocol.Store.Put(ctx, peersPrefix+n.options.VM, value, lease); err != nil {
+		return 0, err
+	}
+	return lease, nil
+}
--- a/gateway/node/registration_test.go
+++ b/gateway/node/registration_test.go
@@ -4,8 +4,10 @@
 	"context"
 	"errors"
 	"log/slog"
+	"sync"
 	"sync/atomic"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/matryer/is"
@@ -46,3 +48,54 @@
 	is.NoErr(n.maintainRegistration(ctx))
 	is.True(store.calls.Load() <= 3) // one call more than the first and its retry
 }
+
+// expiringStore is a store whose registration of a gateway ends with the lease of an
+// earlier write, although the last lease is renewed.
+type expiringStore struct {
+	follow.Store
+	lease  atomic.Int64
+	writes atomic.Int64
+}
+
+func (s *expiringStore) Grant(context.Context, time.Duration) (int64, error) {
+	return s.lease.Add(1), nil
+}
+
+func (s *expiringStore) Renew(context.Context, int64) error { return nil }
+
+func (s *expiringStore) Put(context.Context, string, []byte, int64) error {
+	s.writes.Add(1)
+	return nil
+}
+
+// Guards against a gateway that its peers do not know until it restarts: a write that the
+// store carried out late has replaced its registration and ended with an earlier lease.
+func TestLostRegistrationIsWrittenAgain(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		store := &expiringStore{}
+		n := newTestNode(t, time.Second)
+		n.protocol.Store = store
+		ctx, cancel := context.WithCancel(t.Context())
+		var group sync.WaitGroup
+		group.Go(func() { _ = n.maintainRegistration(ctx) })
+		time.Sleep(time.Second)
+		h := &peerHandler{node: n, known: map[string]peer{}}
+		own := follow.Item{Key: peersPrefix + n.options.VM, Value: []byte(`{"address":"127.0.0.1:1"}`), Revision: 2}
+		h.Replace(nil) // read before the registration
+		h.Change(own)
+		time.Sleep(3 * renewInterval)
+		is.Equal(store.writes.Load(), int64(1))
+		h.Change(follow.Item{Key: own.Key, Deleted: true, Revision: 3})
+		time.Sleep(renewInterval)
+		synctest.Wait()
+		is.Equal(store.writes.Load(), int64(2))
+		h.Change(own)
+		h.Replace(nil) // lost while the store could not be read
+		time.Sleep(renewInterval)
+		synctest.Wait()
+		is.Equal(store.writes.Load(), int64(3))
+		cancel()
+		group.Wait()
+	})
+}
