A long list of servers is handled in time that grows with its length

The history of failures gets no entry for services that no request used.

TestLongListIsHandledInTime failed before.

--- a/gateway/registry/registry.go
+++ b/gateway/registry/registry.go
@@ -42,6 +42,7 @@
 	mu       sync.RWMutex
 	servers  map[string]*record
 	services map[string][]*Server // rebuilt on each change, never modified in place
+	outdated bool                 // services must be rebuilt
 	synced   bool
 	// distrustUntil is the end of the time in which removals are distrusted.
 	distrustUntil time.Time
@@ -82,9 +83,52 @@
 
 // Put records that the store lists a server.
 func (r *Registry) Put(s *Server) {
+	r.update(func() []Change { return r.put(s) })
+}
+
+// Remove records that the store no longer lists a server. While removals are
+// distrusted, the server is kept as missing.
+func (r *Registry) Remove(id string, now time.Time) {
+	r.update(func() []Change { return r.remove(id, now) })
+}
+
+// Replace records the complete list after a new read of the store.
+func (r *Registry) Replace(list []*Server, now time.Time) {
+	r.update(func() []Change {
+		r.synced = true
+		listed := make(map[string]bool, len(list))
+		var changes []Change
+		for _, s := range list {
+			listed[s.ID] = true
+			changes = append(changes, r.put(s)...)
+		}
+		for id := range r.servers {
+			if !listed[id] {
+				changes = append(changes, r.remove(id, now)...)
+			}
+		}
+		return changes
+	})
+}
+
+// update runs a change of the servers, rebuilds the lists by service once if needed, and
+// reports the changes.
+func (r *Registry) update(change func() []Change) {
 	r.mu.Lock()
+	changes := change()
+	if r.outdated {
+		r.rebuild()
+		r.outdated = false
+	}
+	r.mu.Unlock()
+	for _, c := range changes {
+		r.onChange(c)
+	}
+}
+
+// put records that a server is listed. mu is held.
+func (r *Registry) put(s *Server) []Change {
 	old := r.servers[s.ID]
-	r.servers[s.ID] = &record{server: s}
 	var event Event
 	switch {
 	case old == nil:
@@ -95,61 +139,30 @@
 		event = Draining
 	case old.server.Draining && !s.Draining:
 		event = Ready
+	case old.removeAt.IsZero():
+		return nil // the lists by service contain the old server, so they need no rebuild
 	}
-	if old != nil && event == "" && old.removeAt.IsZero() {
-		// Nothing has changed: the lists by service contain the old server, so
-		// keeping it makes a rebuild unnecessary.
-		r.servers[s.ID].server = old.server
-		r.mu.Unlock()
-		return
-	}
-	r.rebuild()
-	r.mu.Unlock()
-	if event != "" {
-		r.onChange(Change{Server: s, Event: event})
+	r.servers[s.ID] = &record{server: s}
+	r.outdated = true
+	if event == "" {
+		return nil
 	}
+	return []Change{{Server: s, Event: event}}
 }
 
-// Remove records that the store no longer lists a server. While removals are
-// distrusted, the server is kept as missing.
-func (r *Registry) Remove(id string, now time.Time) {
-	r.mu.Lock()
+// remove records that a server is not listed. mu is held.
+func (r *Registry) remove(id string, now time.Time) []Change {
 	e := r.servers[id]
 	if e == nil || !e.removeAt.IsZero() {
-		r.mu.Unlock()
-		return
+		return nil
 	}
-	event := Removed
 	if now.Before(r.distrustUntil) && !e.server.Draining {
-		event = Missing
 		e.removeAt = earlier(r.distrustUntil, now.Add(maxMissingTime))
-	} else {
-		delete(r.servers, id)
-		r.rebuild()
-	}
-	r.mu.Unlock()
-	r.onChange(Change{Server: e.server, Event: event})
-}
-
-// Replace records the complete list after a new read of the store.
-func (r *Registry) Replace(list []*Server, now time.Time) {
-	listed := make(map[string]bool, len(list))
-	for _, s := range list {
-		listed[s.ID] = true
-		r.Put(s)
-	}
-	r.mu.Lock()
-	var missing []string
-	for id := range r.servers {
-		if !listed[id] {
-			missing = append(missing, id)
-		}
-	}
-	r.synced = true
-	r.mu.Unlock()
-	for _, id := range missing {
-		r.Remove(id, now)
+		return []Change{{Server: e.server, Event: Missing}}
 	}
+	delete(r.servers, id)
+	r.outdated = true
+	return []Change{{Server: e.server, Event: Removed}}
 }
 
 // DistrustRemovals makes servers that are removed within ReregistrationGrace from
@@ -170,21 +183,17 @@
 
 // Sweep removes the missing servers that have not registered again in time.
 func (r *Registry) Sweep(now time.Time) {
-	r.mu.Lock()
-	var expired []*Server
-	for id, e := range r.servers {
-		if !e.removeAt.IsZero() && now.After(e.removeAt) {
-			expired = append(expired, e.server)
-			delete(r.servers, id)
+	r.update(func() []Change {
+		var changes []Change
+		for id, e := range r.servers {
+			if !e.removeAt.IsZero() && now.After(e.removeAt) {
+				changes = append(changes, Change{Server: e.server, Event: Removed})
+				delete(r.servers, id)
+				r.outdated = true
+			}
 		}
-	}
-	if len(expired) > 0 {
-		r.rebuild()
-	}
-	r.mu.Unlock()
-	for _, s := range expired {
-		r.onChange(Change{Server: s, Event: Removed})
-	}
+		return changes
+	})
 }
 
 // rebuild builds the lists by service. mu is held.
--- a/gateway/registry/registry_test.go
+++ b/gateway/registry/registry_test.go
@@ -1,6 +1,7 @@
 package registry
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
@@ -117,3 +118,20 @@
 	r.Remove("a", time.Now())
 	is.True(r.Leaving(first))
 }
+
+// Guards against a list whose handling takes time that grows with the square of its
+// length: the lists by service were built anew for each server of it.
+func TestLongListIsHandledInTime(t *testing.T) {
+	is := is.New(t)
+	added := 0
+	r := New(func(Change) { added++ })
+	list := make([]*Server, 20_000)
+	for i := range list {
+		list[i] = &Server{ID: fmt.Sprint(i), Service: fmt.Sprint("service-", i%2_000)}
+	}
+	started := time.Now()
+	r.Replace(list, started)
+	is.True(time.Since(started) < 2*time.Second)
+	is.Equal(added, len(list))
+	is.Equal(len(r.Servers("service-0")), 10)
+}
--- a/gateway/schedule/schedule.go
+++ b/gateway/schedule/schedule.go
@@ -342,5 +342,8 @@
 func (s *Scheduler) Forget(service, id string) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.tracker(service).Forget(id)
+	// Another writer may register servers of any number of services.
+	if tracker := s.failureTrackers[service]; tracker != nil {
+		tracker.Forget(id)
+	}
 }
