A gateway that knows of a newer configuration does not answer 401 or 404

A caller does not come back after 401 or 404, also if only the configuration of this gateway lacks its key or route. While a peer is known to have a newer one, which may have it, the gateway now answers 503 with Retry-After: the request has not run, and any other gateway may serve it. TestGatewayThatIsBehindAsksToComeBack failed before.

--- a/gateway/ingress/exchange.go
+++ b/gateway/ingress/exchange.go
@@ -171,6 +171,7 @@
 	reasonMemory       = "memory_not_reserved"
 	reasonTimeout      = "timeout"
 	reasonStopping     = "stopping"
+	reasonBehind       = "configuration_behind"
 	reasonDisconnected = "caller_gone"
 	// reasonConnectionClosed means that the gateway closed the caller's
 	// connection while the request was in flight.
--- a/gateway/ingress/ingress.go
+++ b/gateway/ingress/ingress.go
@@ -40,6 +40,9 @@
 	// stoppingRetryAfter is the Retry-After of a gateway that stops; any other
 	// gateway can serve the caller at once.
 	stoppingRetryAfter = 20 * time.Millisecond
+	// behindRetryAfter is the Retry-After of a gateway with an older configuration;
+	// any other gateway may serve the caller at once.
+	behindRetryAfter = 100 * time.Millisecond
 	// refusedRetryAfter is the Retry-After when all servers refused.
 	refusedRetryAfter = 300 * time.Millisecond
 )
@@ -59,6 +62,9 @@
 	Budget retry.WindowConfig
 	// Processes returns the number of gateways that share the budget.
 	Processes func() int
+	// Behind reports whether another gateway has a newer configuration than the one
+	// in force; nil for never.
+	Behind func() bool
 }
 
 // Gateway serves callers. It implements http.Handler.
@@ -164,13 +170,13 @@
 	}
 	x.route = x.table.Match(x.r.Host, x.r.RequestURI)
 	if x.route == nil {
-		x.refuse(http.StatusNotFound, "no_route", 0)
+		x.deny(http.StatusNotFound, "no_route")
 		return false
 	}
 	if x.table.NeedsKey(x.route) {
 		x.account = x.table.Account(x.meta.Key)
 		if x.account == nil {
-			x.refuse(http.StatusUnauthorized, "unknown_key", 0)
+			x.deny(http.StatusUnauthorized, "unknown_key")
 			return false
 		}
 	}
@@ -182,6 +188,17 @@
 	return x.readBody()
 }
 
+// deny refuses a request that the configuration in force does not allow. A caller does
+// not retry after 404 or 401, so while a newer configuration is known to exist, which may
+// allow the request, it is asked to come back.
+func (x *exchange) deny(status int, reason string) {
+	if x.g.Behind != nil && x.g.Behind() {
+		x.refuse(http.StatusServiceUnavailable, reasonBehind, behindRetryAfter)
+		return
+	}
+	x.refuse(status, reason, 0)
+}
+
 // mayOutlastGateway reports whether the gateway may stop before the end of the
 // request if a server gets it now.
 func (x *exchange) mayOutlastGateway() bool {
--- a/gateway/ingress/ingress_test.go
+++ b/gateway/ingress/ingress_test.go
@@ -7,6 +7,7 @@
 	"net"
 	"net/http"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -343,3 +344,47 @@
 		time.Sleep(20 * time.Millisecond)
 	}
 }
+
+// Guards against 404 and 401, after which a caller does not come back, for a route or key
+// that a newer configuration has, of which the gateway knows that it exists.
+func TestGatewayThatIsBehindAsksToComeBack(t *testing.T) {
+	for name, c := range map[string]struct {
+		target, headers string
+		status          int // of a gateway that is not behind
+	}{
+		"unknown route": {"/unknown/", "", http.StatusNotFound},
+		"unknown key":   {"/lookup/", "Key: other\r\n", http.StatusUnauthorized},
+		"known":         {"/public/", "", http.StatusOK},
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			f := newFleet(t, text(http.StatusOK, "done"))
+			call := func() *http.Response {
+				conn, err := net.Dial("tcp", f.address)
+				is.NoErr(err)
+				defer func() { _ = conn.Close() }()
+				headers := c.headers
+				if headers == "" {
+					headers = "Key: secret\r\n"
+				}
+				_, err = io.WriteString(conn, "GET "+c.target+" HTTP/1.1\r\nHost: a.example\r\nId: r1\r\n"+headers+"\r\n")
+				is.NoErr(err)
+				response, err := http.ReadResponse(bufio.NewReader(conn), nil)
+				is.NoErr(err)
+				return response
+			}
+			is.Equal(call().StatusCode, c.status)
+			var behind atomic.Bool
+			f.gateway.Behind = behind.Load
+			is.Equal(call().StatusCode, c.status)
+			behind.Store(true)
+			response := call()
+			if c.status == http.StatusOK {
+				is.Equal(response.StatusCode, http.StatusOK)
+				return
+			}
+			is.Equal(response.StatusCode, http.StatusServiceUnavailable)
+			is.True(response.Header.Get("Retry-After") != "")
+		})
+	}
+}
--- a/gateway/node/node.go
+++ b/gateway/node/node.go
@@ -127,7 +127,8 @@
 	n.schedule.OnPlaced = n.peers.SendSoon
 	n.gateway = ingress.New(ingress.Options{Wire: p.Wire, Scheduler: n.schedule, Client: n.client, Log: o.Log,
 		Reserver: reserve.New(p.EngineMemory(n.client), o.Log), Metrics: metrics,
-		UnusedMemory: o.UnusedMemory, Budget: o.Budget, Processes: n.peers.Processes})
+		UnusedMemory: o.UnusedMemory, Budget: o.Budget, Processes: n.peers.Processes,
+		Behind: func() bool { return n.configLag.behind(time.Now()) > 0 }})
 	return n, nil
 }
 
