--- a/link/node_test.go
+++ b/link/node_test.go
@@ -284,14 +284,25 @@
 }
 
 func newPausableProxy(t *testing.T, target string) *pausableProxy {
+	t.Helper()
+	p := &pausableProxy{}
+	p.changed = sync.NewCond(&p.mu)
+	p.address = startProxy(t, target, p.copy, p.copy)
+	t.Cleanup(p.resume) // runs before the cleanup of the proxy, which waits for its connections
+	return p
+}
+
+// startProxy starts a TCP proxy and returns its address. up copies from callers to the
+// target and down back; both close their connections at the end. The cleanup of the
+// test waits for them.
+func startProxy(t *testing.T, target string, up, down func(to, from net.Conn)) string {
+	t.Helper()
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		t.Fatal(err)
 	}
-	p := &pausableProxy{address: listener.Addr().String()}
-	p.changed = sync.NewCond(&p.mu)
 	var group sync.WaitGroup
-	t.Cleanup(func() { _ = listener.Close(); p.resume(); group.Wait() })
+	t.Cleanup(func() { _ = listener.Close(); group.Wait() })
 	group.Go(func() {
 		for {
 			a, err := listener.Accept()
@@ -303,11 +314,11 @@
 				_ = a.Close()
 				continue
 			}
-			group.Go(func() { p.copy(a, b) })
-			group.Go(func() { p.copy(b, a) })
+			group.Go(func() { up(b, a) })
+			group.Go(func() { down(a, b) })
 		}
 	})
-	return p
+	return listener.Addr().String()
 }
 
 func (p *pausableProxy) copy(to, from net.Conn) {
--- a/link/slow_test.go
+++ b/link/slow_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"net"
-	"sync"
 	"testing"
 	"time"
 
@@ -10,45 +9,26 @@
 )
 
 const (
-	// slowLinkBytes is the number of bytes that a slowProxy passes on in a second.
+	// slowLinkBytes is the number of bytes that a slow link passes on in a second.
 	slowLinkBytes = 60_000
-	// largeConfigBytes takes longer over a slowProxy than an unresponsive peer may be
+	// largeConfigBytes takes longer over a slow link than an unresponsive peer may be
 	// silent.
 	largeConfigBytes = slowLinkBytes * (closeFactor*missedHeartbeats + 4)
 )
 
-// newSlowProxy returns the address of a TCP proxy that passes on slowLinkBytes a second
-// from its callers to target.
-func newSlowProxy(t *testing.T, target string) string {
-	t.Helper()
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	var group sync.WaitGroup
-	t.Cleanup(func() { _ = listener.Close(); group.Wait() })
-	group.Go(func() {
-		for {
-			a, err := listener.Accept()
-			if err != nil {
-				return
-			}
-			b, err := net.Dial("tcp", target)
-			if err != nil {
-				_ = a.Close()
-				continue
-			}
-			group.Go(func() { copyInParts(b, a, 50*time.Millisecond) })
-			group.Go(func() { copyInParts(a, b, 0) })
-		}
-	})
-	return listener.Addr().String()
+// copySlowly copies slowLinkBytes a second.
+func copySlowly(to, from net.Conn) {
+	const parts = 20 // a second
+	copyInParts(to, from, slowLinkBytes/parts, time.Second/parts)
 }
 
+// copyAll copies without a limit.
+func copyAll(to, from net.Conn) { copyInParts(to, from, slowLinkBytes, 0) }
+
 // copyInParts copies with a pause after each part.
-func copyInParts(to, from net.Conn, pause time.Duration) {
+func copyInParts(to, from net.Conn, size int, pause time.Duration) {
 	defer func() { _ = to.Close(); _ = from.Close() }()
-	part := make([]byte, slowLinkBytes/20)
+	part := make([]byte, size)
 	for {
 		n, err := from.Read(part)
 		if err != nil {
@@ -77,7 +57,7 @@
 func TestLargeConfigurationOverASlowLink(t *testing.T) {
 	t.Parallel()
 	agent := startNode(t, "agent", wire.Role_ROLE_AGENT, 1, nil, nil)
-	address := newSlowProxy(t, agent.address) // its cleanup waits for the connections of the entry
+	address := startProxy(t, agent.address, copySlowly, copyAll) // its cleanup waits for the connections of the entry
 	r := newRecorder()
 	entry := startNodeWithHandler(t, "entry", wire.Role_ROLE_ENTRY, 1, largeConfig{r}, r)
 	entry.setTarget("agent", address)
