--- a/daemon/member/member.go
+++ b/daemon/member/member.go
@@ -27,10 +27,6 @@
 // which a process reports that it is not ready.
 const isolatedAfter = 5 * time.Second
 
-// watchersPerDataCentre is the number of entries per data centre that watch the
-// configuration in the store: two, so that one may fail.
-const watchersPerDataCentre = 2
-
 // Hooks connects a role to its Member. Its methods may be called concurrently.
 type Hooks interface {
 	// Load returns the load to report to a peer; nil for entries.
@@ -323,40 +319,6 @@
 	return live
 }
 
-// watcherCheckInterval is the interval at which an entry checks whether it is a
-// watcher.
-const watcherCheckInterval = time.Second
-
-// watchWhileChosen runs the watcher of the configuration whenever this entry
-// is one of the watchers of its data centre.
-func (m *Member) watchWhileChosen(ctx context.Context) error {
-	var stop context.CancelFunc
-	var watchers errgroup.Group
-	ticker := time.NewTicker(watcherCheckInterval)
-	defer ticker.Stop()
-	for {
-		chosen := fleetconf.IsWatcher(m.Settings.VM, m.LiveEntries(), watchersPerDataCentre)
-		switch {
-		case chosen && stop == nil:
-			var watchCtx context.Context
-			watchCtx, stop = context.WithCancel(ctx)
-			watchers.Go(func() error { return fleetconf.NewWatcher(m.KV, m.Replica, m.Log).Run(watchCtx) })
-		case !chosen && stop != nil:
-			stop()
-			stop = nil
-		}
-		select {
-		case <-ctx.Done():
-			if stop != nil {
-				stop()
-			}
-			_ = watchers.Wait() // returns only the error of the ended context
-			return nil
-		case <-ticker.C:
-		}
-	}
-}
-
 // RecordStoreContact records a successful call to the store.
 func (m *Member) RecordStoreContact() { m.lastStoreContact.Store(time.Now().UnixNano()) }
 
