A call to the standing product's store is limited by progress

The time now counts from the last part of the response that arrived.

Found by reading. TestCallIsLimitedByProgress failed before for a slow response.

--- a/cloud/httpcall/httpcall.go
+++ b/cloud/httpcall/httpcall.go
@@ -37,6 +37,14 @@
 	maxConnsPerSlot = 2
 )
 
+type progressKey struct{}
+
+// WithProgress returns a context for calls with which progress is called for each part
+// of a response that arrives. It is called concurrently with the call.
+func WithProgress(ctx context.Context, progress func()) context.Context {
+	return context.WithValue(ctx, progressKey{}, progress)
+}
+
 // Options configures a client.
 type Options struct {
 	// Address is the server's host:port.
@@ -212,6 +220,9 @@
 	}
 	if ctxErr := ctx.Err(); ctxErr != nil {
 		err = ctxErr
+		if cause := context.Cause(ctx); errors.Is(cause, context.DeadlineExceeded) {
+			err = cause // a time limit that is not the deadline of ctx
+		}
 	}
 	return &Error{Sent: s.sent.Load(), Cause: err}
 }
@@ -259,6 +270,16 @@
 	}
 }
 
+// reportProgress reports that bytes of the response to the current call arrive.
+func (s *slot) reportProgress() {
+	s.mu.Lock()
+	ctx := s.ctx
+	s.mu.Unlock()
+	if progress, ok := ctx.Value(progressKey{}).(func()); ok {
+		progress()
+	}
+}
+
 func (s *slot) dial(address string) (net.Conn, error) {
 	s.mu.Lock()
 	ctx := s.ctx
@@ -268,7 +289,7 @@
 	if err != nil {
 		return nil, err
 	}
-	conn := &trackedConn{Conn: tcp, sent: &s.sent, ended: &s.ended}
+	conn := &trackedConn{Conn: tcp, sent: &s.sent, ended: &s.ended, progress: s.reportProgress}
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.conn = conn
@@ -284,11 +305,15 @@
 type trackedConn struct {
 	net.Conn
 	sent, ended *atomic.Bool
+	progress    func() // called for each read that returns bytes
 }
 
 // Read implements net.Conn.
 func (c *trackedConn) Read(p []byte) (int, error) {
 	n, err := c.Conn.Read(p)
+	if n > 0 {
+		c.progress()
+	}
 	if errors.Is(err, io.EOF) {
 		c.ended.Store(true)
 	}
--- a/cloud/httpkv/call.go
+++ b/cloud/httpkv/call.go
@@ -76,8 +76,13 @@
 	defer fasthttp.ReleaseRequest(req)
 	defer fasthttp.ReleaseResponse(resp)
 	r.encode(req)
-	callCtx, cancel := context.WithTimeout(ctx, c.options.CallTimeout+r.wait)
-	defer cancel()
+	callCtx, cancel := context.WithCancelCause(ctx)
+	defer cancel(nil)
+	timer := time.AfterFunc(c.options.CallTimeout+r.wait, func() { cancel(errCallTimeout) })
+	defer timer.Stop()
+	// A large value over a slow link may take longer than the time of a call. Begun
+	// again it would take as long.
+	callCtx = httpcall.WithProgress(callCtx, func() { timer.Reset(c.options.CallTimeout) })
 	if err := c.http.Do(callCtx, req, resp); err != nil {
 		return response{}, r.transportError(ctx, err)
 	}
@@ -89,6 +94,10 @@
 	return r.mapFailure(status, resp.Body())
 }
 
+// errCallTimeout is the cause of the error of a call without an answer, or without more of
+// it, for CallTimeout.
+var errCallTimeout = fmt.Errorf("nothing arrived in time: %w", context.DeadlineExceeded)
+
 // succeeded reports whether the protocol defines status as success of this call.
 func (r request) succeeded(status int) bool {
 	switch status {
--- a/cloud/httpkv/httpkv.go
+++ b/cloud/httpkv/httpkv.go
@@ -20,7 +20,7 @@
 )
 
 const (
-	// DefaultCallTimeout bounds a call whose context has no earlier deadline.
+	// DefaultCallTimeout bounds the time in which nothing of a response arrives.
 	DefaultCallTimeout = 5 * time.Second
 	// DefaultWatchWait is how long the server holds a watch poll.
 	DefaultWatchWait = 30 * time.Second
@@ -32,7 +32,8 @@
 type Options struct {
 	// Address is the platform's host:port.
 	Address string
-	// CallTimeout bounds each call; 0 means DefaultCallTimeout.
+	// CallTimeout bounds the time until the response to a call begins, and until each
+	// further part of it arrives; 0 means DefaultCallTimeout.
 	CallTimeout time.Duration
 	// WatchWait bounds a watch poll; 0 means DefaultWatchWait. Each poll counts
 	// as one call against the rate limits.
--- a/cloud/httpkv/httpkv_test.go
+++ b/cloud/httpkv/httpkv_test.go
@@ -393,3 +393,40 @@
 	is.NoErr(err)
 	is.Equal(vms, []cloud.VM{{ID: "a", Role: "agent"}, {ID: "c", Role: "entry"}})
 }
+
+// Guards against a process that never reads a large value over a slow link, because the
+// call is given up for its whole time and begun again; and against one that waits for a
+// response that does not go on.
+func TestCallIsLimitedByProgress(t *testing.T) {
+	const timeout, parts = 300 * time.Millisecond, 10
+	for name, stall := range map[string]bool{"slow": false, "stalled": true} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+				w.Header().Set("X-Revision", "7")
+				w.Header().Set("Content-Length", "10000")
+				for part := range parts {
+					if stall && part == parts/2 {
+						<-r.Context().Done()
+						return
+					}
+					_, _ = w.Write(make([]byte, 10000/parts))
+					_ = http.NewResponseController(w).Flush()
+					time.Sleep(timeout / 3)
+				}
+			}))
+			defer server.Close()
+			c := New(Options{Address: strings.TrimPrefix(server.URL, "http://"), CallTimeout: timeout})
+			defer c.Close()
+			started := time.Now()
+			record, err := c.Get(t.Context(), "k")
+			if stall {
+				is.True(errors.Is(err, context.DeadlineExceeded))
+				is.True(time.Since(started) < 10*timeout)
+				return
+			}
+			is.NoErr(err)
+			is.Equal(len(record.Value), 10000)
+		})
+	}
+}
