A version that the store does not have does not count as newer

With 503 in place of 401 and 404 a gateway that takes itself for behind must not do so for good: a peer may report a version that the store never had. A read of the store that began after the report and did not find the version ends that. The signal of an answer that began and failed no longer counts for the next read.

TestVersionThatTheStoreDoesNotHave fails without it.

--- a/gateway/follow/follow.go
+++ b/gateway/follow/follow.go
@@ -93,6 +93,9 @@
 	// change, in place of watching it from there; 0 for no limit. It is for prefixes
 	// of a few large values, of which a watch returns each one that was replaced.
 	ReadAfter time.Duration
+	// OnRead is called after each read was handled, with the time when it began; nil
+	// for none.
+	OnRead func(started time.Time)
 
 	revisions map[string]int64 // newest revision seen, by key
 	after     int64            // revision from which to watch
@@ -184,6 +187,9 @@
 	if f.changing {
 		f.Handler.Replace(got.items)
 	}
+	if f.OnRead != nil {
+		f.OnRead(got.started)
+	}
 	return nil
 }
 
--- a/gateway/follow/reads.go
+++ b/gateway/follow/reads.go
@@ -63,11 +63,13 @@
 		select {
 		case got := <-r.results:
 			r.running--
-			if got.err == nil {
-				r.stop()
-				r.reset()
+			if got.err != nil {
+				r.forgetAnswers()
+				return got, got.err
 			}
-			return got, got.err
+			r.stop()
+			r.reset()
+			return got, nil
 		case <-r.answered:
 			patience.Stop()
 		case <-patience.C:
@@ -89,6 +91,14 @@
 	})
 }
 
+// forgetAnswers drops the signals of answers that began. That of a read that has failed
+// must not make the next one be awaited without an answer.
+func (r *pendingReads) forgetAnswers() {
+	for len(r.answered) > 0 {
+		<-r.answered
+	}
+}
+
 // signal sends to a channel unless it is full.
 func signal(c chan<- struct{}) {
 	select {
--- a/gateway/node/config_lag.go
+++ b/gateway/node/config_lag.go
@@ -15,8 +15,7 @@
 	// less time.
 	newerConfigDelay = 500 * time.Millisecond
 	// maxRefreshInterval bounds the time between two refreshes because of one version,
-	// which doubles each time: a version that the store does not have must not cause
-	// reads without end.
+	// which doubles each time while the store cannot be read.
 	maxRefreshInterval = 30 * time.Second
 )
 
@@ -31,6 +30,9 @@
 	missing  int64     // version of a peer that was not in force here at its last report; 0 if there is none
 	since    time.Time // first report of missing
 	reported bool      // a line says that this process is behind
+	// disproved is a version that a peer reported before a read of the store that did
+	// not find it.
+	disproved int64
 	// nextRefresh is when the configuration is read, and refreshInterval the time
 	// from then to the next read.
 	nextRefresh     time.Time
@@ -72,7 +74,7 @@
 	if l.missing != 0 && inForce >= l.missing {
 		l.clear(inForce, now)
 	}
-	if version <= inForce {
+	if version <= inForce || version == l.disproved {
 		return false
 	}
 	if l.missing == 0 {
@@ -89,6 +91,23 @@
 	return true
 }
 
+// handleRead handles the end of a read of the configuration that began at the given time.
+// The store is the authority: a version that was reported before and that the read did
+// not find does not exist.
+func (l *configLag) handleRead(started time.Time) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.missing == 0 || !l.since.Before(started) {
+		return
+	}
+	inForce := l.inForce()
+	if inForce < l.missing {
+		l.log.Warn("the store has no configuration that a peer has reported, or it cannot be decoded", "version", l.missing, "in_force", inForce)
+		l.disproved = l.missing
+	}
+	l.clear(inForce, time.Now())
+}
+
 // clear records that the missing version, or a newer one, is in force. mu is held.
 func (l *configLag) clear(inForce int64, now time.Time) {
 	if l.reported {
--- a/gateway/node/config_lag_test.go
+++ b/gateway/node/config_lag_test.go
@@ -62,7 +62,22 @@
 	is.Equal(len(l.refreshes), 0)
 }
 
-// Guards against reads without end because of a version that the store does not have.
+// Guards against a gateway that takes itself for behind for good, and answers 503 in place
+// of 404, because a peer reports a version that the store does not have.
+func TestVersionThatTheStoreDoesNotHave(t *testing.T) {
+	is := is.New(t)
+	l := newLagTest()
+	l.observe(1_000_000, 0)
+	l.handleRead(l.started.Add(-1)) // began before the report
+	is.True(l.behind(l.started.Add(time.Second)) > 0)
+	l.handleRead(l.started.Add(newerConfigDelay))
+	l.observe(1_000_000, 2*newerConfigDelay)
+	is.Equal(l.behind(l.started.Add(time.Minute)), time.Duration(0))
+	l.observe(4, 3*newerConfigDelay) // a version that may exist
+	is.True(l.behind(l.started.Add(time.Minute)) > 0)
+}
+
+// Guards against reads without end because of a version that cannot be read.
 func TestUnknownVersionCausesFewRefreshes(t *testing.T) {
 	is := is.New(t)
 	l := newLagTest()
--- a/gateway/node/node.go
+++ b/gateway/node/node.go
@@ -123,6 +123,7 @@
 	if err := n.configLag.registerMetrics(o.Meter); err != nil {
 		return nil, fmt.Errorf("set up metrics: %w", err)
 	}
+	n.followers[0].OnRead = n.configLag.handleRead
 	n.peers.OnPeerConfig = func(version int64) { n.configLag.observe(version, time.Now()) }
 	n.schedule.OnPlaced = n.peers.SendSoon
 	n.gateway = ingress.New(ingress.Options{Wire: p.Wire, Scheduler: n.schedule, Client: n.client, Log: o.Log,
