--- a/gateway/follow/follow.go
+++ b/gateway/follow/follow.go
@@ -45,8 +45,8 @@
 	Range(ctx context.Context, prefix string, answered func()) (items []Item, revision int64, err error)
 	// Watch waits for changes after a revision and returns them, oldest first, with
 	// the revision to continue from. It calls answered, from the same goroutine, when
-	// the answer begins to arrive. CompactedError means that the store no longer has the changes after
-	// that revision.
+	// the answer begins to arrive. CompactedError means that the store no longer has
+	// the changes after that revision.
 	Watch(ctx context.Context, prefix string, after int64, wait time.Duration, answered func()) ([]Item, int64, error)
 	// Grant creates a lease.
 	Grant(ctx context.Context, ttl time.Duration) (lease int64, err error)
@@ -108,7 +108,7 @@
 	failing   bool             // the last call failed
 	backoff   time.Duration    // the delay after the last failed call was random, from half of this to all of it
 
-	refresh refreshRequest
+	refresh refreshRequest // of Refresh
 	pending pendingReads
 }
 
