Failed requests: parts of the prompt and the end of the server in logs

The adapter decodes the parts of a prompt; lines of broken answers and of ended requests name the shared ones, and broken answers of such prompts say whether the server still accepts connections.

--- a/gateway/ingress/exchange.go
+++ b/gateway/ingress/exchange.go
@@ -270,7 +270,7 @@
 		return tryOtherServer
 	}
 	a.Observe(suspect.Unreachable)
-	x.log.Warn("send failed", "server", a.Server.ID, "sent", sent, "error", err.Error())
+	x.log.Warn("send failed", "server", a.Server.ID, "sent", sent, x.serverEndAttr(a), "error", err.Error())
 	return tryOtherServer
 }
 
--- a/gateway/ingress/harness_test.go
+++ b/gateway/ingress/harness_test.go
@@ -33,8 +33,12 @@
 func (testWire) DecodeRequest(h http.Header) Meta {
 	ms, _ := strconv.Atoi(h.Get("Left"))
 	tokens, _ := strconv.Atoi(h.Get("Tokens"))
-	return Meta{ID: h.Get("Id"), Key: h.Get("Key"), LastEventID: h.Get("Last"), TimeLeft: time.Duration(ms) * time.Millisecond,
+	m := Meta{ID: h.Get("Id"), Key: h.Get("Key"), LastEventID: h.Get("Last"), TimeLeft: time.Duration(ms) * time.Millisecond,
 		PromptTokens: tokens, MaxAnswerTokens: 100}
+	if parts := h.Get("Parts"); parts != "" {
+		m.SharedParts = strings.Split(parts, ",")
+	}
+	return m
 }
 
 func (testWire) EncodeRequest(h http.Header, o Outbound) {
--- a/gateway/ingress/outcome.go
+++ b/gateway/ingress/outcome.go
@@ -155,7 +155,7 @@
 		}
 	}
 	x.log.Info("request ended", "status", status, "reason", reason, "route", route, "config", version, "account", x.accountName(),
-		"server", x.server, x.end.attrs(), "sends", x.sends, "ran", x.possibleRuns, "prompt_tokens", x.meta.PromptTokens,
+		"server", x.server, x.end.attrs(), "sends", x.sends, "ran", x.possibleRuns, "prompt_tokens", x.meta.PromptTokens, x.partsAttr(),
 		"waited_ms", x.queueWait.Milliseconds(), "expected_ms", x.expectedFirstToken.Milliseconds(), "helpers", x.helpers,
 		"writers", x.load.Decoding, "reading_tokens", int(x.load.Prefill.Tokens), "first_ms", first, "longest_pause_ms", x.longestEventGap.Milliseconds(), "took_ms", took.Milliseconds())
 }
--- a/gateway/ingress/stream.go
+++ b/gateway/ingress/stream.go
@@ -151,6 +151,6 @@
 		return endUnanswered
 	}
 	a.Observe(suspect.Failure)
-	x.log.Warn("stream broken", "server", a.Server.ID, "last_event", x.resumeAfter, x.end.attrs(), "error", err.Error())
+	x.log.Warn("stream broken", "server", a.Server.ID, "last_event", x.resumeAfter, x.end.attrs(), x.serverEndAttr(a), "error", err.Error())
 	return tryOtherServer
 }
--- a/gateway/ingress/wire.go
+++ b/gateway/ingress/wire.go
@@ -20,6 +20,9 @@
 	// answer; both are 0 for requests without a prompt.
 	PromptTokens    int
 	MaxAnswerTokens int
+	// SharedParts are the IDs of the parts of the prompt that other prompts may share, in
+	// order and without repetitions.
+	SharedParts []string
 	// AnswerHint is the caller's estimate of the tokens of the answer, often
 	// inaccurate; 0 if not stated.
 	AnswerHint int
