--- /dev/null
+++ b/testbed/gatewaysoak/crashing_part_test.go
@@ -0,0 +1,297 @@
+package gatewaysoak
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"slices"
+	"sync"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"camphorwick.dev/platform/fleetsim"
+	"camphorwick.dev/testbed/fleet"
+)
+
+// The load of TestPartThatCrashesServers. The bounds are those of the users' rules on
+// sites with a contact time of 3 s.
+const (
+	crashGateways = 4
+	crashEngines  = 16
+	// crashedTime is how long a crashed engine takes to come back under a new ID.
+	crashedTime = 2 * time.Second
+	// soundInterval and badInterval are the times between two sound requests and
+	// between two with the crashing part.
+	soundInterval = 50 * time.Millisecond
+	badInterval   = 100 * time.Millisecond
+	crashLoadTime = 14 * time.Second
+	// From crashContactTime after the crash number toleratedCrashes on, maxSendsAfter
+	// requests with the part may reach servers.
+	crashContactTime = 3 * time.Second
+	toleratedCrashes = 5
+	maxSendsAfter    = 3
+	// crashingPart is the part on which engines crash.
+	crashingPart = "bad0"
+)
+
+// crashFleet is a fleet of gateways as processes and of engines in this process that
+// crash on a part of a prompt.
+type crashFleet struct {
+	*run
+	t          *testing.T
+	chance     float64 // share of sound requests on which an engine crashes
+	background sync.WaitGroup
+
+	mu          sync.Mutex
+	engines     int // number of starts
+	crashes     []time.Time
+	badArrivals []time.Time
+	// sent and served count the sound requests by the second in which they were sent.
+	sent, served map[int]int
+	begun        time.Time
+	stopped      bool
+}
+
+func newCrashFleet(t *testing.T, bin string, chance float64) *crashFleet {
+	t.Helper()
+	is := is.New(t)
+	dir := t.TempDir()
+	processes, err := fleet.Empty(fleet.Options{Bin: bin, Dir: dir})
+	is.NoErr(err)
+	t.Cleanup(processes.Kill)
+	f := &crashFleet{t: t, chance: chance, sent: map[int]int{}, served: map[int]int{},
+		run: &run{options: Options{Bin: bin, Dir: dir, Out: io.Discard}, fleet: processes, store: fleetsim.NewStore(), runs: map[string][]fleetsim.Run{}}}
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	is.NoErr(err)
+	server := &http.Server{Handler: f.store}
+	go func() { _ = server.Serve(l) }()
+	t.Cleanup(func() { _ = server.Close() })
+	t.Cleanup(func() { f.stopping.Store(true) })
+	for range crashEngines {
+		f.startEngine()
+	}
+	route := fleetsim.Route{Name: "stream", Host: host, Prefix: "/stream/", Service: streamService, Kind: fleetsim.Streaming, Timeout: routeTimeout,
+		LatencyTarget: latencyTarget, EventGap: eventGapLimit, MaxServers: 2}
+	is.NoErr(f.store.Configure(fleetsim.Configuration{Version: 1, Routes: []fleetsim.Route{route}, Engines: []string{streamService},
+		Accounts: []fleetsim.Account{{Name: account, Keys: []string{apiKey}}}}))
+	ctx, cancel := context.WithTimeout(context.Background(), startTime)
+	defer cancel()
+	for i := range crashGateways {
+		g, err := f.newGateway(i, l.Addr().String())
+		is.NoErr(err)
+		is.NoErr(g.awaitReady(ctx))
+		f.gateways = append(f.gateways, g)
+	}
+	return f
+}
+
+// startEngine starts and registers an engine under a new ID.
+func (f *crashFleet) startEngine() {
+	f.mu.Lock()
+	f.engines++
+	id := fmt.Sprintf("engine-%d", f.engines)
+	f.mu.Unlock()
+	engine := &fleetsim.Server{ID: id, Service: streamService, Events: streamEvents, EventInterval: eventPause,
+		RunTime: func() time.Duration { return 20 * time.Millisecond }, CrashOn: f.crashOn, OnRun: f.recordArrival}
+	engine.OnCrash = func(fleetsim.Run) { f.recordCrash(engine) }
+	if err := engine.Start(); err != nil {
+		f.t.Error(err)
+		return
+	}
+	f.t.Cleanup(engine.Crash)
+	if err := f.store.Register(engine, engine.Address(), dataCentre, fleetsim.Live); err != nil {
+		f.t.Error(err)
+	}
+}
+
+func (f *crashFleet) crashOn(r fleetsim.Run) bool {
+	return slices.Contains(r.SharedParts, crashingPart) || rand.Float64() < f.chance
+}
+
+func (f *crashFleet) recordArrival(r fleetsim.Run) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if slices.Contains(r.SharedParts, crashingPart) {
+		f.badArrivals = append(f.badArrivals, time.Now())
+	}
+}
+
+// recordCrash starts another engine in place of one that has crashed. The store lists the
+// old one until then, as on the platform.
+func (f *crashFleet) recordCrash(old *fleetsim.Server) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.crashes = append(f.crashes, time.Now())
+	if f.stopped {
+		return
+	}
+	f.background.Go(func() {
+		time.Sleep(crashedTime)
+		f.store.Unregister(old)
+		f.startEngine()
+	})
+}
+
+// send sends one request with the parts, and a last part of its own, to a random gateway.
+// It returns the status, or 0 without a complete answer.
+func (f *crashFleet) send(id string, parts ...string) int {
+	call := fleetsim.Call{Method: http.MethodPost, Target: "/stream/" + id, Host: host, ID: id, Key: apiKey, TimeLeft: requestTimeout,
+		PromptTokens: 1000, AnswerTokens: 100, Parts: append(parts, fmt.Sprintf("%x", rand.Uint64())), Body: id}
+	g := f.gateways[rand.IntN(len(f.gateways))]
+	c, err := net.DialTimeout("tcp", g.callersAddress, time.Second)
+	if err != nil {
+		return 0 // a gateway that is being started
+	}
+	defer func() { _ = c.Close() }()
+	_ = c.SetDeadline(time.Now().Add(requestTimeout))
+	if _, err := io.WriteString(c, call.Text()); err != nil {
+		return 0
+	}
+	response, err := http.ReadResponse(bufio.NewReader(c), &http.Request{Method: http.MethodPost})
+	if err != nil {
+		return 0
+	}
+	if _, err := io.Copy(io.Discard, response.Body); err != nil {
+		return 0
+	}
+	return response.StatusCode
+}
+
+// load sends sound requests, and bad ones whose crashing part is at the given position of
+// three shared parts (negative for none), until crashLoadTime has passed. midway is called
+// in the middle.
+func (f *crashFleet) load(position int, midway func()) {
+	f.begun = time.Now()
+	var group sync.WaitGroup
+	repeat := func(interval time.Duration, send func(n int)) {
+		group.Go(func() {
+			ticker := time.NewTicker(interval)
+			defer ticker.Stop()
+			for n := 0; time.Since(f.begun) < crashLoadTime; n++ {
+				<-ticker.C
+				group.Go(func() { send(n) })
+			}
+		})
+	}
+	sound := []string{"a0", "b0", "c0"}
+	repeat(soundInterval, func(n int) { f.sendSound(n, sound) })
+	if position >= 0 {
+		bad := slices.Clone(sound)
+		bad[position] = crashingPart
+		repeat(badInterval, func(n int) {
+			if status := f.send(fmt.Sprintf("bad-%d", n), bad...); status == http.StatusOK {
+				f.t.Error("a request with the crashing part was answered 200")
+			}
+		})
+	}
+	group.Go(func() {
+		time.Sleep(crashLoadTime / 2)
+		midway()
+	})
+	group.Wait()
+	f.mu.Lock()
+	f.stopped = true
+	f.mu.Unlock()
+	f.background.Wait()
+}
+
+func (f *crashFleet) sendSound(n int, parts []string) {
+	second := int(time.Since(f.begun).Seconds())
+	status := f.send(fmt.Sprintf("sound-%d", n), parts...)
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.sent[second]++
+	if status == http.StatusOK {
+		f.served[second]++
+	}
+}
+
+// sendsAfter returns how many requests with the crashing part reached engines later than
+// crashContactTime after the crash that is the last one tolerated.
+func (f *crashFleet) sendsAfter() int {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if len(f.crashes) < toleratedCrashes {
+		return 0
+	}
+	limit := f.crashes[toleratedCrashes-1].Add(crashContactTime)
+	n := 0
+	for _, at := range f.badArrivals {
+		if at.After(limit) {
+			n++
+		}
+	}
+	return n
+}
+
+// soundShare returns the share of the sound requests that were served among those sent
+// later than twice the contact time after the crash that is the last one tolerated, or
+// after the begin if no request has the part.
+func (f *crashFleet) soundShare() float64 {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	from := f.begun
+	if len(f.badArrivals) > 0 && len(f.crashes) >= toleratedCrashes {
+		from = f.crashes[toleratedCrashes-1]
+	}
+	first := int(from.Add(2*crashContactTime).Sub(f.begun).Seconds()) + 1
+	sent, served := 0, 0
+	for second, n := range f.sent {
+		if second >= first {
+			sent += n
+			served += f.served[second]
+		}
+	}
+	return float64(served) / float64(max(sent, 1))
+}
+
+// Guards against requests with a part of their prompts that crashes servers going on to
+// reach servers, on any gateway, also one that starts later, and against sound requests
+// being refused that share their account and all other parts with them.
+func TestPartThatCrashesServers(t *testing.T) {
+	bin := binaries(t)
+	for _, c := range []struct {
+		name     string
+		position int
+		chance   float64 // share of sound requests on which an engine crashes
+		restart  bool    // a gateway is killed and started again midway
+		minShare float64 // of the sound requests that must be served
+	}{
+		{"first part", 0, 0, false, 0.9},
+		{"second part, a gateway starts midway", 1, 0, true, 0.9},
+		{"third part", 2, 0, false, 0.9},
+		{"second part, engines also crash by chance", 1, 1.0 / 60, false, 0.8},
+		{"no part, engines crash by chance", -1, 1.0 / 60, false, 0.8},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			f := newCrashFleet(t, bin, c.chance)
+			f.load(c.position, func() {
+				if !c.restart {
+					return
+				}
+				if err := f.gateways[0].restart(syscall.SIGKILL); err != nil {
+					t.Error(err)
+				}
+			})
+			after, share := f.sendsAfter(), f.soundShare()
+			t.Logf("%d crashes, %d requests with the part sent later than %v after crash %d, %.2f of the sound requests served",
+				len(f.crashes), after, crashContactTime, toleratedCrashes, share)
+			if after > maxSendsAfter {
+				t.Errorf("%d requests with the part reached engines, want at most %d", after, maxSendsAfter)
+			}
+			if share < c.minShare {
+				t.Errorf("%.2f of the sound requests were served, want at least %.2f", share, c.minShare)
+			}
+			for _, err := range f.fleet.Races() {
+				t.Error(err)
+			}
+		})
+	}
+}
