--- a/daemon/cmd/camphorwick/gateway.go
+++ b/daemon/cmd/camphorwick/gateway.go
@@ -47,7 +47,7 @@
 		return fmt.Errorf("set up metrics: %w", err)
 	}
 	n, err := node.New(gatewayOptions(s, t), node.Protocol{Wire: platform.Wire{}, Store: store, EngineMemory: platform.NewEngineMemory, DecodeConfig: platform.DecodeConfig,
-		DecodeServer: platform.DecodeServer, ConfigKey: platform.ConfigKey, ServersPrefix: platform.ServersPrefix})
+		DecodeServer: platform.DecodeServer, ConfigKey: platform.ConfigKey, ServersPrefix: platform.ServersPrefix, Quarantine: store})
 	if err != nil {
 		return err
 	}
--- a/gateway/follow/follow.go
+++ b/gateway/follow/follow.go
@@ -12,6 +12,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"log/slog"
 	"maps"
 	"math/rand/v2"
@@ -62,6 +63,12 @@
 
 func (e *CompactedError) Error() string { return "store history was compacted" }
 
+// ConflictError means that a key was not written because it has another revision than
+// expected.
+type ConflictError struct{ Key string }
+
+func (e *ConflictError) Error() string { return fmt.Sprintf("key %q has another revision", e.Key) }
+
 // LeaseError means that a lease has ended.
 type LeaseError struct{ ID int64 }
 
--- a/gateway/ingress/exchange.go
+++ b/gateway/ingress/exchange.go
@@ -10,6 +10,7 @@
 	"strconv"
 	"time"
 
+	"camphorwick.dev/gateway/quarantine"
 	"camphorwick.dev/gateway/reserve"
 	"camphorwick.dev/gateway/routing"
 	"camphorwick.dev/gateway/schedule"
@@ -48,6 +49,7 @@
 	meta     Meta
 	account  *routing.Account // nil on public routes and if no accounts are configured
 	body     []byte
+	tracked  *quarantine.Request // nil for a prompt without shared parts
 
 	service      string
 	sends        int
@@ -158,20 +160,22 @@
 
 // Reasons for which a send did not succeed.
 const (
-	reasonUnreachable  = "server_unreachable"
-	reasonNoAnswer     = "no_answer"
-	reasonNotRun       = "server_refused"
-	reasonNotGenuine   = "answer_not_genuine"
-	reasonNotStated    = "refusal_not_stated"
-	reasonServerError  = "server_error"
-	reasonBroken       = "answer_broken"
-	reasonOverload     = "overloaded"
-	reasonNoServer     = "no_server"
-	reasonTooLarge     = "prompt_too_large"
-	reasonMemory       = "memory_not_reserved"
-	reasonTimeout      = "timeout"
-	reasonStopping     = "stopping"
-	reasonBehind       = "configuration_behind"
+	reasonUnreachable = "server_unreachable"
+	reasonNoAnswer    = "no_answer"
+	reasonNotRun      = "server_refused"
+	reasonNotGenuine  = "answer_not_genuine"
+	reasonNotStated   = "refusal_not_stated"
+	reasonServerError = "server_error"
+	reasonBroken      = "answer_broken"
+	reasonOverload    = "overloaded"
+	reasonNoServer    = "no_server"
+	reasonTooLarge    = "prompt_too_large"
+	reasonMemory      = "memory_not_reserved"
+	reasonTimeout     = "timeout"
+	reasonStopping    = "stopping"
+	reasonBehind      = "configuration_behind"
+	// reasonQuarantined means that servers crash on a part of the prompt.
+	reasonQuarantined  = "part_quarantined"
 	reasonDisconnected = "caller_gone"
 	// reasonConnectionClosed means that the gateway closed the caller's
 	// connection while the request was in flight.
@@ -180,6 +184,10 @@
 
 // send assigns the request to a server, sends it there and forwards the answer.
 func (x *exchange) send() (nextStep, *serverAnswer) {
+	if err := x.tracked.Admit(x.ctx); err != nil {
+		x.handlePlacementError(err)
+		return endUnanswered, nil
+	}
 	a, err := x.g.Scheduler.Acquire(x.ctx, x.placement())
 	if err != nil {
 		x.handlePlacementError(err)
@@ -209,6 +217,7 @@
 	defer reservation.Release()
 	ctx, stopUnused := x.limitUnused(ctx, reservation)
 	stopUnresponsive := x.suspectWhenUnresponsive(a)
+	x.tracked.Sent(a.Server.ID)
 	answer, err := x.g.Client.Do(ctx, a.Server.Address, x.request(a, reservation))
 	stopUnused()
 	stopUnresponsive()
@@ -270,7 +279,7 @@
 		return tryOtherServer
 	}
 	a.Observe(suspect.Unreachable)
-	x.log.Warn("send failed", "server", a.Server.ID, "sent", sent, x.serverEndAttr(a), "error", err.Error())
+	x.log.Warn("send failed", "server", a.Server.ID, "sent", sent, x.checkServer(a, sent), "error", err.Error())
 	return tryOtherServer
 }
 
@@ -328,7 +337,7 @@
 		x.reason = reasonBroken
 		if x.ctx.Err() == nil {
 			a.Observe(suspect.Failure)
-			x.log.Warn("answer broken", "server", a.Server.ID, "bytes", len(body), x.end.attrs(), "error", err.Error())
+			x.log.Warn("answer broken", "server", a.Server.ID, "bytes", len(body), x.end.attrs(), x.checkServer(a, true), "error", err.Error())
 		}
 		return tryOtherServer, nil
 	}
@@ -345,6 +354,9 @@
 		return tryOtherServer, nil
 	}
 	a.Observe(suspect.Success)
+	if answer.Status < http.StatusMultipleChoices {
+		x.tracked.Answered()
+	}
 	x.forwardAnswer(received)
 	return answered, nil
 }
--- a/gateway/ingress/ingress.go
+++ b/gateway/ingress/ingress.go
@@ -20,6 +20,7 @@
 	"sync/atomic"
 	"time"
 
+	"camphorwick.dev/gateway/quarantine"
 	"camphorwick.dev/gateway/reserve"
 	"camphorwick.dev/gateway/routing"
 	"camphorwick.dev/gateway/schedule"
@@ -65,6 +66,9 @@
 	// Behind reports whether another gateway has a newer configuration than the one
 	// in force; nil for never.
 	Behind func() bool
+	// Quarantine refuses prompts on which servers crash; nil for a list of this gateway
+	// alone.
+	Quarantine *quarantine.List
 }
 
 // Gateway serves callers. It implements http.Handler.
@@ -89,6 +93,9 @@
 // New returns a gateway without configuration. It refuses all requests until
 // SetTable is called.
 func New(o Options) *Gateway {
+	if o.Quarantine == nil {
+		o.Quarantine = quarantine.New(quarantine.Options{Log: o.Log})
+	}
 	g := &Gateway{Options: o, budgets: map[string]*retry.Window{}, started: time.Now()}
 	g.requests, g.abort = context.WithCancelCause(context.Background())
 	return g
@@ -152,7 +159,11 @@
 	}
 	ctx, cancel := context.WithDeadlineCause(r.Context(), x.deadline, errTimeout)
 	defer cancel()
+	ctx, end := context.WithCancelCause(ctx)
+	defer end(nil)
 	x.ctx = ctx
+	x.tracked = g.Quarantine.Track(x.meta.ID, x.accountName(), x.meta.SharedParts, end)
+	defer x.tracked.Done()
 	x.run()
 }
 
--- a/gateway/ingress/outcome.go
+++ b/gateway/ingress/outcome.go
@@ -6,6 +6,7 @@
 	"strconv"
 	"time"
 
+	"camphorwick.dev/gateway/quarantine"
 	"camphorwick.dev/gateway/schedule"
 )
 
@@ -13,6 +14,7 @@
 	var overload *schedule.OverloadError
 	var none *schedule.NoServerError
 	var large *schedule.TooLargeError
+	var refused *quarantine.RefusedError
 	switch {
 	case errors.As(err, &overload):
 		x.reason, x.retryAfter = reasonOverload, overload.RetryAfter
@@ -20,6 +22,8 @@
 		x.reason, x.retryAfter = reasonNoServer, startRetryAfter
 	case errors.As(err, &large):
 		x.reason = reasonTooLarge
+	case errors.As(err, &refused):
+		x.reason, x.retryAfter = reasonQuarantined, refused.RetryAfter
 	}
 	x.log.Info("request not placed", "service", x.service, "reason", x.reason, "error", err.Error(), "config", x.table.Version)
 }
@@ -85,6 +89,8 @@
 		x.finish(http.StatusBadGateway, x.reason)
 		x.markBroken()
 		panic(http.ErrAbortHandler) // a partial answer must not look complete
+	case x.endedByQuarantine():
+		x.failQuarantined()
 	case x.possibleRuns > 0 && (x.aborted() || x.ctx.Err() != nil):
 		x.respond(http.StatusGatewayTimeout, x.endReason())
 	case x.possibleRuns > 0:
@@ -111,8 +117,11 @@
 // endReason returns why the context of the request has ended, if the caller is
 // still there.
 func (x *exchange) endReason() string {
-	if x.aborted() {
+	switch {
+	case x.aborted():
 		return reasonStopping
+	case x.endedByQuarantine():
+		return reasonQuarantined
 	}
 	return reasonTimeout
 }
--- a/gateway/ingress/stream.go
+++ b/gateway/ingress/stream.go
@@ -82,6 +82,7 @@
 	if !wrote {
 		return nil
 	}
+	x.tracked.Event()
 	now := time.Now()
 	x.longestEventGap = max(x.longestEventGap, now.Sub(x.lastEventsAt))
 	x.lastEventsAt = now
@@ -138,6 +139,7 @@
 		return x.handleBrokenStream(a, errServerGone)
 	}
 	a.Observe(suspect.Success)
+	x.tracked.Answered()
 	x.writeStreamHead(answer)
 	x.finish(x.status, "")
 	return answered
@@ -151,6 +153,6 @@
 		return endUnanswered
 	}
 	a.Observe(suspect.Failure)
-	x.log.Warn("stream broken", "server", a.Server.ID, "last_event", x.resumeAfter, x.end.attrs(), x.serverEndAttr(a), "error", err.Error())
+	x.log.Warn("stream broken", "server", a.Server.ID, "last_event", x.resumeAfter, x.end.attrs(), x.checkServer(a, true), "error", err.Error())
 	return tryOtherServer
 }
--- a/gateway/node/node.go
+++ b/gateway/node/node.go
@@ -19,6 +19,7 @@
 	"camphorwick.dev/gateway/follow"
 	"camphorwick.dev/gateway/ingress"
 	"camphorwick.dev/gateway/peers"
+	"camphorwick.dev/gateway/quarantine"
 	"camphorwick.dev/gateway/registry"
 	"camphorwick.dev/gateway/reserve"
 	"camphorwick.dev/gateway/routing"
@@ -59,6 +60,8 @@
 	DecodeServer  func(key string, value []byte) (*registry.Server, error)
 	ConfigKey     string
 	ServersPrefix string
+	// Quarantine keeps the quarantined parts of prompts; nil if they need not last.
+	Quarantine quarantine.Store
 }
 
 // Options are the settings of a node.
@@ -92,6 +95,8 @@
 	// configuration.
 	followers []*follow.Follower
 	configLag *configLag
+	// quarantine holds the parts of prompts on which servers crash.
+	quarantine *quarantine.List
 	// registrationLost receives when the store no longer lists this gateway; its
 	// capacity is 1.
 	registrationLost chan struct{}
@@ -118,6 +123,11 @@
 	}
 	n.client.OnDial = func() { dials.Add(context.Background(), 1) }
 	n.peers = peers.New(o.VM, n.schedule, o.Log, n.configVersion)
+	n.quarantine = quarantine.New(quarantine.Options{VM: o.VM, Log: o.Log, Store: p.Quarantine, Changed: n.peers.SendSoon})
+	n.peers.Quarantine = n.quarantine
+	if err := n.quarantine.RegisterMetrics(o.Meter); err != nil {
+		return nil, fmt.Errorf("set up metrics: %w", err)
+	}
 	n.followers = n.newFollowers()
 	n.configLag = &configLag{log: o.Log, inForce: n.configVersion, refresh: n.followers[0].Refresh}
 	if err := n.configLag.registerMetrics(o.Meter); err != nil {
@@ -128,7 +138,7 @@
 	n.schedule.OnPlaced = n.peers.SendSoon
 	n.gateway = ingress.New(ingress.Options{Wire: p.Wire, Scheduler: n.schedule, Client: n.client, Log: o.Log,
 		Reserver: reserve.New(p.EngineMemory(n.client), o.Log), Metrics: metrics,
-		UnusedMemory: o.UnusedMemory, Budget: o.Budget, Processes: n.peers.Processes,
+		Quarantine: n.quarantine, UnusedMemory: o.UnusedMemory, Budget: o.Budget, Processes: n.peers.Processes,
 		Behind: func() bool { return n.configLag.behind(time.Now()) > 0 }})
 	return n, nil
 }
@@ -170,6 +180,9 @@
 	if !n.registry.Synced() {
 		return errNoServers
 	}
+	if !n.quarantine.Synced() {
+		return errNoQuarantine
+	}
 	return nil
 }
 
@@ -177,6 +190,7 @@
 	errStopping        = errors.New("the gateway is stopping")
 	errNoConfiguration = errors.New("no configuration is known yet")
 	errNoServers       = errors.New("the servers are not known yet")
+	errNoQuarantine    = errors.New("the quarantined parts of prompts are not known yet")
 )
 
 // Run serves until a graceful stop is complete or ctx ends.
@@ -197,6 +211,7 @@
 	group.Go(func() error { return callers.serve(server) })
 	group.Go(func() error { return n.peers.Run(ctx, datagrams) })
 	group.Go(func() error { return n.schedule.Run(ctx) })
+	group.Go(func() error { return n.quarantine.Run(ctx) })
 	group.Go(func() error { return n.sweep(ctx) })
 	group.Go(func() error { return n.maintainRegistration(ctx) })
 	for _, f := range n.followers {
@@ -232,14 +247,17 @@
 	return 0
 }
 
-// newFollowers returns the followers of the configuration, the servers and the
-// other gateways.
+// newFollowers returns the followers of the configuration, the servers, the other
+// gateways and the quarantined parts of prompts.
 func (n *Node) newFollowers() []*follow.Follower {
 	followers := []*follow.Follower{
 		{Prefix: n.protocol.ConfigKey, Handler: &configHandler{node: n}, ReadAfter: configReadAfter},
 		{Prefix: n.protocol.ServersPrefix, Handler: &serverHandler{node: n}, BatchDelay: serverBatchDelay},
 		{Prefix: peersPrefix, Handler: &peerHandler{node: n, known: map[string]peer{}}, BatchDelay: peerBatchDelay},
 	}
+	if n.protocol.Quarantine != nil {
+		followers = append(followers, &follow.Follower{Prefix: quarantine.Prefix, Handler: n.quarantine})
+	}
 	for _, f := range followers {
 		f.Store, f.Log = n.protocol.Store, n.options.Log
 	}
--- a/gateway/peers/peers.go
+++ b/gateway/peers/peers.go
@@ -1,7 +1,8 @@
 // Package peers exchanges loads between the gateways of an installation: each
 // sends datagrams with the load of its own requests on each backend server. The
 // loads are hints: a lost datagram leads to a worse choice of server, never to a
-// wrong answer.
+// wrong answer. The datagrams also carry what gateways tell each other about
+// servers that crash on parts of prompts (package quarantine).
 package peers
 
 import (
@@ -20,6 +21,7 @@
 	"google.golang.org/protobuf/proto"
 
 	"camphorwick.dev/api/wire"
+	"camphorwick.dev/gateway/quarantine"
 	"camphorwick.dev/gateway/schedule"
 	"camphorwick.dev/policy/dispatch"
 )
@@ -57,6 +59,9 @@
 	// OnPeerConfig is called with the configuration version in force at a peer, for
 	// each of its messages; never concurrently.
 	OnPeerConfig func(version int64)
+	// Quarantine holds what gateways tell each other about parts of prompts on which
+	// servers crash; nil for nothing.
+	Quarantine *quarantine.List
 
 	process uint64        // random number of this process
 	wake    chan struct{} // triggers a datagram
@@ -147,8 +152,9 @@
 		}
 		complete := time.Since(lastComplete) >= completeInterval
 		loads := e.loads(sent, complete)
+		hasReports := e.addReports(loads, complete)
 		targets := e.targets()
-		if complete || len(loads.GetLoads()) > 0 || len(loads.GetUnreachable()) > 0 || len(sent) > 0 && time.Since(lastSent) >= keepaliveInterval {
+		if complete || hasReports || len(loads.GetLoads()) > 0 || len(loads.GetUnreachable()) > 0 || len(sent) > 0 && time.Since(lastSent) >= keepaliveInterval {
 			sequence++
 			loads.Sequence = sequence
 			e.sendTo(conn, loads, targets)
@@ -159,6 +165,7 @@
 		}
 		if syncRequesters := e.takeSyncRequesters(); len(syncRequesters) > 0 {
 			full := e.loads(map[string]*wire.ServerLoad{}, true)
+			e.addReports(full, true)
 			sequence++
 			full.Sequence = sequence
 			e.sendTo(conn, full, syncRequesters)
@@ -311,6 +318,7 @@
 	}
 	e.newest[m.GetVm()] = id
 	e.OnPeerConfig(m.GetConfigVersion())
+	e.handleReports(m)
 	loads := make(map[string]dispatch.Load, len(m.GetLoads()))
 	for _, l := range m.GetLoads() {
 		loads[l.GetServer()] = dispatch.Load{Decoding: int(l.GetWriters()), Prefilling: int(l.GetWaiting()), Helping: int(l.GetHelping()),
--- /dev/null
+++ b/gateway/quarantine/list.go
@@ -0,0 +1,373 @@
+// Package quarantine refuses prompts with a part on which servers crash.
+//
+// A gateway tracks each request whose prompt has shared parts while a server works on it.
+// If the server crashes, the gateway records that and reports it to the other gateways
+// (package peers), so that all of them hold the same evidence and reach the same verdict
+// (package policy/quarantine). The part is then quarantined: requests with it are refused
+// before they are sent, those that wait for a server or for its first event are ended.
+// The list of quarantined parts is kept in the platform's store, where gateways that start
+// later read it before they are ready.
+//
+// A verdict ends when a prompt with the part is answered: one that a server was already
+// answering when the verdict fell, or a trial, of which there are few a day over all
+// gateways. An operator may end it as well.
+//
+// Lock order: List.mu is the only lock. Functions of requests, which List calls to end
+// them, are called without it.
+package quarantine
+
+import (
+	"context"
+	"fmt"
+	"log/slog"
+	"maps"
+	"math/rand/v2"
+	"slices"
+	"sync"
+	"time"
+
+	"camphorwick.dev/policy/quarantine"
+)
+
+const (
+	// maxEntries bounds the quarantined parts, in memory and in the store.
+	maxEntries = 1024
+	// maxEvidence bounds the crashes that are kept of a quarantined part, maxAccounts
+	// their accounts. Two accounts are enough to refuse the part to all.
+	maxEvidence = 16
+	maxAccounts = 2
+	// entryLife is how long a part stays quarantined after its last crash.
+	entryLife = 14 * 24 * time.Hour
+)
+
+// RefusedError means that a prompt has a quarantined part.
+type RefusedError struct {
+	Part string
+	// RetryAfter is the time until a prompt with the part may be tried again.
+	RetryAfter time.Duration
+	// Since is when the part was quarantined.
+	Since time.Time
+}
+
+func (e *RefusedError) Error() string {
+	return fmt.Sprintf("servers crash on part %q of the prompt, quarantined since %s", e.Part, e.Since.UTC().Format(time.RFC3339))
+}
+
+// Crash is a crash that counted against a quarantined part, with the gateway that saw it.
+type Crash struct {
+	Server  string `json:"server"`
+	Request string `json:"request"`
+	Account string `json:"account,omitempty"`
+}
+
+// Entry is a quarantined part, as it is stored.
+type Entry struct {
+	Part string `json:"part"`
+	// With are other parts that all crashing prompts had besides. Prompts that lack one of
+	// them are not refused: an answer to them clears the parts that they have.
+	With []string `json:"with,omitempty"`
+	// Accounts are the client accounts under whose requests servers crashed, at most
+	// maxAccounts. The part is refused to these, so that an account cannot make parts of
+	// others be refused; with two or more it is refused to all.
+	Accounts []string `json:"accounts"`
+	// Since is when the part was quarantined, by the clock of Owner.
+	Since   time.Time `json:"since"`
+	Crashes []Crash   `json:"crashes"`
+	// Owner is the VM of the gateway that stored the entry. Only it makes the first trial.
+	Owner string `json:"owner"`
+	// Trials is the number of trials so far; the next one may begin at NextTrial.
+	Trials    int       `json:"trials"`
+	NextTrial time.Time `json:"next_trial"`
+	// Tried are the shared parts of the prompt of the last trial.
+	Tried []string `json:"tried,omitempty"`
+}
+
+// covers reports whether a prompt with the given parts is like those on which servers
+// crashed.
+func (e *Entry) covers(parts []string) bool {
+	isMissing := func(part string) bool { return !slices.Contains(parts, part) }
+	return slices.Contains(parts, e.Part) && !slices.ContainsFunc(e.With, isMissing)
+}
+
+// refusesAccount reports whether prompts of an account are refused.
+func (e *Entry) refusesAccount(account string) bool {
+	return len(e.Accounts) >= maxAccounts || slices.Contains(e.Accounts, account)
+}
+
+// refuses reports whether a prompt of an account with the given parts is refused.
+func (e *Entry) refuses(account string, parts []string) bool {
+	return e.refusesAccount(account) && e.covers(parts)
+}
+
+// addCrash adds a crash to the evidence and reports whether it changes who is refused.
+func (e *Entry) addCrash(c Crash) bool {
+	if len(e.Crashes) < maxEvidence && !slices.Contains(e.Crashes, c) {
+		e.Crashes = append(e.Crashes, c)
+	}
+	if e.refusesAccount(c.Account) {
+		return false
+	}
+	e.Accounts = append(e.Accounts, c.Account)
+	return true
+}
+
+// record is an entry and what is known of it in the store.
+type record struct {
+	Entry
+	revision int64     // in the store; 0 if it is not known to be stored
+	write    time.Time // when the entry is to be written; zero if it need not be
+	decided  time.Time // when this process learnt of the entry, by its steady clock
+	// evidence is what led this process to the entry; nil if it was read from the store.
+	evidence []quarantine.Evidence
+}
+
+// Options configure a List.
+type Options struct {
+	VM  string
+	Log *slog.Logger
+	// Store keeps the list; nil for a list that ends with the process.
+	Store Store
+	// Changed is called when there is something to report to the other gateways; nil for
+	// no other gateways. It must not block.
+	Changed func()
+}
+
+// List holds the quarantined parts and the evidence against others. It is safe for
+// concurrent use.
+type List struct {
+	Options
+	process uint64        // random number of this process
+	wake    chan struct{} // triggers work of Run; its capacity is 1
+
+	mu       sync.Mutex
+	tracker  *quarantine.Tracker
+	entries  map[string]*record
+	removals map[string]bool // parts whose entry in the store is to be removed
+	tracked  map[*Request]bool
+	requests uint64 // number of requests tracked so far
+	outgoing outgoing
+	recent   recentReports
+	answered answeredParts
+	synced   bool // the list was read from the store
+	refused  int64
+	crashes  int64
+}
+
+// New returns an empty list.
+func New(o Options) *List {
+	if o.Changed == nil {
+		o.Changed = func() {}
+	}
+	return &List{Options: o, process: rand.Uint64(), wake: make(chan struct{}, 1), tracker: quarantine.NewTracker(), entries: map[string]*record{},
+		removals: map[string]bool{}, tracked: map[*Request]bool{}, recent: recentReports{}, answered: answeredParts{}, synced: o.Store == nil}
+}
+
+// Synced reports whether the list was read from the store, which must precede requests
+// with shared parts.
+func (l *List) Synced() bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.synced
+}
+
+// Entries returns the quarantined parts, sorted by part.
+func (l *List) Entries() []Entry {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	out := make([]Entry, 0, len(l.entries))
+	for _, part := range slices.Sorted(maps.Keys(l.entries)) {
+		e := l.entries[part].Entry
+		e.With, e.Accounts, e.Crashes = slices.Clone(e.With), slices.Clone(e.Accounts), slices.Clone(e.Crashes)
+		out = append(out, e)
+	}
+	return out
+}
+
+// Lift ends the quarantine of a part on all gateways. It returns false if the part is not
+// quarantined.
+func (l *List) Lift(part, reason string) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.lift(part, reason)
+}
+
+// lift is Lift. mu is held.
+func (l *List) lift(part, reason string) bool {
+	r := l.entries[part]
+	if r == nil {
+		return false
+	}
+	delete(l.entries, part)
+	l.tracker.Forget(part)
+	l.Log.Warn("part no longer quarantined", "part", part, "reason", reason, "since", r.Since, "trials", r.Trials)
+	if l.Store != nil {
+		l.removals[part] = true
+		l.wakeUp()
+	}
+	l.outgoing.addCleared(part, time.Now())
+	l.Changed()
+	return true
+}
+
+// removeFromWith records that a part is not the cause, so that prompts with the others
+// that were quarantined together with it are refused. It returns the requests to be ended.
+// mu is held.
+func (l *List) removeFromWith(part string, own bool) []ending {
+	var ended []ending
+	for _, r := range l.entries {
+		if i := slices.Index(r.With, part); i >= 0 {
+			r.With = slices.Delete(slices.Clone(r.With), i, i+1)
+			l.scheduleWrite(r, own)
+			ended = append(ended, l.affected(r)...)
+		}
+	}
+	return ended
+}
+
+// recordCrash records a crash that this or another gateway has seen. own is set for the
+// former. It returns the requests to be ended. mu is held.
+func (l *List) recordCrash(c quarantine.Crash, own bool) []ending {
+	if !l.recent.add(c.Server+" "+c.Request, time.Now()) {
+		return nil // a report that was repeated
+	}
+	var ended []ending
+	var suspects []string
+	for _, part := range c.Parts {
+		r := l.entries[part]
+		if r == nil || !r.covers(c.Parts) {
+			suspects = append(suspects, part)
+			continue
+		}
+		if r.addCrash(Crash{Server: c.Server, Request: c.Request, Account: c.Account}) {
+			l.Log.Warn("quarantine extended to another account", "part", part, "account", c.Account, "server", c.Server)
+			l.scheduleWrite(r, own)
+			ended = append(ended, l.affected(r)...)
+		}
+	}
+	c.Parts = slices.DeleteFunc(suspects, func(part string) bool { return l.disproved(part, c.Ended) })
+	found := l.tracker.Record(c)
+	found = slices.DeleteFunc(found, func(f quarantine.Finding) bool { return l.explained(f) })
+	for _, f := range found {
+		ended = append(ended, l.quarantine(f, own)...)
+	}
+	return ended
+}
+
+// explained reports whether all crashes of a finding were also crashes on one quarantined
+// part, which other prompts on the same servers had. mu is held.
+func (l *List) explained(f quarantine.Finding) bool {
+	for _, r := range l.entries {
+		isOther := func(e quarantine.Evidence) bool {
+			return !slices.ContainsFunc(r.Crashes, func(c Crash) bool { return c.Server == e.Server })
+		}
+		if r.Part != f.Part && !slices.ContainsFunc(f.Evidence, isOther) {
+			l.Log.Info("part not quarantined, its crashes were on another part", "part", f.Part, "other", r.Part)
+			return true
+		}
+	}
+	return false
+}
+
+// disproved reports whether a prompt with a part was answered here after a crash, of which
+// the report came later, and tells the other gateways. mu is held.
+func (l *List) disproved(part string, crashed time.Time) bool {
+	at, ok := l.answered[part]
+	if !ok || !at.After(crashed) {
+		return false
+	}
+	l.outgoing.addCleared(part, at)
+	l.Changed()
+	return true
+}
+
+// quarantine makes a part be refused and returns the requests to be ended. own is set if
+// this gateway has seen the last crash. mu is held.
+func (l *List) quarantine(f quarantine.Finding, own bool) []ending {
+	known := l.entries[f.Part]
+	if known == nil && len(l.entries) >= maxEntries {
+		l.Log.Error("part not quarantined, the list is full", "part", f.Part, "entries", len(l.entries))
+		return nil
+	}
+	r := &record{decided: time.Now(), evidence: f.Evidence, Entry: Entry{Part: f.Part, With: f.With, Since: time.Now(), Owner: l.VM, NextTrial: time.Now().Add(firstTrialDelay)}}
+	for _, e := range f.Evidence {
+		r.addCrash(Crash{Server: e.Server, Request: e.Request, Account: e.Account})
+	}
+	if known != nil { // it was refused only together with other parts
+		r.revision, r.Since, r.Trials, r.NextTrial, r.Tried = known.revision, known.Since, known.Trials, known.NextTrial, known.Tried
+		r.With = intersect(r.With, known.With)
+	}
+	l.entries[f.Part] = r
+	delete(l.removals, f.Part)
+	l.scheduleWrite(r, own)
+	l.Log.Warn("part quarantined, servers crash on it", "part", f.Part, "with", r.With, "accounts", r.Accounts, "crashes", r.Crashes)
+	return l.affected(r)
+}
+
+// ending is a request to be ended because of a verdict.
+type ending struct {
+	request *Request
+	cause   *RefusedError
+}
+
+// endAll ends requests. mu is not held.
+func endAll(list []ending) {
+	for _, e := range list {
+		e.request.end(e.cause)
+	}
+}
+
+// affected returns the tracked requests that an entry refuses and that may still be kept
+// from a server or from its answer. mu is held.
+func (l *List) affected(r *record) []ending {
+	var out []ending
+	for request := range l.tracked {
+		if request.mayBeEnded && r.refuses(request.account, request.parts) && !slices.Contains(request.trial, r.Part) {
+			request.mayBeEnded = false // it is ended once
+			out = append(out, ending{request, r.refusal(time.Now())})
+		}
+	}
+	return out
+}
+
+// refusal returns the error of a request that the entry refuses.
+func (r *record) refusal(now time.Time) *RefusedError {
+	return &RefusedError{Part: r.Part, RetryAfter: max(r.NextTrial.Sub(now), firstTrialDelay), Since: r.Since}
+}
+
+// wakeUp triggers work of Run. It never blocks.
+func (l *List) wakeUp() {
+	select {
+	case l.wake <- struct{}{}:
+	default:
+	}
+}
+
+// Run keeps the store up to date until ctx ends.
+func (l *List) Run(ctx context.Context) error {
+	ticker := time.NewTicker(sweepInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-l.wake:
+		case now := <-ticker.C:
+			l.expire(now)
+		}
+		l.updateStore(ctx)
+	}
+}
+
+// expire drops old suspects and entries.
+func (l *List) expire(now time.Time) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.tracker.Expire(now)
+	l.recent.expire(now)
+	l.answered.expire(now)
+	for part, r := range l.entries {
+		if now.Sub(r.Since) > entryLife {
+			l.lift(part, "old")
+		}
+	}
+}
--- /dev/null
+++ b/gateway/quarantine/request.go
@@ -0,0 +1,233 @@
+package quarantine
+
+import (
+	"context"
+	"fmt"
+	"slices"
+	"time"
+
+	"camphorwick.dev/policy/quarantine"
+)
+
+const (
+	// firstTrialDelay is the time from a verdict to its first trial, which ends a wrong
+	// one soon, and from the first trial to a second one with other parts beside. Later
+	// trials follow every trialInterval. These are three in the first day and two in each
+	// day after it, over all gateways.
+	firstTrialDelay = 3 * time.Second
+	trialInterval   = 12 * time.Hour
+	// maxTrialParts bounds the quarantined parts of a prompt that is a trial; each costs a
+	// call to the store.
+	maxTrialParts = 4
+	// soundAfter is how long an answer must go on after its first event until its prompt
+	// counts as sound; an answer that ends as it should proves it at once.
+	// A server that crashes on its prompt does so as it begins to write.
+	soundAfter = 30 * time.Millisecond
+	// unsyncedRetryAfter is the Retry-After while the list is not known.
+	unsyncedRetryAfter = 500 * time.Millisecond
+)
+
+// Request is a request whose prompt has shared parts. Its methods but end may be called on
+// a nil Request, which has none.
+type Request struct {
+	list    *List
+	id      string // of the caller, with a number that no other request has
+	account string
+	parts   []string
+	end     func(error)
+
+	// The following fields are guarded by List.mu.
+
+	trial      []string // parts that the request is a trial of
+	trialSent  bool     // the trial was sent to a server, and must not be sent to another one
+	mayBeEnded bool     // no event has been received since the last call of Admit
+	server     string   // server that the request was sent to last; empty for none
+	sentAt     time.Time
+	firstEvent time.Time // zero before the first event of the answer
+	// sound is set when the prompt has proved to be sound. Only the goroutine that handles
+	// the request uses it.
+	sound bool
+}
+
+// Track begins to track a request. end is called with a RefusedError, not more than once
+// and possibly before Track returns, to end a request that may no longer be sent or whose
+// answer has not begun. Done must be called at the end of the request. It returns nil for
+// a prompt without shared parts.
+func (l *List) Track(id, account string, parts []string, end func(error)) *Request {
+	if len(parts) == 0 {
+		return nil
+	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.requests++
+	r := &Request{list: l, id: fmt.Sprintf("%s#%x.%d", id, uint32(l.process), l.requests), account: account, parts: parts, end: end}
+	l.tracked[r] = true
+	return r
+}
+
+// Done ends the tracking.
+func (r *Request) Done() {
+	if r == nil {
+		return
+	}
+	r.list.mu.Lock()
+	defer r.list.mu.Unlock()
+	delete(r.list.tracked, r)
+}
+
+// Admit reports whether the request may be sent to a server: it returns a RefusedError if
+// its prompt has a quarantined part, unless this request is chosen as a trial.
+func (r *Request) Admit(ctx context.Context) error {
+	if r == nil {
+		return nil
+	}
+	refused, claims := r.check()
+	if len(claims) > 0 && r.list.claimTrials(ctx, claims, r.parts) {
+		r.list.mu.Lock()
+		for _, claim := range claims {
+			r.trial = append(r.trial, claim.Part)
+		}
+		r.list.mu.Unlock()
+		refused, _ = r.check()
+	}
+	if refused != nil {
+		return refused
+	}
+	return nil
+}
+
+// check returns an error if the request is refused, and the entries of which it may be a
+// trial.
+func (r *Request) check() (*RefusedError, []record) {
+	l := r.list
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	r.mayBeEnded = true
+	if !l.synced {
+		return &RefusedError{RetryAfter: unsyncedRetryAfter}, nil
+	}
+	now := time.Now()
+	var refusing []*record
+	for _, part := range r.parts {
+		if e := l.entries[part]; e != nil && e.refuses(r.account, r.parts) && (r.trialSent || !slices.Contains(r.trial, part)) {
+			refusing = append(refusing, e)
+		}
+	}
+	if len(refusing) == 0 {
+		return nil, nil
+	}
+	l.refused++
+	refused := refusing[0].refusal(now)
+	if len(r.trial) > 0 || len(refusing) > maxTrialParts {
+		return refused, nil
+	}
+	var claims []record
+	for _, e := range refusing {
+		if !l.trialDue(e, r.parts, now) {
+			return refused, nil
+		}
+		claims = append(claims, *e)
+	}
+	return refused, claims
+}
+
+// Sent records that the request is being sent to a server.
+func (r *Request) Sent(server string) {
+	if r == nil {
+		return
+	}
+	r.list.mu.Lock()
+	defer r.list.mu.Unlock()
+	r.server, r.sentAt, r.firstEvent = server, time.Now(), time.Time{}
+	r.trialSent = len(r.trial) > 0
+}
+
+// Event records that an event of the answer was received. The prompt is sound if the
+// answer has gone on for a while.
+func (r *Request) Event() {
+	if r == nil || r.sound && !r.firstEvent.IsZero() {
+		return
+	}
+	var ended []ending
+	defer func() { endAll(ended) }()
+	l := r.list
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	now := time.Now()
+	r.mayBeEnded = false
+	if r.firstEvent.IsZero() {
+		r.firstEvent = now
+		return
+	}
+	if now.Sub(r.firstEvent) >= soundAfter {
+		ended = r.markSound(now)
+	}
+}
+
+// Answered records that a server has answered the request with success, to the end of its
+// answer.
+func (r *Request) Answered() {
+	if r == nil {
+		return
+	}
+	r.list.mu.Lock()
+	r.mayBeEnded = false
+	ended := r.markSound(time.Now())
+	r.list.mu.Unlock()
+	endAll(ended)
+}
+
+// markSound clears the parts of the prompt and returns the requests to be ended. mu of the
+// list is held.
+func (r *Request) markSound(now time.Time) []ending {
+	r.sound = true
+	var ended []ending
+	for _, part := range r.parts {
+		ended = append(ended, r.list.clear(part, now)...)
+	}
+	return ended
+}
+
+// clear records that a prompt with a part was answered. It returns the requests to be
+// ended. mu is held.
+func (l *List) clear(part string, now time.Time) []ending {
+	l.answered.add(part, now)
+	if !l.lift(part, "a prompt with it was answered") && l.tracker.Clear(part, now) {
+		l.outgoing.addCleared(part, now)
+		l.Changed()
+	}
+	return l.removeFromWith(part, true)
+}
+
+// Suspicious reports whether the end of the request's server, once it was sent, counts
+// against its parts.
+func (r *Request) Suspicious() bool {
+	if r == nil || r.sound {
+		return false
+	}
+	r.list.mu.Lock()
+	var ended []ending
+	if now := time.Now(); !r.firstEvent.IsZero() && now.Sub(r.firstEvent) >= soundAfter {
+		ended = r.markSound(now)
+	}
+	r.list.mu.Unlock()
+	endAll(ended)
+	return !r.sound
+}
+
+// ServerCrashed records that the server of the request has crashed before the prompt had
+// proved to be sound.
+func (r *Request) ServerCrashed() {
+	if r == nil {
+		return
+	}
+	l := r.list
+	l.mu.Lock()
+	c := quarantine.Crash{Server: r.server, Request: r.id, Account: r.account, Parts: slices.Clone(r.parts), Sent: r.sentAt, Ended: time.Now()}
+	l.crashes++
+	l.outgoing.addCrash(c)
+	ended := l.recordCrash(c, true)
+	l.mu.Unlock()
+	l.Changed()
+	endAll(ended)
+}
--- /dev/null
+++ b/gateway/quarantine/store.go
@@ -0,0 +1,288 @@
+package quarantine
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"strings"
+	"time"
+
+	"camphorwick.dev/gateway/follow"
+)
+
+const (
+	// Prefix is the prefix of the keys in the store under which entries are kept, followed
+	// by the part.
+	Prefix = "quarantine/"
+	// peerWriteDelay is how long a gateway that has not seen the last crash itself waits
+	// for another one to store the entry.
+	peerWriteDelay = time.Second
+	// storeRetryInterval is the time between two tries to write or remove an entry, and
+	// sweepInterval that between looks for entries to be written.
+	storeRetryInterval = 500 * time.Millisecond
+	sweepInterval      = 500 * time.Millisecond
+	// claimTimeout bounds the call that claims a trial, for which a request waits.
+	claimTimeout = 300 * time.Millisecond
+)
+
+// Store is the part of the platform's store that keeps the list.
+type Store interface {
+	// Put writes a key without a lease if lease is 0.
+	Put(ctx context.Context, key string, value []byte, lease int64) error
+	// PutIf writes a key if its revision is the given one; otherwise it returns a
+	// follow.ConflictError.
+	PutIf(ctx context.Context, key string, value []byte, revision int64) error
+	// Remove deletes a key.
+	Remove(ctx context.Context, key string) error
+}
+
+// scheduleWrite makes Run write an entry. mu is held.
+func (l *List) scheduleWrite(r *record, own bool) {
+	if l.Store == nil {
+		return
+	}
+	r.write = time.Now()
+	if !own {
+		r.write = r.write.Add(peerWriteDelay + rand.N(peerWriteDelay))
+	}
+	l.wakeUp()
+}
+
+// updateStore writes and removes what is due.
+func (l *List) updateStore(ctx context.Context) {
+	if l.Store == nil {
+		return
+	}
+	writes, removals := l.due(time.Now())
+	for _, e := range writes {
+		if err := l.put(ctx, e, l.Store.Put); err != nil {
+			l.Log.Warn("quarantined part not stored, it is tried again", "part", e.Part, "error", err.Error())
+		}
+	}
+	for _, part := range removals {
+		if err := l.Store.Remove(ctx, Prefix+part); err != nil {
+			l.Log.Warn("quarantined part not removed from the store, it is tried again", "part", part, "error", err.Error())
+			continue
+		}
+		l.mu.Lock()
+		delete(l.removals, part)
+		l.mu.Unlock()
+	}
+}
+
+// due returns the entries to be written and the parts to be removed, and schedules the
+// next try for the former in case that this one fails.
+func (l *List) due(now time.Time) ([]Entry, []string) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	var writes []Entry
+	for _, r := range l.entries {
+		if !r.write.IsZero() && !now.Before(r.write) {
+			r.write = now.Add(storeRetryInterval)
+			writes = append(writes, r.Entry)
+		}
+	}
+	var removals []string
+	for part := range l.removals {
+		removals = append(removals, part)
+	}
+	return writes, removals
+}
+
+// put stores an entry with the given function, which has the signature of Store.Put.
+func (l *List) put(ctx context.Context, e Entry, write func(context.Context, string, []byte, int64) error) error {
+	value, err := json.Marshal(e)
+	if err != nil {
+		return fmt.Errorf("encode the quarantine of %q: %w", e.Part, err)
+	}
+	return write(ctx, Prefix+e.Part, value, 0)
+}
+
+// trialDue reports whether this gateway may claim a trial of an entry with a prompt that
+// has the given parts. mu is held.
+func (l *List) trialDue(r *record, parts []string, now time.Time) bool {
+	switch {
+	case now.Before(r.NextTrial):
+		return false
+	case r.Trials == 1 && now.Sub(r.Since) < trialInterval && len(intersect(r.Tried, parts)) == len(r.Tried):
+		return false // it would show nothing new
+	case l.Store == nil:
+		return true
+	}
+	return r.revision != 0 && (r.Trials > 0 || r.Owner == l.VM)
+}
+
+// claimTrials claims the next trials of entries, each of which only one request of all
+// gateways gets. A trial that is claimed together with one that is not is lost.
+func (l *List) claimTrials(ctx context.Context, claims []record, parts []string) bool {
+	for _, r := range claims {
+		if !l.claimTrial(ctx, r, parts) {
+			return false
+		}
+	}
+	return true
+}
+
+// claimTrial claims the next trial of an entry for a prompt with the given parts.
+func (l *List) claimTrial(ctx context.Context, r record, parts []string) bool {
+	e := r.Entry
+	e.Trials++
+	e.Tried = parts
+	e.NextTrial = time.Now().Add(trialInterval)
+	if e.Trials == 1 {
+		e.NextTrial = time.Now().Add(firstTrialDelay)
+	}
+	if !l.takeTrial(e) {
+		return false
+	}
+	if l.Store != nil {
+		ctx, cancel := context.WithTimeout(ctx, claimTimeout)
+		defer cancel()
+		err := l.put(ctx, e, func(ctx context.Context, key string, value []byte, _ int64) error {
+			return l.Store.PutIf(ctx, key, value, r.revision)
+		})
+		if err != nil {
+			l.Log.Info("trial of a quarantined part not claimed", "part", e.Part, "trial", e.Trials, "error", err.Error())
+			return false
+		}
+	}
+	l.Log.Warn("trial of a quarantined part", "part", e.Part, "trial", e.Trials, "next", e.NextTrial)
+	return true
+}
+
+// takeTrial records a trial in this process, so that no other request of it claims it. A
+// trial that the store then refuses, or does not confirm, is lost: it may have been
+// claimed by another gateway.
+func (l *List) takeTrial(e Entry) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	r := l.entries[e.Part]
+	if r == nil || r.Trials >= e.Trials {
+		return false
+	}
+	r.Trials, r.NextTrial, r.Tried = e.Trials, e.NextTrial, e.Tried
+	return true
+}
+
+// Replace implements follow.Handler.
+func (l *List) Replace(items []follow.Item) {
+	l.mu.Lock()
+	listed := map[string]bool{}
+	var ended []ending
+	for _, item := range items {
+		listed[strings.TrimPrefix(item.Key, Prefix)] = true
+		ended = append(ended, l.adopt(item)...)
+	}
+	for part, r := range l.entries {
+		if r.revision != 0 && !listed[part] {
+			l.drop(part, r)
+		}
+	}
+	l.synced = true
+	l.mu.Unlock()
+	endAll(ended)
+}
+
+// Change implements follow.Handler.
+func (l *List) Change(item follow.Item) {
+	l.mu.Lock()
+	var ended []ending
+	part := strings.TrimPrefix(item.Key, Prefix)
+	if r := l.entries[part]; item.Deleted && r != nil {
+		l.drop(part, r)
+	}
+	if !item.Deleted {
+		ended = l.adopt(item)
+	}
+	l.mu.Unlock()
+	endAll(ended)
+}
+
+// Failed implements follow.Handler: what is known stays in force.
+func (l *List) Failed(error) {}
+
+// Restored implements follow.Handler.
+func (l *List) Restored() {}
+
+// adopt records a stored entry and returns the requests to be ended. mu is held.
+func (l *List) adopt(item follow.Item) []ending {
+	e, err := decodeEntry(item)
+	if err != nil {
+		l.Log.Warn("quarantined part not decoded", "key", item.Key, "revision", item.Revision, "error", err.Error())
+		return nil
+	}
+	if l.removals[e.Part] { // lifted here, and not yet removed from the store
+		return nil
+	}
+	known := l.entries[e.Part]
+	if known == nil && len(l.entries) >= maxEntries {
+		l.Log.Error("stored part not quarantined, the list is full", "part", e.Part, "entries", len(l.entries))
+		return nil
+	}
+	r := &record{Entry: e, revision: item.Revision, decided: time.Now()}
+	if known == nil {
+		l.Log.Warn("part quarantined by another gateway", "part", e.Part, "accounts", e.Accounts, "since", e.Since, "owner", e.Owner)
+	} else {
+		r.decided = known.decided
+		l.keepKnown(r, known)
+	}
+	l.entries[e.Part] = r
+	l.tracker.Forget(e.Part)
+	return l.affected(r)
+}
+
+// keepKnown adds what only this process knows to a stored entry. mu is held.
+func (l *List) keepKnown(r, known *record) {
+	for _, c := range known.Crashes {
+		if r.addCrash(c) {
+			l.scheduleWrite(r, false)
+		}
+	}
+	if with := intersect(r.With, known.With); len(with) < len(r.With) {
+		r.With = with
+		l.scheduleWrite(r, false)
+	}
+	if known.Trials > r.Trials {
+		r.Trials, r.NextTrial, r.Tried = known.Trials, known.NextTrial, known.Tried
+	}
+}
+
+func intersect(a, b []string) []string {
+	return slices.DeleteFunc(slices.Clone(a), func(part string) bool { return !slices.Contains(b, part) })
+}
+
+// drop ends an entry that the store no longer has. mu is held.
+func (l *List) drop(part string, r *record) {
+	delete(l.entries, part)
+	l.tracker.Forget(part)
+	l.Log.Warn("part no longer quarantined, it was removed from the store", "part", part, "since", r.Since)
+}
+
+// maxParts bounds the parts that an entry names.
+const maxParts = 64
+
+// decodeEntry decodes a stored entry, which another writer may have left.
+func decodeEntry(item follow.Item) (Entry, error) {
+	var e Entry
+	if err := json.Unmarshal(item.Value, &e); err != nil {
+		return e, err
+	}
+	if part := strings.TrimPrefix(item.Key, Prefix); part == "" || e.Part != part {
+		return e, errOtherPart
+	}
+	if len(e.Accounts) == 0 {
+		return e, errNoAccount
+	}
+	e.With, e.Tried = e.With[:min(len(e.With), maxParts)], e.Tried[:min(len(e.Tried), maxParts)]
+	e.Accounts = e.Accounts[:min(len(e.Accounts), maxAccounts)]
+	e.Crashes = e.Crashes[:min(len(e.Crashes), maxEvidence)]
+	return e, nil
+}
+
+var (
+	errOtherPart = errors.New("the entry names another part than its key")
+	errNoAccount = errors.New("the entry names no account")
+)
--- a/testbed/gatewaysoak/crashing_part_test.go
+++ b/testbed/gatewaysoak/crashing_part_test.go
@@ -8,6 +8,7 @@
 	"math/rand/v2"
 	"net"
 	"net/http"
+	"os"
 	"slices"
 	"sync"
 	"syscall"
@@ -67,7 +68,8 @@
 	is.NoErr(err)
 	t.Cleanup(processes.Kill)
 	f := &crashFleet{t: t, chance: chance, sent: map[int]int{}, served: map[int]int{},
-		run: &run{options: Options{Bin: bin, Dir: dir, Out: io.Discard}, fleet: processes, store: fleetsim.NewStore(), runs: map[string][]fleetsim.Run{}}}
+		run: &run{options: Options{Bin: bin, Dir: dir, Out: io.Discard}, fleet: processes, store: fleetsim.NewStore(),
+			runs: map[string][]fleetsim.Run{}, report: Report{Requests: map[string]int{}}}}
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	is.NoErr(err)
 	server := &http.Server{Handler: f.store}
@@ -83,6 +85,7 @@
 		Accounts: []fleetsim.Account{{Name: account, Keys: []string{apiKey}}}}))
 	ctx, cancel := context.WithTimeout(context.Background(), startTime)
 	defer cancel()
+	t.Cleanup(f.printLogs)
 	for i := range crashGateways {
 		g, err := f.newGateway(i, l.Addr().String())
 		is.NoErr(err)
@@ -92,6 +95,23 @@
 	return f
 }
 
+// printLogs prints the last lines of the gateways' logs if the test has failed.
+func (f *crashFleet) printLogs() {
+	if !f.t.Failed() {
+		return
+	}
+	const lastBytes = 4000
+	for i := range crashGateways {
+		name := fmt.Sprintf("gateway-%d", i)
+		data, err := os.ReadFile(f.fleet.LogFile(name))
+		if err != nil {
+			f.t.Log(err)
+			continue
+		}
+		f.t.Logf("end of the log of %s:\n%s", name, data[max(0, len(data)-lastBytes):])
+	}
+}
+
 // startEngine starts and registers an engine under a new ID.
 func (f *crashFleet) startEngine() {
 	f.mu.Lock()
@@ -258,17 +278,17 @@
 func TestPartThatCrashesServers(t *testing.T) {
 	bin := binaries(t)
 	for _, c := range []struct {
-		name     string
+		name     string // part of a path that GORACE lists, which a comma would end
 		position int
 		chance   float64 // share of sound requests on which an engine crashes
 		restart  bool    // a gateway is killed and started again midway
 		minShare float64 // of the sound requests that must be served
 	}{
 		{"first part", 0, 0, false, 0.9},
-		{"second part, a gateway starts midway", 1, 0, true, 0.9},
+		{"second part while a gateway starts midway", 1, 0, true, 0.9},
 		{"third part", 2, 0, false, 0.9},
-		{"second part, engines also crash by chance", 1, 1.0 / 60, false, 0.8},
-		{"no part, engines crash by chance", -1, 1.0 / 60, false, 0.8},
+		{"second part while engines also crash by chance", 1, 1.0 / 60, false, 0.8},
+		{"no part while engines crash by chance", -1, 1.0 / 60, false, 0.8},
 	} {
 		t.Run(c.name, func(t *testing.T) {
 			f := newCrashFleet(t, bin, c.chance)
@@ -289,7 +309,7 @@
 			if share < c.minShare {
 				t.Errorf("%.2f of the sound requests were served, want at least %.2f", share, c.minShare)
 			}
-			for _, err := range f.fleet.Races() {
+			for _, err := range append(f.fleet.Races(), f.report.Violations...) {
 				t.Error(err)
 			}
 		})
