The head of a server's answer is limited

What operators of similar systems saw: a faulty server sent a head without end, and the process that had called it ran out of memory with the requests of all other callers. The head of an answer, with the interim heads before it, may have 64 KB now; the connection is closed beyond that, and the request may go to another server.

--- a/gateway/upstream/upstream.go
+++ b/gateway/upstream/upstream.go
@@ -37,6 +37,9 @@
 	// maxInterim bounds the interim answers (1xx), which a failing server may send
 	// without end.
 	maxInterim = 16
+	// maxHeadBytes bounds the head of an answer together with the interim answers before
+	// it, in bytes. The parser itself keeps a head of any size in memory.
+	maxHeadBytes = 64 << 10
 )
 
 // Error says why there is no answer.
@@ -77,7 +80,8 @@
 
 type conn struct {
 	net.Conn
-	br        *bufio.Reader
+	br        *bufio.Reader // reads through limit
+	limit     *headLimit
 	address   string
 	expires   time.Time // end of the idle timeout
 	idleSince time.Time
@@ -152,8 +156,13 @@
 // requests.
 func (cn *conn) receive(r *Request) (*http.Response, error) {
 	request := &http.Request{Method: r.Method}
+	cn.limit.begin(maxHeadBytes)
+	defer cn.limit.end()
 	for skipped, interim := 0, 0; ; {
 		answer, err := http.ReadResponse(cn.br, request)
+		if err != nil && cn.limit.reached() { // the parser complains about the cut line
+			err = errHeadTooLong
+		}
 		if err != nil {
 			return nil, err
 		}
@@ -170,9 +179,11 @@
 			return nil, errForeignAnswer
 		}
 		skipped++
+		cn.limit.end()
 		if _, err := io.Copy(io.Discard, answer.Body); err != nil {
 			return nil, err
 		}
+		cn.limit.begin(maxHeadBytes)
 	}
 }
 
@@ -181,8 +192,36 @@
 	// belongs to another request, too.
 	errForeignAnswer  = errors.New("all answers received belong to other requests")
 	errTooManyInterim = errors.New("too many interim answers")
+	errHeadTooLong    = errors.New("the head of the answer exceeds the size limit")
 )
 
+// headLimit reads from a connection and bounds the bytes that are read between begin and
+// end.
+type headLimit struct {
+	from    io.Reader
+	limited bool
+	left    int // bytes that may still be read
+}
+
+func (l *headLimit) begin(limit int) { l.limited, l.left = true, limit }
+
+// reached reports whether the limit was reached.
+func (l *headLimit) reached() bool { return l.limited && l.left <= 0 }
+
+func (l *headLimit) end() { l.limited = false }
+
+func (l *headLimit) Read(p []byte) (int, error) {
+	if !l.limited {
+		return l.from.Read(p)
+	}
+	if l.left <= 0 {
+		return 0, errHeadTooLong
+	}
+	n, err := l.from.Read(p[:min(len(p), l.left)])
+	l.left -= n
+	return n, err
+}
+
 func (c *Client) dial(ctx context.Context, address string) (*conn, error) {
 	if c.OnDial != nil {
 		c.OnDial()
@@ -191,7 +230,8 @@
 	if err != nil {
 		return nil, err
 	}
-	return &conn{Conn: nc, br: bufio.NewReaderSize(nc, readBuffer), address: address}, nil
+	limit := &headLimit{from: nc}
+	return &conn{Conn: nc, br: bufio.NewReaderSize(limit, readBuffer), limit: limit, address: address}, nil
 }
 
 // Refuses reports whether the server at address refuses a connection, as after the
