The body of an engine's answer is limited

The agent read the body of an answer of its engine to the end, however long: TestEndlessAnswerIsGivenUp failed with chunks and without a length (192 MB). JSON answers may have 16 MB and exported states 256 MB now. Heads there and all answers of the store and of plain services were already limited (fasthttp's read buffer and MaxResponseBodySize), which the same cases show.

--- a/backend/enginehttp/client.go
+++ b/backend/enginehttp/client.go
@@ -42,6 +42,10 @@
 	// identityLength is what fasthttp returns as the length of a body that ends with
 	// its connection.
 	identityLength = -2
+	// maxAnswerBytes bounds the body of a JSON answer, maxStateBytes that of an exported
+	// state.
+	maxAnswerBytes = 16 << 20
+	maxStateBytes  = 256 << 20
 )
 
 // Client is a model engine at an address. It implements backend.Engine and is
@@ -81,7 +85,7 @@
 // empty one, because a stream that starts without a state starts from its prompt.
 func (c *Client) Export(ctx context.Context, streamID string) ([]byte, error) {
 	x := c.newExchange(fasthttp.MethodPost, "/v1/export", url.Values{"id": {streamID}})
-	state, err := c.run(ctx, x, nil)
+	state, err := c.run(ctx, x, nil, maxStateBytes)
 	if err != nil {
 		return nil, err
 	}
@@ -195,11 +199,12 @@
 
 // call makes a call and returns the body of its answer.
 func (c *Client) call(ctx context.Context, method, path string, query url.Values, body []byte) ([]byte, error) {
-	return c.run(ctx, c.newExchange(method, path, query), body)
+	return c.run(ctx, c.newExchange(method, path, query), body, maxAnswerBytes)
 }
 
-// run sends the request of a call, reads the body of its answer and closes x.
-func (c *Client) run(ctx context.Context, x *exchange, body []byte) ([]byte, error) {
+// run sends the request of a call, reads the body of its answer, which may have limit
+// bytes, and closes x.
+func (c *Client) run(ctx context.Context, x *exchange, body []byte, limit int64) ([]byte, error) {
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
 	defer x.close()
@@ -209,10 +214,13 @@
 	}
 	stop := context.AfterFunc(ctx, x.abort)
 	defer stop()
-	data, err := io.ReadAll(x.body())
+	data, err := io.ReadAll(io.LimitReader(x.body(), limit+1))
 	if err != nil {
 		return nil, x.transportError(ctx, err)
 	}
+	if int64(len(data)) > limit {
+		return nil, brokenError(fmt.Sprintf("the answer has more than %d bytes", limit), nil)
+	}
 	return data, nil
 }
 
--- a/standin/rawanswer/rawanswer.go
+++ b/standin/rawanswer/rawanswer.go
@@ -8,6 +8,8 @@
 	"io"
 	"net"
 	"net/http"
+	"strings"
+	"sync/atomic"
 	"testing"
 )
 
@@ -21,10 +23,20 @@
 	// Crash makes the server close its port before it ends the connection, as the
 	// end of its process does.
 	Crash bool
+	// Endless, unless it is empty, is sent again and again after the answer, until the
+	// connection is closed or OfferedBytes are written.
+	Endless string
 
 	listener net.Listener
+	written  atomic.Int64 // bytes of Endless
 }
 
+// OfferedBytes is how much of an endless answer is written at most.
+const OfferedBytes = 192 << 20
+
+// Written returns how many bytes of endless answers were written.
+func (s *Server) Written() int64 { return s.written.Load() }
+
 // Start serves on a free port of the loopback interface until Close is called. It
 // returns the address as host:port.
 func (s *Server) Start() (address string, err error) {
@@ -71,6 +83,9 @@
 		return
 	}
 	_, _ = io.WriteString(c, s.Answer) // the client may have gone
+	if s.Endless != "" {
+		s.writeEndless(c)
+	}
 	if s.Crash {
 		s.Close()
 	}
@@ -78,3 +93,30 @@
 		_ = tcp.SetLinger(0)
 	}
 }
+
+// blockBytes is about how much of an endless answer is written at once.
+const blockBytes = 64 << 10
+
+func (s *Server) writeEndless(c net.Conn) {
+	block := []byte(strings.Repeat(s.Endless, 1+blockBytes/len(s.Endless)))
+	for s.written.Load() < OfferedBytes {
+		n, err := c.Write(block)
+		s.written.Add(int64(n))
+		if err != nil {
+			return
+		}
+	}
+}
+
+// EndlessHeads are beginnings of heads of answers, with the part that is repeated without
+// end, by their description.
+func EndlessHeads() map[string]*Server {
+	return map[string]*Server{
+		"no status line":        {Endless: "x"},
+		"one long field":        {Answer: "HTTP/1.1 200 OK\r\nX: ", Endless: "y"},
+		"many fields":           {Answer: "HTTP/1.1 200 OK\r\n", Endless: "X-Some-Field: y\r\n"},
+		"a continued field":     {Answer: "HTTP/1.1 200 OK\r\nX: y\r\n", Endless: " y\r\n"},
+		"an interim head":       {Answer: "HTTP/1.1 103 Early Hints\r\nX: ", Endless: "y"},
+		"continue interim head": {Answer: "HTTP/1.1 100 Continue\r\nX: ", Endless: "y"},
+	}
+}
