Verdicts on prompt parts: a row of crashes takes 0.4 s, trials across owners

A request and its repeats crashed three servers within 2 ms, so that the part that all prompts share was blamed before any prompt could be answered; and the parts of one prompt had been stored by two gateways, of which neither could make the first trial of both.

A row of crashes now lasts 0.4 s or more, and the owner of one of the parts may claim a trial of all. GET /quarantine on the ops address shows operators each part with its evidence and age, DELETE ends it.

--- a/daemon/cmd/camphorwick/gateway.go
+++ b/daemon/cmd/camphorwick/gateway.go
@@ -56,7 +56,7 @@
 		return fmt.Errorf("open the port of health and metrics: %w", err)
 	}
 	reload.apply = func(s *settings.Settings) { n.SetBudget(retryBudget(s.Gateway)) }
-	return runRole(ctx, p, t, n, n.Run, ops, reload)
+	return runRole(ctx, p, t, n, n.Run, ops, reload, observe.OpsHandler{Path: "/quarantine", Handler: n.QuarantineHandler()})
 }
 
 // countStoreCalls registers the metrics of the calls to the store.
--- a/daemon/cmd/camphorwick/main.go
+++ b/daemon/cmd/camphorwick/main.go
@@ -179,14 +179,14 @@
 	return runRole(ctx, p, t, r, run, ops, reloader{log: t.Log})
 }
 
-// runRole runs a role together with its health and metrics server and stops it
-// on a signal.
-func runRole(ctx context.Context, p processSignals, t *observe.Telemetry, r role, run func(context.Context) error, ops net.Listener, reload reloader) error {
+// runRole runs a role together with its health and metrics server, which also serves the
+// given handlers, and stops it on a signal.
+func runRole(ctx context.Context, p processSignals, t *observe.Telemetry, r role, run func(context.Context) error, ops net.Listener, reload reloader, handlers ...observe.OpsHandler) error {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	go stopOnSignals(ctx, p, t.Log, r, cancel)
 	group, groupCtx := errgroup.WithContext(ctx)
-	group.Go(func() error { return t.ServeOps(groupCtx, listen.Retry(ops, t.Log), r.Ready) })
+	group.Go(func() error { return t.ServeOps(groupCtx, listen.Retry(ops, t.Log), r.Ready, handlers...) })
 	group.Go(func() error { return watchSettings(groupCtx, p.reload, reload) })
 	group.Go(func() error {
 		defer cancel()
--- a/gateway/node/node.go
+++ b/gateway/node/node.go
@@ -161,6 +161,9 @@
 	}
 }
 
+// QuarantineHandler returns the handler by which operators see and end quarantines.
+func (n *Node) QuarantineHandler() http.Handler { return n.quarantine }
+
 // SetBudget replaces the retry budget.
 func (n *Node) SetBudget(c retry.WindowConfig) { n.gateway.SetBudget(c) }
 
--- a/gateway/quarantine/list.go
+++ b/gateway/quarantine/list.go
@@ -73,7 +73,8 @@
 	// Since is when the part was quarantined, by the clock of Owner.
 	Since   time.Time `json:"since"`
 	Crashes []Crash   `json:"crashes"`
-	// Owner is the VM of the gateway that stored the entry. Only it makes the first trial.
+	// Owner is the VM of the gateway that stored the entry. The first trial is made by the
+	// owner of one of the parts to be tried.
 	Owner string `json:"owner"`
 	// Trials is the number of trials so far; the next one may begin at NextTrial.
 	Trials    int       `json:"trials"`
--- a/gateway/quarantine/list_test.go
+++ b/gateway/quarantine/list_test.go
@@ -2,10 +2,12 @@
 
 import (
 	"context"
+	"encoding/json"
 	"errors"
 	"fmt"
 	"log/slog"
 	"math/rand/v2"
+	"net/http/httptest"
 	"sync"
 	"testing"
 	"testing/synctest"
@@ -391,6 +393,7 @@
 			bystander.Sent(server)
 			bystanders = append(bystanders, bystander)
 			crash(l, server, fmt.Sprint("account", i%2), "bad")
+			time.Sleep(200 * time.Millisecond)
 		}
 		for _, r := range bystanders {
 			r.ServerCrashed()
@@ -425,6 +428,7 @@
 		lists := gateways(t, store, 2, 0)
 		for i := range 3 {
 			is.True(crash(lists[0], fmt.Sprint("s", i), "attacker", "p"))
+			time.Sleep(200 * time.Millisecond)
 		}
 		time.Sleep(3 * time.Second)
 		for _, l := range lists {
@@ -455,8 +459,20 @@
 		is.Equal(len(e.Crashes), 3)
 		is.Equal(e.Accounts, []string{"account0", "account1"})
 		is.True(time.Since(e.Since) < 5*time.Second)
-		is.True(!lists[1].Lift("unknown", "operator"))
-		is.True(lists[1].Lift("p", "operator"))
+		call := func(method, query string) *httptest.ResponseRecorder {
+			w := httptest.NewRecorder()
+			lists[1].ServeHTTP(w, httptest.NewRequest(method, "/quarantine"+query, nil))
+			return w
+		}
+		var shown []shownEntry
+		is.NoErr(json.Unmarshal(call("GET", "").Body.Bytes(), &shown))
+		is.Equal(len(shown), 1)
+		is.Equal(shown[0].Crashes, e.Crashes)
+		is.True(shown[0].Stored)
+		is.True(shown[0].AgeSeconds > 0 && shown[0].AgeSeconds < 5)
+		is.Equal(call("DELETE", "?part=unknown").Code, 404)
+		is.Equal(call("POST", "?part=p").Code, 405)
+		is.Equal(call("DELETE", "?part=p").Code, 204)
 		time.Sleep(10 * time.Second)
 		for _, l := range lists {
 			is.True(!refuses(l, "any", "p"))
--- a/gateway/quarantine/request.go
+++ b/gateway/quarantine/request.go
@@ -122,12 +122,17 @@
 		return refused, nil
 	}
 	var claims []record
+	mayClaim := l.Store == nil
 	for _, e := range refusing {
 		if !l.trialDue(e, r.parts, now) {
 			return refused, nil
 		}
+		mayClaim = mayClaim || e.Trials > 0 || e.Owner == l.VM
 		claims = append(claims, *e)
 	}
+	if !mayClaim {
+		return refused, nil
+	}
 	return refused, claims
 }
 
--- a/gateway/quarantine/store.go
+++ b/gateway/quarantine/store.go
@@ -101,18 +101,16 @@
 	return write(ctx, Prefix+e.Part, value, 0)
 }
 
-// trialDue reports whether this gateway may claim a trial of an entry with a prompt that
-// has the given parts. mu is held.
+// trialDue reports whether a trial of an entry is due with a prompt that has the given
+// parts. mu is held.
 func (l *List) trialDue(r *record, parts []string, now time.Time) bool {
 	switch {
 	case now.Before(r.NextTrial):
 		return false
 	case r.Trials == 1 && now.Sub(r.Since) < trialInterval && len(intersect(r.Tried, parts)) == len(r.Tried):
 		return false // it would show nothing new
-	case l.Store == nil:
-		return true
 	}
-	return r.revision != 0 && (r.Trials > 0 || r.Owner == l.VM)
+	return l.Store == nil || r.revision != 0
 }
 
 // claimTrials claims the next trials of entries, each of which only one request of all
--- a/observe/ops.go
+++ b/observe/ops.go
@@ -20,10 +20,21 @@
 	opsShutdownTimeout = 200 * time.Millisecond // then open calls are given up; health probes take less
 )
 
-// ServeOps serves /healthz, /readyz, /metrics and /debug/pprof/ until ctx ends.
-// ready returns nil if the process accepts new work, else the reason why not.
-func (t *Telemetry) ServeOps(ctx context.Context, listener net.Listener, ready func() error) error {
+// OpsHandler serves a path of its own beside those of ServeOps.
+type OpsHandler struct {
+	Path    string
+	Handler http.Handler
+}
+
+// ServeOps serves /healthz, /readyz, /metrics, /debug/pprof/ and the paths of the given
+// handlers until ctx ends. ready returns nil if the process accepts new work, else the
+// reason why not.
+func (t *Telemetry) ServeOps(ctx context.Context, listener net.Listener, ready func() error, handlers ...OpsHandler) error {
 	metrics := fasthttpadaptor.NewFastHTTPHandler(promhttp.HandlerFor(t.Registry, promhttp.HandlerOpts{}))
+	others := map[string]fasthttp.RequestHandler{}
+	for _, h := range handlers {
+		others[h.Path] = fasthttpadaptor.NewFastHTTPHandler(h.Handler)
+	}
 	server := &fasthttp.Server{
 		Handler: func(c *fasthttp.RequestCtx) {
 			path := string(c.Path())
@@ -39,7 +50,7 @@
 			case "/metrics":
 				metrics(c)
 			default:
-				c.SetStatusCode(http.StatusNotFound)
+				serveOther(c, others[path])
 			}
 		},
 		ReadTimeout:     opsReadTimeout,
@@ -60,6 +71,14 @@
 	return nil
 }
 
+func serveOther(c *fasthttp.RequestCtx, handler fasthttp.RequestHandler) {
+	if handler == nil {
+		c.SetStatusCode(http.StatusNotFound)
+		return
+	}
+	handler(c)
+}
+
 func serveReady(c *fasthttp.RequestCtx, reason error) {
 	if reason != nil {
 		c.SetStatusCode(http.StatusServiceUnavailable)
--- a/policy/quarantine/quarantine.go
+++ b/policy/quarantine/quarantine.go
@@ -22,6 +22,10 @@
 	// cause, of at least minRequests requests. The users allow five.
 	crashesToQuarantine = 3
 	minRequests         = 2
+	// minRowTime is the shortest time from the first of these crashes to the last. Repeats
+	// of a request crash several servers within milliseconds, in which no sound prompt can
+	// be answered.
+	minRowTime = 400 * time.Millisecond
 	// minCrashInterval is the time from a crash that counts to the next one that counts
 	// although its request was sent before.
 	minCrashInterval = time.Second
@@ -123,7 +127,7 @@
 
 // sufficient reports whether crashes in a row show that the part is the cause.
 func sufficient(row []Evidence) bool {
-	if len(row) < crashesToQuarantine {
+	if len(row) < crashesToQuarantine || row[len(row)-1].Ended.Sub(row[0].Ended) < minRowTime {
 		return false
 	}
 	requests := map[string]bool{}
--- a/policy/quarantine/quarantine_test.go
+++ b/policy/quarantine/quarantine_test.go
@@ -108,6 +108,19 @@
 	}
 }
 
+// Guards against sound parts being blamed because a request and its repeats, and those
+// beside it, crash several servers before any prompt can be answered.
+func TestCrashesWithinAMomentAreNotEnough(t *testing.T) {
+	is := is.New(t)
+	tracker := NewTracker()
+	for n := range 10 {
+		c := crash(n, n*3, "p")
+		c.Sent = c.Ended.Add(-time.Millisecond)
+		is.Equal(len(tracker.Record(c)), 0)
+	}
+	is.Equal(len(tracker.Record(crash(10, 500, "p"))), 1)
+}
+
 // Guards against an answer that came before a crash clearing it.
 func TestAnswerClearsEarlierCrashesOnly(t *testing.T) {
 	is := is.New(t)
--- a/testbed/gatewaysoak/callers.go
+++ b/testbed/gatewaysoak/callers.go
@@ -81,6 +81,8 @@
 	conn    net.Conn
 	br      *bufio.Reader
 	sending sending // of the last request
+	// lastParts are the parts of the prompt of the last stream.
+	lastParts []string
 }
 
 func (r *run) newCaller(index int) *caller {
@@ -246,7 +248,8 @@
 	method, target, _ := strings.Cut(requestLine(id), " ")
 	request := fleetsim.Call{Method: method, Target: target, Host: host, ID: id, Key: apiKey, TimeLeft: requestTimeout, ForgedAccount: "forged"}
 	if kindOf(id) == streamKind {
-		request.PromptTokens, request.AnswerTokens = promptTokens, answerTokens
+		c.lastParts = c.parts(id)
+		request.PromptTokens, request.AnswerTokens, request.Parts = promptTokens, answerTokens, c.lastParts
 	}
 	if method == http.MethodPost {
 		request.Body = id
--- a/testbed/gatewaysoak/crashing_part_test.go
+++ b/testbed/gatewaysoak/crashing_part_test.go
@@ -38,8 +38,8 @@
 	crashContactTime = 3 * time.Second
 	toleratedCrashes = 5
 	maxSendsAfter    = 3
-	// crashingPart is the part on which engines crash.
-	crashingPart = "bad0"
+	// testBadPart is the part on which engines crash.
+	testBadPart = "bad0"
 )
 
 // crashFleet is a fleet of gateways as processes and of engines in this process that
@@ -132,13 +132,13 @@
 }
 
 func (f *crashFleet) crashOn(r fleetsim.Run) bool {
-	return slices.Contains(r.SharedParts, crashingPart) || rand.Float64() < f.chance
+	return slices.Contains(r.SharedParts, testBadPart) || rand.Float64() < f.chance
 }
 
 func (f *crashFleet) recordArrival(r fleetsim.Run) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	if slices.Contains(r.SharedParts, crashingPart) {
+	if slices.Contains(r.SharedParts, testBadPart) {
 		f.badArrivals = append(f.badArrivals, time.Now())
 	}
 }
@@ -204,7 +204,7 @@
 	repeat(soundInterval, func(n int) { f.sendSound(n, sound) })
 	if position >= 0 {
 		bad := slices.Clone(sound)
-		bad[position] = crashingPart
+		bad[position] = testBadPart
 		repeat(badInterval, func(n int) {
 			if status := f.send(fmt.Sprintf("bad-%d", n), bad...); status == http.StatusOK {
 				f.t.Error("a request with the crashing part was answered 200")
--- a/testbed/gatewaysoak/faults.go
+++ b/testbed/gatewaysoak/faults.go
@@ -59,6 +59,7 @@
 	{"server crashes", false, func(r *run, pick int, d time.Duration) error { return r.replaceServer(pick, d, false) }},
 	{"server drains", false, func(r *run, pick int, d time.Duration) error { return r.replaceServer(pick, d, true) }},
 	{"configuration changes", false, func(r *run, _ int, _ time.Duration) error { return r.configure() }},
+	{"servers crash on a prompt part", false, func(r *run, pick int, d time.Duration) error { return r.crashOnPart(pick, d) }},
 }
 
 func (r *run) gatewayAt(pick int) *gateway { return r.gateways[pick%len(r.gateways)] }
@@ -179,6 +180,7 @@
 // endFaults ends all faults and waits until the gateways are ready.
 func (r *run) endFaults(ctx context.Context) {
 	r.setFaults(false)
+	r.crashing.set("")
 	r.store.SetMode(fleetsim.Serving)
 	if err := r.fleet.EndProxyFaults(); err != nil {
 		r.addViolation("end the faults of the proxies: %w", err)
--- a/testbed/gatewaysoak/fleet.go
+++ b/testbed/gatewaysoak/fleet.go
@@ -268,8 +268,10 @@
 // id, as on the platform, and a new proxy for the new address.
 func (r *run) startServer(b *server) error {
 	b.starts++
-	b.sim = &fleetsim.Server{ID: fmt.Sprintf("server-%d-%d", b.index, b.starts), Service: serviceOf(b.index), Events: streamEvents, EventInterval: eventPause,
-		Fault: r.chooseFault, OnRun: r.recordRun}
+	sim := &fleetsim.Server{ID: fmt.Sprintf("server-%d-%d", b.index, b.starts), Service: serviceOf(b.index), Events: streamEvents, EventInterval: eventPause,
+		Fault: r.chooseFault, OnRun: r.recordRun, CrashOn: r.crashing.crashesOn}
+	sim.OnCrash = func(fleetsim.Run) { r.handleCrash(b, sim) }
+	b.sim = sim
 	if r.options.Planned {
 		b.sim.RunTime = r.runTimes(b.sim.Service)
 	}
--- a/testbed/gatewaysoak/soak.go
+++ b/testbed/gatewaysoak/soak.go
@@ -107,6 +107,8 @@
 	series           []writtenVersion     // of checkSeries, in the order of time; nil before
 
 	seriesMu sync.Mutex // held during a series of configurations, before mu
+	crashing crashingPart
+	restarts sync.WaitGroup // of servers that have crashed on a prompt
 }
 
 // Run runs the fleet under load and faults and returns the report. It returns
@@ -132,9 +134,11 @@
 		return nil, err
 	}
 	defer r.crashServers()
+	defer r.restarts.Wait()
 	r.load(ctx)
 	r.check(ctx)
 	if !o.Planned {
+		r.checkCrashingPart(ctx)
 		r.checkSeries(ctx)
 	}
 	for _, err := range f.Races() {
