Entry: failed attempts in a row without a token are bounded

The entry of the standing product tried one completion at up to 12 engines, also if each attempt ended its engine before a token came. After four failed attempts in a row without a token it fails now; an attempt with tokens starts the count again. TestFailuresWithoutATokenAreBounded.

--- a/daemon/entry/run.go
+++ b/daemon/entry/run.go
@@ -13,6 +13,9 @@
 const (
 	// maxAttempts bounds the attempts of one completion.
 	maxAttempts = 12
+	// maxFailuresInARow bounds the failed attempts in a row of one completion that brought
+	// no token: its prompt may be what ends the engines.
+	maxFailuresInARow = 4
 	// retryPause is the wait before a completion looks for usable agents again,
 	// and the shortest wait for the retry budget.
 	retryPause = 100 * time.Millisecond
@@ -68,6 +71,8 @@
 	// reported that it did not run.
 	mayHaveRun bool
 	attempts   int
+	// failuresInARow is the number of the latest attempts that failed without a token.
+	failuresInARow int
 	// excluded contains the VMs that are not tried next.
 	excluded map[string]bool
 	// refusal is the latest reason why an agent did not accept the request.
@@ -170,7 +175,7 @@
 // because one crash interrupts many completions at once. A completion that was
 // only refused fails immediately if the budget is exhausted.
 func (e *Entry) awaitRetry(ctx context.Context, r *run, last attemptResult, emitted int) error {
-	if r.attempts >= maxAttempts {
+	if !r.mayTryAgain(last, len(r.emitted) > emitted) {
 		return last.err
 	}
 	if len(r.emitted) > emitted {
@@ -189,6 +194,18 @@
 	return nil
 }
 
+// mayTryAgain records the last attempt, which brought tokens if progressed is set, and
+// reports whether another one may follow.
+func (r *run) mayTryAgain(last attemptResult, progressed bool) bool {
+	switch {
+	case progressed:
+		r.failuresInARow = 0
+	case last.verdict == attemptFailed:
+		r.failuresInARow++
+	}
+	return r.attempts < maxAttempts && r.failuresInARow < maxFailuresInARow
+}
+
 // started reports whether the completion may have run somewhere.
 func (r *run) started() bool { return r.mayHaveRun || len(r.emitted) > 0 }
 
--- a/daemon/entry/run_test.go
+++ b/daemon/entry/run_test.go
@@ -105,3 +105,21 @@
 	is.True(final)
 	is.Equal(got.verdict, attemptNotRun)
 }
+
+// Guards against one prompt that ends the engine at each attempt being sent to engine after
+// engine. An attempt that brought tokens shows that its prompt does not.
+func TestFailuresWithoutATokenAreBounded(t *testing.T) {
+	is := is.New(t)
+	failed := attemptResult{verdict: attemptFailed}
+	_, r := newRun(t)
+	for range maxFailuresInARow - 1 {
+		is.True(r.mayTryAgain(failed, false))
+	}
+	is.True(!r.mayTryAgain(failed, false))
+	_, r = newRun(t)
+	for range 3 * maxFailuresInARow {
+		is.True(r.mayTryAgain(failed, true))
+		is.True(r.mayTryAgain(failed, false))
+		is.True(r.mayTryAgain(attemptResult{verdict: attemptNotRun}, false)) // a refusal is no failure
+	}
+}
