--- a/gateway/peers/quarantine.go
+++ b/gateway/peers/quarantine.go
@@ -8,6 +8,10 @@
 	policy "camphorwick.dev/policy/quarantine"
 )
 
+// maxReportedParts bounds the parts of one crash that are taken from a datagram. A gateway
+// reports no more of one prompt.
+const maxReportedParts = 64
+
 // maxReportBytes bounds the crashes in one datagram by the bytes of their strings. The
 // newest ones go first.
 const maxReportBytes = 16_000
@@ -55,8 +59,9 @@
 	ago := func(ms uint32) time.Time { return now.Add(-time.Duration(ms) * time.Millisecond) }
 	var reports quarantine.Reports
 	for _, c := range m.GetCrashes() {
+		parts := c.GetParts()[:min(len(c.GetParts()), maxReportedParts)]
 		reports.Crashes = append(reports.Crashes, policy.Crash{Server: c.GetServer(), Request: c.GetRequest(), Account: c.GetAccount(),
-			Parts: c.GetParts(), Sent: ago(c.GetSentAgoMs()), Ended: ago(c.GetEndedAgoMs())})
+			Parts: parts, Sent: ago(c.GetSentAgoMs()), Ended: ago(c.GetEndedAgoMs())})
 	}
 	for _, c := range m.GetCleared() {
 		reports.Cleared = append(reports.Cleared, quarantine.Cleared{Part: c.GetPart(), At: ago(c.GetAgoMs())})
