--- a/gateway/quarantine/list.go
+++ b/gateway/quarantine/list.go
@@ -31,7 +31,7 @@
 const (
 	// maxEntries bounds the quarantined parts, in memory and in the store.
 	maxEntries = 1024
-	// entryLife is how long a part stays quarantined after its last crash.
+	// entryLife is how long a part stays quarantined at most.
 	entryLife = 14 * 24 * time.Hour
 )
 
