Retry-After of a quarantined part: the next trial that the prompt may be

Soon after the first trial only a prompt that lacks one of its parts is tried again; the others were told its time, 1.5 s, and are now told the one after it, 12 h. Found in the read-through; TestTrialIsSentOnce checks it.

--- a/gateway/quarantine/entry.go
+++ b/gateway/quarantine/entry.go
@@ -26,7 +26,8 @@
 	return fmt.Sprintf("servers crash on part %q of the prompt, quarantined since %s", e.Part, e.Since.UTC().Format(time.RFC3339))
 }
 
-// Crash is a crash that counted against a quarantined part, with the gateway that saw it.
+// Crash is a crash that counted against a quarantined part. Request is the ID of the
+// caller, followed by "#" and a number that no other request has.
 type Crash struct {
 	Server  string `json:"server"`
 	Request string `json:"request"`
--- a/gateway/quarantine/list.go
+++ b/gateway/quarantine/list.go
@@ -252,15 +252,16 @@
 	for request := range l.tracked {
 		if request.mayBeEnded && r.refuses(request.account, request.parts) && !slices.Contains(request.trial, r.Part) {
 			request.mayBeEnded = false // it is ended once
-			out = append(out, ending{request, r.refusal(time.Now())})
+			out = append(out, ending{request, r.refusal(request.parts, time.Now())})
 		}
 	}
 	return out
 }
 
-// refusal returns the error of a request that the entry refuses.
-func (r *record) refusal(now time.Time) *RefusedError {
-	return &RefusedError{Part: r.Part, RetryAfter: max(r.NextTrial.Sub(now), firstTrialDelay), Since: r.Since}
+// refusal returns the error of a request that the entry refuses, with the given parts in
+// its prompt.
+func (r *record) refusal(parts []string, now time.Time) *RefusedError {
+	return &RefusedError{Part: r.Part, RetryAfter: max(r.trialAfter(parts).Sub(now), firstTrialDelay), Since: r.Since}
 }
 
 // wakeUp triggers work of Run. It never blocks.
--- a/gateway/quarantine/list_test.go
+++ b/gateway/quarantine/list_test.go
@@ -481,7 +481,9 @@
 		defer r.Done()
 		is.NoErr(r.Admit(context.Background()))
 		r.Sent("s9")
-		is.True(r.Admit(context.Background()) != nil)
+		var refused *RefusedError
+		is.True(errors.As(r.Admit(context.Background()), &refused))
+		is.True(refused.RetryAfter > trialInterval-time.Minute) // not the time of a second trial with other parts
 		is.True(refuses(l, "account0", "p"))
 	})
 }
--- a/gateway/quarantine/request.go
+++ b/gateway/quarantine/request.go
@@ -163,7 +163,7 @@
 		return nil, nil
 	}
 	l.refused++
-	refused := refusing[0].refusal(now)
+	refused := refusing[0].refusal(r.parts, now)
 	if len(r.trial) > 0 || len(refusing) > maxTrialParts {
 		return refused, nil
 	}
--- a/gateway/quarantine/store.go
+++ b/gateway/quarantine/store.go
@@ -104,13 +104,16 @@
 // trialDue reports whether a trial of an entry is due with a prompt that has the given
 // parts. mu is held.
 func (l *List) trialDue(r *record, parts []string, now time.Time) bool {
-	switch {
-	case now.Before(r.NextTrial):
-		return false
-	case r.Trials == 1 && now.Sub(r.Since) < trialInterval && len(intersect(r.Tried, parts)) == len(r.Tried):
-		return false // it would show nothing new
+	return !now.Before(r.trialAfter(parts)) && (l.Store == nil || r.revision != 0)
+}
+
+// trialAfter returns from when on a prompt with the given parts may be a trial. Soon after
+// the first trial, one that has all its parts would show nothing new.
+func (r *record) trialAfter(parts []string) time.Time {
+	if r.Trials == 1 && len(intersect(r.Tried, parts)) == len(r.Tried) {
+		return r.Since.Add(trialInterval)
 	}
-	return l.Store == nil || r.revision != 0
+	return r.NextTrial
 }
 
 // claimTrials claims the next trials of entries, each of which only one request of all
