A crash whose registration is removed at once counts against prompt parts

The end of a server was taken for a planned one as soon as the store no longer listed it. If a supervisor removes the registration of a crashed server at once, that could come before the gateway handles the broken connection, and the crash would not have counted. A removal counts as planned now if the server was draining or was removed a second ago or more (TestEndsAsPlanned, which failed to compile before).

--- a/gateway/ingress/server_end.go
+++ b/gateway/ingress/server_end.go
@@ -33,7 +33,7 @@
 // serverEnded reports whether the process of a server has ended, though not as planned. It
 // asks by a connection, because a connection may also end alone.
 func (x *exchange) serverEnded(a *schedule.Assignment) bool {
-	if a.ServerLeaves() {
+	if a.ServerEndsAsPlanned() {
 		return false
 	}
 	return x.end.ending == endingServerGone || x.g.Client.Refuses(x.ctx, a.Server.Address)
--- a/gateway/registry/registry.go
+++ b/gateway/registry/registry.go
@@ -18,6 +18,11 @@
 // 0.25 s, so with these 1.4 s it receives requests for at most 1.85 s.
 const maxMissingTime = 1400 * time.Millisecond
 
+// plannedRemoval is the time from the removal of a server that leaves without draining to
+// the end of its process, at least; the platform lets such servers go on for 2 s and more.
+// A server that ends sooner has crashed, and its registration was removed because of that.
+const plannedRemoval = time.Second
+
 // Server is one incarnation of a backend server.
 type Server struct {
 	ID         string
@@ -44,6 +49,9 @@
 	services map[string][]*Server // rebuilt on each change, never modified in place
 	outdated bool                 // services must be rebuilt
 	synced   bool
+	// removed holds when servers were removed that were not draining, by ID, for
+	// plannedRemoval.
+	removed map[string]time.Time
 	// distrustUntil is the end of the time in which removals are distrusted.
 	distrustUntil time.Time
 	onChange      func(Change)
@@ -78,7 +86,7 @@
 // New returns an empty registry. onChange is called for each change without a
 // lock held.
 func New(onChange func(Change)) *Registry {
-	return &Registry{servers: map[string]*record{}, services: map[string][]*Server{}, onChange: onChange}
+	return &Registry{servers: map[string]*record{}, services: map[string][]*Server{}, removed: map[string]time.Time{}, onChange: onChange}
 }
 
 // Put records that the store lists a server.
@@ -160,9 +168,17 @@
 		e.removeAt = earlier(r.distrustUntil, now.Add(maxMissingTime))
 		return []Change{{Server: e.server, Event: Missing}}
 	}
-	delete(r.servers, id)
+	return []Change{r.drop(e, now)}
+}
+
+// drop removes a server. mu is held.
+func (r *Registry) drop(e *record, now time.Time) Change {
+	delete(r.servers, e.server.ID)
 	r.outdated = true
-	return []Change{{Server: e.server, Event: Removed}}
+	if !e.server.Draining {
+		r.removed[e.server.ID] = now
+	}
+	return Change{Server: e.server, Event: Removed}
 }
 
 // DistrustRemovals makes servers that are removed within ReregistrationGrace from
@@ -185,11 +201,14 @@
 func (r *Registry) Sweep(now time.Time) {
 	r.update(func() []Change {
 		var changes []Change
-		for id, e := range r.servers {
+		for _, e := range r.servers {
 			if !e.removeAt.IsZero() && now.After(e.removeAt) {
-				changes = append(changes, Change{Server: e.server, Event: Removed})
-				delete(r.servers, id)
-				r.outdated = true
+				changes = append(changes, r.drop(e, now))
+			}
+		}
+		for id, at := range r.removed {
+			if now.Sub(at) > plannedRemoval {
+				delete(r.removed, id)
 			}
 		}
 		return changes
@@ -224,6 +243,18 @@
 	return e == nil || e.server.sameIncarnation(s) && e.server.Draining
 }
 
+// EndsAsPlanned reports whether the process of a server may end as planned now: the server
+// is draining, or was removed some time ago.
+func (r *Registry) EndsAsPlanned(s *Server, now time.Time) bool {
+	r.mu.RLock()
+	defer r.mu.RUnlock()
+	if e := r.servers[s.ID]; e != nil {
+		return e.server.sameIncarnation(s) && e.server.Draining
+	}
+	removed, lately := r.removed[s.ID]
+	return !lately || now.Sub(removed) > plannedRemoval
+}
+
 // Synced reports whether the list has been read at least once.
 func (r *Registry) Synced() bool {
 	r.mu.RLock()
--- a/gateway/registry/registry_test.go
+++ b/gateway/registry/registry_test.go
@@ -135,3 +135,26 @@
 	is.Equal(added, len(list))
 	is.Equal(len(r.Servers("service-0")), 10)
 }
+
+// Guards against a crash that is taken for a planned end because the registration of the
+// server was removed at the same moment, and against the reverse.
+func TestEndsAsPlanned(t *testing.T) {
+	is := is.New(t)
+	r := New(func(Change) {})
+	now := time.Now()
+	crashed, drained, left, live := &Server{ID: "crashed"}, &Server{ID: "drained", Draining: true}, &Server{ID: "left"}, &Server{ID: "live"}
+	for _, s := range []*Server{crashed, drained, left, live} {
+		r.Put(s)
+	}
+	is.True(r.EndsAsPlanned(drained, now))
+	is.True(!r.EndsAsPlanned(live, now))
+	r.Remove("left", now.Add(-2*plannedRemoval))
+	r.Remove("crashed", now)
+	r.Remove("drained", now)
+	is.True(!r.EndsAsPlanned(crashed, now))
+	is.True(r.EndsAsPlanned(drained, now))
+	is.True(r.EndsAsPlanned(left, now))
+	r.Sweep(now.Add(2 * plannedRemoval))
+	is.Equal(len(r.removed), 0)
+	is.True(r.EndsAsPlanned(crashed, now.Add(2*plannedRemoval)))
+}
--- a/gateway/schedule/assignment.go
+++ b/gateway/schedule/assignment.go
@@ -40,6 +40,12 @@
 // ServerLeaves reports whether the process of the server may end as planned.
 func (a *Assignment) ServerLeaves() bool { return a.scheduler.registry.Leaving(a.Server) }
 
+// ServerEndsAsPlanned is like ServerLeaves, but not for a server whose registration was
+// removed only just now, as after a crash.
+func (a *Assignment) ServerEndsAsPlanned() bool {
+	return a.scheduler.registry.EndsAsPlanned(a.Server, time.Now())
+}
+
 // Observe records the result of the attempt at its server. The server is ejected
 // if its attempts fail too often.
 func (a *Assignment) Observe(r suspect.AttemptResult) {
--- a/testbed/gatewaysoak/crashing_part_test.go
+++ b/testbed/gatewaysoak/crashing_part_test.go
@@ -42,6 +42,7 @@
 	*run
 	t          *testing.T
 	chance     float64 // share of sound requests on which an engine crashes
+	unregister bool    // the registration of an engine is removed as it crashes
 	background sync.WaitGroup
 
 	mu      sync.Mutex
@@ -128,7 +129,7 @@
 }
 
 // replace starts another engine in place of one that has crashed under a request. The store
-// lists the old one until then, as on the platform.
+// lists the old one until then, as on the platform, unless unregister is set.
 func (f *crashFleet) replace(old *fleetsim.Server, r fleetsim.Run) {
 	if slices.Contains(r.SharedParts, testBadPart) {
 		f.crashing.recordCrash()
@@ -138,6 +139,9 @@
 	if f.stopped {
 		return
 	}
+	if f.unregister {
+		f.store.Unregister(old)
+	}
 	f.background.Go(func() {
 		time.Sleep(crashedTime)
 		f.store.Unregister(old)
@@ -252,15 +256,18 @@
 		chance   float64 // share of sound requests on which an engine crashes
 		restart  bool    // a gateway is killed and started again midway
 		minShare float64 // of the sound requests that must be served
+		// unregister is set if the registration of an engine is removed as it crashes.
+		unregister bool
 	}{
-		{"first part", 0, 0, false, 0.9},
-		{"second part while a gateway starts midway", 1, 0, true, 0.9},
-		{"third part", 2, 0, false, 0.9},
-		{"second part while engines also crash by chance", 1, 1.0 / 60, false, 0.8},
-		{"no part while engines crash by chance", -1, 1.0 / 60, false, 0.8},
+		{"first part", 0, 0, false, 0.9, false},
+		{"second part while a gateway starts midway", 1, 0, true, 0.9, false},
+		{"third part of engines that are unregistered at once", 2, 0, false, 0.9, true},
+		{"second part while engines also crash by chance", 1, 1.0 / 60, false, 0.8, false},
+		{"no part while engines crash by chance", -1, 1.0 / 60, false, 0.8, false},
 	} {
 		t.Run(c.name, func(t *testing.T) {
 			f := newCrashFleet(t, bin, c.chance)
+			f.unregister = c.unregister
 			f.load(c.position, func() {
 				if !c.restart {
 					return
