--- a/gateway/ingress/exchange.go
+++ b/gateway/ingress/exchange.go
@@ -167,8 +167,10 @@
 	reasonStopping    = "stopping"
 	reasonBehind      = "configuration_behind"
 	// reasonQuarantined means that servers crash on a part of the prompt.
-	reasonQuarantined  = "part_quarantined"
-	reasonDisconnected = "caller_gone"
+	reasonQuarantined = "part_quarantined"
+	// reasonQuarantineUnknown means that the gateway has not read the quarantined parts.
+	reasonQuarantineUnknown = "quarantine_unknown"
+	reasonDisconnected      = "caller_gone"
 	// reasonConnectionClosed means that the gateway closed the caller's
 	// connection while the request was in flight.
 	reasonConnectionClosed = "connection_closed"
--- a/gateway/ingress/outcome.go
+++ b/gateway/ingress/outcome.go
@@ -15,6 +15,7 @@
 	var none *schedule.NoServerError
 	var large *schedule.TooLargeError
 	var refused *quarantine.RefusedError
+	var unknown *quarantine.UnknownError
 	switch {
 	case errors.As(err, &overload):
 		x.reason, x.retryAfter = reasonOverload, overload.RetryAfter
@@ -24,6 +25,8 @@
 		x.reason = reasonTooLarge
 	case errors.As(err, &refused):
 		x.reason, x.retryAfter = reasonQuarantined, refused.RetryAfter
+	case errors.As(err, &unknown):
+		x.reason, x.retryAfter = reasonQuarantineUnknown, unknown.RetryAfter
 	}
 	x.log.Info("request not placed", "service", x.service, "reason", x.reason, "error", err.Error(), "config", x.table.Version)
 }
--- a/gateway/quarantine/entry.go
+++ b/gateway/quarantine/entry.go
@@ -26,6 +26,13 @@
 	return fmt.Sprintf("servers crash on part %q of the prompt, quarantined since %s", e.Part, e.Since.UTC().Format(time.RFC3339))
 }
 
+// UnknownError means that the quarantined parts have not been read yet.
+type UnknownError struct {
+	RetryAfter time.Duration
+}
+
+func (e *UnknownError) Error() string { return "the quarantined parts of prompts are not known yet" }
+
 // Crash is a crash that counted against a quarantined part. Request is the ID of the
 // caller, followed by "#" and a number that no other request has.
 type Crash struct {
--- a/gateway/quarantine/list_test.go
+++ b/gateway/quarantine/list_test.go
@@ -208,7 +208,10 @@
 		convict(gateways(t, store, 2, 0), "bad")
 		late := New(Options{VM: "late", Log: slog.New(slog.DiscardHandler), Store: store})
 		is.True(!late.Synced())
-		is.True(refuses(late, "any", "sound")) // not known yet
+		early := track(late, "any", "sound")
+		defer early.Done()
+		var unknown *UnknownError
+		is.True(errors.As(early.Admit(context.Background()), &unknown))
 		late.Replace(store.list())
 		is.True(late.Synced())
 		is.True(refuses(late, "any", "bad"))
--- a/gateway/quarantine/request.go
+++ b/gateway/quarantine/request.go
@@ -81,11 +81,15 @@
 }
 
 // Admit reports whether the request may be sent to a server: it returns a RefusedError if
-// its prompt has a quarantined part, unless this request is chosen as a trial.
+// its prompt has a quarantined part, unless this request is chosen as a trial, and an
+// UnknownError while the list is not known.
 func (r *Request) Admit(ctx context.Context) error {
 	if r == nil {
 		return nil
 	}
+	if !r.list.Synced() {
+		return &UnknownError{RetryAfter: unsyncedRetryAfter}
+	}
 	refused, claims := r.check()
 	if len(claims) > 0 {
 		r.setTrial(claims) // before the store reports the claims, which would end the request
@@ -149,9 +153,6 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	r.mayBeEnded = true
-	if !l.synced {
-		return &RefusedError{RetryAfter: unsyncedRetryAfter}, nil
-	}
 	now := time.Now()
 	var refusing []*record
 	for _, part := range r.parts {
