--- /dev/null
+++ b/review/build.sh
@@ -0,0 +1,5 @@
+#!/bin/sh
+# Builds the stand-ins of the review's script cases into target/review/.
+set -e
+cd "$(dirname "$0")/standin"
+GOWORK=off GOFLAGS=-mod=mod go build -trimpath -o ../../target/review/standin .
