--- a/review/standin/bench.go
+++ b/review/standin/bench.go
@@ -146,24 +146,31 @@
 	if err := g.writeSettings(); err != nil {
 		return nil, err
 	}
-	out, err := os.Create(filepath.Join(b.dir, vm+".log"))
+	return g, b.launch(g)
+}
+
+// launch starts the process of a gateway, also once more after its end, and waits until it
+// is ready.
+func (b *bench) launch(g *gateway) error {
+	out, err := os.OpenFile(filepath.Join(b.dir, g.vm+".log"), os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
 	if err != nil {
-		return nil, err
+		return err
 	}
+	defer out.Close()
 	cmd := exec.Command("target/camphorwick", "run")
 	cmd.Env = append(os.Environ(), "CAMPHORWICK_NODE_FILE="+g.settings, "GOGC=200")
 	cmd.Stdout, cmd.Stderr = out, out
 	if g.process, err = b.start(cmd); err != nil {
-		return nil, err
+		return err
 	}
-	b.log("gateway %s started, callers at %s", vm, g.callers)
+	b.log("gateway %s started, callers at %s", g.vm, g.callers)
 	for end := time.Now().Add(20 * time.Second); time.Now().Before(end); time.Sleep(50 * time.Millisecond) {
 		if status, _ := httpGet(g.ops, "/readyz"); status == 200 {
-			b.log("gateway %s is ready", vm)
-			return g, nil
+			b.log("gateway %s is ready", g.vm)
+			return nil
 		}
 	}
-	return nil, errors.New("gateway " + vm + " is not ready after 20 s")
+	return errors.New("gateway " + g.vm + " is not ready after 20 s")
 }
 
 // writeSettings writes the settings file, which is deploy/gateway.json with its
--- a/review/standin/main.go
+++ b/review/standin/main.go
@@ -21,7 +21,6 @@
 	"poison":  playPoison,
 	"parts":   playParts,
 	"memory":  playMemory,
-	"grace":   playGrace,
 }
 
 func main() {
--- a/review/standin/memory.go
+++ b/review/standin/memory.go
@@ -10,59 +10,117 @@
 	"time"
 )
 
+const (
+	memoryGateways = 2
+	memoryServers  = 14 // of 16 slots
+	memoryRounds   = 3
+	// Each gateway gets 16 requests a second, fewer than the site sends to one zone. With
+	// the largest bodies these are 537 Mbit/s, about half of its link.
+	roundRequests   = 96
+	requestInterval = time.Second / 16
+	memoryWork      = "5s" // of a request at its server
+	restartDelay    = time.Second
+)
+
 // playMemory sends requests with bodies of the largest size that the configuration allows,
-// and ends the gateway as the platform does if it exceeds memory_mb.
+// and ends a gateway as the platform does each time it exceeds memory_mb.
 func playMemory(b *bench) (bool, error) {
 	b.configure()
-	for i := range 4 {
-		if _, err := b.startServer(fmt.Sprintf("desk-%d", i), "desk", "-work", "3s"); err != nil {
+	for i := range memoryServers {
+		if _, err := b.startServer(fmt.Sprintf("desk-%d", i), "desk", "-work", memoryWork); err != nil {
 			return false, err
 		}
 	}
-	g, err := b.startGateway("gateway-1")
-	if err != nil {
-		return false, err
+	var gateways []*gateway
+	for i := range memoryGateways {
+		g, err := b.startGateway(fmt.Sprintf("gateway-%d", i+1))
+		if err != nil {
+			return false, err
+		}
+		gateways = append(gateways, g)
 	}
-	time.Sleep(2 * time.Second)
-	size, count := 1200, 64
+	time.Sleep(3 * time.Second)
+	size := 1200
 	if b.trouble {
 		size = bodyLimit
 	}
-	body := strings.Repeat("x", size)
 	var wait sync.WaitGroup
-	unanswered := 0
-	var mu sync.Mutex
-	for n := range count {
+	ends, errs := make([]int, len(gateways)), make([]error, len(gateways))
+	for i, g := range gateways {
 		wait.Go(func() {
-			r := &request{id: fmt.Sprintf("stock-%d", n), method: http.MethodPost, path: "/stock/item", key: keyOf["tenant-a"], deadline: 10 * time.Second, body: body}
-			got := call(g.callers, r)
-			b.log("client gets for %s: %v", r.id, got)
-			if got.err != nil {
-				mu.Lock()
-				unanswered++
-				mu.Unlock()
+			for round := range memoryRounds {
+				killed := b.playRound(g, round, strings.Repeat("x", size))
+				if !killed {
+					continue
+				}
+				ends[i]++
+				time.Sleep(restartDelay)
+				if errs[i] = b.launch(g); errs[i] != nil {
+					return
+				}
 			}
 		})
 	}
+	wait.Wait()
+	machines := 0
+	for i, g := range gateways {
+		if errs[i] != nil {
+			return false, errs[i]
+		}
+		b.log("gateway %s exceeded its memory and was ended %d times", g.vm, ends[i])
+		if ends[i] >= 3 {
+			machines++
+		}
+	}
+	return machines >= 2, nil
+}
+
+// playRound sends the requests of a round and waits for their ends. It reports whether the
+// gateway was ended because of its memory.
+func (b *bench) playRound(g *gateway, round int, body string) (killed bool) {
+	var wait sync.WaitGroup
+	var mu sync.Mutex
+	answered, unanswered, peak := 0, 0, 0
 	done := make(chan struct{})
-	go func() { wait.Wait(); close(done) }()
-	peak, killed := 0, false
+	go func() {
+		defer close(done)
+		for n := range roundRequests {
+			wait.Go(func() {
+				r := &request{id: fmt.Sprintf("%s-%d-%d", g.vm, round, n), method: http.MethodPost, path: "/stock/item", key: keyOf["tenant-a"],
+					deadline: 10 * time.Second, body: body}
+				got := call(g.callers, r)
+				b.log("client gets for %s: %v", r.id, got)
+				mu.Lock()
+				defer mu.Unlock()
+				if got.err != nil {
+					unanswered++
+				} else {
+					answered++
+				}
+			})
+			time.Sleep(requestInterval)
+		}
+		wait.Wait()
+	}()
 	for running := true; running; {
 		select {
 		case <-done:
 			running = false
 		case <-time.After(20 * time.Millisecond):
 		}
+		if killed {
+			continue
+		}
 		mb := residentMB(g.cmd.Process.Pid)
 		peak = max(peak, mb)
-		if !killed && mb > g.memoryMB {
+		if mb > g.memoryMB {
 			killed = true
-			b.log("the gateway has %d MB, more than its limit of %d MB; the platform kills it", mb, g.memoryMB)
+			b.log("%s has %d MB, more than its limit of %d MB; the platform kills it", g.vm, mb, g.memoryMB)
 			g.kill()
 		}
 	}
-	b.log("peak memory %d MB of %d, requests without an answer: %d of %d", peak, g.memoryMB, unanswered, count)
-	return killed, nil
+	b.log("%s, round %d: peak %d MB, %d requests answered, %d without an answer", g.vm, round+1, peak, answered, unanswered)
+	return killed
 }
 
 // residentMB returns the resident memory of a process in MB.
