gateway: what is known of the store is proved to be current

Cause: after a change all gateways send their next watch at about one time. A silence at that moment loses the calls and leaves the connections open, so that nothing fails until the store would have had to answer, after 31.5 s. The renewal of the lease, which was to notice outages, is made every 2 s only. The same holds for lost answers of waiting watches, for watches that the store forgets, and for one gateway alone.

Change: what a gateway knows counts as current only while something proves it. follow.Checker asks the store for changes of all prefixes, by one call, where no proof has come for 0.6 of the shortest bound on changes, and reads a prefix whose watch has not brought a change. Gateways share proofs by datagram. The calls are paid for by one read in place of four at the start, no watch of the list of gateways nor of an empty list of quarantined parts, renewals every 4 s, and no reads of all prefixes after an outage.

Tests: TestChangesAfterAShortSilenceAreSeen fails for each of its 30 kinds without the checker. The soak has the fault "store forgets calls".

--- a/daemon/cmd/camphorwick/gateway.go
+++ b/daemon/cmd/camphorwick/gateway.go
@@ -81,6 +81,7 @@
 	g := s.Gateway
 	return node.Options{VM: s.VM, DataCentre: s.DataCentre, Callers: g.CallersAddress, Peers: s.ControlAddress,
 		UnusedMemory: time.Duration(g.UnusedMemoryMillis) * time.Millisecond, DrainTime: time.Duration(g.DrainMillis) * time.Millisecond,
+		ConfigDeadline: time.Duration(g.ConfigDeadlineMillis) * time.Millisecond,
 		Budget: retryBudget(g), DrainLimit: seconds(g.GraceSeconds) - graceMargin, Log: t.Log, Meter: t.Meter}
 }
 
--- a/gateway/follow/follow.go
+++ b/gateway/follow/follow.go
@@ -103,6 +103,11 @@
 	// change, in place of watching it from there; 0 for no limit. It is for prefixes
 	// of a few large values, of which a watch returns each one that was replaced.
 	ReadAfter time.Duration
+	// Unwatched is called before each watch; nil for a follower that always watches. While it
+	// returns true no watch is sent, and the prefix is read when a Checker, or the proof of a
+	// peer, shows that it has changed. It is for prefixes of which a change may be known a
+	// little later.
+	Unwatched func() bool
 	// OnRead is called after each read was handled, with the time when it began; nil
 	// for none.
 	OnRead func(started time.Time)
@@ -119,8 +124,9 @@
 	failing   bool             // the last call failed
 	backoff   time.Duration    // the delay after the last failed call was random, from half of this to all of it
 
-	refresh refreshRequest // of Refresh
-	pending pendingReads
+	refresh  refreshRequest // of Refresh
+	pending  pendingReads
+	progress progress
 }
 
 // Refresh makes the follower read the prefix, because the store may have lost its watch
@@ -129,6 +135,29 @@
 // begin them again and again. Refresh is safe for concurrent use.
 func (f *Follower) Refresh() { f.refresh.request() }
 
+// AdoptProof records a proof that a peer has of the same prefix. It is safe for concurrent
+// use.
+func (f *Follower) AdoptProof(p Proof) {
+	if isBehind := f.progress.adopt(p); isBehind && f.progress.isUnwatched() {
+		f.Refresh()
+	}
+}
+
+// CurrentAt returns when the known state was shown to be the newest one, by this process or
+// a peer; the zero time before the first read. It is safe for concurrent use.
+func (f *Follower) CurrentAt() time.Time {
+	_, at := f.progress.waiting()
+	return at
+}
+
+// Rewatch sends a watch that waits for its answer again, or decides again whether to watch.
+// It is safe for concurrent use.
+func (f *Follower) Rewatch() { f.refresh.restartWatch() }
+
+// Proof returns the newest proof that this process has of the prefix, without those of
+// peers, and false if there is no recent one. It is safe for concurrent use.
+func (f *Follower) Proof() (Proof, bool) { return f.progress.proof(f.Prefix) }
+
 // Run follows the prefix until ctx ends.
 func (f *Follower) Run(ctx context.Context) error {
 	f.revisions, f.mustRead, f.startedAt = map[string]int64{}, true, time.Now()
@@ -191,11 +220,14 @@
 	for _, item := range got.items {
 		revisions[item.Key] = item.Revision
 	}
-	f.changing = !f.loaded || !maps.Equal(revisions, f.revisions)
+	isNew := !f.loaded || !maps.Equal(revisions, f.revisions)
+	// The first read is not a change, but there may be changes by the end of a long one.
+	f.changing = isNew && (f.loaded || f.ReadAfter > 0 && time.Since(got.started) > f.ReadAfter)
 	f.revisions, f.after, f.currentAt = revisions, got.revision, got.started
 	f.loaded, f.mustRead, f.wasRead = true, false, true
+	f.progress.recordRead(got.revision, isNew, got.started)
 	f.handleSuccess()
-	if f.changing {
+	if isNew {
 		f.Handler.Replace(got.items)
 	}
 	if f.OnRead != nil {
@@ -211,9 +243,14 @@
 	if !f.refresh.startWait(cancel) {
 		return nil
 	}
+	if f.Unwatched != nil && f.Unwatched() {
+		return f.waitForRefresh(waitCtx)
+	}
 	started := time.Now()
+	f.progress.startWait(false)
 	items, after, err := f.Store.Watch(waitCtx, f.Prefix, f.after, WatchWait, f.handleAnswer)
 	f.refresh.endWait()
+	f.progress.endWait()
 	if err != nil && waitCtx.Err() != nil && ctx.Err() == nil {
 		f.Log.Info("watch given up", "prefix", f.Prefix, "after", f.after, "took_ms", time.Since(started).Milliseconds(), "error", err.Error())
 		return errInterrupted
@@ -227,12 +264,27 @@
 	for _, item := range newestItems(items) {
 		f.change(item)
 	}
+	f.progress.recordWatch(f.after, lastRevision(items), f.currentAt)
 	if f.changing {
 		sleep(ctx, f.batchDelay())
 	}
 	return nil
 }
 
+// waitForRefresh waits until the prefix is to be read, in place of a watch. Changes that
+// come soon after one that was read are collected.
+func (f *Follower) waitForRefresh(ctx context.Context) error {
+	if f.changing {
+		sleep(ctx, f.batchDelay())
+	}
+	f.changing = false
+	f.progress.startWait(true)
+	<-ctx.Done()
+	f.progress.endWait()
+	f.refresh.endWait()
+	return errInterrupted
+}
+
 // batchDelay returns the time from a change to the next call.
 func (f *Follower) batchDelay() time.Duration {
 	if time.Since(f.startedAt) < f.StartTime {
@@ -245,6 +297,16 @@
 func (f *Follower) handleAnswer() {
 	f.currentAt = time.Now()
 	f.refresh.endWait()
+	f.progress.endWait()
+}
+
+// lastRevision returns the revision of the newest item; 0 if there is none.
+func lastRevision(items []Item) int64 {
+	last := int64(0)
+	for _, item := range items {
+		last = max(last, item.Revision)
+	}
+	return last
 }
 
 // newestItems returns the last item of each key, in the order of items.
--- /dev/null
+++ b/gateway/follow/progress.go
@@ -0,0 +1,161 @@
+package follow
+
+import (
+	"sync"
+	"time"
+)
+
+// Proof shows that a process knew all changes of a prefix up to a revision.
+type Proof struct {
+	Prefix string
+	// LastChange is the revision of the last change of the prefix, or a later one, and
+	// Through the newest revision of the store at a time: the prefix has no change after
+	// LastChange up to Through.
+	LastChange, Through int64
+	// At is when the store was asked for the newest revision, by the steady clock of this
+	// process.
+	At time.Time
+}
+
+// progress is what a process knows about how current its state of a prefix is. It is safe
+// for concurrent use.
+type progress struct {
+	mu sync.Mutex
+	// through is the revision up to which the known state has all changes; 0 before the
+	// first read. lastChange and through are as in Proof.
+	through, lastChange int64
+	// after is the revision up to which the follower itself has received all changes.
+	after int64
+	// at is when the known state was the newest one, as this process or a peer has shown.
+	at time.Time
+	// ownThrough and ownAt are those of the newest proof of this process.
+	ownThrough int64
+	ownAt      time.Time
+	// waitingSince is when the watch was sent that waits for its answer; zero if none does.
+	// unwatched is set if the follower waits without a watch.
+	waitingSince time.Time
+	unwatched    bool
+	// readAt is when a read found another state than the known one; zero if a change of
+	// this state has been received, or told by a peer, since.
+	readAt time.Time
+}
+
+// recordRead records a read of the prefix that began at a time. changed is set if the state
+// was not known before. When it changed, and whether keys were deleted since, is not known
+// then, so the revision of the read stands for the last change.
+func (p *progress) recordRead(revision int64, changed bool, began time.Time) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if changed {
+		p.lastChange, p.readAt = revision, began
+	}
+	p.after = revision
+	p.prove(revision, began)
+}
+
+// recordWatch records the answer to a watch, which began to arrive at a time. lastChange is
+// the revision of its newest change, 0 if it has none.
+func (p *progress) recordWatch(revision, lastChange int64, answered time.Time) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if lastChange > p.lastChange {
+		p.lastChange, p.readAt = lastChange, time.Time{}
+	}
+	p.after = max(p.after, revision)
+	p.prove(revision, answered)
+}
+
+// recordCheck records that the store has no change of the prefix that the follower has not
+// received, as a call that began at a time has shown.
+func (p *progress) recordCheck(revision int64, began time.Time) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.prove(revision, began)
+}
+
+// prove records a proof of this process. mu is held.
+func (p *progress) prove(revision int64, at time.Time) {
+	p.through = max(p.through, revision)
+	p.ownThrough = max(p.ownThrough, revision)
+	p.ownAt = later(p.ownAt, at)
+	p.at = later(p.at, at)
+}
+
+// adopt records the proof of a peer, which says something of the state of this process if
+// that state has the last change that the peer knows. It reports whether it lacks it.
+func (p *progress) adopt(proof Proof) (isBehind bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.through < proof.LastChange {
+		return p.through > 0
+	}
+	if proof.Through >= p.lastChange && proof.LastChange < p.lastChange {
+		p.lastChange, p.readAt = proof.LastChange, time.Time{}
+	}
+	p.through = max(p.through, proof.Through)
+	p.at = later(p.at, proof.At)
+	return false
+}
+
+// proof returns the newest proof of this process. It returns false if there is none of the
+// last proofLife, or a change has come since. After a read its revision stands for the last
+// change, which peers would miss without need, so the proof is kept back until they have
+// proofs of later revisions.
+func (p *progress) proof(prefix string) (Proof, bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.ownThrough == 0 || p.lastChange > p.ownThrough || time.Since(p.ownAt) > proofLife || time.Since(p.readAt) < readProofDelay {
+		return Proof{}, false
+	}
+	return Proof{Prefix: prefix, LastChange: p.lastChange, Through: p.ownThrough, At: p.ownAt}, true
+}
+
+// startWait records that a watch is sent now, or that the follower waits without one.
+func (p *progress) startWait(unwatched bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.waitingSince, p.unwatched = time.Now(), unwatched
+}
+
+// endWait records that no watch waits for its answer.
+func (p *progress) endWait() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.waitingSince = time.Time{}
+}
+
+// waiting returns when the watch was sent that waits for its answer, zero if none does, and
+// when the known state was the newest one.
+func (p *progress) waiting() (since, currentAt time.Time) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.waitingSince, p.at
+}
+
+// isUnwatched reports whether the follower waits without a watch.
+func (p *progress) isUnwatched() bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.unwatched && !p.waitingSince.IsZero()
+}
+
+// known returns the revision up to which the known state is proved to have all changes.
+func (p *progress) known() int64 {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.through
+}
+
+// received returns the revision up to which the follower itself has received all changes.
+func (p *progress) received() int64 {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.after
+}
+
+func later(a, b time.Time) time.Time {
+	if a.After(b) {
+		return a
+	}
+	return b
+}
--- a/gateway/follow/refresh.go
+++ b/gateway/follow/refresh.go
@@ -22,6 +22,15 @@
 	}
 }
 
+// restartWatch ends the watch that waits for its answer, so that it is sent again.
+func (r *refreshRequest) restartWatch() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.interrupt != nil {
+		r.interrupt()
+	}
+}
+
 func (r *refreshRequest) pending() bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
--- a/gateway/node/node.go
+++ b/gateway/node/node.go
@@ -92,6 +92,9 @@
 	// DrainTime is how long a server that drains or has left may get requests; 0 for
 	// defaultDrainTime.
 	DrainTime time.Duration
+	// ConfigDeadline is how long after its write a configuration may come into force; 0 for
+	// defaultConfigDeadline.
+	ConfigDeadline time.Duration
 	// DrainLimit bounds the duration of a graceful stop.
 	DrainLimit time.Duration
 	Log        *slog.Logger
@@ -112,6 +115,7 @@
 	// followers are set by New and never change. The first one follows the
 	// configuration.
 	followers []*follow.Follower
+	checker   *follow.Checker
 	configLag *configLag
 	// quarantine holds the parts of prompts on which servers crash.
 	quarantine *quarantine.List
@@ -143,12 +147,16 @@
 	n.client.OnDial = func() { dials.Add(context.Background(), 1) }
 	n.peers = peers.New(o.VM, n.schedule, o.Log, n.configVersion)
 	n.peers.DataCentre, n.peers.DataCentreOf = o.DataCentre, n.registry.DataCentreOf
-	n.quarantine = quarantine.New(quarantine.Options{VM: o.VM, Log: o.Log, Store: p.Quarantine, Changed: n.peers.SendSoon})
+	n.quarantine = quarantine.New(quarantine.Options{VM: o.VM, Log: o.Log, Store: p.Quarantine, Changed: n.peers.SendSoon, OnCrash: n.watchQuarantine})
 	n.peers.Quarantine = n.quarantine
 	if err := n.quarantine.RegisterMetrics(o.Meter); err != nil {
 		return nil, fmt.Errorf("set up metrics: %w", err)
 	}
 	n.followers = n.newFollowers()
+	if n.checker, err = n.newChecker(); err != nil {
+		return nil, fmt.Errorf("set up metrics: %w", err)
+	}
+	n.peers.Proofs, n.peers.OnProofs = n.proofs, n.adoptProofs
 	n.configLag = &configLag{log: o.Log, inForce: n.configVersion, refresh: n.followers[0].Refresh}
 	if err := n.configLag.registerMetrics(o.Meter); err != nil {
 		return nil, fmt.Errorf("set up metrics: %w", err)
@@ -249,6 +257,7 @@
 	for _, f := range n.followers {
 		group.Go(func() error { return f.Run(ctx) })
 	}
+	group.Go(func() error { return n.checker.Run(ctx) })
 	group.Go(func() error {
 		defer cancel()
 		return n.drain(ctx, server, callers)
@@ -285,13 +294,15 @@
 	followers := []*follow.Follower{
 		{Prefix: n.protocol.ConfigKey, Handler: &configHandler{node: n}, ReadAfter: configReadAfter, BatchDelay: configBatchDelay},
 		{Prefix: n.protocol.ServersPrefix, Handler: &serverHandler{node: n}, BatchDelay: n.serverBatchDelay(), StartTime: startTime, StartBatchDelay: startServerBatchDelay},
-		{Prefix: peersPrefix, Handler: &peerHandler{node: n, known: map[string]peer{}}, BatchDelay: peerBatchDelay, StartTime: startTime, StartBatchDelay: startPeerBatchDelay},
+		{Prefix: peersPrefix, Handler: &peerHandler{node: n, known: map[string]peer{}}, BatchDelay: peerBatchDelay, StartTime: startTime, StartBatchDelay: startPeerBatchDelay,
+			Unwatched: func() bool { return true }},
 	}
 	if n.protocol.Quarantine != nil {
-		followers = append(followers, &follow.Follower{Prefix: quarantine.Prefix, Handler: n.quarantine})
+		followers = append(followers, &follow.Follower{Prefix: quarantine.Prefix, Handler: n.quarantine, Unwatched: n.quarantine.Idle})
 	}
+	store := &follow.FirstRead{Store: n.protocol.Store}
 	for _, f := range followers {
-		f.Store, f.Log = n.protocol.Store, n.options.Log
+		f.Store, f.Log = store, n.options.Log
 	}
 	return followers
 }
@@ -302,14 +313,6 @@
 	return minServerBatchDelay + time.Duration(float64(beyond)*serverBatchShare)
 }
 
-// refreshAll reads all prefixes after an outage of the store, in which it may have lost
-// the watches without an error.
-func (n *Node) refreshAll() {
-	for _, f := range n.followers {
-		f.Refresh()
-	}
-}
-
 // sweep closes idle connections and removes missing servers periodically.
 func (n *Node) sweep(ctx context.Context) error {
 	ticker := time.NewTicker(sweepInterval)
--- a/gateway/node/registration.go
+++ b/gateway/node/registration.go
@@ -13,10 +13,9 @@
 const (
 	// leaseTime is how long the registration of a dead gateway remains.
 	leaseTime = 12 * time.Second
-	// renewInterval is the time between renewals of the lease. A renewal also
-	// checks that the store answers, at a tenth of the price of a read: an
-	// outage that lasts long enough to lose a watch makes a renewal fail.
-	renewInterval = 2 * time.Second
+	// renewInterval is the time between renewals of the lease, of which it allows for two
+	// lost ones.
+	renewInterval = 4 * time.Second
 	// registrationRetryInterval is the delay before a failed registration or
 	// renewal is retried.
 	registrationRetryInterval = 500 * time.Millisecond
@@ -31,10 +30,9 @@
 // maintainRegistration registers the node in the store for its peers and renews the
 // lease. It registers again if the registration is lost although the lease has not ended:
 // a write of an earlier lease that the store carries out late replaces it, and ends with
-// that lease. After an outage of the store it refreshes all followers.
+// that lease.
 func (n *Node) maintainRegistration(ctx context.Context) error {
 	lease := int64(0)
-	failing := false
 	for {
 		var err error
 		if lease == 0 {
@@ -48,13 +46,9 @@
 			}
 		}
 		pause := renewInterval
-		switch {
-		case err != nil:
-			pause, failing = registrationRetryInterval, true
+		if err != nil {
+			pause = registrationRetryInterval
 			n.options.Log.Debug("own registration not renewed", "error", err.Error())
-		case failing:
-			failing = false
-			n.refreshAll()
 		}
 		select {
 		case <-ctx.Done():
--- a/gateway/peers/peers.go
+++ b/gateway/peers/peers.go
@@ -2,7 +2,8 @@
 // sends datagrams with the load of its own requests on each backend server. The
 // loads are hints: a lost datagram leads to a worse choice of server, never to a
 // wrong answer. The datagrams also carry what gateways tell each other about
-// servers that crash on parts of prompts (package quarantine).
+// servers that crash on parts of prompts (package quarantine), and how current their copies
+// of the lists in the store are (package follow).
 package peers
 
 import (
@@ -12,10 +13,12 @@
 	"net"
 	"net/netip"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"golang.org/x/sync/errgroup"
 
+	"camphorwick.dev/gateway/follow"
 	"camphorwick.dev/gateway/quarantine"
 	"camphorwick.dev/gateway/schedule"
 )
@@ -57,12 +60,18 @@
 	// is not known. They are used by groups.
 	DataCentre   string
 	DataCentreOf func(server string) string
+	// Proofs returns how current this process is, OnProofs is called with what a peer says
+	// of itself, never concurrently; nil for nothing.
+	Proofs   func() []follow.Proof
+	OnProofs func([]follow.Proof)
 	// Quarantine holds what gateways tell each other about parts of prompts on which
 	// servers crash; nil for nothing.
 	Quarantine *quarantine.List
 
 	process uint64        // random number of this process
 	wake    chan struct{} // triggers a datagram
+	// proofsDue is set if the next datagram has the proofs of this process.
+	proofsDue atomic.Bool
 	// toldLeaving is the number of servers in the last datagram that leave. Only send uses
 	// it.
 	toldLeaving int
--- a/gateway/peers/receive.go
+++ b/gateway/peers/receive.go
@@ -85,6 +85,7 @@
 	e.OnPeerConfig(m.GetConfigVersion())
 	e.handleReports(m)
 	e.handleLeaving(m)
+	e.handleProofs(m)
 	loads := make(map[string]dispatch.Load, len(m.GetLoads()))
 	for _, l := range m.GetLoads() {
 		loads[l.GetServer()] = dispatch.Load{Decoding: int(l.GetWriters()), Prefilling: int(l.GetWaiting()), Helping: int(l.GetHelping()),
--- a/gateway/peers/send.go
+++ b/gateway/peers/send.go
@@ -34,6 +34,7 @@
 		loads := e.loads(sent, complete)
 		hasReports := e.addReports(loads, complete)
 		hasReports = e.addLeaving(loads) || hasReports
+		hasReports = e.addProofs(loads) || hasReports
 		targets := e.targets()
 		if complete || hasReports || len(loads.GetLoads()) > 0 || len(loads.GetUnreachable()) > 0 || len(sent) > 0 && time.Since(lastSent) >= keepaliveInterval {
 			sequence++
--- a/gateway/quarantine/list.go
+++ b/gateway/quarantine/list.go
@@ -57,6 +57,8 @@
 	// Changed is called when there is something to report to the other gateways; nil for
 	// no other gateways. It must not block.
 	Changed func()
+	// OnCrash is called for each crash, own or reported; nil for nothing. It must not block.
+	OnCrash func()
 }
 
 // List holds the quarantined parts and the evidence against others. It is safe for
@@ -86,6 +88,9 @@
 	if o.Changed == nil {
 		o.Changed = func() {}
 	}
+	if o.OnCrash == nil {
+		o.OnCrash = func() {}
+	}
 	return &List{Options: o, process: rand.Uint64(), wake: make(chan struct{}, 1), tracker: quarantine.NewTracker(), entries: map[string]*record{},
 		removals: map[string]bool{}, tracked: map[*Request]bool{}, recent: recentReports{}, answered: answeredParts{}, answers: newAnswerCounts(), synced: o.Store == nil}
 }
@@ -98,6 +103,14 @@
 	return l.synced
 }
 
+// Idle reports whether no part is quarantined or suspected, so that the entries in the store
+// matter only once there are any.
+func (l *List) Idle() bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return len(l.entries)+len(l.removals)+l.tracker.Suspects() == 0
+}
+
 // Entries returns the quarantined parts, sorted by part.
 func (l *List) Entries() []Entry {
 	l.mu.Lock()
@@ -158,6 +171,7 @@
 	if !l.recent.add(c.Server+" "+c.Request, time.Now()) {
 		return nil // a report that was repeated
 	}
+	l.OnCrash()
 	var ended []ending
 	for _, part := range c.Parts {
 		r := l.entries[part]
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -70,6 +70,9 @@
 	UnusedMemoryMillis int `json:"unused_memory_ms,omitempty"`
 	// DrainMillis is how long a draining server may still get requests; 0 means 2 s.
 	DrainMillis int `json:"drain_ms,omitempty"`
+	// ConfigDeadlineMillis is how long after its write a configuration may come into force;
+	// 0 means 2 s.
+	ConfigDeadlineMillis int `json:"config_deadline_ms,omitempty"`
 }
 
 // TLS names the PEM files of the process's certificate and key and of the CA of
--- a/settings/settings_test.go
+++ b/settings/settings_test.go
@@ -80,6 +80,7 @@
 		{"window that overflows", `"retry_window_s": 10`, `"retry_window_s": 1e300`, "gateway.retry_window_s"},
 		{"grace that overflows", `"grace_s": 8`, `"grace_s": 1e300`, "gateway.grace_s"},
 		{"no grace", `"grace_s": 8`, `"grace_s": 0`, "gateway.grace_s"},
+		{"negative configuration deadline", `"grace_s": 8`, `"grace_s": 8, "config_deadline_ms": -1`, "gateway.config_deadline_ms"},
 		{"negative drain time", `"grace_s": 8`, `"grace_s": 8, "drain_ms": -1`, "gateway.drain_ms"},
 		{"negative time of unused memory", `"grace_s": 8`, `"grace_s": 8, "unused_memory_ms": -1`, "gateway.unused_memory_ms"},
 		{"wrong type", `"retry_extra": 100`, `"retry_extra": "many"`, "gateway.retry_extra"},
--- a/testbed/gatewaysoak/faults.go
+++ b/testbed/gatewaysoak/faults.go
@@ -45,6 +45,7 @@
 	{"store busy", true, storeFault(fleetsim.Busy)},
 	{"store resets", true, storeFault(fleetsim.Reset)},
 	{"store unresponsive", true, storeFault(fleetsim.Unresponsive)},
+	{"store forgets calls", true, storeFault(fleetsim.Forgetful)},
 	{"store compacts its history", true, func(r *run, _ int, _ time.Duration) error {
 		r.store.Compact()
 		return nil
