gateway: checks of the store cost a gateway fewer calls

Cause: at the start each gateway checked alone and read prefixes again that a check had shown to have changed; a change of the configuration made the next check one call for each prefix; the proof of a gateway that had read a prefix told its peers of a change that there need not be.

Change: a check delivers the changes of a prefix without a watch itself; proofs say whether their last change was seen; prefixes of large values are left out of a check only in a series of changes; a history that is compacted after a quiet time does not lead to a second read. Checks in the last seconds before watches were cut count no more for prefixes without a watch (TestChangeThatACheckDoesNotReport).

--- a/gateway/follow/checker.go
+++ b/gateway/follow/checker.go
@@ -5,7 +5,6 @@
 	"errors"
 	"log/slog"
 	"math/rand/v2"
-	"slices"
 	"strings"
 	"time"
 )
@@ -15,7 +14,7 @@
 	checkWait = time.Millisecond
 	// checkSpread is the random part of the time from a proof to the next check, as a share
 	// of Checker.Interval: of the gateways that share proofs, the first one checks.
-	checkSpread = 0.25
+	checkSpread = 0.2
 	// checkPatience is how long the answer to a check may take, as a share of
 	// Checker.Interval. It doubles up to maxCheckPatience while checks are not answered,
 	// for a store that is slow.
@@ -26,13 +25,11 @@
 	// maxUnprovenIntervals is the age of a proof, in intervals, from which a prefix of large
 	// values is read rather than checked: a check returns each value that was replaced.
 	maxUnprovenIntervals = 3
-	// maxReplaced is how many changes a check of several prefixes may return although they
-	// are known, before prefixes of large values are left out of it.
-	maxReplaced = 4
+	// maxReplaced is how many changes of a prefix of large values a check of several prefixes
+	// may return although they are known, before that prefix is left out of it.
+	maxReplaced = 2
 	// proofLife is how long a proof is passed on to peers.
 	proofLife = 10 * time.Second
-	// readProofDelay is how long a proof is kept back after a read; see progress.proof.
-	readProofDelay = 3 * time.Second
 )
 
 // Checker finds watches that are lost without an error. A store or a connection that is
@@ -61,6 +58,7 @@
 	// OnLost is called for each watch that is found to be lost; nil for none.
 	OnLost func(prefix string)
 
+	received  map[*Follower]int // changes of prefixes of large values, at the last check
 	failing   bool
 	failedAt  time.Time     // when the first of the failed checks began
 	patience  time.Duration // of the next check
@@ -72,6 +70,7 @@
 // Run checks the followers until ctx ends.
 func (c *Checker) Run(ctx context.Context) error {
 	c.resetPatience()
+	c.received = map[*Follower]int{}
 	for ctx.Err() == nil {
 		if wait := c.untilDue(time.Now()); wait > 0 {
 			sleep(ctx, wait)
@@ -138,8 +137,7 @@
 	if len(old) == 0 {
 		return nil
 	}
-	after := oldestRevision(old)
-	if !slices.ContainsFunc(large, func(f *Follower) bool { return f.progress.known()-after > maxReplaced }) {
+	if !c.manyReplaced(large) {
 		return [][]*Follower{old}
 	}
 	var groups [][]*Follower
@@ -149,6 +147,18 @@
 	return groups
 }
 
+// manyReplaced reports whether one of the followers has received many changes since the last
+// check, and records how many it has received.
+func (c *Checker) manyReplaced(followers []*Follower) bool {
+	many := false
+	for _, f := range followers {
+		count := f.progress.changeCount()
+		many = many || count-c.received[f] > maxReplaced
+		c.received[f] = count
+	}
+	return many
+}
+
 // oldestRevision returns the lowest of the revisions up to which states are proved.
 func oldestRevision(followers []*Follower) int64 {
 	oldest := followers[0].progress.known()
@@ -197,7 +207,7 @@
 	}
 	for f := range missing {
 		if f.progress.isUnwatched() {
-			f.Refresh()
+			f.refresh.deliver(delivery{ofPrefix(items, f.Prefix), revision, began})
 			delete(missing, f)
 		}
 	}
--- a/gateway/follow/follow.go
+++ b/gateway/follow/follow.go
@@ -26,6 +26,9 @@
 	// platform charges for calls, including refused ones.
 	minBackoff = 150 * time.Millisecond
 	maxBackoff = 900 * time.Millisecond
+	// quietTime is how long a watch waits at least before a change that is no part of a
+	// series.
+	quietTime = 2 * time.Second
 	// maxReadPause bounds the pause between two reads of a prefix that changes all
 	// the time.
 	maxReadPause = 250 * time.Millisecond
@@ -108,6 +111,9 @@
 	// peer, shows that it has changed. It is for prefixes of which a change may be known a
 	// little later.
 	Unwatched func() bool
+	// OnCut is called when a watch has failed or the store has no history for it, so that
+	// others may have missed changes as well; nil for none.
+	OnCut func()
 	// OnRead is called after each read was handled, with the time when it began; nil
 	// for none.
 	OnRead func(started time.Time)
@@ -120,6 +126,8 @@
 	changing  bool             // the last call brought a change
 	wasRead   bool             // the last call was a read
 	compacted bool             // the last watch found no history
+	watchedAt time.Time        // when the last watch was sent
+	quiet     bool             // the last watch found no history after it had waited for quietTime
 	currentAt time.Time        // the known state was the newest one at this time or later
 	failing   bool             // the last call failed
 	backoff   time.Duration    // the delay after the last failed call was random, from half of this to all of it
@@ -150,6 +158,15 @@
 	return at
 }
 
+// DoubtUnwatched takes back the last proofs of a prefix that is not watched now. A check that
+// was answered while the store reported no changes may have missed some, which a watch
+// notices by its end. It is safe for concurrent use.
+func (f *Follower) DoubtUnwatched() {
+	if f.progress.isUnwatched() {
+		f.progress.doubt()
+	}
+}
+
 // Rewatch sends a watch that waits for its answer again, or decides again whether to watch.
 // It is safe for concurrent use.
 func (f *Follower) Rewatch() { f.refresh.restartWatch() }
@@ -222,7 +239,8 @@
 	}
 	isNew := !f.loaded || !maps.Equal(revisions, f.revisions)
 	// The first read is not a change, but there may be changes by the end of a long one.
-	f.changing = isNew && (f.loaded || f.ReadAfter > 0 && time.Since(got.started) > f.ReadAfter)
+	f.changing = isNew && !f.quiet && (f.loaded || f.ReadAfter > 0 && time.Since(got.started) > f.ReadAfter)
+	f.quiet = false
 	f.revisions, f.after, f.currentAt = revisions, got.revision, got.started
 	f.loaded, f.mustRead, f.wasRead = true, false, true
 	f.progress.recordRead(got.revision, isNew, got.started)
@@ -244,9 +262,11 @@
 		return nil
 	}
 	if f.Unwatched != nil && f.Unwatched() {
-		return f.waitForRefresh(waitCtx)
+		f.waitForRefresh(waitCtx)
+		return f.poll(ctx)
 	}
 	started := time.Now()
+	f.watchedAt = started
 	f.progress.startWait(false)
 	items, after, err := f.Store.Watch(waitCtx, f.Prefix, f.after, WatchWait, f.handleAnswer)
 	f.refresh.endWait()
@@ -258,31 +278,55 @@
 	if err != nil {
 		return err
 	}
+	f.handleChanges(items, after)
+	if f.changing {
+		sleep(ctx, f.batchDelay())
+	}
+	return nil
+}
+
+// handleChanges handles the answer to a watch.
+func (f *Follower) handleChanges(items []Item, after int64) {
 	f.handleSuccess()
 	f.after = max(after, f.after)
 	f.changing, f.wasRead, f.compacted = len(items) > 0, false, false
 	for _, item := range newestItems(items) {
 		f.change(item)
 	}
-	f.progress.recordWatch(f.after, lastRevision(items), f.currentAt)
-	if f.changing {
-		sleep(ctx, f.batchDelay())
-	}
-	return nil
+	f.progress.recordWatch(f.after, items, f.currentAt)
 }
 
-// waitForRefresh waits until the prefix is to be read, in place of a watch. Changes that
-// come soon after one that was read are collected.
-func (f *Follower) waitForRefresh(ctx context.Context) error {
-	if f.changing {
-		sleep(ctx, f.batchDelay())
-	}
-	f.changing = false
+// waitForRefresh waits, in place of a watch, until there are changes to be polled.
+func (f *Follower) waitForRefresh(ctx context.Context) {
 	f.progress.startWait(true)
 	<-ctx.Done()
 	f.progress.endWait()
 	f.refresh.endWait()
-	return errInterrupted
+}
+
+// poll receives the changes of a prefix that is not watched, unless it must be read: those
+// that a check has brought, or by a call. It ends when those that may follow soon can be
+// received together.
+func (f *Follower) poll(ctx context.Context) error {
+	if !f.refresh.pending() {
+		return errInterrupted
+	}
+	if d := f.refresh.takeDelivery(); d != nil {
+		f.currentAt = d.began
+		f.handleChanges(d.items, d.revision)
+	} else {
+		f.refresh.clear()
+		f.after = f.progress.known()
+		items, after, err := f.Store.Watch(ctx, f.Prefix, f.after, checkWait, f.handleAnswer)
+		if err != nil {
+			return err
+		}
+		f.handleChanges(items, after)
+	}
+	if f.changing {
+		sleep(ctx, f.batchDelay())
+	}
+	return nil
 }
 
 // batchDelay returns the time from a change to the next call.
@@ -352,12 +396,20 @@
 // than the prefix can be read must not be called without a pause.
 func (f *Follower) handleCompaction(ctx context.Context) {
 	f.mustRead = true
+	f.quiet = time.Since(f.watchedAt) > quietTime
+	f.reportCut()
 	if f.compacted {
 		sleep(ctx, minBackoff)
 	}
 	f.compacted = true
 }
 
+func (f *Follower) reportCut() {
+	if f.OnCut != nil {
+		f.OnCut()
+	}
+}
+
 func (f *Follower) handleSuccess() {
 	f.backoff = 0
 	if f.failing {
@@ -371,6 +423,7 @@
 	if !f.failing {
 		f.failing = true
 		f.Log.Warn("store unavailable", "prefix", f.Prefix, "error", err.Error())
+		f.reportCut()
 	}
 	f.Handler.Failed(err)
 	f.backoff = min(max(f.backoff*2, minBackoff), maxBackoff)
--- a/gateway/follow/progress.go
+++ b/gateway/follow/progress.go
@@ -10,8 +10,9 @@
 	Prefix string
 	// LastChange is the revision of the last change of the prefix, or a later one, and
 	// Through the newest revision of the store at a time: the prefix has no change after
-	// LastChange up to Through.
+	// LastChange up to Through. Exact is set if there is a change at LastChange.
 	LastChange, Through int64
+	Exact               bool
 	// At is when the store was asked for the newest revision, by the steady clock of this
 	// process.
 	At time.Time
@@ -24,10 +25,15 @@
 	// through is the revision up to which the known state has all changes; 0 before the
 	// first read. lastChange and through are as in Proof.
 	through, lastChange int64
+	exact               bool // as in Proof
+	changes             int  // received so far; all that a read finds count as one
 	// after is the revision up to which the follower itself has received all changes.
 	after int64
 	// at is when the known state was the newest one, as this process or a peer has shown.
 	at time.Time
+	// before is a value of through of at least doubtTime ago, mark one of later at markedAt.
+	before, mark int64
+	markedAt     time.Time
 	// ownThrough and ownAt are those of the newest proof of this process.
 	ownThrough int64
 	ownAt      time.Time
@@ -35,9 +41,6 @@
 	// unwatched is set if the follower waits without a watch.
 	waitingSince time.Time
 	unwatched    bool
-	// readAt is when a read found another state than the known one; zero if a change of
-	// this state has been received, or told by a peer, since.
-	readAt time.Time
 }
 
 // recordRead records a read of the prefix that began at a time. changed is set if the state
@@ -47,20 +50,22 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if changed {
-		p.lastChange, p.readAt = revision, began
+		p.lastChange, p.exact = revision, false
+		p.changes++
 	}
 	p.after = revision
 	p.prove(revision, began)
 }
 
-// recordWatch records the answer to a watch, which began to arrive at a time. lastChange is
-// the revision of its newest change, 0 if it has none.
-func (p *progress) recordWatch(revision, lastChange int64, answered time.Time) {
+// recordWatch records the answer to a watch, which began to arrive at a time, with its
+// changes.
+func (p *progress) recordWatch(revision int64, items []Item, answered time.Time) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if lastChange > p.lastChange {
-		p.lastChange, p.readAt = lastChange, time.Time{}
+	if last := lastRevision(items); last > p.lastChange {
+		p.lastChange, p.exact = last, true
 	}
+	p.changes += len(items)
 	p.after = max(p.after, revision)
 	p.prove(revision, answered)
 }
@@ -75,39 +80,57 @@
 
 // prove records a proof of this process. mu is held.
 func (p *progress) prove(revision int64, at time.Time) {
-	p.through = max(p.through, revision)
+	p.advance(revision)
 	p.ownThrough = max(p.ownThrough, revision)
 	p.ownAt = later(p.ownAt, at)
 	p.at = later(p.at, at)
 }
 
+// advance raises through. mu is held.
+func (p *progress) advance(revision int64) {
+	if p.through == 0 {
+		p.before, p.mark = revision, revision
+	}
+	if now := time.Now(); now.Sub(p.markedAt) >= doubtTime {
+		p.before, p.mark, p.markedAt = p.mark, max(p.through, p.mark), now
+	}
+	p.through = max(p.through, revision)
+}
+
+// doubt takes back the proofs of the last doubtTime, so that the next check covers that time
+// once more.
+func (p *progress) doubt() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.through = min(p.through, p.before)
+	p.ownThrough = min(p.ownThrough, p.through)
+}
+
 // adopt records the proof of a peer, which says something of the state of this process if
-// that state has the last change that the peer knows. It reports whether it lacks it.
+// that state has the last change that the peer knows. It reports whether it lacks a change.
 func (p *progress) adopt(proof Proof) (isBehind bool) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if p.through < proof.LastChange {
-		return p.through > 0
+		return p.through > 0 && proof.Exact
 	}
 	if proof.Through >= p.lastChange && proof.LastChange < p.lastChange {
-		p.lastChange, p.readAt = proof.LastChange, time.Time{}
+		p.lastChange, p.exact = proof.LastChange, proof.Exact
 	}
-	p.through = max(p.through, proof.Through)
+	p.advance(proof.Through)
 	p.at = later(p.at, proof.At)
 	return false
 }
 
 // proof returns the newest proof of this process. It returns false if there is none of the
-// last proofLife, or a change has come since. After a read its revision stands for the last
-// change, which peers would miss without need, so the proof is kept back until they have
-// proofs of later revisions.
+// last proofLife, or a change has come since.
 func (p *progress) proof(prefix string) (Proof, bool) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if p.ownThrough == 0 || p.lastChange > p.ownThrough || time.Since(p.ownAt) > proofLife || time.Since(p.readAt) < readProofDelay {
+	if p.ownThrough == 0 || p.lastChange > p.ownThrough || time.Since(p.ownAt) > proofLife {
 		return Proof{}, false
 	}
-	return Proof{Prefix: prefix, LastChange: p.lastChange, Through: p.ownThrough, At: p.ownAt}, true
+	return Proof{Prefix: prefix, LastChange: p.lastChange, Through: p.ownThrough, Exact: p.exact, At: p.ownAt}, true
 }
 
 // startWait records that a watch is sent now, or that the follower waits without one.
@@ -153,9 +176,20 @@
 	return p.after
 }
 
+// doubtTime is how long checks may be answered without changes that there are: a store that
+// is about to drop its history may not report changes for about a second.
+const doubtTime = 3 * time.Second
+
 func later(a, b time.Time) time.Time {
 	if a.After(b) {
 		return a
 	}
 	return b
 }
+
+// changeCount returns the number of changes received so far.
+func (p *progress) changeCount() int {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.changes
+}
--- a/gateway/follow/refresh.go
+++ b/gateway/follow/refresh.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"sync"
+	"time"
 )
 
 // refreshRequest records that a prefix is to be read, and ends the watch that waits
@@ -10,9 +11,37 @@
 type refreshRequest struct {
 	mu        sync.Mutex
 	requested bool               // since the last read began
+	delivered *delivery          // changes that need not be asked for; nil for none
 	interrupt context.CancelFunc // ends the watch that waits for its answer; nil if none does
 }
 
+// delivery is the answer to a check, as far as it concerns one prefix.
+type delivery struct {
+	items    []Item
+	revision int64
+	began    time.Time
+}
+
+// deliver makes the follower handle changes without a call of its own.
+func (r *refreshRequest) deliver(d delivery) {
+	r.mu.Lock()
+	r.delivered = &d
+	r.mu.Unlock()
+	r.request()
+}
+
+// takeDelivery ends the request if it is for changes that are delivered, and returns them.
+func (r *refreshRequest) takeDelivery() *delivery {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	d := r.delivered
+	if d == nil {
+		return nil
+	}
+	r.requested, r.delivered = false, nil
+	return d
+}
+
 func (r *refreshRequest) request() {
 	r.mu.Lock()
 	defer r.mu.Unlock()
@@ -41,7 +70,7 @@
 func (r *refreshRequest) clear() {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	r.requested = false
+	r.requested, r.delivered = false, nil
 }
 
 // startWait records that a watch waits for its answer. It returns false if the prefix
--- a/gateway/node/checks.go
+++ b/gateway/node/checks.go
@@ -17,8 +17,8 @@
 	defaultConfigDeadline = 2 * time.Second
 	// checkShare is the share of the shortest bound on changes after which the store is
 	// checked for changes that no watch has brought. The random part of that time, the
-	// check and the read that follows need a quarter of the bound.
-	checkShare = 0.6
+	// check and the read that follows need a fifth of the bound.
+	checkShare = 0.65
 )
 
 // checkInterval returns the time from a proof that what this process knows is current to
@@ -87,6 +87,14 @@
 	}
 }
 
+// doubtUnwatched makes the next check cover the last seconds once more for the prefixes
+// without a watch, because a watch was cut.
+func (n *Node) doubtUnwatched() {
+	for _, f := range n.followers {
+		f.DoubtUnwatched()
+	}
+}
+
 // watchQuarantine makes the follower of the quarantined parts decide again whether it
 // watches them.
 func (n *Node) watchQuarantine() {
--- a/gateway/node/node.go
+++ b/gateway/node/node.go
@@ -303,6 +303,9 @@
 	store := &follow.FirstRead{Store: n.protocol.Store}
 	for _, f := range followers {
 		f.Store, f.Log = store, n.options.Log
+		if f.Unwatched == nil {
+			f.OnCut = n.doubtUnwatched
+		}
 	}
 	return followers
 }
