quarantine: a part counts wherever it stands among the parts of a prompt

Cause: only the first 64 shared parts of a prompt were read.

Change: all parts count. Tables keep what is newest or tells most; parts that are suspected already are recorded before new ones. More than 64 parts with the same crashes are one entry for the prompts with all of them. Reports that do not fit a datagram go with the next; long lists of IDs are packed. IDs are copied out of the heads that they came in.

--- a/gateway/peers/quarantine.go
+++ b/gateway/peers/quarantine.go
@@ -8,13 +8,9 @@
 	policy "camphorwick.dev/policy/quarantine"
 )
 
-// maxReportedParts bounds the parts of one crash that are taken from a datagram. A gateway
-// reports no more of one prompt.
-const maxReportedParts = 64
-
-// maxReportBytes bounds the crashes in one datagram by the bytes of their strings. The
-// newest ones go first.
-const maxReportBytes = 16_000
+// maxReportBytes bounds the reports in one datagram by the bytes of their strings. The parts
+// of the longest prompt, of which a datagram has one at most, are 30 KB when they are packed.
+const maxReportBytes = 24_000
 
 // addReports adds what there is to tell about parts of prompts to a datagram. It reports
 // whether it added anything.
@@ -22,17 +18,10 @@
 	if e.Quarantine == nil {
 		return false
 	}
-	reports := e.Quarantine.Reports(complete)
+	reports := e.Quarantine.Reports(complete, maxReportBytes)
 	now := time.Now()
-	bytes := 0
-	for i := len(reports.Crashes) - 1; i >= 0; i-- {
-		c := reports.Crashes[i]
-		if bytes += crashBytes(c); bytes > maxReportBytes {
-			e.Log.Warn("crashes not reported to the other gateways, their prompts have too many parts", "crashes", i+1)
-			break
-		}
-		out.Crashes = append(out.Crashes, &wire.ServerCrash{Server: c.Server, Request: c.Request, Account: c.Account, Parts: c.Parts,
-			SentAgoMs: ageMillis(now, c.Sent), EndedAgoMs: ageMillis(now, c.Ended)})
+	for _, c := range reports.Crashes {
+		out.Crashes = append(out.Crashes, encodeCrash(c, now))
 	}
 	for _, c := range reports.Cleared {
 		out.Cleared = append(out.Cleared, &wire.ClearedPart{Part: c.Part, AgoMs: ageMillis(now, c.At), Answers: c.Answers, Lifted: c.Lifted})
@@ -40,9 +29,25 @@
 	return !reports.Empty()
 }
 
-func crashBytes(c policy.Crash) int {
-	n := len(c.Server) + len(c.Request) + len(c.Account)
-	for _, part := range c.Parts {
+func encodeCrash(c policy.Crash, now time.Time) *wire.ServerCrash {
+	out := &wire.ServerCrash{Server: c.Server, Request: c.Request, Account: c.Account,
+		SentAgoMs: ageMillis(now, c.Sent), EndedAgoMs: ageMillis(now, c.Ended)}
+	if len(c.Parts) >= minPackedParts {
+		if packed, ok := packParts(c.Parts); ok {
+			out.PackedParts = packed
+			return out
+		}
+	}
+	out.Parts = c.Parts
+	return out
+}
+
+// maxPartBytes bounds the parts of one reported crash. The head of a request has fewer.
+const maxPartBytes = 64 << 10
+
+func partBytes(parts []string) int {
+	n := 0
+	for _, part := range parts {
 		n += len(part)
 	}
 	return n
@@ -59,7 +64,14 @@
 	ago := func(ms uint32) time.Time { return now.Add(-time.Duration(ms) * time.Millisecond) }
 	reports := quarantine.Reports{Process: m.GetProcess()}
 	for _, c := range m.GetCrashes() {
-		parts := c.GetParts()[:min(len(c.GetParts()), maxReportedParts)]
+		parts := c.GetParts()
+		if len(c.GetPackedParts()) > 0 {
+			parts = unpackParts(c.GetPackedParts())
+		}
+		if partBytes(parts) > maxPartBytes {
+			e.Log.Debug("reported crash ignored, its parts are longer than those of a prompt", "server", c.GetServer(), "parts", len(parts))
+			continue
+		}
 		reports.Crashes = append(reports.Crashes, policy.Crash{Server: c.GetServer(), Request: c.GetRequest(), Account: c.GetAccount(),
 			Parts: parts, Sent: ago(c.GetSentAgoMs()), Ended: ago(c.GetEndedAgoMs())})
 	}
--- a/gateway/quarantine/answers.go
+++ b/gateway/quarantine/answers.go
@@ -1,6 +1,9 @@
 package quarantine
 
-import "time"
+import (
+	"strings"
+	"time"
+)
 
 const (
 	// answersToLift is the number of answers in a row that end a quarantine because of
@@ -8,7 +11,7 @@
 	answersToLift = 6
 	// maxAnswerCounts bounds the parts whose answers are counted. The answers of others
 	// count once for each report.
-	maxAnswerCounts = 4096
+	maxAnswerCounts = 32768
 )
 
 // answerCounts counts answers to prompts with parts that have recent crashes, so that a
@@ -30,10 +33,14 @@
 
 // addOwn counts an answer of this process and returns their number.
 func (a *answerCounts) addOwn(part string) uint32 {
-	if _, known := a.own[part]; known || len(a.own) < maxAnswerCounts {
+	count, known := a.own[part]
+	switch {
+	case known:
 		a.own[part]++
+	case len(a.own) < maxAnswerCounts:
+		a.own[strings.Clone(part)] = 1 // it may be a piece of a long header
 	}
-	return a.own[part]
+	return count + 1
 }
 
 // newOf returns the number of answers in a report that earlier reports did not have.
@@ -79,9 +86,9 @@
 	return false
 }
 
-// clear records that a prompt with a part was answered here. It returns the requests to be
-// ended. mu is held.
-func (l *List) clear(part string, now time.Time) []ending {
+// clear records that a prompt with a part was answered here. It returns false if the part
+// may be the cause of crashes nevertheless. mu is held.
+func (l *List) clear(part string, now time.Time) bool {
 	l.answered.add(part, answerTime{at: now, own: true})
 	l.tracker.CountAnswer(part, now)
 	counts := l.tracker.AddAnswers(part, 1, now)
@@ -93,7 +100,7 @@
 		l.outgoing.addCleared(report)
 		l.scheduleWrite(r, true)
 		l.Changed()
-		return nil
+		return false
 	}
 	switch {
 	case l.lift(part, "a prompt with it was answered"):
@@ -103,5 +110,5 @@
 	case counts:
 		l.outgoing.addAnswers(report)
 	}
-	return l.removeFromWith(part, true)
+	return true
 }
--- a/gateway/quarantine/entry.go
+++ b/gateway/quarantine/entry.go
@@ -1,8 +1,10 @@
 package quarantine
 
 import (
+	"crypto/sha256"
 	"fmt"
 	"slices"
+	"strings"
 	"time"
 )
 
@@ -11,6 +13,8 @@
 	// their accounts. Two accounts are enough to refuse the part to all.
 	maxEvidence = 16
 	maxAccounts = 2
+	// groupNameBytes is the length of the hash in the name of a group.
+	groupNameBytes = 16
 )
 
 // RefusedError means that a prompt has a quarantined part.
@@ -43,7 +47,10 @@
 
 // Entry is a quarantined part, as it is stored.
 type Entry struct {
+	// Part is the ID of the part, or for a group a name that no part has.
 	Part string `json:"part"`
+	// Group is set for an entry of many parts, With, any of which may be the cause.
+	Group bool `json:"group,omitempty"`
 	// With are other parts that all crashing prompts had besides. Prompts that lack one of
 	// them are not refused: an answer to them clears the parts that they have.
 	With []string `json:"with,omitempty"`
@@ -75,9 +82,24 @@
 
 // covers reports whether a prompt with the given parts is like those on which servers
 // crashed.
-func (e *Entry) covers(parts []string) bool {
-	isMissing := func(part string) bool { return !slices.Contains(parts, part) }
-	return slices.Contains(parts, e.Part) && !slices.ContainsFunc(e.With, isMissing)
+func (e *Entry) covers(parts partSet) bool {
+	isMissing := func(part string) bool { return !parts.has(part) }
+	return (e.Group && len(e.With) > 0 || parts.has(e.Part)) && !slices.ContainsFunc(e.With, isMissing)
+}
+
+// members returns the parts any of which may be the cause, for a group all of them.
+func (e *Entry) members() []string {
+	if e.Group {
+		return e.With
+	}
+	return []string{e.Part}
+}
+
+// groupName returns the name of a group of parts, the same for each order of them.
+func groupName(parts []string) string {
+	sorted := slices.Sorted(slices.Values(parts))
+	hash := sha256.Sum256([]byte(strings.Join(sorted, ",")))
+	return fmt.Sprintf("group-%x", hash[:groupNameBytes])
 }
 
 // refusesAccount reports whether prompts of an account are refused.
@@ -86,7 +108,7 @@
 }
 
 // refuses reports whether a prompt of an account with the given parts is refused.
-func (e *Entry) refuses(account string, parts []string) bool {
+func (e *Entry) refuses(account string, parts partSet) bool {
 	return e.refusesAccount(account) && e.covers(parts)
 }
 
--- a/gateway/quarantine/list.go
+++ b/gateway/quarantine/list.go
@@ -43,6 +43,8 @@
 	decided  time.Time // when this process learnt of the entry, by its steady clock
 	// evidence is what led this process to the entry; nil if it was read from the store.
 	evidence []quarantine.Evidence
+	// answers counts those to prompts with the parts of a group, for which several are needed.
+	answers map[string]int
 	// servers are those that are known to have crashed on the part, by ID; more than Crashes
 	// names.
 	servers map[string]bool
@@ -71,7 +73,8 @@
 	mu       sync.Mutex
 	tracker  *quarantine.Tracker
 	entries  map[string]*record
-	removals map[string]bool // parts whose entry in the store is to be removed
+	groups   map[string]*record // those of entries that are groups
+	removals map[string]bool    // parts whose entry in the store is to be removed
 	tracked  map[*Request]bool
 	requests uint64 // number of requests tracked so far
 	outgoing outgoing
@@ -91,7 +94,7 @@
 	if o.OnCrash == nil {
 		o.OnCrash = func() {}
 	}
-	return &List{Options: o, process: rand.Uint64(), wake: make(chan struct{}, 1), tracker: quarantine.NewTracker(), entries: map[string]*record{},
+	return &List{Options: o, process: rand.Uint64(), wake: make(chan struct{}, 1), tracker: quarantine.NewTracker(), entries: map[string]*record{}, groups: map[string]*record{},
 		removals: map[string]bool{}, tracked: map[*Request]bool{}, recent: recentReports{}, answered: answeredParts{}, answers: newAnswerCounts(), synced: o.Store == nil}
 }
 
@@ -138,8 +141,7 @@
 	if r == nil {
 		return false
 	}
-	delete(l.entries, part)
-	l.tracker.Forget(part)
+	l.forget(r)
 	l.Log.Warn("part no longer quarantined", "part", part, "reason", reason, "since", r.Since, "trials", r.Trials)
 	if l.Store != nil {
 		l.removals[part] = true
@@ -150,21 +152,82 @@
 	return true
 }
 
-// removeFromWith records that a part is not the cause, so that prompts with the others
-// that were quarantined together with it are refused. It returns the requests to be ended.
-// mu is held.
-func (l *List) removeFromWith(part string, own bool) []ending {
+// set adds or replaces an entry. mu is held.
+func (l *List) set(r *record) {
+	l.entries[r.Part] = r
+	if r.Group {
+		l.groups[r.Part] = r
+	}
+}
+
+// forget drops an entry and the evidence against its parts. mu is held.
+func (l *List) forget(r *record) {
+	delete(l.entries, r.Part)
+	delete(l.groups, r.Part)
+	for _, part := range r.members() {
+		l.tracker.Forget(part)
+	}
+}
+
+// covering returns the entries that cover a prompt. mu is held.
+func (l *List) covering(parts partSet) []*record {
+	if len(l.entries) == 0 {
+		return nil
+	}
+	var out []*record
+	for _, part := range parts.list {
+		if r := l.entries[part]; r != nil && r.covers(parts) {
+			out = append(out, r)
+		}
+	}
+	for _, r := range l.groups {
+		if r.covers(parts) {
+			out = append(out, r)
+		}
+	}
+	return out
+}
+
+// removeFromWith records that parts are not the cause, so that prompts with the others that
+// were quarantined together with them are refused. It returns the requests to be ended. mu
+// is held.
+func (l *List) removeFromWith(parts partSet, own bool) []ending {
 	var ended []ending
 	for _, r := range l.entries {
-		if i := slices.Index(r.With, part); i >= 0 {
-			r.With = slices.Delete(slices.Clone(r.With), i, i+1)
-			l.scheduleWrite(r, own)
-			ended = append(ended, l.affected(r)...)
-		}
+		ended = append(ended, l.narrow(r, parts.has, own)...)
 	}
 	return ended
 }
 
+// narrow removes parts that are not the cause from an entry that names them besides others,
+// and returns the requests to be ended. mu is held.
+func (l *List) narrow(r *record, disproved func(part string) bool, own bool) []ending {
+	with := slices.DeleteFunc(slices.Clone(r.With), func(part string) bool { return disproved(part) && r.answered(part) })
+	if len(with) == len(r.With) {
+		return nil
+	}
+	r.With = with
+	if r.Group && len(with) == 0 {
+		l.lift(r.Part, "prompts with all its parts were answered")
+		return nil
+	}
+	l.scheduleWrite(r, own)
+	return l.affected(r)
+}
+
+// answered records an answer to a prompt with a part of With and reports whether it shows
+// that the part is not the cause. For a group because of frequent crashes several are needed.
+func (r *record) answered(part string) bool {
+	if !r.Group || !r.Frequent {
+		return true
+	}
+	if r.answers == nil {
+		r.answers = map[string]int{}
+	}
+	r.answers[part]++
+	return r.answers[part] >= answersToLift
+}
+
 // recordCrash records a crash that this or another gateway has seen. own is set for the
 // former. It returns the requests to be ended. mu is held.
 func (l *List) recordCrash(c quarantine.Crash, own bool) []ending {
@@ -173,23 +236,22 @@
 	}
 	l.OnCrash()
 	var ended []ending
-	for _, part := range c.Parts {
-		r := l.entries[part]
-		if r == nil || !r.covers(c.Parts) {
-			continue
-		}
+	explained := map[string]bool{} // parts that are quarantined
+	for _, r := range l.covering(newPartSet(c.Parts)) {
 		r.Passed = 0
 		l.addServer(r, c.Server)
-		l.tracker.AddCrash(part, c)
+		l.tracker.AddCrash(r.Part, c)
+		for _, part := range r.members() {
+			explained[part] = true
+		}
 		if r.addCrash(Crash{Server: c.Server, Request: c.Request, Account: c.Account}) {
-			l.Log.Warn("quarantine extended to another account", "part", part, "account", c.Account, "server", c.Server)
+			l.Log.Warn("quarantine extended to another account", "part", r.Part, "account", c.Account, "server", c.Server)
 			l.scheduleWrite(r, own)
 			ended = append(ended, l.affected(r)...)
 		}
 	}
 	c.Parts = slices.DeleteFunc(slices.Clone(c.Parts), func(part string) bool {
-		r := l.entries[part]
-		return r != nil && r.covers(c.Parts) || l.disproved(part, c.Ended)
+		return explained[part] || l.disproved(part, c.Ended)
 	})
 	found := l.tracker.Record(c)
 	slices.SortStableFunc(found, func(a, b quarantine.Finding) int { return len(b.Evidence) - len(a.Evidence) })
@@ -218,12 +280,16 @@
 // quarantine makes a part be refused and returns the requests to be ended. own is set if
 // this gateway has seen the last crash. mu is held.
 func (l *List) quarantine(f quarantine.Finding, own bool) []ending {
+	isGroup := f.Part == ""
+	if isGroup {
+		f.Part = groupName(f.With)
+	}
 	known := l.entries[f.Part]
 	if known == nil && len(l.entries) >= maxEntries {
 		l.Log.Error("part not quarantined, the list is full", "part", f.Part, "entries", len(l.entries))
 		return nil
 	}
-	r := &record{decided: time.Now(), evidence: f.Evidence, Entry: Entry{Part: f.Part, With: f.With, Since: time.Now(), Owner: l.VM, NextTrial: time.Now().Add(trialDelays[0]), Frequent: f.Frequent, Share: l.tracker.Share(f.Part)}}
+	r := &record{decided: time.Now(), evidence: f.Evidence, Entry: Entry{Part: f.Part, Group: isGroup, With: f.With, Since: time.Now(), Owner: l.VM, NextTrial: time.Now().Add(trialDelays[0]), Frequent: f.Frequent, Share: l.tracker.Share(f.Part)}}
 	for _, e := range f.Evidence {
 		r.addCrash(Crash{Server: e.Server, Request: e.Request, Account: e.Account})
 	}
@@ -231,10 +297,10 @@
 		r.revision, r.Since, r.Trials, r.NextTrial = known.revision, known.Since, known.Trials, known.NextTrial
 		r.With = intersect(r.With, known.With)
 	}
-	l.entries[f.Part] = r
+	l.set(r)
 	delete(l.removals, f.Part)
 	l.scheduleWrite(r, own)
-	l.Log.Warn("part quarantined, servers crash on it", "part", f.Part, "with", r.With, "accounts", r.Accounts, "frequent", r.Frequent, "crashes", r.Crashes)
+	l.Log.Warn("part quarantined, servers crash on it", "part", f.Part, "with", shown(r.With), "with_count", len(r.With), "accounts", r.Accounts, "frequent", r.Frequent, "crashes", r.Crashes)
 	for _, e := range f.Evidence {
 		l.addServer(r, e.Server)
 	}
--- a/gateway/quarantine/list_test.go
+++ b/gateway/quarantine/list_test.go
@@ -107,7 +107,7 @@
 		}
 		group.Go(func() {
 			for round := 0; ctx.Err() == nil; round++ {
-				reports := l.Reports(round%6 == 0)
+				reports := l.Reports(round%6 == 0, allReports)
 				for j, other := range lists {
 					if i != j && rand.Float64() >= lost {
 						other.Handle(reports)
@@ -424,7 +424,7 @@
 			answer(lists[0], "account0", "p")
 			time.Sleep(300 * time.Millisecond)
 		}
-		lists[1].Handle(lists[0].Reports(true))
+		lists[1].Handle(lists[0].Reports(true, allReports))
 		is.True(!refuses(lists[1], "account0", "p"))
 	})
 }
--- a/gateway/quarantine/model_test.go
+++ b/gateway/quarantine/model_test.go
@@ -41,6 +41,9 @@
 	crashSomeServers crashMode = "on half of the servers"
 )
 
+// allReports is a limit of the bytes of reports that is not reached.
+const allReports = 1 << 30
+
 // draw is one case of the model.
 type draw struct {
 	seed     uint64
@@ -120,7 +123,7 @@
 func (m *model) exchange(ctx context.Context) {
 	for round := 0; ctx.Err() == nil; round++ {
 		for i, l := range m.lists {
-			reports := l.Reports(round%6 == 0)
+			reports := l.Reports(round%6 == 0, allReports)
 			if reports.Empty() {
 				continue
 			}
--- a/gateway/quarantine/request.go
+++ b/gateway/quarantine/request.go
@@ -48,7 +48,7 @@
 	list    *List
 	id      string // of the caller, with a number that no other request has
 	account string
-	parts   []string
+	parts   partSet
 	end     func(error)
 
 	// The following fields are guarded by List.mu.
@@ -75,7 +75,7 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.requests++
-	r := &Request{list: l, id: fmt.Sprintf("%s#%x.%d", id, uint32(l.process), l.requests), account: account, parts: parts, end: end}
+	r := &Request{list: l, id: fmt.Sprintf("%s#%x.%d", id, uint32(l.process), l.requests), account: account, parts: newPartSet(parts), end: end}
 	l.tracked[r] = true
 	return r
 }
@@ -138,13 +138,11 @@
 func (r *Request) holdUntil(spread time.Duration) time.Time {
 	r.list.mu.Lock()
 	defer r.list.mu.Unlock()
-	var until time.Time
-	for _, part := range r.parts {
-		if at := r.list.tracker.HoldUntil(part); !at.IsZero() && at.Add(spread).After(until) {
-			until = at.Add(spread)
-		}
+	until := r.list.tracker.HoldUntil(r.parts.list...)
+	if until.IsZero() {
+		return until
 	}
-	return until
+	return until.Add(spread)
 }
 
 func (r *Request) setTrial(claims []record) {
@@ -164,18 +162,15 @@
 	defer l.mu.Unlock()
 	r.mayBeEnded = true
 	now := time.Now()
-	var refusing []*record
-	for _, part := range r.parts {
-		if e := l.entries[part]; e != nil && e.refuses(r.account, r.parts) && (r.trialSent || !slices.Contains(r.trial, part)) {
-			refusing = append(refusing, e)
-		}
-	}
+	refusing := slices.DeleteFunc(l.covering(r.parts), func(e *record) bool {
+		return !e.refusesAccount(r.account) || !r.trialSent && slices.Contains(r.trial, e.Part)
+	})
 	if len(refusing) == 0 {
 		return nil, nil
 	}
 	l.refused++
 	refused := refusing[0].refusal(now)
-	if len(r.trial) > 0 || len(refusing) > maxTrialParts || now.Sub(refusing[0].NextTrial) < maxCleanTrialWait && l.hasOtherSuspect(r.parts, refusing[0]) {
+	if len(r.trial) > 0 || len(refusing) > maxTrialParts || now.Sub(refusing[0].NextTrial) < maxCleanTrialWait && l.hasOtherSuspect(r.parts.list, refusing[0]) {
 		return refused, nil
 	}
 	var claims []record
@@ -198,8 +193,9 @@
 // Parts that were on all servers which crashed on the quarantined part do not count: each
 // prompt may have them. mu is held.
 func (l *List) hasOtherSuspect(parts []string, quarantined *record) bool {
-	return slices.ContainsFunc(parts, func(part string) bool {
-		return l.entries[part] == nil && l.tracker.Row(part) > 0 && !l.tracker.OnAllServers(part, quarantined.servers)
+	members := newPartSet(quarantined.members())
+	return slices.ContainsFunc(l.tracker.SuspectsAmong(parts), func(part string) bool {
+		return l.entries[part] == nil && !members.has(part) && !l.tracker.OnAllServers(part, quarantined.servers)
 	})
 }
 
@@ -253,11 +249,17 @@
 // list is held.
 func (r *Request) markSound(now time.Time) []ending {
 	r.sound = true
-	var ended []ending
-	for _, part := range r.parts {
-		ended = append(ended, r.list.clear(part, now)...)
+	l := r.list
+	cleared := make([]string, 0, len(r.parts.list))
+	for _, part := range r.parts.list {
+		if l.clear(part, now) {
+			cleared = append(cleared, part)
+		}
+	}
+	if len(l.entries) == 0 {
+		return nil
 	}
-	return ended
+	return l.removeFromWith(newPartSet(cleared), true)
 }
 
 // Suspicious reports whether the end of the request's server, once it was sent, counts
@@ -284,7 +286,7 @@
 	}
 	l := r.list
 	l.mu.Lock()
-	c := quarantine.Crash{Server: r.server, Request: r.id, Account: r.account, Parts: slices.Clone(r.parts), Sent: r.sentAt, Ended: time.Now()}
+	c := quarantine.Crash{Server: r.server, Request: r.id, Account: r.account, Parts: slices.Clone(r.parts.list), Sent: r.sentAt, Ended: time.Now()}
 	l.crashes++
 	l.outgoing.addCrash(c)
 	ended := l.recordCrash(c, true)
--- a/gateway/quarantine/store.go
+++ b/gateway/quarantine/store.go
@@ -167,8 +167,10 @@
 		r.Passed = max(r.Passed, known.Passed)
 		l.keepKnown(r, known)
 	}
-	l.entries[e.Part] = r
-	l.tracker.ForgetRow(e.Part)
+	l.set(r)
+	for _, part := range e.members() {
+		l.tracker.ForgetRow(part)
+	}
 	for _, c := range r.Crashes {
 		l.addServer(r, c.Server)
 	}
@@ -210,18 +212,18 @@
 }
 
 func intersect(a, b []string) []string {
-	return slices.DeleteFunc(slices.Clone(a), func(part string) bool { return !slices.Contains(b, part) })
+	kept := newPartSet(b)
+	return slices.DeleteFunc(slices.Clone(a), func(part string) bool { return !kept.has(part) })
 }
 
 // drop ends an entry that the store no longer has. mu is held.
 func (l *List) drop(part string, r *record) {
-	delete(l.entries, part)
-	l.tracker.Forget(part)
+	l.forget(r)
 	l.Log.Warn("part no longer quarantined, it was removed from the store", "part", part, "since", r.Since)
 }
 
-// maxParts bounds the parts that an entry names.
-const maxParts = 64
+// maxParts bounds the parts that an entry names. The head of a prompt has fewer.
+const maxParts = 16384
 
 // decodeEntry decodes a stored entry, which another writer may have left.
 func decodeEntry(item follow.Item) (Entry, error) {
@@ -235,7 +237,12 @@
 	if len(e.Accounts) == 0 {
 		return e, errNoAccount
 	}
-	e.With = e.With[:min(len(e.With), maxParts)]
+	if len(e.With) > maxParts {
+		return e, errManyParts // without some of them it would refuse other prompts
+	}
+	if e.Group && len(e.With) == 0 {
+		return e, errEmptyGroup
+	}
 	e.Claims = max(e.Claims, e.Trials) // builds without Claims wrote one for each trial
 	e.Accounts = e.Accounts[:min(len(e.Accounts), maxAccounts)]
 	e.Crashes = e.Crashes[:min(len(e.Crashes), maxEvidence)]
@@ -245,4 +252,7 @@
 var (
 	errOtherPart = errors.New("the entry names another part than its key")
 	errNoAccount = errors.New("the entry names no account")
+	// errManyParts is for an entry of another writer; gateways store no such entry.
+	errManyParts  = errors.New("the entry names too many parts")
+	errEmptyGroup = errors.New("the entry is a group without parts")
 )
--- a/policy/quarantine/frequent.go
+++ b/policy/quarantine/frequent.go
@@ -3,6 +3,7 @@
 import (
 	"math"
 	"slices"
+	"strings"
 	"time"
 )
 
@@ -112,22 +113,29 @@
 }
 
 // addRecent adds a crash to the history of a part. It reports whether the crash is new.
-func (t *Tracker) addRecent(part string, e Evidence) bool {
+func (t *Tracker) addRecent(part string, e *Evidence) bool {
 	h := t.recent[part]
 	if h == nil {
 		if len(t.recent) >= maxRecentParts {
-			t.dropOldestRecent()
+			t.forgetRecent(t.recentOrder.lowest())
 		}
+		part = strings.Clone(part)
 		h = &history{priorAnswers: t.usual.count(part, e.Ended)}
 		t.recent[part] = h
 	}
 	if h.has(e.Server) {
 		return false
 	}
-	h.add(outcome{at: e.Ended, crash: &e})
+	h.add(outcome{at: e.Ended, crash: e})
+	t.recentOrder.set(part, len(h.items))
 	return true
 }
 
+func (t *Tracker) forgetRecent(part string) {
+	delete(t.recent, part)
+	t.recentOrder.remove(part)
+}
+
 // minLikelierCrashes is the number of crashes from which a part is a likelier cause than
 // another one of which more prompts were answered.
 const minLikelierCrashes = 2
@@ -152,13 +160,15 @@
 	if known {
 		return largest
 	}
-	for _, part := range l.tracker.crashParts[server] {
-		h := l.tracker.recent[part]
-		if h == nil {
-			continue
-		}
-		if share, crashes := h.crashShare(); crashes >= minLikelierCrashes {
-			largest = max(largest, share)
+	if crashed := l.tracker.crashed.parts[server]; crashed != nil {
+		for part := range crashed.parts {
+			h := l.tracker.recent[part]
+			if h == nil {
+				continue
+			}
+			if share, crashes := h.crashShare(); crashes >= minLikelierCrashes {
+				largest = max(largest, share)
+			}
 		}
 	}
 	l.shares[server] = largest
@@ -174,29 +184,14 @@
 	return l.largestShare(server) > own
 }
 
-// maxCrashParts bounds the parts that are kept of one crash.
-const maxCrashParts = 256
-
-// addCrashParts records the parts of a prompt on a server that has crashed.
-func (t *Tracker) addCrashParts(c *Crash) {
-	known := t.crashParts[c.Server]
-	if known == nil && len(t.crashParts) >= maxRecentParts {
-		return
-	}
-	for _, part := range c.Parts {
-		if len(known) < maxCrashParts && !slices.Contains(known, part) {
-			known = append(known, part)
-		}
-	}
-	t.crashParts[c.Server] = known
-}
-
 // OnAllServers reports whether each of the servers that crashed had a prompt with a part.
 // Servers whose crash is no longer known do not count.
 func (t *Tracker) OnAllServers(part string, servers map[string]bool) bool {
 	for server := range servers {
-		if parts := t.crashParts[server]; parts != nil && !slices.Contains(parts, part) {
-			return false
+		if crashed := t.crashed.parts[server]; crashed != nil {
+			if _, has := crashed.parts[part]; !has {
+				return false
+			}
 		}
 	}
 	return true
@@ -216,8 +211,9 @@
 // AddCrash adds a crash to the recent ones of a part that is known to be a cause, alone or
 // together with others.
 func (t *Tracker) AddCrash(part string, c Crash) {
-	t.addCrashParts(&c)
-	t.addRecent(part, c.evidence())
+	t.crashed.add(&c)
+	e := c.evidence()
+	t.addRecent(part, &e)
 }
 
 // AddAnswers records that a number of prompts with a part were answered at about a time. It
@@ -233,6 +229,7 @@
 		return true
 	}
 	h.add(outcome{at: at, answers: n})
+	t.recentOrder.set(part, len(h.items))
 	return true
 }
 
@@ -243,30 +240,8 @@
 func (t *Tracker) expireRecent(now time.Time) {
 	for part, h := range t.recent {
 		if !h.hasCrash(now) {
-			delete(t.recent, part)
+			t.forgetRecent(part)
 		}
 	}
-	for server, parts := range t.crashParts {
-		if !slices.ContainsFunc(parts, t.HasRecent) {
-			delete(t.crashParts, server)
-		}
-	}
-}
-
-// dropOldestRecent drops the history with the fewest outcomes, the oldest of these.
-func (t *Tracker) dropOldestRecent() {
-	oldest, found := "", false
-	for part, h := range t.recent {
-		if !found || h.before(t.recent[oldest]) {
-			oldest, found = part, true
-		}
-	}
-	delete(t.recent, oldest)
-}
-
-func (h *history) before(other *history) bool {
-	if len(h.items) != len(other.items) {
-		return len(h.items) < len(other.items)
-	}
-	return len(h.items) == 0 || h.items[len(h.items)-1].at.Before(other.items[len(other.items)-1].at)
+	t.crashed.expire(t.HasRecent)
 }
--- a/policy/quarantine/quarantine.go
+++ b/policy/quarantine/quarantine.go
@@ -22,6 +22,7 @@
 
 import (
 	"slices"
+	"strings"
 	"time"
 )
 
@@ -47,10 +48,14 @@
 	minCrashInterval = time.Second
 	// sentSlack is by how much the times of two gateways may differ.
 	sentSlack = 5 * time.Millisecond
-	// maxSuspects bounds the memory for suspected parts; suspectLife is how long a part is
+	// maxSuspects bounds the memory for suspected parts, about 0.5 KB each. A prompt has
+	// some thousand parts at most, as its head is bounded. suspectLife is how long a part is
 	// suspected after its last crash that counts.
-	maxSuspects = 2048
+	maxSuspects = 16384
 	suspectLife = 30 * time.Minute
+	// maxSeparateParts bounds the parts with the same evidence of which each is a finding of
+	// its own.
+	maxSeparateParts = 64
 	// maxEvidence bounds the crashes in a row that are kept of a suspect; the oldest go
 	// first.
 	maxEvidence = 16
@@ -81,6 +86,8 @@
 
 // Finding is a part on which servers crash, with the crashes that show it.
 type Finding struct {
+	// Part is empty for a group of more than maxSeparateParts parts, With, for which the
+	// same crashes show the same, so that any of them may be the cause.
 	Part string
 	// With are other parts for which the same crashes show the same, so that any of them
 	// may be the cause. Prompts that lack one of them have not been tried.
@@ -93,72 +100,140 @@
 
 // Tracker finds parts on which servers crash. It is not safe for concurrent use.
 type Tracker struct {
-	suspects map[string][]Evidence // crashes in a row by part, oldest first; never empty
-	recent   map[string]*history   // crashes and answers of the last seconds by part
-	// crashParts holds the parts of the prompts on servers that crashed lately, by server.
-	crashParts map[string][]string
-	usual      usualAnswers
+	suspects     map[string][]*Evidence // crashes in a row by part, oldest first; never empty
+	suspectOrder *ranking               // of suspects, by the number of crashes
+	recent       map[string]*history    // crashes and answers of the last seconds by part
+	recentOrder  *ranking               // of recent, by the number of outcomes
+	crashed      crashedServers
+	usual        usualAnswers
 }
 
 // NewTracker returns a tracker without suspects.
 func NewTracker() *Tracker {
-	return &Tracker{suspects: map[string][]Evidence{}, recent: map[string]*history{}, crashParts: map[string][]string{}, usual: usualAnswers{}}
+	return &Tracker{suspects: map[string][]*Evidence{}, suspectOrder: newRanking(), recent: map[string]*history{}, recentOrder: newRanking(),
+		crashed: crashedServers{parts: map[string]*serverParts{}}, usual: usualAnswers{}}
 }
 
 // Record records a crash. It returns the parts for which it completes the evidence, which
 // are no suspects any more.
 func (t *Tracker) Record(c Crash) []Finding {
-	t.addCrashParts(&c)
+	t.crashed.add(&c)
 	e := c.evidence()
-	isNew := make([]bool, len(c.Parts))
-	for i, part := range c.Parts {
-		if t.suspects[part] == nil && len(t.suspects) >= maxSuspects {
-			t.dropOldest()
+	isNew := make(map[string]bool, len(c.Parts))
+	// Parts that are suspected already come first, so that those that are new do not displace
+	// them in this crash.
+	for _, part := range c.Parts {
+		if t.suspects[part] != nil {
+			t.addSuspect(part, &e)
+			isNew[part] = t.addRecent(part, &e)
+		}
+	}
+	for _, part := range c.Parts {
+		if _, done := isNew[part]; !done {
+			t.addSuspect(part, &e)
+			isNew[part] = t.addRecent(part, &e)
 		}
-		t.suspects[part] = insert(t.suspects[part], e)
-		isNew[i] = t.addRecent(part, e)
 	}
 	var found []Finding
 	causes := t.likelierCauses()
-	for i, part := range c.Parts {
+	for _, part := range c.Parts {
 		if row := inARow(causes.without(part, t.suspects[part])); sufficient(row, t.neededRow(part)) {
-			found = append(found, Finding{Part: part, Evidence: row})
-		} else if !isNew[i] {
+			found = append(found, Finding{Part: part, Evidence: copyEvidence(row)})
+		} else if !isNew[part] {
 			continue
 		} else if frequent := t.evidence(part, causes); frequent != nil {
 			found = append(found, Finding{Part: part, Evidence: frequent, Frequent: true})
 		}
 	}
 	for _, f := range found {
-		delete(t.suspects, f.Part)
+		t.ForgetRow(f.Part)
+	}
+	return together(found)
+}
+
+// addSuspect adds a crash to the evidence against a part.
+func (t *Tracker) addSuspect(part string, e *Evidence) {
+	evidence := t.suspects[part]
+	if evidence == nil {
+		if len(t.suspects) >= maxSuspects {
+			t.ForgetRow(t.suspectOrder.lowest())
+		}
+		part = strings.Clone(part) // it may be a piece of a long header
 	}
+	evidence = insert(evidence, e)
+	t.suspects[part] = evidence
+	t.suspectOrder.set(part, len(evidence))
+}
+
+// together sets the other parts of findings with the same evidence, and makes one finding of
+// those of a large group.
+func together(found []Finding) []Finding {
+	groups := map[string][]string{} // parts by evidence
 	for i := range found {
-		for j := range found {
-			if i != j && slices.EqualFunc(found[i].Evidence, found[j].Evidence, sameServer) {
-				found[i].With = append(found[i].With, found[j].Part)
-			}
+		key := found[i].evidenceKey()
+		groups[key] = append(groups[key], found[i].Part)
+	}
+	var out []Finding
+	for _, f := range found {
+		key := f.evidenceKey()
+		parts := groups[key]
+		switch {
+		case len(parts) <= maxSeparateParts:
+			f.With = without(parts, f.Part)
+		case parts[0] == f.Part:
+			f.Part, f.With = "", parts
+		default:
+			continue
 		}
+		out = append(out, f)
 	}
-	return found
+	return out
+}
+
+// evidenceKey returns a text that is the same for findings with crashes of the same servers.
+func (f *Finding) evidenceKey() string {
+	var b strings.Builder
+	for _, e := range f.Evidence {
+		b.WriteString(e.Server)
+		b.WriteByte(0)
+	}
+	return b.String()
+}
+
+// without returns the parts except one; nil for none.
+func without(parts []string, part string) []string {
+	var out []string
+	for _, other := range parts {
+		if other != part {
+			out = append(out, other)
+		}
+	}
+	return out
 }
 
-func sameServer(a, b Evidence) bool { return a.Server == b.Server }
+func copyEvidence(list []*Evidence) []Evidence {
+	out := make([]Evidence, 0, len(list))
+	for _, e := range list {
+		out = append(out, *e)
+	}
+	return out
+}
 
 // insert adds a crash to the evidence in the order of their ends, because reports of other
 // gateways may be late. A server crashes once.
-func insert(evidence []Evidence, e Evidence) []Evidence {
-	if slices.ContainsFunc(evidence, func(other Evidence) bool { return other.Server == e.Server }) {
+func insert(evidence []*Evidence, e *Evidence) []*Evidence {
+	if slices.ContainsFunc(evidence, func(other *Evidence) bool { return other.Server == e.Server }) {
 		return evidence
 	}
-	i, _ := slices.BinarySearchFunc(evidence, e, func(a, b Evidence) int { return a.Ended.Compare(b.Ended) })
+	i, _ := slices.BinarySearchFunc(evidence, e, func(a, b *Evidence) int { return a.Ended.Compare(b.Ended) })
 	evidence = slices.Insert(evidence, i, e)
 	return evidence[max(0, len(evidence)-maxEvidence):]
 }
 
 // inARow returns the crashes that count: the first one, and each one after which the part
 // had been tried again or that came some time later.
-func inARow(evidence []Evidence) []Evidence {
-	var row []Evidence
+func inARow(evidence []*Evidence) []*Evidence {
+	var row []*Evidence
 	for _, e := range evidence {
 		if len(row) == 0 || e.Sent.After(row[len(row)-1].Ended.Add(-sentSlack)) || e.Ended.Sub(row[len(row)-1].Ended) >= minCrashInterval {
 			row = append(row, e)
@@ -168,11 +243,11 @@
 }
 
 // without returns the crashes that no other part explains better.
-func (l *likelierCauses) without(part string, evidence []Evidence) []Evidence {
+func (l *likelierCauses) without(part string, evidence []*Evidence) []*Evidence {
 	if len(evidence) < crashesToHold {
 		return evidence // too few to matter
 	}
-	var out []Evidence
+	var out []*Evidence
 	for _, e := range evidence {
 		if !l.exist(part, e.Server) {
 			out = append(out, e)
@@ -191,7 +266,7 @@
 
 // sufficient reports whether crashes in a row, of which so many are needed, show that the
 // part is the cause.
-func sufficient(row []Evidence, needed int) bool {
+func sufficient(row []*Evidence, needed int) bool {
 	if len(row) < needed || row[len(row)-1].Ended.Sub(row[0].Ended) < minRowTime {
 		return false
 	}
@@ -202,15 +277,26 @@
 	return len(requests) >= minRequests
 }
 
-// HoldUntil returns until when prompts with a part should wait: it has crashes in a row,
-// and the next one would not be enough yet. It returns the zero time for other parts.
-func (t *Tracker) HoldUntil(part string) time.Time {
+// HoldUntil returns until when a prompt with some parts should wait: one of them has crashes
+// in a row, and the next one would not be enough yet. It returns the zero time if there is
+// none.
+func (t *Tracker) HoldUntil(parts ...string) time.Time {
+	var until time.Time
 	causes := t.likelierCauses()
-	row := inARow(causes.without(part, t.suspects[part]))
-	if len(row) < crashesToHold {
-		return time.Time{}
+	for _, part := range parts {
+		evidence := t.suspects[part]
+		if len(evidence) < crashesToHold {
+			continue
+		}
+		row := inARow(causes.without(part, evidence))
+		if len(row) < crashesToHold {
+			continue
+		}
+		if at := row[0].Ended.Add(minRowTime); at.After(until) {
+			until = at
+		}
 	}
-	return row[0].Ended.Add(minRowTime)
+	return until
 }
 
 // Clear records that a prompt with the part was answered at a time, which disproves the
@@ -220,29 +306,39 @@
 	if !ok || evidence[0].Ended.After(at) {
 		return false
 	}
-	evidence = slices.DeleteFunc(evidence, func(e Evidence) bool { return !e.Ended.After(at) })
+	evidence = slices.DeleteFunc(evidence, func(e *Evidence) bool { return !e.Ended.After(at) })
 	if len(evidence) == 0 {
-		delete(t.suspects, part)
+		t.ForgetRow(part)
 	} else {
 		t.suspects[part] = evidence
+		t.suspectOrder.set(part, len(evidence))
 	}
 	return true
 }
 
-// Row returns the number of crashes in a row of a part.
-func (t *Tracker) Row(part string) int {
+// SuspectsAmong returns those of some parts that have crashes in a row.
+func (t *Tracker) SuspectsAmong(parts []string) []string {
+	var out []string
 	causes := t.likelierCauses()
-	return len(inARow(causes.without(part, t.suspects[part])))
+	for _, part := range parts {
+		if len(causes.without(part, t.suspects[part])) > 0 {
+			out = append(out, part)
+		}
+	}
+	return out
 }
 
 // Forget drops the evidence against a part.
 func (t *Tracker) Forget(part string) {
-	delete(t.suspects, part)
-	delete(t.recent, part)
+	t.ForgetRow(part)
+	t.forgetRecent(part)
 }
 
 // ForgetRow drops the crashes in a row of a part.
-func (t *Tracker) ForgetRow(part string) { delete(t.suspects, part) }
+func (t *Tracker) ForgetRow(part string) {
+	delete(t.suspects, part)
+	t.suspectOrder.remove(part)
+}
 
 // Expire drops the suspects without a crash for suspectLife.
 func (t *Tracker) Expire(now time.Time) {
@@ -250,30 +346,10 @@
 	t.usual.expire(now)
 	for part, evidence := range t.suspects {
 		if now.Sub(evidence[len(evidence)-1].Ended) > suspectLife {
-			delete(t.suspects, part)
+			t.ForgetRow(part)
 		}
 	}
 }
 
 // Suspects returns the number of suspected parts.
 func (t *Tracker) Suspects() int { return len(t.suspects) }
-
-// dropOldest drops the suspect with the fewest crashes, the oldest of these, so that one
-// crash with many parts does not displace a part with several crashes.
-func (t *Tracker) dropOldest() {
-	oldest, found := "", false
-	for part, evidence := range t.suspects {
-		if !found || before(evidence, t.suspects[oldest]) {
-			oldest, found = part, true
-		}
-	}
-	delete(t.suspects, oldest)
-}
-
-// before reports whether a is to be dropped before b.
-func before(a, b []Evidence) bool {
-	if len(a) != len(b) {
-		return len(a) < len(b)
-	}
-	return a[len(a)-1].Ended.Before(b[len(b)-1].Ended)
-}
--- a/testbed/gatewaysoak/crashing_part_test.go
+++ b/testbed/gatewaysoak/crashing_part_test.go
@@ -38,6 +38,8 @@
 	t          *testing.T
 	chance     float64 // share of sound requests on which an engine crashes
 	unregister bool    // the registration of an engine is removed as it crashes
+	// soundParts returns the shared parts of a sound prompt; nil for three that all have.
+	soundParts func() []string
 	background sync.WaitGroup
 	// crashesOn reports whether an engine crashes on a request.
 	crashesOn func(fleetsim.Run) bool
@@ -151,7 +153,7 @@
 }
 
 // load sends sound requests, and bad ones whose crashing part is at the given position of
-// three shared parts (negative for none), until crashLoadTime has passed. midway is called
+// the shared parts (negative for none), until crashLoadTime has passed. midway is called
 // in the middle.
 func (f *crashFleet) load(position int, midway func()) {
 	f.begun = time.Now()
@@ -167,12 +169,15 @@
 			}
 		})
 	}
-	sound := []string{"a0", "b0", "c0"}
-	repeat(soundInterval, func(n int) { f.sendSound(n, sound) })
+	parts := f.soundParts
+	if parts == nil {
+		parts = func() []string { return []string{"a0", "b0", "c0"} }
+	}
+	repeat(soundInterval, func(n int) { f.sendSound(n, parts()) })
 	if position >= 0 {
-		bad := slices.Clone(sound)
-		bad[position] = testBadPart
 		repeat(badInterval, func(n int) {
+			bad := parts()
+			bad[position] = testBadPart
 			if status := f.send(fmt.Sprintf("bad-%d", n), bad...); status == http.StatusOK {
 				f.t.Error("a request with the crashing part was answered 200")
 			}
@@ -267,3 +272,47 @@
 		})
 	}
 }
+
+// Guards against a part that crashes servers never being found because it is one of many
+// parts of its prompts: behind more others than are looked at, first or among them, with
+// others that sound prompts share and with others that are new each time.
+func TestPartAmongManyThatCrashesServers(t *testing.T) {
+	bin := binaries(t)
+	for _, c := range []struct {
+		name            string
+		parts, position int
+		own             bool // the other parts are new each time
+	}{
+		{"behind 70 others", 71, 70, false},
+		{"among 700 others", 701, 350, false},
+		{"before 700 others", 701, 0, false},
+		{"behind 700 others that are new each time", 701, 700, true},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			f := newCrashFleet(t, bin, 0)
+			f.soundParts = func() []string {
+				var parts []string
+				for i := range c.parts {
+					id := fmt.Sprintf("5%07x", i)
+					if c.own {
+						id = fmt.Sprintf("%08x", rand.Uint32())
+					}
+					parts = append(parts, id)
+				}
+				return parts
+			}
+			f.load(c.position, func() {})
+			after, share := f.crashing.lateArrivals(), f.soundShare()
+			t.Logf("%d crashes on the part, %d late requests, %.2f of the sound requests served", len(f.crashing.crashes), after, share)
+			if after > sendsAllowed {
+				t.Errorf("%d requests with the part reached engines, want at most %d", after, sendsAllowed)
+			}
+			if share < 0.9 {
+				t.Errorf("%.2f of the sound requests were served, want at least 0.9", share)
+			}
+			for _, err := range append(f.fleet.Races(), f.report.Violations...) {
+				t.Error(err)
+			}
+		})
+	}
+}
