cloud/httpkv: a lost poll of a watch is noticed within 3 s

The watchers of the configuration in the standing product had the fault of the gateways: a poll of a watch that the platform loses in a moment of silence waited for 30 s and the time of a call, 35 s in all, and all watchers send their polls at about one time. An edit has to be in force everywhere in 5 s.

Change: a poll lasts 2 s and is given up 1 s later.

--- a/cloud/httpkv/call.go
+++ b/cloud/httpkv/call.go
@@ -78,7 +78,7 @@
 	r.encode(req)
 	callCtx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
-	timer := time.AfterFunc(c.options.CallTimeout+r.wait, func() { cancel(errCallTimeout) })
+	timer := time.AfterFunc(c.timeout(r), func() { cancel(errCallTimeout) })
 	defer timer.Stop()
 	// A large value over a slow link may take longer than the time of a call. Begun
 	// again it would take as long.
@@ -94,6 +94,14 @@
 	return r.mapFailure(status, resp.Body())
 }
 
+// timeout returns how long the response to a call may take to begin.
+func (c *Client) timeout(r request) time.Duration {
+	if r.wait > 0 {
+		return r.wait + min(watchSlack, c.options.CallTimeout)
+	}
+	return c.options.CallTimeout
+}
+
 // errCallTimeout is the cause of the error of a call without an answer, or without more of
 // it, for CallTimeout.
 var errCallTimeout = fmt.Errorf("nothing arrived in time: %w", context.DeadlineExceeded)
--- a/cloud/httpkv/httpkv.go
+++ b/cloud/httpkv/httpkv.go
@@ -22,8 +22,11 @@
 const (
 	// DefaultCallTimeout bounds the time in which nothing of a response arrives.
 	DefaultCallTimeout = 5 * time.Second
-	// DefaultWatchWait is how long the server holds a watch poll.
-	DefaultWatchWait = 30 * time.Second
+	// DefaultWatchWait is how long the server holds a watch poll. A poll that is lost without
+	// an error, in a moment of silence, is given up watchSlack later; an edit has to be in
+	// force everywhere within 5 s.
+	DefaultWatchWait = 2 * time.Second
+	watchSlack       = time.Second
 	// maxResponseBytes bounds a response; key lists are the largest.
 	maxResponseBytes = 16 << 20
 )
--- a/cloud/httpkv/httpkv_test.go
+++ b/cloud/httpkv/httpkv_test.go
@@ -430,3 +430,21 @@
 		})
 	}
 }
+
+// Guards against a watch that is lost in a short silence of the platform, without an error,
+// and hides edits of the configuration for half a minute: an edit has to be in force
+// everywhere within 5 s.
+func TestLostWatchIsNoticed(t *testing.T) {
+	const maxNotice = 3500 * time.Millisecond // leaves 1.5 s for the read and for passing the edit on
+	is := is.New(t)
+	server := httptest.NewServer(http.HandlerFunc(func(_ http.ResponseWriter, r *http.Request) { <-r.Context().Done() }))
+	defer server.Close()
+	c := New(Options{Address: strings.TrimPrefix(server.URL, "http://")})
+	defer c.Close()
+	ctx, cancel := context.WithTimeout(t.Context(), 2*maxNotice)
+	defer cancel()
+	started := time.Now()
+	_, err := c.Watch(ctx, "k", 1)
+	is.True(as[*cloud.UnavailableError](err))
+	is.True(time.Since(started) <= maxNotice)
+}
