quarantine: one prompt of another account at a time

Cause: a part is refused to the account whose servers crashed, and to all once there are two accounts; nothing bounded how many prompts of the second one were on servers before the first of them crashed one.

Change: such a prompt is claimed in the store like a trial, one over all gateways, and is sent to one server. The others are refused until it has been answered or has crashed its server.

--- a/gateway/quarantine/entry.go
+++ b/gateway/quarantine/entry.go
@@ -56,7 +56,8 @@
 	With []string `json:"with,omitempty"`
 	// Accounts are the client accounts under whose requests servers crashed, at most
 	// maxAccounts. The part is refused to these, so that an account cannot make parts of
-	// others be refused; with two or more it is refused to all.
+	// others be refused; with two or more it is refused to all. With one, a prompt of another
+	// account is let through at a time.
 	Accounts []string `json:"accounts"`
 	// Since is when the part was quarantined, by the clock of Owner.
 	Since   time.Time `json:"since"`
@@ -73,6 +74,8 @@
 	// Claims is the number of requests that were let through as trials, of which several
 	// may belong to one.
 	Claims int `json:"claims,omitempty"`
+	// Probes is how many of these were prompts of an account without crashes.
+	Probes int `json:"probes,omitempty"`
 	// Frequent is set if prompts with the part were answered between the crashes. Several
 	// answers are needed to end the quarantine then; Passed is how many there were since
 	// the last crash.
--- a/gateway/quarantine/list.go
+++ b/gateway/quarantine/list.go
@@ -45,6 +45,9 @@
 	evidence []quarantine.Evidence
 	// answers counts those to prompts with the parts of a group, for which several are needed.
 	answers map[string]int
+	// probedAt is when a prompt of an account without crashes was let through last, by this
+	// gateway or another.
+	probedAt time.Time
 	// servers are those that are known to have crashed on the part, by ID; more than Crashes
 	// names.
 	servers map[string]bool
--- a/gateway/quarantine/request.go
+++ b/gateway/quarantine/request.go
@@ -1,6 +1,7 @@
 package quarantine
 
 import (
+	"cmp"
 	"context"
 	"fmt"
 	"math/rand/v2"
@@ -107,6 +108,7 @@
 			refused, _ = r.check()
 		} else {
 			r.setTrial(nil)
+			refused = cmp.Or(refused, claims[0].refusal(time.Now()))
 		}
 	}
 	if refused != nil {
@@ -145,7 +147,7 @@
 	return until.Add(spread)
 }
 
-func (r *Request) setTrial(claims []record) {
+func (r *Request) setTrial(claims []claim) {
 	r.list.mu.Lock()
 	defer r.list.mu.Unlock()
 	r.trial = nil
@@ -155,32 +157,39 @@
 }
 
 // check returns an error if the request is refused, and the entries of which it may be a
-// trial.
-func (r *Request) check() (*RefusedError, []record) {
+// trial. Without an error and with such entries it is refused unless it becomes a trial.
+func (r *Request) check() (*RefusedError, []claim) {
 	l := r.list
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	r.mayBeEnded = true
 	now := time.Now()
-	refusing := slices.DeleteFunc(l.covering(r.parts), func(e *record) bool {
-		return !e.refusesAccount(r.account) || !r.trialSent && slices.Contains(r.trial, e.Part)
-	})
+	var refusing, others []*record // others have no crashes of the request's account
+	for _, e := range l.covering(r.parts) {
+		switch {
+		case !r.trialSent && slices.Contains(r.trial, e.Part):
+		case e.refusesAccount(r.account) || r.trialSent:
+			refusing = append(refusing, e)
+		default:
+			others = append(others, e)
+		}
+	}
 	if len(refusing) == 0 {
-		return nil, nil
+		return r.checkAccount(others, now)
 	}
 	l.refused++
 	refused := refusing[0].refusal(now)
 	if len(r.trial) > 0 || len(refusing) > maxTrialParts || now.Sub(refusing[0].NextTrial) < maxCleanTrialWait && l.hasOtherSuspect(r.parts.list, refusing[0]) {
 		return refused, nil
 	}
-	var claims []record
+	var claims []claim
 	mayClaim := l.Store == nil
 	for _, e := range refusing {
 		if !l.trialDue(e, now) {
 			return refused, nil
 		}
 		mayClaim = mayClaim || e.Claims > 0 || e.Owner == l.VM
-		claims = append(claims, *e)
+		claims = append(claims, claim{record: *e})
 	}
 	if !mayClaim {
 		return refused, nil
@@ -188,6 +197,25 @@
 	return refused, claims
 }
 
+// checkAccount is check for entries that rest on crashes of one other account. An account
+// must not make parts be refused to others, and prompts of a second account must not crash a
+// server each: one of them is let through, of all gateways, and the others are refused until
+// it has been answered or has crashed its server. mu of the list is held.
+func (r *Request) checkAccount(entries []*record, now time.Time) (*RefusedError, []claim) {
+	if len(entries) == 0 {
+		return nil, nil
+	}
+	var claims []claim
+	for _, e := range entries {
+		if len(r.trial) > 0 || len(entries) > maxTrialParts || !r.list.probeDue(e, now) {
+			r.list.refused++
+			return e.refusal(now), nil
+		}
+		claims = append(claims, claim{record: *e, probe: true})
+	}
+	return nil, claims
+}
+
 // hasOtherSuspect reports whether a prompt has a part with a crash that no answer has
 // disproved, and that is not quarantined. Its crash would not show on which part it was.
 // Parts that were on all servers which crashed on the quarantined part do not count: each
--- a/gateway/quarantine/store.go
+++ b/gateway/quarantine/store.go
@@ -163,7 +163,10 @@
 	if known == nil {
 		l.Log.Warn("part quarantined by another gateway", "part", e.Part, "accounts", e.Accounts, "since", e.Since, "owner", e.Owner)
 	} else {
-		r.decided, r.servers = known.decided, known.servers
+		r.decided, r.servers, r.probedAt = known.decided, known.servers, known.probedAt
+		if r.Probes > known.Probes {
+			r.probedAt = time.Now()
+		}
 		r.Passed = max(r.Passed, known.Passed)
 		l.keepKnown(r, known)
 	}
@@ -207,7 +210,7 @@
 		l.scheduleWrite(r, false)
 	}
 	if known.Claims > r.Claims {
-		r.Claims, r.Trials, r.NextTrial = known.Claims, known.Trials, known.NextTrial
+		r.Claims, r.Trials, r.NextTrial, r.Probes = known.Claims, known.Trials, known.NextTrial, known.Probes
 	}
 }
 
--- a/gateway/quarantine/trials.go
+++ b/gateway/quarantine/trials.go
@@ -18,11 +18,26 @@
 	return laterTrialDelay
 }
 
+// claim is an entry of which a request is to be a trial. probe is set for the first prompt
+// of another account than those whose servers have crashed.
+type claim struct {
+	record
+	probe bool
+}
+
+// probeTime is how long a prompt of another account may take until it counts as lost.
+const probeTime = 3 * time.Second
+
+// probeDue reports whether a prompt of another account may be let through. mu is held.
+func (l *List) probeDue(r *record, now time.Time) bool {
+	return now.Sub(r.probedAt) >= probeTime && (l.Store == nil || r.revision != 0)
+}
+
 // claimTrials claims the next trials of entries, each of which only one request of all
 // gateways gets. A trial that is claimed together with one that is not is lost.
-func (l *List) claimTrials(ctx context.Context, claims []record) bool {
-	for _, r := range claims {
-		if !l.claimTrial(ctx, r) {
+func (l *List) claimTrials(ctx context.Context, claims []claim) bool {
+	for _, c := range claims {
+		if !l.claimTrial(ctx, c) {
 			return false
 		}
 	}
@@ -31,13 +46,18 @@
 
 // claimTrial claims the next trial of an entry. The trials between answers that together
 // end a quarantine count as one.
-func (l *List) claimTrial(ctx context.Context, r record) bool {
-	e := r.Entry
+func (l *List) claimTrial(ctx context.Context, c claim) bool {
+	e := c.Entry
 	e.Claims++
-	if e.Passed == 0 {
+	switch {
+	case c.probe:
+		e.Probes++
+	case e.Passed == 0:
 		e.Trials++
+		fallthrough
+	default:
+		e.NextTrial = time.Now().Add(delayAfterTrial(e.Trials))
 	}
-	e.NextTrial = time.Now().Add(delayAfterTrial(e.Trials))
 	if !l.takeTrial(e) {
 		return false
 	}
@@ -45,14 +65,14 @@
 		ctx, cancel := context.WithTimeout(ctx, claimTimeout)
 		defer cancel()
 		err := l.put(ctx, e, func(ctx context.Context, key string, value []byte, _ int64) error {
-			return l.Store.PutIf(ctx, key, value, r.revision)
+			return l.Store.PutIf(ctx, key, value, c.revision)
 		})
 		if err != nil {
 			l.Log.Info("trial of a quarantined part not claimed", "part", e.Part, "trial", e.Trials, "error", err.Error())
 			return false
 		}
 	}
-	l.Log.Warn("trial of a quarantined part", "part", e.Part, "trial", e.Trials, "answered", e.Passed, "next", e.NextTrial)
+	l.Log.Warn("trial of a quarantined part", "part", e.Part, "trial", e.Trials, "probe", c.probe, "answered", e.Passed, "next", e.NextTrial)
 	return true
 }
 
@@ -66,6 +86,9 @@
 	if r == nil || r.Claims >= e.Claims {
 		return false
 	}
-	r.Claims, r.Trials, r.NextTrial = e.Claims, e.Trials, e.NextTrial
+	if e.Probes > r.Probes {
+		r.probedAt = time.Now()
+	}
+	r.Claims, r.Trials, r.NextTrial, r.Probes = e.Claims, e.Trials, e.NextTrial, e.Probes
 	return true
 }
