ingress: a leaving server may end in the middle of its answers

Cause: whether a server that drains or was removed still runs was not asked, on the belief that it ends after its last answers. Besides, a process that ends may accept connections for a moment after its first ones were closed, so that the question got the wrong answer.

Change: it is asked if another server may answer in its place, and an opened connection is watched for 30 ms. What may not run again is delivered as before.

--- a/gateway/ingress/stream.go
+++ b/gateway/ingress/stream.go
@@ -106,11 +106,15 @@
 }
 
 // endsWithServer reports whether an answer that has ended with its connection may
-// have been cut by a crash of its server. The framing cannot tell, so it looks
-// whether the server still accepts connections. A server that leaves ends its
-// process after its last answers, so for it that shows nothing.
+// have been cut by the end of its server. The framing cannot tell, so it looks
+// whether the server still accepts connections. A server that leaves may end after its
+// last answers or in the middle of them, so for it the end counts only if another server
+// may answer in its place.
 func (x *exchange) endsWithServer(a *schedule.Assignment, framing upstream.Framing) bool {
-	return framing == upstream.FramedByClose && !a.ServerLeaves() && x.g.Client.Refuses(x.ctx, a.Server.Address)
+	if framing != upstream.FramedByClose || a.ServerLeaves() && !x.mayRunAgain() {
+		return false
+	}
+	return x.g.Client.Refuses(x.ctx, a.Server.Address)
 }
 
 // streamEnding returns how a stream ended whose body was read to its end.
--- a/gateway/upstream/upstream.go
+++ b/gateway/upstream/upstream.go
@@ -31,6 +31,10 @@
 	readBuffer   = 4 << 10
 	// probeTimeout bounds Refuses, which delays the end of an answer.
 	probeTimeout = 150 * time.Millisecond
+	// endingTime is how long the kernel may take to close all sockets of a process that has
+	// ended. It may close a connection before the listening socket, and new connections
+	// are opened meanwhile.
+	endingTime = 30 * time.Millisecond
 	// maxSkipped bounds the answers to other requests that are skipped before
 	// the expected one.
 	maxSkipped = 2
@@ -240,10 +244,25 @@
 func (c *Client) Refuses(ctx context.Context, address string) bool {
 	ctx, cancel := context.WithTimeout(ctx, probeTimeout)
 	defer cancel()
-	cn, err := c.dial(ctx, address)
-	if err != nil {
-		return errors.Is(err, unix.ECONNREFUSED)
+	for {
+		cn, err := c.dial(ctx, address)
+		if err != nil && !errors.Is(err, unix.ECONNRESET) {
+			return errors.Is(err, unix.ECONNREFUSED)
+		}
+		select {
+		case <-ctx.Done():
+		case <-time.After(endingTime):
+		}
+		switch {
+		case err != nil: // the connection was not accepted any more
+		case ctx.Err() != nil || !Unusable(cn.Conn):
+			c.putIdle(cn, nil)
+			return false
+		default: // the process was ending
+			_ = cn.Close()
+		}
+		if ctx.Err() != nil {
+			return false
+		}
 	}
-	c.putIdle(cn, nil)
-	return false
 }
--- a/gateway/upstream/upstream_test.go
+++ b/gateway/upstream/upstream_test.go
@@ -355,3 +355,16 @@
 	_, err := fetch(New(), address, get("1"))
 	is.True(errors.Is(err, errTooManyInterim))
 }
+
+// Guards against an answer that was cut by the end of its server counting as whole, because
+// the kernel closed its connection a moment before the listening socket.
+func TestRefusesWhileAProcessEnds(t *testing.T) {
+	is := is.New(t)
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	is.NoErr(err)
+	go func() {
+		time.Sleep(endingTime / 2)
+		_ = l.Close() // resets the connections that were not accepted
+	}()
+	is.True(New().Refuses(context.Background(), l.Addr().String()))
+}
