ingress: the bodies of requests in flight have a bound

Cause: each body is kept until the end of its request, and nothing bounded them together.

Change: they take at most 0.35 of memory_mb; a request without room is refused at once with 503 and Retry-After.

--- a/daemon/cmd/camphorwick/gateway.go
+++ b/daemon/cmd/camphorwick/gateway.go
@@ -31,6 +31,10 @@
 	// memoryLimitShare is the share of the VM's memory that is set as the Go
 	// runtime's soft limit, above which the garbage collector runs more often.
 	memoryLimitShare = 0.6
+	// bodyMemoryShare is the share of the VM's memory for the bodies of requests in flight.
+	// The rest holds what is read of the next ones, answers, tables, and bodies that the
+	// collector has not freed yet.
+	bodyMemoryShare = 0.35
 	bytesPerMB       = 1 << 20
 )
 
@@ -82,7 +86,8 @@
 	return node.Options{VM: s.VM, DataCentre: s.DataCentre, Callers: g.CallersAddress, Peers: s.ControlAddress,
 		UnusedMemory: time.Duration(g.UnusedMemoryMillis) * time.Millisecond, DrainTime: time.Duration(g.DrainMillis) * time.Millisecond,
 		ConfigDeadline: time.Duration(g.ConfigDeadlineMillis) * time.Millisecond,
-		Budget: retryBudget(g), DrainLimit: seconds(g.GraceSeconds) - graceMargin, Log: t.Log, Meter: t.Meter}
+		Budget: retryBudget(g), DrainLimit: seconds(g.GraceSeconds) - graceMargin,
+		BodyMemory: int64(float64(g.MemoryMB) * bodyMemoryShare * bytesPerMB), Log: t.Log, Meter: t.Meter}
 }
 
 func seconds(s float64) time.Duration { return time.Duration(s * float64(time.Second)) }
--- a/gateway/ingress/body_test.go
+++ b/gateway/ingress/body_test.go
@@ -2,9 +2,12 @@
 
 import (
 	"bufio"
+	"fmt"
 	"io"
 	"net"
 	"net/http"
+	"strconv"
+	"strings"
 	"testing"
 	"time"
 
@@ -26,3 +29,86 @@
 	is.NoErr(err)
 	is.Equal(response.StatusCode, http.StatusServiceUnavailable) // it has not run
 }
+
+// Guards against a gateway whose process is ended because the bodies of its requests, each
+// within the limit, take more than its memory: those without room are refused at once, and
+// the memory is free again at the end of the requests.
+func TestBodiesAreBoundedTogether(t *testing.T) {
+	const (
+		body  = 100_000
+		limit = 10 * body
+		calls = 30
+	)
+	for name, chunked := range map[string]bool{"with a length": false, "in chunks": true} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			release := make(chan struct{})
+			hold := func(c net.Conn, br *bufio.Reader, r *http.Request) bool {
+				<-release
+				return text(200, "done")(c, br, r)
+			}
+			f := newFleet(t, hold, hold, hold, hold)
+			f.gateway.bodies.limit = limit
+			payload, headers := strings.Repeat("x", body), "Left: 8000\r\n"
+			if chunked {
+				headers += "Transfer-Encoding: chunked\r\n"
+			}
+			statuses := make(chan int, calls)
+			for n := range calls {
+				go func() {
+					response := f.callWithBody("/lookup/"+strconv.Itoa(n), headers, payload, chunked)
+					if response == nil {
+						statuses <- 0
+						return
+					}
+					if response.StatusCode == http.StatusServiceUnavailable && response.Header.Get("Retry-After") == "" {
+						t.Error("a refusal without Retry-After")
+					}
+					statuses <- response.StatusCode
+				}()
+			}
+			time.Sleep(500 * time.Millisecond)
+			is.True(f.gateway.bodies.taken.Load() <= limit)
+			is.True(f.gateway.bodies.taken.Load() > 0)
+			refusedAtOnce := len(statuses)
+			close(release)
+			counts := map[int]int{}
+			for range calls {
+				counts[<-statuses]++
+			}
+			is.Equal(counts[200]+counts[503], calls)
+			is.True(counts[200] >= 4) // a buffer that grows counts twice for a moment, and is up to twice its body
+			is.True(refusedAtOnce >= calls-limit/body)
+			for wait := 0; f.gateway.bodies.taken.Load() > 0 && wait < 100; wait++ {
+				time.Sleep(10 * time.Millisecond) // an answer may arrive before its request has ended
+			}
+			is.Equal(f.gateway.bodies.taken.Load(), int64(0))
+			response := f.callWithBody("/lookup/last", headers, payload, chunked)
+			is.Equal(response.StatusCode, 200)
+		})
+	}
+}
+
+// callWithBody sends a request with a body, in chunks if chunked is set, and returns its
+// answer, or nil.
+func (f *fleet) callWithBody(target, headers, body string, chunked bool) *http.Response {
+	c, err := net.Dial("tcp", f.address)
+	if err != nil {
+		return nil
+	}
+	defer func() { _ = c.Close() }()
+	_ = c.SetDeadline(time.Now().Add(10 * time.Second))
+	if chunked {
+		body = fmt.Sprintf("%x\r\n%s\r\n0\r\n\r\n", len(body), body)
+	} else {
+		headers += "Content-Length: " + strconv.Itoa(len(body)) + "\r\n"
+	}
+	go func() {
+		_, _ = io.WriteString(c, "POST "+target+" HTTP/1.1\r\nHost: a.example\r\nKey: secret\r\nId: "+target[len("/lookup/"):]+"\r\n"+headers+"\r\n"+body)
+	}()
+	response, err := http.ReadResponse(bufio.NewReader(c), nil)
+	if err != nil {
+		return nil
+	}
+	return response
+}
--- a/gateway/ingress/exchange.go
+++ b/gateway/ingress/exchange.go
@@ -41,7 +41,9 @@
 	meta     Meta
 	account  *routing.Account // nil on public routes and if no accounts are configured
 	body     []byte
-	tracked  *quarantine.Request // nil for a prompt without shared parts
+	// bodyTaken is the memory that is reserved for the body, in bytes.
+	bodyTaken int64
+	tracked   *quarantine.Request // nil for a prompt without shared parts
 
 	service      string
 	sends        int
@@ -170,6 +172,7 @@
 	reasonUnavailable = "servers_unavailable"
 	reasonTooLarge    = "prompt_too_large"
 	reasonMemory      = "memory_not_reserved"
+	reasonBodyMemory  = "body_memory_taken"
 	reasonTimeout     = "timeout"
 	reasonStopping    = "stopping"
 	reasonBehind      = "configuration_behind"
--- a/gateway/ingress/ingress.go
+++ b/gateway/ingress/ingress.go
@@ -10,11 +10,9 @@
 import (
 	"context"
 	"errors"
-	"io"
 	"log/slog"
 	"net"
 	"net/http"
-	"os"
 	"strconv"
 	"sync"
 	"sync/atomic"
@@ -59,6 +57,8 @@
 	// UnusedMemory is how long engine memory may stay reserved before its
 	// request starts to be answered; 0 for no limit.
 	UnusedMemory time.Duration
+	// BodyMemory bounds the bodies of all requests in flight, in bytes; 0 for no limit.
+	BodyMemory int64
 	// Budget bounds the retries per service, of all gateways together.
 	Budget retry.WindowConfig
 	// Processes returns the number of gateways that share the budget.
@@ -85,6 +85,7 @@
 	abort       context.CancelCauseFunc
 	started     time.Time
 	lineLimiter lineLimiter
+	bodies      bodyMemory
 
 	mu      sync.Mutex
 	budgets map[string]*retry.Window
@@ -96,7 +97,7 @@
 	if o.Quarantine == nil {
 		o.Quarantine = quarantine.New(quarantine.Options{Log: o.Log})
 	}
-	g := &Gateway{Options: o, budgets: map[string]*retry.Window{}, started: time.Now()}
+	g := &Gateway{Options: o, bodies: bodyMemory{limit: o.BodyMemory}, budgets: map[string]*retry.Window{}, started: time.Now()}
 	g.requests, g.abort = context.WithCancelCause(context.Background())
 	return g
 }
@@ -154,6 +155,7 @@
 	defer g.active.Add(-1)
 	x := &exchange{g: g, w: w, r: r, arrived: time.Now(), table: g.table.Load(), meta: g.Wire.DecodeRequest(r.Header)}
 	x.log = g.Log.With("request_id", x.meta.ID)
+	defer x.releaseBody()
 	if !x.admit() {
 		return
 	}
@@ -255,49 +257,6 @@
 	return left
 }
 
-func (x *exchange) readBody() bool {
-	limit := int64(x.table.Limits.BodyBytes)
-	if limit <= 0 {
-		limit = defaultBodyBytes
-	}
-	if x.r.ContentLength > limit {
-		x.refuse(http.StatusRequestEntityTooLarge, "body_too_large", 0)
-		return false
-	}
-	if x.r.ContentLength == 0 {
-		return true
-	}
-	// net/http clears the deadline at the end of the body.
-	if err := http.NewResponseController(x.w).SetReadDeadline(x.deadline); err != nil {
-		x.log.Warn("deadline of the body not set", "error", err.Error())
-	}
-	stop := context.AfterFunc(x.g.requests, x.stopReading)
-	defer stop()
-	body, err := io.ReadAll(http.MaxBytesReader(x.w, x.r.Body, limit))
-	var tooLarge *http.MaxBytesError
-	switch {
-	case err == nil:
-		x.body = body
-		return true
-	case errors.As(err, &tooLarge):
-		x.refuse(http.StatusRequestEntityTooLarge, "body_too_large", 0)
-	case x.aborted():
-		x.refuse(http.StatusServiceUnavailable, reasonStopping, stoppingRetryAfter)
-	case errors.Is(err, os.ErrDeadlineExceeded):
-		x.refuse(http.StatusServiceUnavailable, reasonTimeout, 0)
-	default:
-		x.refuse(http.StatusBadRequest, "body_unreadable", 0)
-	}
-	return false
-}
-
-// stopReading ends a read of the body.
-func (x *exchange) stopReading() {
-	if err := http.NewResponseController(x.w).SetReadDeadline(time.Now()); err != nil {
-		x.log.Debug("read of the body not ended", "error", err.Error())
-	}
-}
-
 // refuse answers a request that has not run and never will.
 func (x *exchange) refuse(status int, reason string, retryAfter time.Duration) {
 	h := x.w.Header()
--- a/gateway/node/node.go
+++ b/gateway/node/node.go
@@ -89,6 +89,8 @@
 	// UnusedMemory is how long engine memory may stay reserved before its
 	// request starts to be answered; 0 for no limit.
 	UnusedMemory time.Duration
+	// BodyMemory bounds the bodies of all requests in flight, in bytes; 0 for no limit.
+	BodyMemory int64
 	// DrainTime is how long a server that drains or has left may get requests; 0 for
 	// defaultDrainTime.
 	DrainTime time.Duration
@@ -170,7 +172,7 @@
 	}
 	n.gateway = ingress.New(ingress.Options{Wire: p.Wire, Scheduler: n.schedule, Client: n.client, Log: o.Log,
 		Reserver: reserve.New(memory, o.Log), Metrics: metrics,
-		Quarantine: n.quarantine, UnusedMemory: o.UnusedMemory, Budget: o.Budget, Processes: n.peers.Processes,
+		Quarantine: n.quarantine, UnusedMemory: o.UnusedMemory, BodyMemory: o.BodyMemory, Budget: o.Budget, Processes: n.peers.Processes,
 		Behind: func() bool { return n.configLag.behind(time.Now()) > 0 }})
 	return n, nil
 }
