--- a/gateway/ingress/body.go
+++ b/gateway/ingress/body.go
@@ -58,7 +58,8 @@
 	}
 	stop := context.AfterFunc(x.g.requests, x.stopReading)
 	defer stop()
-	err := x.receiveBody(http.MaxBytesReader(x.w, x.r.Body, limit), x.r.ContentLength)
+	from := http.MaxBytesReader(x.w, x.r.Body, limit)
+	err := x.receiveBody(from, x.r.ContentLength)
 	var tooLarge *http.MaxBytesError
 	switch {
 	case err == nil:
@@ -66,7 +67,7 @@
 	case errors.As(err, &tooLarge):
 		x.refuse(http.StatusRequestEntityTooLarge, "body_too_large", 0)
 	case errors.Is(err, errBodyMemory):
-		x.refuse(http.StatusServiceUnavailable, reasonBodyMemory, bodyMemoryRetryAfter)
+		x.refuseBody(from)
 	case x.aborted():
 		x.refuse(http.StatusServiceUnavailable, reasonStopping, stoppingRetryAfter)
 	case errors.Is(err, os.ErrDeadlineExceeded):
@@ -77,6 +78,26 @@
 	return false
 }
 
+// refuseBody refuses a request at once, for want of memory for its body, and then drops the
+// rest of the body: many callers read the answer only when they have sent all of it, and the
+// kernel resets a connection that is closed with unread data, which loses the answer.
+func (x *exchange) refuseBody(rest io.Reader) {
+	x.releaseBody()
+	x.body = nil
+	controller := http.NewResponseController(x.w)
+	if err := controller.EnableFullDuplex(); err != nil {
+		x.log.Debug("body not read beside the answer", "error", err.Error())
+	}
+	x.refuse(http.StatusServiceUnavailable, reasonBodyMemory, bodyMemoryRetryAfter)
+	if err := controller.Flush(); err != nil {
+		x.log.Debug("refusal not flushed", "error", err.Error())
+		return
+	}
+	if _, err := io.Copy(io.Discard, rest); err != nil {
+		x.log.Debug("body of a refused request not read", "error", err.Error())
+	}
+}
+
 // receiveBody reads a body of a stated length, or of none (-1), within the memory for bodies.
 func (x *exchange) receiveBody(from io.Reader, length int64) error {
 	size := length
