--- a/gateway/ingress/body_test.go
+++ b/gateway/ingress/body_test.go
@@ -50,9 +50,12 @@
 				return text(200, "done")(c, br, r)
 			}
 			f := newFleet(t, hold, hold, hold, hold)
-			f.gateway = f.newGateway()
-			f.gateway.table.Store(table)
-			f.gateway.bodies.limit = limit
+			g := f.newGateway()
+			g.table.Store(table)
+			g.bodies.limit = limit
+			f.mu.Lock()
+			f.gateway = g
+			f.mu.Unlock()
 			payload, headers := strings.Repeat("x", body), "Left: 8000\r\n"
 			if chunked {
 				headers += "Transfer-Encoding: chunked\r\n"
@@ -71,9 +74,11 @@
 					statuses <- response.StatusCode
 				}()
 			}
-			time.Sleep(500 * time.Millisecond)
-			is.True(f.gateway.bodies.taken.Load() <= limit)
-			is.True(f.gateway.bodies.taken.Load() > 0)
+			for wait := 0; len(statuses) < calls-limit/body && wait < 500; wait++ {
+				time.Sleep(10 * time.Millisecond) // the refused ones do not wait for the others, which are held
+			}
+			is.True(g.bodies.taken.Load() <= limit)
+			is.True(g.bodies.taken.Load() > 0)
 			refusedAtOnce := len(statuses)
 			close(release)
 			counts := map[int]int{}
@@ -83,10 +88,10 @@
 			is.Equal(counts[200]+counts[503], calls)
 			is.True(counts[200] >= 2) // a buffer that grows counts twice for a moment, and is up to twice its body
 			is.True(refusedAtOnce >= calls-limit/body)
-			for wait := 0; f.gateway.bodies.taken.Load() > 0 && wait < 100; wait++ {
+			for wait := 0; g.bodies.taken.Load() > 0 && wait < 100; wait++ {
 				time.Sleep(10 * time.Millisecond) // an answer may arrive before its request has ended
 			}
-			is.Equal(f.gateway.bodies.taken.Load(), int64(0))
+			is.Equal(g.bodies.taken.Load(), int64(0))
 			response := f.callWithBody("/lookup/last", headers, payload, chunked)
 			is.Equal(response.StatusCode, 200)
 		})
