follow: a check without anything to ask pauses

If the only old proof was that of a prefix of large values, which is read in place of being checked, the loop went on without a pause until the read began, and counted as a check that was answered. TestChecksPauseWhileAPrefixIsRead did not end before (virtual time stood still).

--- a/gateway/follow/checker.go
+++ b/gateway/follow/checker.go
@@ -42,7 +42,8 @@
 // with the watch, and the prefix is read.
 //
 // Checks do not depend on the reason for a silence or on its length: while the store can be
-// reached, a change is known after Interval and a half, whatever became of the watches.
+// reached, a change is known 1.2 intervals, deliveryGrace and a read later at most, whatever
+// became of the watches.
 type Checker struct {
 	Store     Store
 	Followers []*Follower
@@ -103,7 +104,12 @@
 // check renews the proofs that are old.
 func (c *Checker) check(ctx context.Context) {
 	began := time.Now()
-	for _, group := range c.groups(began) {
+	groups := c.groups(began)
+	if len(groups) == 0 { // what is old is about to be read
+		sleep(ctx, c.Interval/4)
+		return
+	}
+	for _, group := range groups {
 		err := c.checkGroup(ctx, group, began)
 		if ctx.Err() != nil {
 			return
--- a/gateway/follow/checker_test.go
+++ b/gateway/follow/checker_test.go
@@ -473,3 +473,23 @@
 		group.Wait()
 	})
 }
+
+// Guards against a loop without a pause while the only prefix with an old proof is one of
+// large values that is about to be read.
+func TestChecksPauseWhileAPrefixIsRead(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := newSilentStore()
+		f := &Follower{Store: s, Prefix: "config", Handler: &valueHandler{}, Log: slog.New(slog.DiscardHandler), ReadAfter: time.Millisecond}
+		f.progress.recordRead(1, true, time.Now().Add(-time.Minute))
+		f.progress.startWait(false) // no goroutine follows it, so it stays so
+		c := &Checker{Store: s, Followers: []*Follower{f}, Log: f.Log, Interval: checkInterval, received: map[*Follower]int{}}
+		ctx, cancel := context.WithTimeout(t.Context(), time.Second)
+		defer cancel()
+		if err := c.Run(ctx); err != nil { // without a pause, virtual time does not go on
+			t.Fatal(err)
+		}
+		if c.failing || s.calls.Load() > 0 {
+			t.Error("the store was asked")
+		}
+	})
+}
