--- a/gateway/follow/follow.go
+++ b/gateway/follow/follow.go
@@ -143,14 +143,6 @@
 // begin them again and again. Refresh is safe for concurrent use.
 func (f *Follower) Refresh() { f.refresh.request() }
 
-// AdoptProof records a proof that a peer has of the same prefix. It is safe for concurrent
-// use.
-func (f *Follower) AdoptProof(p Proof) {
-	if isBehind := f.progress.adopt(p); isBehind && f.progress.isUnwatched() {
-		f.Refresh()
-	}
-}
-
 // CurrentAt returns when the known state was shown to be the newest one, by this process or
 // a peer; the zero time before the first read. It is safe for concurrent use.
 func (f *Follower) CurrentAt() time.Time {
@@ -158,15 +150,6 @@
 	return at
 }
 
-// DoubtUnwatched takes back the last proofs of a prefix that is not watched now. A check that
-// was answered while the store reported no changes may have missed some, which a watch
-// notices by its end. It is safe for concurrent use.
-func (f *Follower) DoubtUnwatched() {
-	if f.progress.isUnwatched() {
-		f.progress.doubt()
-	}
-}
-
 // Rewatch sends a watch that waits for its answer again, or decides again whether to watch.
 // It is safe for concurrent use.
 func (f *Follower) Rewatch() { f.refresh.restartWatch() }
@@ -296,39 +279,6 @@
 	f.progress.recordWatch(f.after, items, f.currentAt)
 }
 
-// waitForRefresh waits, in place of a watch, until there are changes to be polled.
-func (f *Follower) waitForRefresh(ctx context.Context) {
-	f.progress.startWait(true)
-	<-ctx.Done()
-	f.progress.endWait()
-	f.refresh.endWait()
-}
-
-// poll receives the changes of a prefix that is not watched, unless it must be read: those
-// that a check has brought, or by a call. It ends when those that may follow soon can be
-// received together.
-func (f *Follower) poll(ctx context.Context) error {
-	if !f.refresh.pending() {
-		return errInterrupted
-	}
-	if d := f.refresh.takeDelivery(); d != nil {
-		f.currentAt = d.began
-		f.handleChanges(d.items, d.revision)
-	} else {
-		f.refresh.clear()
-		f.after = f.progress.known()
-		items, after, err := f.Store.Watch(ctx, f.Prefix, f.after, checkWait, f.handleAnswer)
-		if err != nil {
-			return err
-		}
-		f.handleChanges(items, after)
-	}
-	if f.changing {
-		sleep(ctx, f.batchDelay())
-	}
-	return nil
-}
-
 // batchDelay returns the time from a change to the next call.
 func (f *Follower) batchDelay() time.Duration {
 	if time.Since(f.startedAt) < f.StartTime {
