--- a/daemon/cmd/camphorwick/gateway.go
+++ b/daemon/cmd/camphorwick/gateway.go
@@ -35,7 +35,7 @@
 	// The rest holds what is read of the next ones, answers, tables, and bodies that the
 	// collector has not freed yet.
 	bodyMemoryShare = 0.35
-	bytesPerMB       = 1 << 20
+	bytesPerMB      = 1 << 20
 )
 
 // serveGateway runs the gateway role until it has stopped. reload reloads s and
@@ -86,7 +86,7 @@
 	return node.Options{VM: s.VM, DataCentre: s.DataCentre, Callers: g.CallersAddress, Peers: s.ControlAddress,
 		UnusedMemory: time.Duration(g.UnusedMemoryMillis) * time.Millisecond, DrainTime: time.Duration(g.DrainMillis) * time.Millisecond,
 		ConfigDeadline: time.Duration(g.ConfigDeadlineMillis) * time.Millisecond,
-		Budget: retryBudget(g), DrainLimit: seconds(g.GraceSeconds) - graceMargin,
+		Budget:         retryBudget(g), DrainLimit: seconds(g.GraceSeconds) - graceMargin,
 		BodyMemory: int64(float64(g.MemoryMB) * bodyMemoryShare * bytesPerMB), Log: t.Log, Meter: t.Meter}
 }
 
