--- a/gateway/follow/follow.go
+++ b/gateway/follow/follow.go
@@ -7,6 +7,12 @@
 // reads at the start, after each failed call and if the store no longer has the history.
 // If ReadAfter is set, it goes on to read after a change that took long to arrive, until
 // a read brings no change.
+//
+// A watch, or the answer to it, may be lost without an error. What a follower knows therefore
+// counts as current only while something proves it (Proof): an answer of the store, a check
+// of a Checker, or the proof of a peer that knows the same state. Prefixes of which a change
+// may be known a little later need no watch of their own: checks and the proofs of peers
+// show their changes.
 package follow
 
 import (
@@ -107,9 +113,8 @@
 	// of a few large values, of which a watch returns each one that was replaced.
 	ReadAfter time.Duration
 	// Unwatched is called before each watch; nil for a follower that always watches. While it
-	// returns true no watch is sent, and the prefix is read when a Checker, or the proof of a
-	// peer, shows that it has changed. It is for prefixes of which a change may be known a
-	// little later.
+	// returns true no watch is sent, and changes are received when a Checker, or the proof of
+	// a peer, shows that there are any.
 	Unwatched func() bool
 	// OnCut is called when a watch has failed or the store has no history for it, so that
 	// others may have missed changes as well; nil for none.
