gateway: evacuation of data centres, cold servers, regions of routes and accounts

The time for which a server is cold and the rate that it bears were not decoded, and neither were the regions of routes and accounts.

Change: gateway/evacuation keeps the newest mark of each data centre by the revision of the store, from a watch of its own and from the datagrams of peers; the registry leaves the servers of evacuated data centres out of every list. policy/coldstart divides the rate of a cold server among the gateways by the store's list, without a message. The scheduler keeps requests in the regions of their route and account. All are off where settings and configuration do not ask for them. Ruled out: watching op/ as a whole (each check would return configurations), shares by messages (a late datagram breaks a bound of one second).

The soak evacuates data centres and has cold servers.

--- a/daemon/cmd/camphorwick/gateway.go
+++ b/daemon/cmd/camphorwick/gateway.go
@@ -51,7 +51,8 @@
 		return fmt.Errorf("set up metrics: %w", err)
 	}
 	n, err := node.New(gatewayOptions(s, t), node.Protocol{Wire: platform.Wire{}, Store: store, EngineMemory: platform.NewEngineMemory, DecodeConfig: platform.DecodeConfig,
-		DecodeServer: platform.DecodeServer, ConfigKey: platform.ConfigKey, ServersPrefix: platform.ServersPrefix, Quarantine: store})
+		DecodeServer: platform.DecodeServer, ConfigKey: platform.ConfigKey, ServersPrefix: platform.ServersPrefix,
+		EvacuationsPrefix: platform.EvacuationsPrefix, Quarantine: store})
 	if err != nil {
 		return err
 	}
@@ -85,8 +86,9 @@
 	g := s.Gateway
 	return node.Options{VM: s.VM, DataCentre: s.DataCentre, Callers: g.CallersAddress, Peers: s.ControlAddress,
 		UnusedMemory: time.Duration(g.UnusedMemoryMillis) * time.Millisecond, DrainTime: time.Duration(g.DrainMillis) * time.Millisecond,
-		ConfigDeadline: time.Duration(g.ConfigDeadlineMillis) * time.Millisecond,
-		Budget:         retryBudget(g), DrainLimit: seconds(g.GraceSeconds) - graceMargin,
+		ConfigDeadline: time.Duration(g.ConfigDeadlineMillis) * time.Millisecond, EvacuationTime: time.Duration(g.EvacuationMillis) * time.Millisecond,
+		Regions: g.Regions,
+		Budget:  retryBudget(g), DrainLimit: seconds(g.GraceSeconds) - graceMargin,
 		BodyMemory: int64(float64(g.MemoryMB) * bodyMemoryShare * bytesPerMB), Log: t.Log, Meter: t.Meter}
 }
 
--- a/gateway/follow/follow.go
+++ b/gateway/follow/follow.go
@@ -155,6 +155,11 @@
 	return at
 }
 
+// Revision returns the revision of the store up to which the known state has all changes; 0
+// before the first read. In Handler.Replace it is at least that of the read. It is safe for
+// concurrent use.
+func (f *Follower) Revision() int64 { return f.progress.known() }
+
 // Rewatch sends a watch that waits for its answer again, or decides again whether to watch.
 // It is safe for concurrent use.
 func (f *Follower) Rewatch() { f.refresh.restartWatch() }
--- a/gateway/ingress/placement.go
+++ b/gateway/ingress/placement.go
@@ -20,9 +20,13 @@
 // placement returns the request that is passed to the scheduler.
 func (x *exchange) placement() schedule.Request {
 	p := schedule.Request{Service: x.service, LatencyTarget: x.route.LatencyTarget, Arrived: x.arrived, Deadline: x.deadline, Exclude: x.excluded}
-	if s := x.table.Service(x.service); s != nil && x.meta.PromptTokens > 0 {
-		p.Engine = s.Engine
+	if s := x.table.Service(x.service); s != nil {
+		p.ColdRequestsPerSecond = s.ColdRequestsPerSecond
+		if x.meta.PromptTokens > 0 {
+			p.Engine = s.Engine
+		}
 	}
+	p.Regions = x.regions()
 	p.Priority = x.route.Priority
 	if x.account != nil && x.account.Priority != nil {
 		p.Priority = *x.account.Priority
@@ -43,6 +47,15 @@
 	return p
 }
 
+// regions returns the regions to which the route and the account restrict the request.
+func (x *exchange) regions() [][]string {
+	regions := [][]string{x.route.Regions}
+	if x.account != nil {
+		regions = append(regions, x.account.Regions)
+	}
+	return regions
+}
+
 // accountName returns the name of the caller's account, or "".
 func (x *exchange) accountName() string {
 	if x.account == nil {
--- a/gateway/node/checks.go
+++ b/gateway/node/checks.go
@@ -25,6 +25,9 @@
 // the next check.
 func (o *Options) checkInterval() time.Duration {
 	bound := min(max(o.DrainTime, defaultDrainTime), max(o.ConfigDeadline, defaultConfigDeadline))
+	if o.EvacuationTime > 0 {
+		bound = min(bound, o.EvacuationTime)
+	}
 	return time.Duration(checkShare * float64(bound))
 }
 
--- a/gateway/node/node.go
+++ b/gateway/node/node.go
@@ -16,6 +16,7 @@
 	"go.opentelemetry.io/otel/metric"
 	"golang.org/x/sync/errgroup"
 
+	"camphorwick.dev/gateway/evacuation"
 	"camphorwick.dev/gateway/follow"
 	"camphorwick.dev/gateway/ingress"
 	"camphorwick.dev/gateway/peers"
@@ -75,6 +76,9 @@
 	DecodeServer  func(key string, value []byte) (*registry.Server, error)
 	ConfigKey     string
 	ServersPrefix string
+	// EvacuationsPrefix is that of the keys of evacuated data centres, followed by their
+	// names.
+	EvacuationsPrefix string
 	// Quarantine keeps the quarantined parts of prompts; nil if they need not last.
 	Quarantine quarantine.Store
 }
@@ -97,6 +101,11 @@
 	// ConfigDeadline is how long after its write a configuration may come into force; 0 for
 	// defaultConfigDeadline.
 	ConfigDeadline time.Duration
+	// EvacuationTime is how long after the evacuation of a data centre its servers may get
+	// requests; 0 if data centres are not evacuated.
+	EvacuationTime time.Duration
+	// Regions are the regions of the data centres; empty if requests may go to any.
+	Regions map[string]string
 	// DrainLimit bounds the duration of a graceful stop.
 	DrainLimit time.Duration
 	Log        *slog.Logger
@@ -121,6 +130,8 @@
 	configLag *configLag
 	// quarantine holds the parts of prompts on which servers crash.
 	quarantine *quarantine.List
+	// evacuations holds the evacuated data centres; nil if none ever is.
+	evacuations *evacuation.List
 	// registrationLost receives when the store no longer lists this gateway; its
 	// capacity is 1.
 	registrationLost chan struct{}
@@ -131,6 +142,7 @@
 	n := &Node{options: o, protocol: p, client: upstream.New(), stop: make(chan struct{}), registrationLost: make(chan struct{}, 1)}
 	n.registry = registry.New(n.serverChanged)
 	n.schedule = schedule.New(n.registry, o.VM, o.DataCentre)
+	n.schedule.Regions = o.Regions
 	n.schedule.OnPeerSuspect = func(peer, service, id string) {
 		o.Log.Info("server suspected by a peer", "service", service, "server", id, "peer", peer)
 	}
@@ -154,6 +166,14 @@
 	if err := n.quarantine.RegisterMetrics(o.Meter); err != nil {
 		return nil, fmt.Errorf("set up metrics: %w", err)
 	}
+	if o.EvacuationTime > 0 {
+		n.evacuations = n.newEvacuations()
+		n.peers.Evacuations = n.evacuations
+		n.registry.RequireEvacuations()
+	}
+	if err := n.registerPlaces(); err != nil {
+		return nil, fmt.Errorf("set up metrics: %w", err)
+	}
 	n.followers = n.newFollowers()
 	if n.checker, err = n.newChecker(); err != nil {
 		return nil, fmt.Errorf("set up metrics: %w", err)
@@ -225,6 +245,9 @@
 	if !n.quarantine.Synced() {
 		return errNoQuarantine
 	}
+	if n.evacuations != nil && !n.evacuations.Synced() {
+		return errNoEvacuations
+	}
 	return nil
 }
 
@@ -233,6 +256,7 @@
 	errNoConfiguration = errors.New("no configuration is known yet")
 	errNoServers       = errors.New("the servers are not known yet")
 	errNoQuarantine    = errors.New("the quarantined parts of prompts are not known yet")
+	errNoEvacuations   = errors.New("the evacuated data centres are not known yet")
 )
 
 // Run serves until a graceful stop is complete or ctx ends.
@@ -291,7 +315,7 @@
 }
 
 // newFollowers returns the followers of the configuration, the servers, the other
-// gateways and the quarantined parts of prompts.
+// gateways, the quarantined parts of prompts and the evacuated data centres.
 func (n *Node) newFollowers() []*follow.Follower {
 	followers := []*follow.Follower{
 		{Prefix: n.protocol.ConfigKey, Handler: &configHandler{node: n}, ReadAfter: configReadAfter, BatchDelay: configBatchDelay},
@@ -302,6 +326,11 @@
 	if n.protocol.Quarantine != nil {
 		followers = append(followers, &follow.Follower{Prefix: quarantine.Prefix, Handler: n.quarantine, Unwatched: n.quarantine.Idle})
 	}
+	if n.evacuations != nil {
+		f := &follow.Follower{Prefix: n.protocol.EvacuationsPrefix, Handler: n.evacuations}
+		n.evacuations.Revision = f.Revision
+		followers = append(followers, f)
+	}
 	store := &follow.FirstRead{Store: n.protocol.Store}
 	for _, f := range followers {
 		f.Store, f.Log = store, n.options.Log
--- a/gateway/peers/groups.go
+++ b/gateway/peers/groups.go
@@ -64,7 +64,8 @@
 	loads := g.loads()
 	// Answers to suspected parts are repeated with each complete datagram; other data
 	// centres are told only the first reports of them.
-	reports := len(message.GetCrashes()) > 0 || len(message.GetCleared()) > 0 && !message.GetComplete()
+	reports := len(message.GetCrashes()) > 0 || len(message.GetCleared()) > 0 && !message.GetComplete() ||
+		len(message.GetEvacuations()) > 0 && !message.GetComplete()
 	for dataCentre, addresses := range targets {
 		last := g.last[dataCentre]
 		if last == nil {
@@ -77,7 +78,7 @@
 		}
 		sequence++
 		out := &wire.PeerLoads{Vm: message.GetVm(), Process: message.GetProcess(), ConfigVersion: message.GetConfigVersion(), Sequence: sequence,
-			Complete: true, Crashes: message.GetCrashes(), Cleared: message.GetCleared(), Leaving: leaving}
+			Complete: true, Crashes: message.GetCrashes(), Cleared: message.GetCleared(), Leaving: leaving, Evacuations: message.GetEvacuations()}
 		for _, load := range loads[dataCentre] {
 			out.Loads = append(out.Loads, load)
 		}
--- a/gateway/peers/peers.go
+++ b/gateway/peers/peers.go
@@ -3,7 +3,7 @@
 // loads are hints: a lost datagram leads to a worse choice of server, never to a
 // wrong answer. The datagrams also carry what gateways tell each other about
 // servers that crash on parts of prompts (package quarantine), and how current their copies
-// of the lists in the store are (package follow).
+// of the lists in the store are (package follow), and which data centres are evacuated (package evacuation).
 package peers
 
 import (
@@ -18,6 +18,7 @@
 
 	"golang.org/x/sync/errgroup"
 
+	"camphorwick.dev/gateway/evacuation"
 	"camphorwick.dev/gateway/follow"
 	"camphorwick.dev/gateway/quarantine"
 	"camphorwick.dev/gateway/schedule"
@@ -67,11 +68,15 @@
 	// Quarantine holds what gateways tell each other about parts of prompts on which
 	// servers crash; nil for nothing.
 	Quarantine *quarantine.List
+	// Evacuations holds which data centres are evacuated; nil for nothing.
+	Evacuations *evacuation.List
 
 	process uint64        // random number of this process
 	wake    chan struct{} // triggers a datagram
 	// proofsDue is set if the next datagram has the proofs of this process.
 	proofsDue atomic.Bool
+	// evacuationsDue is set if the next datagram has the evacuations.
+	evacuationsDue atomic.Bool
 	// toldLeaving is the number of servers in the last datagram that leave. Only send uses
 	// it.
 	toldLeaving int
--- a/gateway/peers/receive.go
+++ b/gateway/peers/receive.go
@@ -86,6 +86,7 @@
 	e.handleReports(m)
 	e.handleLeaving(m)
 	e.handleProofs(m)
+	e.handleEvacuations(m)
 	loads := make(map[string]dispatch.Load, len(m.GetLoads()))
 	for _, l := range m.GetLoads() {
 		loads[l.GetServer()] = dispatch.Load{Decoding: int(l.GetWriters()), Prefilling: int(l.GetWaiting()), Helping: int(l.GetHelping()),
--- a/gateway/peers/send.go
+++ b/gateway/peers/send.go
@@ -35,6 +35,7 @@
 		hasReports := e.addReports(loads, complete)
 		hasReports = e.addLeaving(loads) || hasReports
 		hasReports = e.addProofs(loads) || hasReports
+		hasReports = e.addEvacuations(loads) || hasReports
 		targets := e.targets()
 		if complete || hasReports || len(loads.GetLoads()) > 0 || len(loads.GetUnreachable()) > 0 || len(sent) > 0 && time.Since(lastSent) >= keepaliveInterval {
 			sequence++
@@ -50,6 +51,7 @@
 			full := e.loads(map[string]*wire.ServerLoad{}, true)
 			e.addReports(full, true)
 			e.addLeaving(full)
+			e.addEvacuations(full)
 			sequence++
 			full.Sequence = sequence
 			e.sendTo(conn, full, syncRequesters)
--- a/gateway/registry/registry.go
+++ b/gateway/registry/registry.go
@@ -32,6 +32,9 @@
 	// Slots is the number of requests that the server processes concurrently.
 	Slots    int
 	Draining bool
+	// ColdLeft is how much longer the server is cold, as of its registration. While it is
+	// cold it bears few requests.
+	ColdLeft time.Duration
 	// Started is the server's own clock at its start, in Unix milliseconds; 0
 	// if not stated. It distinguishes incarnations with the same ID.
 	Started int64
@@ -52,6 +55,10 @@
 	// removed holds when servers were removed that were not draining, by ID, for
 	// plannedRemoval.
 	removed map[string]time.Time
+	// evacuated are the data centres whose servers get no requests. While it must be known
+	// and is not, no server gets any.
+	evacuated         map[string]bool
+	evacuatedRequired bool
 	// distrustUntil is the end of the time in which removals are distrusted.
 	distrustUntil time.Time
 	onChange      func(Change)
@@ -61,6 +68,8 @@
 	server *Server
 	// removeAt is when a missing server is removed; zero while it is listed.
 	removeAt time.Time
+	// coldUntil is when the server is no longer cold; zero if it was not.
+	coldUntil time.Time
 }
 
 // Event is a change in the state of a server.
@@ -91,7 +100,7 @@
 
 // Put records that the store lists a server.
 func (r *Registry) Put(s *Server) {
-	r.update(func() []Change { return r.put(s) })
+	r.update(func() []Change { return r.put(s, time.Now()) })
 }
 
 // Remove records that the store no longer lists a server. While removals are
@@ -108,7 +117,7 @@
 		var changes []Change
 		for _, s := range list {
 			listed[s.ID] = true
-			changes = append(changes, r.put(s)...)
+			changes = append(changes, r.put(s, now)...)
 		}
 		for id := range r.servers {
 			if !listed[id] {
@@ -135,8 +144,12 @@
 }
 
 // put records that a server is listed. mu is held.
-func (r *Registry) put(s *Server) []Change {
+func (r *Registry) put(s *Server, now time.Time) []Change {
 	old := r.servers[s.ID]
+	current := &record{server: s}
+	if s.ColdLeft > 0 {
+		current.coldUntil = now.Add(s.ColdLeft)
+	}
 	var event Event
 	switch {
 	case old == nil:
@@ -148,9 +161,10 @@
 	case old.server.Draining && !s.Draining:
 		event = Ready
 	case old.removeAt.IsZero():
+		old.coldUntil = current.coldUntil
 		return nil // the lists by service contain the old server, so they need no rebuild
 	}
-	r.servers[s.ID] = &record{server: s}
+	r.servers[s.ID] = current
 	r.outdated = true
 	if event == "" {
 		return nil
@@ -219,13 +233,80 @@
 func (r *Registry) rebuild() {
 	services := make(map[string][]*Server, len(r.services))
 	for _, e := range r.servers {
-		if !e.server.Draining {
+		if !e.server.Draining && r.inUse(e.server) {
 			services[e.server.Service] = append(services[e.server.Service], e.server)
 		}
 	}
 	r.services = services
 }
 
+// inUse reports whether the data centre of a server is not evacuated. mu is held.
+func (r *Registry) inUse(s *Server) bool {
+	if r.evacuated == nil {
+		return !r.evacuatedRequired
+	}
+	return !r.evacuated[s.DataCentre]
+}
+
+// RequireEvacuations makes the registry return no servers until SetEvacuated is called.
+func (r *Registry) RequireEvacuations() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.evacuatedRequired = true
+}
+
+// SetEvacuated replaces the data centres whose servers get no requests. The caller must not
+// modify the map afterwards.
+func (r *Registry) SetEvacuated(dataCentres map[string]bool) {
+	r.update(func() []Change {
+		r.evacuated, r.outdated = dataCentres, true
+		return nil
+	})
+}
+
+// Evacuated reports whether the data centre of a server is evacuated.
+func (r *Registry) Evacuated(s *Server) bool {
+	r.mu.RLock()
+	defer r.mu.RUnlock()
+	return !r.inUse(s)
+}
+
+// HasDataCentre reports whether a server is registered in a data centre.
+func (r *Registry) HasDataCentre(name string) bool {
+	r.mu.RLock()
+	defer r.mu.RUnlock()
+	for _, e := range r.servers {
+		if e.server.DataCentre == name {
+			return true
+		}
+	}
+	return false
+}
+
+// ColdUntil returns when the server with an ID is no longer cold; the zero time if it is not
+// known to be cold.
+func (r *Registry) ColdUntil(id string) time.Time {
+	r.mu.RLock()
+	defer r.mu.RUnlock()
+	if e := r.servers[id]; e != nil {
+		return e.coldUntil
+	}
+	return time.Time{}
+}
+
+// ColdServers returns the number of servers that are cold.
+func (r *Registry) ColdServers(now time.Time) int {
+	r.mu.RLock()
+	defer r.mu.RUnlock()
+	n := 0
+	for _, e := range r.servers {
+		if now.Before(e.coldUntil) {
+			n++
+		}
+	}
+	return n
+}
+
 // Servers returns the servers of a service that may receive requests. The
 // caller must not modify the list.
 func (r *Registry) Servers(service string) []*Server {
--- a/gateway/routing/routing.go
+++ b/gateway/routing/routing.go
@@ -63,6 +63,8 @@
 	Targets  []Target
 	// MaxServers bounds the number of servers that may run one request.
 	MaxServers int
+	// Regions are those of the servers that may get requests; empty for all.
+	Regions []string
 	// Public is set if requests need no API key.
 	Public bool
 	// Resumable is set if another server may resume a stream after its last
@@ -100,6 +102,9 @@
 	// MaxConnections is the number of connections that one server accepts in
 	// total; 0 means no stated limit.
 	MaxConnections int
+	// ColdRequestsPerSecond is how many requests a second a cold server bears, of all
+	// gateways together; 0 for no limit.
+	ColdRequestsPerSecond float64
 	// Engine describes the model engine; nil for a plain service.
 	Engine *dispatch.Engine
 }
@@ -110,6 +115,8 @@
 	Keys []string
 	// Priority overrides the priority of the route if set.
 	Priority *int
+	// Regions are those of the servers that may get requests; empty for all.
+	Regions []string
 }
 
 // Limits bound the size of a request and the idle time of a connection.
--- a/gateway/schedule/options.go
+++ b/gateway/schedule/options.go
@@ -43,7 +43,7 @@
 	o.healthy, o.ejected = o.healthy[:0], o.ejected[:0]
 	limited, unavailable := false, false
 	for _, server := range s.registry.Servers(r.Service) {
-		if slices.Contains(r.Exclude, server.ID) {
+		if slices.Contains(r.Exclude, server.ID) || !s.isAllowed(r, server) {
 			continue
 		}
 		var state selfreport.State
@@ -58,6 +58,10 @@
 			limited = true
 			continue
 		}
+		if s.isCold(r, server, now) && !s.cold.Allows(server.ID, r.ColdRequestsPerSecond, now) {
+			limited = true
+			continue
+		}
 		status := tracker.Status(server.ID, now)
 		usable := option{server, state.UnknownRequests, status.FailureCost, status.Suspected || state.LeavingHint}
 		if status.Ejected {
@@ -78,3 +82,28 @@
 	}
 	return nil, &NoServerError{Service: r.Service}
 }
+
+// isCold reports whether the requests to a server are limited because it is cold. mu is held.
+func (s *Scheduler) isCold(r *Request, server *registry.Server, now time.Time) bool {
+	return r.ColdRequestsPerSecond > 0 && now.Before(s.registry.ColdUntil(server.ID))
+}
+
+// recordCold records that a server gets r, if it is cold. mu is held.
+func (s *Scheduler) recordCold(r *Request, server *registry.Server, now time.Time) {
+	if s.isCold(r, server, now) {
+		s.cold.Record(server.ID, now)
+	}
+}
+
+// isAllowed reports whether the request may go to the region of a server.
+func (s *Scheduler) isAllowed(r *Request, server *registry.Server) bool {
+	if len(s.Regions) == 0 {
+		return true
+	}
+	for _, regions := range r.Regions {
+		if len(regions) > 0 && !slices.Contains(regions, s.Regions[server.DataCentre]) {
+			return false
+		}
+	}
+	return true
+}
--- a/gateway/schedule/reports.go
+++ b/gateway/schedule/reports.go
@@ -90,17 +90,17 @@
 	s.observeReport(a.Server, r, time.Now())
 }
 
-// MaySend reports whether the server and the helpers may still get the request, as far as
-// they have reported of themselves since it was assigned.
+// MaySend reports whether the server and the helpers may still get the request, by what they
+// have reported of themselves and by the evacuations since it was assigned.
 func (a *Assignment) MaySend() bool {
 	s, now := a.scheduler, time.Now()
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if !s.reports.State(reportedServer(a.Server), now).Usable() {
+	if !s.reports.State(reportedServer(a.Server), now).Usable() || s.registry.Evacuated(a.Server) {
 		return false
 	}
 	for _, helper := range a.Helpers {
-		if !s.reports.State(reportedServer(helper), now).Usable() {
+		if !s.reports.State(reportedServer(helper), now).Usable() || s.registry.Evacuated(helper) {
 			return false
 		}
 	}
@@ -193,6 +193,7 @@
 	if tracker := s.failureTrackers[service]; tracker != nil {
 		tracker.Forget(id)
 	}
+	s.cold.Forget(id)
 }
 
 // ForgetReports drops what a server that was removed has reported of itself, unless its
--- a/gateway/schedule/schedule.go
+++ b/gateway/schedule/schedule.go
@@ -15,6 +15,7 @@
 	"time"
 
 	"camphorwick.dev/gateway/registry"
+	"camphorwick.dev/policy/coldstart"
 	"camphorwick.dev/policy/dispatch"
 	"camphorwick.dev/policy/selfreport"
 	"camphorwick.dev/policy/suspect"
@@ -71,6 +72,12 @@
 	Priority int
 	// Exclude lists servers that have failed or refused the request.
 	Exclude []string
+	// ColdRequestsPerSecond is how many requests a second a cold server of the service bears,
+	// of all gateways together; 0 for no limit.
+	ColdRequestsPerSecond float64
+	// Regions are the lists of regions, of the route and of the account, to which the request
+	// is restricted. An empty list does not restrict it.
+	Regions [][]string
 }
 
 // NoServerError means that the service has no usable server.
@@ -130,6 +137,10 @@
 	options           options              // result of the last usable, reused by the next
 	preferences       preferences
 	locality          locality
+	cold              *coldstart.Limiter
+	// Regions are the regions of the data centres; without any, requests are not restricted
+	// to regions. It must not be changed after the first request.
+	Regions map[string]string
 	// OnEject is called without the lock when a server has failed so often that
 	// it is ejected: it gets no requests for a time while others are available.
 	OnEject func(service, id string)
@@ -146,7 +157,7 @@
 
 // New returns a scheduler for the gateway on a VM in dataCentre.
 func New(r *registry.Registry, vm, dataCentre string) *Scheduler {
-	return &Scheduler{registry: r, dataCentre: dataCentre, preferences: newPreferences(vm, dataCentre), loadTracker: dispatch.NewLoadTracker(),
+	return &Scheduler{registry: r, dataCentre: dataCentre, preferences: newPreferences(vm, dataCentre), cold: coldstart.NewLimiter(vm, time.Now()), loadTracker: dispatch.NewLoadTracker(),
 		failureTrackers: map[string]*suspect.Tracker{}, reports: selfreport.NewTracker(rand.Float64), utilization: map[string]*dispatch.Utilization{},
 		OnEject: func(string, string) {}, OnPeerSuspect: func(string, string, string) {}, OnReport: func(string, selfreport.Change, string) {}, OnPlaced: func() {}}
 }
@@ -256,6 +267,7 @@
 		ids = append(ids, servers[i].server.ID)
 	}
 	a.HelperTokens = plan.HelperTokens
+	s.recordCold(&r, a.Server, now)
 	a.job = s.loadTracker.Start(a.Server.ID, ids, plan.HelperTokens, r.Prompt, plan.FirstToken, now)
 	s.OnPlaced()
 	return a, nil
@@ -320,6 +332,7 @@
 		}
 	}
 	a := &Assignment{scheduler: s, Server: best, service: r.Service, placed: now}
+	s.recordCold(&r, best, now)
 	a.job = s.loadTracker.Start(best.ID, nil, nil, dispatch.Prompt{}, 0, now)
 	return a
 }
@@ -339,4 +352,9 @@
 	defer s.mu.Unlock()
 	s.preferences.set(gateways)
 	s.locality = newLocality(gateways, s.dataCentre)
+	vms := make([]string, 0, len(gateways))
+	for _, g := range gateways {
+		vms = append(vms, g.VM)
+	}
+	s.cold.SetGateways(vms)
 }
--- a/settings/check.go
+++ b/settings/check.go
@@ -128,6 +128,7 @@
 	c.between("gateway.unused_memory_ms", g.UnusedMemoryMillis, 0, maxTimeoutMillis)
 	c.between("gateway.drain_ms", g.DrainMillis, 0, maxTimeoutMillis)
 	c.between("gateway.config_deadline_ms", g.ConfigDeadlineMillis, 0, maxTimeoutMillis)
+	c.between("gateway.evacuation_ms", g.EvacuationMillis, 0, maxTimeoutMillis)
 }
 
 func (c *checker) positive(field string, value float64) {
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -73,6 +73,12 @@
 	// ConfigDeadlineMillis is how long after its write a configuration may come into force;
 	// 0 means 2 s.
 	ConfigDeadlineMillis int `json:"config_deadline_ms,omitempty"`
+	// EvacuationMillis is how long after the evacuation of a data centre its servers may
+	// still get requests; 0 means that data centres are not evacuated.
+	EvacuationMillis int `json:"evacuation_ms,omitempty"`
+	// Regions are the regions of the data centres, by name. Without them the regions that
+	// routes and accounts are restricted to are not enforced.
+	Regions map[string]string `json:"regions,omitempty"`
 }
 
 // TLS names the PEM files of the process's certificate and key and of the CA of
--- a/testbed/gatewaysoak/fleet.go
+++ b/testbed/gatewaysoak/fleet.go
@@ -25,7 +25,9 @@
 // time to the response and eventGapLimit for the time between two events of a
 // stream.
 const (
-	dataCentre = "dc-1"
+	// dataCentre is that of the gateways and of every other server, secondDataCentre that of
+	// the other servers.
+	dataCentre, secondDataCentre = "dc-1", "dc-2"
 	// streamService and orderService are the services; only the first has model engines.
 	streamService, orderService = "streams", "orders"
 	// secondOrderService gets a part of the orders under planned work.
@@ -102,7 +104,7 @@
 	s := &settings.Settings{VM: g.name, Role: settings.RoleGateway, DataCentre: dataCentre, ControlAddress: g.control, OpsAddress: g.opsAddress,
 		InsecurePlaintext: true, Platform: settings.Platform{URL: "http://" + g.store.Address()},
 		Gateway: &settings.Gateway{CallersAddress: g.callersAddress, MemoryMB: 256, RetryRatio: 0.2, RetryExtra: retryExtra, RetryWindowSeconds: 10,
-			GraceSeconds: graceTime.Seconds()}}
+			GraceSeconds: graceTime.Seconds(), EvacuationMillis: int(evacuationBound.Milliseconds())}}
 	data, err := json.Marshal(s)
 	if err != nil {
 		return fmt.Errorf("encode settings: %w", err)
@@ -274,6 +276,10 @@
 	sim := &fleetsim.Server{ID: fmt.Sprintf("server-%d-%d", b.index, b.starts), Service: serviceOf(b.index), Events: streamEvents, EventInterval: eventPause,
 		Fault: r.chooseFault, OnRun: r.recordRun, CrashOn: r.crashing.crashesOn,
 		Report: b.report, OnArrival: r.handleArrival}
+	if b.starts > 1 {
+		sim.ColdLeft = coldTime
+	}
+	r.places.recordStart(sim.ID, b.dataCentre(), sim.ColdLeft)
 	sim.OnCrash = func(fleetsim.Run) { r.handleCrash(b, sim) }
 	b.sim = sim
 	if r.options.Planned {
@@ -300,7 +306,7 @@
 }
 
 func (r *run) register(b *server, state fleetsim.State) error {
-	return r.store.Register(b.sim, b.proxy.Address(), dataCentre, state)
+	return r.store.Register(b.sim, b.proxy.Address(), b.dataCentre(), state)
 }
 
 func (r *run) crashServers() {
@@ -336,5 +342,5 @@
 	}
 	routes = append(routes, r.seriesRoutes(version, route)...)
 	return r.store.Configure(fleetsim.Configuration{Version: version, Routes: routes, Engines: []string{streamService}, Plain: []string{orderService, secondOrderService},
-		HeaderTimeout: v.headerTimeout, IdleTimeout: v.idleTimeout, Accounts: []fleetsim.Account{{Name: account, Keys: []string{apiKey, fmt.Sprint("other-", version)}}}})
+		HeaderTimeout: v.headerTimeout, IdleTimeout: v.idleTimeout, ColdRequestsPerSecond: coldRate, Accounts: []fleetsim.Account{{Name: account, Keys: []string{apiKey, fmt.Sprint("other-", version)}}}})
 }
--- a/testbed/gatewaysoak/reports.go
+++ b/testbed/gatewaysoak/reports.go
@@ -115,6 +115,9 @@
 	if err := r.reports.recordArrival(arrival, report); err != nil {
 		r.addViolation("%w", err)
 	}
+	if err := r.places.recordArrival(arrival); err != nil {
+		r.addViolation("%w", err)
+	}
 }
 
 // report returns what a server says of itself now. Every other server tells its load.
--- a/testbed/gatewaysoak/soak.go
+++ b/testbed/gatewaysoak/soak.go
@@ -109,6 +109,7 @@
 	seriesMu sync.Mutex // held during a series of configurations, before mu
 	crashing crashingPart
 	reports  *reportChecks
+	places   *placeChecks
 	restarts sync.WaitGroup // of servers that have crashed on a prompt
 }
 
@@ -121,7 +122,7 @@
 	}
 	defer f.Kill()
 	r := &run{options: o, fleet: f, store: fleetsim.NewStore(), started: time.Now(), runs: map[string][]fleetsim.Run{}, reportedNotRun: map[string]int{},
-		random: rand.New(rand.NewPCG(o.Seed, 0)), drainAcked: map[string]time.Time{}, reports: newReportChecks(),
+		random: rand.New(rand.NewPCG(o.Seed, 0)), drainAcked: map[string]time.Time{}, reports: newReportChecks(), places: newPlaceChecks(),
 		report: Report{Requests: map[string]int{}, Faults: map[string]int{}}}
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
@@ -139,6 +140,7 @@
 	r.load(ctx)
 	r.check(ctx)
 	if !o.Planned {
+		r.checkEvacuation(ctx)
 		r.checkCrashingPart(ctx)
 		r.checkSeries(ctx)
 	}
@@ -217,6 +219,7 @@
 		if !r.options.Planned {
 			reports.Go(func() { r.injectReports(faultCtx) })
 		}
+		reports.Go(func() { r.injectEvacuations(faultCtx) })
 		r.injectFaults(faultCtx)
 		reports.Wait()
 		r.endFaults(ctx)
@@ -249,8 +252,15 @@
 	r.runs[execution.RequestID] = append(r.runs[execution.RequestID], execution)
 	r.report.Runs++
 	acked, draining := r.drainAcked[execution.Server]
+	disturbedSince := r.lastDrainDelay.Add(recoveryTime)
+	if r.drainDelayFaults > 0 {
+		disturbedSince = time.Now()
+	}
 	late := draining && r.drainDelayFaults == 0 && execution.At.Sub(acked) > drainBound && execution.At.Sub(r.lastDrainDelay) > recoveryTime && r.lastDrainDelay.Before(acked)
 	r.mu.Unlock()
+	if err := r.places.checkRun(execution, disturbedSince); err != nil {
+		r.addViolation("%w", err)
+	}
 	if late {
 		r.addViolation("request %s ran at draining server %s %v after the store acknowledged the drain", execution.RequestID, execution.Server, execution.At.Sub(acked))
 	}
