gateway, entry: bound what is held for callers

Cause: bodies had a bound in the gateway, connections, heads and the rest of refused bodies had none; the entry had no bound at all. Callers that hold back the ends of their requests took all descriptors, so that no ordinary request was answered, and the memory.

Change: policy/footprint keeps one holder for each connection and names who makes way when connections or memory are short: first who keeps the process waiting longest, never a request that is complete. Small bodies have room of their own. The limits of the configuration on heads are enforced. daemon/machine derives the bounds from the memory and the descriptors of the settings, of GOMEMLIMIT or of the kernel. The rest of a refused body is awaited for 2 s; the connection is then closed, since with an answer beside the body net/http would read the rest as the next request.

TestBodiesAreBoundedTogether reads the same bounds from the new book.

--- a/daemon/cmd/camphorwick/gateway.go
+++ b/daemon/cmd/camphorwick/gateway.go
@@ -7,12 +7,12 @@
 	"net"
 	"net/url"
 	"os"
-	"runtime/debug"
 	"time"
 
 	"go.opentelemetry.io/otel/attribute"
 	"go.opentelemetry.io/otel/metric"
 
+	"camphorwick.dev/daemon/machine"
 	"camphorwick.dev/gateway/node"
 	"camphorwick.dev/gateway/upstream"
 	"camphorwick.dev/observe"
@@ -28,20 +28,18 @@
 	// graceMargin is the time before SIGKILL at which a stopping gateway aborts
 	// in-flight requests.
 	graceMargin = 800 * time.Millisecond
-	// memoryLimitShare is the share of the VM's memory that is set as the Go
-	// runtime's soft limit, above which the garbage collector runs more often.
-	memoryLimitShare = 0.6
-	// bodyMemoryShare is the share of the VM's memory for the bodies of requests in flight.
-	// The rest holds what is read of the next ones, answers, tables, and bodies that the
-	// collector has not freed yet.
-	bodyMemoryShare = 0.35
-	bytesPerMB      = 1 << 20
+	// bodyMemoryShare is the share of the VM's memory for the bodies of requests in flight,
+	// and smallBodyShare that for small ones alone. The rest holds connections, answers,
+	// tables, and bodies that the collector has not freed yet.
+	bodyMemoryShare = 0.25
+	smallBodyShare  = 0.05
 )
 
 // serveGateway runs the gateway role until it has stopped. reload reloads s and
 // does not apply settings yet.
 func serveGateway(ctx context.Context, p processSignals, reload reloader, s *settings.Settings, t *observe.Telemetry) error {
-	debug.SetMemoryLimit(int64(float64(s.Gateway.MemoryMB) * memoryLimitShare * bytesPerMB))
+	m := machine.Of(s.Gateway.MemoryMB, s.Gateway.MaxFiles)
+	m.LimitHeap()
 	address, err := url.Parse(s.Platform.URL)
 	if err != nil {
 		return fmt.Errorf("parse the platform's URL: %w", err)
@@ -50,7 +48,7 @@
 	if err := countStoreCalls(ctx, store, t.Meter); err != nil {
 		return fmt.Errorf("set up metrics: %w", err)
 	}
-	n, err := node.New(gatewayOptions(s, t), node.Protocol{Wire: platform.Wire{}, Store: store, EngineMemory: platform.NewEngineMemory, DecodeConfig: platform.DecodeConfig,
+	n, err := node.New(gatewayOptions(s, t, m), node.Protocol{Wire: platform.Wire{}, Store: store, EngineMemory: platform.NewEngineMemory, DecodeConfig: platform.DecodeConfig,
 		DecodeServer: platform.DecodeServer, ConfigKey: platform.ConfigKey, ServersPrefix: platform.ServersPrefix,
 		EvacuationsPrefix: platform.EvacuationsPrefix, Quarantine: store})
 	if err != nil {
@@ -82,14 +80,14 @@
 	return nil
 }
 
-func gatewayOptions(s *settings.Settings, t *observe.Telemetry) node.Options {
+func gatewayOptions(s *settings.Settings, t *observe.Telemetry, m machine.Machine) node.Options {
 	g := s.Gateway
 	return node.Options{VM: s.VM, DataCentre: s.DataCentre, Callers: g.CallersAddress, Peers: s.ControlAddress,
 		UnusedMemory: time.Duration(g.UnusedMemoryMillis) * time.Millisecond, DrainTime: time.Duration(g.DrainMillis) * time.Millisecond,
 		ConfigDeadline: time.Duration(g.ConfigDeadlineMillis) * time.Millisecond, EvacuationTime: time.Duration(g.EvacuationMillis) * time.Millisecond,
 		Regions: g.Regions,
 		Budget:  retryBudget(g), DrainLimit: seconds(g.GraceSeconds) - graceMargin,
-		BodyMemory: int64(float64(g.MemoryMB) * bodyMemoryShare * bytesPerMB), Log: t.Log, Meter: t.Meter}
+		Footprint: m.CallerLimits(bodyMemoryShare, smallBodyShare), Log: t.Log, Meter: t.Meter}
 }
 
 func seconds(s float64) time.Duration { return time.Duration(s * float64(time.Second)) }
--- a/daemon/entry/admin.go
+++ b/daemon/entry/admin.go
@@ -65,7 +65,9 @@
 			writeError(c, id, outcome.NotRun, err)
 			return
 		}
-		if err := readBody(c, maxAdminBody); err != nil {
+		body := bodyRoom{holder: holderOf(c)}
+		defer body.release()
+		if err := body.read(c, maxAdminBody); err != nil {
 			writeError(c, id, outcome.NotRun, err)
 			return
 		}
--- a/daemon/entry/entry.go
+++ b/daemon/entry/entry.go
@@ -23,12 +23,14 @@
 	"camphorwick.dev/api/wire"
 	"camphorwick.dev/cloud"
 	"camphorwick.dev/daemon/listen"
+	"camphorwick.dev/daemon/machine"
 	"camphorwick.dev/daemon/member"
 	"camphorwick.dev/fleetconf"
 	"camphorwick.dev/link"
 	"camphorwick.dev/observe"
 	"camphorwick.dev/policy/admit"
 	"camphorwick.dev/policy/choose"
+	"camphorwick.dev/policy/footprint"
 	"camphorwick.dev/policy/retry"
 	"camphorwick.dev/settings"
 )
@@ -58,6 +60,8 @@
 	editor         *fleetconf.Editor
 	budget         *retry.Budget
 	placementState *placementState
+	// footprint bounds what is held for callers.
+	footprint *footprint.Book
 
 	startup  startup
 	leaving  atomic.Bool   // this VM is marked as leaving
@@ -104,17 +108,19 @@
 	e := &Entry{settings: s, log: d.Telemetry.Log, telemetry: d.Telemetry, stop: make(chan struct{}),
 		budget: retry.New(retry.Config{}), table: choose.New(choose.Config{Seed: uint64(time.Now().UnixNano())}),
 		limiter: admit.NewLimiter(), shedder: admit.NewShedder(admit.ShedConfig{}), agents: map[string]*agentState{}}
+	m := machine.Of(s.Entry.MemoryMB, s.Entry.MaxFiles)
+	m.LimitHeap()
+	e.footprint = footprint.NewBook(m.CallerLimits(bodyMemoryShare, smallBodyShare))
 	e.liveEntries.Store(1)
 	e.startup.log = e.log
-	m, err := member.New(s, d.Telemetry.Log, d.KV, d.VMs, (*hooks)(e))
-	if err != nil {
+	var err error
+	if e.member, err = member.New(s, d.Telemetry.Log, d.KV, d.VMs, (*hooks)(e)); err != nil {
 		return nil, err
 	}
-	e.member = m
 	if s.Entry.Placement != nil {
 		e.placementState = e.newPlacementState(s.Entry.Placement, d)
 	}
-	e.editor = fleetconf.NewEditor(d.KV, m.Replica)
+	e.editor = fleetconf.NewEditor(d.KV, e.member.Replica)
 	e.editor.Log = e.log
 	if e.metrics, err = newMetrics(d.Telemetry.Meter); err != nil {
 		return nil, fmt.Errorf("set up metrics: %w", err)
@@ -164,8 +170,8 @@
 	defer cancel()
 	requests, abort := context.WithCancelCause(background)
 	defer abort(nil)
-	callers, callersErr := newDrainListener(l.Callers)
-	admin, adminErr := newDrainListener(l.Admin)
+	callers, callersErr := newDrainListener(l.Callers, e.footprint)
+	admin, adminErr := newDrainListener(l.Admin, footprint.NewBook(footprint.Limits{Holders: maxAdminConnections}))
 	if err := errors.Join(callersErr, adminErr); err != nil {
 		return fmt.Errorf("run entry: %w", err)
 	}
--- a/daemon/entry/http.go
+++ b/daemon/entry/http.go
@@ -1,7 +1,6 @@
 package entry
 
 import (
-	"bytes"
 	"context"
 	"encoding/json"
 	"errors"
@@ -9,7 +8,6 @@
 	"io"
 	"net"
 	"net/http"
-	"os"
 	"regexp"
 	"strings"
 	"time"
@@ -22,6 +20,7 @@
 	"camphorwick.dev/api/outcome"
 	"camphorwick.dev/fleetconf"
 	"camphorwick.dev/observe"
+	"camphorwick.dev/policy/footprint"
 )
 
 // Limits of the HTTP servers of both APIs. Sizes are in bytes; maxConcurrency is
@@ -83,6 +82,7 @@
 // copies, because fasthttp reuses the memory of a request.
 type exchange struct {
 	http      *fasthttp.RequestCtx
+	body      bodyRoom
 	requestID string
 	account   string
 	plan      *fleetconf.Plan
@@ -102,6 +102,7 @@
 		Handler: func(c *fasthttp.RequestCtx) {
 			handler(c)
 			discardBody(c, int64(maxBody)*discardFactor)
+			enterStage(c, footprint.Busy, nil)
 			if e.draining() {
 				c.SetConnectionClose()
 			}
@@ -113,43 +114,6 @@
 	}
 }
 
-// readBody reads a request body of at most limit bytes. Errors are
-// *outcome.Error.
-func readBody(c *fasthttp.RequestCtx, limit int) error {
-	stream := c.RequestBodyStream()
-	if stream == nil {
-		return nil
-	}
-	var body bytes.Buffer
-	if n := c.Request.Header.ContentLength(); n > 0 && n <= limit {
-		body.Grow(n + bytes.MinRead)
-	}
-	if _, err := body.ReadFrom(io.LimitReader(stream, int64(limit)+1)); err != nil {
-		return bodyError(err)
-	}
-	stated := c.Request.Header.ContentLength() // negative in chunks
-	switch {
-	case body.Len() > limit:
-		return outcome.Wrap(errBodyTooLong, outcome.InvalidRequest, "the body exceeds %d bytes", limit)
-	case body.Len() < stated: // fasthttp reports the end of the connection as that of the body
-		return outcome.New(outcome.InvalidRequest, "the body ends after %d of %d bytes", body.Len(), stated)
-	}
-	_ = c.Request.CloseBodyStream()
-	c.Request.SetBodyRaw(body.Bytes())
-	return nil
-}
-
-// errBodyTooLong is the cause of the error of a body that exceeds the limit.
-var errBodyTooLong = errors.New("body too long")
-
-// bodyError returns the error of a request whose body could not be read.
-func bodyError(err error) error {
-	if errors.Is(err, os.ErrDeadlineExceeded) {
-		return outcome.Wrap(err, outcome.DeadlineExceeded, "the body did not arrive in time")
-	}
-	return outcome.Wrap(err, outcome.InvalidRequest, "the body cannot be read")
-}
-
 // discardBody discards up to limit bytes of a body that its handler has not
 // read. It closes the connection if more is left.
 func discardBody(c *fasthttp.RequestCtx, limit int64) {
@@ -158,6 +122,7 @@
 		return
 	}
 	_ = c.Conn().SetReadDeadline(time.Now().Add(discardTime))
+	enterStage(c, footprint.Refused, func() { _ = c.Conn().Close() })
 	if _, err := io.CopyN(io.Discard, stream, limit); !errors.Is(err, io.EOF) {
 		c.SetConnectionClose()
 	}
@@ -193,7 +158,8 @@
 		e.refuse(x, err)
 		return
 	}
-	if err := readBody(c, e.settings.Entry.MaxBodyBytes); err != nil {
+	x.body.holder = holderOf(c)
+	if err := x.body.read(c, e.settings.Entry.MaxBodyBytes); err != nil {
 		e.refuse(x, err)
 		return
 	}
@@ -287,6 +253,7 @@
 
 // end records the outcome of a request and ends its span.
 func (x *exchange) end(o outcome.Outcome) {
+	x.body.release()
 	x.span.SetAttributes(attribute.String("outcome", string(o)))
 	x.span.End()
 }
--- a/daemon/entry/http_test.go
+++ b/daemon/entry/http_test.go
@@ -31,7 +31,7 @@
 	}
 	err = errNotHandled
 	server := (&Entry{stop: make(chan struct{})}).newServer("test", maxTestBody, func(c *fasthttp.RequestCtx) {
-		err = readBody(c, maxTestBody)
+		err = (&bodyRoom{}).read(c, maxTestBody)
 		if err == nil {
 			body = string(c.PostBody())
 		}
--- a/daemon/entry/listener.go
+++ b/daemon/entry/listener.go
@@ -12,6 +12,8 @@
 
 	"github.com/valyala/fasthttp"
 	"golang.org/x/sys/unix"
+
+	"camphorwick.dev/policy/footprint"
 )
 
 // idleGrace is how long a connection must have been idle before a stopping entry
@@ -29,7 +31,8 @@
 // arrived and only its goroutine has not run yet.
 type callerConn struct {
 	*net.TCPConn
-	owner *drainListener
+	owner  *drainListener
+	holder *footprint.Holder
 
 	mu           sync.Mutex
 	idleSince    time.Time // zero while a request is in progress
@@ -38,6 +41,11 @@
 
 // setIdle records whether a request is in progress.
 func (c *callerConn) setIdle(idle bool) {
+	stage := footprint.Head
+	if idle {
+		stage = footprint.Idle
+	}
+	c.holder.Enter(stage, c.closeForOthers, time.Now())
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if idle {
@@ -115,9 +123,22 @@
 	return 0, io.EOF
 }
 
+// Write implements io.Writer. While the caller does not read, the connection may be closed in
+// favour of others.
+func (c *callerConn) Write(p []byte) (int, error) {
+	c.holder.Enter(footprint.Writing, c.closeForOthers, time.Now())
+	n, err := c.TCPConn.Write(p)
+	c.holder.Enter(footprint.Busy, nil, time.Now())
+	return n, err
+}
+
+// closeForOthers closes the connection because others need its room.
+func (c *callerConn) closeForOthers() { _ = c.Close() }
+
 // Close implements io.Closer.
 func (c *callerConn) Close() error {
 	c.owner.remove(c)
+	c.holder.Close()
 	return c.TCPConn.Close()
 }
 
@@ -132,11 +153,13 @@
 // drainListener tracks the connections that it has accepted and closes them when
 // a server stops, each after the answer to its last request was written.
 //
-// Lock order: callerConn.mu before drainListener.mu.
+// Lock order: callerConn.mu before drainListener.mu. The book calls no connection while it
+// holds its own lock.
 type drainListener struct {
 	*net.TCPListener
 
-	closed    chan struct{} // closed when Accept returns no more connections
+	book      *footprint.Book // of the connections
+	closed    chan struct{}   // closed when Accept returns no more connections
 	closeOnce sync.Once
 
 	mu       sync.Mutex // guards the fields below
@@ -147,19 +170,50 @@
 var errNotTCP = errors.New("not a TCP listener")
 
 // newDrainListener returns a listener that accepts from l, which must be a
-// *net.TCPListener.
-func newDrainListener(l net.Listener) (*drainListener, error) {
+// *net.TCPListener, within the limits of a book.
+func newDrainListener(l net.Listener, book *footprint.Book) (*drainListener, error) {
 	tcp, ok := l.(*net.TCPListener)
 	if !ok {
 		return nil, fmt.Errorf("listener of type %T: %w", l, errNotTCP)
 	}
-	return &drainListener{TCPListener: tcp, conns: map[*callerConn]struct{}{}, closed: make(chan struct{})}, nil
+	return &drainListener{TCPListener: tcp, book: book, conns: map[*callerConn]struct{}{}, closed: make(chan struct{})}, nil
 }
 
 // Accept implements net.Listener. While the listener drains, it returns the
 // connections that wait to be accepted, and then closes the listener and returns
-// io.EOF.
+// io.EOF. If there are too many connections and none may be closed in favour of the next one,
+// that one is closed.
 func (l *drainListener) Accept() (net.Conn, error) {
+	for {
+		conn, err := l.accept()
+		if err != nil {
+			return nil, err
+		}
+		if c := l.wrap(conn); c != nil {
+			return c, nil
+		}
+		_ = conn.Close()
+	}
+}
+
+// wrap returns the connection as a callerConn, or nil if there are too many.
+func (l *drainListener) wrap(conn *net.TCPConn) *callerConn {
+	now := time.Now()
+	c := &callerConn{TCPConn: conn, owner: l, idleSince: now}
+	holder, ok := l.book.Open(c.closeForOthers, now)
+	if !ok {
+		return nil
+	}
+	c.holder = holder
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.conns[c] = struct{}{}
+	return c
+}
+
+// accept returns the next connection. While the listener drains, it closes the listener if
+// none waits, and returns io.EOF.
+func (l *drainListener) accept() (*net.TCPConn, error) {
 	conn, err := l.AcceptTCP()
 	if errors.Is(err, os.ErrDeadlineExceeded) && l.isDraining() {
 		conn, err = l.acceptOrClose()
@@ -167,14 +221,7 @@
 	if errors.Is(err, io.EOF) || errors.Is(err, net.ErrClosed) {
 		l.closeOnce.Do(func() { close(l.closed) })
 	}
-	if err != nil {
-		return nil, err
-	}
-	c := &callerConn{TCPConn: conn, owner: l, idleSince: time.Now()}
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	l.conns[c] = struct{}{}
-	return c, nil
+	return conn, err
 }
 
 // acceptOrClose returns a connection that waits to be accepted. If there is none,
--- a/daemon/entry/listener_test.go
+++ b/daemon/entry/listener_test.go
@@ -12,6 +12,7 @@
 	"github.com/valyala/fasthttp"
 
 	"camphorwick.dev/api/outcome"
+	"camphorwick.dev/policy/footprint"
 )
 
 // listenDraining returns a listener that drains, and a function that opens a connection
@@ -22,7 +23,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	l, err := newDrainListener(tcp)
+	l, err := newDrainListener(tcp, footprint.NewBook(footprint.Limits{}))
 	if err != nil {
 		t.Fatal(err)
 	}
--- a/gateway/ingress/body.go
+++ b/gateway/ingress/body.go
@@ -6,8 +6,9 @@
 	"io"
 	"net/http"
 	"os"
-	"sync/atomic"
 	"time"
+
+	"camphorwick.dev/policy/footprint"
 )
 
 const (
@@ -16,26 +17,15 @@
 	firstBodyBuffer = 16 << 10
 	// bodyMemoryRetryAfter is the Retry-After while the memory for bodies is taken.
 	bodyMemoryRetryAfter = time.Second
+	// bodyRoomWait is how long a body waits for memory that another request is about to
+	// return, asking for it every bodyRoomPoll.
+	bodyRoomWait = 300 * time.Millisecond
+	bodyRoomPoll = 10 * time.Millisecond
+	// restTime is how long the rest of the body of a refused request is read. A caller that
+	// sends all of it before it reads the answer would lose the answer otherwise.
+	restTime = 2 * time.Second
 )
 
-// bodyMemory bounds the memory of the bodies of all requests in flight, which are kept until
-// their ends because a request may be sent to a second server.
-type bodyMemory struct {
-	limit int64 // bytes; 0 for no limit
-	taken atomic.Int64
-}
-
-// take reserves n bytes. It returns false, and reserves none, if that exceeds the limit.
-func (m *bodyMemory) take(n int64) bool {
-	if taken := m.taken.Add(n); m.limit > 0 && taken > m.limit {
-		m.taken.Add(-n)
-		return false
-	}
-	return true
-}
-
-func (m *bodyMemory) release(n int64) { m.taken.Add(-n) }
-
 // errBodyMemory means that there is no memory for the body of a request.
 var errBodyMemory = errors.New("the memory for request bodies is taken")
 
@@ -50,23 +40,27 @@
 		return false
 	}
 	if x.r.ContentLength == 0 {
+		x.bodyRead = true
 		return true
 	}
 	// net/http clears the deadline at the end of the body.
-	if err := http.NewResponseController(x.w).SetReadDeadline(x.deadline); err != nil {
-		x.log.Warn("deadline of the body not set", "error", err.Error())
-	}
+	x.setReadDeadline(x.deadline)
 	stop := context.AfterFunc(x.g.requests, x.stopReading)
 	defer stop()
 	from := http.MaxBytesReader(x.w, x.r.Body, limit)
+	x.holder.Enter(footprint.Body, x.stopReading, time.Now())
+	x.bodyBegun = true
 	err := x.receiveBody(from, x.r.ContentLength)
+	x.holder.Enter(footprint.Busy, nil, time.Now())
 	var tooLarge *http.MaxBytesError
 	switch {
 	case err == nil:
+		x.bodyRead = true
 		return true
 	case errors.As(err, &tooLarge):
+		x.releaseBody()
 		x.refuse(http.StatusRequestEntityTooLarge, "body_too_large", 0)
-	case errors.Is(err, errBodyMemory):
+	case errors.Is(err, errBodyMemory), x.holder.Ended():
 		x.refuseBody(from)
 	case x.aborted():
 		x.refuse(http.StatusServiceUnavailable, reasonStopping, stoppingRetryAfter)
@@ -78,24 +72,41 @@
 	return false
 }
 
-// refuseBody refuses a request at once, for want of memory for its body, and then drops the
-// rest of the body: many callers read the answer only when they have sent all of it, and the
-// kernel resets a connection that is closed with unread data, which loses the answer.
+// refuseBody refuses a request for want of memory for its body, and then drops the rest of the
+// body: the kernel resets a connection that is closed with unread data, which loses the answer.
 func (x *exchange) refuseBody(rest io.Reader) {
 	x.releaseBody()
-	x.body = nil
+	x.refuse(http.StatusServiceUnavailable, reasonBodyMemory, bodyMemoryRetryAfter)
+	if _, err := io.Copy(io.Discard, rest); err != nil {
+		x.log.Debug("body of a refused request not read", "error", err.Error())
+	}
+}
+
+// limitRest limits how long net/http reads the body of a request that is refused before its
+// body was read, and lets others have the connection meanwhile. net/http reads it before it
+// writes the answer, and closes the connection if the body does not end in time.
+func (x *exchange) limitRest() {
+	x.setReadDeadline(time.Now().Add(restTime))
+	x.holder.Enter(footprint.Refused, x.stopReading, time.Now())
+}
+
+// respondBesideBody is respond for a request of whose body a part was read: the answer goes
+// out at once, although its caller may still send. The rest must not be read as another
+// request, so the connection is closed.
+func (x *exchange) respondBesideBody(status int, reason string) {
 	controller := http.NewResponseController(x.w)
 	if err := controller.EnableFullDuplex(); err != nil {
 		x.log.Debug("body not read beside the answer", "error", err.Error())
 	}
-	x.refuse(http.StatusServiceUnavailable, reasonBodyMemory, bodyMemoryRetryAfter)
+	x.w.Header().Set("Connection", "close")
+	x.respond(status, reason)
 	if err := controller.Flush(); err != nil {
 		x.log.Debug("refusal not flushed", "error", err.Error())
-		return
 	}
-	if _, err := io.Copy(io.Discard, rest); err != nil {
-		x.log.Debug("body of a refused request not read", "error", err.Error())
+	if x.aborted() || x.holder.Ended() {
+		return
 	}
+	x.limitRest()
 }
 
 // receiveBody reads a body of a stated length, or of none (-1), within the memory for bodies.
@@ -129,25 +140,40 @@
 // growBody moves the body into a buffer of a size. Both buffers count until the old one is
 // dropped.
 func (x *exchange) growBody(size int64) error {
-	if !x.g.bodies.take(size) {
+	room, ok := x.takeRoom(size)
+	if !ok {
 		return errBodyMemory
 	}
-	old := x.bodyTaken
-	x.bodyTaken = size
+	old := x.bodyRoom
+	x.bodyRoom = room
 	x.body = append(make([]byte, 0, size), x.body...)
-	x.g.bodies.release(old)
+	old.Return()
 	return nil
 }
 
-// releaseBody gives the memory of the body back at the end of the request.
+// takeRoom takes memory. It waits for that which another request is about to return.
+func (x *exchange) takeRoom(size int64) (footprint.Room, bool) {
+	for end := time.Now().Add(bodyRoomWait); ; time.Sleep(bodyRoomPoll) {
+		room, ok, coming := x.holder.Take(size, time.Now())
+		if ok || !coming || time.Now().After(end) {
+			return room, ok
+		}
+	}
+}
+
+// releaseBody gives the memory of the body back, at the latest at the end of the request. The
+// connection may refer to the exchange for longer, so the body is dropped as well.
 func (x *exchange) releaseBody() {
-	x.g.bodies.release(x.bodyTaken)
-	x.bodyTaken = 0
+	x.body = nil
+	x.bodyRoom.Return()
+	x.bodyRoom = footprint.Room{}
 }
 
 // stopReading ends a read of the body.
-func (x *exchange) stopReading() {
-	if err := http.NewResponseController(x.w).SetReadDeadline(time.Now()); err != nil {
-		x.log.Debug("read of the body not ended", "error", err.Error())
+func (x *exchange) stopReading() { x.setReadDeadline(time.Now()) }
+
+func (x *exchange) setReadDeadline(t time.Time) {
+	if err := http.NewResponseController(x.w).SetReadDeadline(t); err != nil {
+		x.log.Debug("deadline of the body not set", "error", err.Error())
 	}
 }
--- a/gateway/ingress/body_test.go
+++ b/gateway/ingress/body_test.go
@@ -14,6 +14,7 @@
 	"github.com/matryer/is"
 
 	"camphorwick.dev/gateway/routing"
+	"camphorwick.dev/policy/footprint"
 )
 
 // Guards against a caller whose body does not arrive in its time and who gets no
@@ -58,7 +59,7 @@
 			f := newFleet(t, hold, hold, hold, hold)
 			g := f.newGateway()
 			g.table.Store(table)
-			g.bodies.limit = limit
+			g.Footprint = footprint.NewBook(footprint.Limits{Bytes: limit})
 			f.mu.Lock()
 			f.gateway = g
 			f.mu.Unlock()
@@ -83,8 +84,8 @@
 			for wait := 0; len(statuses) < calls-limit/body && wait < 500; wait++ {
 				time.Sleep(10 * time.Millisecond) // the refused ones do not wait for the others, which are held
 			}
-			is.True(g.bodies.taken.Load() <= limit)
-			is.True(g.bodies.taken.Load() > 0)
+			is.True(g.Footprint.Usage().Bytes <= limit)
+			is.True(g.Footprint.Usage().Bytes > 0)
 			refusedAtOnce := len(statuses)
 			close(release)
 			counts := map[int]int{}
@@ -94,10 +95,10 @@
 			is.Equal(counts[200]+counts[503], calls)
 			is.True(counts[200] >= 1) // a buffer that grows counts twice for a moment, and is up to twice its body
 			is.True(refusedAtOnce >= calls-limit/body)
-			for wait := 0; g.bodies.taken.Load() > 0 && wait < 100; wait++ {
+			for wait := 0; g.Footprint.Usage().Bytes > 0 && wait < 100; wait++ {
 				time.Sleep(10 * time.Millisecond) // an answer may arrive before its request has ended
 			}
-			is.Equal(g.bodies.taken.Load(), int64(0))
+			is.Equal(g.Footprint.Usage().Bytes, int64(0))
 			response := f.callWithBody("/lookup/last", headers, payload, chunked)
 			is.Equal(response.StatusCode, 200)
 		})
--- a/gateway/ingress/connection_test.go
+++ b/gateway/ingress/connection_test.go
@@ -11,6 +11,8 @@
 	"time"
 
 	"github.com/matryer/is"
+
+	"camphorwick.dev/policy/footprint"
 )
 
 // closedConnection is a connection that the gateway has closed.
@@ -19,6 +21,8 @@
 func (closedConnection) CloseCause() string  { return "idle" }
 func (closedConnection) ResetOnClose() error { return nil }
 
+func (closedConnection) Holder() *footprint.Holder { return nil }
+
 // Guards against a request that the gateway itself broke off and that its log
 // and metrics count as one whose caller left.
 func TestLogOfAConnectionClosedByTheGateway(t *testing.T) {
--- a/gateway/ingress/exchange.go
+++ b/gateway/ingress/exchange.go
@@ -15,6 +15,7 @@
 	"camphorwick.dev/gateway/schedule"
 	"camphorwick.dev/gateway/upstream"
 	"camphorwick.dev/policy/dispatch"
+	"camphorwick.dev/policy/footprint"
 	"camphorwick.dev/policy/suspect"
 )
 
@@ -41,9 +42,12 @@
 	meta     Meta
 	account  *routing.Account // nil on public routes and if no accounts are configured
 	body     []byte
-	// bodyTaken is the memory that is reserved for the body, in bytes.
-	bodyTaken int64
-	tracked   *quarantine.Request // nil for a prompt without shared parts
+	// bodyBegun is set if a part of the body may have been read, bodyRead if it is complete.
+	bodyBegun, bodyRead bool
+	// bodyRoom is the memory of the body, holder that of the connection.
+	bodyRoom footprint.Room
+	holder   *footprint.Holder
+	tracked  *quarantine.Request // nil for a prompt without shared parts
 
 	service      string
 	sends        int
--- a/gateway/ingress/harness_test.go
+++ b/gateway/ingress/harness_test.go
@@ -24,6 +24,7 @@
 	"camphorwick.dev/gateway/schedule"
 	"camphorwick.dev/gateway/upstream"
 	"camphorwick.dev/policy/dispatch"
+	"camphorwick.dev/policy/footprint"
 	"camphorwick.dev/policy/retry"
 	"camphorwick.dev/policy/selfreport"
 )
@@ -233,6 +234,8 @@
 func (testConnection) CloseCause() string    { return "" }
 func (c testConnection) ResetOnClose() error { return c.Conn.(*net.TCPConn).SetLinger(0) }
 
+func (testConnection) Holder() *footprint.Holder { return nil }
+
 func testTable() *routing.Table {
 	route := func(prefix string, kind routing.Kind, resumable bool) routing.Route {
 		return routing.Route{Name: prefix, Host: "a.example", Prefix: prefix, Kind: kind, Resumable: resumable, Timeout: 2 * time.Second,
--- a/gateway/ingress/ingress.go
+++ b/gateway/ingress/ingress.go
@@ -23,6 +23,7 @@
 	"camphorwick.dev/gateway/routing"
 	"camphorwick.dev/gateway/schedule"
 	"camphorwick.dev/gateway/upstream"
+	"camphorwick.dev/policy/footprint"
 	"camphorwick.dev/policy/retry"
 )
 
@@ -57,8 +58,8 @@
 	// UnusedMemory is how long engine memory may stay reserved before its
 	// request starts to be answered; 0 for no limit.
 	UnusedMemory time.Duration
-	// BodyMemory bounds the bodies of all requests in flight, in bytes; 0 for no limit.
-	BodyMemory int64
+	// Footprint holds what is held for callers; nil for a book without limits.
+	Footprint *footprint.Book
 	// Budget bounds the retries per service, of all gateways together.
 	Budget retry.WindowConfig
 	// Processes returns the number of gateways that share the budget.
@@ -85,7 +86,6 @@
 	abort       context.CancelCauseFunc
 	started     time.Time
 	lineLimiter lineLimiter
-	bodies      bodyMemory
 
 	mu      sync.Mutex
 	budgets map[string]*retry.Window
@@ -97,7 +97,10 @@
 	if o.Quarantine == nil {
 		o.Quarantine = quarantine.New(quarantine.Options{Log: o.Log})
 	}
-	g := &Gateway{Options: o, bodies: bodyMemory{limit: o.BodyMemory}, budgets: map[string]*retry.Window{}, started: time.Now()}
+	if o.Footprint == nil {
+		o.Footprint = footprint.NewBook(footprint.Limits{})
+	}
+	g := &Gateway{Options: o, budgets: map[string]*retry.Window{}, started: time.Now()}
 	g.requests, g.abort = context.WithCancelCause(context.Background())
 	return g
 }
@@ -155,6 +158,9 @@
 	defer g.active.Add(-1)
 	x := &exchange{g: g, w: w, r: r, arrived: time.Now(), table: g.table.Load(), meta: g.Wire.DecodeRequest(r.Header)}
 	x.log = g.Log.With("request_id", x.meta.ID)
+	holder, closeHolder := g.holderOf(r.Context())
+	x.holder = holder
+	defer closeHolder()
 	defer x.releaseBody()
 	if !x.admit() {
 		return
@@ -263,6 +269,14 @@
 	if retryAfter > 0 {
 		h.Set("Retry-After", strconv.FormatFloat(retryAfter.Seconds(), 'f', 3, 64))
 	}
+	switch {
+	case x.bodyRead, x.r.ContentLength == 0:
+	case x.bodyBegun:
+		x.respondBesideBody(status, reason)
+		return
+	default:
+		x.limitRest()
+	}
 	x.respond(status, reason)
 }
 
--- a/gateway/node/body_test.go
+++ b/gateway/node/body_test.go
@@ -9,6 +9,8 @@
 	"time"
 
 	"github.com/matryer/is"
+
+	"camphorwick.dev/policy/footprint"
 )
 
 // serveUntilCancelled serves with a callerListener and a handler that reads the body
@@ -19,7 +21,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	wrapped := newCallerListener(l, func() time.Duration { return idleTimeout })
+	wrapped := newCallerListener(l, idleAfter(func() time.Duration { return idleTimeout }), footprint.NewBook(footprint.Limits{}))
 	server := &http.Server{ConnState: trackState, ConnContext: connContext, Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		if _, err := io.ReadAll(r.Body); err != nil {
 			w.WriteHeader(http.StatusBadRequest)
--- a/gateway/node/conn.go
+++ b/gateway/node/conn.go
@@ -11,6 +11,9 @@
 	"time"
 
 	"golang.org/x/sys/unix"
+
+	"camphorwick.dev/gateway/routing"
+	"camphorwick.dev/policy/footprint"
 )
 
 // callerConn is the connection of a caller. It reads from the socket under a
@@ -23,9 +26,10 @@
 // only one timeout per server, which cannot change.
 type callerConn struct {
 	net.Conn
-	socket      syscall.RawConn // of Conn
-	owner       *callerListener
-	idleTimeout func() time.Duration // 0 for none
+	socket syscall.RawConn // of Conn
+	owner  *callerListener
+	limits func() routing.Limits
+	holder *footprint.Holder // of owner.book
 
 	mu sync.Mutex // guards the fields below and is held while bytes are read
 	// betweenRequests is set while net/http has no request of the connection.
@@ -33,6 +37,10 @@
 	// requestBegun is set if bytes of the next request were read, also together with
 	// the request before it.
 	requestBegun bool
+	// headBytes is the number of bytes of the head that were read by themselves, headUntil
+	// when its time ends; zero if that is not limited.
+	headBytes int
+	headUntil time.Time
 	// deadlinesSinceIdle counts the read deadlines that net/http has set since the
 	// last request ended.
 	deadlinesSinceIdle int
@@ -54,6 +62,9 @@
 	if errors.Is(err, os.ErrDeadlineExceeded) && c.isBetweenRequests() {
 		n, err = c.readArrived(p, err)
 	}
+	if err == nil {
+		err = c.checkHead()
+	}
 	switch {
 	case err != nil:
 		return 0, &net.OpError{Op: "read", Net: "tcp", Source: c.LocalAddr(), Addr: c.RemoteAddr(), Err: err}
@@ -107,6 +118,7 @@
 	}
 	switch {
 	case n > 0:
+		c.recordHead(n)
 		c.requestBegun, c.idleSince = true, time.Time{}
 	case errors.Is(err, unix.EAGAIN) && c.betweenRequests && !c.requestBegun && c.idleSince.IsZero():
 		c.idleSince = time.Now()
@@ -114,6 +126,66 @@
 	return max(n, 0), err
 }
 
+// recordHead records n bytes that may belong to the head of a request. mu is held.
+func (c *callerConn) recordHead(n int) {
+	if !c.betweenRequests {
+		return
+	}
+	if !c.requestBegun {
+		c.headBytes, c.headUntil = 0, time.Time{}
+		if timeout := c.limits().HeaderTimeout; timeout > 0 {
+			c.headUntil = time.Now().Add(headTimeFactor * timeout)
+		}
+		c.holder.Enter(footprint.Head, c.closeForOthers, time.Now())
+	}
+	c.headBytes += n
+}
+
+const (
+	// headTimeFactor is the time for a head as a multiple of the configuration's, so that a
+	// pause of this process or a slow link ends none that a caller has sent in time.
+	headTimeFactor = 2
+	// headSlack is how many bytes beyond the configuration's limit may be read while the
+	// head of a request is incomplete: the buffer of net/http, in which the body begins.
+	headSlack = 8 << 10
+)
+
+// errHeadLimit means that a caller has sent a longer head than the configuration allows, or
+// not all of it in time.
+var errHeadLimit = errors.New("the head of the request exceeds a limit")
+
+// checkHead returns an error if the head that is being read exceeds a limit.
+func (c *callerConn) checkHead() error {
+	limit := c.limits().HeaderBytes
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if !c.betweenRequests || !c.requestBegun {
+		return nil
+	}
+	if limit > 0 && c.headBytes > limit+headSlack || !c.headUntil.IsZero() && time.Now().After(c.headUntil) {
+		return errHeadLimit
+	}
+	return nil
+}
+
+// closeForOthers closes the connection because others need its room.
+func (c *callerConn) closeForOthers() {
+	c.mu.Lock()
+	c.closed = true
+	c.mu.Unlock()
+	c.recordCloseCause(closeCauseRoom)
+	_ = c.Close()
+}
+
+// Write writes to the socket. While the caller does not read, the connection may be closed in
+// favour of others.
+func (c *callerConn) Write(p []byte) (int, error) {
+	c.holder.Enter(footprint.Writing, c.closeForOthers, time.Now())
+	n, err := c.Conn.Write(p)
+	c.holder.Enter(footprint.Busy, nil, time.Now())
+	return n, err
+}
+
 // closeIfIdle closes the connection if it has been idle for minIdle and no bytes
 // have arrived.
 func (c *callerConn) closeIfIdle(minIdle time.Duration, cause string) {
@@ -160,6 +232,12 @@
 	if state == http.StateActive {
 		_ = c.Conn.SetReadDeadline(time.Time{}) // the idle timeout does not concern the body of a request
 	}
+	switch state {
+	case http.StateActive:
+		c.holder.Enter(footprint.Busy, nil, time.Now())
+	case http.StateIdle:
+		c.holder.Enter(footprint.Idle, c.closeForOthers, time.Now())
+	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.betweenRequests = state == http.StateNew || state == http.StateIdle
@@ -186,7 +264,7 @@
 func (c *callerConn) SetReadDeadline(t time.Time) error {
 	c.noticeBegun()
 	if t.IsZero() && c.isBetweenRequests() {
-		if idleTimeout := c.idleTimeout(); idleTimeout > 0 {
+		if idleTimeout := c.limits().IdleTimeout; idleTimeout > 0 {
 			t = time.Now().Add(idleTimeout)
 		}
 	}
@@ -196,9 +274,13 @@
 // Close also removes the connection from its listener.
 func (c *callerConn) Close() error {
 	c.owner.remove(c)
+	c.holder.Close()
 	return c.Conn.Close()
 }
 
+// Holder implements ingress.Connection.
+func (c *callerConn) Holder() *footprint.Holder { return c.holder }
+
 // CloseCause implements ingress.Connection.
 func (c *callerConn) CloseCause() string {
 	c.mu.Lock()
--- a/gateway/node/drain_test.go
+++ b/gateway/node/drain_test.go
@@ -29,6 +29,7 @@
 	"camphorwick.dev/gateway/reserve"
 	"camphorwick.dev/gateway/routing"
 	"camphorwick.dev/gateway/upstream"
+	"camphorwick.dev/policy/footprint"
 	"camphorwick.dev/policy/retry"
 )
 
@@ -80,7 +81,7 @@
 		t.Fatal(err)
 	}
 	s := &recordingServer{address: l.Addr().String()}
-	s.listener = newCallerListener(l, func() time.Duration { return 0 })
+	s.listener = newCallerListener(l, noLimits, footprint.NewBook(footprint.Limits{}))
 	server := &http.Server{ConnState: trackState, Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		s.runs.Store(r.Header.Get("Id"), true)
 		_, _ = io.WriteString(w, "ok")
@@ -131,7 +132,7 @@
 	n := newTestNode(t, 2*minDrainTime)
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	is.NoErr(err)
-	callers := newCallerListener(slowListener{l}, n.callerIdleTimeout)
+	callers := newCallerListener(slowListener{l}, n.callerLimits, n.footprint)
 	server := n.newServer()
 	go func() { _ = callers.serve(server) }()
 	n.Stop()
@@ -372,7 +373,7 @@
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	is.NoErr(err)
 	exhausted := &exhaustedListener{Listener: l, closed: make(chan struct{})}
-	callers := newCallerListener(exhausted, n.callerIdleTimeout)
+	callers := newCallerListener(exhausted, n.callerLimits, n.footprint)
 	server := n.newServer()
 	go func() { _ = callers.serve(server) }()
 	var status int
--- a/gateway/node/listener.go
+++ b/gateway/node/listener.go
@@ -13,6 +13,8 @@
 	"golang.org/x/sys/unix"
 
 	"camphorwick.dev/gateway/ingress"
+	"camphorwick.dev/gateway/routing"
+	"camphorwick.dev/policy/footprint"
 )
 
 // minIdleTime is how long a connection must have been idle before a stopping
@@ -27,23 +29,26 @@
 const (
 	closeCauseIdle = "idle connection closed by a stopping gateway"
 	closeCauseStop = "gateway stopped"
+	closeCauseRoom = "closed in favour of another connection"
 )
 
 // callerListener wraps accepted connections in callerConn and tracks the open
 // ones.
 //
-// Lock order: callerListener.mu and callerConn.mu are never held together.
+// Lock order: callerListener.mu and callerConn.mu are never held together; callerConn.mu before
+// the lock of the book, which calls no connection while it holds it.
 type callerListener struct {
 	net.Listener
-	idleTimeout func() time.Duration // 0 for none
-	ended       chan struct{}        // closed when serve has returned
+	limits func() routing.Limits // of the configuration in force
+	book   *footprint.Book       // of the connections
+	ended  chan struct{}         // closed when serve has returned
 
 	mu    sync.Mutex
 	conns map[*callerConn]struct{}
 }
 
-func newCallerListener(l net.Listener, idleTimeout func() time.Duration) *callerListener {
-	return &callerListener{Listener: l, idleTimeout: idleTimeout, ended: make(chan struct{}), conns: map[*callerConn]struct{}{}}
+func newCallerListener(l net.Listener, limits func() routing.Limits, book *footprint.Book) *callerListener {
+	return &callerListener{Listener: l, limits: limits, book: book, ended: make(chan struct{}), conns: map[*callerConn]struct{}{}}
 }
 
 // serve serves the listener until a stop closes it. It must be called once.
@@ -56,17 +61,34 @@
 	return fmt.Errorf("serve callers: %w", err)
 }
 
-// Accept wraps the next connection.
+// Accept wraps the next connection. If there are too many and none may be closed in its
+// favour, it is closed: its caller can tell that nothing of it was read.
 func (l *callerListener) Accept() (net.Conn, error) {
-	c, err := l.Listener.Accept()
-	if err != nil {
-		return nil, err
+	for {
+		c, err := l.Listener.Accept()
+		if err != nil {
+			return nil, err
+		}
+		wrapped, err := l.wrap(c)
+		if wrapped != nil || err != nil {
+			return wrapped, err
+		}
+		_ = c.Close()
 	}
+}
+
+// wrap returns the connection as a callerConn, or nil if there are too many.
+func (l *callerListener) wrap(c net.Conn) (net.Conn, error) {
 	socket, err := c.(syscall.Conn).SyscallConn()
 	if err != nil {
 		return nil, fmt.Errorf("access the socket of a connection: %w", errors.Join(err, c.Close()))
 	}
-	wrapped := &callerConn{Conn: c, socket: socket, idleTimeout: l.idleTimeout, owner: l}
+	wrapped := &callerConn{Conn: c, socket: socket, limits: l.limits, owner: l}
+	holder, ok := l.book.Open(wrapped.closeForOthers, time.Now())
+	if !ok {
+		return nil, nil
+	}
+	wrapped.holder = holder
 	l.mu.Lock()
 	l.conns[wrapped] = struct{}{}
 	l.mu.Unlock()
--- a/gateway/node/listener_test.go
+++ b/gateway/node/listener_test.go
@@ -9,6 +9,9 @@
 	"time"
 
 	"github.com/matryer/is"
+
+	"camphorwick.dev/gateway/routing"
+	"camphorwick.dev/policy/footprint"
 )
 
 // serveIdle serves with a callerListener whose idle timeout can be changed.
@@ -18,7 +21,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	wrapped := newCallerListener(l, func() time.Duration { return time.Duration(idleTimeout.Load()) })
+	wrapped := newCallerListener(l, idleAfter(func() time.Duration { return time.Duration(idleTimeout.Load()) }), footprint.NewBook(footprint.Limits{}))
 	server := &http.Server{ConnState: trackState, Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		if r.URL.Path == "/slow" {
 			time.Sleep(300 * time.Millisecond)
@@ -102,7 +105,7 @@
 	tcp, err := net.Listen("tcp", "127.0.0.1:0")
 	is.NoErr(err)
 	defer func() { _ = tcp.Close() }()
-	l := newCallerListener(tcp, func() time.Duration { return time.Minute })
+	l := newCallerListener(tcp, idleAfter(func() time.Duration { return time.Minute }), footprint.NewBook(footprint.Limits{}))
 	caller, err := net.Dial("tcp", tcp.Addr().String())
 	is.NoErr(err)
 	defer func() { _ = caller.Close() }()
@@ -124,3 +127,11 @@
 	is.NoErr(err)
 	is.Equal(string(buffer[:n]), " /")
 }
+
+// noLimits are the limits of a configuration that states none.
+func noLimits() routing.Limits { return routing.Limits{} }
+
+// idleAfter returns limits with an idle timeout alone.
+func idleAfter(timeout func() time.Duration) func() routing.Limits {
+	return func() routing.Limits { return routing.Limits{IdleTimeout: timeout()} }
+}
--- a/gateway/node/node.go
+++ b/gateway/node/node.go
@@ -26,6 +26,7 @@
 	"camphorwick.dev/gateway/routing"
 	"camphorwick.dev/gateway/schedule"
 	"camphorwick.dev/gateway/upstream"
+	"camphorwick.dev/policy/footprint"
 	"camphorwick.dev/policy/retry"
 )
 
@@ -93,8 +94,8 @@
 	// UnusedMemory is how long engine memory may stay reserved before its
 	// request starts to be answered; 0 for no limit.
 	UnusedMemory time.Duration
-	// BodyMemory bounds the bodies of all requests in flight, in bytes; 0 for no limit.
-	BodyMemory int64
+	// Footprint bounds what is held for callers.
+	Footprint footprint.Limits
 	// DrainTime is how long a server that drains or has left may get requests; 0 for
 	// defaultDrainTime.
 	DrainTime time.Duration
@@ -130,6 +131,9 @@
 	configLag *configLag
 	// quarantine holds the parts of prompts on which servers crash.
 	quarantine *quarantine.List
+	// footprint holds what is held for callers.
+	footprint *footprint.Book
+	ended     endedLog // only sweep uses it
 	// evacuations holds the evacuated data centres; nil if none ever is.
 	evacuations *evacuation.List
 	// registrationLost receives when the store no longer lists this gateway; its
@@ -139,7 +143,7 @@
 
 // New returns a node that makes no connections until Run is called.
 func New(o Options, p Protocol) (*Node, error) {
-	n := &Node{options: o, protocol: p, client: upstream.New(), stop: make(chan struct{}), registrationLost: make(chan struct{}, 1)}
+	n := &Node{options: o, protocol: p, client: upstream.New(), footprint: footprint.NewBook(o.Footprint), stop: make(chan struct{}), registrationLost: make(chan struct{}, 1)}
 	n.registry = registry.New(n.serverChanged)
 	n.schedule = schedule.New(n.registry, o.VM, o.DataCentre)
 	n.schedule.Regions = o.Regions
@@ -171,7 +175,7 @@
 		n.peers.Evacuations = n.evacuations
 		n.registry.RequireEvacuations()
 	}
-	if err := n.registerPlaces(); err != nil {
+	if err := errors.Join(n.registerPlaces(), n.registerFootprint()); err != nil {
 		return nil, fmt.Errorf("set up metrics: %w", err)
 	}
 	n.followers = n.newFollowers()
@@ -192,7 +196,7 @@
 	}
 	n.gateway = ingress.New(ingress.Options{Wire: p.Wire, Scheduler: n.schedule, Client: n.client, Log: o.Log,
 		Reserver: reserve.New(memory, o.Log), Metrics: metrics,
-		Quarantine: n.quarantine, UnusedMemory: o.UnusedMemory, BodyMemory: o.BodyMemory, Budget: o.Budget, Processes: n.peers.Processes,
+		Quarantine: n.quarantine, UnusedMemory: o.UnusedMemory, Footprint: n.footprint, Budget: o.Budget, Processes: n.peers.Processes,
 		Behind: func() bool { return n.configLag.behind(time.Now()) > 0 }})
 	return n, nil
 }
@@ -273,7 +277,7 @@
 	defer cancel()
 	server := n.newServer()
 	group, ctx := errgroup.WithContext(ctx)
-	callers := newCallerListener(listener, n.callerIdleTimeout)
+	callers := newCallerListener(listener, n.callerLimits, n.footprint)
 	group.Go(func() error { return callers.serve(server) })
 	group.Go(func() error { return n.peers.Run(ctx, datagrams) })
 	group.Go(func() error { return n.schedule.Run(ctx) })
@@ -305,13 +309,12 @@
 	return net.ListenUDP("udp", net.UDPAddrFromAddrPort(parsed))
 }
 
-// callerIdleTimeout returns how long a caller's connection may be idle; 0 for no
-// limit.
-func (n *Node) callerIdleTimeout() time.Duration {
+// callerLimits returns the limits of the configuration in force; none before the first one.
+func (n *Node) callerLimits() routing.Limits {
 	if t := n.gateway.Table(); t != nil {
-		return t.Limits.IdleTimeout
+		return t.Limits
 	}
-	return 0
+	return routing.Limits{}
 }
 
 // newFollowers returns the followers of the configuration, the servers, the other
@@ -358,6 +361,7 @@
 		case now := <-ticker.C:
 			n.client.Sweep(now)
 			n.registry.Sweep(now)
+			n.logEnded(now)
 		}
 	}
 }
--- a/gateway/node/reset_test.go
+++ b/gateway/node/reset_test.go
@@ -10,6 +10,8 @@
 	"time"
 
 	"github.com/matryer/is"
+
+	"camphorwick.dev/policy/footprint"
 )
 
 // Guards against a connection that should be reset and is closed in good order, so
@@ -18,7 +20,7 @@
 	is := is.New(t)
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	is.NoErr(err)
-	wrapped := newCallerListener(l, func() time.Duration { return 0 })
+	wrapped := newCallerListener(l, noLimits, footprint.NewBook(footprint.Limits{}))
 	conns := make(chan *callerConn, 1)
 	server := &http.Server{
 		ConnState: func(c net.Conn, state http.ConnState) {
--- a/settings/check.go
+++ b/settings/check.go
@@ -21,6 +21,7 @@
 	maxLeaseMillis     = 10 * 60 * 1000
 	maxModelsPerEngine = 1000
 	minMemoryMB        = 32
+	minMaxFiles        = 256
 	maxMemoryMB        = 1 << 20
 	// minRetryWindowSeconds and maxSeconds keep a time within the range of
 	// time.Duration, also after it is divided into the slots of a window.
@@ -120,6 +121,9 @@
 func (g *Gateway) check(c *checker) {
 	c.address("gateway.callers_address", g.CallersAddress)
 	c.between("gateway.memory_mb", g.MemoryMB, minMemoryMB, maxMemoryMB)
+	if g.MaxFiles != 0 {
+		c.between("gateway.max_files", g.MaxFiles, minMaxFiles, maxCount)
+	}
 	c.positive("gateway.retry_ratio", g.RetryRatio)
 	c.positive("gateway.retry_extra", g.RetryExtra)
 	c.betweenSeconds("gateway.retry_window_s", g.RetryWindowSeconds, minRetryWindowSeconds, maxSeconds)
@@ -158,6 +162,12 @@
 	c.between("entry.max_timeout_ms", e.MaxTimeoutMillis, 1, maxTimeoutMillis)
 	c.between("entry.default_timeout_ms", e.DefaultTimeoutMillis, 1, e.MaxTimeoutMillis)
 	c.between("entry.max_body_bytes", e.MaxBodyBytes, minBodyBytes, maxBodyBytes)
+	if e.MemoryMB != 0 {
+		c.between("entry.memory_mb", e.MemoryMB, minMemoryMB, maxMemoryMB)
+	}
+	if e.MaxFiles != 0 {
+		c.between("entry.max_files", e.MaxFiles, minMaxFiles, maxCount)
+	}
 	c.between("entry.unready_ms", e.UnreadyMillis, 0, maxTimeoutMillis)
 	if p := e.Placement; p != nil {
 		c.between("entry.placement.lease_ms", p.LeaseMillis, minLeaseMillis, maxLeaseMillis)
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -58,6 +58,9 @@
 	CallersAddress string `json:"callers_address"`
 	// MemoryMB is the memory of the VM that the process may use, in MB.
 	MemoryMB int `json:"memory_mb"`
+	// MaxFiles is the number of descriptors that the process may have; 0 means as many as
+	// the kernel allows it.
+	MaxFiles int `json:"max_files,omitempty"`
 	// RetryRatio and RetryExtra limit the retries to a service, summed over all
 	// gateways, to RetryRatio x requests + RetryExtra per RetryWindowSeconds.
 	RetryRatio         float64 `json:"retry_ratio"`
@@ -131,6 +134,11 @@
 	MaxTimeoutMillis int `json:"max_timeout_ms,omitempty"`
 	// MaxBodyBytes bounds the body of a request.
 	MaxBodyBytes int `json:"max_body_bytes,omitempty"`
+	// MemoryMB is the memory that the process may use, in MB; 0 means that of GOMEMLIMIT,
+	// or all that the VM has. MaxFiles is the number of descriptors; 0 means as many as the
+	// kernel allows.
+	MemoryMB int `json:"memory_mb,omitempty"`
+	MaxFiles int `json:"max_files,omitempty"`
 	// UnreadyMillis is the delay between reporting unready and closing the
 	// callers' port, so that the load balancer removes the entry first.
 	UnreadyMillis int `json:"unready_ms,omitempty"`
