--- a/ctl/cmd/camphorwickctl/main_test.go
+++ b/ctl/cmd/camphorwickctl/main_test.go
@@ -27,7 +27,7 @@
 	a := &app{}
 	parser := flags.NewParser(&a.globalOptions, flags.None)
 	a.addCommands(parser)
-	is.Equal(len(parser.Commands()), 14)
+	is.Equal(len(parser.Commands()), 15)
 	for _, command := range parser.Commands() {
 		code, out, _ := execute(command.Name, "--help")
 		is.Equal(code, 0)
