gateway: learned times of engines shown beside the model; the soak holds requests back

Change: policy/pace keeps how much longer than its model each engine took, and gateway_first_token_deviation compares the two estimates. The soak opens crowds of connections with incomplete requests, more than a gateway allows.

--- a/gateway/node/node.go
+++ b/gateway/node/node.go
@@ -175,7 +175,7 @@
 		n.peers.Evacuations = n.evacuations
 		n.registry.RequireEvacuations()
 	}
-	if err := errors.Join(n.registerPlaces(), n.registerFootprint()); err != nil {
+	if err := errors.Join(n.registerPlaces(), n.registerFootprint(), n.observeFirstTokens()); err != nil {
 		return nil, fmt.Errorf("set up metrics: %w", err)
 	}
 	n.followers = n.newFollowers()
--- a/gateway/schedule/assignment.go
+++ b/gateway/schedule/assignment.go
@@ -31,11 +31,23 @@
 // RecordFirstToken records that the server has begun to answer, so that it is no
 // longer suspected.
 func (a *Assignment) RecordFirstToken() {
-	s := a.scheduler
+	s, now := a.scheduler, time.Now()
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	a.job.RecordFirstToken()
-	s.tracker(a.service).MarkReachable(a.Server.ID, time.Now())
+	s.tracker(a.service).MarkReachable(a.Server.ID, now)
+	if a.Expected > 0 && len(a.Helpers) == 0 { // the slowest of several engines decides otherwise
+		actual := now.Sub(a.placed)
+		s.OnFirstToken(FirstToken{Expected: a.Expected, Learned: time.Duration(float64(a.Expected) * s.pace.Factor(a.Server.ID, now)), Actual: actual})
+		s.pace.Observe(a.Server.ID, a.Expected, actual, now)
+	}
+}
+
+// FirstToken is the time from the placement of a prompt on one engine to its first token.
+type FirstToken struct {
+	// Expected is the estimate by the engine's model, Learned the same with what was learned
+	// of the engine before, Actual the time that it took.
+	Expected, Learned, Actual time.Duration
 }
 
 // ServerLeaves reports whether the process of the server may end as planned.
--- a/gateway/schedule/reports.go
+++ b/gateway/schedule/reports.go
@@ -194,6 +194,7 @@
 		tracker.Forget(id)
 	}
 	s.cold.Forget(id)
+	s.pace.Forget(id)
 }
 
 // ForgetReports drops what a server that was removed has reported of itself, unless its
--- a/gateway/schedule/schedule.go
+++ b/gateway/schedule/schedule.go
@@ -17,6 +17,7 @@
 	"camphorwick.dev/gateway/registry"
 	"camphorwick.dev/policy/coldstart"
 	"camphorwick.dev/policy/dispatch"
+	"camphorwick.dev/policy/pace"
 	"camphorwick.dev/policy/selfreport"
 	"camphorwick.dev/policy/suspect"
 )
@@ -138,6 +139,7 @@
 	preferences       preferences
 	locality          locality
 	cold              *coldstart.Limiter
+	pace              *pace.Tracker
 	// Regions are the regions of the data centres; without any, requests are not restricted
 	// to regions. It must not be changed after the first request.
 	Regions map[string]string
@@ -153,13 +155,16 @@
 	OnReport func(service string, c selfreport.Change, peer string)
 	// OnPlaced is called with the lock held when a prompt was placed.
 	OnPlaced func()
+	// OnFirstToken is called with the lock held when an engine has sent the first token of a
+	// prompt that was placed on it alone.
+	OnFirstToken func(FirstToken)
 }
 
 // New returns a scheduler for the gateway on a VM in dataCentre.
 func New(r *registry.Registry, vm, dataCentre string) *Scheduler {
-	return &Scheduler{registry: r, dataCentre: dataCentre, preferences: newPreferences(vm, dataCentre), cold: coldstart.NewLimiter(vm, time.Now()), loadTracker: dispatch.NewLoadTracker(),
+	return &Scheduler{registry: r, dataCentre: dataCentre, preferences: newPreferences(vm, dataCentre), cold: coldstart.NewLimiter(vm, time.Now()), pace: pace.NewTracker(), loadTracker: dispatch.NewLoadTracker(),
 		failureTrackers: map[string]*suspect.Tracker{}, reports: selfreport.NewTracker(rand.Float64), utilization: map[string]*dispatch.Utilization{},
-		OnEject: func(string, string) {}, OnPeerSuspect: func(string, string, string) {}, OnReport: func(string, selfreport.Change, string) {}, OnPlaced: func() {}}
+		OnEject: func(string, string) {}, OnPeerSuspect: func(string, string, string) {}, OnReport: func(string, selfreport.Change, string) {}, OnPlaced: func() {}, OnFirstToken: func(FirstToken) {}}
 }
 
 // Acquire waits until the request may be sent. The error is a NoServerError, a
--- a/testbed/gatewaysoak/fleet.go
+++ b/testbed/gatewaysoak/fleet.go
@@ -103,7 +103,7 @@
 func (g *gateway) writeSettings(retryExtra float64) error {
 	s := &settings.Settings{VM: g.name, Role: settings.RoleGateway, DataCentre: dataCentre, ControlAddress: g.control, OpsAddress: g.opsAddress,
 		InsecurePlaintext: true, Platform: settings.Platform{URL: "http://" + g.store.Address()},
-		Gateway: &settings.Gateway{CallersAddress: g.callersAddress, MemoryMB: 256, RetryRatio: 0.2, RetryExtra: retryExtra, RetryWindowSeconds: 10,
+		Gateway: &settings.Gateway{CallersAddress: g.callersAddress, MemoryMB: 256, MaxFiles: gatewayFiles, RetryRatio: 0.2, RetryExtra: retryExtra, RetryWindowSeconds: 10,
 			GraceSeconds: graceTime.Seconds(), EvacuationMillis: int(evacuationBound.Milliseconds())}}
 	data, err := json.Marshal(s)
 	if err != nil {
--- a/testbed/gatewaysoak/soak.go
+++ b/testbed/gatewaysoak/soak.go
@@ -218,6 +218,7 @@
 		var reports sync.WaitGroup
 		if !r.options.Planned {
 			reports.Go(func() { r.injectReports(faultCtx) })
+			reports.Go(func() { r.injectHeldConnections(faultCtx) })
 		}
 		reports.Go(func() { r.injectEvacuations(faultCtx) })
 		r.injectFaults(faultCtx)
