--- a/gateway/node/conn.go
+++ b/gateway/node/conn.go
@@ -37,8 +37,9 @@
 	// requestBegun is set if bytes of the next request were read, also together with
 	// the request before it.
 	requestBegun bool
-	// headBytes is the number of bytes of the head that were read by themselves, headUntil
-	// when its time ends; zero if that is not limited.
+	// headBytes is the number of bytes that were read since the last request, headUntil when
+	// the time of the head ends; zero if it is not limited, as that of one that has begun
+	// together with the request before.
 	headBytes int
 	headUntil time.Time
 	// deadlinesSinceIdle counts the read deadlines that net/http has set since the
@@ -132,7 +133,6 @@
 		return
 	}
 	if !c.requestBegun {
-		c.headBytes, c.headUntil = 0, time.Time{}
 		if timeout := c.limits().HeaderTimeout; timeout > 0 {
 			c.headUntil = time.Now().Add(headTimeFactor * timeout)
 		}
@@ -242,6 +242,7 @@
 	defer c.mu.Unlock()
 	c.betweenRequests = state == http.StateNew || state == http.StateIdle
 	c.requestBegun, c.idleSince, c.deadlinesSinceIdle = false, time.Time{}, 0
+	c.headBytes, c.headUntil = 0, time.Time{}
 }
 
 // noticeBegun records that net/http has the first bytes of the next request. It sets
