footprint: Tracker in place of Book, plain words in its pages

Cause: the name and some words of the pages were figurative.

Change: renamed; no behaviour. Measured: tests of footprint, entry, node and ingress pass.

--- a/daemon/entry/entry.go
+++ b/daemon/entry/entry.go
@@ -61,7 +61,7 @@
 	budget         *retry.Budget
 	placementState *placementState
 	// footprint bounds what is held for callers.
-	footprint *footprint.Book
+	footprint *footprint.Tracker
 
 	startup  startup
 	leaving  atomic.Bool   // this VM is marked as leaving
@@ -110,7 +110,7 @@
 		limiter: admit.NewLimiter(), shedder: admit.NewShedder(admit.ShedConfig{}), agents: map[string]*agentState{}}
 	m := machine.Of(s.Entry.MemoryMB, s.Entry.MaxFiles)
 	m.LimitHeap()
-	e.footprint = footprint.NewBook(m.CallerLimits(bodyMemoryShare, smallBodyShare))
+	e.footprint = footprint.NewTracker(m.CallerLimits(bodyMemoryShare, smallBodyShare))
 	e.liveEntries.Store(1)
 	e.startup.log = e.log
 	var err error
@@ -171,7 +171,7 @@
 	requests, abort := context.WithCancelCause(background)
 	defer abort(nil)
 	callers, callersErr := newDrainListener(l.Callers, e.footprint)
-	admin, adminErr := newDrainListener(l.Admin, footprint.NewBook(footprint.Limits{Holders: maxAdminConnections}))
+	admin, adminErr := newDrainListener(l.Admin, footprint.NewTracker(footprint.Limits{Holders: maxAdminConnections}))
 	if err := errors.Join(callersErr, adminErr); err != nil {
 		return fmt.Errorf("run entry: %w", err)
 	}
--- a/daemon/entry/listener.go
+++ b/daemon/entry/listener.go
@@ -153,13 +153,13 @@
 // drainListener tracks the connections that it has accepted and closes them when
 // a server stops, each after the answer to its last request was written.
 //
-// Lock order: callerConn.mu before drainListener.mu. The book calls no connection while it
+// Lock order: callerConn.mu before drainListener.mu. The tracker calls no connection while it
 // holds its own lock.
 type drainListener struct {
 	*net.TCPListener
 
-	book      *footprint.Book // of the connections
-	closed    chan struct{}   // closed when Accept returns no more connections
+	tracker   *footprint.Tracker // of the connections
+	closed    chan struct{}      // closed when Accept returns no more connections
 	closeOnce sync.Once
 
 	mu       sync.Mutex // guards the fields below
@@ -170,13 +170,13 @@
 var errNotTCP = errors.New("not a TCP listener")
 
 // newDrainListener returns a listener that accepts from l, which must be a
-// *net.TCPListener, within the limits of a book.
-func newDrainListener(l net.Listener, book *footprint.Book) (*drainListener, error) {
+// *net.TCPListener, within the limits of a tracker.
+func newDrainListener(l net.Listener, tracker *footprint.Tracker) (*drainListener, error) {
 	tcp, ok := l.(*net.TCPListener)
 	if !ok {
 		return nil, fmt.Errorf("listener of type %T: %w", l, errNotTCP)
 	}
-	return &drainListener{TCPListener: tcp, book: book, conns: map[*callerConn]struct{}{}, closed: make(chan struct{})}, nil
+	return &drainListener{TCPListener: tcp, tracker: tracker, conns: map[*callerConn]struct{}{}, closed: make(chan struct{})}, nil
 }
 
 // Accept implements net.Listener. While the listener drains, it returns the
@@ -200,7 +200,7 @@
 func (l *drainListener) wrap(conn *net.TCPConn) *callerConn {
 	now := time.Now()
 	c := &callerConn{TCPConn: conn, owner: l, idleSince: now}
-	holder, ok := l.book.Open(c.closeForOthers, now)
+	holder, ok := l.tracker.Open(c.closeForOthers, now)
 	if !ok {
 		return nil
 	}
--- a/daemon/entry/listener_test.go
+++ b/daemon/entry/listener_test.go
@@ -23,7 +23,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	l, err := newDrainListener(tcp, footprint.NewBook(footprint.Limits{}))
+	l, err := newDrainListener(tcp, footprint.NewTracker(footprint.Limits{}))
 	if err != nil {
 		t.Fatal(err)
 	}
--- a/gateway/ingress/body_test.go
+++ b/gateway/ingress/body_test.go
@@ -59,7 +59,7 @@
 			f := newFleet(t, hold, hold, hold, hold)
 			g := f.newGateway()
 			g.table.Store(table)
-			g.Footprint = footprint.NewBook(footprint.Limits{Bytes: limit})
+			g.Footprint = footprint.NewTracker(footprint.Limits{Bytes: limit})
 			f.mu.Lock()
 			f.gateway = g
 			f.mu.Unlock()
--- a/gateway/ingress/ingress.go
+++ b/gateway/ingress/ingress.go
@@ -58,8 +58,8 @@
 	// UnusedMemory is how long engine memory may stay reserved before its
 	// request starts to be answered; 0 for no limit.
 	UnusedMemory time.Duration
-	// Footprint holds what is held for callers; nil for a book without limits.
-	Footprint *footprint.Book
+	// Footprint holds what is held for callers; nil for a tracker without limits.
+	Footprint *footprint.Tracker
 	// Budget bounds the retries per service, of all gateways together.
 	Budget retry.WindowConfig
 	// Processes returns the number of gateways that share the budget.
@@ -98,7 +98,7 @@
 		o.Quarantine = quarantine.New(quarantine.Options{Log: o.Log})
 	}
 	if o.Footprint == nil {
-		o.Footprint = footprint.NewBook(footprint.Limits{})
+		o.Footprint = footprint.NewTracker(footprint.Limits{})
 	}
 	g := &Gateway{Options: o, budgets: map[string]*retry.Window{}, started: time.Now()}
 	g.requests, g.abort = context.WithCancelCause(context.Background())
--- a/gateway/node/body_test.go
+++ b/gateway/node/body_test.go
@@ -21,7 +21,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	wrapped := newCallerListener(l, idleAfter(func() time.Duration { return idleTimeout }), footprint.NewBook(footprint.Limits{}))
+	wrapped := newCallerListener(l, idleAfter(func() time.Duration { return idleTimeout }), footprint.NewTracker(footprint.Limits{}))
 	server := &http.Server{ConnState: trackState, ConnContext: connContext, Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		if _, err := io.ReadAll(r.Body); err != nil {
 			w.WriteHeader(http.StatusBadRequest)
--- a/gateway/node/conn.go
+++ b/gateway/node/conn.go
@@ -29,7 +29,7 @@
 	socket syscall.RawConn // of Conn
 	owner  *callerListener
 	limits func() routing.Limits
-	holder *footprint.Holder // of owner.book
+	holder *footprint.Holder // of owner.tracker
 
 	mu sync.Mutex // guards the fields below and is held while bytes are read
 	// betweenRequests is set while net/http has no request of the connection.
--- a/gateway/node/drain_test.go
+++ b/gateway/node/drain_test.go
@@ -81,7 +81,7 @@
 		t.Fatal(err)
 	}
 	s := &recordingServer{address: l.Addr().String()}
-	s.listener = newCallerListener(l, noLimits, footprint.NewBook(footprint.Limits{}))
+	s.listener = newCallerListener(l, noLimits, footprint.NewTracker(footprint.Limits{}))
 	server := &http.Server{ConnState: trackState, Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		s.runs.Store(r.Header.Get("Id"), true)
 		_, _ = io.WriteString(w, "ok")
--- a/gateway/node/head_test.go
+++ b/gateway/node/head_test.go
@@ -28,7 +28,7 @@
 	limits := func() routing.Limits {
 		return routing.Limits{HeaderBytes: 4 << 10, HeaderTimeout: testHeaderTimeout}
 	}
-	wrapped := newCallerListener(l, limits, footprint.NewBook(footprint.Limits{}))
+	wrapped := newCallerListener(l, limits, footprint.NewTracker(footprint.Limits{}))
 	server := &http.Server{ConnState: trackState, ConnContext: connContext, Handler: http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) { time.Sleep(handlerTime) })}
 	go func() { _ = wrapped.serve(server) }()
 	c, err := net.Dial("tcp", l.Addr().String())
--- a/gateway/node/listener.go
+++ b/gateway/node/listener.go
@@ -36,19 +36,19 @@
 // ones.
 //
 // Lock order: callerListener.mu and callerConn.mu are never held together; callerConn.mu before
-// the lock of the book, which calls no connection while it holds it.
+// the lock of the tracker, which calls no connection while it holds it.
 type callerListener struct {
 	net.Listener
-	limits func() routing.Limits // of the configuration in force
-	book   *footprint.Book       // of the connections
-	ended  chan struct{}         // closed when serve has returned
+	limits  func() routing.Limits // of the configuration in force
+	tracker *footprint.Tracker    // of the connections
+	ended   chan struct{}         // closed when serve has returned
 
 	mu    sync.Mutex
 	conns map[*callerConn]struct{}
 }
 
-func newCallerListener(l net.Listener, limits func() routing.Limits, book *footprint.Book) *callerListener {
-	return &callerListener{Listener: l, limits: limits, book: book, ended: make(chan struct{}), conns: map[*callerConn]struct{}{}}
+func newCallerListener(l net.Listener, limits func() routing.Limits, tracker *footprint.Tracker) *callerListener {
+	return &callerListener{Listener: l, limits: limits, tracker: tracker, ended: make(chan struct{}), conns: map[*callerConn]struct{}{}}
 }
 
 // serve serves the listener until a stop closes it. It must be called once.
@@ -84,7 +84,7 @@
 		return nil, fmt.Errorf("access the socket of a connection: %w", errors.Join(err, c.Close()))
 	}
 	wrapped := &callerConn{Conn: c, socket: socket, limits: l.limits, owner: l}
-	holder, ok := l.book.Open(wrapped.closeForOthers, time.Now())
+	holder, ok := l.tracker.Open(wrapped.closeForOthers, time.Now())
 	if !ok {
 		return nil, nil
 	}
--- a/gateway/node/listener_test.go
+++ b/gateway/node/listener_test.go
@@ -21,7 +21,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	wrapped := newCallerListener(l, idleAfter(func() time.Duration { return time.Duration(idleTimeout.Load()) }), footprint.NewBook(footprint.Limits{}))
+	wrapped := newCallerListener(l, idleAfter(func() time.Duration { return time.Duration(idleTimeout.Load()) }), footprint.NewTracker(footprint.Limits{}))
 	server := &http.Server{ConnState: trackState, Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		if r.URL.Path == "/slow" {
 			time.Sleep(300 * time.Millisecond)
@@ -105,7 +105,7 @@
 	tcp, err := net.Listen("tcp", "127.0.0.1:0")
 	is.NoErr(err)
 	defer func() { _ = tcp.Close() }()
-	l := newCallerListener(tcp, idleAfter(func() time.Duration { return time.Minute }), footprint.NewBook(footprint.Limits{}))
+	l := newCallerListener(tcp, idleAfter(func() time.Duration { return time.Minute }), footprint.NewTracker(footprint.Limits{}))
 	caller, err := net.Dial("tcp", tcp.Addr().String())
 	is.NoErr(err)
 	defer func() { _ = caller.Close() }()
--- a/gateway/node/node.go
+++ b/gateway/node/node.go
@@ -132,7 +132,7 @@
 	// quarantine holds the parts of prompts on which servers crash.
 	quarantine *quarantine.List
 	// footprint holds what is held for callers.
-	footprint *footprint.Book
+	footprint *footprint.Tracker
 	ended     endedLog // only sweep uses it
 	// evacuations holds the evacuated data centres; nil if none ever is.
 	evacuations *evacuation.List
@@ -143,7 +143,7 @@
 
 // New returns a node that makes no connections until Run is called.
 func New(o Options, p Protocol) (*Node, error) {
-	n := &Node{options: o, protocol: p, client: upstream.New(), footprint: footprint.NewBook(o.Footprint), stop: make(chan struct{}), registrationLost: make(chan struct{}, 1)}
+	n := &Node{options: o, protocol: p, client: upstream.New(), footprint: footprint.NewTracker(o.Footprint), stop: make(chan struct{}), registrationLost: make(chan struct{}, 1)}
 	n.registry = registry.New(n.serverChanged)
 	n.schedule = schedule.New(n.registry, o.VM, o.DataCentre)
 	n.schedule.Regions = o.Regions
--- a/gateway/node/reset_test.go
+++ b/gateway/node/reset_test.go
@@ -20,7 +20,7 @@
 	is := is.New(t)
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	is.NoErr(err)
-	wrapped := newCallerListener(l, noLimits, footprint.NewBook(footprint.Limits{}))
+	wrapped := newCallerListener(l, noLimits, footprint.NewTracker(footprint.Limits{}))
 	conns := make(chan *callerConn, 1)
 	server := &http.Server{
 		ConnState: func(c net.Conn, state http.ConnState) {
--- a/policy/footprint/footprint.go
+++ b/policy/footprint/footprint.go
@@ -2,7 +2,7 @@
 // of requests. It answers the load "many callers hold back the ends of their requests": each
 // of them keeps within its own limits, and together they take all descriptors and all memory.
 //
-// A Book has one Holder for each connection. When room is short, the holder that has kept the
+// A Tracker has one Holder for each connection. When room is short, the holder that has kept the
 // process waiting longest is ended in favour of a new one. A holder whose request is complete
 // is never ended: it waits for this process, not the other way round. Small requests have room
 // of their own, which large ones cannot take.
@@ -44,9 +44,9 @@
 	Bytes, SmallBytes int64
 }
 
-// Book holds the holders of a process. It is safe for concurrent use. The functions that end
+// Tracker holds the holders of a process. It is safe for concurrent use. The functions that end
 // holders are called without a lock.
-type Book struct {
+type Tracker struct {
 	limits Limits
 
 	mu      sync.Mutex
@@ -57,16 +57,16 @@
 	ended   int   // holders that were ended, in all
 }
 
-// NewBook returns a book without holders.
-func NewBook(limits Limits) *Book {
-	return &Book{limits: limits, holders: map[*Holder]struct{}{}}
+// NewTracker returns a tracker without holders.
+func NewTracker(limits Limits) *Tracker {
+	return &Tracker{limits: limits, holders: map[*Holder]struct{}{}}
 }
 
 // Holder is what is held for one connection. A nil Holder is not bounded.
 type Holder struct {
-	book *Book
+	tracker *Tracker
 
-	// The following fields are guarded by book.mu.
+	// The following fields are guarded by tracker.mu.
 
 	stage  Stage
 	since  time.Time // start of the stage
@@ -85,20 +85,20 @@
 
 // Open adds a holder in stage Idle, which end ends. If there are too many, another one is
 // ended; false means that none may be.
-func (b *Book) Open(end func(), now time.Time) (*Holder, bool) {
-	h := &Holder{book: b, since: now, end: end}
-	b.mu.Lock()
+func (t *Tracker) Open(end func(), now time.Time) (*Holder, bool) {
+	h := &Holder{tracker: t, since: now, end: end}
+	t.mu.Lock()
 	endOther := func() {}
-	if b.limits.Holders > 0 && len(b.holders) >= b.limits.Holders {
-		victim := b.longestWaiting()
+	if t.limits.Holders > 0 && len(t.holders) >= t.limits.Holders {
+		victim := t.longestWaiting()
 		if victim == nil {
-			b.mu.Unlock()
+			t.mu.Unlock()
 			return nil, false
 		}
-		endOther = b.remove(victim)
+		endOther = t.remove(victim)
 	}
-	b.holders[h] = struct{}{}
-	b.mu.Unlock()
+	t.holders[h] = struct{}{}
+	t.mu.Unlock()
 	endOther()
 	return h, true
 }
@@ -126,10 +126,10 @@
 }
 
 // longestWaiting returns the holder to end for a new connection, or nil. mu is held.
-func (b *Book) longestWaiting() *Holder {
+func (t *Tracker) longestWaiting() *Holder {
 	var worst *Holder
 	worstRank := 0
-	for h := range b.holders {
+	for h := range t.holders {
 		rank, ok := h.rank()
 		if !ok {
 			continue
@@ -141,13 +141,13 @@
 	return worst
 }
 
-// remove takes a holder out of the book and returns the function that ends it, to be called
+// remove takes a holder out of the tracker and returns the function that ends it, to be called
 // without the lock. What it has taken counts until it returns it. mu is held.
-func (b *Book) remove(h *Holder) (end func()) {
+func (t *Tracker) remove(h *Holder) (end func()) {
 	h.ended = true
-	b.leaving += h.bytes
-	b.ended++
-	delete(b.holders, h)
+	t.leaving += h.bytes
+	t.ended++
+	delete(t.holders, h)
 	return h.end
 }
 
@@ -156,8 +156,8 @@
 	if h == nil {
 		return
 	}
-	h.book.mu.Lock()
-	defer h.book.mu.Unlock()
+	h.tracker.mu.Lock()
+	defer h.tracker.mu.Unlock()
 	if stage == Idle && h.stage != Idle {
 		h.served = true
 	}
@@ -169,8 +169,8 @@
 	if h == nil {
 		return false
 	}
-	h.book.mu.Lock()
-	defer h.book.mu.Unlock()
+	h.tracker.mu.Lock()
+	defer h.tracker.mu.Unlock()
 	return h.ended
 }
 
@@ -179,9 +179,9 @@
 	if h == nil {
 		return
 	}
-	h.book.mu.Lock()
-	defer h.book.mu.Unlock()
-	delete(h.book.holders, h)
+	h.tracker.mu.Lock()
+	defer h.tracker.mu.Unlock()
+	delete(h.tracker.holders, h)
 }
 
 // Take takes n bytes. It returns false if there is no room, or if the holder was ended; coming
@@ -190,22 +190,22 @@
 	if h == nil {
 		return Room{}, true, false
 	}
-	b := h.book
-	b.mu.Lock()
+	t := h.tracker
+	t.mu.Lock()
 	if h.ended {
-		b.mu.Unlock()
+		t.mu.Unlock()
 		return Room{}, false, false
 	}
 	if room, ok = h.take(n); ok {
-		b.mu.Unlock()
+		t.mu.Unlock()
 		return room, true, false
 	}
-	victims, enough := b.victims(h, n, now)
+	victims, enough := t.victims(h, n, now)
 	ends := make([]func(), 0, len(victims))
 	for _, v := range victims {
-		ends = append(ends, b.remove(v))
+		ends = append(ends, t.remove(v))
 	}
-	b.mu.Unlock()
+	t.mu.Unlock()
 	for _, end := range ends {
 		end()
 	}
@@ -214,14 +214,14 @@
 
 // take takes n bytes if there is room. mu is held.
 func (h *Holder) take(n int64) (Room, bool) {
-	b := h.book
+	t := h.tracker
 	switch {
-	case n <= SmallRoom && b.small+n <= b.limits.SmallBytes:
-		b.small += n
+	case n <= SmallRoom && t.small+n <= t.limits.SmallBytes:
+		t.small += n
 		h.bytes += n
 		return Room{h, n, true}, true
-	case b.limits.Bytes == 0 || b.taken+n <= b.limits.Bytes:
-		b.taken += n
+	case t.limits.Bytes == 0 || t.taken+n <= t.limits.Bytes:
+		t.taken += n
 		h.bytes += n
 		return Room{h, n, false}, true
 	}
@@ -230,13 +230,13 @@
 
 // victims returns the holders to end so that n bytes become free, longest waiting first, and
 // whether these are enough. It returns none if they are not. mu is held.
-func (b *Book) victims(taker *Holder, n int64, now time.Time) ([]*Holder, bool) {
-	missing := b.taken + n - b.limits.Bytes - b.leaving
+func (t *Tracker) victims(taker *Holder, n int64, now time.Time) ([]*Holder, bool) {
+	missing := t.taken + n - t.limits.Bytes - t.leaving
 	var victims []*Holder
 	chosen := map[*Holder]bool{taker: true}
 	for missing > 0 {
 		var worst *Holder
-		for h := range b.holders {
+		for h := range t.holders {
 			if !chosen[h] && h.bytes > 0 && h.stalled(now) && (worst == nil || h.since.Before(worst.since)) {
 				worst = h
 			}
@@ -262,21 +262,21 @@
 	if r.holder == nil {
 		return
 	}
-	b := r.holder.book
-	b.mu.Lock()
-	defer b.mu.Unlock()
+	t := r.holder.tracker
+	t.mu.Lock()
+	defer t.mu.Unlock()
 	if r.small {
-		b.small -= r.bytes
+		t.small -= r.bytes
 	} else {
-		b.taken -= r.bytes
+		t.taken -= r.bytes
 	}
 	r.holder.bytes -= r.bytes
 	if r.holder.ended {
-		b.leaving -= r.bytes
+		t.leaving -= r.bytes
 	}
 }
 
-// Usage is what the holders of a book hold.
+// Usage is what the holders of a tracker hold.
 type Usage struct {
 	Holders int
 	Bytes   int64
@@ -285,8 +285,8 @@
 }
 
 // Usage returns what is held now.
-func (b *Book) Usage() Usage {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	return Usage{Holders: len(b.holders), Bytes: b.taken + b.small, Ended: b.ended}
+func (t *Tracker) Usage() Usage {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return Usage{Holders: len(t.holders), Bytes: t.taken + t.small, Ended: t.ended}
 }
--- a/policy/footprint/footprint_test.go
+++ b/policy/footprint/footprint_test.go
@@ -11,7 +11,7 @@
 var start = time.Unix(0, 0)
 
 // opened opens a holder and records its end.
-func opened(t *testing.T, b *Book, now time.Time) (*Holder, *bool) {
+func opened(t *testing.T, b *Tracker, now time.Time) (*Holder, *bool) {
 	t.Helper()
 	ended := new(bool)
 	h, ok := b.Open(func() { *ended = true }, now)
@@ -23,9 +23,9 @@
 
 // Guards against the load "silent connections take all descriptors": a new caller is turned
 // away, or takes the place of one whose request is being served.
-func TestSilentConnectionsMakeWay(t *testing.T) {
+func TestSilentConnectionsAreEvicted(t *testing.T) {
 	is := is.New(t)
-	b := NewBook(Limits{Holders: 3})
+	b := NewTracker(Limits{Holders: 3})
 	busy, busyEnded := opened(t, b, start)
 	busy.Enter(Busy, func() { *busyEnded = true }, start)
 	kept, keptEnded := opened(t, b, start)
@@ -40,7 +40,7 @@
 	is.True(!*keptEnded && !*busyEnded)
 	is.Equal(b.Usage().Holders, 3)
 
-	all := NewBook(Limits{Holders: 1})
+	all := NewTracker(Limits{Holders: 1})
 	h, _ := opened(t, all, start)
 	h.Enter(Busy, nil, start)
 	_, ok := all.Open(func() {}, start)
@@ -49,9 +49,9 @@
 
 // Guards against the load "large bodies stop short of their ends": they keep the memory for
 // bodies, and requests with small bodies are refused for want of it.
-func TestStalledBodiesMakeWay(t *testing.T) {
+func TestStalledBodiesAreEvicted(t *testing.T) {
 	is := is.New(t)
-	b := NewBook(Limits{Bytes: 10 << 20, SmallBytes: 2 * SmallRoom})
+	b := NewTracker(Limits{Bytes: 10 << 20, SmallBytes: 2 * SmallRoom})
 	var held []*Holder
 	var rooms []Room
 	var ended []*bool
@@ -98,7 +98,7 @@
 func TestRoomIsReturned(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		limits := Limits{Holders: rapid.IntRange(1, 6).Draw(t, "holders"), Bytes: 100 << 10, SmallBytes: 100 << 10}
-		b := NewBook(limits)
+		b := NewTracker(limits)
 		type open struct {
 			*Holder
 			rooms []Room
