--- a/gateway/node/conn.go
+++ b/gateway/node/conn.go
@@ -37,11 +37,11 @@
 	// requestBegun is set if bytes of the next request were read, also together with
 	// the request before it.
 	requestBegun bool
-	// headBytes is the number of bytes that were read since the last request, headUntil when
-	// the time of the head ends; zero if it is not limited, as that of one that has begun
-	// together with the request before.
-	headBytes int
-	headUntil time.Time
+	// headBytes is the number of bytes that were read since the last request, headTime the
+	// time between the reads, and headReadAt when the last of them was.
+	headBytes  int
+	headTime   time.Duration
+	headReadAt time.Time
 	// deadlinesSinceIdle counts the read deadlines that net/http has set since the
 	// last request ended.
 	deadlinesSinceIdle int
@@ -132,18 +132,21 @@
 	if !c.betweenRequests {
 		return
 	}
+	now := time.Now()
 	if !c.requestBegun {
-		if timeout := c.limits().HeaderTimeout; timeout > 0 {
-			c.headUntil = time.Now().Add(headTimeFactor * timeout)
-		}
-		c.holder.Enter(footprint.Head, c.closeForOthers, time.Now())
+		c.holder.Enter(footprint.Head, c.closeForOthers, now)
+	}
+	if !c.headReadAt.IsZero() {
+		c.headTime += min(now.Sub(c.headReadAt), c.limits().HeaderTimeout)
 	}
+	c.headReadAt = now
 	c.headBytes += n
 }
 
 const (
-	// headTimeFactor is the time for a head as a multiple of the configuration's, so that a
-	// pause of this process or a slow link ends none that a caller has sent in time.
+	// headTimeFactor is the time for a head as a multiple of the configuration's. No time
+	// between two reads counts as more than the latter, so that a pause of this process ends
+	// no head that its caller has sent in time.
 	headTimeFactor = 2
 	// headSlack is how many bytes beyond the configuration's limit may be read while the
 	// head of a request is incomplete: the buffer of net/http, in which the body begins.
@@ -156,13 +159,15 @@
 
 // checkHead returns an error if the head that is being read exceeds a limit.
 func (c *callerConn) checkHead() error {
-	limit := c.limits().HeaderBytes
+	limits := c.limits()
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if !c.betweenRequests || !c.requestBegun {
 		return nil
 	}
-	if limit > 0 && c.headBytes > limit+headSlack || !c.headUntil.IsZero() && time.Now().After(c.headUntil) {
+	tooLong := limits.HeaderBytes > 0 && c.headBytes > limits.HeaderBytes+headSlack
+	tooSlow := limits.HeaderTimeout > 0 && c.headTime > headTimeFactor*limits.HeaderTimeout
+	if tooLong || tooSlow {
 		return errHeadLimit
 	}
 	return nil
@@ -242,7 +247,7 @@
 	defer c.mu.Unlock()
 	c.betweenRequests = state == http.StateNew || state == http.StateIdle
 	c.requestBegun, c.idleSince, c.deadlinesSinceIdle = false, time.Time{}, 0
-	c.headBytes, c.headUntil = 0, time.Time{}
+	c.headBytes, c.headTime, c.headReadAt = 0, 0, time.Time{}
 }
 
 // noticeBegun records that net/http has the first bytes of the next request. It sets
