--- a/testbed/gatewaysoak/held.go
+++ b/testbed/gatewaysoak/held.go
@@ -8,6 +8,8 @@
 	"net"
 	"sync"
 	"time"
+
+	"camphorwick.dev/platform/fleetsim"
 )
 
 const (
@@ -45,16 +47,10 @@
 	}
 }
 
-// heldRequests are what a client that holds back the end of its request sends.
-var heldRequests = []string{
-	"",
-	"POST /order/held HTTP/1.1\r\nHost: " + host + "\r\n",
-	"POST /order/held HTTP/1.1\r\nHost: " + host + "\r\nX-Api-Key: " + apiKey + "\r\nX-Attempt-Id: held\r\nContent-Length: 100\r\n\r\nshort",
-}
-
 // holdBack opens the connections of one crowd and closes them after d. A gateway may refuse or
 // close any of them.
 func holdBack(address string, d time.Duration) {
+	requests := fleetsim.HeldRequests(host, "/order/held", apiKey)
 	var group sync.WaitGroup
 	for n := range heldConnections {
 		group.Go(func() {
@@ -63,7 +59,7 @@
 				return
 			}
 			defer func() { _ = c.Close() }()
-			_, _ = io.WriteString(c, heldRequests[n%len(heldRequests)]) // fails if the gateway has closed it
+			_, _ = io.WriteString(c, requests[n%len(requests)]) // fails if the gateway has closed it
 			time.Sleep(d)
 		})
 	}
