ingress: an answer of a server of which nothing is known is not whole

Cause: upstream.Client.Refuses had two results for three cases. "Not known" counted as a server that runs, and the context of the request was not looked at after it.

Change: cloud/tcpprobe has three results, and only a server that is known to accept connections makes such an answer whole. The caller gets 502 or 504, or a stream without its last chunk; what may run again is tried elsewhere.

--- a/gateway/ingress/ending.go
+++ b/gateway/ingress/ending.go
@@ -22,6 +22,9 @@
 	// endingServerGone is an answer that ends with its connection, a stream between two
 	// events, while its server accepts no more connections.
 	endingServerGone ending = "server_gone"
+	// endingServerUnknown is an answer that ends with its connection, while it is not known
+	// whether its server has ended.
+	endingServerUnknown ending = "server_unknown"
 	// endingAtTimeLimit is an answer that ends with its connection when the server was to
 	// stop.
 	endingAtTimeLimit ending = "at_time_limit"
@@ -35,11 +38,12 @@
 // endingErrors say why an answer does not count as whole although its connection was read
 // without an error.
 var endingErrors = map[ending]error{
-	endingInEvent:     errors.New("the stream ends inside an event"),
-	endingNoEvent:     errors.New("the connection ends before the first event"),
-	endingServerGone:  errors.New("the connection ends and the server refuses another one"),
-	endingAtTimeLimit: errors.New("the connection ends at the time limit that the server was given"),
-	endingTooLong:     errors.New("the answer or an event of it exceeds the size limit"),
+	endingInEvent:       errors.New("the stream ends inside an event"),
+	endingNoEvent:       errors.New("the connection ends before the first event"),
+	endingServerGone:    errors.New("the connection ends and the server refuses another one"),
+	endingServerUnknown: errors.New("the connection ends and the server cannot be asked whether it still runs"),
+	endingAtTimeLimit:   errors.New("the connection ends at the time limit that the server was given"),
+	endingTooLong:       errors.New("the answer or an event of it exceeds the size limit"),
 }
 
 // err returns why an answer with this ending does not count as whole; nil if it does.
--- a/gateway/ingress/server_end.go
+++ b/gateway/ingress/server_end.go
@@ -6,6 +6,7 @@
 	"log/slog"
 	"net/http"
 
+	"camphorwick.dev/cloud/tcpprobe"
 	"camphorwick.dev/gateway/quarantine"
 	"camphorwick.dev/gateway/schedule"
 )
@@ -36,7 +37,7 @@
 	if a.ServerEndsAsPlanned() {
 		return false
 	}
-	return x.end.ending == endingServerGone || x.g.Client.Refuses(x.ctx, a.Server.Address)
+	return x.end.ending == endingServerGone || x.g.Client.Probe(x.ctx, a.Server.Address) == tcpprobe.Refusing
 }
 
 // partsAttr returns the field of a log line with the parts of the prompt, none if it has
--- a/gateway/ingress/unframed.go
+++ b/gateway/ingress/unframed.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"camphorwick.dev/cloud/tcpprobe"
 	"camphorwick.dev/gateway/schedule"
 	"camphorwick.dev/gateway/upstream"
 )
@@ -17,22 +18,26 @@
 		return endingWhole
 	case x.limit.reached(time.Now()):
 		return endingAtTimeLimit
-	case x.endsWithServer(a):
-		return endingServerGone
 	}
-	return endingWhole
+	return x.endingByServer(a)
 }
 
-// endsWithServer reports whether an answer that has ended with its connection may
-// have been cut by the end of its server. The framing cannot tell, so it looks
-// whether the server still accepts connections. A server that leaves may end after its
-// last answers or in the middle of them, so for it the end counts only if another server
-// may answer in its place.
-func (x *exchange) endsWithServer(a *schedule.Assignment) bool {
+// endingByServer returns how an answer ended that ended with its connection before its time
+// limit. The end of its server may have cut it, so it looks whether the server still accepts
+// connections; if that is not known, the answer does not count as whole either. A server that
+// leaves may end after its last answers or in the middle of them, so for it the end counts
+// only if another server may answer in its place.
+func (x *exchange) endingByServer(a *schedule.Assignment) ending {
 	if a.ServerLeaves() && !x.mayRunAgain() {
-		return false
+		return endingWhole
+	}
+	switch x.g.Client.Probe(x.ctx, a.Server.Address) {
+	case tcpprobe.Accepting:
+		return endingWhole
+	case tcpprobe.Refusing:
+		return endingServerGone
 	}
-	return x.g.Client.Refuses(x.ctx, a.Server.Address)
+	return endingServerUnknown
 }
 
 const (
--- a/gateway/upstream/idle.go
+++ b/gateway/upstream/idle.go
@@ -1,14 +1,12 @@
 package upstream
 
 import (
-	"errors"
-	"net"
 	"net/http"
 	"strconv"
 	"strings"
 	"time"
 
-	"golang.org/x/sys/unix"
+	"camphorwick.dev/cloud/tcpprobe"
 )
 
 const (
@@ -38,7 +36,7 @@
 		list[len(list)-1] = nil
 		c.idle[address] = list[:len(list)-1]
 		c.mu.Unlock()
-		if now.Before(cn.expires) && !(atMostOnce && now.Sub(cn.idleSince) > maxIdleAtMostOnce) && !Unusable(cn.Conn) {
+		if now.Before(cn.expires) && !(atMostOnce && now.Sub(cn.idleSince) > maxIdleAtMostOnce) && !tcpprobe.Unusable(cn.Conn) {
 			return cn
 		}
 		_ = cn.Close()
@@ -112,23 +110,3 @@
 		_ = cn.Close()
 	}
 }
-
-// Unusable reports whether an idle connection must not be used, because it has
-// unexpected data, was closed, or cannot be checked.
-func Unusable(nc net.Conn) bool {
-	tcp, ok := nc.(*net.TCPConn)
-	if !ok {
-		return true
-	}
-	raw, err := tcp.SyscallConn()
-	if err != nil {
-		return true
-	}
-	empty := false // the connection is open and there is nothing to read
-	err = raw.Control(func(fd uintptr) {
-		var one [1]byte
-		_, _, err := unix.Recvfrom(int(fd), one[:], unix.MSG_PEEK|unix.MSG_DONTWAIT)
-		empty = errors.Is(err, unix.EAGAIN)
-	})
-	return err != nil || !empty
-}
--- a/gateway/upstream/upstream.go
+++ b/gateway/upstream/upstream.go
@@ -15,7 +15,7 @@
 	"sync"
 	"time"
 
-	"golang.org/x/sys/unix"
+	"camphorwick.dev/cloud/tcpprobe"
 )
 
 const (
@@ -29,12 +29,6 @@
 	// the request.
 	largeRequest = 16 << 10
 	readBuffer   = 4 << 10
-	// probeTimeout bounds Refuses, which delays the end of an answer.
-	probeTimeout = 150 * time.Millisecond
-	// endingTime is how long the kernel may take to close all sockets of a process that has
-	// ended. It may close a connection before the listening socket, and new connections
-	// are opened meanwhile.
-	endingTime = 30 * time.Millisecond
 	// maxSkipped bounds the answers to other requests that are skipped before
 	// the expected one.
 	maxSkipped = 2
@@ -238,31 +232,20 @@
 	return &conn{Conn: nc, br: bufio.NewReaderSize(limit, readBuffer), limit: limit, address: address}, nil
 }
 
-// Refuses reports whether the server at address refuses a connection, as after the
-// end of its process. It returns false if that is not known. A connection that it
+// Probe finds out whether the server at address accepts connections. A connection that it
 // opens is kept for the next request.
-func (c *Client) Refuses(ctx context.Context, address string) bool {
-	ctx, cancel := context.WithTimeout(ctx, probeTimeout)
-	defer cancel()
-	for {
+func (c *Client) Probe(ctx context.Context, address string) tcpprobe.State {
+	var last *conn
+	state, opened := tcpprobe.Server(ctx, func(ctx context.Context) (net.Conn, error) {
 		cn, err := c.dial(ctx, address)
-		if err != nil && !errors.Is(err, unix.ECONNRESET) {
-			return errors.Is(err, unix.ECONNREFUSED)
-		}
-		select {
-		case <-ctx.Done():
-		case <-time.After(endingTime):
-		}
-		switch {
-		case err != nil: // the connection was not accepted any more
-		case ctx.Err() != nil || !Unusable(cn.Conn):
-			c.putIdle(cn, nil)
-			return false
-		default: // the process was ending
-			_ = cn.Close()
-		}
-		if ctx.Err() != nil {
-			return false
+		if err != nil {
+			return nil, err
 		}
+		last = cn
+		return cn.Conn, nil
+	})
+	if opened != nil {
+		c.putIdle(last, nil)
 	}
+	return state
 }
--- a/gateway/upstream/upstream_test.go
+++ b/gateway/upstream/upstream_test.go
@@ -13,6 +13,8 @@
 	"time"
 
 	"github.com/matryer/is"
+
+	"camphorwick.dev/cloud/tcpprobe"
 )
 
 // script answers the requests of one connection; n is its number, from 1.
@@ -315,23 +317,23 @@
 	is.Equal(connections.Load(), int32(2))
 }
 
-// Guards against a server that runs and counts as gone, against the reverse, and
-// against a connection for each look at a server.
-func TestRefuses(t *testing.T) {
+// Guards against a server that runs and counts as gone, against the reverse, against either
+// where it is not known, and against a connection for each look at a server.
+func TestProbe(t *testing.T) {
 	is := is.New(t)
 	address, connections := serve(t, answering("HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok"))
 	client := New()
-	is.True(!client.Refuses(context.Background(), address))
+	is.Equal(client.Probe(context.Background(), address), tcpprobe.Accepting)
 	_, err := fetch(client, address, get("1"))
 	is.NoErr(err)
 	is.Equal(connections.Load(), int32(1))
 	ended, cancel := context.WithCancel(context.Background())
 	cancel()
-	is.True(!client.Refuses(ended, address)) // not known
+	is.Equal(client.Probe(ended, address), tcpprobe.Unknown)
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	is.NoErr(err)
 	is.NoErr(l.Close())
-	is.True(client.Refuses(context.Background(), l.Addr().String()))
+	is.Equal(client.Probe(context.Background(), l.Addr().String()), tcpprobe.Refusing)
 }
 
 // Guards against interim answers that count as answers to other requests: after two of
@@ -355,16 +357,3 @@
 	_, err := fetch(New(), address, get("1"))
 	is.True(errors.Is(err, errTooManyInterim))
 }
-
-// Guards against an answer that was cut by the end of its server counting as whole, because
-// the kernel closed its connection a moment before the listening socket.
-func TestRefusesWhileAProcessEnds(t *testing.T) {
-	is := is.New(t)
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	is.NoErr(err)
-	go func() {
-		time.Sleep(endingTime / 2)
-		_ = l.Close() // resets the connections that were not accepted
-	}()
-	is.True(New().Refuses(context.Background(), l.Addr().String()))
-}
