httpcall: an answer of a service of which nothing is known is no reply

An agent could record a part of an order's answer as the whole one if the answer had no length and the service could not be reached at its end, or if its kernel closed the connection before the port.

Cause: the check at the end of such an answer treated any failure to connect but a refusal as a service that runs, and did not watch an opened connection. The gateway had its own, better copy of that check.

Change: the client uses cloud/tcpprobe, as the gateway does. The stand-in for raw answers can close its port late and fall silent.

--- a/backend/servicehttp/ending_test.go
+++ b/backend/servicehttp/ending_test.go
@@ -8,6 +8,7 @@
 
 	"github.com/matryer/is"
 
+	"camphorwick.dev/cloud/tcpprobe"
 	"camphorwick.dev/standin/faults"
 	"camphorwick.dev/standin/ordersim"
 	"camphorwick.dev/standin/rawanswer"
@@ -91,8 +92,25 @@
 // Guards against a part of an answer without a length that is recorded as the whole
 // one: the service crashed, and the kernel closed its connection in good order.
 func TestCrashInAnUnframedAnswerIsNoReply(t *testing.T) {
+	const part = "HTTP/1.1 200 OK\r\n\r\nboo"
+	for name, server := range map[string]*rawanswer.Server{
+		"port closed first": {Answer: part, Crash: true},
+		"port closed last":  {Answer: part, Crash: true, CloseDelay: tcpprobe.EndingTime / 2},
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			_, err := serviceOf(t, server).Call(context.Background(), order)
+			is.True(err != nil)
+			is.True(!notSent(t, err))
+		})
+	}
+}
+
+// Guards against a part of an answer without a length that is recorded as the whole one,
+// although it is not known whether the service has ended.
+func TestUnframedAnswerOfAnUnknownServiceIsNoReply(t *testing.T) {
 	is := is.New(t)
-	_, err := serviceOf(t, &rawanswer.Server{Answer: "HTTP/1.1 200 OK\r\n\r\nboo", Crash: true}).Call(context.Background(), order)
+	_, err := serviceOf(t, &rawanswer.Server{Answer: "HTTP/1.1 200 OK\r\n\r\nboo", Silent: true}).Call(context.Background(), order)
 	is.True(err != nil)
 	is.True(!notSent(t, err))
 }
--- a/cloud/httpcall/httpcall.go
+++ b/cloud/httpcall/httpcall.go
@@ -13,10 +13,11 @@
 	"net"
 	"sync"
 	"sync/atomic"
-	"syscall"
 	"time"
 
 	"github.com/valyala/fasthttp"
+
+	"camphorwick.dev/cloud/tcpprobe"
 )
 
 const (
@@ -28,8 +29,6 @@
 	dialTimeout = 2 * time.Second
 	// idleTimeout is shorter than the usual idle timeout of servers.
 	idleTimeout = 5 * time.Second
-	// probeTimeout bounds the check whether a server is still there.
-	probeTimeout = 150 * time.Millisecond
 	// maxConnsPerSlot bounds the connections of a slot, the type below that
 	// serves one call at a time. A slot uses one connection. A second one is
 	// allowed because fasthttp still counts an idle connection for a short time
@@ -91,6 +90,10 @@
 // cut it.
 var ErrServerGone = errors.New("the response ends with its connection and the server refuses another one")
 
+// ErrServerUnknown is the cause of the error of a call whose response has neither a length
+// nor chunks, if it is not known at its end whether the server still runs.
+var ErrServerUnknown = errors.New("the response ends with its connection and the server cannot be reached")
+
 // ErrClosed is the cause of the error of a call after Close.
 var ErrClosed = errors.New("client is closed")
 
@@ -233,17 +236,20 @@
 	if s.framed {
 		return ErrUnframed
 	}
-	ctx, cancel := context.WithTimeout(ctx, probeTimeout)
-	defer cancel()
-	var dialer net.Dialer
-	conn, err := dialer.DialContext(ctx, "tcp", s.http.Addr)
-	if errors.Is(err, syscall.ECONNREFUSED) {
-		return ErrServerGone
-	}
-	if err == nil {
+	state, conn := tcpprobe.Server(ctx, func(ctx context.Context) (net.Conn, error) {
+		var dialer net.Dialer
+		return dialer.DialContext(ctx, "tcp", s.http.Addr)
+	})
+	if conn != nil {
 		_ = conn.Close()
 	}
-	return nil
+	switch state {
+	case tcpprobe.Accepting:
+		return nil
+	case tcpprobe.Refusing:
+		return ErrServerGone
+	}
+	return ErrServerUnknown
 }
 
 // prepare sets the context of the next call. It closes an idle connection that
@@ -332,23 +338,5 @@
 // reusable reports whether an idle connection is open and has no unread bytes.
 func reusable(conn net.Conn) bool {
 	tracked, ok := conn.(*trackedConn)
-	if !ok {
-		return false
-	}
-	tcp, ok := tracked.Conn.(*net.TCPConn)
-	if !ok {
-		return false
-	}
-	raw, err := tcp.SyscallConn()
-	if err != nil {
-		return false
-	}
-	isOpen := false
-	err = raw.Read(func(fd uintptr) bool {
-		var b [1]byte
-		_, _, peekErr := syscall.Recvfrom(int(fd), b[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
-		isOpen = peekErr == syscall.EAGAIN
-		return true // do not wait
-	})
-	return err == nil && isOpen
+	return ok && !tcpprobe.Unusable(tracked.Conn)
 }
--- a/standin/rawanswer/rawanswer.go
+++ b/standin/rawanswer/rawanswer.go
@@ -9,8 +9,10 @@
 	"net"
 	"net/http"
 	"strings"
+	"sync"
 	"sync/atomic"
 	"testing"
+	"time"
 )
 
 // Server answers the first request of each connection.
@@ -23,11 +25,20 @@
 	// Crash makes the server close its port before it ends the connection, as the
 	// end of its process does.
 	Crash bool
+	// CloseDelay is the time after the end of the connection at which the server closes its
+	// port if Crash is set, as a kernel may; 0 to close the port first. The server then
+	// accepts one connection alone.
+	CloseDelay time.Duration
+	// Silent makes the server accept one connection alone and answer no further attempt to
+	// connect from before its end on, as if its network was cut.
+	Silent bool
 	// Endless, unless it is empty, is sent again and again after the answer, until the
 	// connection is closed or OfferedBytes are written.
 	Endless string
 
 	listener net.Listener
+	mu       sync.Mutex   // guards queued
+	queued   []net.Conn   // connections that are not accepted
 	written  atomic.Int64 // bytes of Endless
 }
 
@@ -40,7 +51,11 @@
 // Start serves on a free port of the loopback interface until Close is called. It
 // returns the address as host:port.
 func (s *Server) Start() (address string, err error) {
-	s.listener, err = net.Listen("tcp", "127.0.0.1:0")
+	if s.Silent {
+		s.listener, err = listenWithoutQueue()
+	} else {
+		s.listener, err = net.Listen("tcp", "127.0.0.1:0")
+	}
 	if err != nil {
 		return "", fmt.Errorf("start server of raw answers: %w", err)
 	}
@@ -61,7 +76,15 @@
 }
 
 // Close closes the port. Answers in progress are not interrupted.
-func (s *Server) Close() { _ = s.listener.Close() }
+func (s *Server) Close() {
+	_ = s.listener.Close()
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, c := range s.queued {
+		_ = c.Close()
+	}
+	s.queued = nil
+}
 
 func (s *Server) accept() {
 	for {
@@ -69,6 +92,10 @@
 		if err != nil {
 			return
 		}
+		if s.Silent || s.CloseDelay > 0 { // the kernel still completes connections
+			s.serve(c)
+			return
+		}
 		go s.serve(c)
 	}
 }
@@ -86,7 +113,13 @@
 	if s.Endless != "" {
 		s.writeEndless(c)
 	}
-	if s.Crash {
+	if s.Silent {
+		s.fillQueue()
+	}
+	switch {
+	case s.Crash && s.CloseDelay > 0:
+		time.AfterFunc(s.CloseDelay, s.Close)
+	case s.Crash:
 		s.Close()
 	}
 	if tcp, ok := c.(*net.TCPConn); ok && s.Reset {
