ingress: an answer that ends with its leaving server is not whole

Cause: a server that drains or was removed was not asked whether it still runs unless another one could answer in its place, on the belief that most of its answers are whole when its process ends.

Change: it is asked like any other server. A whole answer without a length that ends less than some 30 ms before its server's exit is now told as cut, which promises nothing; a part that looks complete does.

--- a/gateway/ingress/exchange.go
+++ b/gateway/ingress/exchange.go
@@ -113,11 +113,6 @@
 	x.fail()
 }
 
-// mayRunAgain reports whether a request that may have run can run on another server.
-func (x *exchange) mayRunAgain() bool {
-	return x.route.Retryable() && x.possibleRuns < x.route.MaxServers && x.sends < maxSends && !x.eventsWithoutID && !x.aborted()
-}
-
 // mayRetry reports whether the request may be sent to another server.
 func (x *exchange) mayRetry(next nextStep) bool {
 	switch {
--- a/gateway/ingress/unframed.go
+++ b/gateway/ingress/unframed.go
@@ -24,13 +24,10 @@
 
 // endingByServer returns how an answer ended that ended with its connection before its time
 // limit. The end of its server may have cut it, so it looks whether the server still accepts
-// connections; if that is not known, the answer does not count as whole either. A server that
-// leaves may end after its last answers or in the middle of them, so for it the end counts
-// only if another server may answer in its place.
+// connections; if that is not known, the answer does not count as whole either. That holds for
+// a server that leaves, too: it serves on for a while and then exits, and what it cuts is
+// more likely to be under way at that moment than to have ended just before.
 func (x *exchange) endingByServer(a *schedule.Assignment) ending {
-	if a.ServerLeaves() && !x.mayRunAgain() {
-		return endingWhole
-	}
 	switch x.g.Client.Probe(x.ctx, a.Server.Address) {
 	case tcpprobe.Accepting:
 		return endingWhole
--- a/gateway/registry/registry.go
+++ b/gateway/registry/registry.go
@@ -333,17 +333,8 @@
 	return ""
 }
 
-// Leaving reports whether a server is draining or was removed, so that its process
-// may end as planned. One that has restarted is not leaving.
-func (r *Registry) Leaving(s *Server) bool {
-	r.mu.RLock()
-	defer r.mu.RUnlock()
-	e := r.servers[s.ID]
-	return e == nil || e.server.sameIncarnation(s) && e.server.Draining
-}
-
 // EndsAsPlanned reports whether the process of a server may end as planned now: the server
-// is draining, or was removed some time ago.
+// is draining, or was removed some time ago. One that has restarted does not.
 func (r *Registry) EndsAsPlanned(s *Server, now time.Time) bool {
 	r.mu.RLock()
 	defer r.mu.RUnlock()
--- a/gateway/schedule/assignment.go
+++ b/gateway/schedule/assignment.go
@@ -50,11 +50,8 @@
 	Expected, Learned, Actual time.Duration
 }
 
-// ServerLeaves reports whether the process of the server may end as planned.
-func (a *Assignment) ServerLeaves() bool { return a.scheduler.registry.Leaving(a.Server) }
-
-// ServerEndsAsPlanned is like ServerLeaves, but not for a server whose registration was
-// removed only just now, as after a crash.
+// ServerEndsAsPlanned reports whether the process of the server may end as planned. A server
+// whose registration was removed only just now may also have crashed.
 func (a *Assignment) ServerEndsAsPlanned() bool {
 	return a.scheduler.registry.EndsAsPlanned(a.Server, time.Now())
 }
