schedule: a gateway that stops knows how long its requests take

Cause: what could still be finished was estimated by two constants, 1.3 ms a token and two latency targets until the first event, whatever the engines. For engines of 4 ms a token that is 1.9 s in place of 4 s. The same constants refused streams of 0.1 s where the latency target is long. Orders and streams without an estimate were judged by the latency target alone; a request that waited for a place or went on at a second server was not judged in time.

Change: the scheduler gets the time of the stop and the expected durations. An answer takes its longest length by the model of the engine, times the pace at which the engine wrote lately; the first event what such prompts of the route took lately, or what the plan says; all others what requests of the route took lately, or else their whole time. Engines that are too slow are left out while others are in time.

Tests of gateway/ingress, schedule, registry, upstream and of policy passed with the race detector (gateway/quarantine: TestModelOfCrashes, known).

--- a/gateway/ingress/exchange.go
+++ b/gateway/ingress/exchange.go
@@ -53,12 +53,15 @@
 	sends        int
 	possibleRuns int       // sends after which the request may have run
 	excluded     []string  // servers that must not get the request again
+	sentAt       time.Time // when the request was placed for the last send
 	headWritten  bool      // the head of a stream was written
 	status       int       // status of a stream whose head was written
 	firstByteAt  time.Time // when the first byte was written
 	lastEventsAt time.Time // when the last events of a stream were written
 	// longestEventGap is the longest time between events of a stream.
-	longestEventGap    time.Duration
+	longestEventGap time.Duration
+	// forwardedEvents counts the events that the caller has received.
+	forwardedEvents    int
 	resumeAfter        string        // ID of the last event that the caller has received
 	lastNumericID      int64         // resumeAfter as a number
 	eventsWithoutID    bool          // the caller has received events without an ID after that event
@@ -87,7 +90,6 @@
 // run sends the request to servers until one has answered or no further server
 // may be tried.
 func (x *exchange) run() {
-	x.service = x.route.PickService()
 	x.resumeAfter = x.meta.LastEventID
 	if id, err := strconv.ParseInt(x.resumeAfter, 10, 64); err == nil {
 		x.lastNumericID = id
@@ -201,11 +203,8 @@
 	if x.aborted() { // the place became free because another request was aborted
 		return endUnanswered, nil
 	}
-	if x.possibleRuns == 0 && x.mayOutlastGateway() { // it has waited for the place too long
-		x.refuse(http.StatusServiceUnavailable, reasonStopping, stoppingRetryAfter)
-		return answered, nil
-	}
 	x.sends++
+	x.sentAt = time.Now()
 	x.server, x.end = a.Server.ID, answerEnd{}
 	x.expectedFirstToken, x.helpers, x.load, x.queueWait = a.Expected, len(a.Helpers), a.Load, time.Since(x.arrived)
 	x.excluded = append(x.excluded, a.Server.ID)
--- a/gateway/ingress/harness_test.go
+++ b/gateway/ingress/harness_test.go
@@ -37,6 +37,9 @@
 	tokens, _ := strconv.Atoi(h.Get("Tokens"))
 	m := Meta{ID: h.Get("Id"), Key: h.Get("Key"), LastEventID: h.Get("Last"), TimeLeft: time.Duration(ms) * time.Millisecond,
 		PromptTokens: tokens, MaxAnswerTokens: 100}
+	if answer := h.Get("Answer"); answer != "" {
+		m.MaxAnswerTokens, _ = strconv.Atoi(answer)
+	}
 	if parts := h.Get("Parts"); parts != "" {
 		m.SharedParts = strings.Split(parts, ",")
 	}
@@ -236,7 +239,17 @@
 
 func (testConnection) Holder() *footprint.Holder { return nil }
 
-func testTable() *routing.Table {
+func testTable() *routing.Table { return routing.NewTable(testConfig()) }
+
+// tableWith returns the test table after a change, as a newer version.
+func tableWith(change func(c *routing.Config)) *routing.Table {
+	c := testConfig()
+	c.Version++
+	change(c)
+	return routing.NewTable(c)
+}
+
+func testConfig() *routing.Config {
 	route := func(prefix string, kind routing.Kind, resumable bool) routing.Route {
 		return routing.Route{Name: prefix, Host: "a.example", Prefix: prefix, Kind: kind, Resumable: resumable, Timeout: 2 * time.Second,
 			LatencyTarget: 300 * time.Millisecond, EventGapTarget: 250 * time.Millisecond, MaxServers: 2,
@@ -247,11 +260,11 @@
 	public := route("/public/", routing.Idempotent, false)
 	public.Public = true
 	engine := &dispatch.Engine{Slots: 4, MemoryTokens: 100_000, ChunkTokens: 2048, StepsPerPass: 10, StepMillis: 1, PrefillTokensPerMilli: 100}
-	return routing.NewTable(&routing.Config{Version: 1, Limits: routing.Limits{BodyBytes: 1 << 20},
+	return &routing.Config{Version: 1, Limits: routing.Limits{BodyBytes: 1 << 20},
 		Routes: []routing.Route{route("/order/", routing.NonIdempotent, false), route("/lookup/", routing.Idempotent, false),
 			route("/stream/", routing.Stream, true), route("/once/", routing.Stream, false), brief, public},
 		Services: []routing.Service{{Name: "service", Engine: engine}},
-		Accounts: []routing.Account{{Name: "hanbit", Keys: []string{"secret"}}}})
+		Accounts: []routing.Account{{Name: "hanbit", Keys: []string{"secret"}}}}
 }
 
 func (f *fleet) startServer(id string, a answer) string {
--- a/gateway/ingress/ingress.go
+++ b/gateway/ingress/ingress.go
@@ -78,14 +78,12 @@
 	table            atomic.Pointer[routing.Table]
 	active           atomic.Int64 // requests in flight
 	closeConnections atomic.Bool  // each connection is closed after its next answer
-	// stopAt is when a stopping gateway ends; nil while all requests are
-	// accepted.
-	stopAt atomic.Pointer[time.Time]
 	// requests is the context of all requests, which Abort ends.
 	requests    context.Context
 	abort       context.CancelCauseFunc
 	started     time.Time
 	lineLimiter lineLimiter
+	times       *routeTimes
 
 	mu      sync.Mutex
 	budgets map[string]*retry.Window
@@ -100,7 +98,7 @@
 	if o.Footprint == nil {
 		o.Footprint = footprint.NewTracker(footprint.Limits{})
 	}
-	g := &Gateway{Options: o, budgets: map[string]*retry.Window{}, started: time.Now()}
+	g := &Gateway{Options: o, budgets: map[string]*retry.Window{}, started: time.Now(), times: newRouteTimes()}
 	g.requests, g.abort = context.WithCancelCause(context.Background())
 	return g
 }
@@ -140,10 +138,6 @@
 // CloseConnections makes the gateway close each connection after its next answer.
 func (g *Gateway) CloseConnections() { g.closeConnections.Store(true) }
 
-// RefuseAfter makes the gateway refuse new requests that may last beyond stop,
-// unless their callers may retry them.
-func (g *Gateway) RefuseAfter(stop time.Time) { g.stopAt.Store(&stop) }
-
 // BaseContext is an http.Server.BaseContext. Abort ends the requests of servers
 // that use it.
 func (g *Gateway) BaseContext(net.Listener) context.Context { return g.requests }
@@ -200,8 +194,8 @@
 		}
 	}
 	x.deadline = x.arrived.Add(x.timeLeft())
-	if x.mayOutlastGateway() {
-		x.refuse(http.StatusServiceUnavailable, reasonStopping, stoppingRetryAfter)
+	x.service = x.route.PickService()
+	if placement := x.placement(); !x.checkStop(&placement) {
 		return false
 	}
 	return x.readBody()
@@ -218,39 +212,6 @@
 	x.refuse(status, reason, 0)
 }
 
-// mayOutlastGateway reports whether the gateway may stop before the end of the
-// request if a server gets it now.
-func (x *exchange) mayOutlastGateway() bool {
-	stop := x.g.stopAt.Load()
-	return stop != nil && time.Now().Add(x.timeToEnd()).After(*stop)
-}
-
-// timeToEnd returns how much time a stopping gateway must have left to accept the
-// request, or to send it after it has waited for a place. An idempotent request
-// needs none: if it is aborted, its caller may retry it.
-func (x *exchange) timeToEnd() time.Duration {
-	switch x.route.Kind {
-	case routing.Idempotent:
-		return 0
-	case routing.Stream:
-		return x.maxStreamTime()
-	}
-	if x.route.LatencyTarget > 0 {
-		return min(time.Until(x.deadline), hangFactor*x.route.LatencyTarget)
-	}
-	return time.Until(x.deadline)
-}
-
-// loadedTokenTime is the time per answer token on an engine under load.
-const loadedTokenTime = 1300 * time.Microsecond
-
-// maxStreamTime returns how long a stream may take under load: two latency
-// targets until the first event, and loadedTokenTime per token. It assumes the
-// longest answer, because the caller's estimate is often too short.
-func (x *exchange) maxStreamTime() time.Duration {
-	return 2*x.route.LatencyTarget + time.Duration(x.meta.MaxAnswerTokens)*loadedTokenTime
-}
-
 // timeLeft returns how much time the request has from its arrival.
 func (x *exchange) timeLeft() time.Duration {
 	left := x.meta.TimeLeft
--- a/gateway/ingress/operations_test.go
+++ b/gateway/ingress/operations_test.go
@@ -81,6 +81,12 @@
 			want: []map[string]any{{"msg": "answer stopped at its time limit", "server": "s0", "last_event": "2", "ending": "at_time_limit"},
 				{"msg": "request ended", "status": 502.0, "reason": "timeout", "framing": "close", "ending": "at_time_limit", "events": 2.0}},
 		},
+		{
+			name: "refused by a gateway that stops", answers: []answer{hang}, target: "/stream/", headers: "Tokens: 100\r\n",
+			before: func(f *fleet) { f.gateway.RefuseAfter(time.Now().Add(50 * time.Millisecond)) },
+			want: []map[string]any{{"msg": "request not placed", "reason": "stopping", "service": "service"},
+				{"msg": "request ended", "status": 503.0, "reason": "stopping", "sends": 0.0, "ran": 0.0}},
+		},
 		{
 			name: "order without an answer", answers: []answer{raw("")}, target: "/order/7",
 			want: []map[string]any{{"msg": "send failed", "server": "s0", "sent": true},
--- a/gateway/ingress/outcome.go
+++ b/gateway/ingress/outcome.go
@@ -17,7 +17,10 @@
 	var unavailable *schedule.UnavailableError
 	var refused *quarantine.RefusedError
 	var unknown *quarantine.UnknownError
+	var stopping *schedule.StoppingError
 	switch {
+	case errors.As(err, &stopping):
+		x.reason, x.retryAfter = reasonStopping, stoppingRetryAfter
 	case errors.As(err, &overload):
 		x.reason, x.retryAfter = reasonOverload, overload.RetryAfter
 	case errors.As(err, &none):
@@ -101,7 +104,7 @@
 		x.respond(http.StatusGatewayTimeout, x.endReason())
 	case x.possibleRuns > 0:
 		x.respond(http.StatusBadGateway, x.reason)
-	case x.aborted():
+	case x.aborted(), x.reason == reasonStopping:
 		x.refuse(http.StatusServiceUnavailable, reasonStopping, stoppingRetryAfter)
 	case x.ctx.Err() != nil:
 		x.refuse(http.StatusServiceUnavailable, reasonTimeout, 0)
@@ -153,6 +156,9 @@
 	if x.table != nil {
 		version = x.table.Version
 	}
+	if status < http.StatusBadRequest || reason == reasonTimeout {
+		x.recordDuration()
+	}
 	took := time.Since(x.arrived)
 	first := int64(-1) // no answer has begun
 	if !x.firstByteAt.IsZero() {
--- a/gateway/ingress/placement.go
+++ b/gateway/ingress/placement.go
@@ -19,7 +19,7 @@
 
 // placement returns the request that is passed to the scheduler.
 func (x *exchange) placement() schedule.Request {
-	p := schedule.Request{Service: x.service, LatencyTarget: x.route.LatencyTarget, Arrived: x.arrived, Deadline: x.deadline, Exclude: x.excluded}
+	p := schedule.Request{Service: x.service, LatencyTarget: x.route.LatencyTarget, Arrived: x.arrived, Deadline: x.deadline, Exclude: x.excluded, Duration: x.duration}
 	if s := x.table.Service(x.service); s != nil {
 		p.ColdRequestsPerSecond = s.ColdRequestsPerSecond
 		if x.meta.PromptTokens > 0 {
--- a/gateway/ingress/stream.go
+++ b/gateway/ingress/stream.go
@@ -19,6 +19,7 @@
 func (x *exchange) relay(a *schedule.Assignment, answer *upstream.Response) nextStep {
 	var events eventBuffer
 	buffer := make([]byte, relayBuffer) // bytes of one read from the server
+	pace := eventPace{assignment: a}
 	started := false
 	for {
 		n, err := answer.Body.Read(buffer)
@@ -26,12 +27,15 @@
 			if !started {
 				started = true
 				a.RecordFirstToken()
+				x.g.times.recordFirstEvent(x.firstEventSeries(), time.Since(x.sentAt))
 			}
 			events.add(buffer[:n])
+			before := events.count
 			if writeErr := x.forwardEvents(answer, &events); writeErr != nil {
 				x.reason = reasonDisconnected
 				return endUnanswered
 			}
+			pace.add(events.count-before, time.Now())
 			if len(events.rest()) > maxEventBytes {
 				x.recordEnd(answerEnd{answer.Framing, endingTooLong, events.count})
 				return x.handleBrokenStream(a, endingTooLong.err())
@@ -40,6 +44,7 @@
 		switch {
 		case err == nil:
 		case errors.Is(err, io.EOF):
+			pace.end(time.Now())
 			return x.endStream(a, answer, &events)
 		default:
 			x.recordEnd(answerEnd{answer.Framing, endingBroken, events.count})
@@ -61,6 +66,7 @@
 			x.lastNumericID = id
 			x.resumeAfter = strconv.FormatInt(id, 10)
 			x.eventsWithoutID = false
+			x.forwardedEvents++
 		} else if hasField(event) {
 			x.eventsWithoutID = true
 		}
--- a/gateway/ingress/stream_test.go
+++ b/gateway/ingress/stream_test.go
@@ -191,10 +191,15 @@
 
 // Guards against streams that a stopping gateway accepts because the caller's
 // estimate of the answer is too short, and then has to break off.
-func TestMaxStreamTimeIgnoresTheEstimate(t *testing.T) {
+func TestDurationIgnoresTheEstimate(t *testing.T) {
 	is := is.New(t)
-	x := &exchange{route: testTable().Match("a.example", "/stream/"), meta: Meta{MaxAnswerTokens: 4000, AnswerHint: 500}}
-	is.True(x.maxStreamTime() > 4000*loadedTokenTime) // not 500
+	f := newFleet(t)
+	x := &exchange{g: f.gateway, table: f.gateway.Table(), route: testTable().Match("a.example", "/stream/"), service: "service", deadline: time.Now().Add(15 * time.Second),
+		meta: Meta{MaxAnswerTokens: 4000, AnswerHint: 500, PromptTokens: 10}}
+	is.Equal(x.duration(time.Now()).AnswerTokens, 4000) // not 500
+	placement := x.placement()
+	f.gateway.RefuseAfter(time.Now().Add(4 * time.Second)) // 1 ms a token at least
+	is.True(f.gateway.Scheduler.CheckStop(&placement) != nil)
 }
 
 func FuzzEventBuffer(f *testing.F) {
--- a/gateway/schedule/assignment.go
+++ b/gateway/schedule/assignment.go
@@ -26,6 +26,9 @@
 	job       *dispatch.Job
 	service   string
 	placed    time.Time
+	engine    *dispatch.Engine // nil for plain services
+	// contextTokens are the tokens in the contexts of the server with this request.
+	contextTokens int
 }
 
 // RecordFirstToken records that the server has begun to answer, so that it is no
--- a/gateway/schedule/schedule.go
+++ b/gateway/schedule/schedule.go
@@ -3,7 +3,8 @@
 // in the order of their latency deadlines. A request for a plain service is
 // assigned at once to the server with the fewest requests in flight.
 //
-// Lock order: Scheduler.mu before the lock of the registry.
+// Lock order: Scheduler.mu before the lock of the registry and those that the functions of a
+// Request take.
 package schedule
 
 import (
@@ -79,6 +80,10 @@
 	// Regions are the lists of regions, of the route and of the account, to which the request
 	// is restricted. An empty list does not restrict it.
 	Regions [][]string
+	// Duration returns how long the request may take if it is placed now. It is called only
+	// when the gateway stops, with the lock of the scheduler held; nil for a request that may
+	// be cut.
+	Duration func(now time.Time) Duration
 }
 
 // NoServerError means that the service has no usable server.
@@ -140,6 +145,8 @@
 	locality          locality
 	cold              *coldstart.Limiter
 	pace              *pace.Tracker
+	answerPace        answerPace
+	stopAt            time.Time // end of a gateway that stops; zero while it runs
 	// Regions are the regions of the data centres; without any, requests are not restricted
 	// to regions. It must not be changed after the first request.
 	Regions map[string]string
@@ -162,13 +169,13 @@
 
 // New returns a scheduler for the gateway on a VM in dataCentre.
 func New(r *registry.Registry, vm, dataCentre string) *Scheduler {
-	return &Scheduler{registry: r, dataCentre: dataCentre, preferences: newPreferences(vm, dataCentre), cold: coldstart.NewLimiter(vm, time.Now()), pace: pace.NewTracker(), loadTracker: dispatch.NewLoadTracker(),
+	return &Scheduler{registry: r, dataCentre: dataCentre, preferences: newPreferences(vm, dataCentre), cold: coldstart.NewLimiter(vm, time.Now()), pace: pace.NewTracker(), answerPace: newAnswerPace(), loadTracker: dispatch.NewLoadTracker(),
 		failureTrackers: map[string]*suspect.Tracker{}, reports: selfreport.NewTracker(rand.Float64), utilization: map[string]*dispatch.Utilization{},
 		OnEject: func(string, string) {}, OnPeerSuspect: func(string, string, string) {}, OnReport: func(string, selfreport.Change, string) {}, OnPlaced: func() {}, OnFirstToken: func(FirstToken) {}}
 }
 
 // Acquire waits until the request may be sent. The error is a NoServerError, a
-// TooLargeError, an OverloadError or the cause of ctx.
+// TooLargeError, an OverloadError, a StoppingError or the cause of ctx.
 func (s *Scheduler) Acquire(ctx context.Context, r Request) (*Assignment, error) {
 	now := time.Now()
 	s.mu.Lock()
@@ -223,7 +230,26 @@
 // place assigns r if a server can take it now; it returns nil, nil if r has to
 // wait. mu is held.
 func (s *Scheduler) place(r Request, now time.Time) (*Assignment, error) {
+	if err := s.checkStop(&r, now); err != nil {
+		return nil, err
+	}
+	a, err := s.placeOnUsable(r, now)
+	if a == nil || !s.mayCut(&r) {
+		return a, err
+	}
+	if err := s.checkEnd(s.plannedTime(&r, a), now); err != nil {
+		a.job.End()
+		return nil, err
+	}
+	return a, nil
+}
+
+// placeOnUsable is place, but for the end of a gateway that stops. mu is held.
+func (s *Scheduler) placeOnUsable(r Request, now time.Time) (*Assignment, error) {
 	servers, err := s.usable(&r, now)
+	if err == nil {
+		servers, err = s.withoutSlow(&r, servers, now)
+	}
 	if err != nil || len(servers) == 0 {
 		return nil, err
 	}
@@ -265,7 +291,7 @@
 		return nil, nil
 	}
 	a := &Assignment{scheduler: s, Server: servers[plan.Primary].server, Expected: plan.FirstToken, service: r.Service, placed: now,
-		Load: s.candidates[plan.Primary].Load}
+		Load: s.candidates[plan.Primary].Load, engine: r.Engine, contextTokens: contextTokens(s.candidates[plan.Primary].Load, r.Prompt)}
 	ids := make([]string, 0, len(plan.Helpers))
 	for _, i := range plan.Helpers {
 		a.Helpers = append(a.Helpers, servers[i].server)
--- /dev/null
+++ b/gateway/schedule/stopping.go
@@ -0,0 +1,225 @@
+package schedule
+
+import (
+	"fmt"
+	"slices"
+	"time"
+
+	"camphorwick.dev/policy/dispatch"
+	"camphorwick.dev/policy/recent"
+)
+
+// Duration says how long a request may take from its placement on. A gateway that stops uses it
+// to refuse what it could not finish.
+type Duration struct {
+	// Whole is the time of a request that does not follow from the model of an engine. It is 0
+	// for a request that may be cut, because its caller repeats it.
+	Whole time.Duration
+	// FirstEvent is how long such requests took lately until the first event of their answer;
+	// 0 if that is not known.
+	FirstEvent time.Duration
+	// AnswerTokens is the length of the longest answer, from which its time follows if the
+	// model of the engine is known; 0 if Whole decides.
+	AnswerTokens int
+}
+
+// StoppingError means that a request may not end before its gateway does.
+type StoppingError struct {
+	// Needed is how long the request may take, Left how long the gateway still runs.
+	Needed, Left time.Duration
+}
+
+func (e *StoppingError) Error() string {
+	return fmt.Sprintf("the request may take %v, and the gateway stops in %v", e.Needed.Round(time.Millisecond), e.Left.Round(time.Millisecond))
+}
+
+const (
+	// endMargin is the factor by which an estimate is exceeded now and then. A request that is
+	// refused is served elsewhere at once; one that is cut has lost its time.
+	endMargin = 1.1
+	// plannedFirstFactor and plannedFirstSlack bound the time to the first event of a kind of
+	// requests of which none was seen lately, by the plan of the placement.
+	plannedFirstFactor = 2
+	plannedFirstSlack  = 100 * time.Millisecond
+)
+
+// StopAt makes the scheduler refuse requests that may not end by t, those that wait included.
+func (s *Scheduler) StopAt(t time.Time) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.stopAt = t
+	s.placeWaiting(time.Now())
+}
+
+// CheckStop returns a StoppingError if the gateway stops and a request could not end before
+// wherever it was placed now.
+func (s *Scheduler) CheckStop(r *Request) error {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.checkStop(r, time.Now())
+}
+
+// checkStop is CheckStop. mu is held.
+func (s *Scheduler) checkStop(r *Request, now time.Time) error {
+	if !s.mayCut(r) {
+		return nil
+	}
+	return s.checkEnd(s.leastTime(r, now), now)
+}
+
+// mayCut reports whether the gateway stops and must not cut r. mu is held.
+func (s *Scheduler) mayCut(r *Request) bool { return !s.stopAt.IsZero() && r.Duration != nil }
+
+// checkEnd returns a StoppingError if a request that is sent now and takes needed ends too
+// late. mu is held.
+func (s *Scheduler) checkEnd(needed time.Duration, now time.Time) error {
+	left := s.stopAt.Sub(now)
+	if needed == 0 || needed <= left {
+		return nil
+	}
+	return &StoppingError{Needed: needed, Left: left}
+}
+
+// leastTime returns how long a request takes at least on the engines of its service. mu is
+// held.
+func (s *Scheduler) leastTime(r *Request, now time.Time) time.Duration {
+	d := r.Duration(now)
+	if !d.followsFrom(r.Engine) {
+		return d.Whole
+	}
+	first := d.FirstEvent
+	if first == 0 {
+		first = duration(r.Engine.LeastFirstEventMillis(r.Prompt.Tokens))
+	}
+	return r.untilDeadline(now, first+d.answerTime(r.Engine, r.Prompt.Tokens, s.answerPace.ofService(r.Service, fastPaceQuantile, now)))
+}
+
+// plannedTime returns how long a request may take that was placed as a says. mu is held.
+func (s *Scheduler) plannedTime(r *Request, a *Assignment) time.Duration {
+	d := r.Duration(a.placed)
+	if !d.followsFrom(r.Engine) {
+		return d.Whole
+	}
+	first := time.Duration(float64(a.Expected) * max(1, s.pace.Factor(a.Server.ID, a.placed)))
+	if d.FirstEvent > 0 {
+		first = max(first, d.FirstEvent)
+	} else {
+		first = plannedFirstFactor*first + plannedFirstSlack
+	}
+	return r.untilDeadline(a.placed, first+d.answerTime(r.Engine, a.contextTokens, s.answerPace.ofServer(r.Service, a.Server.ID, a.placed)))
+}
+
+// withoutSlow removes the engines that write too slowly to end the answer before the gateway
+// stops. The error is a StoppingError if none is left. mu is held.
+func (s *Scheduler) withoutSlow(r *Request, servers []option, now time.Time) ([]option, error) {
+	if !s.mayCut(r) || len(servers) == 0 {
+		return servers, nil
+	}
+	d := r.Duration(now)
+	if !d.followsFrom(r.Engine) {
+		return servers, nil
+	}
+	var late error
+	servers = slices.DeleteFunc(servers, func(o option) bool {
+		pace := s.answerPace.ofServer(r.Service, o.server.ID, now)
+		err := s.checkEnd(r.untilDeadline(now, d.FirstEvent+d.answerTime(r.Engine, r.Prompt.Tokens, pace)), now)
+		if err != nil {
+			late = err
+		}
+		return err != nil
+	})
+	if len(servers) == 0 {
+		return nil, late
+	}
+	return servers, nil
+}
+
+// untilDeadline returns needed, or the time until the deadline of r if that comes first: r ends
+// there whatever its gateway does.
+func (r *Request) untilDeadline(now time.Time, needed time.Duration) time.Duration {
+	return min(needed, max(r.Deadline.Sub(now), 1))
+}
+
+// followsFrom reports whether the model of an engine, which may be nil, says how long a request
+// takes.
+func (d Duration) followsFrom(e *dispatch.Engine) bool {
+	return e != nil && e.HasTimes() && d.AnswerTokens > 0
+}
+
+// answerTime returns how long the answer may be written after its first event.
+func (d Duration) answerTime(e *dispatch.Engine, contextTokens int, pace float64) time.Duration {
+	return duration(e.AnswerMillis(d.AnswerTokens, contextTokens) * pace * endMargin)
+}
+
+func duration(millis float64) time.Duration {
+	return time.Duration(millis * float64(time.Millisecond))
+}
+
+const (
+	// defaultAnswerPace applies to engines of which nothing was seen lately: other prompts are
+	// prefilled between the passes of an answer.
+	defaultAnswerPace = 1.3
+	// paceMaxAge is how long an observation counts.
+	paceMaxAge = 30 * time.Second
+	// serverPaceValues and servicePaceValues are the numbers of observations that count.
+	serverPaceValues  = 32
+	servicePaceValues = 128
+	// minPaceValues is the number of observations without which a pace is not known.
+	minPaceValues = 3
+	// serverPaceQuantile is above the median, so that a slow engine is not overlooked.
+	serverPaceQuantile = 0.75
+	// fastPaceQuantile is the pace of the faster engines of a service, as long as none is
+	// chosen; usualPaceQuantile that of an engine of which nothing is known.
+	fastPaceQuantile  = 0.25
+	usualPaceQuantile = 0.5
+)
+
+// answerPace learns how many times as long as their model, with all slots in use, engines write
+// answers.
+type answerPace struct{ servers, services *recent.Tracker }
+
+func newAnswerPace() answerPace {
+	return answerPace{servers: recent.NewTracker(serverPaceValues, paceMaxAge), services: recent.NewTracker(servicePaceValues, paceMaxAge)}
+}
+
+func (p answerPace) observe(service, server string, pace float64, now time.Time) {
+	p.servers.Observe(server, pace, now)
+	p.services.Observe(service, pace, now)
+}
+
+// ofServer returns the pace of one engine.
+func (p answerPace) ofServer(service, server string, now time.Time) float64 {
+	if pace, ok := p.servers.Quantile(server, serverPaceQuantile, minPaceValues, now); ok {
+		return pace
+	}
+	return p.ofService(service, usualPaceQuantile, now)
+}
+
+// ofService returns a quantile of the pace of the engines of a service.
+func (p answerPace) ofService(service string, q float64, now time.Time) float64 {
+	if pace, ok := p.services.Quantile(service, q, minPaceValues, now); ok {
+		return pace
+	}
+	return defaultAnswerPace
+}
+
+// ObserveEvents records that the server took some time for events of one answer, without the
+// first one. Each holds the tokens of one pass.
+func (a *Assignment) ObserveEvents(events int, took time.Duration) {
+	if a.engine == nil || !a.engine.HasTimes() {
+		return
+	}
+	model := a.engine.AnswerMillis(events*a.engine.StepsPerPass, a.contextTokens)
+	if model <= 0 {
+		return
+	}
+	s := a.scheduler
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.answerPace.observe(a.service, a.Server.ID, float64(took)/float64(duration(model)), time.Now())
+}
+
+// contextTokens returns the tokens in the contexts of an engine that gets a prompt.
+func contextTokens(l dispatch.Load, p dispatch.Prompt) int {
+	return l.ReservedTokens + p.Tokens + p.AnswerTokens
+}
--- a/policy/dispatch/engine.go
+++ b/policy/dispatch/engine.go
@@ -133,6 +133,25 @@
 	return steps/2 + prefill + steps
 }
 
+// HasTimes reports whether the model of the engine says how long its steps take.
+func (e *Engine) HasTimes() bool {
+	return e.StepMillis > 0 && e.StepsPerPass > 0 && e.PrefillTokensPerMilli > 0
+}
+
+// AnswerMillis estimates how long an engine with all its slots in use writes an answer of a
+// number of tokens, without the prefill of other prompts between its passes.
+func (e *Engine) AnswerMillis(tokens, contextTokens int) float64 {
+	perPass := max(e.StepsPerPass, 1)
+	passes := (tokens + perPass - 1) / perPass
+	return float64(passes) * e.stepsMillis(e.Slots, contextTokens)
+}
+
+// LeastFirstEventMillis returns the shortest time in which a prompt of a number of tokens is
+// prefilled by as many engines as may share it.
+func (e *Engine) LeastFirstEventMillis(tokens int) float64 {
+	return e.PrefillMillis(PromptPrefill(tokens).Shard(MaxHelpers + 1))
+}
+
 // SlackMillis returns the prefill time that can be added to the next pass of
 // the engine before an answer exceeds its event gap limit. It is negative if the
 // pending prefill exceeds the limit already.
