node: a stop refuses from its begin what it cannot finish

A gateway took every request in the first 2.5 s after SIGTERM, also those that it knew it would cut at the end of its grace time.

Cause: the check began only after the time in which the platform still sends new callers. Change: it begins with the stop.

TestStopRefusesAtOnceWhatCannotBeFinished failed before (504 after 3 s) and passes.

--- a/gateway/node/drain.go
+++ b/gateway/node/drain.go
@@ -33,8 +33,8 @@
 	limit := started.Add(n.options.DrainLimit)
 	n.options.Log.Info("stopping", "in_progress", n.gateway.Active())
 	n.gateway.CloseConnections()
-	sleepUntil(ctx, started.Add(min(minDrainTime, n.options.DrainLimit)))
 	n.gateway.RefuseAfter(limit)
+	sleepUntil(ctx, started.Add(min(minDrainTime, n.options.DrainLimit)))
 	n.serveOpenConnections(ctx, callers, limit)
 	return n.closeConnections(server, callers)
 }
--- a/gateway/node/drain_test.go
+++ b/gateway/node/drain_test.go
@@ -184,6 +184,26 @@
 	is.NoErr(<-ended)
 }
 
+// Guards against a gateway that takes requests at the begin of its stop which it cannot finish:
+// other gateways could serve them at once.
+func TestStopRefusesAtOnceWhatCannotBeFinished(t *testing.T) {
+	is := is.New(t)
+	n := newTestNode(t, minDrainTime+500*time.Millisecond)
+	n.gateway.SetTable(orderTableWithin(5 * time.Second)) // an order may take three times as long
+	n.registry.Replace([]*registry.Server{{ID: "s0", Service: "orders", Address: hangingServer(t), DataCentre: "dc", Slots: 4}}, time.Now())
+	ended := make(chan error)
+	go func() { ended <- n.Run(t.Context()) }()
+	held, err := dialRetrying(n.options.Callers) // keeps the gateway from ending
+	is.NoErr(err)
+	n.Stop()
+	time.Sleep(100 * time.Millisecond)
+	started := time.Now()
+	is.Equal(send(t, n.options.Callers, "r1"), http.StatusServiceUnavailable)
+	is.True(time.Since(started) < time.Second)
+	is.NoErr(held.Close())
+	is.NoErr(<-ended)
+}
+
 // Guards against a stop that lasts longer than a grace time below minDrainTime:
 // the process is killed and its requests end without an answer.
 func TestStopEndsWithinAShortGraceTime(t *testing.T) {
@@ -257,10 +277,13 @@
 
 // orderTable returns a configuration with one route, whose orders may take
 // longer than a stop.
-func orderTable() *routing.Table {
+func orderTable() *routing.Table { return orderTableWithin(100 * time.Millisecond) }
+
+// orderTableWithin returns a table with one route of orders and its latency target.
+func orderTableWithin(target time.Duration) *routing.Table {
 	return routing.NewTable(&routing.Config{Version: 1, Services: []routing.Service{{Name: "orders"}},
 		Routes: []routing.Route{{Name: "order", Host: "a.example", Prefix: "/order/", Kind: routing.NonIdempotent, Public: true, Timeout: time.Minute,
-			LatencyTarget: 100 * time.Millisecond, MaxServers: 1, Targets: []routing.Target{{Service: "orders", Weight: 1}}}}})
+			LatencyTarget: target, MaxServers: 1, Targets: []routing.Target{{Service: "orders", Weight: 1}}}}})
 }
 
 // newTestNode returns a node without a configuration, whose store does not
