ingress: an early answer whose connection is reset is not whole

Cause: the kernel reports a reset once. If the write of the upload, which goes on beside reading the answer, takes the error, the read returns the end of the connection, as after a close in good order.

Change: such an answer is whole only if its connection is in CLOSE_WAIT and the server's kernel has acknowledged the whole request. That is looked at after the probe of the server, so that a reset which follows the end is seen.

An answer to an upload that the server has read is whole, before and after.

--- a/cloud/tcpprobe/tcpprobe.go
+++ b/cloud/tcpprobe/tcpprobe.go
@@ -85,6 +85,30 @@
 	return Unknown, nil
 }
 
+// closeWait is the state of a connection whose other end was closed in good order.
+const closeWait = unix.BPF_TCP_CLOSE_WAIT
+
+// EndedInOrder reports whether the server has closed a connection in good order after it had
+// received everything that was written to it. A read returns the end of the connection also
+// after a reset whose error a write has returned before, or that came after the end.
+func EndedInOrder(conn net.Conn) bool {
+	tcp, ok := conn.(*net.TCPConn)
+	if !ok {
+		return false
+	}
+	raw, err := tcp.SyscallConn()
+	if err != nil {
+		return false
+	}
+	var info *unix.TCPInfo
+	var infoErr error
+	err = raw.Control(func(fd uintptr) { info, infoErr = unix.GetsockoptTCPInfo(int(fd), unix.IPPROTO_TCP, unix.TCP_INFO) })
+	if err != nil || infoErr != nil {
+		return false
+	}
+	return info.State == closeWait && info.Unacked == 0 && info.Notsent_bytes == 0
+}
+
 // Unusable reports whether an idle connection must not be used, because it has
 // unexpected data, was closed, or cannot be checked.
 func Unusable(conn net.Conn) bool {
--- a/cloud/tcpprobe/tcpprobe_test.go
+++ b/cloud/tcpprobe/tcpprobe_test.go
@@ -134,3 +134,58 @@
 	}()
 	is.Equal(probe(context.Background(), l.Addr().String()), Accepting)
 }
+
+// pair returns both ends of a connection.
+func pair(t *testing.T) (client, server *net.TCPConn) {
+	t.Helper()
+	l := listen(t)
+	opened, err := net.Dial("tcp", l.Addr().String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = opened.Close() })
+	accepted, err := l.Accept()
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = accepted.Close() })
+	return opened.(*net.TCPConn), accepted.(*net.TCPConn)
+}
+
+// Guards against a reset connection that counts as ended in good order, and against the
+// reverse, whatever its client reads and writes at that time.
+func TestEndedInOrder(t *testing.T) {
+	for _, c := range []struct {
+		name  string
+		write int // bytes that the client writes
+		end   func(server *net.TCPConn)
+		want  bool
+	}{
+		{"closed", 0, func(s *net.TCPConn) { _ = s.Close() }, true},
+		{"closed after all was read", 100, func(s *net.TCPConn) {
+			_, _ = s.Read(make([]byte, 100))
+			_ = s.Close()
+		}, true},
+		{"closed with bytes unread", 100, func(s *net.TCPConn) { _ = s.Close() }, false},
+		{"reset", 0, func(s *net.TCPConn) {
+			_ = s.SetLinger(0)
+			_ = s.Close()
+		}, false},
+		{"reset after its end", 100, func(s *net.TCPConn) {
+			_ = s.CloseWrite()
+			_ = s.Close()
+		}, false},
+		{"more than the kernel takes is unread", 64 << 20, func(s *net.TCPConn) { _ = s.CloseWrite() }, false},
+		{"still open", 0, func(*net.TCPConn) {}, false},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			is := is.New(t)
+			client, server := pair(t)
+			_ = client.SetWriteDeadline(time.Now().Add(100 * time.Millisecond))
+			_, _ = client.Write(make([]byte, c.write)) // some cases do not read it
+			c.end(server)
+			time.Sleep(50 * time.Millisecond)
+			is.Equal(EndedInOrder(client), c.want)
+		})
+	}
+}
--- a/gateway/ingress/answer.go
+++ b/gateway/ingress/answer.go
@@ -124,7 +124,7 @@
 	}
 	end := endingTooLong
 	if len(body) <= maxBuffered {
-		end = x.unframedEnding(a, answer.Framing)
+		end = x.unframedEnding(a, answer)
 	}
 	return body, end, end.err()
 }
--- a/gateway/ingress/ending.go
+++ b/gateway/ingress/ending.go
@@ -25,6 +25,9 @@
 	// endingServerUnknown is an answer that ends with its connection, while it is not known
 	// whether its server has ended.
 	endingServerUnknown ending = "server_unknown"
+	// endingReset is an answer that ends with its connection, which was reset, or closed
+	// before the server had received the whole request.
+	endingReset ending = "reset"
 	// endingAtTimeLimit is an answer that ends with its connection when the server was to
 	// stop.
 	endingAtTimeLimit ending = "at_time_limit"
@@ -42,6 +45,7 @@
 	endingNoEvent:       errors.New("the connection ends before the first event"),
 	endingServerGone:    errors.New("the connection ends and the server refuses another one"),
 	endingServerUnknown: errors.New("the connection ends and the server cannot be asked whether it still runs"),
+	endingReset:         errors.New("the connection was reset, or closed before the whole request had arrived"),
 	endingAtTimeLimit:   errors.New("the connection ends at the time limit that the server was given"),
 	endingTooLong:       errors.New("the answer or an event of it exceeds the size limit"),
 }
--- a/gateway/ingress/stream.go
+++ b/gateway/ingress/stream.go
@@ -103,20 +103,20 @@
 }
 
 // streamEnding returns how a stream ended whose body was read to its end.
-func (x *exchange) streamEnding(a *schedule.Assignment, framing upstream.Framing, events *eventBuffer) ending {
+func (x *exchange) streamEnding(a *schedule.Assignment, answer *upstream.Response, events *eventBuffer) ending {
 	switch {
 	case len(events.rest()) > 0:
 		return endingInEvent
-	case framing == upstream.FramedByClose && events.count == 0:
+	case answer.Framing == upstream.FramedByClose && events.count == 0:
 		return endingNoEvent
 	}
-	return x.unframedEnding(a, framing)
+	return x.unframedEnding(a, answer)
 }
 
 // endStream completes the answer if the stream is whole. The end of the body does
 // not show that: a server that fails may end its connection in good order.
 func (x *exchange) endStream(a *schedule.Assignment, answer *upstream.Response, events *eventBuffer) nextStep {
-	x.recordEnd(answerEnd{answer.Framing, x.streamEnding(a, answer.Framing, events), events.count})
+	x.recordEnd(answerEnd{answer.Framing, x.streamEnding(a, answer, events), events.count})
 	switch x.end.ending {
 	case endingWhole:
 	case endingAtTimeLimit:
--- a/gateway/ingress/unframed.go
+++ b/gateway/ingress/unframed.go
@@ -12,14 +12,18 @@
 // with neither a length nor chunks ends with its connection, which its server or its kernel
 // may close in good order although a part is missing. Such an end counts as that of the
 // answer only if nothing else explains it.
-func (x *exchange) unframedEnding(a *schedule.Assignment, framing upstream.Framing) ending {
+func (x *exchange) unframedEnding(a *schedule.Assignment, answer *upstream.Response) ending {
 	switch {
-	case framing != upstream.FramedByClose:
+	case answer.Framing != upstream.FramedByClose:
 		return endingWhole
 	case x.limit.reached(time.Now()):
 		return endingAtTimeLimit
 	}
-	return x.endingByServer(a)
+	end := x.endingByServer(a)
+	if end == endingWhole && !answer.EndedInOrder() { // after the probe, in which a reset may arrive
+		return endingReset
+	}
+	return end
 }
 
 // endingByServer returns how an answer ended that ended with its connection before its time
--- a/gateway/upstream/response.go
+++ b/gateway/upstream/response.go
@@ -6,6 +6,8 @@
 	"net/http"
 	"sync"
 	"time"
+
+	"camphorwick.dev/cloud/tcpprobe"
 )
 
 // Framing is how an answer marks the end of its body.
@@ -41,9 +43,9 @@
 	client    *Client
 	conn      *conn
 	answer    *http.Response
-	body      bodyReader   // Body
-	written   <-chan error // result of a write in the background; nil if there is none
-	stop      func() bool  // keeps the context of the request from closing conn; false if it has ended
+	body      bodyReader  // Body
+	written   chan error  // holds the result of a write in the background; nil if there is none
+	stop      func() bool // keeps the context of the request from closing conn; false if it has ended
 	closeOnce sync.Once
 }
 
@@ -84,6 +86,13 @@
 	return r.body.ended
 }
 
+// EndedInOrder reports whether the server has closed the connection in good order after it had
+// received the complete request. It must be called after the end of the body was read and
+// before Close.
+func (r *Response) EndedInOrder() bool {
+	return r.requestWritten() && tcpprobe.EndedInOrder(r.conn.Conn)
+}
+
 // requestWritten reports whether the complete request was written.
 func (r *Response) requestWritten() bool {
 	if r.written == nil {
@@ -91,6 +100,7 @@
 	}
 	select {
 	case err := <-r.written:
+		r.written <- err // for the next call
 		return err == nil
 	default:
 		return false
--- a/gateway/upstream/upstream.go
+++ b/gateway/upstream/upstream.go
@@ -136,7 +136,7 @@
 
 // send writes r. A large request is written in the background; the channel,
 // otherwise nil, then receives the result.
-func (cn *conn) send(r *Request) (<-chan error, error) {
+func (cn *conn) send(r *Request) (chan error, error) {
 	if len(r.Head)+len(r.Body) <= largeRequest {
 		_, err := cn.Write(append(r.Head, r.Body...))
 		return nil, err
