servicehttp: tests of early answers to long orders

The client of plain services does not take a part of an early answer for a reply: fasthttp returns the error of the write. The tests passed from the start; they guard against a change of that. The stand-in for raw answers can answer before it has read the body.

--- a/backend/servicehttp/ending_test.go
+++ b/backend/servicehttp/ending_test.go
@@ -114,3 +114,38 @@
 	is.True(err != nil)
 	is.True(!notSent(t, err))
 }
+
+// Guards against a part of an answer without a length that is recorded as the whole one: the
+// service answered a long order early and reset the connection, and the write took the error.
+func TestEarlyAnswerToALongOrderIsNoReply(t *testing.T) {
+	long := order
+	long.Body = make([]byte, 900_000)
+	for name, server := range map[string]*rawanswer.Server{
+		"closed": {Answer: "HTTP/1.1 200 OK\r\n\r\nboo", Early: true},
+		"reset":  {Answer: "HTTP/1.1 200 OK\r\n\r\nboo", Early: true, Reset: true},
+	} {
+		t.Run(name, func(t *testing.T) {
+			s := serviceOf(t, server)
+			for range 100 { // the write and the reset race each other
+				reply, err := s.Call(context.Background(), long)
+				if err == nil {
+					t.Errorf("reply %d %q", reply.Status, reply.Body)
+				} else if notSent(t, err) {
+					t.Errorf("not sent: %v", err)
+				}
+			}
+		})
+	}
+}
+
+// Guards against a reply to a long order that is refused although the service has read it.
+func TestAnswerToALongOrderIsAReply(t *testing.T) {
+	is := is.New(t)
+	long := order
+	long.Body = make([]byte, 900_000)
+	for range 5 {
+		reply, err := serviceOf(t, &rawanswer.Server{Answer: "HTTP/1.1 200 OK\r\n\r\nbooked"}).Call(context.Background(), long)
+		is.NoErr(err)
+		is.Equal(string(reply.Body), "booked")
+	}
+}
--- a/standin/rawanswer/rawanswer.go
+++ b/standin/rawanswer/rawanswer.go
@@ -22,6 +22,8 @@
 	// Reset makes the server reset the connection after the answer. Otherwise it
 	// closes it in good order.
 	Reset bool
+	// Early makes the server answer without having read the body of the request.
+	Early bool
 	// Crash makes the server close its port before it ends the connection, as the
 	// end of its process does.
 	Crash bool
@@ -106,8 +108,10 @@
 	if err != nil {
 		return
 	}
-	if _, err := io.Copy(io.Discard, r.Body); err != nil {
-		return
+	if !s.Early {
+		if _, err := io.Copy(io.Discard, r.Body); err != nil {
+			return
+		}
 	}
 	_, _ = io.WriteString(c, s.Answer) // the client may have gone
 	if s.Endless != "" {
