upstream: an answer with an invalid status is not skipped

Cause: every status below 200 counted as an interim answer, which has no body, so that the next bytes were read as the next head. The status 101 and interim answers that state a body were skipped in the same way.

Change: these end the connection without an answer.

--- a/gateway/upstream/upstream.go
+++ b/gateway/upstream/upstream.go
@@ -164,6 +164,9 @@
 		if err != nil {
 			return nil, err
 		}
+		if err := checkStatus(answer); err != nil {
+			return nil, err
+		}
 		if answer.StatusCode < http.StatusOK {
 			if interim++; interim > maxInterim {
 				return nil, errTooManyInterim
@@ -185,11 +188,35 @@
 	}
 }
 
+// checkStatus returns an error if the status of an answer says nothing of where its head, or the
+// answer, ends. What follows it must not be read as another answer.
+func checkStatus(answer *http.Response) error {
+	switch status := answer.StatusCode; {
+	case status < http.StatusContinue, status == http.StatusSwitchingProtocols:
+		return &StatusError{status}
+	case status < http.StatusOK && statesBody(answer):
+		return errInterimBody
+	}
+	return nil
+}
+
+// statesBody reports whether the head of an answer states that a body follows.
+func statesBody(answer *http.Response) bool {
+	length := answer.Header.Get("Content-Length")
+	return length != "" && length != "0" || len(answer.TransferEncoding) > 0
+}
+
+// StatusError means that an answer has a status that a server must not send.
+type StatusError struct{ Status int }
+
+func (e *StatusError) Error() string { return fmt.Sprintf("answer with invalid status %03d", e.Status) }
+
 var (
 	// errForeignAnswer means that maxSkipped answers were skipped and the next one
 	// belongs to another request, too.
 	errForeignAnswer  = errors.New("all answers received belong to other requests")
 	errTooManyInterim = errors.New("too many interim answers")
+	errInterimBody    = errors.New("interim answer with a body")
 	errHeadTooLong    = errors.New("the head of the answer exceeds the size limit")
 )
 
