httpcall, enginehttp: an answer with an invalid status is no success

Cause: fasthttp reads the status 000 as 200, passes 001 to 099 on, and ends at 101 as at an answer.

Change: cloud/httpstatus reads the status lines on the connection and ends the call at an invalid one. An order counts as one that may have run.

--- a/backend/enginehttp/client.go
+++ b/backend/enginehttp/client.go
@@ -24,6 +24,7 @@
 	"github.com/valyala/fasthttp"
 
 	"camphorwick.dev/backend"
+	"camphorwick.dev/cloud/httpstatus"
 )
 
 // StateBytesHeader is the request header with the length of the exported
@@ -290,7 +291,7 @@
 		return nil, &dialError{net.ErrClosed}
 	}
 	x.conn = conn
-	return conn, nil
+	return httpstatus.NewConn(conn), nil
 }
 
 // body returns the body of the answer; fasthttp has no stream for an empty one.
--- a/backend/enginehttp/ending_test.go
+++ b/backend/enginehttp/ending_test.go
@@ -132,3 +132,22 @@
 		})
 	}
 }
+
+// Guards against an answer with an invalid status that counts as success: fasthttp reads 000
+// as 200.
+func TestAnswerWithAnInvalidStatusIsBroken(t *testing.T) {
+	const body = "data: {\"texts\":[\"a\"],\"final\":true}\n\n"
+	for _, status := range []string{"000", "099", "101"} {
+		head := "HTTP/1.1 " + status + " X\r\nContent-Length: "
+		_, err := engineOf(t, head+"2\r\n\r\n{}").Load(context.Background())
+		if err == nil {
+			t.Errorf("%s: the load of the engine was read", status)
+		}
+		stream, err := engineOf(t, fmt.Sprintf("%s%d\r\n\r\n%s", head, len(body), body)).Attach(context.Background(), "s", 0)
+		if err == nil {
+			texts, err := readTexts(stream)
+			t.Errorf("%s: texts %q, error %v", status, texts, err)
+			_ = stream.Close()
+		}
+	}
+}
--- a/backend/servicehttp/ending_test.go
+++ b/backend/servicehttp/ending_test.go
@@ -149,3 +149,15 @@
 		is.Equal(string(reply.Body), "booked")
 	}
 }
+
+// Guards against an invalid answer that is recorded as the reply to an order.
+func TestAnswerWithAnInvalidStatusIsNoReply(t *testing.T) {
+	for _, head := range []string{"HTTP/1.1 000 X\r\n", "HTTP/1.1 099 X\r\n", "HTTP/1.1 101 X\r\n", "HTTP/1.1 100 X\r\n\r\nHTTP/1.1 000 X\r\n"} {
+		t.Run(head, func(t *testing.T) {
+			is := is.New(t)
+			_, err := serviceOf(t, &rawanswer.Server{Answer: head + "Content-Length: 6\r\n\r\nbooked"}).Call(context.Background(), order)
+			is.True(err != nil)
+			is.True(!notSent(t, err))
+		})
+	}
+}
--- a/cloud/httpcall/httpcall.go
+++ b/cloud/httpcall/httpcall.go
@@ -17,6 +17,7 @@
 
 	"github.com/valyala/fasthttp"
 
+	"camphorwick.dev/cloud/httpstatus"
 	"camphorwick.dev/cloud/tcpprobe"
 )
 
@@ -295,7 +296,7 @@
 	if err != nil {
 		return nil, err
 	}
-	conn := &trackedConn{Conn: tcp, sent: &s.sent, ended: &s.ended, progress: s.reportProgress}
+	conn := &trackedConn{Conn: httpstatus.NewConn(tcp), tcp: tcp, sent: &s.sent, ended: &s.ended, progress: s.reportProgress}
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.conn = conn
@@ -310,6 +311,7 @@
 // connection was read.
 type trackedConn struct {
 	net.Conn
+	tcp         net.Conn // below Conn
 	sent, ended *atomic.Bool
 	progress    func() // called for each read that returns bytes
 }
@@ -338,5 +340,5 @@
 // reusable reports whether an idle connection is open and has no unread bytes.
 func reusable(conn net.Conn) bool {
 	tracked, ok := conn.(*trackedConn)
-	return ok && !tcpprobe.Unusable(tracked.Conn)
+	return ok && !tcpprobe.Unusable(tracked.tcp)
 }
