ingress: no placement is built for the stop check while the gateway runs

The check of a request against the end of the gateway built a placement and took the scheduler's lock for each request. A flag that the stop sets is looked at first. A server of which nothing is known is not asked a second time for the log line of its broken answer. Tests of gateway/ingress passed with the race detector.

--- a/gateway/ingress/ingress.go
+++ b/gateway/ingress/ingress.go
@@ -78,6 +78,7 @@
 	table            atomic.Pointer[routing.Table]
 	active           atomic.Int64 // requests in flight
 	closeConnections atomic.Bool  // each connection is closed after its next answer
+	stopping         atomic.Bool  // the scheduler knows when the gateway stops
 	// requests is the context of all requests, which Abort ends.
 	requests    context.Context
 	abort       context.CancelCauseFunc
@@ -195,7 +196,7 @@
 	}
 	x.deadline = x.arrived.Add(x.timeLeft())
 	x.service = x.route.PickService()
-	if placement := x.placement(); !x.checkStop(&placement) {
+	if x.g.stopping.Load() && !x.checkStop() {
 		return false
 	}
 	return x.readBody()
--- a/gateway/ingress/server_end.go
+++ b/gateway/ingress/server_end.go
@@ -37,7 +37,13 @@
 	if a.ServerEndsAsPlanned() {
 		return false
 	}
-	return x.end.ending == endingServerGone || x.g.Client.Probe(x.ctx, a.Server.Address) == tcpprobe.Refusing
+	switch x.end.ending {
+	case endingServerGone:
+		return true
+	case endingServerUnknown: // it was asked just now
+		return false
+	}
+	return x.g.Client.Probe(x.ctx, a.Server.Address) == tcpprobe.Refusing
 }
 
 // partsAttr returns the field of a log line with the parts of the prompt, none if it has
--- a/gateway/ingress/stopping.go
+++ b/gateway/ingress/stopping.go
@@ -14,12 +14,16 @@
 
 // RefuseAfter makes the gateway refuse new requests, and those that wait for a server, that
 // may last beyond stop, unless their callers may retry them.
-func (g *Gateway) RefuseAfter(stop time.Time) { g.Scheduler.StopAt(stop) }
+func (g *Gateway) RefuseAfter(stop time.Time) {
+	g.Scheduler.StopAt(stop)
+	g.stopping.Store(true)
+}
 
 // checkStop refuses a request that the gateway, which stops, may not be able to finish
 // wherever it is placed. It returns false then.
-func (x *exchange) checkStop(placement *schedule.Request) bool {
-	err := x.g.Scheduler.CheckStop(placement)
+func (x *exchange) checkStop() bool {
+	placement := x.placement()
+	err := x.g.Scheduler.CheckStop(&placement)
 	if err == nil {
 		return true
 	}
