follow, platform: a gateway follows a store that comes back from a copy

What happened before: where no call failed, the watches waited on and the store had given out the lost revisions again, a gateway kept the old configuration and did not see new servers, for as long as it was watched. A lease number or a revision that was given out again counted as the own one.

Change: follow.Position, an era and a revision in one ordered number, is what followers, checks, proofs, marks of evacuations and records of the quarantine compare. When the era rises, the node reads all prefixes by one call and registers again; servers that drained stay drained; verdicts that the copy lacks are written again, and those that were lifted within the last minute are removed again.

Types of revisions in existing tests follow the new type; no check was changed.

--- a/daemon/cmd/camphorwick/gateway.go
+++ b/daemon/cmd/camphorwick/gateway.go
@@ -54,6 +54,7 @@
 	if err != nil {
 		return err
 	}
+	store.OnEra = n.StoreEraChanged
 	ops, err := net.Listen("tcp", s.OpsAddress)
 	if err != nil {
 		return fmt.Errorf("open the port of health and metrics: %w", err)
--- a/gateway/evacuation/evacuation.go
+++ b/gateway/evacuation/evacuation.go
@@ -27,6 +27,9 @@
 	// that this process knows. The store makes some thousand changes a second; a damaged
 	// datagram with a higher number would stay in force for ever.
 	maxRevisionLead = 1_000_000
+	// maxEraLead is the same for the era of the store, which rises when it comes back from a
+	// copy.
+	maxEraLead = 16
 )
 
 // Mark says whether a data centre is evacuated.
@@ -34,7 +37,7 @@
 	DataCentre string
 	// Revision is that of the store at which this was so. A mark with a higher one
 	// replaces those with lower ones.
-	Revision  int64
+	Revision  follow.Position
 	Evacuated bool
 }
 
@@ -52,7 +55,7 @@
 	Known func(dataCentre string) bool
 	// Revision returns the newest known revision of the store; while Replace runs, at least
 	// that of the read.
-	Revision func() int64
+	Revision func() follow.Position
 }
 
 // List holds the newest mark of each data centre. It implements follow.Handler and is safe
@@ -128,15 +131,24 @@
 		return
 	}
 	var valid []Mark
-	highest := l.Revision() + maxRevisionLead
+	known := l.Revision()
 	for _, m := range marks {
-		if isName(m.DataCentre) && m.Revision > 0 && m.Revision <= highest {
+		if isName(m.DataCentre) && m.Revision > 0 && isPlausible(m.Revision, known) {
 			valid = append(valid, m)
 		}
 	}
 	l.merge(valid, peer, false)
 }
 
+// isPlausible reports whether a peer may know a position of the store, as seen from the newest
+// one that this process knows. A peer may know of later eras.
+func isPlausible(p, known follow.Position) bool {
+	if p.Era() > known.Era() {
+		return p.Era() <= known.Era()+maxEraLead
+	}
+	return p <= known+maxRevisionLead
+}
+
 // decode returns the mark of an item of the store. The value of the key says nothing.
 func (l *List) decode(item follow.Item) (Mark, bool) {
 	name := strings.TrimPrefix(item.Key, l.Prefix)
--- a/gateway/evacuation/evacuation_test.go
+++ b/gateway/evacuation/evacuation_test.go
@@ -18,23 +18,23 @@
 // state is a list with the data centres that it has reported as evacuated.
 type state struct {
 	*List
-	revision int64
+	revision follow.Position
 	reported map[string]bool
 }
 
 func newState() *state {
 	s := &state{}
 	s.List = New(Options{Prefix: prefix, Log: slog.New(slog.NewTextHandler(io.Discard, nil)),
-		Changed: func(evacuated map[string]bool) { s.reported = evacuated }, Revision: func() int64 { return s.revision }})
+		Changed: func(evacuated map[string]bool) { s.reported = evacuated }, Revision: func() follow.Position { return s.revision }})
 	return s
 }
 
-func (s *state) read(revision int64, items ...follow.Item) {
+func (s *state) read(revision follow.Position, items ...follow.Item) {
 	s.revision = revision
 	s.Replace(items)
 }
 
-func item(name string, revision int64) follow.Item {
+func item(name string, revision follow.Position) follow.Item {
 	return follow.Item{Key: prefix + name, Revision: revision}
 }
 
@@ -71,7 +71,7 @@
 	s.MergePeer("peer", []Mark{{"dc-1", 1 << 60, true}, {"dc-2", 0, true}, {"dc-3", -4, true}, {"", 6, true}})
 	is.Equal(len(s.Marks()), 0)
 	for i := range 10_000 {
-		s.MergePeer("peer", []Mark{{strings.Repeat("d", 1+i%maxNameBytes), int64(10 + i), true}})
+		s.MergePeer("peer", []Mark{{strings.Repeat("d", 1+i%maxNameBytes), follow.Position(10 + i), true}})
 	}
 	is.Equal(len(s.Marks()), maxMarks)
 }
@@ -83,7 +83,7 @@
 		names := []string{"dc-1", "dc-2", "dc-3"}
 		var history []Mark
 		final := map[string]bool{}
-		for revision := range int64(rapid.IntRange(1, 12).Draw(t, "changes")) {
+		for revision := range follow.Position(rapid.IntRange(1, 12).Draw(t, "changes")) {
 			m := Mark{DataCentre: rapid.SampledFrom(names).Draw(t, "data centre"), Revision: revision + 2, Evacuated: rapid.Bool().Draw(t, "evacuated")}
 			history = append(history, m)
 			final[m.DataCentre] = m.Evacuated
@@ -105,3 +105,23 @@
 		}
 	})
 }
+
+// Guards against a mark of an earlier era of the store that overrules one of a later era because
+// its revision is higher, and against a later one that is ignored for the same reason.
+func TestMarksOfAnotherEra(t *testing.T) {
+	is := is.New(t)
+	s := newState()
+	at := follow.NewPosition
+	s.read(at(1, 50), item("dc-1", at(1, 40)))
+	is.True(s.reported["dc-1"])
+	s.MergePeer("peer", []Mark{{"dc-1", at(2, 10), false}}) // the peer has read the store after its return
+	is.True(!s.reported["dc-1"])
+	s.MergePeer("late", []Mark{{"dc-1", at(1, 60), true}})
+	is.True(!s.reported["dc-1"])
+	s.MergePeer("damaged", []Mark{{"dc-1", at(2+maxEraLead, 10), true}})
+	is.True(!s.reported["dc-1"])
+	s.read(at(2, 12), item("dc-1", at(2, 11))) // evacuated again
+	is.True(s.reported["dc-1"])
+	s.read(at(3, 2)) // the copy does not have it
+	is.True(!s.reported["dc-1"])
+}
--- a/gateway/follow/checker.go
+++ b/gateway/follow/checker.go
@@ -166,7 +166,7 @@
 }
 
 // oldestRevision returns the lowest of the revisions up to which states are proved.
-func oldestRevision(followers []*Follower) int64 {
+func oldestRevision(followers []*Follower) Position {
 	oldest := followers[0].progress.known()
 	for _, f := range followers {
 		oldest = min(oldest, f.progress.known())
@@ -184,7 +184,8 @@
 	}
 	cancel()
 	var compacted *CompactedError
-	if errors.As(err, &compacted) {
+	var era *EraError
+	if errors.As(err, &compacted) || errors.As(err, &era) {
 		for _, f := range group {
 			f.Refresh()
 		}
@@ -201,8 +202,8 @@
 var errNotChecked = errors.New("no answer to a check in time")
 
 // compare compares the answer to a check with what the followers have received.
-func (c *Checker) compare(ctx context.Context, group []*Follower, items []Item, revision int64, began time.Time) {
-	missing := map[*Follower]int64{} // newest revision of the changes not received, by follower
+func (c *Checker) compare(ctx context.Context, group []*Follower, items []Item, revision Position, began time.Time) {
+	missing := map[*Follower]Position{} // newest revision of the changes not received, by follower
 	for _, f := range group {
 		newest := lastRevision(ofPrefix(items, f.Prefix))
 		if newest > f.progress.known() {
--- a/gateway/follow/checker_test.go
+++ b/gateway/follow/checker_test.go
@@ -29,7 +29,7 @@
 	Store
 	mu       sync.Mutex
 	started  time.Time
-	revision int64
+	revision Position
 	items    map[string]Item
 	history  []Item
 	changed  chan struct{}
@@ -86,7 +86,7 @@
 	s.changed = make(chan struct{})
 }
 
-func (s *silentStore) since(prefix string, after int64) ([]Item, int64, chan struct{}) {
+func (s *silentStore) since(prefix string, after Position) ([]Item, Position, chan struct{}) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	var events []Item
@@ -98,7 +98,7 @@
 	return events, s.revision, s.changed
 }
 
-func (s *silentStore) Range(ctx context.Context, prefix string, answered func()) ([]Item, int64, error) {
+func (s *silentStore) Range(ctx context.Context, prefix string, answered func()) ([]Item, Position, error) {
 	s.calls.Add(1)
 	sent := time.Since(s.started)
 	time.Sleep(roundTrip)
@@ -118,7 +118,7 @@
 	return items, s.revision, nil
 }
 
-func (s *silentStore) Watch(ctx context.Context, prefix string, after int64, wait time.Duration, answered func()) ([]Item, int64, error) {
+func (s *silentStore) Watch(ctx context.Context, prefix string, after Position, wait time.Duration, answered func()) ([]Item, Position, error) {
 	s.calls.Add(1)
 	sent := time.Since(s.started)
 	time.Sleep(roundTrip)
--- a/gateway/follow/convergence_test.go
+++ b/gateway/follow/convergence_test.go
@@ -43,12 +43,12 @@
 }
 
 // newest returns the number of the last write at a time.
-func (s *storeOverLink) newest(at time.Time) int64 {
-	return 1 + int64(min(max(at.Sub(s.started), 0), writing)/s.gap)
+func (s *storeOverLink) newest(at time.Time) Position {
+	return 1 + Position(min(max(at.Sub(s.started), 0), writing)/s.gap)
 }
 
-func (s *storeOverLink) item(n int64) Item {
-	return Item{Key: "p", Value: []byte(strconv.FormatInt(n, 10)), Revision: n}
+func (s *storeOverLink) item(n Position) Item {
+	return Item{Key: "p", Value: []byte(strconv.FormatInt(int64(n), 10)), Revision: n}
 }
 
 // wait passes the time of a part of a call. It fails if ctx ends, or if the cut
@@ -67,7 +67,7 @@
 	}
 }
 
-func (s *storeOverLink) Range(ctx context.Context, _ string, answered func()) ([]Item, int64, error) {
+func (s *storeOverLink) Range(ctx context.Context, _ string, answered func()) ([]Item, Position, error) {
 	if err := s.wait(ctx, roundTrip); err != nil {
 		return nil, 0, err
 	}
@@ -79,7 +79,7 @@
 	return []Item{s.item(n)}, n, nil
 }
 
-func (s *storeOverLink) Watch(ctx context.Context, _ string, after int64, wait time.Duration, answered func()) ([]Item, int64, error) {
+func (s *storeOverLink) Watch(ctx context.Context, _ string, after Position, wait time.Duration, answered func()) ([]Item, Position, error) {
 	n := after
 	for end := time.Now().Add(wait); n <= after; n = s.newest(time.Now()) {
 		if time.Now().After(end) {
@@ -135,7 +135,7 @@
 	group.Go(func() {
 		for reportEvery > 0 && ctx.Err() == nil {
 			time.Sleep(reportEvery)
-			if h.inForce.Load() < s.newest(time.Now()) {
+			if Position(h.inForce.Load()) < s.newest(time.Now()) {
 				f.Refresh()
 			}
 		}
@@ -145,7 +145,7 @@
 	for time.Since(s.started) < writing+maxLag {
 		time.Sleep(step)
 		now := time.Now()
-		for h.inForce.Load() >= s.newest(currentAt) && currentAt.Before(now) {
+		for Position(h.inForce.Load()) >= s.newest(currentAt) && currentAt.Before(now) {
 			currentAt = currentAt.Add(step)
 		}
 		if at := now.Sub(s.started); at < cutStart || at > inTouch {
@@ -204,11 +204,11 @@
 	calls atomic.Int64
 }
 
-func (s *compactingStore) Range(context.Context, string, func()) ([]Item, int64, error) {
-	return []Item{{Key: "p", Value: []byte("1"), Revision: s.calls.Add(1)}}, 1, nil
+func (s *compactingStore) Range(context.Context, string, func()) ([]Item, Position, error) {
+	return []Item{{Key: "p", Value: []byte("1"), Revision: Position(s.calls.Add(1))}}, 1, nil
 }
 
-func (s *compactingStore) Watch(context.Context, string, int64, time.Duration, func()) ([]Item, int64, error) {
+func (s *compactingStore) Watch(context.Context, string, Position, time.Duration, func()) ([]Item, Position, error) {
 	s.calls.Add(1)
 	return nil, 0, &CompactedError{After: 1}
 }
--- a/gateway/follow/follow.go
+++ b/gateway/follow/follow.go
@@ -44,20 +44,20 @@
 type Item struct {
 	Key      string
 	Value    []byte
-	Revision int64
+	Revision Position
 	Deleted  bool
 }
 
 // Store is the part of the platform's store that the gateway uses.
 type Store interface {
-	// Range returns the items of a prefix and the revision at which the read
+	// Range returns the items of a prefix and the position of the store at which the read
 	// began. It calls answered when the answer begins to arrive.
-	Range(ctx context.Context, prefix string, answered func()) (items []Item, revision int64, err error)
-	// Watch waits for changes after a revision and returns them, oldest first, with
-	// the revision to continue from. It calls answered, from the same goroutine, when
+	Range(ctx context.Context, prefix string, answered func()) (items []Item, at Position, err error)
+	// Watch waits for changes after a position and returns them, oldest first, with
+	// the position to continue from. It calls answered, from the same goroutine, when
 	// the answer begins to arrive. CompactedError means that the store no longer has
-	// the changes after that revision.
-	Watch(ctx context.Context, prefix string, after int64, wait time.Duration, answered func()) ([]Item, int64, error)
+	// the changes after that position, EraError that it is in a later era.
+	Watch(ctx context.Context, prefix string, after Position, wait time.Duration, answered func()) ([]Item, Position, error)
 	// Grant creates a lease.
 	Grant(ctx context.Context, ttl time.Duration) (lease int64, err error)
 	// Renew extends a lease. LeaseError means that it has ended.
@@ -68,7 +68,7 @@
 
 // CompactedError means that the store no longer has the changes after a
 // revision.
-type CompactedError struct{ After int64 }
+type CompactedError struct{ After Position }
 
 func (e *CompactedError) Error() string { return "store history was compacted" }
 
@@ -123,19 +123,19 @@
 	// for none.
 	OnRead func(started time.Time)
 
-	startedAt time.Time        // of Run
-	revisions map[string]int64 // newest revision seen, by key
-	after     int64            // revision from which to watch
-	loaded    bool             // the prefix was read at least once
-	mustRead  bool             // the next call is a read
-	changing  bool             // the last call brought a change
-	wasRead   bool             // the last call was a read
-	compacted bool             // the last watch found no history
-	watchedAt time.Time        // when the last watch was sent
-	quiet     bool             // the last watch found no history after it had waited for quietTime
-	currentAt time.Time        // the known state was the newest one at this time or later
-	failing   bool             // the last call failed
-	backoff   time.Duration    // the delay after the last failed call was random, from half of this to all of it
+	startedAt time.Time           // of Run
+	revisions map[string]Position // newest position seen, by key
+	after     Position            // position from which to watch
+	loaded    bool                // the prefix was read at least once
+	mustRead  bool                // the next call is a read
+	changing  bool                // the last call brought a change
+	wasRead   bool                // the last call was a read
+	compacted bool                // the last watch found no history
+	watchedAt time.Time           // when the last watch was sent
+	quiet     bool                // the last watch found no history after it had waited for quietTime
+	currentAt time.Time           // the known state was the newest one at this time or later
+	failing   bool                // the last call failed
+	backoff   time.Duration       // the delay after the last failed call was random, from half of this to all of it
 
 	refresh  refreshRequest // of Refresh
 	pending  pendingReads
@@ -155,10 +155,10 @@
 	return at
 }
 
-// Revision returns the revision of the store up to which the known state has all changes; 0
+// Position returns the position of the store up to which the known state has all changes; 0
 // before the first read. In Handler.Replace it is at least that of the read. It is safe for
 // concurrent use.
-func (f *Follower) Revision() int64 { return f.progress.known() }
+func (f *Follower) Position() Position { return f.progress.known() }
 
 // Rewatch sends a watch that waits for its answer again, or decides again whether to watch.
 // It is safe for concurrent use.
@@ -170,7 +170,7 @@
 
 // Run follows the prefix until ctx ends.
 func (f *Follower) Run(ctx context.Context) error {
-	f.revisions, f.mustRead, f.startedAt = map[string]int64{}, true, time.Now()
+	f.revisions, f.mustRead, f.startedAt = map[string]Position{}, true, time.Now()
 	f.pending.init(f.Store, f.Prefix)
 	defer f.pending.stop()
 	for ctx.Err() == nil {
@@ -179,11 +179,15 @@
 			break
 		}
 		var compacted *CompactedError
+		var era *EraError
 		switch {
 		case err == nil, errors.Is(err, errInterrupted):
 		case errors.As(err, &compacted):
 			f.Log.Warn("store history compacted, reading the prefix again", "prefix", f.Prefix, "after", compacted.After)
 			f.handleCompaction(ctx)
+		case errors.As(err, &era):
+			f.Log.Info("store in another era, reading the prefix again", "prefix", f.Prefix, "after", f.after, "era", era.Current)
+			f.handleCompaction(ctx)
 		default:
 			f.mustRead = true
 			f.handleFailure(ctx, err)
@@ -226,7 +230,7 @@
 	if err != nil {
 		return err
 	}
-	revisions := make(map[string]int64, len(got.items))
+	revisions := make(map[string]Position, len(got.items))
 	for _, item := range got.items {
 		revisions[item.Key] = item.Revision
 	}
@@ -234,9 +238,9 @@
 	// The first read is not a change, but there may be changes by the end of a long one.
 	f.changing = isNew && !f.quiet && (f.loaded || f.ReadAfter > 0 && time.Since(got.started) > f.ReadAfter)
 	f.quiet = false
-	f.revisions, f.after, f.currentAt = revisions, got.revision, got.started
+	f.revisions, f.after, f.currentAt = revisions, got.at, got.started
 	f.loaded, f.mustRead, f.wasRead = true, false, true
-	f.progress.recordRead(got.revision, isNew, got.started)
+	f.progress.recordRead(got.at, isNew, got.started)
 	f.handleSuccess()
 	if isNew {
 		f.Handler.Replace(got.items)
@@ -279,7 +283,7 @@
 }
 
 // handleChanges handles the answer to a watch.
-func (f *Follower) handleChanges(items []Item, after int64) {
+func (f *Follower) handleChanges(items []Item, after Position) {
 	f.handleSuccess()
 	f.after = max(after, f.after)
 	f.changing, f.wasRead, f.compacted = len(items) > 0, false, false
@@ -304,9 +308,9 @@
 	f.progress.endWait()
 }
 
-// lastRevision returns the revision of the newest item; 0 if there is none.
-func lastRevision(items []Item) int64 {
-	last := int64(0)
+// lastRevision returns the position of the newest item; 0 if there is none.
+func lastRevision(items []Item) Position {
+	last := Position(0)
 	for _, item := range items {
 		last = max(last, item.Revision)
 	}
--- a/gateway/follow/follow_test.go
+++ b/gateway/follow/follow_test.go
@@ -21,17 +21,17 @@
 	mu      sync.Mutex
 	ranges  []reply
 	watches []reply
-	afters  []int64 // revisions after which watches began
+	afters  []Position // revisions after which watches began
 	done    context.CancelFunc
 }
 
 type reply struct {
 	items    []Item
-	revision int64
+	revision Position
 	err      error
 }
 
-func (s *scriptedStore) Range(context.Context, string, func()) ([]Item, int64, error) {
+func (s *scriptedStore) Range(context.Context, string, func()) ([]Item, Position, error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	r := s.ranges[0]
@@ -39,7 +39,7 @@
 	return r.items, r.revision, r.err
 }
 
-func (s *scriptedStore) Watch(ctx context.Context, _ string, after int64, _ time.Duration, _ func()) ([]Item, int64, error) {
+func (s *scriptedStore) Watch(ctx context.Context, _ string, after Position, _ time.Duration, _ func()) ([]Item, Position, error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.afters = append(s.afters, after)
@@ -95,7 +95,7 @@
 	}
 	r := run(t, s)
 	is.Equal(r.events, []string{"replace", " p/a=1", "replace", " p/a=2"})
-	is.Equal(s.afters, []int64{5, 9})
+	is.Equal(s.afters, []Position{5, 9})
 }
 
 // Guards against applying older changes: the pages of a read are not a
@@ -122,7 +122,7 @@
 	}
 	r := run(t, s)
 	is.Equal(r.events, []string{"failed", "restored", "replace", "failed", "failed", "restored", "failed", "restored", "replace", " p/a=1"})
-	is.Equal(s.afters, []int64{4, 6, 7, 8, 9, 10})
+	is.Equal(s.afters, []Position{4, 6, 7, 8, 9, 10})
 }
 
 // watchLosingStore answers Range and the second watch. Other watches block until
@@ -133,11 +133,11 @@
 	watchCalls int
 }
 
-func (s *watchLosingStore) Range(context.Context, string, func()) ([]Item, int64, error) {
+func (s *watchLosingStore) Range(context.Context, string, func()) ([]Item, Position, error) {
 	return nil, 1, nil
 }
 
-func (s *watchLosingStore) Watch(ctx context.Context, _ string, _ int64, _ time.Duration, _ func()) ([]Item, int64, error) {
+func (s *watchLosingStore) Watch(ctx context.Context, _ string, _ Position, _ time.Duration, _ func()) ([]Item, Position, error) {
 	s.watchCalls++
 	if s.watchCalls == 2 {
 		return []Item{{Key: "p/a", Value: []byte("1"), Revision: 2}}, 2, nil
@@ -183,7 +183,7 @@
 	}
 	f := &Follower{Store: s, Prefix: "p/", Handler: &recorder{}, Log: slog.New(slog.DiscardHandler)}
 	is.NoErr(f.Run(ctx))
-	is.Equal(f.revisions, map[string]int64{"p/b": 6})
+	is.Equal(f.revisions, map[string]Position{"p/b": 6})
 }
 
 // Guards against time that is spent on values which a later change of the same answer
@@ -205,11 +205,11 @@
 	watches atomic.Int32
 }
 
-func (s *changingStore) Range(context.Context, string, func()) ([]Item, int64, error) {
+func (s *changingStore) Range(context.Context, string, func()) ([]Item, Position, error) {
 	return nil, 1, nil
 }
 
-func (s *changingStore) Watch(_ context.Context, _ string, after int64, _ time.Duration, _ func()) ([]Item, int64, error) {
+func (s *changingStore) Watch(_ context.Context, _ string, after Position, _ time.Duration, _ func()) ([]Item, Position, error) {
 	s.watches.Add(1)
 	return []Item{{Key: "k", Revision: after + 1}}, after + 1, nil
 }
--- a/gateway/follow/progress.go
+++ b/gateway/follow/progress.go
@@ -11,7 +11,7 @@
 	// LastChange is the revision of the last change of the prefix, or a later one, and
 	// Through the newest revision of the store at a time: the prefix has no change after
 	// LastChange up to Through. Exact is set if there is a change at LastChange.
-	LastChange, Through int64
+	LastChange, Through Position
 	Exact               bool
 	// At is when the store was asked for the newest revision, by the steady clock of this
 	// process.
@@ -24,18 +24,18 @@
 	mu sync.Mutex
 	// through is the revision up to which the known state has all changes; 0 before the
 	// first read. lastChange and through are as in Proof.
-	through, lastChange int64
+	through, lastChange Position
 	exact               bool // as in Proof
 	changes             int  // received so far; all that a read finds count as one
 	// after is the revision up to which the follower itself has received all changes.
-	after int64
+	after Position
 	// at is when the known state was the newest one, as this process or a peer has shown.
 	at time.Time
 	// before is a value of through of at least doubtTime ago, mark one of later at markedAt.
-	before, mark int64
+	before, mark Position
 	markedAt     time.Time
 	// ownThrough and ownAt are those of the newest proof of this process.
-	ownThrough int64
+	ownThrough Position
 	ownAt      time.Time
 	// waitingSince is when the watch was sent that waits for its answer; zero if none does.
 	// unwatched is set if the follower waits without a watch.
@@ -46,7 +46,7 @@
 // recordRead records a read of the prefix that began at a time. changed is set if the state
 // was not known before. When it changed, and whether keys were deleted since, is not known
 // then, so the revision of the read stands for the last change.
-func (p *progress) recordRead(revision int64, changed bool, began time.Time) {
+func (p *progress) recordRead(revision Position, changed bool, began time.Time) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if changed {
@@ -59,7 +59,7 @@
 
 // recordWatch records the answer to a watch, which began to arrive at a time, with its
 // changes.
-func (p *progress) recordWatch(revision int64, items []Item, answered time.Time) {
+func (p *progress) recordWatch(revision Position, items []Item, answered time.Time) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if last := lastRevision(items); last > p.lastChange {
@@ -72,14 +72,14 @@
 
 // recordCheck records that the store has no change of the prefix that the follower has not
 // received, as a call that began at a time has shown.
-func (p *progress) recordCheck(revision int64, began time.Time) {
+func (p *progress) recordCheck(revision Position, began time.Time) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.prove(revision, began)
 }
 
 // prove records a proof of this process. mu is held.
-func (p *progress) prove(revision int64, at time.Time) {
+func (p *progress) prove(revision Position, at time.Time) {
 	p.advance(revision)
 	p.ownThrough = max(p.ownThrough, revision)
 	p.ownAt = later(p.ownAt, at)
@@ -87,8 +87,8 @@
 }
 
 // advance raises through. mu is held.
-func (p *progress) advance(revision int64) {
-	if p.through == 0 {
+func (p *progress) advance(revision Position) {
+	if p.through == 0 || revision.Era() > p.through.Era() { // nothing older can be checked again
 		p.before, p.mark = revision, revision
 	}
 	if now := time.Now(); now.Sub(p.markedAt) >= doubtTime {
@@ -111,6 +111,9 @@
 func (p *progress) adopt(proof Proof) (isBehind bool) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	if p.through.Era() != proof.Through.Era() { // it says nothing of this state
+		return false
+	}
 	if p.through < proof.LastChange {
 		return p.through > 0 && proof.Exact
 	}
@@ -163,14 +166,14 @@
 }
 
 // known returns the revision up to which the known state is proved to have all changes.
-func (p *progress) known() int64 {
+func (p *progress) known() Position {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	return p.through
 }
 
 // received returns the revision up to which the follower itself has received all changes.
-func (p *progress) received() int64 {
+func (p *progress) received() Position {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	return p.after
--- a/gateway/follow/reads.go
+++ b/gateway/follow/reads.go
@@ -34,10 +34,10 @@
 }
 
 type readResult struct {
-	items    []Item
-	revision int64
-	started  time.Time
-	err      error
+	items   []Item
+	at      Position
+	started time.Time
+	err     error
 }
 
 func (r *pendingReads) init(store Store, prefix string) {
@@ -86,7 +86,7 @@
 	ctx, results, answered := r.ctx, r.results, r.answered
 	r.group.Go(func() {
 		got := readResult{started: time.Now()}
-		got.items, got.revision, got.err = r.store.Range(ctx, r.prefix, func() { signal(answered) })
+		got.items, got.at, got.err = r.store.Range(ctx, r.prefix, func() { signal(answered) })
 		results <- got
 	})
 }
--- a/gateway/follow/refresh.go
+++ b/gateway/follow/refresh.go
@@ -18,7 +18,7 @@
 // delivery is the answer to a check, as far as it concerns one prefix.
 type delivery struct {
 	items    []Item
-	revision int64
+	revision Position
 	began    time.Time
 }
 
--- a/gateway/node/drain_test.go
+++ b/gateway/node/drain_test.go
@@ -329,7 +329,7 @@
 
 var errSilent = errors.New("the store does not answer")
 
-func (silentStore) Range(ctx context.Context, _ string, answered func()) ([]follow.Item, int64, error) {
+func (silentStore) Range(ctx context.Context, _ string, answered func()) ([]follow.Item, follow.Position, error) {
 	<-ctx.Done()
 	return nil, 0, errSilent
 }
--- a/gateway/node/handlers.go
+++ b/gateway/node/handlers.go
@@ -46,15 +46,24 @@
 func (h *configHandler) Restored() {}
 
 // serverHandler is the follow.Handler that updates the registry from the store.
-type serverHandler struct{ node *Node }
+type serverHandler struct {
+	node *Node
+	era  int64 // of the store, at the last read
+}
 
-// Replace replaces the list of servers.
+// Replace replaces the list of servers. That of a new era is from a copy of the store.
 func (h *serverHandler) Replace(items []follow.Item) {
+	before := h.era
 	var list []*registry.Server
 	for _, item := range items {
 		if s := h.decode(item); s != nil {
 			list = append(list, s)
 		}
+		h.era = max(h.era, item.Revision.Era())
+	}
+	if before > 0 && h.era > before {
+		h.node.registry.Restore(list, time.Now())
+		return
 	}
 	h.node.registry.Replace(list, time.Now())
 }
--- a/gateway/node/node.go
+++ b/gateway/node/node.go
@@ -11,6 +11,7 @@
 	"net/http"
 	"net/netip"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"go.opentelemetry.io/otel/metric"
@@ -128,7 +129,10 @@
 	// configuration.
 	followers []*follow.Follower
 	checker   *follow.Checker
-	configLag *configLag
+	storeEra  atomic.Int64 // that the last answers of the store have shown
+	// wholeReads is the store of the followers.
+	wholeReads *follow.FirstRead
+	configLag  *configLag
 	// quarantine holds the parts of prompts on which servers crash.
 	quarantine *quarantine.List
 	// footprint holds what is held for callers.
@@ -179,6 +183,9 @@
 		return nil, fmt.Errorf("set up metrics: %w", err)
 	}
 	n.followers = n.newFollowers()
+	if err := n.registerEra(); err != nil {
+		return nil, err
+	}
 	if n.checker, err = n.newChecker(); err != nil {
 		return nil, fmt.Errorf("set up metrics: %w", err)
 	}
@@ -328,15 +335,16 @@
 	}
 	if n.protocol.Quarantine != nil {
 		followers = append(followers, &follow.Follower{Prefix: quarantine.Prefix, Handler: n.quarantine, Unwatched: n.quarantine.Idle})
+		n.quarantine.Position = followers[len(followers)-1].Position
 	}
 	if n.evacuations != nil {
 		f := &follow.Follower{Prefix: n.protocol.EvacuationsPrefix, Handler: n.evacuations}
-		n.evacuations.Revision = f.Revision
+		n.evacuations.Revision = f.Position
 		followers = append(followers, f)
 	}
-	store := &follow.FirstRead{Store: n.protocol.Store}
+	n.wholeReads = &follow.FirstRead{Store: n.protocol.Store}
 	for _, f := range followers {
-		f.Store, f.Log = store, n.options.Log
+		f.Store, f.Log = n.wholeReads, n.options.Log
 		if f.Unwatched == nil {
 			f.OnCut = n.doubtUnwatched
 		}
--- a/gateway/node/registration.go
+++ b/gateway/node/registration.go
@@ -50,12 +50,15 @@
 			pause = registrationRetryInterval
 			n.options.Log.Debug("own registration not renewed", "error", err.Error())
 		}
+		lost := false
 		select {
 		case <-ctx.Done():
 			return nil
+		case <-n.registrationLost:
+			lost = true
 		case <-time.After(pause):
 		}
-		if n.takeRegistrationLost() && lease != 0 {
+		if lost && lease != 0 {
 			n.options.Log.Warn("own registration lost, registering again")
 			lease = 0
 		}
@@ -70,15 +73,6 @@
 	}
 }
 
-func (n *Node) takeRegistrationLost() bool {
-	select {
-	case <-n.registrationLost:
-		return true
-	default:
-		return false
-	}
-}
-
 func (n *Node) register(ctx context.Context) (int64, error) {
 	value, err := json.Marshal(registration{Address: n.options.Peers, DataCentre: n.options.DataCentre})
 	if err != nil {
--- a/gateway/peers/evacuation.go
+++ b/gateway/peers/evacuation.go
@@ -3,6 +3,7 @@
 import (
 	"camphorwick.dev/api/wire"
 	"camphorwick.dev/gateway/evacuation"
+	"camphorwick.dev/gateway/follow"
 )
 
 // maxEvacuations bounds the marks that are taken from a datagram.
@@ -23,7 +24,7 @@
 		return false
 	}
 	for _, m := range e.Evacuations.Marks() {
-		out.Evacuations = append(out.Evacuations, &wire.EvacuationMark{DataCentre: m.DataCentre, Revision: m.Revision, Evacuated: m.Evacuated})
+		out.Evacuations = append(out.Evacuations, &wire.EvacuationMark{DataCentre: m.DataCentre, Revision: int64(m.Revision), Evacuated: m.Evacuated})
 	}
 	return due
 }
@@ -37,7 +38,7 @@
 	list = list[:min(len(list), maxEvacuations)]
 	marks := make([]evacuation.Mark, 0, len(list))
 	for _, mark := range list {
-		marks = append(marks, evacuation.Mark{DataCentre: mark.GetDataCentre(), Revision: mark.GetRevision(), Evacuated: mark.GetEvacuated()})
+		marks = append(marks, evacuation.Mark{DataCentre: mark.GetDataCentre(), Revision: follow.Position(mark.GetRevision()), Evacuated: mark.GetEvacuated()})
 	}
 	e.Evacuations.MergePeer(m.GetVm(), marks)
 }
--- a/gateway/peers/evacuation_test.go
+++ b/gateway/peers/evacuation_test.go
@@ -11,13 +11,14 @@
 	"github.com/matryer/is"
 
 	"camphorwick.dev/gateway/evacuation"
+	"camphorwick.dev/gateway/follow"
 )
 
 // newEvacuations returns a list that has read an empty store, and the data centres that it
 // reports as evacuated.
 func newEvacuations(e *Exchange) (*evacuation.List, <-chan map[string]bool) {
 	changes := make(chan map[string]bool, 10)
-	l := evacuation.New(evacuation.Options{Log: slog.New(slog.DiscardHandler), Revision: func() int64 { return 1 }, Changed: func(evacuated map[string]bool) {
+	l := evacuation.New(evacuation.Options{Log: slog.New(slog.DiscardHandler), Revision: func() follow.Position { return 1 }, Changed: func(evacuated map[string]bool) {
 		changes <- evacuated
 		e.SendEvacuations()
 	}})
--- a/gateway/peers/proofs.go
+++ b/gateway/peers/proofs.go
@@ -26,7 +26,7 @@
 	}
 	now := time.Now()
 	for _, p := range e.Proofs() {
-		out.Proofs = append(out.Proofs, &wire.StateProof{Prefix: p.Prefix, LastChange: p.LastChange, Through: p.Through, Exact: p.Exact, AgoMs: ageMillis(now, p.At)})
+		out.Proofs = append(out.Proofs, &wire.StateProof{Prefix: p.Prefix, LastChange: int64(p.LastChange), Through: int64(p.Through), Exact: p.Exact, AgoMs: ageMillis(now, p.At)})
 	}
 	return due
 }
@@ -40,7 +40,7 @@
 	now := time.Now()
 	proofs := make([]follow.Proof, 0, len(list))
 	for _, p := range list[:min(len(list), maxProofs)] {
-		proofs = append(proofs, follow.Proof{Prefix: p.GetPrefix(), LastChange: p.GetLastChange(), Through: p.GetThrough(), Exact: p.GetExact(),
+		proofs = append(proofs, follow.Proof{Prefix: p.GetPrefix(), LastChange: follow.Position(p.GetLastChange()), Through: follow.Position(p.GetThrough()), Exact: p.GetExact(),
 			At: now.Add(-time.Duration(p.GetAgoMs()) * time.Millisecond)})
 	}
 	e.OnProofs(proofs)
--- a/gateway/peers/proofs_test.go
+++ b/gateway/peers/proofs_test.go
@@ -42,8 +42,8 @@
 	is.Equal(len(next.proofs), 1)
 	p := next.proofs[0]
 	is.Equal(p.Prefix, "config")
-	is.Equal(p.LastChange, int64(7))
-	is.Equal(p.Through, int64(9))
+	is.Equal(p.LastChange, follow.Position(7))
+	is.Equal(p.Through, follow.Position(9))
 	age := next.at.Sub(p.At)
 	is.True(age >= 900*time.Millisecond && age < 1500*time.Millisecond)
 }
--- a/gateway/quarantine/list.go
+++ b/gateway/quarantine/list.go
@@ -25,6 +25,7 @@
 	"sync"
 	"time"
 
+	"camphorwick.dev/gateway/follow"
 	"camphorwick.dev/policy/quarantine"
 )
 
@@ -38,9 +39,9 @@
 // record is an entry and what is known of it in the store.
 type record struct {
 	Entry
-	revision int64     // in the store; 0 if it is not known to be stored
-	write    time.Time // when the entry is to be written; zero if it need not be
-	decided  time.Time // when this process learnt of the entry, by its steady clock
+	revision follow.Position // in the store; 0 if it is not known to be stored
+	write    time.Time       // when the entry is to be written; zero if it need not be
+	decided  time.Time       // when this process learnt of the entry, by its steady clock
 	// evidence is what led this process to the entry; nil if it was read from the store.
 	evidence []quarantine.Evidence
 	// answers counts those to prompts with the parts of a group, for which several are needed.
@@ -59,6 +60,10 @@
 	Log *slog.Logger
 	// Store keeps the list; nil for a list that ends with the process.
 	Store Store
+	// Position returns the position of the store up to which the stored entries are known, in
+	// Replace at least that of the read; nil for a store without eras. It is called with the
+	// lock of the list held.
+	Position func() follow.Position
 	// Changed is called when there is something to report to the other gateways; nil for
 	// no other gateways. It must not block.
 	Changed func()
@@ -76,8 +81,9 @@
 	mu       sync.Mutex
 	tracker  *quarantine.Tracker
 	entries  map[string]*record
-	groups   map[string]*record // those of entries that are groups
-	removals map[string]bool    // parts whose entry in the store is to be removed
+	groups   map[string]*record    // those of entries that are groups
+	removals map[string]bool       // parts whose entry in the store is to be removed
+	ended    map[string]endedEntry // by part
 	tracked  map[*Request]bool
 	requests uint64 // number of requests tracked so far
 	outgoing outgoing
@@ -98,7 +104,7 @@
 		o.OnCrash = func() {}
 	}
 	return &List{Options: o, process: rand.Uint64(), wake: make(chan struct{}, 1), tracker: quarantine.NewTracker(), entries: map[string]*record{}, groups: map[string]*record{},
-		removals: map[string]bool{}, tracked: map[*Request]bool{}, recent: recentReports{}, answered: answeredParts{}, answers: newAnswerCounts(), synced: o.Store == nil}
+		removals: map[string]bool{}, ended: map[string]endedEntry{}, tracked: map[*Request]bool{}, recent: recentReports{}, answered: answeredParts{}, answers: newAnswerCounts(), synced: o.Store == nil}
 }
 
 // Synced reports whether the list was read from the store, which must precede requests
@@ -145,6 +151,7 @@
 		return false
 	}
 	l.forget(r)
+	l.recordEnd(r)
 	l.Log.Warn("part no longer quarantined", "part", part, "reason", reason, "since", r.Since, "trials", r.Trials)
 	if l.Store != nil {
 		l.removals[part] = true
--- a/gateway/quarantine/list_test.go
+++ b/gateway/quarantine/list_test.go
@@ -22,7 +22,7 @@
 // memoryStore is a Store that passes each change to its followers at once.
 type memoryStore struct {
 	mu        sync.Mutex
-	revision  int64
+	revision  follow.Position
 	items     map[string]follow.Item
 	followers []*List
 	down      bool
@@ -32,7 +32,7 @@
 
 var errDown = errors.New("the store is down")
 
-func (s *memoryStore) change(item follow.Item, expected int64) error {
+func (s *memoryStore) change(item follow.Item, expected follow.Position) error {
 	s.mu.Lock()
 	if s.down {
 		s.mu.Unlock()
@@ -61,7 +61,7 @@
 	return s.change(follow.Item{Key: key, Value: value}, -1)
 }
 
-func (s *memoryStore) PutIf(_ context.Context, key string, value []byte, revision int64) error {
+func (s *memoryStore) PutIf(_ context.Context, key string, value []byte, revision follow.Position) error {
 	return s.change(follow.Item{Key: key, Value: value}, revision)
 }
 
@@ -69,6 +69,13 @@
 	return s.change(follow.Item{Key: key, Deleted: true}, -1)
 }
 
+// position returns the position of the last change.
+func (s *memoryStore) position() follow.Position {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.revision
+}
+
 // list returns the stored items.
 func (s *memoryStore) list() []follow.Item {
 	s.mu.Lock()
@@ -93,7 +100,7 @@
 	})
 	var lists []*List
 	for i := range n {
-		l := New(Options{VM: fmt.Sprint("vm", i), Log: slog.New(slog.DiscardHandler), Store: store})
+		l := New(Options{VM: fmt.Sprint("vm", i), Log: slog.New(slog.DiscardHandler), Store: store, Position: store.position})
 		l.Replace(store.list())
 		lists = append(lists, l)
 		group.Go(func() { _ = l.Run(ctx) })
@@ -586,7 +593,7 @@
 	items := []follow.Item{{Key: Prefix + "good", Value: []byte(`{"part":"good","accounts":["a","b"]}`), Revision: 1}}
 	for i, odd := range []string{``, `null`, `[]`, `"x"`, `{"part":1}`, `{"part":"other","accounts":["a"]}`, `{"part":"odd5","accounts":[]}`, "\xff",
 		`{"part":"odd8","accounts":["a"],"trials":1e99}`, `{"part":"odd9","accounts":["a"],"since":"x"}`} {
-		items = append(items, follow.Item{Key: fmt.Sprint(Prefix, "odd", i), Value: []byte(odd), Revision: int64(i + 2)})
+		items = append(items, follow.Item{Key: fmt.Sprint(Prefix, "odd", i), Value: []byte(odd), Revision: follow.Position(i + 2)})
 	}
 	l.Replace(items)
 	is.True(l.Synced())
--- a/gateway/quarantine/store.go
+++ b/gateway/quarantine/store.go
@@ -34,7 +34,7 @@
 	Put(ctx context.Context, key string, value []byte, lease int64) error
 	// PutIf writes a key if its revision is the given one; otherwise it returns a
 	// follow.ConflictError.
-	PutIf(ctx context.Context, key string, value []byte, revision int64) error
+	PutIf(ctx context.Context, key string, value []byte, revision follow.Position) error
 	// Remove deletes a key.
 	Remove(ctx context.Context, key string) error
 }
@@ -111,7 +111,7 @@
 		ended = append(ended, l.adopt(item)...)
 	}
 	for part, r := range l.entries {
-		if r.revision != 0 && !listed[part] {
+		if r.revision != 0 && !listed[part] && !l.wasLost(r) {
 			l.drop(part, r)
 		}
 	}
@@ -152,7 +152,7 @@
 		return nil
 	}
 	known := l.entries[e.Part]
-	if known == nil && l.rejects(e) {
+	if known == nil && (l.cameBack(e, item.Revision) || l.rejects(e)) {
 		return nil
 	}
 	if known == nil && len(l.entries) >= maxEntries {
@@ -222,6 +222,7 @@
 // drop ends an entry that the store no longer has. mu is held.
 func (l *List) drop(part string, r *record) {
 	l.forget(r)
+	l.recordEnd(r)
 	l.Log.Warn("part no longer quarantined, it was removed from the store", "part", part, "since", r.Since)
 }
 
--- a/gateway/registry/registry.go
+++ b/gateway/registry/registry.go
@@ -55,6 +55,9 @@
 	// removed holds when servers were removed that were not draining, by ID, for
 	// plannedRemoval.
 	removed map[string]time.Time
+	// drained holds the servers that were removed after they had drained, by ID, for
+	// drainedMemory.
+	drained map[string]*drainedServer
 	// evacuated are the data centres whose servers get no requests. While it must be known
 	// and is not, no server gets any.
 	evacuated         map[string]bool
@@ -64,6 +67,16 @@
 	onChange      func(Change)
 }
 
+// drainedMemory is how long a server that has drained and was removed is remembered. A copy of
+// the store that may list it again is some seconds old.
+const drainedMemory = time.Minute
+
+// drainedServer is a server that was removed after it had drained.
+type drainedServer struct {
+	server *Server
+	at     time.Time
+}
+
 type record struct {
 	server *Server
 	// removeAt is when a missing server is removed; zero while it is listed.
@@ -95,7 +108,7 @@
 // New returns an empty registry. onChange is called for each change without a
 // lock held.
 func New(onChange func(Change)) *Registry {
-	return &Registry{servers: map[string]*record{}, services: map[string][]*Server{}, removed: map[string]time.Time{}, onChange: onChange}
+	return &Registry{servers: map[string]*record{}, services: map[string][]*Server{}, removed: map[string]time.Time{}, drained: map[string]*drainedServer{}, onChange: onChange}
 }
 
 // Put records that the store lists a server.
@@ -128,6 +141,37 @@
 	})
 }
 
+// Restore is Replace for a list that the store has from a copy of itself, some seconds old. A
+// server that has been seen to drain goes on to drain, and one that has ended does not come back;
+// both would otherwise get requests until they, or the operator, have written again.
+func (r *Registry) Restore(list []*Server, now time.Time) {
+	current := make([]*Server, 0, len(list))
+	r.mu.Lock()
+	for _, s := range list {
+		if s = r.withoutPast(s); s != nil {
+			current = append(current, s)
+		}
+	}
+	r.distrustUntil = now.Add(ReregistrationGrace)
+	r.mu.Unlock()
+	r.Replace(current, now)
+}
+
+// withoutPast returns a server that a copy lists as it is known to be, nil if it has ended. mu is
+// held.
+func (r *Registry) withoutPast(s *Server) *Server {
+	if drained := r.drained[s.ID]; drained != nil && drained.server.sameIncarnation(s) {
+		return nil
+	}
+	known := r.servers[s.ID]
+	if known == nil || !known.server.sameIncarnation(s) || !known.server.Draining || s.Draining {
+		return s
+	}
+	draining := *s
+	draining.Draining = true
+	return &draining
+}
+
 // update runs a change of the servers, rebuilds the lists by service once if needed, and
 // reports the changes.
 func (r *Registry) update(change func() []Change) {
@@ -189,7 +233,9 @@
 func (r *Registry) drop(e *record, now time.Time) Change {
 	delete(r.servers, e.server.ID)
 	r.outdated = true
-	if !e.server.Draining {
+	if e.server.Draining {
+		r.drained[e.server.ID] = &drainedServer{server: e.server, at: now}
+	} else {
 		r.removed[e.server.ID] = now
 	}
 	return Change{Server: e.server, Event: Removed}
@@ -225,6 +271,11 @@
 				delete(r.removed, id)
 			}
 		}
+		for id, d := range r.drained {
+			if now.Sub(d.at) > drainedMemory {
+				delete(r.drained, id)
+			}
+		}
 		return changes
 	})
 }
