--- a/gateway/follow/era_model_test.go
+++ b/gateway/follow/era_model_test.go
@@ -16,8 +16,8 @@
 
 var modelDraws = flag.Uint64("follow.draws", 2000, "draws of the model of a store with eras")
 
-// drillStore is a store that may come back from a copy. Its watches wait on then.
-type drillStore struct {
+// restoredStore is a store that may be restored from a copy. Its watches wait on then.
+type restoredStore struct {
 	mu       sync.Mutex
 	rng      *rand.Rand
 	era      int64
@@ -31,7 +31,7 @@
 	slowest  time.Duration    // longest time that an answer takes
 }
 
-func (s *drillStore) write(key string, deleted bool) {
+func (s *restoredStore) write(key string, deleted bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.revision++
@@ -44,7 +44,7 @@
 }
 
 // state returns the keys with their positions.
-func (s *drillStore) state() map[string]Position {
+func (s *restoredStore) state() map[string]Position {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	out := map[string]Position{}
@@ -54,8 +54,8 @@
 	return out
 }
 
-// comeBack continues from the state that a store had lost some changes before.
-func (s *drillStore) comeBack(lost int) {
+// restore continues from the state that a store had lost some changes before.
+func (s *restoredStore) restore(lost int) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	kept := s.history[:max(0, len(s.history)-lost)]
@@ -85,7 +85,7 @@
 
 // enter waits for a while, like a call on its way, and returns whether it arrives. A call that is
 // not answered is given up after a limit.
-func (s *drillStore) enter(ctx context.Context, limit time.Duration) error {
+func (s *restoredStore) enter(ctx context.Context, limit time.Duration) error {
 	s.mu.Lock()
 	pause, away, silent := time.Duration(s.rng.Int64N(int64(s.slowest))), s.away, s.silent
 	s.mu.Unlock()
@@ -103,7 +103,7 @@
 	return nil
 }
 
-func (s *drillStore) Range(ctx context.Context, prefix string, answered func()) ([]Item, Position, error) {
+func (s *restoredStore) Range(ctx context.Context, prefix string, answered func()) ([]Item, Position, error) {
 	if err := s.enter(ctx, readLimit); err != nil {
 		return nil, 0, err
 	}
@@ -124,7 +124,7 @@
 }
 
 // checkEra is the check of the adapter to the store: answers of earlier eras are dropped.
-func (s *drillStore) checkEra(era int64) error {
+func (s *restoredStore) checkEra(era int64) error {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if era != s.era {
@@ -133,7 +133,7 @@
 	return nil
 }
 
-func (s *drillStore) Watch(ctx context.Context, prefix string, after Position, wait time.Duration, answered func()) ([]Item, Position, error) {
+func (s *restoredStore) Watch(ctx context.Context, prefix string, after Position, wait time.Duration, answered func()) ([]Item, Position, error) {
 	if err := s.enter(ctx, wait+watchSlack); err != nil {
 		return nil, 0, err
 	}
@@ -156,7 +156,7 @@
 }
 
 // changes returns the changes with revisions after that of a position, of whatever era.
-func (s *drillStore) changes(prefix string, after Position) ([]Item, Position, error) {
+func (s *restoredStore) changes(prefix string, after Position) ([]Item, Position, error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if after.Revision() < s.oldest {
@@ -172,9 +172,9 @@
 	return items, NewPosition(s.era, s.revision), nil
 }
 
-func (*drillStore) Grant(context.Context, time.Duration) (int64, error) { return 1, nil }
-func (*drillStore) Renew(context.Context, int64) error                  { return nil }
-func (*drillStore) Put(context.Context, string, []byte, int64) error    { return nil }
+func (*restoredStore) Grant(context.Context, time.Duration) (int64, error) { return 1, nil }
+func (*restoredStore) Renew(context.Context, int64) error                  { return nil }
+func (*restoredStore) Put(context.Context, string, []byte, int64) error    { return nil }
 
 // stateHandler is a Handler that keeps the positions of the keys.
 type stateHandler struct {
@@ -212,7 +212,7 @@
 )
 
 // Guards against a follower whose state is not that of the store for longer than a check and a
-// read take, in any order of changes, returns from copies, lost watches, outages, late answers
+// read take, in any order of changes, restores, lost watches, outages, late answers
 // and histories that were dropped.
 func TestFollowerConvergesOverEras(t *testing.T) {
 	for seed := range *modelDraws {
@@ -225,7 +225,7 @@
 
 func playEras(t *testing.T, seed uint64) {
 	rng := rand.New(rand.NewPCG(seed, 1))
-	s := &drillStore{rng: rand.New(rand.NewPCG(seed, 2)), era: 1, values: map[string]int64{}, slowest: time.Duration(1 + rng.IntN(int(300*time.Millisecond)))}
+	s := &restoredStore{rng: rand.New(rand.NewPCG(seed, 2)), era: 1, values: map[string]int64{}, slowest: time.Duration(1 + rng.IntN(int(300*time.Millisecond)))}
 	ctx, cancel := context.WithCancel(t.Context())
 	var group sync.WaitGroup
 	handlers := map[string]*stateHandler{}
@@ -265,7 +265,7 @@
 }
 
 // disturb makes one change to the store or to the calls to it.
-func (s *drillStore) disturb(rng *rand.Rand) {
+func (s *restoredStore) disturb(rng *rand.Rand) {
 	key := fmt.Sprint([]string{"a/", "b/", "c/"}[rng.IntN(3)], rng.IntN(3))
 	switch rng.IntN(8) {
 	case 0, 1, 2:
@@ -273,7 +273,7 @@
 			s.write(key, rng.IntN(4) == 0)
 		}
 	case 3, 4:
-		s.comeBack(rng.IntN(20))
+		s.restore(rng.IntN(20))
 		for range rng.IntN(25) { // may pass the lost revisions
 			s.write(key, rng.IntN(4) == 0)
 		}
--- a/gateway/follow/position.go
+++ b/gateway/follow/position.go
@@ -6,7 +6,7 @@
 )
 
 // Position is a place in the history of the store: an era, and a revision in it. A store that
-// comes back from a copy begins a new era and gives out again the revisions after the copy, so
+// is restored from a copy begins a new era and gives out again the revisions after the copy, so
 // that revisions can be compared only within an era. Positions are compared as numbers; those of
 // a later era are higher than all of an earlier one, which says which one is in force and not
 // that it has the changes of the earlier one. A store without eras is in era 0, in which the
@@ -26,7 +26,7 @@
 	return Position(era<<revisionBits | revision)
 }
 
-// Era returns how often the store had come back from a copy, as it counts.
+// Era returns how often the store was restored from a copy, as it counts.
 func (p Position) Era() int64 { return int64(p) >> revisionBits }
 
 // Revision returns the revision within the era.
@@ -41,9 +41,9 @@
 }
 
 // EraError means that the store is in another era than that of a position or of a lease: it has
-// come back from a copy, and what it knew after the copy is gone.
+// be restored from a copy, and what it knew after the copy is gone.
 type EraError struct{ Known, Current int64 }
 
 func (e *EraError) Error() string {
-	return "the store came back from a copy: era " + strconv.FormatInt(e.Current, 10) + ", known was " + strconv.FormatInt(e.Known, 10)
+	return "store restored from a copy: era " + strconv.FormatInt(e.Current, 10) + ", known was " + strconv.FormatInt(e.Known, 10)
 }
--- a/gateway/node/era.go
+++ b/gateway/node/era.go
@@ -13,7 +13,7 @@
 // new era of the store, so that the gateways do not all read at the same moment.
 const eraReadSpread = 500 * time.Millisecond
 
-// StoreEraChanged tells the node that the store is in a later era: it has come back from a copy
+// StoreEraChanged tells the node that the store is in a later era: it was restored from a copy
 // of itself, and what was written since the copy is gone. The node goes on serving with what it
 // knows, reads all prefixes anew and registers again. It does not block.
 func (n *Node) StoreEraChanged(before, now int64) {
@@ -21,7 +21,7 @@
 	if before == 0 { // the first answer of this process
 		return
 	}
-	n.options.Log.Warn("the store came back from a copy, reading it anew", "era_before", before, "era", now, "known", n.followers[0].Position())
+	n.options.Log.Warn("store restored from a copy, reading it anew", "era_before", before, "era", now, "known", n.followers[0].Position())
 	n.registry.DistrustRemovals(time.Now())
 	n.wholeReads.Restart()
 	time.AfterFunc(rand.N(eraReadSpread), func() { n.readEra(now) })
@@ -40,7 +40,7 @@
 
 // registerEra registers the gauge of the store's era.
 func (n *Node) registerEra() error {
-	gauge, err := n.options.Meter.Int64ObservableGauge("gateway.store_era", metric.WithDescription("How often the platform's store has come back from a copy, as it counts"))
+	gauge, err := n.options.Meter.Int64ObservableGauge("gateway.store_era", metric.WithDescription("How often the platform's store was restored from a copy, as it counts"))
 	if err != nil {
 		return fmt.Errorf("set up metrics: %w", err)
 	}
--- a/gateway/quarantine/era.go
+++ b/gateway/quarantine/era.go
@@ -6,7 +6,7 @@
 	"camphorwick.dev/gateway/follow"
 )
 
-// The store may come back from a copy that is some seconds old. Verdicts that were stored since
+// The store may be restored from a copy that is some seconds old. Verdicts that were stored since
 // are not in it, and those that were ended since are in it again.
 
 // endedMemory is how long it is remembered that an entry was ended. A copy is some seconds old.
@@ -41,9 +41,9 @@
 	}
 }
 
-// cameBack reports whether an entry of the store had been ended in an earlier era. It is removed
+// reappeared reports whether an entry of the store had been ended in an earlier era. It is removed
 // from the store again then. mu is held.
-func (l *List) cameBack(e Entry, at follow.Position) bool {
+func (l *List) reappeared(e Entry, at follow.Position) bool {
 	ended, ok := l.ended[e.Part]
 	if !ok || at.Era() <= ended.era || e.Since.After(ended.since) || time.Since(ended.at) > endedMemory {
 		return false
@@ -55,12 +55,12 @@
 }
 
 // wasLost reports whether the store, which does not list a stored entry, may have lost it,
-// because it has come back from a copy since. The entry is written again then. mu is held.
+// because it was restored from a copy since. The entry is written again then. mu is held.
 func (l *List) wasLost(r *record) bool {
 	if r.revision.Era() >= l.position().Era() {
 		return false
 	}
-	l.Log.Warn("quarantine is not in the store any more, which came back from a copy; it is written again", "part", r.Part, "since", r.Since)
+	l.Log.Warn("quarantine is not in the store any more, which was restored from a copy; it is written again", "part", r.Part, "since", r.Since)
 	r.revision = 0
 	l.scheduleWrite(r, false)
 	return true
--- a/gateway/quarantine/era_test.go
+++ b/gateway/quarantine/era_test.go
@@ -18,8 +18,8 @@
 	return maps.Clone(s.items)
 }
 
-// comeBack makes a store continue from a copy in the next era, and the lists read it.
-func comeBack(s *memoryStore, saved map[string]follow.Item, lists []*List) {
+// restore makes a store continue from a copy in the next era, and the lists read it.
+func restore(s *memoryStore, saved map[string]follow.Item, lists []*List) {
 	s.mu.Lock()
 	era := s.revision.Era() + 1
 	s.items, s.revision = map[string]follow.Item{}, follow.NewPosition(era, 1)
@@ -46,7 +46,7 @@
 		time.Sleep(3 * time.Second)
 		is.Equal(len(store.list()), 1)
 		for range 2 { // two returns in a row
-			comeBack(store, saved, lists)
+			restore(store, saved, lists)
 			for _, l := range lists {
 				is.True(refuses(l, "any", "bad"))
 			}
@@ -62,7 +62,7 @@
 }
 
 // Guards against a part that is refused again after its verdict was lifted, because the store
-// came back from a copy that still has it.
+// was restored from a copy that still has it.
 func TestLiftedVerdictDoesNotComeBackWithACopy(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
@@ -74,7 +74,7 @@
 		is.True(lists[1].Lift("part", "operator"))
 		time.Sleep(2 * time.Second)
 		is.Equal(len(store.list()), 0)
-		comeBack(store, saved, lists)
+		restore(store, saved, lists)
 		for _, l := range lists {
 			is.True(!refuses(l, "any", "part"))
 		}
--- a/gateway/quarantine/store.go
+++ b/gateway/quarantine/store.go
@@ -152,7 +152,7 @@
 		return nil
 	}
 	known := l.entries[e.Part]
-	if known == nil && (l.cameBack(e, item.Revision) || l.rejects(e)) {
+	if known == nil && (l.reappeared(e, item.Revision) || l.rejects(e)) {
 		return nil
 	}
 	if known == nil && len(l.entries) >= maxEntries {
--- a/gateway/schedule/schedule.go
+++ b/gateway/schedule/schedule.go
@@ -234,7 +234,7 @@
 		return nil, err
 	}
 	a, err := s.placeOnUsable(r, now)
-	if a == nil || !s.mayCut(&r) {
+	if a == nil || !s.mustEndInTime(&r) {
 		return a, err
 	}
 	if err := s.checkEnd(s.plannedTime(&r, a), now); err != nil {
--- a/gateway/schedule/stopping.go
+++ b/gateway/schedule/stopping.go
@@ -61,14 +61,14 @@
 
 // checkStop is CheckStop. mu is held.
 func (s *Scheduler) checkStop(r *Request, now time.Time) error {
-	if !s.mayCut(r) {
+	if !s.mustEndInTime(r) {
 		return nil
 	}
 	return s.checkEnd(s.leastTime(r, now), now)
 }
 
-// mayCut reports whether the gateway stops and must not cut r. mu is held.
-func (s *Scheduler) mayCut(r *Request) bool { return !s.stopAt.IsZero() && r.Duration != nil }
+// mustEndInTime reports whether the gateway stops and r must not be cut by that. mu is held.
+func (s *Scheduler) mustEndInTime(r *Request) bool { return !s.stopAt.IsZero() && r.Duration != nil }
 
 // checkEnd returns a StoppingError if a request that is sent now and takes needed ends too
 // late. mu is held.
@@ -112,7 +112,7 @@
 // withoutSlow removes the engines that write too slowly to end the answer before the gateway
 // stops. The error is a StoppingError if none is left. mu is held.
 func (s *Scheduler) withoutSlow(r *Request, servers []option, now time.Time) ([]option, error) {
-	if !s.mayCut(r) || len(servers) == 0 {
+	if !s.mustEndInTime(r) || len(servers) == 0 {
 		return servers, nil
 	}
 	d := r.Duration(now)
