registry: a removed server does not come back with a copy of the store

Cause: in the first 8 s of a gateway, changes of servers are collected for a second. The draining and the removal of a server then arrive as its removal alone, and only servers that had been seen to drain were remembered.

Change: every removed server is remembered for a minute; a copy of the store does not bring it back, its own word or another incarnation does.

--- a/gateway/registry/registry.go
+++ b/gateway/registry/registry.go
@@ -55,9 +55,8 @@
 	// removed holds when servers were removed that were not draining, by ID, for
 	// plannedRemoval.
 	removed map[string]time.Time
-	// drained holds the servers that were removed after they had drained, by ID, for
-	// drainedMemory.
-	drained map[string]*drainedServer
+	// ended holds the servers that were removed, by ID, for endedMemory.
+	ended map[string]*endedServer
 	// evacuated are the data centres whose servers get no requests. While it must be known
 	// and is not, no server gets any.
 	evacuated         map[string]bool
@@ -67,12 +66,12 @@
 	onChange      func(Change)
 }
 
-// drainedMemory is how long a server that has drained and was removed is remembered. A copy of
-// the store that may list it again is some seconds old.
-const drainedMemory = time.Minute
+// endedMemory is how long a server that was removed is remembered. A copy of the store that may
+// list it again is some seconds old.
+const endedMemory = time.Minute
 
-// drainedServer is a server that was removed after it had drained.
-type drainedServer struct {
+// endedServer is a server that was removed.
+type endedServer struct {
 	server *Server
 	at     time.Time
 }
@@ -108,7 +107,7 @@
 // New returns an empty registry. onChange is called for each change without a
 // lock held.
 func New(onChange func(Change)) *Registry {
-	return &Registry{servers: map[string]*record{}, services: map[string][]*Server{}, removed: map[string]time.Time{}, drained: map[string]*drainedServer{}, onChange: onChange}
+	return &Registry{servers: map[string]*record{}, services: map[string][]*Server{}, removed: map[string]time.Time{}, ended: map[string]*endedServer{}, onChange: onChange}
 }
 
 // Put records that the store lists a server.
@@ -160,7 +159,7 @@
 // withoutPast returns a server that a copy lists as it is known to be, nil if it has ended. mu is
 // held.
 func (r *Registry) withoutPast(s *Server) *Server {
-	if drained := r.drained[s.ID]; drained != nil && drained.server.sameIncarnation(s) {
+	if ended := r.ended[s.ID]; ended != nil && ended.server.sameIncarnation(s) {
 		return nil
 	}
 	known := r.servers[s.ID]
@@ -233,9 +232,8 @@
 func (r *Registry) drop(e *record, now time.Time) Change {
 	delete(r.servers, e.server.ID)
 	r.outdated = true
-	if e.server.Draining {
-		r.drained[e.server.ID] = &drainedServer{server: e.server, at: now}
-	} else {
+	r.ended[e.server.ID] = &endedServer{server: e.server, at: now}
+	if !e.server.Draining {
 		r.removed[e.server.ID] = now
 	}
 	return Change{Server: e.server, Event: Removed}
@@ -271,9 +269,9 @@
 				delete(r.removed, id)
 			}
 		}
-		for id, d := range r.drained {
-			if now.Sub(d.at) > drainedMemory {
-				delete(r.drained, id)
+		for id, e := range r.ended {
+			if now.Sub(e.at) > endedMemory {
+				delete(r.ended, id)
 			}
 		}
 		return changes
--- a/gateway/registry/restore_test.go
+++ b/gateway/registry/restore_test.go
@@ -25,14 +25,15 @@
 	named := func(id string, draining bool) *Server {
 		return &Server{ID: id, Service: "service", Address: "10.0.0.1:80", Started: 1, Draining: draining}
 	}
-	r.Replace([]*Server{named("steady", false), named("drains", false), named("ended", false), named("restarts", false)}, now)
-	saved := []*Server{named("steady", false), named("drains", false), named("ended", false), named("restarts", false)}
+	r.Replace([]*Server{named("steady", false), named("drains", false), named("ended", false), named("restarts", false), named("removed", false)}, now)
+	saved := []*Server{named("steady", false), named("drains", false), named("ended", false), named("restarts", false), named("removed", false)}
 	for _, id := range []string{"drains", "ended", "restarts"} {
 		r.Put(named(id, true))
 	}
 	r.Put(named("new", false)) // after the copy
 	r.Remove("ended", now)
 	r.Remove("restarts", now)
+	r.Remove("removed", now) // it was not seen to drain
 
 	r.Restore(saved, now)
 	is.Equal(usable(r), map[string]bool{"steady": true, "new": true})
@@ -45,6 +46,6 @@
 	is.Equal(usable(r), map[string]bool{"steady": true, "new": true, "restarts": true})
 	r.Put(named("drains", false)) // its own word counts
 	is.True(usable(r)["drains"])
-	r.Sweep(now.Add(2 * drainedMemory))
-	is.Equal(len(r.drained), 0)
+	r.Sweep(now.Add(2 * endedMemory))
+	is.Equal(len(r.ended), 0)
 }
