follow, platform: a lease has a type of its own

Cause: the number of a lease was packed with its era into one integer of which 44 bits held the number. The store's numbers are larger, so that no lease could be used: gateways registered again and again and did not know each other.

Change: follow.Lease has a number and an era. The revision of a position may have 48 bits now.

Tests of gateway/follow, gateway/node and platform passed with the race detector.

--- a/gateway/follow/era_model_test.go
+++ b/gateway/follow/era_model_test.go
@@ -172,9 +172,9 @@
 	return items, NewPosition(s.era, s.revision), nil
 }
 
-func (*restoredStore) Grant(context.Context, time.Duration) (int64, error) { return 1, nil }
-func (*restoredStore) Renew(context.Context, int64) error                  { return nil }
-func (*restoredStore) Put(context.Context, string, []byte, int64) error    { return nil }
+func (*restoredStore) Grant(context.Context, time.Duration) (Lease, error) { return Lease{ID: 1}, nil }
+func (*restoredStore) Renew(context.Context, Lease) error                  { return nil }
+func (*restoredStore) Put(context.Context, string, []byte, Lease) error    { return nil }
 
 // stateHandler is a Handler that keeps the positions of the keys.
 type stateHandler struct {
--- a/gateway/follow/follow.go
+++ b/gateway/follow/follow.go
@@ -59,13 +59,21 @@
 	// the changes after that position, EraError that it is in a later era.
 	Watch(ctx context.Context, prefix string, after Position, wait time.Duration, answered func()) ([]Item, Position, error)
 	// Grant creates a lease.
-	Grant(ctx context.Context, ttl time.Duration) (lease int64, err error)
+	Grant(ctx context.Context, ttl time.Duration) (Lease, error)
 	// Renew extends a lease. LeaseError means that it has ended.
-	Renew(ctx context.Context, lease int64) error
-	// Put writes a key that is deleted with the lease.
-	Put(ctx context.Context, key string, value []byte, lease int64) error
+	Renew(ctx context.Context, lease Lease) error
+	// Put writes a key that is deleted with the lease, or one without a lease if it is the
+	// zero value. LeaseError means that the lease has ended.
+	Put(ctx context.Context, key string, value []byte, lease Lease) error
 }
 
+// Lease is a lease of the store. A store that is restored from a copy may give out its number
+// again, so that it is one lease only together with its era.
+type Lease struct{ ID, Era int64 }
+
+// IsZero reports whether l is no lease.
+func (l Lease) IsZero() bool { return l == Lease{} }
+
 // CompactedError means that the store no longer has the changes after a
 // revision.
 type CompactedError struct{ After Position }
@@ -79,7 +87,7 @@
 func (e *ConflictError) Error() string { return fmt.Sprintf("key %q has another revision", e.Key) }
 
 // LeaseError means that a lease has ended.
-type LeaseError struct{ ID int64 }
+type LeaseError struct{ Lease Lease }
 
 func (e *LeaseError) Error() string { return "lease has ended" }
 
--- a/gateway/follow/position.go
+++ b/gateway/follow/position.go
@@ -14,7 +14,7 @@
 type Position int64
 
 const (
-	revisionBits = 44
+	revisionBits = 48
 	maxRevision  = 1<<revisionBits - 1
 	// maxEra is the last era that a Position can hold.
 	maxEra = 1<<(63-revisionBits) - 1
--- a/gateway/node/drain_test.go
+++ b/gateway/node/drain_test.go
@@ -334,9 +334,9 @@
 	return nil, 0, errSilent
 }
 
-func (silentStore) Grant(ctx context.Context, _ time.Duration) (int64, error) {
+func (silentStore) Grant(ctx context.Context, _ time.Duration) (follow.Lease, error) {
 	<-ctx.Done()
-	return 0, errSilent
+	return follow.Lease{}, errSilent
 }
 
 // Guards against requests on connections that the kernel has accepted and the
--- a/gateway/node/registration.go
+++ b/gateway/node/registration.go
@@ -32,16 +32,16 @@
 // a write of an earlier lease that the store carries out late replaces it, and ends with
 // that lease.
 func (n *Node) maintainRegistration(ctx context.Context) error {
-	lease := int64(0)
+	var lease follow.Lease
 	for {
 		var err error
-		if lease == 0 {
+		if lease.IsZero() {
 			lease, err = n.register(ctx)
 		} else {
 			err = n.protocol.Store.Renew(ctx, lease)
 			var ended *follow.LeaseError
 			if errors.As(err, &ended) {
-				lease = 0
+				lease = follow.Lease{}
 				continue
 			}
 		}
@@ -58,9 +58,9 @@
 			lost = true
 		case <-time.After(pause):
 		}
-		if lost && lease != 0 {
+		if lost && !lease.IsZero() {
 			n.options.Log.Warn("own registration lost, registering again")
-			lease = 0
+			lease = follow.Lease{}
 		}
 	}
 }
@@ -73,17 +73,17 @@
 	}
 }
 
-func (n *Node) register(ctx context.Context) (int64, error) {
+func (n *Node) register(ctx context.Context) (follow.Lease, error) {
 	value, err := json.Marshal(registration{Address: n.options.Peers, DataCentre: n.options.DataCentre})
 	if err != nil {
-		return 0, fmt.Errorf("encode own registration: %w", err)
+		return follow.Lease{}, fmt.Errorf("encode own registration: %w", err)
 	}
 	lease, err := n.protocol.Store.Grant(ctx, leaseTime)
 	if err != nil {
-		return 0, err
+		return follow.Lease{}, err
 	}
 	if err := n.protocol.Store.Put(ctx, peersPrefix+n.options.VM, value, lease); err != nil {
-		return 0, err
+		return follow.Lease{}, err
 	}
 	return lease, nil
 }
--- a/gateway/node/registration_test.go
+++ b/gateway/node/registration_test.go
@@ -25,15 +25,15 @@
 // that calls it without a delay ends.
 const maxCalls = 1000
 
-func (s *leaseLosingStore) Grant(context.Context, time.Duration) (int64, error) {
+func (s *leaseLosingStore) Grant(context.Context, time.Duration) (follow.Lease, error) {
 	if s.calls.Add(1) > maxCalls {
-		return 0, errors.New("too many calls")
+		return follow.Lease{}, errors.New("too many calls")
 	}
-	return 1, nil
+	return follow.Lease{ID: 1}, nil
 }
 
-func (s *leaseLosingStore) Put(context.Context, string, []byte, int64) error {
-	return &follow.LeaseError{ID: 1}
+func (s *leaseLosingStore) Put(context.Context, string, []byte, follow.Lease) error {
+	return &follow.LeaseError{Lease: follow.Lease{ID: 1}}
 }
 
 // Guards against a loop of calls without a delay, which the platform charges,
@@ -57,13 +57,13 @@
 	writes atomic.Int64
 }
 
-func (s *expiringStore) Grant(context.Context, time.Duration) (int64, error) {
-	return s.lease.Add(1), nil
+func (s *expiringStore) Grant(context.Context, time.Duration) (follow.Lease, error) {
+	return follow.Lease{ID: s.lease.Add(1)}, nil
 }
 
-func (s *expiringStore) Renew(context.Context, int64) error { return nil }
+func (s *expiringStore) Renew(context.Context, follow.Lease) error { return nil }
 
-func (s *expiringStore) Put(context.Context, string, []byte, int64) error {
+func (s *expiringStore) Put(context.Context, string, []byte, follow.Lease) error {
 	s.writes.Add(1)
 	return nil
 }
--- a/gateway/quarantine/list_test.go
+++ b/gateway/quarantine/list_test.go
@@ -57,7 +57,7 @@
 	return nil
 }
 
-func (s *memoryStore) Put(_ context.Context, key string, value []byte, _ int64) error {
+func (s *memoryStore) Put(_ context.Context, key string, value []byte, _ follow.Lease) error {
 	return s.change(follow.Item{Key: key, Value: value}, -1)
 }
 
--- a/gateway/quarantine/store.go
+++ b/gateway/quarantine/store.go
@@ -30,8 +30,8 @@
 
 // Store is the part of the platform's store that keeps the list.
 type Store interface {
-	// Put writes a key without a lease if lease is 0.
-	Put(ctx context.Context, key string, value []byte, lease int64) error
+	// Put writes a key without a lease if lease is the zero value.
+	Put(ctx context.Context, key string, value []byte, lease follow.Lease) error
 	// PutIf writes a key if its revision is the given one; otherwise it returns a
 	// follow.ConflictError.
 	PutIf(ctx context.Context, key string, value []byte, revision follow.Position) error
@@ -93,12 +93,12 @@
 }
 
 // put stores an entry with the given function, which has the signature of Store.Put.
-func (l *List) put(ctx context.Context, e Entry, write func(context.Context, string, []byte, int64) error) error {
+func (l *List) put(ctx context.Context, e Entry, write func(context.Context, string, []byte, follow.Lease) error) error {
 	value, err := json.Marshal(e)
 	if err != nil {
 		return fmt.Errorf("encode the quarantine of %q: %w", e.Part, err)
 	}
-	return write(ctx, Prefix+e.Part, value, 0)
+	return write(ctx, Prefix+e.Part, value, follow.Lease{})
 }
 
 // Replace implements follow.Handler.
--- a/gateway/quarantine/trials.go
+++ b/gateway/quarantine/trials.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"time"
+
+	"camphorwick.dev/gateway/follow"
 )
 
 // trialDue reports whether a trial of an entry is due. mu is held.
@@ -64,7 +66,7 @@
 	if l.Store != nil {
 		ctx, cancel := context.WithTimeout(ctx, claimTimeout)
 		defer cancel()
-		err := l.put(ctx, e, func(ctx context.Context, key string, value []byte, _ int64) error {
+		err := l.put(ctx, e, func(ctx context.Context, key string, value []byte, _ follow.Lease) error {
 			return l.Store.PutIf(ctx, key, value, c.revision)
 		})
 		if err != nil {
