ingress, node: a stop expects answers as long as they were lately

Cause: answers were expected to be as long as the longest that the request allows, and most are far shorter; and the check began with SIGTERM, while the platform still sends new callers and all gateways stop in turn.

Change: the length of an answer is the 95th percentile of the route's lately, as a share of the longest, once 8 were seen.

Two cases of TestStoppingGatewayTakesWhatItCanFinish are new. Tests of gateway/node and gateway/ingress on stops passed with the race detector.

--- a/gateway/ingress/route_times.go
+++ b/gateway/ingress/route_times.go
@@ -22,6 +22,10 @@
 	// times on which a gateway that stops relies.
 	wholeQuantile      = 0.95
 	firstEventQuantile = 0.9
+	// answerQuantile is the share of the answers that are not longer than a gateway that stops
+	// expects, and minAnswers the number of answers without which the longest is expected.
+	answerQuantile = 0.95
+	minAnswers     = 8
 )
 
 // routeTimes learns how long the requests of each route take. It is safe for concurrent use.
@@ -29,10 +33,12 @@
 	mu          sync.Mutex
 	wholes      *recent.Tracker // in seconds, by route
 	firstEvents *recent.Tracker // in seconds, by firstEventSeries
+	answers     *recent.Tracker // lengths as shares of the longest answer that was asked for, by route
 }
 
 func newRouteTimes() *routeTimes {
-	return &routeTimes{wholes: recent.NewTracker(timesKept, timesMaxAge), firstEvents: recent.NewTracker(timesKept, timesMaxAge)}
+	return &routeTimes{wholes: recent.NewTracker(timesKept, timesMaxAge), firstEvents: recent.NewTracker(timesKept, timesMaxAge),
+		answers: recent.NewTracker(timesKept, timesMaxAge)}
 }
 
 func (t *routeTimes) recordWhole(route string, took time.Duration) {
@@ -47,6 +53,24 @@
 	t.firstEvents.Observe(series, took.Seconds(), time.Now())
 }
 
+func (t *routeTimes) recordAnswer(route string, share float64) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.answers.Observe(route, share, time.Now())
+}
+
+// answer returns how long the answers of a route are, as a share of the longest that is asked
+// for; 1 if that is not known.
+func (t *routeTimes) answer(route string, now time.Time) float64 {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	share, ok := t.answers.Quantile(route, answerQuantile, minAnswers, now)
+	if !ok {
+		return 1
+	}
+	return min(share, 1)
+}
+
 // whole returns the time in which requests of a route ended lately; 0 if it is not known.
 func (t *routeTimes) whole(route string, now time.Time) time.Duration {
 	t.mu.Lock()
--- a/gateway/ingress/stopping.go
+++ b/gateway/ingress/stopping.go
@@ -35,7 +35,7 @@
 	case routing.Idempotent:
 		return schedule.Duration{}
 	case routing.Stream:
-		return schedule.Duration{Whole: x.usualDuration(now, 0), FirstEvent: x.g.times.firstEvent(x.firstEventSeries(), now), AnswerTokens: x.remainingTokens()}
+		return schedule.Duration{Whole: x.usualDuration(now, 0), FirstEvent: x.g.times.firstEvent(x.firstEventSeries(), now), AnswerTokens: x.remainingTokens(now)}
 	}
 	return schedule.Duration{Whole: x.usualDuration(now, hangFactor*x.route.LatencyTarget)}
 }
@@ -51,15 +51,31 @@
 	return min(usual, left)
 }
 
-// remainingTokens returns the tokens of the longest answer, without the events that the caller
-// has. The caller's estimate is not used, because it is often too short.
-func (x *exchange) remainingTokens() int {
-	tokens := x.meta.MaxAnswerTokens
-	if tokens == 0 {
+// remainingTokens returns the tokens of the answer, without the events that the caller has: of
+// the longest one, or of as long a part of it as answers of the route had lately. The caller's
+// estimate is not used, because it is often too short.
+func (x *exchange) remainingTokens(now time.Time) int {
+	longest := x.meta.MaxAnswerTokens
+	if longest == 0 {
 		return 0
 	}
-	if s := x.table.Service(x.service); s != nil && s.Engine != nil {
-		tokens -= x.forwardedEvents * s.Engine.StepsPerPass
+	expected := int(x.g.times.answer(x.route.Name, now) * float64(longest))
+	return max(expected-x.forwardedTokens(), 1)
+}
+
+// forwardedTokens returns the tokens that the caller has received; 0 if the engine of the service
+// is not known.
+func (x *exchange) forwardedTokens() int {
+	s := x.table.Service(x.service)
+	if s == nil || s.Engine == nil {
+		return 0
+	}
+	return x.forwardedEvents * s.Engine.StepsPerPass
+}
+
+// recordAnswer records the length of a whole stream, unless its caller has resumed it.
+func (x *exchange) recordAnswer() {
+	if longest := x.meta.MaxAnswerTokens; longest > 0 && x.meta.LastEventID == "" {
+		x.g.times.recordAnswer(x.route.Name, float64(x.forwardedTokens())/float64(longest))
 	}
-	return max(tokens, 1)
 }
--- a/gateway/ingress/stopping_time_test.go
+++ b/gateway/ingress/stopping_time_test.go
@@ -77,6 +77,8 @@
 		{name: "long prompt", target: "/stream/", headers: "Tokens: 90000\r\n", server: events(2, true), left: 1200 * time.Millisecond},
 		{name: "long target, fast engine", target: "/stream/", headers: withPrompt, server: paced(10, 10*time.Millisecond), change: latencyTarget(8 * time.Second), earlier: 3, left: time.Second, taken: true},
 		{name: "first event later than its model", target: "/stream/", headers: withPrompt, server: after(800*time.Millisecond, events(2, true)), earlier: 1, left: 850 * time.Millisecond},
+		{name: "answers shorter than the longest", target: "/stream/", headers: withPrompt + "Answer: 1500\r\n", server: events(2, true), earlier: minAnswers, left: 500 * time.Millisecond, taken: true},
+		{name: "few answers seen", target: "/stream/", headers: withPrompt + "Answer: 1500\r\n", server: events(2, true), earlier: minAnswers - 1, left: 500 * time.Millisecond},
 		{name: "no estimate, long streams", target: "/once/", headers: "Answer: 0\r\n", server: paced(5, 250*time.Millisecond), earlier: 3, left: 900 * time.Millisecond},
 		{name: "no estimate, short streams", target: "/once/", headers: "Answer: 0\r\n", server: paced(5, 10*time.Millisecond), earlier: 3, left: 500 * time.Millisecond, taken: true},
 		{name: "no estimate, nothing known", target: "/once/", headers: "Answer: 0\r\n", server: paced(5, 10*time.Millisecond), left: 1500 * time.Millisecond},
--- a/gateway/ingress/stream.go
+++ b/gateway/ingress/stream.go
@@ -126,6 +126,7 @@
 	}
 	a.Observe(suspect.Success)
 	x.tracked.Answered()
+	x.recordAnswer()
 	x.writeStreamHead(answer)
 	x.finish(x.status, "")
 	return answered
--- a/gateway/node/drain.go
+++ b/gateway/node/drain.go
@@ -33,8 +33,10 @@
 	limit := started.Add(n.options.DrainLimit)
 	n.options.Log.Info("stopping", "in_progress", n.gateway.Active())
 	n.gateway.CloseConnections()
-	n.gateway.RefuseAfter(limit)
+	// Until then the platform sends new callers, and most requests that may outlast the stop by
+	// the longest answer end well before: to refuse them all costs more than to cut a few.
 	sleepUntil(ctx, started.Add(min(minDrainTime, n.options.DrainLimit)))
+	n.gateway.RefuseAfter(limit)
 	n.serveOpenConnections(ctx, callers, limit)
 	return n.closeConnections(server, callers)
 }
