--- a/gateway/ingress/stopping.go
+++ b/gateway/ingress/stopping.go
@@ -44,7 +44,11 @@
 // time; without either, all the time that the request has.
 func (x *exchange) usualDuration(now time.Time, least time.Duration) time.Duration {
 	left := max(x.deadline.Sub(now), 1)
-	usual := max(x.g.times.whole(x.route.Name, now), least)
+	usual := x.g.times.whole(x.route.Name, now)
+	if usual > 0 {
+		usual += schedule.EndSlack(x.route.LatencyTarget)
+	}
+	usual = max(usual, least)
 	if usual == 0 {
 		return left
 	}
--- a/gateway/schedule/stopping.go
+++ b/gateway/schedule/stopping.go
@@ -37,12 +37,21 @@
 	// endMargin is the factor by which an estimate is exceeded now and then. A request that is
 	// refused is served elsewhere at once; one that is cut has lost its time.
 	endMargin = 1.1
-	// plannedFirstFactor and plannedFirstSlack bound the time to the first event of a kind of
-	// requests of which none was seen lately, by the plan of the placement.
-	plannedFirstFactor = 2
-	plannedFirstSlack  = 100 * time.Millisecond
+	// maxEndSlack bounds EndSlack.
+	maxEndSlack = time.Second
+	// unseenFirstFactor and unseenTargets bound the time to the first event where no such request,
+	// or no answer of the engine, was seen lately: as a multiple of the plan of the placement, and
+	// as a number of latency targets.
+	unseenFirstFactor = 2
+	unseenTargets     = 2
 )
 
+// EndSlack returns what is added to a time that was learned or follows from a model, because a
+// stream may stall, and processes that are busy take longer to write it.
+func EndSlack(latencyTarget time.Duration) time.Duration {
+	return min(unseenTargets*latencyTarget, maxEndSlack)
+}
+
 // StopAt makes the scheduler refuse requests that may not end by t, those that wait included.
 func (s *Scheduler) StopAt(t time.Time) {
 	s.mu.Lock()
@@ -91,7 +100,8 @@
 	if first == 0 {
 		first = duration(r.Engine.LeastFirstEventMillis(r.Prompt.Tokens))
 	}
-	return r.untilDeadline(now, first+d.answerTime(r.Engine, r.Prompt.Tokens, s.answerPace.ofService(r.Service, fastPaceQuantile, now)))
+	pace, _ := s.answerPace.ofService(r.Service, fastPaceQuantile, now)
+	return r.untilDeadline(now, first+d.answerTime(r.Engine, r.Prompt.Tokens, pace))
 }
 
 // plannedTime returns how long a request may take that was placed as a says. mu is held.
@@ -101,12 +111,13 @@
 		return d.Whole
 	}
 	first := time.Duration(float64(a.Expected) * max(1, s.pace.Factor(a.Server.ID, a.placed)))
-	if d.FirstEvent > 0 {
-		first = max(first, d.FirstEvent)
-	} else {
-		first = plannedFirstFactor*first + plannedFirstSlack
+	pace, known := s.answerPace.ofServer(r.Service, a.Server.ID, a.placed)
+	if known && d.FirstEvent > 0 {
+		first = max(first, d.FirstEvent) + EndSlack(r.LatencyTarget)
+	} else { // the model alone says little
+		first = max(unseenFirstFactor*first, d.FirstEvent, unseenTargets*r.LatencyTarget)
 	}
-	return r.untilDeadline(a.placed, first+d.answerTime(r.Engine, a.contextTokens, s.answerPace.ofServer(r.Service, a.Server.ID, a.placed)))
+	return r.untilDeadline(a.placed, first+d.answerTime(r.Engine, a.contextTokens, pace))
 }
 
 // withoutSlow removes the engines that write too slowly to end the answer before the gateway
@@ -121,7 +132,7 @@
 	}
 	var late error
 	servers = slices.DeleteFunc(servers, func(o option) bool {
-		pace := s.answerPace.ofServer(r.Service, o.server.ID, now)
+		pace, _ := s.answerPace.ofServer(r.Service, o.server.ID, now)
 		err := s.checkEnd(r.untilDeadline(now, d.FirstEvent+d.answerTime(r.Engine, r.Prompt.Tokens, pace)), now)
 		if err != nil {
 			late = err
@@ -187,20 +198,21 @@
 	p.services.Observe(service, pace, now)
 }
 
-// ofServer returns the pace of one engine.
-func (p answerPace) ofServer(service, server string, now time.Time) float64 {
+// ofServer returns the pace of one engine, and whether it, or another one of its service, was
+// seen.
+func (p answerPace) ofServer(service, server string, now time.Time) (pace float64, known bool) {
 	if pace, ok := p.servers.Quantile(server, serverPaceQuantile, minPaceValues, now); ok {
-		return pace
+		return pace, true
 	}
 	return p.ofService(service, usualPaceQuantile, now)
 }
 
-// ofService returns a quantile of the pace of the engines of a service.
-func (p answerPace) ofService(service string, q float64, now time.Time) float64 {
+// ofService returns a quantile of the pace of the engines of a service, and whether any was seen.
+func (p answerPace) ofService(service string, q float64, now time.Time) (pace float64, known bool) {
 	if pace, ok := p.services.Quantile(service, q, minPaceValues, now); ok {
-		return pace
+		return pace, true
 	}
-	return defaultAnswerPace
+	return defaultAnswerPace, false
 }
 
 // ObserveEvents records that the server took some time for events of one answer, without the
