follow: a check that was under way does not undo a doubt

What callers could see: a change of the store, such as a gateway that leaves, that stays unknown until the next read of its prefix.

Cause: when a watch is cut, the proofs of the last seconds are taken back for prefixes without a watch, so that the next check covers that time once more. A check that had begun before, here or at a peer, and was answered after that counted as a new proof, and the change that it had missed was not asked for.

Change: progress keeps when proofs were taken back; checks that began until then prove nothing.

TestCheckUnderWayDoesNotUndoADoubt failed before. The tests of gateway/follow pass.

--- a/gateway/follow/progress.go
+++ b/gateway/follow/progress.go
@@ -34,6 +34,9 @@
 	// before is a value of through of at least doubtTime ago, mark one of later at markedAt.
 	before, mark Position
 	markedAt     time.Time
+	// doubtedAt is when the last proofs were taken back. Those of calls that began before do
+	// not count any more.
+	doubtedAt time.Time
 	// ownThrough and ownAt are those of the newest proof of this process.
 	ownThrough Position
 	ownAt      time.Time
@@ -75,9 +78,14 @@
 func (p *progress) recordCheck(revision Position, began time.Time) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.prove(revision, began)
+	if !p.isDoubted(began) {
+		p.prove(revision, began)
+	}
 }
 
+// isDoubted reports whether a check that began at a time may have missed changes. mu is held.
+func (p *progress) isDoubted(began time.Time) bool { return !began.After(p.doubtedAt) }
+
 // prove records a proof of this process. mu is held.
 func (p *progress) prove(revision Position, at time.Time) {
 	p.advance(revision)
@@ -102,6 +110,7 @@
 func (p *progress) doubt() {
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	p.doubtedAt = time.Now()
 	p.through = min(p.through, p.before)
 	p.ownThrough = min(p.ownThrough, p.through)
 }
@@ -111,7 +120,7 @@
 func (p *progress) adopt(proof Proof) (isBehind bool) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if p.through.Era() != proof.Through.Era() { // it says nothing of this state
+	if p.through.Era() != proof.Through.Era() || p.isDoubted(proof.At) { // it says nothing of this state
 		return false
 	}
 	if p.through < proof.LastChange {
