ingress: a stop expects the longest answer that was seen lately

Cause: the length of an answer was expected at the 95th percentile of the last 64 of its route. One late request in 20 was taken that could not end.

Change: the longest of the last 256 answers counts, once 32 were seen. A cut costs the caller seconds, a refusal a new call elsewhere. Requests without a model of the engine count by the 99th percentile of 256 durations, the 95th of 64 before.

--- a/gateway/ingress/route_times.go
+++ b/gateway/ingress/route_times.go
@@ -11,21 +11,25 @@
 )
 
 const (
-	// timesKept and timesMaxAge bound the durations of a route that count.
-	timesKept   = 64
-	timesMaxAge = 10 * time.Minute
+	// wholesKept, answersKept, firstEventsKept and timesMaxAge bound the values of a route that
+	// count.
+	wholesKept      = 256
+	answersKept     = 256
+	firstEventsKept = 64
+	timesMaxAge     = 10 * time.Minute
 	// minWholes and minFirstEvents are the numbers of durations without which those of a route
 	// are not known. A first event counts alone: without any, a plan decides, not the deadline.
 	minWholes      = 3
 	minFirstEvents = 1
 	// wholeQuantile and firstEventQuantile are the shares of the requests that are within the
 	// times on which a gateway that stops relies.
-	wholeQuantile      = 0.95
+	wholeQuantile      = 0.99
 	firstEventQuantile = 0.9
 	// answerQuantile is the share of the answers that are not longer than a gateway that stops
-	// expects, and minAnswers the number of answers without which the longest is expected.
-	answerQuantile = 0.95
-	minAnswers     = 8
+	// expects: all of them, since few answers are far longer than most, and one that is refused
+	// is served elsewhere. Without minAnswers answers the longest allowed is expected.
+	answerQuantile = 1
+	minAnswers     = 32
 )
 
 // routeTimes learns how long the requests of each route take. It is safe for concurrent use.
@@ -37,8 +41,8 @@
 }
 
 func newRouteTimes() *routeTimes {
-	return &routeTimes{wholes: recent.NewTracker(timesKept, timesMaxAge), firstEvents: recent.NewTracker(timesKept, timesMaxAge),
-		answers: recent.NewTracker(timesKept, timesMaxAge)}
+	return &routeTimes{wholes: recent.NewTracker(wholesKept, timesMaxAge), firstEvents: recent.NewTracker(firstEventsKept, timesMaxAge),
+		answers: recent.NewTracker(answersKept, timesMaxAge)}
 }
 
 func (t *routeTimes) recordWhole(route string, took time.Duration) {
