--- a/gateway/follow/position.go
+++ b/gateway/follow/position.go
@@ -40,8 +40,8 @@
 	return slog.StringValue(strconv.FormatInt(p.Era(), 10) + "." + strconv.FormatInt(p.Revision(), 10))
 }
 
-// EraError means that the store is in another era than that of a position or of a lease: it has
-// be restored from a copy, and what it knew after the copy is gone.
+// EraError means that the store is in another era than that of a position or of a lease: it was
+// restored from a copy, and what it knew after the copy is gone.
 type EraError struct{ Known, Current int64 }
 
 func (e *EraError) Error() string {
--- a/gateway/quarantine/trials.go
+++ b/gateway/quarantine/trials.go
@@ -7,6 +7,31 @@
 	"camphorwick.dev/gateway/follow"
 )
 
+const (
+	// laterTrialDelay is the time between the trials after those of trialDelays. With these
+	// no more than three trials are sent in a day, later than some seconds after the verdict.
+	laterTrialDelay = 24 * time.Hour
+	// maxCleanTrialWait is how long a trial that is due waits for a prompt without other
+	// suspects.
+	maxCleanTrialWait = 1500 * time.Millisecond
+	// nextPassDelay is the time to the next trial after an answered one that is not enough
+	// to end the quarantine.
+	nextPassDelay = 50 * time.Millisecond
+	// maxTrialParts bounds the quarantined parts of a prompt that is a trial; each costs a
+	// call to the store.
+	maxTrialParts = 4
+	// returnedTrialDelay is the time from the end of a trial that no server has run to the
+	// next one. Servers that cannot take a request now may take one then.
+	returnedTrialDelay = 500 * time.Millisecond
+	// probeTime is how long a prompt of another account may take until it counts as lost.
+	probeTime = 3 * time.Second
+)
+
+// trialDelays are the times from the verdict to the first trial and from each trial to the
+// next one. The first two mostly come while the users allow any number of requests; they
+// end a wrong verdict on a part of which much is asked within seconds.
+var trialDelays = [...]time.Duration{1500 * time.Millisecond, 1500 * time.Millisecond, 6 * time.Second, time.Minute, 15 * time.Minute}
+
 // trialDue reports whether a trial of an entry is due. mu is held.
 func (l *List) trialDue(r *record, now time.Time) bool {
 	return !now.Before(r.NextTrial) && (l.Store == nil || r.revision != 0)
@@ -27,13 +52,6 @@
 	probe bool
 }
 
-// returnedTrialDelay is the time from the end of a trial that no server has run to the next
-// one. Servers that cannot take a request now may take one then.
-const returnedTrialDelay = 500 * time.Millisecond
-
-// probeTime is how long a prompt of another account may take until it counts as lost.
-const probeTime = 3 * time.Second
-
 // probeDue reports whether a prompt of another account may be let through. mu is held.
 func (l *List) probeDue(r *record, now time.Time) bool {
 	return now.Sub(r.probedAt) >= probeTime && (l.Store == nil || r.revision != 0)
