ingress: tests of the time limit allow for a late server

The tests now repeat such a trial, 8 times at most, until a server has stopped in time; all other demands hold for each trial.

--- a/gateway/ingress/limit_end_test.go
+++ b/gateway/ingress/limit_end_test.go
@@ -102,16 +102,37 @@
 	}
 }
 
+// limitAttempts is how often a test tries to make a server stop just before the gateway's own
+// deadline. On a busy machine either may be late, and the deadline then ends the request.
+const limitAttempts = 8
+
+// stopAtLimit sends requests to new fleets with the given servers until one of them has stopped
+// just before the gateway's deadline, and fails the test if none has. check is called after
+// each, with a complete answer or an error.
+func stopAtLimit(t *testing.T, target, headers string, check func(f *fleet, response *http.Response, err error), servers ...answer) {
+	t.Helper()
+	for range limitAttempts {
+		f := newFleet(t, servers...)
+		f.gateway.Scheduler.OnEject = func(_, server string) { t.Errorf("%s was ejected", server) }
+		response, _, err := f.call("POST", target, headers, "x")
+		check(f, response, err)
+		f.waitForLine("request ended")
+		if strings.Contains(f.log.String(), `"ending":"at_time_limit"`) {
+			return
+		}
+	}
+	t.Fatalf("no server stopped just before the deadline in %d attempts", limitAttempts)
+}
+
 // Guards against a server that counts as faulty, and a retry that cannot end in time, because
 // it kept to the time limit of the gateway.
 func TestEndAtTheTimeLimitIsNoFaultOfTheServer(t *testing.T) {
 	is := is.New(t)
-	f := newFleet(t, unframedUntil(0.98), unframedUntil(0.98)) // before the gateway's own deadline
-	response, _, err := f.call("POST", "/lookup/", "Left: 800\r\n", "x")
-	is.NoErr(err)
-	is.Equal(response.StatusCode, http.StatusGatewayTimeout)
-	is.Equal(len(f.requests()), 1)
-	f.waitForLine(`"ending":"at_time_limit"`)
+	stopAtLimit(t, "/lookup/", "Left: 800\r\n", func(f *fleet, response *http.Response, err error) {
+		is.NoErr(err)
+		is.Equal(response.StatusCode, http.StatusGatewayTimeout)
+		is.Equal(len(f.requests()), 1)
+	}, unframedUntil(0.98), unframedUntil(0.98))
 }
 
 // brokenAnswers are answers that are not whole, by what shows that.
@@ -132,15 +153,13 @@
 			t.Run(name+target, func(t *testing.T) {
 				t.Parallel()
 				is := is.New(t)
-				f := newFleet(t, until(0.985, text), until(0.985, text)) // before the gateway's own deadline
-				f.gateway.Scheduler.OnEject = func(_, server string) { t.Errorf("%s was ejected", server) }
-				response, _, err := f.call("POST", target, "Left: 800\r\n", "x")
-				is.True(err != nil || response.StatusCode == http.StatusGatewayTimeout)
-				is.Equal(len(f.requests()), 1)
-				f.waitForLine("answer stopped at its time limit")
-				for _, message := range []string{"answer broken", "stream broken", "send failed"} {
-					is.True(!strings.Contains(f.log.String(), message)) // logged together with a failure of the server
-				}
+				stopAtLimit(t, target, "Left: 800\r\n", func(f *fleet, response *http.Response, err error) {
+					is.True(err != nil || response.StatusCode == http.StatusGatewayTimeout)
+					is.Equal(len(f.requests()), 1)
+					for _, message := range []string{"answer broken", "stream broken", "send failed"} {
+						is.True(!strings.Contains(f.log.String(), message)) // logged together with a failure of the server
+					}
+				}, until(0.98, text), until(0.98, text))
 			})
 		}
 	}
@@ -164,14 +183,20 @@
 // Guards against a crash on a part of a prompt that is not recorded because the server ended
 // at the time limit.
 func TestCrashAtTheTimeLimitIsRecorded(t *testing.T) {
-	is := is.New(t)
-	var f *fleet
-	stop := until(0.985, brokenAnswers["no event"])
-	f = newFleet(t, func(c net.Conn, br *bufio.Reader, r *http.Request) bool {
+	stop := until(0.986, brokenAnswers["no event"])
+	var current *fleet
+	crash := func(c net.Conn, br *bufio.Reader, r *http.Request) bool {
 		stop(c, br, r)
-		f.closePort("s0")
+		current.closePort("s0")
 		return false
-	})
-	_, _, _ = f.call("POST", "/stream/", "Left: 1500\r\nParts: p1\r\n", "x") // it cannot succeed
-	is.True(strings.Contains(f.waitForLine("answer stopped at its time limit"), `"server_ended":true`))
+	}
+	for range limitAttempts {
+		current = newFleet(t, crash)
+		_, _, _ = current.call("POST", "/stream/", "Left: 1800\r\nParts: p1\r\n", "x") // it cannot succeed
+		current.waitForLine("request ended")
+		if strings.Contains(current.log.String(), `"server_ended":true`) {
+			return
+		}
+	}
+	t.Fatalf("no crash at the time limit was recorded in %d attempts", limitAttempts)
 }
