tcpprobe: the test keeps the port at which no process listens

The other packages open listening sockets at any free port meanwhile, so one of them may have had it; that it did is not shown.

The test now binds a socket without listening, so that the port stays taken and refuses connections.

--- a/cloud/tcpprobe/tcpprobe_test.go
+++ b/cloud/tcpprobe/tcpprobe_test.go
@@ -36,13 +36,25 @@
 	return state
 }
 
+// refusingAddress returns an address at which no process listens. Its port stays taken, since
+// another process may listen at a free one at any time.
+func refusingAddress(t *testing.T) string {
+	t.Helper()
+	is := is.New(t)
+	fd, err := unix.Socket(unix.AF_INET, unix.SOCK_STREAM|unix.SOCK_CLOEXEC, 0)
+	is.NoErr(err)
+	t.Cleanup(func() { _ = unix.Close(fd) })
+	is.NoErr(unix.Bind(fd, &unix.SockaddrInet4{Addr: [4]byte{127, 0, 0, 1}}))
+	bound, err := unix.Getsockname(fd)
+	is.NoErr(err)
+	return fmt.Sprintf("127.0.0.1:%d", bound.(*unix.SockaddrInet4).Port)
+}
+
 // Guards against a server that runs and counts as gone, and against the reverse.
 func TestServer(t *testing.T) {
 	is := is.New(t)
-	running, ended := listen(t), listen(t)
-	is.NoErr(ended.Close())
-	is.Equal(probe(context.Background(), running.Addr().String()), Accepting)
-	is.Equal(probe(context.Background(), ended.Addr().String()), Refusing)
+	is.Equal(probe(context.Background(), listen(t).Addr().String()), Accepting)
+	is.Equal(probe(context.Background(), refusingAddress(t)), Refusing)
 }
 
 // Guards against a server that counts as running because the probe was ended.
