--- a/gateway/ingress/limit_end_test.go
+++ b/gateway/ingress/limit_end_test.go
@@ -194,8 +194,10 @@
 		current = newFleet(t, crash)
 		_, _, _ = current.call("POST", "/stream/", "Left: 1800\r\nParts: p1\r\n", "x") // it cannot succeed
 		current.waitForLine("request ended")
-		if strings.Contains(current.log.String(), `"server_ended":true`) {
-			return
+		for line := range strings.Lines(current.log.String()) {
+			if strings.Contains(line, "answer stopped at its time limit") && strings.Contains(line, `"server_ended":true`) {
+				return
+			}
 		}
 	}
 	t.Fatalf("no crash at the time limit was recorded in %d attempts", limitAttempts)
