--- a/review/standin-3/lab.go
+++ b/review/standin-3/lab.go
@@ -250,7 +250,7 @@
 		fmt.Fprintln(os.Stderr, "usage: standin-3 CASE RECORD")
 		os.Exit(exitNotRun)
 	}
-	cases := map[string]func(*lab){"heads": runHeads, "poison": runPoison, "drill": runDrill, "freeze": runFreeze}
+	cases := map[string]func(*lab){"heads": runHeads, "poison": runPoison, "drill": runDrill, "truncate": runTruncate}
 	run, ok := cases[os.Args[1]]
 	if !ok {
 		fmt.Fprintln(os.Stderr, "no such case")
--- a/review/standin-3/server.go
+++ b/review/standin-3/server.go
@@ -26,7 +26,8 @@
 	lab      *lab
 	id       string
 	service  string
-	address  string
+	address  string // at which it listens
+	link     *link  // in front of it; nil for none
 	born     int64
 	http     *http.Server
 	handle   func(s *server, w http.ResponseWriter, r *http.Request) // answers a request that runs
@@ -45,11 +46,20 @@
 	if err != nil {
 		fail("listen", err)
 	}
-	return l.startServerAt(listener, id, service, handle)
+	return l.startServerAt(listener, nil, id, service, handle)
 }
 
-func (l *lab) startServerAt(listener net.Listener, id, service string, handle func(*server, http.ResponseWriter, *http.Request)) *server {
-	s := &server{lab: l, id: id, service: service, address: listener.Addr().String(), born: time.Now().UnixMilli(), handle: handle, stop: make(chan struct{})}
+// startLinkedServer starts a server behind a link.
+func (l *lab) startLinkedServer(id, service string, handle func(*server, http.ResponseWriter, *http.Request)) *server {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		fail("listen", err)
+	}
+	return l.startServerAt(listener, newLink(listener.Addr().String()), id, service, handle)
+}
+
+func (l *lab) startServerAt(listener net.Listener, k *link, id, service string, handle func(*server, http.ResponseWriter, *http.Request)) *server {
+	s := &server{lab: l, id: id, service: service, address: listener.Addr().String(), link: k, born: time.Now().UnixMilli(), handle: handle, stop: make(chan struct{})}
 	s.http = &http.Server{Handler: s}
 	go func() { _ = s.http.Serve(listener) }()
 	s.beat()
@@ -79,7 +89,11 @@
 	if s.service == deskService {
 		slots = 6
 	}
-	s.lab.store.putIfChanged("servers/"+s.id, map[string]any{"service": s.service, "address": s.address, "zone": zone, "version": "v1", "slotCount": slots, "state": state,
+	address := s.address
+	if s.link != nil {
+		address = s.link.address()
+	}
+	s.lab.store.putIfChanged("servers/"+s.id, map[string]any{"service": s.service, "address": address, "zone": zone, "version": "v1", "slotCount": slots, "state": state,
 		"coldLeftMs": 0, "stage": "colocated", "models": []any{}, "sequence": 0, "born": s.born})
 }
 
